--- /dev/null
+++ b/lavenderbend/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for very many returning chats."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/lavenderbend/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module for each command."""
--- /dev/null
+++ b/lavenderbend/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: rules, placement, admission, membership, agreement."""
--- /dev/null
+++ b/lavenderbend/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The processes, thin over the library."""
--- /dev/null
+++ b/lavenderbend/errors.py
@@ -0,0 +1,228 @@
+"""The errors of lavenderbend; each failure has its own type."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude about its request.
+
+    `NOT_RUN` is a promise: nothing of the request can have run.
+    """
+
+    COMPLETE = 'complete'
+    NOT_RUN = 'not-run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+class LavenderbendError(Exception):
+    """Base of every error of this package.
+
+    Attributes:
+        category: One word group that operators see before the message.
+    """
+
+    category = 'error'
+
+
+class RegistrationError(LavenderbendError):
+    """A name was registered twice, or looked up and not found."""
+
+    category = 'registration error'
+
+
+class SettingsError(LavenderbendError):
+    """A settings or rules file cannot be used."""
+
+    category = 'settings error'
+
+
+class PeerError(LavenderbendError):
+    """A peer router did not do what it was asked."""
+
+    category = 'peer error'
+
+
+class PeerUnreachable(PeerError):
+    """No answer came from the peer in time; it may have acted."""
+
+
+class PeerRefused(PeerError):
+    """The peer answered with an error; it has not acted."""
+
+
+class CodecError(LavenderbendError):
+    """Bytes that are no message of ours."""
+
+    category = 'codec error'
+
+
+class KeyValueError(LavenderbendError):
+    """The key-value service did not do what it was asked."""
+
+    category = 'key-value error'
+
+
+class KeyValueUnavailable(KeyValueError):
+    """The call did not reach the service, or the service refused it.
+
+    Nothing was written.
+    """
+
+
+class KeyValueUncertain(KeyValueError):
+    """The answer to a call was lost; a write may have taken effect."""
+
+
+class UpstreamError(LavenderbendError):
+    """An upstream did not answer as it should."""
+
+    category = 'upstream error'
+
+
+class UpstreamUnreachable(UpstreamError):
+    """No connection; no byte of the request has left."""
+
+
+class UpstreamRefused(UpstreamError):
+    """The upstream refused the request before it started it."""
+
+
+class UpstreamBroke(UpstreamError):
+    """The connection or the answer broke after the request was sent."""
+
+
+class AnswerMismatch(UpstreamError):
+    """The answer carries the id of another request."""
+
+
+class RequestError(LavenderbendError):
+    """A request that ends without its whole answer.
+
+    Attributes:
+        outcome: What the caller may conclude.
+        status: The HTTP status code.
+        kind: The last part of the problem type (RFC 9457).
+        retry_after: Seconds after which another try makes sense, if any.
+    """
+
+    category = 'request error'
+    outcome = Outcome.NOT_RUN
+    status = 503
+    kind = 'not-run'
+
+    def __init__(self, detail: str, retry_after: float | None = None) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+class NotAuthenticated(RequestError):
+    """The credential is missing or wrong."""
+
+    status = 401
+    kind = 'not-authenticated'
+
+
+class RequestInvalid(RequestError):
+    """The request cannot be read."""
+
+    status = 400
+    kind = 'request-invalid'
+
+
+class RequestTooLarge(RequestError):
+    """Header or body are over the limit."""
+
+    status = 413
+    kind = 'request-too-large'
+
+
+class NoRuleMatched(RequestError):
+    """No rule matches the request."""
+
+    status = 404
+    kind = 'no-rule-matched'
+
+
+class RejectedByRule(RequestError):
+    """The first matching rule rejects the request."""
+
+    status = 403
+    kind = 'rejected-by-rule'
+
+
+class CustomerOverLimit(RequestError):
+    """The customer is over its limit."""
+
+    status = 429
+    kind = 'customer-over-limit'
+
+
+class NoUpstream(RequestError):
+    """No upstream of the pool may take the request."""
+
+    kind = 'no-upstream'
+
+
+class PoolFull(RequestError):
+    """Every upstream of the pool is at its limit until the deadline."""
+
+    kind = 'pool-full'
+
+
+class RouterStopping(RequestError):
+    """The router is stopping; another router takes the request."""
+
+    kind = 'router-stopping'
+
+
+class NoConfiguration(RequestError):
+    """The router has no accepted configuration yet."""
+
+    kind = 'no-configuration'
+
+
+class ClaimUnavailable(RequestError):
+    """The claim of a non-idempotent request cannot be committed now."""
+
+    kind = 'claim-unavailable'
+
+
+class IdempotencyKeyMissing(RequestError):
+    """A non-idempotent request without an Idempotency-Key."""
+
+    status = 400
+    kind = 'idempotency-key-missing'
+
+
+class IdempotencyKeyReused(RequestError):
+    """The same Idempotency-Key with another body."""
+
+    status = 422
+    kind = 'idempotency-key-reused'
+
+
+class RequestQuarantined(RequestError):
+    """The same request has crashed upstreams before."""
+
+    status = 422
+    kind = 'request-quarantined'
+
+
+class RequestFailed(RequestError):
+    """The request ran and did not succeed."""
+
+    outcome = Outcome.FAILED
+    status = 502
+    kind = 'failed'
+
+
+class OutcomeUnknown(RequestError):
+    """The request may have run; nobody can tell."""
+
+    outcome = Outcome.UNKNOWN
+    status = 504
+    kind = 'unknown'
--- /dev/null
+++ b/lavenderbend/load/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded load of returning chats and its report."""
--- /dev/null
+++ b/lavenderbend/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and traces."""
--- /dev/null
+++ b/lavenderbend/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes and their encodings."""
--- /dev/null
+++ b/lavenderbend/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems a router meets."""
--- /dev/null
+++ b/lavenderbend/state/__init__.py
@@ -0,0 +1,1 @@
+"""Values and tables, without input or output."""
--- /dev/null
+++ b/lavenderbend/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: callers, operators, peers, upstreams, the platform."""
