--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -226,3 +226,57 @@
     outcome = Outcome.UNKNOWN
     status = 504
     kind = 'unknown'
+
+
+class DocumentError(SettingsError):
+    """One fault of a settings or rules file.
+
+    Attributes:
+        file: Name of the file.
+        line: Line, counted from 1.
+        key: Path of the key, such as `rules[2].then.timeout`.
+        fault: What is wrong.
+        allowed: What may stand there.
+    """
+
+    def __init__(
+        self, file: str, line: int, key: str, fault: str, allowed: str
+    ) -> None:
+        super().__init__(f'{file}:{line}: {key}: {fault}; allowed: {allowed}')
+        self.file = file
+        self.line = line
+        self.key = key
+        self.fault = fault
+        self.allowed = allowed
+
+
+class DocumentErrors(ExceptionGroup, SettingsError):
+    """All faults of a settings or rules file; nothing of it is used."""
+
+    def derive(self, excs: list[Exception]) -> DocumentErrors:
+        """Returns a group of the same type over other errors."""
+        return DocumentErrors(self.message, excs)
+
+
+class OperatorError(LavenderbendError):
+    """The operators' interface did not do what it was asked."""
+
+    category = 'operator error'
+
+
+class OperatorUnreachable(OperatorError):
+    """The operators' interface cannot be reached."""
+
+
+class OperatorRefused(OperatorError):
+    """The operators' interface refused a call.
+
+    Attributes:
+        status: The HTTP status code.
+        kind: The last part of the problem type (RFC 9457).
+    """
+
+    def __init__(self, status: int, kind: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.kind = kind
