--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -280,3 +280,15 @@
         super().__init__(detail)
         self.status = status
         self.kind = kind
+
+
+class PeerTlsRequired(SettingsError):
+    """Peers would be served beyond loopback without mutual TLS."""
+
+
+class TlsFilesInvalid(SettingsError):
+    """Certificate, key or authorities of peer links cannot be used."""
+
+
+class PeerProtocolError(PeerError):
+    """A peer broke the protocol, or is not who it says it is."""
