--- /dev/null
+++ b/lavenderbend/coordination/rules.py
@@ -0,0 +1,211 @@
+"""The first rule that matches a request, the same on every router."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lavenderbend.state import hashing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from lavenderbend.state import configuration
+    from lavenderbend.state import requests
+
+    Check = Callable[['Facts'], bool]
+
+SHARE_STEPS = 10_000
+# few revisions are alive at once: the one in force, and one being compared
+MAX_COMPILED = 4
+
+
+@attrs.frozen
+class Facts:
+    """What rules look at; taken from a request or a recorded decision.
+
+    Attributes:
+        customer: The customer.
+        method: HTTP method in upper case.
+        path: Path without the query.
+        headers: Names in lower case.
+        model: Model named in the body, empty if none.
+        adapter: Adapter named in the body, empty if none.
+        availability_zone: Zone of the entry router.
+        priority: Value of the header `x-priority`, empty if none.
+        chat: Hash of the chat, or of the request where there is none.
+    """
+
+    customer: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    model: str = ''
+    adapter: str = ''
+    availability_zone: str = ''
+    priority: str = ''
+    chat: int = 0
+
+
+def facts_of(request: requests.Request) -> Facts:
+    """Returns what rules look at in a request."""
+    return Facts(
+        customer=request.customer,
+        method=request.method.upper(),
+        path=request.path.partition('?')[0],
+        headers=request.headers,
+        model=request.model or '',
+        adapter=request.adapter or '',
+        availability_zone=request.availability_zone,
+        priority=request.headers.get('x-priority', ''),
+        chat=chat_hash(request),
+    )
+
+
+def chat_hash(request: requests.Request) -> int:
+    """Returns the hash by which shares of chats are told apart.
+
+    A request outside any chat counts as a chat of its own.
+    """
+    return hashing.hash64(request.customer, request.chat_key or request.id)
+
+
+def text_check(texts: tuple[str, ...]) -> Callable[[str], bool]:
+    """Returns a check that one of the texts or prefixes fits."""
+    whole = frozenset(text for text in texts if not text.endswith('*'))
+    prefixes = tuple(text[:-1] for text in texts if text.endswith('*'))
+    if not prefixes:
+        return whole.__contains__
+    return lambda value: value in whole or value.startswith(prefixes)
+
+
+def attribute_check(name: str, texts: tuple[str, ...]) -> Check:
+    """Returns a check of one fact."""
+    fits = text_check(texts)
+    return lambda facts: fits(getattr(facts, name))
+
+
+def header_check(name: str, text: str) -> Check:
+    """Returns a check of one header, which must be there."""
+    fits = text_check((text,))
+
+    def check(facts: Facts) -> bool:
+        value = facts.headers.get(name)
+        return value is not None and fits(value)
+
+    return check
+
+
+def share_check(rule: str, share: float) -> Check:
+    """Returns a check that takes the same share of chats everywhere.
+
+    The name of the rule is part of the hash, so that two rules with a
+    share of 10 % take two different tenths.
+    """
+    limit = round(share * SHARE_STEPS / 100)
+
+    def check(facts: Facts) -> bool:
+        value = hashing.hash64(rule, facts.chat.to_bytes(8, 'big'))
+        return value % SHARE_STEPS < limit
+
+    return check
+
+
+TEXT_FACTS = (
+    'customer',
+    'method',
+    'path',
+    'model',
+    'adapter',
+    'availability_zone',
+    'priority',
+)
+
+
+@attrs.frozen
+class CompiledRule:
+    """A rule with its checks, the cheap ones first.
+
+    Attributes:
+        rule: The rule.
+        checks: Name of the condition and its check; all must hold.
+    """
+
+    rule: configuration.Rule
+    checks: tuple[tuple[str, Check], ...]
+
+    def matches(self, facts: Facts) -> bool:
+        """Returns whether every condition holds."""
+        return all(check(facts) for _, check in self.checks)
+
+    def failed(self, facts: Facts) -> str:
+        """Returns the first condition that does not hold, empty if none."""
+        for name, check in self.checks:
+            if not check(facts):
+                return name
+        return ''
+
+
+def compile_rule(rule: configuration.Rule) -> CompiledRule:
+    """Returns the rule with its checks."""
+    when = rule.when
+    checks: list[tuple[str, Check]] = []
+    for name in TEXT_FACTS:
+        texts = getattr(when, name)
+        if texts:
+            checks.append((name, attribute_check(name, texts)))
+    for name, text in when.header.items():
+        checks.append((f'header {name}', header_check(name.lower(), text)))
+    if when.share < 100:
+        checks.append(('share', share_check(rule.name, when.share)))
+    return CompiledRule(rule, tuple(checks))
+
+
+class RuleSet:
+    """Matches requests; compiles each revision's rules once.
+
+    Attributes:
+        compiled: Rules by digest of their document.
+        hits: How often each rule was the first match, by name.
+        unmatched: How many requests no rule matched.
+    """
+
+    def __init__(self) -> None:
+        self.compiled: dict[str, tuple[CompiledRule, ...]] = {}
+        self.hits: dict[str, int] = {}
+        self.unmatched = 0
+
+    def rules(
+        self, revision: configuration.Revision
+    ) -> tuple[CompiledRule, ...]:
+        """Returns the compiled rules of a revision."""
+        compiled = self.compiled.get(revision.digest)
+        if compiled is not None:
+            return compiled
+        while len(self.compiled) >= MAX_COMPILED:
+            del self.compiled[next(iter(self.compiled))]
+        compiled = tuple(compile_rule(r) for r in revision.document.rules)
+        self.compiled[revision.digest] = compiled
+        return compiled
+
+    def find(
+        self, revision: configuration.Revision, facts: Facts
+    ) -> configuration.Rule | None:
+        """Returns the first rule that matches, without counting it."""
+        for compiled in self.rules(revision):
+            if compiled.matches(facts):
+                return compiled.rule
+        return None
+
+    def match(
+        self, revision: configuration.Revision, request: requests.Request
+    ) -> configuration.Rule | None:
+        """Returns the first rule that matches a request, and counts it."""
+        rule = self.find(revision, facts_of(request))
+        if rule is None:
+            self.unmatched += 1
+            return None
+        self.hits[rule.name] = self.hits.get(rule.name, 0) + 1
+        return rule
--- /dev/null
+++ b/lavenderbend/protocol/structuring.py
@@ -0,0 +1,258 @@
+"""Plain values into attrs classes, strictly, by cattrs."""
+
+from __future__ import annotations
+
+import enum
+import re
+from typing import Any
+from typing import get_args
+from typing import get_origin
+from typing import TYPE_CHECKING
+
+import attrs
+import cattrs
+from cattrs import gen
+
+from lavenderbend.state import configuration
+from lavenderbend.state import requests
+from lavenderbend.state import settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Hook = Callable[[Any, Any], Any]
+
+QUANTITY = re.compile(r'([0-9]+(?:\.[0-9]+)?) ?([A-Za-z/%]+)')
+DURATION_UNITS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0, 'd': 86400.0}
+SIZE_UNITS = {'B': 1, 'KiB': 1024, 'MiB': 1024**2, 'GiB': 1024**3}
+RATE_UNITS = {'/s': 1.0, '/m': 1 / 60}
+SHARE_UNITS = {'%': 1.0}
+
+DURATION = 'a duration such as 500ms, 30s, 5m, 2h, 1d'
+SIZE = 'a size such as 512B, 32KiB, 1MiB, 1GiB'
+RATE = 'a rate such as 20/s or 300/m'
+SHARE = 'a share such as 12.5%'
+
+
+class Fault(ValueError):
+    """A value that may not stand where it stands.
+
+    Attributes:
+        fault: What is wrong.
+        allowed: What may stand there.
+    """
+
+    def __init__(self, fault: str, allowed: str) -> None:
+        super().__init__(fault)
+        self.fault = fault
+        self.allowed = allowed
+
+
+def shown(value: Any) -> str:
+    """Returns a value as an error message shows it."""
+    kinds = {dict: 'a map', list: 'a list', type(None): 'nothing'}
+    if type(value) in kinds:
+        return kinds[type(value)]
+    if not isinstance(value, str):
+        return str(value)
+    return repr(value if len(value) <= 60 else value[:57] + '...')
+
+
+def quantity(value: Any, units: dict[str, float], allowed: str) -> float:
+    """Returns a number with a unit, in the base unit."""
+    found = QUANTITY.fullmatch(value) if isinstance(value, str) else None
+    if found is None:
+        raise Fault(f'{shown(value)} is no number with a unit', allowed)
+    if found[2] not in units:
+        raise Fault(f'unknown unit {found[2]!r}', allowed)
+    return float(found[1]) * units[found[2]]
+
+
+def duration(value: Any, _: Any) -> float:
+    """Returns seconds."""
+    return quantity(value, DURATION_UNITS, DURATION)
+
+
+def size(value: Any, _: Any) -> int:
+    """Returns bytes."""
+    return int(quantity(value, SIZE_UNITS, SIZE))
+
+
+def rate(value: Any, _: Any) -> float:
+    """Returns events a second."""
+    return quantity(value, RATE_UNITS, RATE)
+
+
+def share(value: Any, _: Any) -> float:
+    """Returns a percentage."""
+    return quantity(value, SHARE_UNITS, SHARE)
+
+
+def text(value: Any, _: Any) -> str:
+    """Returns a text."""
+    if not isinstance(value, str):
+        raise Fault(f'{shown(value)} is no text', 'a text (quote numbers)')
+    return value
+
+
+def integer(value: Any, _: Any) -> int:
+    """Returns a whole number."""
+    if type(value) is not int:
+        raise Fault(f'{shown(value)} is no whole number', 'a whole number')
+    return value
+
+
+def number(value: Any, _: Any) -> float:
+    """Returns a number."""
+    if type(value) not in (int, float):
+        raise Fault(f'{shown(value)} is no number', 'a number')
+    return float(value)
+
+
+def boolean(value: Any, _: Any) -> bool:
+    """Returns true or false."""
+    if not isinstance(value, bool):
+        raise Fault(f'{shown(value)} is neither', 'true or false')
+    return value
+
+
+def enum_key(member: enum.Enum) -> str:
+    """Returns how a member is written: a text value, else its name."""
+    if isinstance(member.value, str):
+        return member.value
+    return member.name.lower()
+
+
+def member_of(value: Any, cls: type[enum.Enum]) -> enum.Enum:
+    """Returns the member of an enum class."""
+    members = {enum_key(member): member for member in cls}
+    if not isinstance(value, str) or value not in members:
+        raise Fault(
+            f'{shown(value)} is none of them', ' | '.join(sorted(members))
+        )
+    return members[value]
+
+
+# fields of the configuration that have a unit, bounds or a shape; those of
+# the settings say so in their own metadata
+FIELD_HOOKS: dict[tuple[type, str], Hook] = {
+    (configuration.When, 'share'): share,
+    (configuration.Then, 'timeout'): duration,
+    (configuration.Then, 'limit'): rate,
+}
+FIELD_BOUNDS: dict[tuple[type, str], settings.Bounds] = {
+    (configuration.When, 'share'): settings.Bounds(0, 100),
+    (configuration.Then, 'timeout'): settings.Bounds(0.001, settings.DAY),
+    (configuration.Then, 'retries'): settings.Bounds(0, 10),
+    (configuration.Then, 'limit'): settings.Bounds(0, 1_000_000),
+    (configuration.Pool, 'bound'): settings.Bounds(1, 100),
+    (configuration.Pool, 'floor'): settings.Bounds(0, 100_000),
+    (configuration.Pool, 'max_load'): settings.Bounds(1, 100_000),
+    (configuration.Pool, 'max_waiting'): settings.Bounds(0, 1_000_000),
+    (configuration.Pool, 'groups'): settings.Bounds(1, 1024),
+    (configuration.Customer, 'weight'): settings.Bounds(0.001, 1_000_000),
+    (configuration.Customer, 'requests_per_second'): settings.Bounds(
+        0, 1_000_000
+    ),
+    (configuration.Customer, 'burst'): settings.Bounds(0, 1_000_000),
+    (configuration.Order, 'replicas'): settings.Bounds(0, 100_000),
+}
+
+
+def in_bounds(inner: Hook, bounds: settings.Bounds) -> Hook:
+    """Returns the hook with a check of its result."""
+
+    def hook(value: Any, cls: Any) -> Any:
+        result = inner(value, cls)
+        if not bounds.holds(result):
+            raise Fault(f'{shown(value)} is impossible', str(bounds))
+        return result
+
+    return hook
+
+
+class StrictConverter(cattrs.Converter):
+    """Takes nothing but what the classes say, and collects all faults."""
+
+    def __init__(self) -> None:
+        super().__init__(detailed_validation=True, forbid_extra_keys=True)
+        self.register_structure_hook(str, text)
+        self.register_structure_hook(int, integer)
+        self.register_structure_hook(float, number)
+        self.register_structure_hook(bool, boolean)
+        self.register_structure_hook(settings.Seconds, duration)
+        self.register_structure_hook(settings.ByteCount, size)
+        self.register_structure_hook_factory(is_enum, lambda cls: member_of)
+        self.register_structure_hook_factory(is_tuple, self.tuple_hook)
+        self.register_structure_hook_factory(is_map, self.map_hook)
+        self.register_structure_hook_factory(attrs.has, self.class_hook)
+
+    def tuple_hook(self, cls: Any) -> Hook:
+        """Returns the hook of `tuple[T, ...]`, which takes only lists."""
+        member = get_args(cls)[0]
+
+        def hook(value: Any, _: Any) -> Any:
+            # a text would otherwise become one entry for each letter
+            if not isinstance(value, list):
+                raise Fault(f'{shown(value)} is no list', 'a list')
+            return tuple(self.structure(value, list[member]))
+
+        return hook
+
+    def map_hook(self, cls: Any) -> Hook:
+        """Returns the hook of `dict[str, T]`."""
+        inner = gen.mapping_structure_factory(cls, self)
+
+        def hook(value: Any, _: Any) -> Any:
+            if not isinstance(value, dict):
+                raise Fault(f'{shown(value)} is no map', 'a map')
+            return inner(value, cls)
+
+        return hook
+
+    def class_hook(self, cls: type) -> Hook:
+        """Returns the hook of an attrs class."""
+        overrides = {
+            field.name: gen.override(struct_hook=self.field_hook(cls, field))
+            for field in attrs.fields(attrs.resolve_types(cls))
+        }
+        inner = gen.make_dict_structure_fn(
+            cls, self, _cattrs_forbid_extra_keys=True, **overrides
+        )
+        names = ', '.join(overrides)
+
+        def hook(value: Any, _: Any) -> Any:
+            if not isinstance(value, dict):
+                raise Fault(f'{shown(value)} is no map', f'keys: {names}')
+            return inner(value, cls)
+
+        return hook
+
+    def field_hook(self, cls: type, field: attrs.Attribute) -> Hook:
+        """Returns the hook of one field, with its unit and bounds."""
+        inner = FIELD_HOOKS.get((cls, field.name))
+        if inner is None:
+            inner = self.get_structure_hook(field.type)
+        bounds = field.metadata.get(
+            'bounds', FIELD_BOUNDS.get((cls, field.name))
+        )
+        return inner if bounds is None else in_bounds(inner, bounds)
+
+
+def is_enum(cls: Any) -> bool:
+    """Returns whether the type is an enum class."""
+    return isinstance(cls, type) and issubclass(cls, enum.Enum)
+
+
+def is_tuple(cls: Any) -> bool:
+    """Returns whether the type is a tuple of any length."""
+    return get_origin(cls) is tuple
+
+
+def is_map(cls: Any) -> bool:
+    """Returns whether the type is a dict."""
+    return get_origin(cls) is dict
+
+
+CONVERTER = StrictConverter()
+PRIORITIES = tuple(enum_key(member) for member in requests.Priority)
--- a/lavenderbend/state/settings.py
+++ b/lavenderbend/state/settings.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lavenderbend.state import upstreams
+from lavenderbend.state import upstreams  # noqa: TC001 - read by cattrs
 
 Seconds = NewType('Seconds', float)
 ByteCount = NewType('ByteCount', int)
