Add guards to the key-value create and errors of agreed state

An entry of a log is to be created only if the one before it is still there: otherwise a paused writer could write again a number that was compacted.

--- a/lavenderbend/coordination/interfaces.py
+++ b/lavenderbend/coordination/interfaces.py
@@ -84,8 +84,19 @@
         """Reads one key, or the keys from `key` up to `end` (exclusive)."""
 
     @abc.abstractmethod
-    async def create(self, key: str, value: bytes, lease: int = 0) -> bool:
-        """Writes the key only if it is absent; returns whether it wrote."""
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        lease: int = 0,
+        present: str | None = None,
+        absent: str | None = None,
+    ) -> bool:
+        """Writes the key only if it is absent; returns whether it wrote.
+
+        `present` names another key that must exist at that moment, `absent`
+        another one that must not.
+        """
 
     @abc.abstractmethod
     async def replace(
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -292,3 +292,68 @@
 
 class PeerProtocolError(PeerError):
     """A peer broke the protocol, or is not who it says it is."""
+
+
+class LogCompacted(KeyValueError):
+    """Entries of a log that were asked for have been deleted."""
+
+
+class LeaseLost(KeyValueError):
+    """The lease is no longer surely held."""
+
+
+class ConfigurationError(LavenderbendError):
+    """A configuration was not accepted."""
+
+    category = 'configuration error'
+
+
+class ConfigurationInvalid(ConfigurationError):
+    """The document breaks its own terms; nothing was accepted."""
+
+
+class ConfigurationTooLarge(ConfigurationError):
+    """The document does not fit a value of the key-value service."""
+
+
+class ConfigurationConflict(ConfigurationError):
+    """Another change was accepted since the revision that was seen.
+
+    Attributes:
+        seen: Revision that the document was made from.
+        newest: Newest accepted revision.
+        difference: What changed between the two, one line each.
+    """
+
+    def __init__(
+        self, seen: int, newest: int, difference: tuple[str, ...]
+    ) -> None:
+        super().__init__(
+            f'made from revision {seen}, but {newest} is accepted: '
+            + '; '.join(difference)
+        )
+        self.seen = seen
+        self.newest = newest
+        self.difference = difference
+
+
+class ConfigurationStale(RequestError):
+    """The router is cut off and its policy is to refuse requests."""
+
+    kind = 'configuration-stale'
+
+
+class OrderError(UpstreamError):
+    """An engine did not carry out an order."""
+
+
+class OrderRefused(OrderError):
+    """The engine has seen a higher fencing number.
+
+    Attributes:
+        highest: That number.
+    """
+
+    def __init__(self, highest: int) -> None:
+        super().__init__(f'the engine has seen fencing number {highest}')
+        self.highest = highest
