--- /dev/null
+++ b/lavenderbend/cmd/exit_codes.py
@@ -0,0 +1,35 @@
+"""Exit codes of every command."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a command's exit tells a script.
+
+    Attributes:
+        OK: Done; for `router`, stopped without cutting off a request.
+        FAILED: Ran, and found what it is there to find: answers wrong or
+            cut off in `demo` and `load`, requests cut off by a stop.
+        USAGE: The command line cannot be understood.
+        SETTINGS: A settings or rules file cannot be used; nothing was done.
+        UNREACHABLE: The operators' interface or a stand-in's address
+            cannot be reached or bound.
+        REFUSED: The operators' interface refused the call.
+        CONFLICT: Another operator's change was accepted first.
+        NOT_IN_FORCE: Accepted, but some routers have not reported it.
+        NOT_FOUND: No such decision, or it has been forgotten.
+        INTERRUPTED: Ended by the keyboard.
+    """
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    SETTINGS = 3
+    UNREACHABLE = 4
+    REFUSED = 5
+    CONFLICT = 6
+    NOT_IN_FORCE = 7
+    NOT_FOUND = 8
+    INTERRUPTED = 130
--- a/lavenderbend/coordination/rules.py
+++ b/lavenderbend/coordination/rules.py
@@ -167,13 +167,13 @@
     """Matches requests; compiles each revision's rules once.
 
     Attributes:
-        compiled: Rules by digest of their document.
+        compiled: Rules by number and digest of their revision.
         hits: How often each rule was the first match, by name.
         unmatched: How many requests no rule matched.
     """
 
     def __init__(self) -> None:
-        self.compiled: dict[str, tuple[CompiledRule, ...]] = {}
+        self.compiled: dict[tuple[int, str], tuple[CompiledRule, ...]] = {}
         self.hits: dict[str, int] = {}
         self.unmatched = 0
 
@@ -181,13 +181,14 @@
         self, revision: configuration.Revision
     ) -> tuple[CompiledRule, ...]:
         """Returns the compiled rules of a revision."""
-        compiled = self.compiled.get(revision.digest)
+        key = (revision.number, revision.digest)
+        compiled = self.compiled.get(key)
         if compiled is not None:
             return compiled
         while len(self.compiled) >= MAX_COMPILED:
             del self.compiled[next(iter(self.compiled))]
         compiled = tuple(compile_rule(r) for r in revision.document.rules)
-        self.compiled[revision.digest] = compiled
+        self.compiled[key] = compiled
         return compiled
 
     def find(
--- a/lavenderbend/protocol/documents_yaml.py
+++ b/lavenderbend/protocol/documents_yaml.py
@@ -76,10 +76,15 @@
     try:
         return structuring.CONVERTER.structure(document.value, cls)
     except (cattrs.BaseValidationError, structuring.Fault) as exc:
-        faults = list(translate(document, exc, ()))
+        faults = sorted(translate(document, exc, ()), key=place)
     raise errors.DocumentErrors(f'{document.name} cannot be used', faults)
 
 
+def place(fault: errors.DocumentError) -> tuple[int, str]:
+    """Returns what faults are sorted by."""
+    return fault.line, fault.key
+
+
 def check(
     document: yaml_nodes.Document, problems: list[rule_sets.Problem]
 ) -> None:
@@ -94,7 +99,7 @@
 
 def translate(
     document: yaml_nodes.Document, exc: Exception, path: tuple[Any, ...]
-) -> Iterator[Exception]:
+) -> Iterator[errors.DocumentError]:
     """Yields the faults within an error of cattrs, each with its place."""
     if isinstance(exc, cattrs.BaseValidationError):
         for inner in exc.exceptions:
--- a/lavenderbend/protocol/yaml_nodes.py
+++ b/lavenderbend/protocol/yaml_nodes.py
@@ -47,7 +47,9 @@
             path = path[:-1]
         return self.lines.get(path, 1)
 
-    def fault(self, path: Path, fault: str, allowed: str) -> Exception:
+    def fault(
+        self, path: Path, fault: str, allowed: str
+    ) -> errors.DocumentError:
         """Returns the error for a fault at a path."""
         return errors.DocumentError(
             self.name, self.line(path), show_path(path), fault, allowed
