--- a/lavenderbend/protocol/structuring.py
+++ b/lavenderbend/protocol/structuring.py
@@ -180,6 +180,8 @@
         self.register_structure_hook(int, integer)
         self.register_structure_hook(float, number)
         self.register_structure_hook(bool, boolean)
+        # an IntEnum would be read as an int before it is seen as an enum
+        self.register_structure_hook(requests.Priority, member_of)
         self.register_structure_hook(settings.Seconds, duration)
         self.register_structure_hook(settings.ByteCount, size)
         self.register_structure_hook_factory(is_enum, lambda cls: member_of)
@@ -255,4 +257,3 @@
 
 
 CONVERTER = StrictConverter()
-PRIORITIES = tuple(enum_key(member) for member in requests.Priority)
