--- /dev/null
+++ b/lavenderbend/transport/key_value_etcd.py
@@ -0,0 +1,305 @@
+"""The key-value service by the etcd v3 HTTP/JSON gateway."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import json
+import math
+import ssl
+from typing import Any
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import interfaces
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import etcd
+from lavenderbend.transport import key_values
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    import random
+
+READ_ATTEMPTS = 3
+BACKOFF_SECONDS = 0.05
+MAX_CONNECTIONS = 32
+HTTP_OK = 200
+HTTP_TOO_MANY = 429
+KEEPALIVE_SECONDS = 20.0
+# a watch of an idle key says nothing; a dead connection is found by reading
+# once in a while all the same
+WATCH_IDLE_SECONDS = 600.0
+
+CALLS = metrics.counter(
+    'lavenderbend_key_value_calls_total',
+    'Calls to the key-value service by kind and result.',
+)
+# errors before a byte of the call has left
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+def plain_context() -> ssl.SSLContext:
+    """Returns a TLS context made once; httpx builds one for each client."""
+    return ssl.create_default_context()
+
+
+@key_values.KEY_VALUE_STORES.register('etcd')
+class EtcdStore(interfaces.KeyValueStore):
+    """Speaks to the endpoints in turn, staying with one that answers.
+
+    Attributes:
+        endpoints: Base URLs, such as `http://10.0.0.1:2379`.
+        timeout: Seconds that one call may take.
+        rng: Source of the jitter.
+        calls: Calls by kind.
+    """
+
+    def __init__(
+        self, endpoints: tuple[str, ...], timeout: float, rng: random.Random
+    ) -> None:
+        self.endpoints = tuple(url.rstrip('/') for url in endpoints)
+        self.timeout = timeout
+        self.rng = rng
+        self.chosen = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_SECONDS,
+        )
+        verify: Any = False
+        if any(url.startswith('https:') for url in self.endpoints):
+            verify = plain_context()
+        self.client = httpx.AsyncClient(
+            timeout=timeout, limits=limits, verify=verify, trust_env=False
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self.client.aclose()
+
+    async def read(
+        self, key: str, end: str | None = None, limit: int = 0
+    ) -> interfaces.Range:
+        """Reads with a few retries; reading twice does no harm."""
+        body = etcd.key_range(key, end)
+        if limit:
+            body['limit'] = str(limit)
+        answer = await self.call_again('range', etcd.RANGE, body)
+        items = tuple(
+            to_item(etcd.item_from_wire(item)) for item in answer.get('kvs', ())
+        )
+        return interfaces.Range(etcd.revision_of(answer), items)
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        lease: int = 0,
+        present: str | None = None,
+        absent: str | None = None,
+    ) -> bool:
+        """Writes the key if it is absent and the guards hold."""
+        compares = [etcd.Compare(key, 'CREATE', 'EQUAL', 0)]
+        if present is not None:
+            compares.append(etcd.Compare(present, 'CREATE', 'GREATER', 0))
+        if absent is not None:
+            compares.append(etcd.Compare(absent, 'CREATE', 'EQUAL', 0))
+        body = etcd.put_txn(tuple(compares), key, value, lease)
+        answer = await self.call('create', etcd.TXN, body)
+        return bool(answer.get('succeeded'))
+
+    async def replace(
+        self, key: str, value: bytes, mod_revision: int, lease: int = 0
+    ) -> bool:
+        """Writes the key if it is still at that revision."""
+        compare = etcd.Compare(key, 'MOD', 'EQUAL', mod_revision)
+        body = etcd.put_txn((compare,), key, value, lease)
+        answer = await self.call('replace', etcd.TXN, body)
+        return bool(answer.get('succeeded'))
+
+    async def delete(
+        self, key: str, end: str | None = None, mod_revision: int | None = None
+    ) -> int:
+        """Deletes a key or a range; returns how many keys."""
+        if mod_revision is None:
+            body = etcd.key_range(key, end)
+            answer = await self.call('delete', etcd.DELETE_RANGE, body)
+            return etcd.number(answer.get('deleted'))
+        body = etcd.delete_txn(key, end, mod_revision)
+        answer = await self.call('delete', etcd.TXN, body)
+        if not answer.get('succeeded'):
+            return 0
+        first = answer.get('responses', [{}])[0]
+        deleted = first.get('response_delete_range', {}).get('deleted')
+        return etcd.number(deleted)
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Returns a new lease of whole seconds, rounded up."""
+        body = {'TTL': str(math.ceil(seconds))}
+        answer = await self.call('grant', etcd.LEASE_GRANT, body)
+        return etcd.number(answer.get('ID'))
+
+    async def renew_lease(self, lease: int) -> float:
+        """Renews the lease; 0 if it is gone."""
+        body = {'ID': str(lease)}
+        answer = await self.call('keepalive', etcd.LEASE_KEEPALIVE, body)
+        return float(etcd.number(answer.get('result', {}).get('TTL')))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Ends the lease; one that is gone already is no error."""
+        await self.call('revoke', etcd.LEASE_REVOKE, {'ID': str(lease)})
+
+    async def watch(
+        self, key: str, end: str | None, start_revision: int
+    ) -> AsyncIterator[tuple[interfaces.Change, ...]]:
+        """Yields changes until the stream ends."""
+        create = etcd.key_range(key, end)
+        create['start_revision'] = str(start_revision)
+        count(self.calls, 'watch', 'sent')
+        try:
+            async with self.watch_stream({'create_request': create}) as lines:
+                async for line in lines:
+                    changes = watch_changes(line)
+                    if changes:
+                        yield changes
+        except (httpx.HTTPError, httpx.StreamError) as exc:
+            self.choose_next()
+            raise errors.KeyValueUnavailable(f'watch: {exc!r}') from exc
+        raise errors.KeyValueUnavailable('watch: the stream ended')
+
+    @contextlib.asynccontextmanager
+    async def watch_stream(
+        self, body: dict[str, Any]
+    ) -> AsyncIterator[AsyncIterator[str]]:
+        """Opens a watch and gives the lines of its answer."""
+        limits = httpx.Timeout(self.timeout, read=WATCH_IDLE_SECONDS)
+        url = self.endpoints[self.chosen] + etcd.WATCH
+        async with self.client.stream(
+            'POST', url, json=body, timeout=limits
+        ) as response:
+            if response.status_code != HTTP_OK:
+                text = (await response.aread()).decode(errors='replace')
+                raise errors.KeyValueUnavailable(f'watch refused: {text}')
+            yield response.aiter_lines()
+
+    async def call_again(
+        self, kind: str, path: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Makes a call that only reads, again after a failure."""
+        for attempt in range(READ_ATTEMPTS):
+            try:
+                return await self.call(kind, path, body)
+            except errors.KeyValueError as exc:
+                if attempt == READ_ATTEMPTS - 1:
+                    raise errors.KeyValueUnavailable(str(exc)) from exc
+            high = BACKOFF_SECONDS * 2**attempt
+            await trio.sleep(self.rng.uniform(high / 2, high))
+        raise errors.KeyValueUnavailable('no attempt was made')
+
+    async def call(
+        self, kind: str, path: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Makes one call to the chosen endpoint.
+
+        Raises:
+            KeyValueUnavailable: The call did not take effect.
+            KeyValueUncertain: It may have.
+        """
+        url = self.endpoints[self.chosen] + path
+        try:
+            with trio.fail_after(self.timeout):
+                response = await self.client.post(url, json=body)
+        except NOT_SENT as exc:
+            self.choose_next()
+            count(self.calls, kind, 'unreachable')
+            raise errors.KeyValueUnavailable(f'{kind}: {exc!r}') from exc
+        except (httpx.HTTPError, trio.TooSlowError) as exc:
+            # the service may have carried out what it was asked
+            self.choose_next()
+            count(self.calls, kind, 'lost')
+            raise errors.KeyValueUncertain(f'{kind}: {exc!r}') from exc
+        if response.status_code != HTTP_OK:
+            count(self.calls, kind, 'refused')
+            raise refusal(kind, response)
+        count(self.calls, kind, 'ok')
+        return json_body(kind, response.content)
+
+    def choose_next(self) -> None:
+        """Turns to the next endpoint after a failure."""
+        self.chosen = (self.chosen + 1) % len(self.endpoints)
+
+
+def count(calls: collections.Counter[str], kind: str, result: str) -> None:
+    """Counts a call."""
+    calls[kind] += 1
+    CALLS.inc({'kind': kind, 'result': result})
+
+
+def json_body(kind: str, content: bytes) -> dict[str, Any]:
+    """Returns the answer's body.
+
+    Raises:
+        KeyValueUncertain: It cannot be read, so nobody knows what was done.
+    """
+    try:
+        # the first line only: keepalive answers are a stream
+        body = json.loads(content.split(b'\n', 1)[0] or b'{}')
+    except ValueError as exc:
+        raise errors.KeyValueUncertain(f'{kind}: {exc}') from exc
+    if not isinstance(body, dict):
+        raise errors.KeyValueUncertain(f'{kind}: the answer is no object')
+    return body
+
+
+def refusal(kind: str, response: httpx.Response) -> errors.KeyValueError:
+    """Returns the error for an answer that is no success."""
+    text = response.text[:200]
+    try:
+        code = int(response.json().get('code', 0))
+    except (ValueError, AttributeError, TypeError):
+        code = 0
+    # these are sent before the call is proposed to the service's members;
+    # any other, such as a timeout inside the service, may have taken effect
+    if response.status_code == HTTP_TOO_MANY:
+        return errors.KeyValueUnavailable(f'{kind}: {text}')
+    if code in (etcd.CODE_RESOURCE_EXHAUSTED, etcd.CODE_NOT_FOUND):
+        return errors.KeyValueUnavailable(f'{kind}: {text}')
+    return errors.KeyValueUncertain(f'{kind}: {text}')
+
+
+def to_item(item: etcd.WireItem) -> interfaces.KeyValue:
+    """Returns a key in the form that decisions use."""
+    return interfaces.KeyValue(
+        item.key,
+        item.value,
+        item.create_revision,
+        item.mod_revision,
+        item.lease,
+    )
+
+
+def watch_changes(line: str) -> tuple[interfaces.Change, ...]:
+    """Returns the changes in one line of a watch.
+
+    Raises:
+        KeyValueUnavailable: The watch was ended by the service.
+    """
+    if not line.strip():
+        return ()
+    try:
+        result = json.loads(line).get('result', {})
+    except (ValueError, AttributeError) as exc:
+        raise errors.KeyValueUnavailable(f'watch: {exc}') from exc
+    if result.get('canceled'):
+        raise errors.KeyValueUnavailable('watch: ended by the service')
+    return tuple(
+        interfaces.Change(
+            to_item(etcd.item_from_wire(event['kv'])),
+            deleted=event.get('type') == 'DELETE',
+        )
+        for event in result.get('events', ())
+    )
--- /dev/null
+++ b/lavenderbend/transport/key_values.py
@@ -0,0 +1,15 @@
+"""Adapters to the platform's key-value service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lavenderbend import registry
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination import interfaces
+
+# each entry is called with endpoints, timeout in seconds and a random source
+KEY_VALUE_STORES: registry.Registry[type[interfaces.KeyValueStore]] = (
+    registry.Registry('key-value adapter')
+)
