--- /dev/null
+++ b/lavenderbend/protocol/messages_membership.py
@@ -0,0 +1,215 @@
+"""Messages of peer links and of membership."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from lavenderbend.protocol import peer
+
+PROTOCOL_VERSION = 1
+MIN_PROTOCOL_VERSION = 1
+
+
+class RouterState(enum.IntEnum):
+    """What one router believes of another; the larger goes first.
+
+    Between two updates of the same incarnation the larger state holds.
+    """
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class FactKind(enum.IntEnum):
+    """What is said of an upstream."""
+
+    DRAINING = 0
+    UNREACHABLE = 1
+
+
+class ListState(enum.IntEnum):
+    """How far a VM has come in the VM list; it only moves forward."""
+
+    LIVE = 0
+    LEAVING = 1
+    GONE = 2
+
+
+@peer.message(80)
+@attrs.frozen
+class Hello(peer.Message):
+    """The first message of each side of a connection.
+
+    Attributes:
+        router: Id of the sender.
+        version: Protocol version of the sender.
+        instance: Differs for each process that runs under the id.
+    """
+
+    router: str
+    version: int
+    instance: int = 0
+
+
+@peer.message(81)
+@attrs.frozen
+class Goodbye(peer.Message):
+    """The last message of one side of a connection."""
+
+
+@peer.message(82)
+@attrs.frozen
+class Ping(peer.Message):
+    """A probe; the answer is `Ack`.
+
+    Attributes:
+        updates: Messages by `peer.to_wire`.
+    """
+
+    updates: list = attrs.field(factory=list)
+
+
+@peer.message(83)
+@attrs.frozen
+class Ack(peer.Message):
+    """The answer to a probe.
+
+    Attributes:
+        updates: Messages by `peer.to_wire`.
+    """
+
+    updates: list = attrs.field(factory=list)
+
+
+@peer.message(84)
+@attrs.frozen
+class PingThrough(peer.Message):
+    """Asks a peer to probe another; the answer is `Ack` or a failure.
+
+    Attributes:
+        target: Router to probe.
+        updates: Messages by `peer.to_wire`.
+    """
+
+    target: str
+    updates: list = attrs.field(factory=list)
+
+
+@peer.message(85)
+@attrs.frozen
+class RouterUpdate(peer.Message):
+    """What somebody believes of a router.
+
+    Attributes:
+        router: Its id.
+        state: A `RouterState`.
+        incarnation: Counted up by the router itself only.
+        host: Its peer address, empty if the sender leaves it out.
+        port: Its peer port.
+        availability_zone: Its zone.
+        region: Its region.
+    """
+
+    router: str
+    state: int
+    incarnation: int
+    host: str = ''
+    port: int = 0
+    availability_zone: str = ''
+    region: str = ''
+
+
+@peer.message(86)
+@attrs.frozen
+class UpstreamFact(peer.Message):
+    """Something that was seen of an upstream and ends with time.
+
+    Attributes:
+        upstream: VM id.
+        kind: A `FactKind`.
+        observer: Router that saw it first.
+        sequence: Counted up by the observer for each fact.
+        seconds: How long it holds from now.
+        instance: Instance id that it was seen of, empty if unknown.
+    """
+
+    upstream: str
+    kind: int
+    observer: str
+    sequence: int
+    seconds: float
+    instance: str = ''
+
+
+@peer.message(87)
+@attrs.frozen
+class VmChange(peer.Message):
+    """A VM that the VM list has begun to show otherwise.
+
+    Attributes:
+        vm: VM id.
+        state: A `ListState`.
+        host: IP number.
+        port: Port of its process.
+        availability_zone: Its zone.
+        region: Its region.
+        service: Its service.
+        kind: Value of its `UpstreamKind`.
+    """
+
+    vm: str
+    state: int
+    host: str
+    port: int
+    availability_zone: str
+    region: str
+    service: str
+    kind: str
+
+
+@peer.message(88)
+@attrs.frozen
+class Updates(peer.Message):
+    """A notice that carries urgent updates.
+
+    Attributes:
+        updates: Messages by `peer.to_wire`.
+    """
+
+    updates: list
+
+
+@peer.message(89)
+@attrs.frozen
+class SyncAsk(peer.Message):
+    """Asks for all that a router believes; the answer is `SyncAnswer`."""
+
+    updates: list = attrs.field(factory=list)
+
+
+@peer.message(90)
+@attrs.frozen
+class SyncAnswer(peer.Message):
+    """All that a router believes of other routers and of upstreams.
+
+    Attributes:
+        updates: Messages by `peer.to_wire`.
+    """
+
+    updates: list
+
+
+@peer.message(91)
+@attrs.frozen
+class UpstreamProbe(peer.Message):
+    """Asks a peer whether it reaches an upstream; `Done` or a failure.
+
+    Attributes:
+        upstream: VM id.
+    """
+
+    upstream: str
--- /dev/null
+++ b/lavenderbend/transport/links.py
@@ -0,0 +1,504 @@
+"""Peer links: requests and notices in batches over one wire for each pair."""
+
+from __future__ import annotations
+
+import abc
+import collections
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import msgpack
+import trio
+
+from lavenderbend import errors
+from lavenderbend import registry
+from lavenderbend.coordination import interfaces
+from lavenderbend.observe import logs
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import messages_membership as messages
+from lavenderbend.protocol import peer
+from lavenderbend.transport import peer_connections
+from lavenderbend.transport import tls as peer_tls
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LINKS: registry.Registry[type[BatchLink]] = registry.Registry('peer link')
+
+DROPPED = metrics.counter(
+    'lavenderbend_peer_dropped_total',
+    'Messages and connections of peers that were given up, by cause.',
+)
+
+
+@attrs.frozen
+class LinkLimits:
+    """Bounds of a peer link.
+
+    Attributes:
+        dial_timeout: Seconds to connect and to exchange hellos.
+        outbox_bytes: What may wait for one peer.
+        batch_bytes: What goes into one batch.
+        handlers: Requests of one peer that may be in progress.
+        misses: Timed-out requests in a row, without a sign of the peer,
+            after which its connection is closed.
+        retry_delay: Seconds between a failed dial and the next.
+        idle: Seconds without a message after which a connection closes.
+    """
+
+    dial_timeout: float = 2.0
+    outbox_bytes: int = 8 * 1024 * 1024
+    batch_bytes: int = 256 * 1024
+    handlers: int = 4096
+    misses: int = 3
+    retry_delay: float = 0.1
+    idle: float = 300.0
+
+
+@attrs.define(eq=False)
+class Call:
+    """A request that waits for its answer.
+
+    Attributes:
+        peer_id: Who it was sent to.
+        done: Set when there is an answer or an error.
+        answer: The answer.
+        error: Why there will be none.
+    """
+
+    peer_id: str
+    done: trio.Event = attrs.field(factory=trio.Event)
+    answer: peer.Message | None = None
+    error: errors.PeerError | None = None
+
+
+class BatchLink(interfaces.PeerLink):
+    """What is common to the links; variants give the wires.
+
+    Attributes:
+        host: Address that peers are served at.
+        port: Its port; the bound one once `started` is set.
+        tls: Certificates, None for plain connections.
+        started: Set when peers are served.
+        addresses: Of the peers, by router id.
+        boxes: What waits for each peer, and its connection.
+        calls: Requests without an answer yet, by number.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        tls: peer_tls.PeerTls | None = None,
+        limits: LinkLimits | None = None,
+        allow_plain: bool = False,
+    ) -> None:
+        """Makes a link that serves nothing until `run`.
+
+        Raises:
+            PeerTlsRequired: The address is beyond loopback, without TLS.
+        """
+        super().__init__(name)
+        peer_tls.check_bind(host, tls, allow_plain)
+        self.host = host
+        self.port = port
+        self.tls = tls
+        self.limits = limits or LinkLimits()
+        # only tells processes apart that follow each other under one id
+        self.instance = random.SystemRandom().getrandbits(53)
+        self.started = trio.Event()
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.boxes: dict[str, peer_connections.Outbox] = {}
+        self.calls: dict[int, Call] = {}
+        self.next_call = 1
+        self.nursery: trio.Nursery | None = None
+        self.stopping = False
+        self.connections = 0
+        self.counted = trio.Event()
+        self.messages_sent = 0
+        self.messages_received = 0
+        self.closed_bytes_sent = 0
+        self.closed_bytes_received = 0
+        self.live: set[peer_connections.Connection] = set()
+        self.dropped: collections.Counter[str] = collections.Counter()
+        self.packer = msgpack.Packer()
+
+    # counters
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes given to the sockets, TLS records included."""
+        live = sum(item.wire.bytes_sent for item in self.live)
+        return self.closed_bytes_sent + live
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes taken from the sockets, TLS records included."""
+        live = sum(item.wire.bytes_received for item in self.live)
+        return self.closed_bytes_received + live
+
+    # what callers use
+
+    def set_peers(self, addresses: Mapping[str, tuple[str, int]]) -> None:
+        """Sets the addresses of the peers, by router id."""
+        for peer_id, box in self.boxes.items():
+            old = self.addresses.get(peer_id)
+            if old == addresses.get(peer_id) or box.connection is None:
+                continue
+            box.connection.retire()
+        self.addresses = dict(addresses)
+
+    async def request(
+        self, peer_id: str, item: peer.Message, timeout: float
+    ) -> peer.Message:
+        """Sends a request and returns its answer; see `PeerLink`."""
+        if peer_id == self.name:
+            return await self.request_self(item, timeout)
+        number = self.next_call
+        self.next_call += 1
+        call = Call(peer_id)
+        box = self.box(peer_id)
+        self.enqueue(box, number, item, required=True)
+        self.calls[number] = call
+        began = trio.current_time()
+        try:
+            with trio.move_on_after(timeout):
+                await call.done.wait()
+        finally:
+            del self.calls[number]
+        if call.error is not None:
+            raise call.error
+        if call.answer is None:
+            self.note_miss(box, began)
+            raise errors.PeerUnreachable(
+                f'{peer_id} gave no answer in {timeout:g} s'
+            )
+        return checked(peer_id, call.answer)
+
+    def notify(self, peer_id: str, item: peer.Message) -> None:
+        """Queues a notice; it rides with the next batch, or is dropped."""
+        if peer_id == self.name:
+            if self.nursery is None:
+                self.count_dropped('link not running')
+                return
+            self.nursery.start_soon(self.handle_notice, self.name, item)
+            return
+        self.enqueue(self.box(peer_id), 0, item, required=False)
+
+    async def request_self(
+        self, item: peer.Message, timeout: float
+    ) -> peer.Message:
+        """Calls this router's own handler."""
+        answer: peer.Message | None = None
+        with trio.move_on_after(timeout):
+            answer = await self.answer_of(self.name, item)
+        if answer is None:
+            raise errors.PeerUnreachable(f'no answer in {timeout:g} s')
+        return checked(self.name, answer)
+
+    # queues
+
+    def box(self, peer_id: str) -> peer_connections.Outbox:
+        """Returns the outbox of a peer."""
+        if peer_id not in self.boxes:
+            self.boxes[peer_id] = peer_connections.Outbox(peer_id)
+        return self.boxes[peer_id]
+
+    def enqueue(
+        self,
+        box: peer_connections.Outbox,
+        number: int,
+        item: peer.Message,
+        required: bool,
+    ) -> None:
+        """Puts a message into an outbox and sees to a connection.
+
+        Raises:
+            PeerUnreachable: It is required and cannot be sent.
+        """
+        data = self.packer.pack([number, peer.to_wire(item)])
+        problem = self.why_not(box, len(data))
+        if problem is not None:
+            self.count_dropped(problem)
+            if required:
+                raise errors.PeerUnreachable(f'{box.peer_id}: {problem}')
+            return
+        box.put(data)
+        if box.connection is None:
+            self.redial(box)
+
+    def why_not(self, box: peer_connections.Outbox, size: int) -> str | None:
+        """Returns why a message cannot be queued, None if it can."""
+        if self.nursery is None or self.stopping:
+            return 'link not running'
+        if size > peer.MAX_MESSAGE_BYTES:
+            return 'message too large'
+        if box.size + size > self.limits.outbox_bytes:
+            return 'outbox full'
+        if box.connection is not None or box.dialing:
+            return None
+        if box.peer_id not in self.addresses:
+            return 'no address'
+        if trio.current_time() < box.dial_after:
+            return 'dial failed just now'
+        return None
+
+    def redial(self, box: peer_connections.Outbox) -> None:
+        """Opens a connection for what still waits in an outbox."""
+        if not box.items or box.dialing or self.nursery is None:
+            return
+        box.dialing = True
+        self.nursery.start_soon(self.dial_peer, box)
+
+    def count_dropped(self, cause: str) -> None:
+        """Counts something that was given up."""
+        DROPPED.inc({'cause': cause})
+        self.dropped[cause] += 1
+
+    def note_handshake_failure(self, exc: Exception) -> None:
+        """Counts a connection that did not become one."""
+        self.count_dropped('bad handshake')
+        logs.change('peer_refused', router=self.name, error=str(exc))
+
+    def note_miss(self, box: peer_connections.Outbox, began: float) -> None:
+        """Counts a request without an answer; closes silent connections.
+
+        A half-open connection (the peer's VM is gone, or a firewall drops
+        its packets) shows as requests that time out while nothing arrives.
+        Without this the kernel would keep it for many minutes and every
+        request to a replaced peer would wait out its timeout. The guard
+        holds because anything received since the request began resets it,
+        so a slow handler on a working connection is never cut off.
+        """
+        connection = box.connection
+        if connection is None:
+            return
+        if connection.last_received >= began:
+            connection.misses = 0
+            return
+        connection.misses += 1
+        if connection.misses < self.limits.misses:
+            return
+        self.count_dropped('silent')
+        logs.change('peer_silent', router=self.name, peer=box.peer_id)
+        connection.abort()
+
+    # connections
+
+    async def run(self) -> None:
+        """Serves peers until cancelled."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                nursery.start_soon(self.close_idle)
+                await self.listen()
+        finally:
+            self.nursery = None
+            self.fail_calls('the link has stopped')
+
+    @abc.abstractmethod
+    async def listen(self) -> None:
+        """Serves inbound wires by `accept`; sets `port` and `started`."""
+
+    @abc.abstractmethod
+    async def dial(
+        self, peer_id: str, host: str, port: int
+    ) -> peer_connections.Wire:
+        """Returns a wire to a peer.
+
+        Raises:
+            OSError: There is no connection to be had.
+            PeerProtocolError: The peer is somebody else.
+        """
+
+    async def dial_peer(self, box: peer_connections.Outbox) -> None:
+        """Connects to a peer and serves the connection."""
+        host, port = self.addresses.get(box.peer_id, ('', 0))
+        connection = None
+        try:
+            with trio.fail_after(self.limits.dial_timeout):
+                wire = await self.dial(box.peer_id, host, port)
+                connection = peer_connections.Connection(self, wire, True)
+                await connection.greet(box.peer_id)
+        except (OSError, trio.TooSlowError, errors.LavenderbendError) as exc:
+            if connection is not None:
+                await connection.discard()
+            self.dial_failed(box, exc)
+            return
+        box.dialing = False
+        await connection.serve()
+
+    def dial_failed(self, box: peer_connections.Outbox, exc: Exception) -> None:
+        """Gives up what waited for a connection that did not come."""
+        box.dialing = False
+        box.dial_after = trio.current_time() + self.limits.retry_delay
+        self.count_dropped('dial failed')
+        if box.connection is not None:
+            return
+        box.clear()
+        self.fail_calls(f'no connection: {exc!r}', box.peer_id)
+
+    async def accept(self, wire: peer_connections.Wire) -> None:
+        """Serves a wire that a peer has opened."""
+        connection = peer_connections.Connection(self, wire, False)
+        try:
+            with trio.fail_after(self.limits.dial_timeout):
+                await connection.greet(None)
+        except (OSError, trio.TooSlowError, errors.LavenderbendError) as exc:
+            self.count_dropped('bad hello')
+            logs.change('peer_refused', router=self.name, error=str(exc))
+            await connection.discard()
+            return
+        await connection.serve()
+
+    def fail_calls(self, reason: str, peer_id: str | None = None) -> None:
+        """Ends requests that can get no answer any more."""
+        for call in self.calls.values():
+            if peer_id in {None, call.peer_id} and not call.done.is_set():
+                call.error = errors.PeerUnreachable(f'{call.peer_id}: {reason}')
+                call.done.set()
+
+    async def close_idle(self) -> None:
+        """Closes connections that nobody has used for long."""
+        while True:
+            await trio.sleep(self.limits.idle / 4)
+            limit = trio.current_time() - self.limits.idle
+            for connection in list(self.live):
+                if connection.last_used < limit:
+                    connection.retire()
+
+    async def close(self) -> None:
+        """Says goodbye to all peers; new messages are refused."""
+        self.stopping = True
+        for connection in list(self.live):
+            connection.retire()
+        with trio.move_on_after(self.limits.dial_timeout):
+            await self.wait_connections(0)
+
+    async def wait_connections(self, count: int) -> None:
+        """Waits until there are that many connections."""
+        while self.connections != count:
+            await self.counted.wait()
+
+    def add_connections(self, count: int) -> None:
+        """Counts connections that began, or ended if negative."""
+        self.connections += count
+        self.counted.set()
+        self.counted = trio.Event()
+
+    # messages that arrive
+
+    def dispatch(
+        self, connection: peer_connections.Connection, number: int, item: list
+    ) -> None:
+        """Takes one message of a batch.
+
+        Raises:
+            CodecError: It is no message of ours.
+        """
+        message = peer.from_wire(item)
+        self.messages_received += 1
+        if number == 0:
+            connection.notices.append(message)
+            return
+        if number > 0:
+            self.begin_request(connection, number, message)
+            return
+        call = self.calls.get(-number)
+        # an answer that comes after its timeout, or from a peer that was
+        # not asked, must not end another peer's request
+        if call is None or call.peer_id != connection.peer_id:
+            self.count_dropped('late answer')
+            return
+        call.answer = message
+        call.done.set()
+
+    def begin_request(
+        self,
+        connection: peer_connections.Connection,
+        number: int,
+        message: peer.Message,
+    ) -> None:
+        """Starts the handler of a request."""
+        if connection.in_progress >= self.limits.handlers:
+            failure = peer.Failure('PeerBusy', 'too many requests', 0.1)
+            self.reply(connection, number, failure)
+            return
+        connection.in_progress += 1
+        self.nursery.start_soon(
+            self.handle_request, connection, number, message
+        )
+
+    async def handle_request(
+        self,
+        connection: peer_connections.Connection,
+        number: int,
+        message: peer.Message,
+    ) -> None:
+        """Answers one request."""
+        try:
+            answer = await self.answer_of(connection.peer_id, message)
+        finally:
+            connection.in_progress -= 1
+        self.reply(connection, number, answer)
+
+    def reply(
+        self,
+        connection: peer_connections.Connection,
+        number: int,
+        answer: peer.Message,
+    ) -> None:
+        """Queues an answer."""
+        box = self.box(connection.peer_id)
+        # the asker's process is gone: its successor under the same id
+        # counts its own requests and must not get this answer
+        if box.connection is None or (
+            box.connection.instance != connection.instance
+        ):
+            return
+        self.enqueue(box, -number, answer, required=False)
+
+    async def answer_of(
+        self, peer_id: str, message: peer.Message
+    ) -> peer.Message:
+        """Returns the handler's answer, or the failure it raised."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            return peer.Failure('NoHandler', type(message).__name__)
+        try:
+            answer = await handler(peer_id, message)
+        except errors.LavenderbendError as exc:
+            retry_after = getattr(exc, 'retry_after', None)
+            return peer.Failure(type(exc).__name__, str(exc), retry_after)
+        except Exception as exc:
+            # one wrong handler must not end the link of this router with
+            # all its peers; the asker gets a typed failure
+            self.count_dropped('handler failed')
+            logs.change('peer_handler_failed', error=repr(exc))
+            return peer.Failure('HandlerFailed', type(exc).__name__)
+        return peer.Done() if answer is None else answer
+
+    async def handle_notice(self, peer_id: str, message: peer.Message) -> None:
+        """Hands a notice to its handler; a failure is only counted."""
+        answer = await self.answer_of(peer_id, message)
+        if isinstance(answer, peer.Failure):
+            self.count_dropped(f'notice {answer.kind}')
+
+    def hello(self) -> messages.Hello:
+        """Returns the hello of this router."""
+        return messages.Hello(
+            self.name, messages.PROTOCOL_VERSION, self.instance
+        )
+
+
+def checked(peer_id: str, answer: peer.Message) -> peer.Message:
+    """Returns an answer that is no failure.
+
+    Raises:
+        PeerRefused: It is one.
+    """
+    if isinstance(answer, peer.Failure):
+        raise errors.PeerRefused(answer.kind, answer, peer_id)
+    return answer
--- /dev/null
+++ b/lavenderbend/transport/peer_connections.py
@@ -0,0 +1,362 @@
+"""One connection to a peer: its reader, its writer and its end."""
+
+from __future__ import annotations
+
+import abc
+import collections
+from typing import TYPE_CHECKING
+
+import msgpack
+import trio
+
+from lavenderbend import errors
+from lavenderbend.observe import logs
+from lavenderbend.protocol import messages_membership as messages
+from lavenderbend.protocol import peer
+
+if TYPE_CHECKING:
+    from lavenderbend.transport import links
+
+GOODBYE_TIMEOUT = 5.0  # seconds
+
+
+class Wire(abc.ABC):
+    """Carries batches between two routers, both ways at once.
+
+    Attributes:
+        bytes_sent: Bytes given to the socket.
+        bytes_received: Bytes taken from the socket.
+        names: Names in the peer's certificate, None without TLS.
+    """
+
+    bytes_sent = 0
+    bytes_received = 0
+    names: frozenset[str] | None = None
+
+    @abc.abstractmethod
+    async def send(self, batch: bytes) -> None:
+        """Sends a batch.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+
+    @abc.abstractmethod
+    async def receive(self) -> bytes | None:
+        """Returns the next batch, None at the end.
+
+        Raises:
+            OSError: The connection is broken.
+            CodecError: The peer sent something else.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes the connection at once."""
+
+
+class Outbox:
+    """What waits to be sent to one peer.
+
+    Attributes:
+        peer_id: The peer.
+        items: Encoded messages in order.
+        size: Their bytes.
+        connection: The connection in use, if there is one.
+        dialing: Whether one is being opened.
+        dial_after: Router clock before which none is opened.
+    """
+
+    def __init__(self, peer_id: str) -> None:
+        self.peer_id = peer_id
+        self.items: collections.deque[bytes] = collections.deque()
+        self.size = 0
+        self.connection: Connection | None = None
+        self.dialing = False
+        self.dial_after = 0.0
+        self.filled = trio.Event()
+
+    def put(self, data: bytes) -> None:
+        """Appends a message."""
+        self.items.append(data)
+        self.size += len(data)
+        self.filled.set()
+
+    def take(self, limit: int) -> list[bytes]:
+        """Removes and returns messages up to a number of bytes."""
+        taken: list[bytes] = []
+        total = 0
+        while self.items and (not taken or total < limit):
+            data = self.items.popleft()
+            total += len(data)
+            taken.append(data)
+        self.size -= total
+        if not self.items:
+            self.filled = trio.Event()
+        return taken
+
+    def clear(self) -> None:
+        """Drops everything."""
+        self.items.clear()
+        self.size = 0
+        self.filled = trio.Event()
+
+
+class Connection:
+    """A wire in use by a link.
+
+    Attributes:
+        link: The link.
+        wire: The wire.
+        dialed: Whether this router opened it.
+        peer_id: Who is at the other end, known after `greet`.
+        instance: Its process.
+        in_progress: Requests of the peer that are being handled.
+        misses: Requests in a row that timed out without a sign of it.
+    """
+
+    def __init__(self, link: links.BatchLink, wire: Wire, dialed: bool) -> None:
+        self.link = link
+        self.wire = wire
+        self.dialed = dialed
+        self.peer_id = ''
+        self.instance = 0
+        self.in_progress = 0
+        self.misses = 0
+        self.last_received = trio.current_time()
+        self.last_used = self.last_received
+        self.notices: collections.deque[peer.Message] = collections.deque()
+        self.retiring = trio.Event()
+        self.scope = trio.CancelScope()
+
+    # opening
+
+    async def greet(self, expected: str | None) -> None:
+        """Exchanges hellos; the side that dialed speaks first.
+
+        Args:
+            expected: Id of the peer that was dialed.
+
+        Raises:
+            PeerProtocolError: The peer is not who it should be.
+            CodecError: It speaks something else.
+            OSError: The connection broke.
+        """
+        if self.dialed:
+            await self.send_now(self.link.hello())
+        hello = await self.read_hello()
+        self.check(hello, expected)
+        self.peer_id = hello.router
+        self.instance = hello.instance
+        if not self.dialed:
+            # attached before our hello leaves, so that a peer that sees it
+            # may retire another connection: this one is in use already
+            self.attach()
+            await self.send_now(self.link.hello())
+        else:
+            self.attach()
+
+    async def send_now(self, item: peer.Message) -> None:
+        """Sends a message outside the queue."""
+        await self.wire.send(msgpack.packb([0, peer.to_wire(item)]))
+        self.link.messages_sent += 1
+
+    async def read_hello(self) -> messages.Hello:
+        """Reads the peer's hello."""
+        batch = await self.wire.receive()
+        if batch is None:
+            raise errors.PeerProtocolError('closed before its hello')
+        for _, item in unpack(batch):
+            message = peer.from_wire(item)
+            if isinstance(message, messages.Hello):
+                return message
+            break
+        raise errors.PeerProtocolError('the first message is no hello')
+
+    def check(self, hello: messages.Hello, expected: str | None) -> None:
+        """Checks that the peer is who it should be.
+
+        Raises:
+            PeerProtocolError: It is not, or speaks another version.
+        """
+        numbers = (hello.version, hello.instance)
+        if not isinstance(hello.router, str) or not all(
+            isinstance(number, int) for number in numbers
+        ):
+            raise errors.PeerProtocolError('the hello is malformed')
+        if expected is not None and hello.router != expected:
+            raise errors.PeerProtocolError(
+                f'{expected} was dialed and {hello.router} answers'
+            )
+        if hello.router == self.link.name:
+            raise errors.PeerProtocolError('a peer has the id of this router')
+        if hello.version < messages.MIN_PROTOCOL_VERSION:
+            raise errors.PeerProtocolError(
+                f'{hello.router} speaks version {hello.version}'
+            )
+        names = self.wire.names
+        if names is not None and hello.router not in names:
+            raise errors.PeerProtocolError(
+                f'{hello.router} has a certificate of {sorted(names)}'
+            )
+
+    def attach(self) -> None:
+        """Takes this connection into use, unless a better one is there.
+
+        Two routers may dial each other at once. The connection dialed by
+        the smaller id is kept; both sides decide alike, and the other is
+        closed by goodbyes so that nothing in flight on it is lost. A
+        second connection of the same direction, or of another process,
+        shows that the first is dead.
+        """
+        link = self.link
+        link.live.add(self)
+        link.add_connections(1)
+        box = link.box(self.peer_id)
+        old = box.connection
+        box.connection = self
+        if old is None:
+            return
+        if old.instance != self.instance or old.dialed == self.dialed:
+            old.abort()
+            return
+        smaller_is_us = link.name < self.peer_id
+        if self.dialed == smaller_is_us:
+            old.retire()
+            return
+        box.connection = old
+        self.retire()
+
+    # serving
+
+    async def serve(self) -> None:
+        """Reads and writes until the connection ends."""
+        box = self.link.box(self.peer_id)
+        try:
+            with self.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.write, box)
+                    await self.read()
+                    self.retire()
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.discard()
+
+    async def read(self) -> None:
+        """Takes batches until the peer's goodbye or the end."""
+        try:
+            while True:
+                batch = await self.wire.receive()
+                if batch is None:
+                    self.scope.cancel()
+                    return
+                self.last_received = trio.current_time()
+                self.last_used = self.last_received
+                self.misses = 0
+                if not await self.take_batch(batch):
+                    return
+        except OSError:
+            self.scope.cancel()
+        except errors.CodecError as exc:
+            # garbage: nothing after it can be trusted to be aligned
+            self.link.count_dropped('garbage')
+            logs.change(
+                'peer_garbage',
+                router=self.link.name,
+                peer=self.peer_id,
+                error=str(exc),
+            )
+            self.scope.cancel()
+
+    async def take_batch(self, batch: bytes) -> bool:
+        """Hands on a batch; returns False after a goodbye."""
+        for number, item in unpack(batch):
+            self.link.dispatch(self, number, item)
+        while self.notices:
+            notice = self.notices.popleft()
+            if isinstance(notice, messages.Goodbye):
+                return False
+            await self.link.handle_notice(self.peer_id, notice)
+        return True
+
+    async def write(self, box: Outbox) -> None:
+        """Sends what gathers; what gathers meanwhile is the next batch."""
+        link = self.link
+        try:
+            while not self.retiring.is_set():
+                if not box.items or box.connection is not self:
+                    await self.wait_work(box)
+                    continue
+                items = box.take(link.limits.batch_bytes)
+                link.messages_sent += len(items)
+                self.last_used = trio.current_time()
+                await self.wire.send(b''.join(items))
+            if box.connection is self and not link.stopping:
+                box.connection = None
+                link.redial(box)
+            await self.send_now(messages.Goodbye())
+            # a peer that never says goodbye in its turn is cut off
+            self.scope.deadline = trio.current_time() + GOODBYE_TIMEOUT
+        except OSError:
+            self.scope.cancel()
+
+    async def wait_work(self, box: Outbox) -> None:
+        """Waits for messages, or for the end of this connection's use."""
+        if box.connection is not self:
+            await self.retiring.wait()
+            return
+        await box.filled.wait()
+
+    def retire(self) -> None:
+        """Ends the connection after what is being sent, by goodbyes."""
+        self.retiring.set()
+        # wakes the writer, which sleeps until there is something to send
+        box = self.link.box(self.peer_id)
+        box.filled.set()
+        if not box.items:
+            box.filled = trio.Event()
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self.scope.cancel()
+
+    async def discard(self) -> None:
+        """Closes the wire and fails what waited on it."""
+        link = self.link
+        await self.wire.close()
+        if self not in link.live:
+            return
+        link.live.remove(self)
+        link.add_connections(-1)
+        link.closed_bytes_sent += self.wire.bytes_sent
+        link.closed_bytes_received += self.wire.bytes_received
+        box = link.box(self.peer_id)
+        if box.connection not in {self, None}:
+            return
+        box.connection = None
+        if box.dialing:
+            return
+        box.clear()
+        link.fail_calls('the connection was lost', self.peer_id)
+
+
+def unpack(batch: bytes) -> list[tuple[int, list]]:
+    """Returns the numbers and messages of a batch.
+
+    Raises:
+        CodecError: It is no batch of ours.
+    """
+    unpacker = msgpack.Unpacker(
+        max_buffer_size=peer.MAX_MESSAGE_BYTES * 2, strict_map_key=True
+    )
+    items = []
+    try:
+        unpacker.feed(batch)
+        for entry in unpacker:
+            number, item = entry
+            if not isinstance(number, int) or not isinstance(item, list):
+                raise errors.CodecError('a batch entry is malformed')
+            items.append((number, item))
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise errors.CodecError(f'not a batch: {exc}') from exc
+    return items
--- /dev/null
+++ b/lavenderbend/transport/peer_frames.py
@@ -0,0 +1,183 @@
+"""The peer link of length-prefixed frames on TCP, plain or with TLS."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend import errors
+from lavenderbend.protocol import peer
+from lavenderbend.transport import links
+from lavenderbend.transport import peer_connections
+from lavenderbend.transport import tls as peer_tls
+
+if TYPE_CHECKING:
+    import ssl
+
+HEADER_BYTES = 4
+READ_BYTES = 65536
+MAX_FRAME_BYTES = peer.MAX_MESSAGE_BYTES + 512 * 1024
+
+
+class CountingStream(trio.abc.Stream):
+    """A socket stream that counts its bytes.
+
+    Attributes:
+        stream: The socket stream.
+        sent: Bytes sent.
+        received: Bytes received.
+    """
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self.sent = 0
+        self.received = 0
+
+    async def send_all(self, data: bytes) -> None:
+        """Sends all of the data."""
+        self.sent += len(data)
+        await self.stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Waits until sending might not block."""
+        await self.stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receives some data."""
+        data = await self.stream.receive_some(max_bytes)
+        self.received += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        """Closes the socket."""
+        await self.stream.aclose()
+
+
+class FrameWire(peer_connections.Wire):
+    """Frames on a stream: four bytes of length, then a batch."""
+
+    def __init__(
+        self,
+        counting: CountingStream,
+        stream: trio.abc.Stream,
+        names: frozenset[str] | None,
+    ) -> None:
+        self.counting = counting
+        self.stream = stream
+        self.names = names
+        self.buffer = bytearray()
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes given to the socket."""
+        return self.counting.sent
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes taken from the socket."""
+        return self.counting.received
+
+    async def send(self, batch: bytes) -> None:
+        """Sends a batch as one frame."""
+        frame = len(batch).to_bytes(HEADER_BYTES, 'big') + batch
+        try:
+            await self.stream.send_all(frame)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise ConnectionResetError('the peer is gone') from exc
+
+    async def receive(self) -> bytes | None:
+        """Returns the next frame's batch, None at the end."""
+        if not await self.fill(HEADER_BYTES):
+            return None
+        size = int.from_bytes(self.buffer[:HEADER_BYTES], 'big')
+        # a peer that speaks something else (an HTTP probe, a scan) shows
+        # as a huge length; refusing it here bounds the memory it can take
+        if size > MAX_FRAME_BYTES:
+            raise errors.CodecError(f'a frame of {size} bytes')
+        if not await self.fill(HEADER_BYTES + size):
+            raise ConnectionResetError('the peer ended inside a frame')
+        end = HEADER_BYTES + size
+        batch = bytes(self.buffer[HEADER_BYTES:end])
+        del self.buffer[:end]
+        return batch
+
+    async def fill(self, size: int) -> bool:
+        """Reads until the buffer holds `size` bytes; False at the end."""
+        while len(self.buffer) < size:
+            try:
+                data = await self.stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                raise ConnectionResetError('the peer is gone') from exc
+            if not data:
+                return False
+            self.buffer += data
+        return True
+
+    async def close(self) -> None:
+        """Closes the connection at once."""
+        await trio.aclose_forcefully(self.stream)
+
+
+@links.LINKS.register('frames')
+class FramesLink(links.BatchLink):
+    """Frames of msgpack over trio's TCP streams."""
+
+    async def listen(self) -> None:
+        """Serves inbound connections."""
+        listeners = await trio.open_tcp_listeners(self.port, host=self.host)
+        self.port = listeners[0].socket.getsockname()[1]
+        self.started.set()
+        await trio.serve_listeners(self.accept_stream, listeners)
+
+    async def accept_stream(self, stream: trio.SocketStream) -> None:
+        """Serves a peer that has connected to us."""
+        counting = counted(stream)
+        try:
+            with trio.fail_after(self.limits.dial_timeout):
+                context = self.tls and self.tls.server_context()
+                wire = await secured(counting, context, server_side=True)
+        except (OSError, trio.TooSlowError) as exc:
+            self.note_handshake_failure(exc)
+            await trio.aclose_forcefully(stream)
+            return
+        await self.accept(wire)
+
+    async def dial(self, peer_id: str, host: str, port: int) -> FrameWire:
+        """Returns a wire to a peer."""
+        stream = await trio.open_tcp_stream(host, port)
+        counting = counted(stream)
+        try:
+            context = self.tls and self.tls.client_context()
+            return await secured(counting, context, server_side=False)
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+
+
+def counted(stream: trio.SocketStream) -> CountingStream:
+    """Returns the stream with its bytes counted, set for small frames."""
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return CountingStream(stream)
+
+
+async def secured(
+    counting: CountingStream,
+    context: ssl.SSLContext | None,
+    server_side: bool,
+) -> FrameWire:
+    """Returns a wire, after the TLS handshake if there is a context.
+
+    Raises:
+        OSError: The handshake failed.
+    """
+    if context is None:
+        return FrameWire(counting, counting, None)
+    stream = trio.SSLStream(counting, context, server_side=server_side)
+    try:
+        await stream.do_handshake()
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+        raise ConnectionResetError(f'TLS handshake: {exc.__cause__}') from exc
+    names = peer_tls.peer_names(stream.getpeercert() or {})
+    return FrameWire(counting, stream, names)
