--- a/lavenderbend/coordination/rules.py
+++ b/lavenderbend/coordination/rules.py
@@ -13,13 +13,19 @@
     from collections.abc import Mapping
 
     from lavenderbend.state import configuration
+    from lavenderbend.state import decisions
     from lavenderbend.state import requests
 
     Check = Callable[['Facts'], bool]
 
 SHARE_STEPS = 10_000
+# what a decision keeps of the headers, so that rules can be tried on it later
+KEPT_HEADER_PREFIX = 'x-'
+MAX_KEPT_HEADERS = 16
+MAX_KEPT_HEADER_CHARACTERS = 128
 # few revisions are alive at once: the one in force, and one being compared
 MAX_COMPILED = 4
+HEADER_LABEL = 'header '
 
 
 @attrs.frozen
@@ -64,6 +70,33 @@
     )
 
 
+def kept_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Returns the headers that a decision keeps, bounded in size."""
+    kept = [
+        (name, value)
+        for name, value in headers.items()
+        if name.startswith(KEPT_HEADER_PREFIX)
+        and len(name) + len(value) <= MAX_KEPT_HEADER_CHARACTERS
+    ]
+    return dict(kept[:MAX_KEPT_HEADERS])
+
+
+def facts_of_decision(decision: decisions.Decision) -> Facts:
+    """Returns what rules look at, as far as the decision kept it."""
+    chat = int(decision.chat, 16) if decision.chat else 0
+    return Facts(
+        customer=decision.customer,
+        method=decision.method.upper(),
+        path=decision.path.partition('?')[0],
+        headers=decision.headers,
+        model=decision.model,
+        adapter=decision.adapter,
+        availability_zone=decision.availability_zone,
+        priority=decision.headers.get('x-priority', ''),
+        chat=chat or hashing.hash64(decision.customer, decision.id),
+    )
+
+
 def chat_hash(request: requests.Request) -> int:
     """Returns the hash by which shares of chats are told apart.
 
@@ -157,7 +190,8 @@
         if texts:
             checks.append((name, attribute_check(name, texts)))
     for name, text in when.header.items():
-        checks.append((f'header {name}', header_check(name.lower(), text)))
+        label = HEADER_LABEL + name
+        checks.append((label, header_check(name.lower(), text)))
     if when.share < 100:
         checks.append(('share', share_check(rule.name, when.share)))
     return CompiledRule(rule, tuple(checks))
--- a/lavenderbend/state/decisions.py
+++ b/lavenderbend/state/decisions.py
@@ -77,6 +77,9 @@
         at: Seconds since the epoch at arrival.
         duration: Seconds from arrival to the end.
         idempotency_key: The caller's key, if any.
+        adapter: Adapter named by the caller.
+        availability_zone: Zone of the entry router.
+        headers: Headers that rules may look at, by `rules.kept_headers`.
     """
 
     id: str
@@ -96,6 +99,9 @@
     at: float = 0.0
     duration: float = 0.0
     idempotency_key: str = ''
+    adapter: str = ''
+    availability_zone: str = ''
+    headers: dict[str, str] = attrs.field(factory=dict)
 
 
 class DecisionStore:
