--- a/lavenderbend/protocol/documents_yaml.py
+++ b/lavenderbend/protocol/documents_yaml.py
@@ -9,6 +9,7 @@
 
 import attrs
 import cattrs
+import yaml
 
 from lavenderbend import errors
 from lavenderbend.protocol import structuring
@@ -124,3 +125,32 @@
         if isinstance(note, cattrs.IterableValidationNote):
             return (note.index,)
     return ()
+
+
+def dump_configuration(item: configuration.Configuration) -> str:
+    """Returns the text that `parse_configuration` reads the same from."""
+    return yaml.dump(
+        structuring.CONVERTER.unstructure(item),
+        Dumper=Dumper,
+        sort_keys=False,
+        allow_unicode=True,
+        width=76,
+    )
+
+
+class Dumper(yaml.SafeDumper):
+    """Quotes each text that would be read as something else."""
+
+    def ignore_aliases(self, data: Any) -> bool:
+        """Writes equal parts out each time."""
+        return True
+
+
+def represent_text(dumper: Dumper, value: str) -> yaml.Node:
+    """Returns the node of a text."""
+    plain = yaml_nodes.resolve(value) is value
+    style = None if plain else "'"
+    return dumper.represent_scalar('tag:yaml.org,2002:str', value, style=style)
+
+
+Dumper.add_representer(str, represent_text)
--- a/lavenderbend/protocol/structuring.py
+++ b/lavenderbend/protocol/structuring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import decimal
 import enum
 import re
 from typing import Any
@@ -21,6 +22,7 @@
     from collections.abc import Callable
 
     Hook = Callable[[Any, Any], Any]
+    Writer = Callable[[Any], Any]
 
 QUANTITY = re.compile(r'([0-9]+(?:\.[0-9]+)?) ?([A-Za-z/%]+)')
 DURATION_UNITS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0, 'd': 86400.0}
@@ -88,6 +90,28 @@
     return quantity(value, SHARE_UNITS, SHARE)
 
 
+def decimal_text(value: float) -> str:
+    """Returns all digits of a number, without an exponent."""
+    return f'{decimal.Decimal(repr(value)):f}'.removesuffix('.0')
+
+
+def write_duration(value: float) -> str:
+    """Returns a duration in seconds, or in milliseconds if it is short."""
+    if value < 1 and round(value * 1000) == value * 1000:
+        return f'{round(value * 1000)}ms'
+    return f'{decimal_text(value)}s'
+
+
+def write_rate(value: float) -> str:
+    """Returns a rate a second."""
+    return f'{decimal_text(value)}/s'
+
+
+def write_share(value: float) -> str:
+    """Returns a percentage."""
+    return f'{decimal_text(value)}%'
+
+
 def text(value: Any, _: Any) -> str:
     """Returns a text."""
     if not isinstance(value, str):
@@ -140,6 +164,11 @@
     (configuration.Then, 'timeout'): duration,
     (configuration.Then, 'limit'): rate,
 }
+FIELD_WRITERS: dict[tuple[type, str], Writer] = {
+    (configuration.When, 'share'): write_share,
+    (configuration.Then, 'timeout'): write_duration,
+    (configuration.Then, 'limit'): write_rate,
+}
 FIELD_BOUNDS: dict[tuple[type, str], settings.Bounds] = {
     (configuration.When, 'share'): settings.Bounds(0, 100),
     (configuration.Then, 'timeout'): settings.Bounds(0.001, settings.DAY),
@@ -188,6 +217,10 @@
         self.register_structure_hook_factory(is_tuple, self.tuple_hook)
         self.register_structure_hook_factory(is_map, self.map_hook)
         self.register_structure_hook_factory(attrs.has, self.class_hook)
+        self.register_unstructure_hook(requests.Priority, enum_key)
+        self.register_unstructure_hook_factory(is_enum, lambda cls: enum_key)
+        self.register_unstructure_hook_factory(is_tuple, self.list_writer)
+        self.register_unstructure_hook_factory(attrs.has, self.class_writer)
 
     def tuple_hook(self, cls: Any) -> Hook:
         """Returns the hook of `tuple[T, ...]`, which takes only lists."""
@@ -240,6 +273,23 @@
         )
         return inner if bounds is None else in_bounds(inner, bounds)
 
+    def list_writer(self, cls: Any) -> Writer:
+        """Returns the writer of `tuple[T, ...]`."""
+        return lambda value: [self.unstructure(member) for member in value]
+
+    def class_writer(self, cls: type) -> Writer:
+        """Returns the writer of an attrs class, which omits defaults."""
+        writers = {
+            field.name: gen.override(
+                unstruct_hook=FIELD_WRITERS.get((cls, field.name))
+            )
+            for field in attrs.fields(attrs.resolve_types(cls))
+            if (cls, field.name) in FIELD_WRITERS
+        }
+        return gen.make_dict_unstructure_fn(
+            cls, self, _cattrs_omit_if_default=True, **writers
+        )
+
 
 def is_enum(cls: Any) -> bool:
     """Returns whether the type is an enum class."""
--- a/lavenderbend/protocol/yaml_nodes.py
+++ b/lavenderbend/protocol/yaml_nodes.py
@@ -184,14 +184,16 @@
 
 
 def scalar(node: yaml.ScalarNode) -> Any:
-    """Returns the value of a scalar.
+    """Returns the value of a scalar; what is quoted is a text."""
+    return node.value if node.style is not None else resolve(node.value)
+
+
+def resolve(text: str) -> Any:
+    """Returns what an unquoted scalar means.
 
     YAML 1.1 reads `no` as false, `010` as eight and `12:30` as 750; here
     these are texts, so that a name never turns into something else.
     """
-    text = node.value
-    if node.style is not None:
-        return text
     if text in NULLS:
         return None
     if text in BOOLEANS:
