Add accepted configuration on a log in the key-value service

Changes travel as deltas with whole revisions now and then; routers watch the log and compare revisions with each other.

--- /dev/null
+++ b/lavenderbend/coordination/configuration_follower.py
@@ -0,0 +1,358 @@
+"""Keeps the accepted configuration in force on one router."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import configuration_chain
+from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination import interfaces
+from lavenderbend.observe import logs
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import messages_agreed as messages
+from lavenderbend.protocol import records_configuration as records
+from lavenderbend.state import settings
+
+if TYPE_CHECKING:
+    import random
+
+    from lavenderbend.protocol import peer
+    from lavenderbend.state import configuration
+
+COMPARE_SECONDS = 1.0
+FANOUT = 4
+POLL_SECONDS = 10.0
+# the fleet together polls the service at most so often
+FLEET_POLLS_PER_SECOND = 20.0
+RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 5.0
+PEER_TIMEOUT_SECONDS = 2.0
+ASK_AGAIN_SECONDS = 0.2
+ASKS_AT_ONCE = 16
+
+REVISION = metrics.gauge(
+    'lavenderbend_configuration_revision',
+    'Number of the configuration revision in force.',
+)
+STALE = metrics.gauge(
+    'lavenderbend_configuration_stale_seconds',
+    'Time for which neither the service nor a peer has confirmed it.',
+)
+FETCHES = metrics.counter(
+    'lavenderbend_configuration_steps_total',
+    'Steps to a newer revision, by where it came from.',
+)
+
+
+class ConfigurationFollower(interfaces.Configurations):
+    """Follows the log by watch, and its peers when that does not work.
+
+    Attributes:
+        name: Id of this router.
+        link: Messages to peers.
+        membership: Which routers answer.
+        rng: Source of jitter and choice of peers.
+        log: The log of accepted changes.
+        chain: Revisions known here.
+        policy: What `current` does while cut off.
+        cut_off_seconds: Silence after which this router counts as cut off.
+        said: Revision that each peer last said.
+        contact_at: When the service or a peer last answered.
+        stale_since: Clock of the last contact while cut off, else None.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: interfaces.KeyValueStore,
+        link: interfaces.PeerLink,
+        membership: interfaces.Membership,
+        rng: random.Random,
+        prefix: str = configuration_log.DEFAULT_PREFIX,
+        policy: settings.CutOffPolicy = settings.CutOffPolicy.SERVE,
+        cut_off_seconds: float = 30.0,
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.link = link
+        self.membership = membership
+        self.rng = rng
+        self.chain = configuration_chain.Chain()
+        self.log = configuration_log.ConfigurationLog(store, prefix, self.chain)
+        self.policy = policy
+        self.cut_off_seconds = cut_off_seconds
+        self.said: dict[str, int] = {}
+        self.contact_at = 0.0
+        self.stale_since: float | None = None
+        self.wanted: str | None = None
+        self.wake = trio.Event()
+        link.handle(messages.RevisionAsk, self.on_ask)
+        link.handle(messages.RevisionSay, self.on_say)
+        link.handle(messages.EntriesAsk, self.on_entries)
+
+    def current(self) -> configuration.Revision:
+        """Returns the revision in force.
+
+        Raises:
+            NoConfiguration: None has been seen yet.
+            ConfigurationStale: Cut off, and the policy is to refuse.
+        """
+        refuse = self.policy is settings.CutOffPolicy.REFUSE
+        if refuse and self.stale_since is not None:
+            raise errors.ConfigurationStale(
+                'cut off from the key-value service and all peers',
+                retry_after=COMPARE_SECONDS,
+            )
+        return self.chain.current()
+
+    async def wait_beyond(self, number: int) -> configuration.Revision:
+        """Waits for a revision with a number above the given one."""
+        while self.chain.number <= number:
+            await self.chain.changed.wait()
+        return self.chain.current()
+
+    async def accept(
+        self,
+        document: configuration.Configuration,
+        seen: int,
+        author: str,
+        reason: str,
+    ) -> configuration.Revision:
+        """Accepts a change and puts it in force here at once.
+
+        So the change has a router that spreads it even if the service goes
+        down just afterwards; errors as in `ConfigurationLog.accept`.
+        """
+        return await self.log.accept(document, seen, author, reason)
+
+    def in_force(self) -> dict[str, int]:
+        """Returns the revision each live router last said, 0 for none."""
+        found = {
+            router: self.said.get(router, 0)
+            for router in self.membership.routers()
+        }
+        found[self.name] = self.chain.number
+        return found
+
+    def lacking(self, number: int) -> tuple[str, ...]:
+        """Returns the live routers not known to have a revision."""
+        return tuple(
+            router
+            for router, said in sorted(self.in_force().items())
+            if said < number
+        )
+
+    async def wait_in_force(
+        self, number: int, timeout: float
+    ) -> tuple[str, ...]:
+        """Asks the live routers until all have a revision.
+
+        Returns:
+            Those that do not have it after `timeout` seconds.
+        """
+        with trio.move_on_after(timeout):
+            while missing := self.lacking(number):
+                await self.ask_all(missing)
+                if self.lacking(number):
+                    await trio.sleep(ASK_AGAIN_SECONDS)
+        return self.lacking(number)
+
+    async def ask_all(self, routers: tuple[str, ...]) -> None:
+        """Compares revisions with several peers at once."""
+        limiter = trio.CapacityLimiter(ASKS_AT_ONCE)
+
+        async def ask(router: str) -> None:
+            async with limiter:
+                await self.compare(router)
+
+        async with trio.open_nursery() as nursery:
+            for router in routers:
+                nursery.start_soon(ask, router)
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        self.contact_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follow_service)
+            nursery.start_soon(self.poll_service)
+            nursery.start_soon(self.compare_in_turn)
+            nursery.start_soon(self.fetch_when_wanted)
+            nursery.start_soon(self.announce)
+
+    async def follow_service(self) -> None:
+        """Reads and watches the log, again and again."""
+        pause = RETRY_SECONDS
+        while True:
+            try:
+                await self.log.catch_up()
+                self.contact()
+                pause = RETRY_SECONDS
+                await self.watch()
+            except errors.KeyValueError:
+                await trio.sleep(self.rng.uniform(pause / 2, pause))
+                pause = min(pause * 2, MAX_RETRY_SECONDS)
+            except errors.CodecError as exc:
+                logs.change('configuration_unreadable', fault=str(exc))
+                await trio.sleep(MAX_RETRY_SECONDS)
+
+    async def watch(self) -> None:
+        """Takes changes as the service tells them, until a gap."""
+        changes = self.store.watch(
+            self.log.log.first_key,
+            self.log.log.end_key,
+            self.log.revision + 1,
+        )
+        async with contextlib.aclosing(changes):
+            async for batch in changes:
+                self.contact()
+                for change in batch:
+                    if not change.deleted and not self.take(change.item):
+                        return
+
+    def take(self, item: interfaces.KeyValue) -> bool:
+        """Takes an entry seen by the watch; false if some are missing."""
+        number = self.log.log.number(item.key)
+        if number <= self.chain.number:
+            return True
+        if not self.chain.take(number, item.value):
+            return False
+        FETCHES.inc({'source': 'watch'})
+        return True
+
+    async def poll_service(self) -> None:
+        """Reads once in a while: a dead watch looks like a quiet one."""
+        while True:
+            routers = len(self.membership.routers())
+            pause = max(POLL_SECONDS, routers / FLEET_POLLS_PER_SECOND)
+            await trio.sleep(self.rng.uniform(pause / 2, pause))
+            try:
+                await self.log.catch_up()
+                self.contact()
+            except (errors.KeyValueError, errors.CodecError):
+                pass
+            self.check_stale()
+
+    async def compare_in_turn(self) -> None:
+        """Compares revisions with one other router after another."""
+        while True:
+            pause = self.rng.uniform(COMPARE_SECONDS / 2, COMPARE_SECONDS)
+            await trio.sleep(pause)
+            others = self.others()
+            if others:
+                await self.compare(self.rng.choice(others))
+            self.check_stale()
+
+    def others(self) -> list[str]:
+        """Returns the other live routers."""
+        return [r for r in self.membership.routers() if r != self.name]
+
+    async def compare(self, router: str) -> None:
+        """Tells a peer the revision here and learns the peer's."""
+        ask = messages.RevisionAsk(self.chain.number, self.digest())
+        try:
+            answer = await self.link.request(router, ask, PEER_TIMEOUT_SECONDS)
+        except errors.PeerError:
+            return
+        self.heard(router, answer)
+
+    def digest(self) -> str:
+        """Returns the digest of the revision here."""
+        return self.chain.known.document.digest
+
+    async def on_ask(
+        self, router: str, ask: messages.RevisionAsk
+    ) -> peer.Message:
+        """Answers with the revision here."""
+        self.heard(router, ask)
+        return messages.RevisionSay(self.chain.number, self.digest())
+
+    async def on_say(self, router: str, say: messages.RevisionSay) -> None:
+        """Hears of a revision at a peer."""
+        self.heard(router, say)
+
+    def heard(
+        self, router: str, item: messages.RevisionAsk | messages.RevisionSay
+    ) -> None:
+        """Notes a peer's revision and has a newer one fetched."""
+        self.contact()
+        self.said[router] = max(item.number, self.said.get(router, 0))
+        if item.number > self.chain.number:
+            self.wanted = router
+            self.wake.set()
+        same = item.number == self.chain.number
+        if same and item.digest != self.digest():
+            logs.change(
+                'configuration_digest_differs',
+                peer=router,
+                number=item.number,
+            )
+
+    async def fetch_when_wanted(self) -> None:
+        """Fetches from the peer that last said a newer revision."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            router, self.wanted = self.wanted, None
+            if router is None:
+                continue
+            try:
+                await self.fetch(router)
+            except (errors.PeerError, errors.CodecError):
+                continue
+
+    async def fetch(self, router: str) -> None:
+        """Fetches what is missing here from a peer."""
+        ask = messages.EntriesAsk(self.chain.number)
+        answer = await self.link.request(router, ask, PEER_TIMEOUT_SECONDS)
+        if answer.snapshot:
+            self.chain.take_whole(records.decode_known(answer.snapshot))
+        for number, value in enumerate(answer.records, answer.first):
+            self.chain.take(number, value)
+        self.contact()
+        FETCHES.inc({'source': 'peer'})
+
+    async def on_entries(
+        self, router: str, ask: messages.EntriesAsk
+    ) -> peer.Message:
+        """Gives a peer what it lacks."""
+        changes = self.chain.after(ask.after)
+        if changes is not None:
+            return messages.EntriesAnswer(ask.after + 1, list(changes))
+        whole = records.encode_known(self.chain.known)
+        return messages.EntriesAnswer(self.chain.number + 1, [], whole)
+
+    async def announce(self) -> None:
+        """Tells some peers of each step forward."""
+        number = 0
+        while True:
+            await self.wait_beyond(number)
+            number = self.chain.number
+            REVISION.set({}, number)
+            logs.change('configuration_in_force', number=number)
+            others = self.others()
+            chosen = self.rng.sample(others, min(FANOUT, len(others)))
+            say = messages.RevisionSay(number, self.digest())
+            for router in chosen:
+                self.link.notify(router, say)
+
+    def contact(self) -> None:
+        """Notes that the service or a peer has answered."""
+        self.contact_at = trio.current_time()
+        if self.stale_since is not None:
+            self.stale_since = None
+            STALE.set({}, 0)
+            logs.change('configuration_confirmed', number=self.chain.number)
+
+    def check_stale(self) -> None:
+        """Notes that nobody has answered for too long."""
+        silent = trio.current_time() - self.contact_at
+        if silent < self.cut_off_seconds:
+            return
+        STALE.set({}, silent)
+        if self.stale_since is None:
+            self.stale_since = self.contact_at
+            logs.change('configuration_stale', number=self.chain.number)
--- /dev/null
+++ b/lavenderbend/protocol/messages_agreed.py
@@ -0,0 +1,116 @@
+"""Messages between routers about what is agreed and kept."""
+
+from __future__ import annotations
+
+import attrs
+
+from lavenderbend.protocol import peer
+
+
+@peer.message(20)
+@attrs.frozen
+class RevisionSay(peer.Message):
+    """The configuration revision in force at the sender.
+
+    Attributes:
+        number: Its number, 0 for none.
+        digest: Its digest.
+    """
+
+    number: int
+    digest: str
+
+
+@peer.message(21)
+@attrs.frozen
+class RevisionAsk(peer.Message):
+    """Says the sender's revision and asks for the receiver's."""
+
+    number: int
+    digest: str
+
+
+@peer.message(22)
+@attrs.frozen
+class EntriesAsk(peer.Message):
+    """Asks for the changes after a revision.
+
+    Attributes:
+        after: Number of the revision that the sender has.
+    """
+
+    after: int
+
+
+@peer.message(23)
+@attrs.frozen
+class EntriesAnswer(peer.Message):
+    """Changes in order, or a whole revision if those are not kept.
+
+    Attributes:
+        first: Number of the first change.
+        records: The changes as they stand in the log.
+        snapshot: The whole revision, empty if the changes are given.
+    """
+
+    first: int
+    records: list[bytes]
+    snapshot: bytes = b''
+
+
+@peer.message(30)
+@attrs.frozen
+class ClaimAsk(peer.Message):
+    """Asks the owner of a shard to commit a claim.
+
+    Attributes:
+        shard: Number of the shard.
+        key: Hash of customer and idempotency key.
+        token: Unlike that of any other claim.
+        digest: Hash of the body.
+        patience: Seconds that the sender waits for an answer.
+    """
+
+    shard: int
+    key: bytes
+    token: bytes
+    digest: bytes
+    patience: float
+
+
+@peer.message(31)
+@attrs.frozen
+class ClaimAnswer(peer.Message):
+    """Where the claim stands.
+
+    Attributes:
+        state: Value of `claims.ClaimState`.
+        outcome: Value of `errors.Outcome` when it is recorded.
+        status: HTTP status that the first caller was told.
+    """
+
+    state: str
+    outcome: str = ''
+    status: int | None = None
+
+
+@peer.message(32)
+@attrs.frozen
+class OutcomeSay(peer.Message):
+    """Asks the owner of a shard to record an outcome.
+
+    Attributes:
+        shard: Number of the shard.
+        key: Hash of customer and idempotency key.
+        token: Token of the claim.
+        outcome: Value of `errors.Outcome`.
+        status: HTTP status that the caller was told.
+        patience: Seconds that the sender waits for an answer.
+    """
+
+    shard: int
+    key: bytes
+    token: bytes
+    outcome: str
+    status: int | None
+    patience: float
