--- /dev/null
+++ b/bench/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of peer links and of membership."""
--- /dev/null
+++ b/lavenderbend/coordination/membership/reports.py
@@ -0,0 +1,230 @@
+"""Load reports of engines, polled by few routers each."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import messages_membership as messages
+from lavenderbend.state import hashing
+from lavenderbend.state import upstreams
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination.membership import fleet as fleet_lib
+
+Kind = messages.FactKind
+
+MAX_POLLS = 32  # at the same time
+FAST_RETRY = 0.25  # seconds from a failed report to the next
+TURN = 0.05  # seconds between looks at what is due
+
+POLLS = metrics.counter(
+    'lavenderbend_load_reports_total', 'Load reports polled, by result.'
+)
+
+
+@attrs.define
+class Polled:
+    """An engine that this router polls.
+
+    Attributes:
+        due: Router clock of the next poll.
+        failures: Polls in a row that failed.
+        busy: Whether a poll is in progress.
+    """
+
+    due: float
+    failures: int = 0
+    busy: bool = False
+
+
+class ReportPoller:
+    """Polls the load reports that this router needs.
+
+    Attributes:
+        fleet: The membership.
+        reports: The last report of each upstream.
+        taken_at: Router clock at which each was taken.
+        polled: By upstream id.
+        polls: Reports asked for.
+    """
+
+    def __init__(self, fleet: fleet_lib.FleetMembership) -> None:
+        self.fleet = fleet
+        self.reports: dict[str, upstreams.LoadReport] = {}
+        self.taken_at: dict[str, float] = {}
+        self.polled: dict[str, Polled] = {}
+        self.poked: dict[str, float] = {}
+        self.polls = 0
+
+    def wants(self, vm: upstreams.Vm) -> bool:
+        """Returns whether this router polls an engine."""
+        if self.fleet.wants_report is not None:
+            return self.fleet.wants_report(vm)
+        routers = self.fleet.region_routers()
+        order = hashing.rendezvous_order(vm.id, routers)
+        return self.fleet.vm.id in order[: self.fleet.settings.report_pollers]
+
+    def wanted(self) -> list[upstreams.Vm]:
+        """Returns the engines that this router polls."""
+        return [
+            vm
+            for vm in self.fleet.listing.vms()
+            if vm.kind is upstreams.UpstreamKind.ENGINE
+            and vm.region == self.fleet.vm.region
+            and self.wants(vm)
+        ]
+
+    def period(self, engines: int) -> float:
+        """Returns the seconds between the reports of one engine."""
+        settings = self.fleet.settings
+        return max(settings.report_period, engines / settings.report_rate)
+
+    def choose(self) -> None:
+        """Decides anew which engines to poll."""
+        wanted = {vm.id for vm in self.wanted()}
+        now = trio.current_time()
+        period = self.period(len(wanted))
+        for vm_id in wanted - self.polled.keys():
+            # spread over the period, so that polls come evenly
+            due = now + self.fleet.rng.uniform(0, period / 2)
+            self.polled[vm_id] = Polled(due)
+        for vm_id in self.polled.keys() - wanted:
+            del self.polled[vm_id]
+        known = {vm.id for vm in self.fleet.listing.vms()}
+        for vm_id in self.reports.keys() - known:
+            del self.reports[vm_id]
+            del self.taken_at[vm_id]
+        for vm_id in self.poked.keys() - known:
+            del self.poked[vm_id]
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        chosen_for = None
+        chosen_at = -math.inf
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = trio.current_time()
+                view = self.fleet.view
+                # admission may change its mind without a change of view
+                if view != chosen_for or now - chosen_at > 1.0:
+                    self.choose()
+                    chosen_for = view
+                    chosen_at = now
+                self.start_due(nursery)
+                await trio.sleep(TURN)
+
+    def start_due(self, nursery: trio.Nursery) -> None:
+        """Starts the polls that are due."""
+        now = trio.current_time()
+        period = self.period(len(self.polled))
+        busy = sum(1 for item in self.polled.values() if item.busy)
+        due = [
+            (item.due, vm_id)
+            for vm_id, item in self.polled.items()
+            if item.due <= now and not item.busy
+        ]
+        for _, vm_id in sorted(due)[: MAX_POLLS - busy]:
+            item = self.polled[vm_id]
+            item.busy = True
+            item.due = max(item.due, now - period) + period
+            nursery.start_soon(self.poll_due, vm_id, item)
+
+    async def poll_due(self, vm_id: str, item: Polled) -> None:
+        """Polls an engine that is due."""
+        try:
+            good = await self.poll(vm_id)
+            if good:
+                item.failures = 0
+                return
+            item.failures += 1
+            if item.failures < self.fleet.settings.report_failures:
+                item.due = trio.current_time() + FAST_RETRY
+                return
+            await self.confirm(vm_id)
+        finally:
+            item.busy = False
+
+    async def poll(self, vm_id: str) -> bool:
+        """Fetches one report; returns whether it came."""
+        vm = self.fleet.listed_vm(vm_id)
+        if vm is None:
+            return True
+        self.polls += 1
+        report = None
+        with trio.move_on_after(self.fleet.settings.report_timeout):
+            try:
+                report = await self.fleet.upstream_client.report(vm)
+            except errors.UpstreamError:
+                pass
+        if report is None:
+            POLLS.inc({'result': 'failed'})
+            return False
+        POLLS.inc({'result': 'done'})
+        self.take(report)
+        return True
+
+    def take(self, report: upstreams.LoadReport) -> None:
+        """Keeps a report and tells the others of what it changes."""
+        vm_id = report.upstream
+        before = self.reports.get(vm_id)
+        self.reports[vm_id] = report
+        self.taken_at[vm_id] = trio.current_time() - report.age
+        if report.draining:
+            self.fleet.observe(vm_id, Kind.DRAINING, report.instance)
+            return
+        restarted = before is not None and before.instance != report.instance
+        ended = before is not None and before.draining
+        if restarted or ended or self.fleet.facts.why(vm_id) is not None:
+            self.fleet.observe(vm_id, Kind.RETURNED, report.instance)
+
+    async def confirm(self, vm_id: str) -> None:
+        """Has others try an upstream that this router does not reach.
+
+        A router that is cut off from an upstream alone must not have the
+        whole fleet drop it. So it is called unreachable only if others
+        answered and none of them reached it; else this router holds it
+        back for itself.
+        """
+        others = self.fleet.table.answering()
+        count = min(self.fleet.settings.indirect_probes, len(others))
+        answers: list[bool] = []
+        async with trio.open_nursery() as nursery:
+            for helper in self.fleet.rng.sample(others, count):
+                nursery.start_soon(self.ask, helper, vm_id, answers)
+        if answers and not any(answers):
+            self.fleet.observe(vm_id, Kind.UNREACHABLE)
+            return
+        self.fleet.observe_alone(vm_id)
+
+    async def ask(self, helper: str, vm_id: str, answers: list[bool]) -> None:
+        """Asks another router whether it reaches an upstream."""
+        timeout = self.fleet.settings.report_timeout * 1.5
+        try:
+            await self.fleet.link.request(
+                helper, messages.UpstreamProbe(vm_id), timeout
+            )
+        except errors.PeerRefused as exc:
+            if exc.args[0] == errors.UpstreamUnreachable.__name__:
+                answers.append(False)
+            return
+        except errors.PeerError:
+            return
+        answers.append(True)
+
+    async def check(self, vm_id: str) -> None:
+        """Looks at once at an engine that an attempt did not reach."""
+        now = trio.current_time()
+        if now - self.poked.get(vm_id, -math.inf) < 1.0:
+            return
+        self.poked[vm_id] = now
+        if await self.poll(vm_id):
+            return
+        await trio.sleep(FAST_RETRY)
+        if not await self.poll(vm_id):
+            await self.confirm(vm_id)
--- a/lavenderbend/protocol/messages_membership.py
+++ b/lavenderbend/protocol/messages_membership.py
@@ -25,10 +25,16 @@
 
 
 class FactKind(enum.IntEnum):
-    """What is said of an upstream."""
+    """What is said of an upstream.
+
+    `UNREACHABLE` is said once routers that the observer asked do not reach
+    it either; `REFUSED` by one router alone; `RETURNED` ends the others.
+    """
 
     DRAINING = 0
     UNREACHABLE = 1
+    REFUSED = 2
+    RETURNED = 3
 
 
 class ListState(enum.IntEnum):
@@ -186,9 +192,15 @@
 @peer.message(89)
 @attrs.frozen
 class SyncAsk(peer.Message):
-    """Asks for all that a router believes; the answer is `SyncAnswer`."""
+    """Asks for all that a router believes; the answer is `SyncAnswer`.
+
+    Attributes:
+        updates: Messages by `peer.to_wire`.
+        want_list: Whether the asker needs the VM list too.
+    """
 
     updates: list = attrs.field(factory=list)
+    want_list: bool = False
 
 
 @peer.message(90)
