--- /dev/null
+++ b/lavenderbend/cmd/decision_text.py
@@ -0,0 +1,107 @@
+"""Decisions and explanations as text for people."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lavenderbend.cmd import tables
+
+HEADS = (
+    'decision',
+    'customer',
+    'request',
+    'rule',
+    'upstream',
+    'why',
+    'outcome',
+    'ms',
+)
+
+
+def row(decision: dict[str, Any]) -> tuple[object, ...]:
+    """Returns one decision as a line of a table."""
+    attempts = decision['attempts']
+    last = attempts[-1] if attempts else None
+    return (
+        decision['id'],
+        decision['customer'],
+        f'{decision["method"]} {decision["path"]}',
+        decision['rule'],
+        last['upstream'] if last else None,
+        last['reason'] if last else decision['error'],
+        decision['outcome'] or 'in progress',
+        round(decision['duration'] * 1000, 1),
+    )
+
+
+def milliseconds(seconds: float | None) -> str:
+    """Returns a duration, a dash for none."""
+    return '-' if seconds is None else f'{seconds * 1000:.1f} ms'
+
+
+def whole(decision: dict[str, Any]) -> str:
+    """Returns all of a decision, down to the candidates."""
+    lines = [
+        f'decision   {decision["id"]}',
+        f'customer   {decision["customer"]}',
+        f'request    {decision["method"]} {decision["path"]}',
+        f'model      {tables.cell(decision["model"])}',
+        f'chat       {tables.cell(decision["chat"])}',
+        f'rule       {decision["rule"] or "no rule matched"} '
+        f'(revision {decision["revision"]})',
+        f'pool       {tables.cell(decision["pool"])}, priority '
+        f'{tables.cell(decision["priority"])}',
+    ]
+    for number, attempt in enumerate(decision['attempts'], 1):
+        lines += attempt_lines(number, attempt)
+    if not decision['attempts']:
+        lines.append('nothing was sent to any upstream')
+    outcome = decision['outcome'] or 'in progress'
+    lines.append(
+        f'outcome    {outcome} after {milliseconds(decision["duration"])}'
+    )
+    if decision['error']:
+        lines.append(f'error      {decision["error"]}: {decision["detail"]}')
+    return '\n'.join(lines)
+
+
+def attempt_lines(number: int, attempt: dict[str, Any]) -> list[str]:
+    """Returns the lines of one attempt."""
+    lines = [f'attempt {number}  {attempt["upstream"]}: {attempt["reason"]}']
+    for passed in attempt['passed_over']:
+        lines.append(
+            f'           passed over {passed["upstream"]}: {passed["reason"]}'
+        )
+    lines += [
+        f'           permit {attempt["permit"]} from {attempt["owner"]} '
+        f'after {milliseconds(attempt["waited"])}',
+        f'           first byte after '
+        f'{milliseconds(attempt["first_byte"])}, '
+        f'{attempt["result"] or "in progress"} after '
+        f'{milliseconds(attempt["finished"])}',
+    ]
+    return lines
+
+
+def explanation(found: dict[str, Any]) -> str:
+    """Returns an explanation, rule by rule and candidate by candidate."""
+    lines = [f'under revision {found["revision"]}:']
+    for step in found['steps']:
+        if step['failed']:
+            lines.append(f'  rule {step["rule"]}: no, {step["failed"]}')
+        else:
+            lines.append(f'  rule {step["rule"]}: matches')
+    if found['then']:
+        lines.append('then:')
+        for name, value in found['then'].items():
+            lines.append(f'  {name}: {value}')
+    if found['candidates']:
+        lines.append(f'upstreams (allowed load {found["allowed_load"]}):')
+    for candidate in found['candidates']:
+        load = tables.cell(candidate['load'])
+        lines.append(
+            f'  {candidate["upstream"]} in {candidate["availability_zone"]}, '
+            f'load {load}: {candidate["verdict"]}'
+        )
+    lines.append(found['verdict'])
+    return '\n'.join(lines)
--- /dev/null
+++ b/lavenderbend/cmd/rules_apply.py
@@ -0,0 +1,104 @@
+"""`lavenderbend rules apply`."""
+
+from __future__ import annotations
+
+import getpass
+import re
+from typing import Any
+from typing import TYPE_CHECKING
+
+from lavenderbend import errors
+from lavenderbend.cmd import base
+from lavenderbend.cmd import exit_codes
+from lavenderbend.cmd import operator_options
+from lavenderbend.protocol import documents_yaml
+from lavenderbend.transport import operator_client
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+SEEN_COMMENT = re.compile(rb'\A# revision ([0-9]{1,12})\b')
+
+
+@base.COMMANDS.register('rules apply')
+class RulesApply(base.Command):
+    """Has a configuration accepted."""
+
+    summary = 'have a configuration accepted and wait until it is in force'
+    usage = f"""Have a configuration accepted on top of the revision seen.
+
+Waits until every live router reports it in force, and names those that
+do not.
+
+Usage:
+  lavenderbend rules apply FILE [--seen N] [--author NAME] [--reason TEXT]
+                           [--wait SECONDS] [options]
+
+Options:
+  --seen N                Revision that FILE was made from; without it the
+                          first line as `rules show` writes it, else the
+                          revision in force.
+  --author NAME           Who accepts it; without it the user's name.
+  --reason TEXT           Why, for the history [default: ].
+  --wait SECONDS          How long to wait for the routers [default: 10].
+{operator_options.OPTIONS}
+"""
+
+    def run(
+        self, arguments: Mapping[str, Any], output: base.Output
+    ) -> exit_codes.ExitCode:
+        """Checks the file here, then has it accepted."""
+        text = documents_yaml.read_file(arguments['FILE'])
+        documents_yaml.parse_configuration(text, arguments['FILE'])
+
+        async def call(client: operator_client.OperatorClient) -> Any:
+            return await client.post(
+                '/v1/rules/apply',
+                text,
+                operator_client.APPLY_TIMEOUT_SECONDS,
+                seen=await seen(arguments, text, client),
+                author=arguments['--author'] or getpass.getuser(),
+                reason=arguments['--reason'],
+                timeout=arguments['--wait'],
+            )
+
+        try:
+            accepted = operator_options.ask(arguments, call)
+        except errors.OperatorRefused as exc:
+            if exc.kind != 'configuration-conflict':
+                raise
+            output.note(f'lavenderbend: conflict: {exc}')
+            return exit_codes.ExitCode.CONFLICT
+        return report(accepted, output)
+
+
+async def seen(
+    arguments: Mapping[str, Any],
+    text: bytes,
+    client: operator_client.OperatorClient,
+) -> str:
+    """Returns the revision that the file was made from."""
+    if arguments['--seen'] is not None:
+        return arguments['--seen']
+    found = SEEN_COMMENT.match(text)
+    if found:
+        return found[1].decode()
+    status = await client.get('/v1/status')
+    return str(status['revision']['number'] if status['revision'] else 0)
+
+
+def report(
+    accepted: dict[str, Any], output: base.Output
+) -> exit_codes.ExitCode:
+    """Writes what was accepted and where it is not in force."""
+    lines = [f'warning: {text}' for text in accepted['warnings']]
+    lines.append(f'revision {accepted["number"]} is accepted')
+    if accepted['in_force']:
+        lines.append(f'in force on every router in {accepted["seconds"]} s')
+    else:
+        missing = ', '.join(accepted['missing'])
+        lines.append(f'not reported in force by: {missing}')
+    output.result(accepted, '\n'.join(lines))
+    if accepted['in_force']:
+        return exit_codes.ExitCode.OK
+    return exit_codes.ExitCode.NOT_IN_FORCE
--- /dev/null
+++ b/lavenderbend/cmd/rules_show.py
@@ -0,0 +1,49 @@
+"""`lavenderbend rules show`."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from lavenderbend.cmd import base
+from lavenderbend.cmd import exit_codes
+from lavenderbend.cmd import operator_options
+from lavenderbend.cmd import tables
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@base.COMMANDS.register('rules show')
+class RulesShow(base.Command):
+    """Shows the configuration in force."""
+
+    summary = 'show the configuration in force, ready to be edited'
+    usage = f"""Show the configuration in force on a router.
+
+The first line names its revision; `rules apply` reads it, so that nobody
+overwrites a change that was accepted meanwhile.
+
+Usage:
+  lavenderbend rules show [options]
+
+Options:
+{operator_options.OPTIONS}
+"""
+
+    def run(
+        self, arguments: Mapping[str, Any], output: base.Output
+    ) -> exit_codes.ExitCode:
+        """Writes the document as YAML."""
+        found = operator_options.ask(
+            arguments, lambda client: client.get('/v1/rules')
+        )
+        # texts of operators belong on one line of comment
+        by = ' '.join(f'{found["author"]}: {found["reason"]}'.split())
+        text = (
+            f'# revision {found["number"]}\n'
+            f'# accepted {tables.clock(found["accepted_at"])} by {by}\n'
+            f'{found["document"]}'
+        )
+        output.result(found, text)
+        return exit_codes.ExitCode.OK
--- /dev/null
+++ b/lavenderbend/transport/operator_client.py
@@ -0,0 +1,134 @@
+"""Calls of the operators' interface, for the command line."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import httpx
+import orjson
+
+from lavenderbend import errors
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Mapping
+
+TIMEOUT_SECONDS = 10.0
+# a change waits for every live router; see `operator_rules.apply`
+APPLY_TIMEOUT_SECONDS = 90.0
+STREAM_SILENCE_SECONDS = 60.0
+PROBLEM_PREFIX = 'urn:lavenderbend:problem:'
+
+
+class OperatorClient:
+    """One router's operators' interface.
+
+    Attributes:
+        url: Base URL.
+        client: The HTTP client.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        credential: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        self.url = url
+        self.client = httpx.AsyncClient(
+            base_url=url,
+            headers={'authorization': f'Bearer {credential}'},
+            timeout=TIMEOUT_SECONDS,
+            transport=transport,
+            trust_env=False,
+        )
+
+    async def __aenter__(self) -> OperatorClient:
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.client.aclose()
+
+    async def get(self, path: str, **query: str | int) -> Any:
+        """Returns the JSON at a path.
+
+        Raises:
+            OperatorUnreachable: No answer.
+            OperatorRefused: The answer is an error.
+        """
+        return await self.call('GET', path, query, b'', TIMEOUT_SECONDS)
+
+    async def post(
+        self,
+        path: str,
+        body: bytes,
+        timeout: float = TIMEOUT_SECONDS,
+        **query: str | int,
+    ) -> Any:
+        """Returns the JSON that a call answers; errors as in `get`."""
+        return await self.call('POST', path, query, body, timeout)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str | int],
+        body: bytes,
+        timeout: float,
+    ) -> Any:
+        """Makes one call."""
+        with self.reached():
+            response = await self.client.request(
+                method, path, params=query, content=body, timeout=timeout
+            )
+        if response.is_error:
+            raise refused(response)
+        return orjson.loads(response.content)
+
+    async def follow(
+        self, path: str, query: Mapping[str, str]
+    ) -> AsyncIterator[Any]:
+        """Yields the data of each event of a live stream."""
+        timeout = httpx.Timeout(TIMEOUT_SECONDS, read=STREAM_SILENCE_SECONDS)
+        headers = {'accept': 'text/event-stream'}
+        with self.reached():
+            async with self.client.stream(
+                'GET', path, params=query, headers=headers, timeout=timeout
+            ) as response:
+                if response.is_error:
+                    await response.aread()
+                    raise refused(response)
+                async for line in response.aiter_lines():
+                    if line.startswith('data: '):
+                        yield orjson.loads(line.removeprefix('data: '))
+
+    @contextlib.contextmanager
+    def reached(self) -> Any:
+        """Turns errors of the connection into `OperatorUnreachable`."""
+        try:
+            yield
+        except (httpx.TransportError, httpx.InvalidURL) as exc:
+            detail = str(exc) or type(exc).__name__
+            raise errors.OperatorUnreachable(f'{self.url}: {detail}') from exc
+
+
+def refused(response: httpx.Response) -> errors.OperatorError:
+    """Returns the error that an answer tells of."""
+    try:
+        document = orjson.loads(response.content)
+        kind = document['type'].removeprefix(PROBLEM_PREFIX)
+        detail = document['detail']
+        faults = document.get('faults', ())
+    except (ValueError, LookupError, TypeError, AttributeError):
+        return errors.OperatorRefused(
+            response.status_code, 'no-problem', response.reason_phrase
+        )
+    lines = [detail]
+    for fault in faults:
+        lines.append(
+            f'  line {fault["line"]}: {fault["key"]}: {fault["fault"]}; '
+            f'allowed: {fault["allowed"]}'
+        )
+    return errors.OperatorRefused(response.status_code, kind, '\n'.join(lines))
--- /dev/null
+++ b/lavenderbend/transport/operator_decisions.py
@@ -0,0 +1,241 @@
+"""Decisions for operators: read back, filtered, as a live stream."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+from typing import TYPE_CHECKING
+from urllib import parse
+import uuid
+
+import attrs
+import orjson
+import quart
+import trio
+
+from lavenderbend.coordination import explain
+from lavenderbend.protocol import chat_keys
+from lavenderbend.protocol import documents_yaml
+from lavenderbend.protocol import openai
+from lavenderbend.protocol import structuring
+from lavenderbend.protocol import yaml_nodes
+from lavenderbend.state import requests
+from lavenderbend.transport import operator_routes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Iterator
+
+    from lavenderbend.state import decisions
+    from lavenderbend.transport import operators
+
+DEFAULT_LIMIT = 100
+MAX_LIMIT = 10_000
+STREAM_POLL_SECONDS = 0.25
+KEEP_ALIVE_POLLS = 60
+
+
+@attrs.frozen
+class Filter:
+    """Which decisions an operator wants; empty fields take all.
+
+    Attributes:
+        customer: The customer.
+        rule: Name of the rule.
+        pool: Name of the pool.
+        upstream: An upstream that was tried.
+        outcome: Outcome told to the caller.
+        error: Error type told to the caller.
+        path: Beginning of the path.
+    """
+
+    customer: str = ''
+    rule: str = ''
+    pool: str = ''
+    upstream: str = ''
+    outcome: str = ''
+    error: str = ''
+    path: str = ''
+
+    def takes(self, decision: decisions.Decision) -> bool:
+        """Returns whether the decision is wanted."""
+        for name in ('customer', 'rule', 'pool', 'outcome', 'error'):
+            wanted = getattr(self, name)
+            if wanted and getattr(decision, name) != wanted:
+                return False
+        if self.upstream and not any(
+            attempt.upstream == self.upstream for attempt in decision.attempts
+        ):
+            return False
+        return decision.path.startswith(self.path)
+
+    def query(self) -> str:
+        """Returns the fields in use as a query."""
+        used = {name: text for name, text in self.items() if text}
+        return parse.urlencode(used)
+
+    def items(self) -> list[tuple[str, str]]:
+        """Returns the fields and their values."""
+        return list(attrs.asdict(self).items())
+
+
+def read_filter() -> Filter:
+    """Returns the filter in the query of the call."""
+    names = [field.name for field in attrs.fields(Filter)]
+    return Filter(**{n: quart.request.args.get(n, '') for n in names})
+
+
+def select(
+    store: decisions.DecisionStore, wanted: Filter, limit: int
+) -> list[decisions.Decision]:
+    """Returns the latest decisions that a filter takes, newest first."""
+    taken = (decision for decision in store if wanted.takes(decision))
+    return list(itertools.islice(taken, limit))
+
+
+def to_json(decision: decisions.Decision) -> dict[str, Any]:
+    """Returns a decision as plain values."""
+    return attrs.asdict(decision)
+
+
+@operator_routes.route('GET', '/v1/decisions')
+async def recent(app: operators.OperatorApp) -> quart.Response:
+    """The latest decisions, newest first, or a live stream of them."""
+    wanted = read_filter()
+    accepts = quart.request.accept_mimetypes
+    if accepts.best == 'text/event-stream':
+        return stream_response(app.decisions, wanted)
+    limit = min(operator_routes.integer('limit', DEFAULT_LIMIT), MAX_LIMIT)
+    found = select(app.decisions, wanted, limit)
+    return operator_routes.as_json([to_json(item) for item in found])
+
+
+def stream_response(
+    store: decisions.DecisionStore, wanted: Filter
+) -> quart.Response:
+    """Returns the live stream as server-sent events."""
+    response = quart.Response(
+        stream(store, wanted), content_type='text/event-stream'
+    )
+    response.timeout = None
+    return response
+
+
+async def stream(
+    store: decisions.DecisionStore, wanted: Filter
+) -> AsyncIterator[bytes]:
+    """Yields each decision once it has its outcome.
+
+    The store is looked at a few times a second, and only while somebody
+    watches: the request path does nothing for it.
+    """
+    seen = {decision.id for decision in store if decision.outcome}
+    yield b': open\n\n'
+    for poll in itertools.count(1):
+        await trio.sleep(STREAM_POLL_SECONDS)
+        for decision in fresh(store, seen):
+            if wanted.takes(decision):
+                data = orjson.dumps(to_json(decision))
+                yield b'event: decision\ndata: ' + data + b'\n\n'
+        if poll % KEEP_ALIVE_POLLS == 0:
+            yield b': still here\n\n'
+
+
+def fresh(
+    store: decisions.DecisionStore, seen: set[str]
+) -> Iterator[decisions.Decision]:
+    """Yields finished decisions not seen yet, oldest first."""
+    new = [d for d in store if d.outcome and d.id not in seen]
+    # ids that the store has forgotten are forgotten here too
+    seen.intersection_update(store.entries)
+    for decision in reversed(new):
+        seen.add(decision.id)
+        yield decision
+
+
+@operator_routes.route('GET', '/v1/decisions/<decision_id>')
+async def one(app: operators.OperatorApp, decision_id: str) -> quart.Response:
+    """One decision by its id."""
+    decision = app.decisions.get(decision_id)
+    if decision is None:
+        return operator_routes.problem(
+            404,
+            'decision-unknown',
+            f'router {app.name} has no decision {decision_id!r}; it keeps '
+            f'the latest {app.decisions.capacity} of its own',
+        )
+    return operator_routes.as_json(to_json(decision))
+
+
+@attrs.frozen
+class Question:
+    """A request to be explained.
+
+    Attributes:
+        customer: The customer.
+        method: HTTP method.
+        path: Path, with the query if there is one.
+        headers: Names in lower case.
+        chat_key: Key of the chat, if not in headers or body.
+        body: The body, as a JSON object.
+    """
+
+    customer: str
+    method: str = 'POST'
+    path: str = openai.CHAT_PATH
+    headers: dict[str, str] = attrs.field(factory=dict)
+    chat_key: str | None = None
+    body: dict[str, Any] | None = None
+
+
+def read_question(data: bytes) -> Question:
+    """Returns the question in a body.
+
+    Raises:
+        DocumentErrors: It is no question.
+    """
+    try:
+        value = orjson.loads(data)
+    except orjson.JSONDecodeError as exc:
+        raise yaml_nodes.refuse('question', 1, str(exc), 'JSON') from exc
+    document = yaml_nodes.Document('question', value, {})
+    return documents_yaml.structure(document, Question)
+
+
+def to_request(question: Question, availability_zone: str) -> requests.Request:
+    """Returns the request that a question asks about."""
+    body = orjson.dumps(question.body) if question.body is not None else b''
+    headers = {name.lower(): text for name, text in question.headers.items()}
+    chat = None
+    if question.path == openai.CHAT_PATH and body:
+        chat = openai.parse(body)
+    key = question.chat_key or chat_keys.read_key(chat, headers)
+    return requests.Request(
+        id=uuid.uuid4().hex,
+        customer=question.customer,
+        method=question.method,
+        path=question.path,
+        headers=headers,
+        body=body,
+        arrived=trio.current_time(),
+        model=chat.model if chat else None,
+        adapter=chat.adapter if chat else None,
+        chat_key=key,
+        prompt_tokens=chat.prompt_tokens if chat else 0,
+        idempotency_key=headers.get('idempotency-key'),
+        availability_zone=availability_zone,
+    )
+
+
+@operator_routes.route('POST', '/v1/explain')
+async def explained(app: operators.OperatorApp) -> quart.Response:
+    """What would be decided for a request; nothing is sent."""
+    question = read_question(await quart.request.get_data())
+    request = to_request(question, app.settings.availability_zone)
+    found = explain.explain(
+        app.configurations.current(), app.rules, app.membership, request
+    )
+    value = attrs.asdict(found, recurse=True)
+    if found.then is not None:
+        value['then'] = structuring.CONVERTER.unstructure(found.then)
+    return operator_routes.as_json(value)
--- /dev/null
+++ b/lavenderbend/transport/operator_routes.py
@@ -0,0 +1,111 @@
+"""The routes of the operators' interface; modules of views fill them."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import quart
+
+from lavenderbend import errors
+from lavenderbend import registry
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    View = Callable[..., Awaitable[quart.Response]]
+
+PROBLEM_TYPE = 'application/problem+json'
+PROBLEM_PREFIX = 'urn:lavenderbend:problem:'
+
+
+@attrs.frozen
+class Route:
+    """One method and path.
+
+    Attributes:
+        method: HTTP method.
+        path: Path in the form of quart.
+        view: Gets the `OperatorApp` and the parts of the path.
+    """
+
+    method: str
+    path: str
+    view: View
+
+    @property
+    def doc(self) -> str:
+        """First line of what the view is for."""
+        return (self.view.__doc__ or '').partition('\n')[0]
+
+
+ROUTES: registry.Registry[Route] = registry.Registry('route')
+
+
+def route(method: str, path: str) -> Callable[[View], View]:
+    """Returns a decorator that registers a view under method and path."""
+
+    def decorate(view: View) -> View:
+        ROUTES.register(f'{path} {method}')(Route(method, path, view))
+        return view
+
+    return decorate
+
+
+def as_json(value: Any, status: int = 200) -> quart.Response:
+    """Returns an answer in JSON."""
+    response = quart.jsonify(value)
+    response.status_code = status
+    return response
+
+
+def problem(
+    status: int, kind: str, detail: str, **members: Any
+) -> quart.Response:
+    """Returns problem details (RFC 9457)."""
+    response = as_json(
+        {
+            'type': PROBLEM_PREFIX + kind,
+            'title': kind.replace('-', ' '),
+            'status': status,
+            'detail': detail,
+            **members,
+        },
+        status,
+    )
+    response.content_type = PROBLEM_TYPE
+    return response
+
+
+def integer(name: str, default: int) -> int:
+    """Returns a whole number, not negative, from the query.
+
+    Raises:
+        RequestInvalid: It is no such number.
+    """
+    text = quart.request.args.get(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 12:
+        raise errors.RequestInvalid(f'{name} must be a whole number')
+    return int(text)
+
+
+def seconds(name: str, default: float, most: float) -> float:
+    """Returns a time from the query, at most `most`.
+
+    Raises:
+        RequestInvalid: It is no number of seconds.
+    """
+    text = quart.request.args.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError as exc:
+        raise errors.RequestInvalid(f'{name} must be seconds') from exc
+    if not 0 <= value <= most:
+        raise errors.RequestInvalid(f'{name} must be 0 to {most:g} seconds')
+    return value
--- /dev/null
+++ b/lavenderbend/transport/operator_rules.py
@@ -0,0 +1,112 @@
+"""Rules for operators: shown, compared, accepted."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import quart
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import rule_checks
+from lavenderbend.coordination import rule_differences
+from lavenderbend.protocol import documents_yaml
+from lavenderbend.state import configuration
+from lavenderbend.transport import operator_routes
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination import configuration_log
+    from lavenderbend.transport import operators
+
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 1000
+IN_FORCE_SECONDS = 10.0
+MAX_IN_FORCE_SECONDS = 60.0
+
+
+def revision_json(
+    revision: configuration.Revision | configuration_log.HistoryEntry,
+) -> dict[str, Any]:
+    """Returns who had a revision accepted, when and why."""
+    return {
+        'number': revision.number,
+        'digest': revision.digest,
+        'author': revision.author,
+        'reason': revision.reason,
+        'accepted_at': revision.accepted_at,
+    }
+
+
+@operator_routes.route('GET', '/v1/rules')
+async def show(app: operators.OperatorApp) -> quart.Response:
+    """The configuration in force here, as the YAML it can be edited in."""
+    revision = app.configurations.current()
+    return operator_routes.as_json(
+        {
+            **revision_json(revision),
+            'document': documents_yaml.dump_configuration(revision.document),
+        }
+    )
+
+
+@operator_routes.route('GET', '/v1/rules/history')
+async def history(app: operators.OperatorApp) -> quart.Response:
+    """The latest revisions, newest first: who, when, why."""
+    limit = min(operator_routes.integer('limit', DEFAULT_HISTORY), MAX_HISTORY)
+    revisions = await app.configuration_log.history(limit)
+    newest_first = reversed(revisions)
+    return operator_routes.as_json([revision_json(r) for r in newest_first])
+
+
+@operator_routes.route('POST', '/v1/rules/apply')
+async def apply(app: operators.OperatorApp) -> quart.Response:
+    """Accepts a configuration made from the revision that was seen.
+
+    Answers when every live router has it in force, or names those that
+    have not reported it in time.
+    """
+    args = quart.request.args
+    text = await quart.request.get_data()
+    document = documents_yaml.parse_configuration(text, 'rules')
+    if 'seen' not in args:
+        raise errors.RequestInvalid('seen must give the revision seen')
+    seen = operator_routes.integer('seen', 0)
+    timeout = operator_routes.seconds(
+        'timeout', IN_FORCE_SECONDS, MAX_IN_FORCE_SECONDS
+    )
+    started = trio.current_time()
+    accepted = await app.configuration_log.accept(
+        document, seen, args.get('author', ''), args.get('reason', '')
+    )
+    missing = await app.configurations.wait_in_force(accepted.number, timeout)
+    warnings = rule_checks.warnings(document)
+    return operator_routes.as_json(
+        {
+            **revision_json(accepted),
+            'in_force': not missing,
+            'missing': list(missing),
+            'seconds': round(trio.current_time() - started, 3),
+            'warnings': [warning.text for warning in warnings],
+        }
+    )
+
+
+@operator_routes.route('POST', '/v1/rules/diff')
+async def diff(app: operators.OperatorApp) -> quart.Response:
+    """Which recorded decisions would go another way under other rules."""
+    text = await quart.request.get_data()
+    document = documents_yaml.parse_configuration(text, 'rules')
+    current = app.configurations.current()
+    candidate = configuration.Revision(current.number + 1, '', document)
+    limit = operator_routes.integer('limit', app.decisions.capacity)
+    recorded = list(itertools.islice(app.decisions, limit))
+    # thousands of decisions take a while: requests go on meanwhile
+    found = await trio.to_thread.run_sync(
+        rule_differences.differences, recorded, current, candidate
+    )
+    return operator_routes.as_json(
+        {'seen': current.number, **attrs.asdict(found)}
+    )
--- /dev/null
+++ b/lavenderbend/transport/operator_status.py
@@ -0,0 +1,141 @@
+"""The state of one router for operators, and its metrics."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import quart
+import trio
+
+import lavenderbend
+from lavenderbend import errors
+from lavenderbend.observe import metrics
+from lavenderbend.transport import operator_routes
+from lavenderbend.transport import operator_rules
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lavenderbend.coordination import interfaces
+    from lavenderbend.state import configuration
+    from lavenderbend.state import upstreams
+    from lavenderbend.transport import operators
+
+
+def status_json(app: operators.OperatorApp) -> dict[str, Any]:
+    """Returns what this router knows of the fleet."""
+    revision = current(app)
+    document = revision.document if revision else None
+    return {
+        'router': app.name,
+        'region': app.settings.region,
+        'availability_zone': app.settings.availability_zone,
+        'version': lavenderbend.__version__,
+        'revision': operator_rules.revision_json(revision)
+        if revision
+        else None,
+        'routers': list(routers(app)),
+        'pools': list(pools(app, document)) if document else [],
+        'rules': list(rule_hits(app, document)) if document else [],
+        'unmatched': app.rules.unmatched,
+        'decisions': len(app.decisions.entries),
+    }
+
+
+def current(app: operators.OperatorApp) -> configuration.Revision | None:
+    """Returns the revision in force here, None if requests are refused."""
+    try:
+        return app.configurations.current()
+    except errors.RequestError:
+        return None
+
+
+def routers(app: operators.OperatorApp) -> Iterator[dict[str, Any]]:
+    """Yields the live routers and the revision each has reported."""
+    reported = app.configurations.in_force()
+    for name in sorted(set(app.membership.routers()) | {app.name}):
+        yield {
+            'id': name,
+            'this': name == app.name,
+            'revision': reported.get(name),
+        }
+
+
+def pools(
+    app: operators.OperatorApp, document: configuration.Configuration
+) -> Iterator[dict[str, Any]]:
+    """Yields each pool with its upstreams and their load."""
+    for pool in document.pools:
+        members = [
+            upstream(app.membership, vm)
+            for vm in app.membership.upstreams(pool.service)
+        ]
+        loads = [m['load'] for m in members if m['load'] is not None]
+        mean = sum(loads) / len(loads) if loads else None
+        yield {
+            'name': pool.name,
+            'service': pool.service,
+            'kind': pool.kind.value,
+            'bound': pool.bound,
+            'max_load': pool.max_load,
+            'mean_load': mean,
+            'skew': max(loads) / mean if mean else None,
+            'upstreams': members,
+        }
+
+
+def upstream(
+    membership: interfaces.Membership, vm: upstreams.Vm
+) -> dict[str, Any]:
+    """Returns an upstream that may get new work, with its last report."""
+    report = membership.report(vm.id)
+    shown = {
+        'id': vm.id,
+        'address': f'{vm.host}:{vm.port}',
+        'availability_zone': vm.availability_zone,
+        'state': vm.state.value,
+        'load': None,
+        'report_age': None,
+        'models': [],
+        'adapters': [],
+    }
+    if report is None:
+        return shown
+    age = trio.current_time() - membership.report_at(vm.id)
+    return {
+        **shown,
+        'load': report.load,
+        'report_age': round(age, 3),
+        'models': list(report.models),
+        'adapters': list(report.adapters),
+    }
+
+
+def rule_hits(
+    app: operators.OperatorApp, document: configuration.Configuration
+) -> Iterator[dict[str, Any]]:
+    """Yields the rules in order with how often each was the first match."""
+    for rule in document.rules:
+        yield {
+            'name': rule.name,
+            'pool': rule.then.pool,
+            'reject': rule.then.reject,
+            'priority': rule.then.priority.name.lower(),
+            'idempotent': rule.then.idempotent,
+            'hits': app.rules.hits.get(rule.name, 0),
+        }
+
+
+@operator_routes.route('GET', '/v1/status')
+async def status(app: operators.OperatorApp) -> quart.Response:
+    """Routers, upstreams with their load, rules with hit counts."""
+    return operator_routes.as_json(status_json(app))
+
+
+@operator_routes.route('GET', '/metrics')
+async def exposition(app: operators.OperatorApp) -> quart.Response:
+    """All metrics in the Prometheus text format."""
+    return quart.Response(
+        metrics.render(), content_type='text/plain; version=0.0.4'
+    )
