--- /dev/null
+++ b/lavenderbend/coordination/dispatch/answers.py
@@ -0,0 +1,87 @@
+"""The answer that goes to a caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend import errors
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from lavenderbend.coordination.dispatch import exchange
+
+CLOSE_SECONDS = 5.0
+
+
+class Answer:
+    """One answer; iterate it to its end, and close it in any case.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names in lower case.
+        decision_id: Id of the decision.
+        first: The first piece of the body, None for an empty one.
+        run: Where the rest comes from, None if `first` is all.
+        finish: Called once with the error that ended the answer, or None.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        decision_id: str,
+        first: bytes | None,
+        run: exchange.Exchange | None,
+        finish: Callable[[BaseException | None], None],
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.decision_id = decision_id
+        self.first = first
+        self.run = run
+        self.finish = finish
+        self.finished = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body.
+
+        Raises:
+            RequestError: The answer cannot be completed.
+        """
+        piece = self.first
+        while piece is not None:
+            yield piece
+            if self.run is None:
+                break
+            try:
+                piece = await self.run.next_piece()
+            except errors.RequestError as exc:
+                self.end(exc)
+                raise
+        self.end(None)
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self.chunks()
+
+    def end(self, error: BaseException | None) -> None:
+        """Notes the end, once."""
+        if not self.finished:
+            self.finished = True
+            self.finish(error)
+
+    async def close(self) -> None:
+        """Ends the answer; the upstream's work is cancelled if unfinished."""
+        if self.finished:
+            return
+        # the caller is gone and this task is being cancelled: the permit
+        # must go back and the upstream must be told all the same
+        with trio.move_on_after(CLOSE_SECONDS) as scope:
+            scope.shield = True
+            if self.run is not None:
+                await self.run.give_up()
+        self.end(errors.CallerGone('the caller went away'))
--- /dev/null
+++ b/lavenderbend/coordination/dispatch/bodies.py
@@ -0,0 +1,156 @@
+"""How the body of an answer is read until it is proven whole."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend import errors
+from lavenderbend.protocol import openai
+from lavenderbend.protocol import sse
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination.dispatch import relay
+    from lavenderbend.protocol import http_limits
+
+LENGTH = 'content-length'
+
+
+class Body:
+    """The body of one upstream's answer, read piece by piece.
+
+    Attributes:
+        iterator: The bytes as they arrive.
+        limits: Limits on the answer.
+        arrived: Whether any byte has come.
+    """
+
+    def __init__(
+        self,
+        answer: interfaces.UpstreamAnswer,
+        limits: http_limits.AnswerLimits,
+    ) -> None:
+        self.iterator: AsyncIterator[bytes] = answer.chunks()
+        self.limits = limits
+        self.arrived = False
+
+    async def receive(self) -> bytes | None:
+        """Returns the next bytes, None at the end.
+
+        Raises:
+            UpstreamStalled: Nothing came in time.
+            UpstreamBroke: The answer ended early.
+        """
+        # without this an upstream that goes silent would hold the caller,
+        # the permit and the memory of the exchange for ever
+        with trio.move_on_after(self.limits.stall_seconds):
+            try:
+                data = await self.iterator.__anext__()
+            except StopAsyncIteration:
+                return None
+            self.arrived = True
+            return data
+        raise errors.UpstreamStalled('the answer stopped arriving')
+
+    async def next_piece(self) -> bytes | None:
+        """Returns bytes to pass on, None when the body is whole."""
+        return await self.receive()
+
+
+class HeldBody(Body):
+    """A body that is passed on only when it is whole.
+
+    Attributes:
+        chat: Whether it must be a whole chat answer.
+        given: Whether the body was passed on.
+    """
+
+    def __init__(
+        self,
+        answer: interfaces.UpstreamAnswer,
+        limits: http_limits.AnswerLimits,
+        chat: bool,
+    ) -> None:
+        super().__init__(answer, limits)
+        self.chat = chat
+        self.given = False
+
+    async def next_piece(self) -> bytes | None:
+        """Returns the whole body, then None."""
+        if self.given:
+            return None
+        body = await self.read_whole()
+        if self.chat:
+            openai.check_whole(body)
+        self.given = True
+        return body
+
+    async def read_whole(self) -> bytes:
+        """Returns the whole body."""
+        parts = []
+        size = 0
+        while (data := await self.receive()) is not None:
+            size += len(data)
+            if size > self.limits.whole_bytes:
+                raise errors.UpstreamBroke('the answer is too large')
+            parts.append(data)
+        return parts[0] if len(parts) == 1 else b''.join(parts)
+
+
+class StreamBody(Body):
+    """A streamed chat answer, whole only at its terminator.
+
+    Attributes:
+        check: What was passed on; outlives this body when it breaks.
+    """
+
+    def __init__(
+        self,
+        answer: interfaces.UpstreamAnswer,
+        limits: http_limits.AnswerLimits,
+        check: relay.StreamCheck,
+    ) -> None:
+        super().__init__(answer, limits)
+        self.check = check
+
+    async def next_piece(self) -> bytes | None:
+        """Returns the next whole events, None after the terminator."""
+        while not self.check.done:
+            self.check.raise_pending()
+            data = await self.receive()
+            if data is None:
+                # the connection ended in good order, but an engine that
+                # stops early does that too: only the terminator counts
+                raise errors.UpstreamBroke(
+                    'the answer ended before its terminator'
+                )
+            piece = self.check.feed(data)
+            if piece:
+                return piece
+        await self.read_end()
+        return None
+
+    async def read_end(self) -> None:
+        """Reads up to the end so that the connection can be used again."""
+        with trio.move_on_after(self.limits.close_seconds):
+            try:
+                await self.receive()
+            except errors.UpstreamError:
+                # the answer is whole; only the connection is lost
+                return
+
+
+def is_stream(start: interfaces.AnswerStart) -> bool:
+    """Returns whether an answer is a stream of events."""
+    kind = start.headers.get('content-type', '')
+    return kind.partition(';')[0].strip().lower() == sse.CONTENT_TYPE
+
+
+def stated_length(start: interfaces.AnswerStart) -> int | None:
+    """Returns the length that an answer states, None if it does not."""
+    value = start.headers.get(LENGTH, '')
+    return int(value) if value.isdigit() and len(value) < 18 else None
--- /dev/null
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -0,0 +1,260 @@
+"""The path of each request through a router."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+from opentelemetry import trace
+
+from lavenderbend import errors
+from lavenderbend.coordination.dispatch import answers
+from lavenderbend.coordination.dispatch import exchange
+from lavenderbend.coordination.dispatch import once
+from lavenderbend.coordination.dispatch import parts as parts_module
+from lavenderbend.coordination.dispatch import records
+from lavenderbend.coordination.dispatch import spans
+from lavenderbend.protocol import openai
+from lavenderbend.state import hashing
+
+if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+    import random
+
+    from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination import retries
+    from lavenderbend.state import configuration
+    from lavenderbend.state import decisions
+    from lavenderbend.state import requests
+
+LENGTH = 'content-length'
+
+
+class Dispatcher:
+    """Takes requests through rules, permits and attempts to an answer.
+
+    Attributes:
+        name: Id of this router.
+        configurations: The accepted configuration.
+        rules: Finds the rule of a request.
+        claims: The claims log, or None: then non-idempotent requests are
+            refused.
+        limits: Limits of the customers, or None.
+        parts: The collaborators of the attempts.
+        in_progress: Requests that have not ended.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        configurations: interfaces.Configurations,
+        rules: parts_module.Rules,
+        admission: interfaces.Admission,
+        upstream_client: interfaces.UpstreamClient,
+        membership: interfaces.Membership,
+        claims: Any | None,
+        quarantine: Any | None,
+        limits: parts_module.CustomerLimits | None,
+        decisions: decisions.DecisionStore,
+        retry_budgets: MutableMapping[str, retries.RetryBudget] | None,
+        rng: random.Random,
+        settings: parts_module.DispatchSettings | None = None,
+    ) -> None:
+        self.name = name
+        self.configurations = configurations
+        self.rules = rules
+        self.claims = claims
+        self.limits = limits
+        self.parts = parts_module.Parts(
+            admission=admission,
+            upstream_client=upstream_client,
+            membership=membership,
+            quarantine=quarantine,
+            retry_budgets=retry_budgets,
+            decisions=decisions,
+            rng=rng,
+            settings=settings or parts_module.DispatchSettings(),
+        )
+        self.in_progress = 0
+
+    async def dispatch(self, request: requests.Request) -> answers.Answer:
+        """Returns the answer to a request, its first piece already here.
+
+        Raises:
+            RequestError: There is none; it says what the caller may
+                conclude.
+        """
+        chat = chat_hash(request)
+        decision = records.begin(request, chat)
+        hop = spans.Hop('dispatch', request.headers, trace.SpanKind.INTERNAL)
+        hop.note('request.id', request.id)
+        finish = functools.partial(self.finish, request, decision, hop)
+        self.parts.decisions.add(decision)
+        self.in_progress += 1
+        try:
+            return await self.route(request, decision, chat, hop, finish)
+        except BaseException as exc:
+            finish(exc)
+            raise
+
+    async def route(
+        self,
+        request: requests.Request,
+        decision: decisions.Decision,
+        chat: int,
+        hop: spans.Hop,
+        finish: Any,
+    ) -> answers.Answer:
+        """Finds the rule and runs the request as it says."""
+        revision = self.configurations.current()
+        rule = self.find_rule(revision, request, decision)
+        if self.limits is not None:
+            self.limits.check(request.customer)
+        sent = apply_rule(rule, request)
+        fingerprint = self.check_quarantine(sent)
+        run = exchange.Exchange(
+            self.parts, sent, rule, decision, fingerprint, chat, hop
+        )
+        if not rule.then.idempotent:
+            return await self.run_once(run, finish)
+        self.note_request(decision.pool)
+        first = await run.begin()
+        start = run.attempt.answer.start
+        return answers.Answer(
+            start.status,
+            answer_headers(start, self.name, None),
+            decision.id,
+            first,
+            run,
+            finish,
+        )
+
+    def find_rule(
+        self,
+        revision: configuration.Revision,
+        request: requests.Request,
+        decision: decisions.Decision,
+    ) -> configuration.Rule:
+        """Returns the first rule that matches, if it does not reject."""
+        rule = self.rules.match(revision, request)
+        if rule is None:
+            decision.revision = revision.number
+            raise errors.NoRuleMatched('no rule matches the request')
+        records.note_rule(decision, revision, rule)
+        if rule.then.reject is not None:
+            raise errors.RejectedByRule(rule.then.reject)
+        return rule
+
+    def check_quarantine(self, request: requests.Request) -> int:
+        """Returns the fingerprint of a request that may be sent."""
+        quarantine = self.parts.quarantine
+        if quarantine is None:
+            return 0
+        fingerprint = hashing.hash64(
+            request.customer, request.path, request.body
+        )
+        quarantine.check(fingerprint)
+        return fingerprint
+
+    def note_request(self, pool: str) -> None:
+        """Counts the traffic that the retry budget is a share of."""
+        budget = self.parts.budget(pool)
+        if budget is not None:
+            budget.note_request()
+
+    async def run_once(
+        self, run: exchange.Exchange, finish: Any
+    ) -> answers.Answer:
+        """Runs a request that may run at most once."""
+        key = once.check_key(run.request)
+        if self.claims is None:
+            raise errors.ClaimUnavailable(
+                'no claims log', run.parts.settings.retry_after_seconds
+            )
+        claim = await self.claims.claim(
+            run.request.customer,
+            key,
+            hashing.hash64(run.request.path, run.request.body),
+            run.deadline,
+        )
+        token = getattr(claim, 'token', None)
+        if token is None:
+            return replay(run, claim, finish)
+        try:
+            body = await once.run_whole(run)
+        except errors.RequestError as exc:
+            await self.claims.record(token, exc.outcome, exc.status)
+            raise
+        start = run.attempt.answer.start
+        await self.claims.record(token, errors.Outcome.COMPLETE, start.status)
+        headers = answer_headers(start, self.name, len(body))
+        return answers.Answer(
+            start.status, headers, run.decision.id, body, None, finish
+        )
+
+    def finish(
+        self,
+        request: requests.Request,
+        decision: decisions.Decision,
+        hop: spans.Hop,
+        error: BaseException | None,
+    ) -> None:
+        """Notes the end of a request."""
+        self.in_progress -= 1
+        records.end(decision, request.arrived, error)
+        hop.end(decision.error)
+
+
+def chat_hash(request: requests.Request) -> int:
+    """Returns the hash of customer and chat key, 0 for no chat."""
+    if request.chat_key is None:
+        return 0
+    return hashing.hash64(request.customer, request.chat_key)
+
+
+def apply_rule(
+    rule: configuration.Rule, request: requests.Request
+) -> requests.Request:
+    """Returns the request with the model and adapter that the rule gives."""
+    then = rule.then
+    if request.model is None or (then.model is None and then.adapter is None):
+        return request
+    return attrs.evolve(
+        request,
+        body=openai.rewrite(request.body, then.model, then.adapter),
+        model=then.model or request.model,
+        adapter=then.adapter or request.adapter,
+    )
+
+
+def answer_headers(
+    start: interfaces.AnswerStart, router: str, length: int | None
+) -> dict[str, str]:
+    """Returns the headers that go to the caller."""
+    headers = dict(start.headers)
+    # the length is that of the bytes passed on, which a further attempt
+    # may make another one
+    headers.pop(LENGTH, None)
+    if length is not None:
+        headers[LENGTH] = str(length)
+    headers['x-router'] = router
+    return headers
+
+
+def replay(
+    run: exchange.Exchange, recorded: Any, finish: Any
+) -> answers.Answer:
+    """Returns the answer to a further copy of a request that has run."""
+    once.replays.inc({})
+    outcome = getattr(recorded.outcome, 'value', recorded.outcome)
+    body = once.replay_body(outcome, recorded.status)
+    headers = {
+        'content-type': 'application/json',
+        LENGTH: str(len(body)),
+        once.REPLAYED: '1',
+    }
+    return answers.Answer(
+        recorded.status or 200, headers, run.decision.id, body, None, finish
+    )
--- /dev/null
+++ b/lavenderbend/coordination/dispatch/exchange.py
@@ -0,0 +1,191 @@
+"""The attempts of one request, until its answer is whole or given up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import interfaces
+from lavenderbend.coordination.dispatch import attempts
+from lavenderbend.coordination.dispatch import relay
+from lavenderbend.coordination.dispatch import resume
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from lavenderbend.coordination.dispatch import parts as parts_module
+    from lavenderbend.coordination.dispatch import spans
+    from lavenderbend.state import configuration
+    from lavenderbend.state import decisions
+    from lavenderbend.state import requests
+
+PRIORITY = 'x-priority'
+CHAT = 'x-chat'
+
+
+class Exchange:
+    """The attempts of one request.
+
+    Attributes:
+        parts: The collaborators.
+        request: What is sent, after the rule's changes.
+        rule: The first rule that matched.
+        decision: What is kept of it.
+        fingerprint: Names the request in quarantine.
+        chat: Hash of customer and chat key, 0 for none.
+        span: The span of the request.
+        deadline: Router clock at which the first byte must have come.
+        check: What was passed on of a streamed answer.
+        attempt: The current attempt.
+        avoid: Upstreams that were tried.
+        tries: Attempts made.
+        dispatched: Whether an upstream may have started the request.
+        passed_on: Whether the caller has any byte of the answer.
+        headers: What upstreams are told beside the caller's headers.
+    """
+
+    def __init__(
+        self,
+        parts: parts_module.Parts,
+        request: requests.Request,
+        rule: configuration.Rule,
+        decision: decisions.Decision,
+        fingerprint: int,
+        chat: int,
+        span: spans.Hop,
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.rule = rule
+        self.decision = decision
+        self.fingerprint = fingerprint
+        self.chat = chat
+        self.span = span
+        self.deadline = request.arrived + rule.then.timeout
+        self.check = relay.StreamCheck(parts.settings.answers.event_bytes)
+        self.attempt: attempts.Attempt | None = None
+        self.avoid: list[str] = []
+        self.tries = 0
+        self.dispatched = False
+        self.passed_on = False
+        self.headers = upstream_headers(rule, chat)
+
+    async def acquire(self) -> interfaces.Permit:
+        """Returns a permit for the next attempt.
+
+        Raises:
+            RequestError: There is none; the outcome is not run only if no
+                earlier attempt was dispatched.
+        """
+        ask = interfaces.PermitAsk(
+            request_id=self.request.id,
+            pool=self.decision.pool,
+            customer=self.request.customer,
+            chat=self.chat,
+            model=self.request.model,
+            adapter=self.request.adapter,
+            priority=self.rule.then.priority,
+            prompt_tokens=self.request.prompt_tokens,
+            deadline=self.deadline,
+            avoid=tuple(self.avoid),
+            suspect=self.suspect(),
+        )
+        try:
+            return await self.parts.admission.acquire(ask)
+        except errors.RequestError as exc:
+            # an earlier attempt may have run: "not run" would be untrue,
+            # and the caller would do the work a second time
+            if self.dispatched:
+                raise errors.OutcomeUnknown(
+                    f'an attempt broke off and no other was possible: {exc}'
+                ) from exc
+            raise
+
+    def suspect(self) -> bool:
+        """Returns whether an upstream died while it ran the request."""
+        quarantine = self.parts.quarantine
+        return quarantine is not None and quarantine.suspect(self.fingerprint)
+
+    async def begin(self) -> bytes | None:
+        """Returns the first piece of the answer.
+
+        Raises:
+            RequestError: There is no answer.
+        """
+        while True:
+            try:
+                piece = await self.try_once({})
+            except errors.UpstreamError as exc:
+                await resume.prepare_retry(self, exc)
+            else:
+                self.passed_on = True
+                return piece
+
+    async def try_once(self, headers: dict[str, str]) -> bytes | None:
+        """Makes one attempt and returns its first piece."""
+        permit = await self.acquire()
+        self.tries += 1
+        self.avoid.append(permit.upstream.id)
+        attempt = attempts.Attempt(self.parts, self.request, permit, self.span)
+        self.attempt = attempt
+        self.decision.attempts.append(attempt.record)
+        return await self.guard(attempt, self.open_first(attempt, headers))
+
+    async def open_first(
+        self, attempt: attempts.Attempt, headers: dict[str, str]
+    ) -> bytes | None:
+        """Opens an attempt and returns its first piece."""
+        with trio.move_on_at(self.deadline):
+            sent = {**self.headers, **headers}
+            await attempt.open(self.check, sent, self.deadline)
+            resume.align(self, attempt)
+            return await attempt.next_piece()
+        raise errors.UpstreamStalled('no answer before the deadline')
+
+    async def guard(
+        self, attempt: attempts.Attempt, step: Awaitable[bytes | None]
+    ) -> bytes | None:
+        """Runs a step of an attempt and settles the attempt if it fails."""
+        try:
+            piece = await step
+        except errors.UpstreamError as exc:
+            await attempt.settle(type(exc).__name__, exc)
+            raise
+        except trio.Cancelled:
+            await attempt.settle(attempts.CALLER_GONE, None)
+            raise
+        except BaseException as exc:
+            await attempt.settle(type(exc).__name__, None)
+            raise
+        if piece is None:
+            await attempt.settle(attempts.COMPLETE, None)
+            if self.parts.quarantine is not None:
+                self.parts.quarantine.survived(self.fingerprint)
+        return piece
+
+    async def next_piece(self) -> bytes | None:
+        """Returns more of the answer, None when the caller has all of it.
+
+        Raises:
+            RequestError: The answer cannot be completed.
+        """
+        attempt = self.attempt
+        try:
+            return await self.guard(attempt, attempt.next_piece())
+        except errors.UpstreamError as exc:
+            return await resume.recover(self, exc)
+
+    async def give_up(self) -> None:
+        """Ends the current attempt because its caller is gone."""
+        if self.attempt is not None:
+            await self.attempt.settle(attempts.CALLER_GONE, None)
+
+
+def upstream_headers(rule: configuration.Rule, chat: int) -> dict[str, str]:
+    """Returns the headers by which an upstream knows priority and chat."""
+    headers = {PRIORITY: str(int(rule.then.priority))}
+    if chat:
+        headers[CHAT] = f'{chat:016x}'
+    return headers
--- /dev/null
+++ b/lavenderbend/coordination/dispatch/relay.py
@@ -0,0 +1,195 @@
+"""Checks on an answer as it passes through the router."""
+
+from __future__ import annotations
+
+import xxhash
+
+from lavenderbend import errors
+from lavenderbend.protocol import openai
+from lavenderbend.protocol import sse
+
+
+class StreamCheck:
+    """Checks the events of a streamed chat answer and what was passed on.
+
+    Only whole events are passed on, each once and in order. The text that
+    the caller has is remembered as a hash, so that the answer of a further
+    attempt can be compared with it.
+
+    Attributes:
+        parser: Cuts the bytes into events.
+        max_bytes: Size of the largest event.
+        answer_id: Id that the caller saw in the first event.
+        source_id: Id in the events of the current upstream.
+        next_offset: Number that the next event must have, if numbered.
+        events: Events passed on.
+        length: Characters of text passed on.
+        digest: Hash of that text.
+        comparable: Whether the text says all of what was passed on.
+        finished: Whether an event with a finish reason was passed on.
+        done: Whether the terminator has come.
+        rerun: Whether this upstream answers from the beginning again.
+        skipped: Characters of a further attempt compared so far.
+        skipped_digest: Hash of those.
+        pending: An error that came after events that were passed on.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.parser = sse.Parser(max_bytes)
+        self.answer_id: str | None = None
+        self.source_id: str | None = None
+        self.next_offset = 0
+        self.events = 0
+        self.length = 0
+        self.digest = xxhash.xxh3_128()
+        self.comparable = True
+        self.finished = False
+        self.done = False
+        self.rerun = False
+        self.skipped = 0
+        self.skipped_digest = xxhash.xxh3_128()
+        self.pending: errors.UpstreamError | None = None
+
+    @property
+    def numbered(self) -> bool:
+        """Whether the upstream numbers its events."""
+        return self.next_offset > 0
+
+    def continue_at_offset(self) -> None:
+        """Prepares for an upstream that goes on where it broke off."""
+        self.parser = sse.Parser(self.max_bytes)
+
+    def continue_from_start(self) -> None:
+        """Prepares for an upstream that answers from the beginning."""
+        self.parser = sse.Parser(self.max_bytes)
+        self.source_id = None
+        self.next_offset = 0
+        self.rerun = self.events > 0
+        self.skipped = 0
+        self.skipped_digest = xxhash.xxh3_128()
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes to pass on after these bytes have come.
+
+        Raises:
+            UpstreamBroke: The bytes are no part of a chat answer.
+            AnswerMismatch: An event belongs to another answer.
+        """
+        out: list[bytes] = []
+        try:
+            self.read_events(data, out)
+        except errors.UpstreamError as exc:
+            # the events before the broken one count as passed on, so they
+            # must reach the caller before the error is dealt with
+            if not any(out):
+                raise
+            self.pending = exc
+        return out[0] if len(out) == 1 else b''.join(out)
+
+    def read_events(self, data: bytes, out: list[bytes]) -> None:
+        """Adds to `out` what the events in the bytes pass on."""
+        for event in self.parser.feed(data):
+            if event.done:
+                self.check_end()
+                self.done = True
+                out.append(event.raw)
+                # what follows the terminator is no part of the answer
+                return
+            out.append(self.accept(event))
+
+    def raise_pending(self) -> None:
+        """Raises the error that was held back by `feed`, if any."""
+        pending = self.pending
+        if pending is not None:
+            self.pending = None
+            raise pending
+
+    def accept(self, event: sse.Event) -> bytes:
+        """Returns the bytes of one event to pass on, which may be none."""
+        if not event.data:
+            return b''
+        if event.name == b'error':
+            raise errors.UpstreamBroke('the upstream broke off its answer')
+        chunk = openai.read_chunk(event.data)
+        self.check_id(chunk.id)
+        if event.offset is not None and not self.in_order(event.offset):
+            return b''
+        if self.rerun:
+            return self.compare(event, chunk)
+        return self.pass_on(event.raw, chunk)
+
+    def pass_on(self, raw: bytes, chunk: openai.Chunk) -> bytes:
+        """Remembers an event that goes to the caller."""
+        self.events += 1
+        if chunk.text:
+            self.length += len(chunk.text)
+            self.digest.update(chunk.text.encode())
+        if not chunk.plain:
+            self.comparable = False
+        if chunk.final:
+            self.finished = True
+        return raw
+
+    def check_id(self, source_id: str) -> None:
+        """Checks that all events carry the id of one answer."""
+        if self.source_id is None:
+            self.source_id = source_id
+            if self.answer_id is None:
+                self.answer_id = source_id
+            return
+        # two answers mixed up inside an upstream show as a change of the id
+        if source_id != self.source_id:
+            raise errors.AnswerMismatch('an event belongs to another answer')
+
+    def in_order(self, offset: int) -> bool:
+        """Returns whether the numbered event is new.
+
+        Raises:
+            UpstreamBroke: Events before it are missing.
+        """
+        if offset < self.next_offset:
+            return False
+        if offset > self.next_offset:
+            raise errors.UpstreamBroke('events of the answer are missing')
+        self.next_offset += 1
+        return True
+
+    def compare(self, event: sse.Event, chunk: openai.Chunk) -> bytes:
+        """Returns what a further attempt adds to what the caller has."""
+        missing = self.length - self.skipped
+        text = chunk.text[:missing]
+        self.skipped += len(text)
+        self.skipped_digest.update(text.encode())
+        if self.skipped == self.length:
+            self.check_same()
+        extra = len(chunk.text) - len(text)
+        if extra == 0 and not (chunk.final and not self.finished):
+            return b''
+        data = openai.continue_chunk(event.data, self.answer_id, len(text))
+        rest = openai.Chunk(
+            chunk.id, chunk.text[len(text) :], chunk.plain, chunk.final
+        )
+        return self.pass_rest(sse.encode(data), rest)
+
+    def pass_rest(self, raw: bytes, chunk: openai.Chunk) -> bytes:
+        """Passes on an event of a further attempt."""
+        self.skipped += len(chunk.text)
+        self.skipped_digest.update(chunk.text.encode())
+        return self.pass_on(raw, chunk)
+
+    def check_same(self) -> None:
+        """Checks that both attempts say the same so far.
+
+        Raises:
+            AnswerContradicts: They do not.
+        """
+        if self.skipped_digest.digest() != self.digest.digest():
+            raise errors.AnswerContradicts(
+                'a further attempt answers something else'
+            )
+
+    def check_end(self) -> None:
+        """Checks at the terminator that the caller's text was reached."""
+        if self.rerun and self.skipped < self.length:
+            raise errors.AnswerContradicts('a further attempt is shorter')
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -94,10 +94,22 @@
     """The connection or the answer broke after the request was sent."""
 
 
+class UpstreamLost(UpstreamBroke):
+    """The connection was lost; the upstream may have crashed."""
+
+
+class UpstreamStalled(UpstreamBroke):
+    """No byte came within the time allowed."""
+
+
 class AnswerMismatch(UpstreamError):
     """The answer carries the id of another request."""
 
 
+class AnswerContradicts(UpstreamError):
+    """A further attempt answers something else than the caller has."""
+
+
 class RequestError(LavenderbendError):
     """A request that ends without its whole answer.
 
@@ -357,3 +369,11 @@
     def __init__(self, highest: int) -> None:
         super().__init__(f'the engine has seen fencing number {highest}')
         self.highest = highest
+
+
+class CallerGone(RequestError):
+    """The caller went away before its answer was whole."""
+
+    outcome = Outcome.UNKNOWN
+    status = 499
+    kind = 'caller-gone'
--- /dev/null
+++ b/lavenderbend/protocol/sse.py
@@ -0,0 +1,124 @@
+"""Server-sent events, read as they arrive."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lavenderbend import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+CONTENT_TYPE = 'text/event-stream'
+DONE = b'[DONE]'
+TERMINATOR = b'data: [DONE]\n\n'
+
+
+@attrs.define
+class Event:
+    """One event.
+
+    Attributes:
+        raw: The bytes as they came, with the empty line at the end.
+        data: The data lines, joined by newlines.
+        name: Type of the event, empty for the default.
+        offset: Number in the `id` line, None if there is none.
+    """
+
+    raw: bytes
+    data: bytes
+    name: bytes = b''
+    offset: int | None = None
+
+    @property
+    def done(self) -> bool:
+        """Whether this is the terminator of a chat answer."""
+        return self.data == DONE
+
+
+def parse_event(raw: bytes) -> Event:
+    """Returns the event of one block of lines.
+
+    Raises:
+        UpstreamBroke: The block is no event.
+    """
+    # the usual event is a single data line
+    if raw.startswith(b'data: ') and raw.find(b'\n') == len(raw) - 2:
+        return Event(raw, raw[6:-2])
+    lines: list[bytes] = []
+    name = b''
+    offset = None
+    for line in raw.splitlines():
+        field, _, value = line.partition(b':')
+        value = value.removeprefix(b' ')
+        if field == b'data':
+            lines.append(value)
+        elif field == b'event':
+            name = value
+        elif field == b'id':
+            offset = read_offset(value)
+        elif field not in (b'', b'retry'):
+            raise errors.UpstreamBroke('the answer has a line of no event')
+    return Event(raw, b'\n'.join(lines), name, offset)
+
+
+def read_offset(value: bytes) -> int | None:
+    """Returns the number of an `id` line, None if it is no number."""
+    if len(value) > 18 or not value.isdigit():
+        return None
+    return int(value)
+
+
+class Parser:
+    """Cuts a stream of bytes into events.
+
+    Attributes:
+        max_bytes: Size of the largest event that is accepted.
+        rest: Bytes of an event that is not complete yet.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.rest = b''
+
+    def feed(self, data: bytes) -> Iterator[Event]:
+        """Yields the events that are complete with these bytes.
+
+        Raises:
+            UpstreamBroke: An event is too large or is none.
+        """
+        buffer = self.rest + data if self.rest else data
+        if b'\r' in buffer:
+            buffer = self.normalise(buffer)
+        start = 0
+        while True:
+            end = buffer.find(b'\n\n', start)
+            if end < 0:
+                break
+            block = buffer[start : end + 2]
+            start = end + 2
+            if len(block) > 2:
+                yield parse_event(block)
+        self.rest = buffer[start:]
+        if len(self.rest) > self.max_bytes:
+            raise errors.UpstreamBroke('an event of the answer is too large')
+
+    def normalise(self, buffer: bytes) -> bytes:
+        """Returns the bytes with line ends as single newlines."""
+        # a carriage return at the end may be the first half of a line end
+        held = b'\r' if buffer.endswith(b'\r') else b''
+        text = buffer[: len(buffer) - len(held)]
+        return text.replace(b'\r\n', b'\n').replace(b'\r', b'\n') + held
+
+
+def encode(data: bytes, name: str = '', offset: int | None = None) -> bytes:
+    """Returns one event; the data has no newline."""
+    parts = []
+    if name:
+        parts.append(b'event: ' + name.encode() + b'\n')
+    if offset is not None:
+        parts.append(b'id: %d\n' % offset)
+    parts.append(b'data: ' + data + b'\n\n')
+    return b''.join(parts)
--- /dev/null
+++ b/lavenderbend/transport/callers.py
@@ -0,0 +1,293 @@
+"""The interface for callers: OpenAI-compatible chats and plain services."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+import uuid
+
+import eliot
+from opentelemetry import trace
+import quart
+import quart_trio
+import trio
+from werkzeug import exceptions
+
+from lavenderbend import errors
+from lavenderbend.coordination.dispatch import spans
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import chat_keys
+from lavenderbend.protocol import http_limits
+from lavenderbend.protocol import openai
+from lavenderbend.protocol import problems
+from lavenderbend.state import requests
+from lavenderbend.transport import answer_bodies
+from lavenderbend.transport import caller_credentials
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from lavenderbend.coordination import dispatch
+    from lavenderbend.coordination import interfaces
+
+METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
+IDEMPOTENCY_KEY = 'idempotency-key'
+
+# headers of the connection, the credential, and those that the router sets
+# itself, which a caller must not be able to forge
+DROPPED_HEADERS = frozenset(
+    (
+        'accept-encoding',
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-request-id',
+        'x-resume-offset',
+    )
+)
+
+internal_errors = metrics.counter(
+    'lavenderbend_internal_errors_total',
+    'Requests that ended by a fault of the router itself.',
+)
+
+
+class InternalError(errors.RequestError):
+    """The router itself failed; the request may have run."""
+
+    outcome = errors.Outcome.UNKNOWN
+    status = 500
+    kind = 'internal-error'
+
+
+def read_headers(scope: Mapping[str, Any]) -> dict[str, str]:
+    """Returns the caller's headers, names in lower case."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in scope['headers']:
+        name = raw_name.decode('latin-1').lower()
+        value = raw_value.decode('latin-1')
+        headers[name] = (
+            f'{headers[name]}, {value}' if name in headers else value
+        )
+    return headers
+
+
+def read_path(scope: Mapping[str, Any]) -> str:
+    """Returns the path with the query string, as the caller sent it."""
+    path = scope['raw_path'].decode('latin-1')
+    query = scope['query_string'].decode('latin-1')
+    return f'{path}?{query}' if query else path
+
+
+class CallerApp:
+    """The ASGI application that callers talk to.
+
+    Attributes:
+        dispatcher: Answers requests.
+        configurations: Knows the customers.
+        limits: Limits on requests.
+        availability_zone: Zone of this router.
+        credentials: Finds customers.
+        stopping: Whether the router is about to stop.
+        app: The application of quart.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        configurations: interfaces.Configurations,
+        limits: http_limits.HttpLimits | None = None,
+        availability_zone: str = '',
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.configurations = configurations
+        self.limits = limits or http_limits.HttpLimits()
+        self.availability_zone = availability_zone
+        self.credentials = caller_credentials.Credentials()
+        self.stopping = False
+        self.app = self.make_app()
+
+    def make_app(self) -> quart_trio.QuartTrio:
+        """Returns the application of quart."""
+        app = quart_trio.QuartTrio('lavenderbend', static_folder=None)
+        app.config['MAX_CONTENT_LENGTH'] = self.limits.body_bytes
+        app.config['BODY_TIMEOUT'] = self.limits.body_seconds
+        app.config['RESPONSE_TIMEOUT'] = None
+        app.config['PROVIDE_AUTOMATIC_OPTIONS'] = False
+        app.add_url_rule('/healthz', view_func=self.healthz)
+        app.add_url_rule('/readyz', view_func=self.readyz)
+        for rule in ('/', '/<path:path>'):
+            app.add_url_rule(
+                rule, rule, view_func=self.forward, methods=METHODS
+            )
+        app.register_error_handler(exceptions.HTTPException, self.refuse)
+        app.register_error_handler(Exception, self.fail)
+        return app
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serves one request."""
+        if scope['type'] != 'http':
+            return
+        try:
+            await self.app(scope, receive, send)
+        except* answer_bodies.BrokenOff:
+            # the answer was cut off on purpose: returning without its end
+            # makes hypercorn close the connection, and the caller sees that
+            # the answer is not whole
+            pass
+
+    def begin_stop(self) -> None:
+        """Fails readiness and asks callers to close their connections."""
+        self.stopping = True
+
+    async def healthz(self) -> quart.Response:
+        """Says that the process runs."""
+        return quart.Response('ok\n', content_type='text/plain')
+
+    async def readyz(self) -> quart.Response:
+        """Says whether the balancer should send requests here."""
+        if self.stopping:
+            return self.problem(errors.RouterStopping('stopping'), '')
+        try:
+            self.configurations.current()
+        except errors.NoConfiguration as exc:
+            return self.problem(exc, '')
+        return quart.Response('ready\n', content_type='text/plain')
+
+    async def forward(self, path: str = '') -> quart.Response:
+        """Answers a request by way of the dispatcher."""
+        request_id = uuid.uuid4().hex
+        scope = quart.request.scope
+        headers = read_headers(scope)
+        hop = spans.Hop('request', headers, trace.SpanKind.SERVER)
+        hop.note('request.id', request_id)
+        try:
+            request = await self.read_request(scope, headers, request_id, hop)
+            answer = await self.dispatcher.dispatch(request)
+        except errors.RequestError as exc:
+            hop.end(type(exc).__name__)
+            return self.problem(exc, request_id)
+        except Exception as exc:
+            hop.end(type(exc).__name__)
+            return self.tell_internal(exc, request_id)
+        except BaseException as exc:
+            hop.end(type(exc).__name__)
+            raise
+        return self.respond(answer, request_id, hop)
+
+    async def read_request(
+        self,
+        scope: Mapping[str, Any],
+        headers: dict[str, str],
+        request_id: str,
+        hop: spans.Hop,
+    ) -> requests.Request:
+        """Reads the request whole; the credential is checked first."""
+        arrived = trio.current_time()
+        customer = self.credentials.customer(
+            self.configurations.current(), headers.get('authorization')
+        )
+        body = await self.read_body()
+        path = read_path(scope)
+        chat = None
+        if path == openai.CHAT_PATH and scope['method'] == 'POST':
+            chat = openai.parse(body)
+        passed = {
+            name: value
+            for name, value in headers.items()
+            if name not in DROPPED_HEADERS
+        }
+        passed.update(hop.headers)
+        return requests.Request(
+            id=request_id,
+            customer=customer,
+            method=scope['method'],
+            path=path,
+            headers=passed,
+            body=body,
+            arrived=arrived,
+            model=chat.model if chat else None,
+            adapter=chat.adapter if chat else None,
+            chat_key=chat_keys.read_key(chat, headers),
+            prompt_tokens=chat.prompt_tokens if chat else 0,
+            stream=chat.stream if chat else False,
+            idempotency_key=headers.get(IDEMPOTENCY_KEY),
+            availability_zone=self.availability_zone,
+        )
+
+    async def read_body(self) -> bytes:
+        """Returns the body of the current request."""
+        try:
+            return await quart.request.get_data(cache=False)
+        except exceptions.RequestEntityTooLarge as exc:
+            raise errors.RequestTooLarge(
+                f'the body is over {self.limits.body_bytes} bytes'
+            ) from exc
+        except exceptions.RequestTimeout as exc:
+            raise errors.RequestInvalid(
+                'the body did not come in time'
+            ) from exc
+
+    def respond(
+        self, answer: dispatch.Answer, request_id: str, hop: spans.Hop
+    ) -> quart.Response:
+        """Returns the response that relays an answer."""
+        body = answer_bodies.AnswerBody(answer, request_id, hop)
+        response = quart.Response(body, status=answer.status)
+        # without this quart would end the response after its own timeout
+        response.timeout = None
+        response.headers.clear()
+        for name, value in answer.headers.items():
+            response.headers.add(name, value)
+        response.headers['x-request-id'] = request_id
+        response.headers['x-decision-id'] = answer.decision_id
+        return self.finish_headers(response)
+
+    def problem(
+        self, error: errors.RequestError, request_id: str
+    ) -> quart.Response:
+        """Returns the response that tells of an error."""
+        response = quart.Response(
+            problems.to_body(error, request_id), status=error.status
+        )
+        for name, value in problems.to_headers(error, request_id).items():
+            response.headers[name] = value
+        if isinstance(error, errors.NotAuthenticated):
+            response.headers['www-authenticate'] = 'Bearer'
+        return self.finish_headers(response)
+
+    def finish_headers(self, response: quart.Response) -> quart.Response:
+        """Asks the caller to leave the connection if the router stops."""
+        # an idle connection that is closed as the caller sends its next
+        # request loses that request; callers that were asked have left
+        if self.stopping:
+            response.headers['connection'] = 'close'
+        return response
+
+    async def refuse(self, error: exceptions.HTTPException) -> quart.Response:
+        """Answers what quart itself refuses."""
+        refusal = errors.RequestInvalid(error.name)
+        refusal.status = error.code or refusal.status
+        return self.problem(refusal, '')
+
+    async def fail(self, error: Exception) -> quart.Response:
+        """Answers a fault of the router outside any request."""
+        return self.tell_internal(error, '')
+
+    def tell_internal(
+        self, error: Exception, request_id: str
+    ) -> quart.Response:
+        """Answers a fault of the router without telling its insides."""
+        internal_errors.inc({'error': type(error).__name__})
+        # a fault of the program itself, which no counter can explain
+        eliot.write_traceback()
+        return self.problem(InternalError('the router failed'), request_id)
--- /dev/null
+++ b/lavenderbend/transport/serving.py
@@ -0,0 +1,209 @@
+"""Serves an ASGI application by hypercorn until it is told to stop."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import Any
+from typing import TYPE_CHECKING
+
+import hypercorn
+from hypercorn import utils
+from hypercorn.trio import tcp_server
+from hypercorn.trio import worker_context
+import trio
+
+from lavenderbend.observe import logs
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import http_limits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+BACKLOG = 1024
+DEFAULT_GRACE_SECONDS = 900.0
+# time in which connections that the kernel has accepted are still taken
+LAST_ACCEPT_SECONDS = 0.05
+ACCEPT_PAUSE_SECONDS = 0.05
+# key in the state of an ASGI scope: a function that resets the connection
+ABORT = 'lavenderbend.abort'
+NO_LINGER = struct.pack('ii', 1, 0)
+
+refused_connections = metrics.counter(
+    'lavenderbend_connections_refused_total',
+    'Connections closed at once because too many were open.',
+)
+slow_callers = metrics.counter(
+    'lavenderbend_slow_callers_total',
+    'Connections broken off because the other side did not read.',
+)
+
+
+class BoundedStream(trio.abc.HalfCloseableStream):
+    """A TCP stream whose writes end in time.
+
+    Attributes:
+        stream: The stream of trio.
+        send_seconds: Longest time for one write.
+    """
+
+    def __init__(self, stream: trio.SocketStream, send_seconds: float) -> None:
+        self.stream = stream
+        self.send_seconds = send_seconds
+
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """The socket; hypercorn reads the addresses from it."""
+        return self.stream.socket
+
+    async def send_all(self, data: bytes) -> None:
+        """Sends all bytes, or breaks the connection off."""
+        # a caller that stops reading would hold its answer, its upstream
+        # and its permit for ever: hypercorn shields its writes
+        with trio.move_on_after(self.send_seconds):
+            await self.stream.send_all(data)
+            return
+        slow_callers.inc({})
+        await self.abort()
+        raise trio.BrokenResourceError('the other side does not read')
+
+    async def abort(self) -> None:
+        """Resets the connection, so that nothing that was sent looks whole."""
+        try:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+        except OSError:
+            # already closed
+            return
+        await trio.aclose_forcefully(self.stream)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Waits until a write may go through."""
+        await self.stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Returns the next bytes, none at the end."""
+        return await self.stream.receive_some(max_bytes)
+
+    async def send_eof(self) -> None:
+        """Ends the sending side."""
+        await self.stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Closes the connection."""
+        await self.stream.aclose()
+
+
+class Server:
+    """Connections of one address.
+
+    Attributes:
+        app: The application as hypercorn takes it.
+        limits: Limits on connections.
+        config: Settings of hypercorn.
+        context: Tells connections of the end.
+        open: Connections that are open now.
+    """
+
+    def __init__(self, app: Any, limits: http_limits.HttpLimits) -> None:
+        self.limits = limits
+        self.config = make_config(limits)
+        self.app = utils.wrap_app(app, self.config.wsgi_max_body_size, 'asgi')
+        self.context = worker_context.WorkerContext(None)
+        self.open = 0
+
+    async def accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Takes connections until cancelled."""
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError:
+                # out of file descriptors: they come back as requests end
+                await trio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            if self.open >= self.limits.connections:
+                refused_connections.inc({})
+                await trio.aclose_forcefully(stream)
+                continue
+            self.open += 1
+            nursery.start_soon(self.run_connection, stream)
+
+    async def run_connection(self, stream: trio.SocketStream) -> None:
+        """Serves one connection to its end."""
+        size = self.limits.send_buffer_bytes
+        if size:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        bounded = BoundedStream(stream, self.limits.send_seconds)
+        # an application finds this in the state of its scope
+        state = {ABORT: bounded.abort}
+        try:
+            await tcp_server.TCPServer(
+                self.app, self.config, self.context, state, bounded
+            ).run()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # the other side went away, which is its right
+            return
+        finally:
+            self.open -= 1
+
+
+def make_config(limits: http_limits.HttpLimits) -> hypercorn.Config:
+    """Returns the settings of hypercorn."""
+    config = hypercorn.Config()
+    config.alpn_protocols = ['http/1.1']
+    config.h11_max_incomplete_size = limits.header_bytes
+    config.keep_alive_timeout = limits.idle_seconds
+    config.keep_alive_max_requests = 1_000_000
+    config.include_server_header = False
+    # errors are counted and told to the caller; nothing goes to a log
+    config.errorlog = None
+    config.accesslog = None
+    return config
+
+
+async def serve(
+    app: Callable[..., Any],
+    host: str,
+    port: int,
+    *,
+    shutdown: trio.Event,
+    limits: http_limits.HttpLimits | None = None,
+    grace_seconds: float = DEFAULT_GRACE_SECONDS,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until `shutdown`, then until the last request has ended.
+
+    Args:
+        app: An ASGI application.
+        host: IP number to bind.
+        port: Port to bind, 0 for any.
+        shutdown: Set to stop: the listener closes, idle connections close,
+            requests in progress go on.
+        limits: Limits on connections.
+        grace_seconds: Longest time that requests in progress get; those
+            that take longer are broken off.
+        task_status: Gets the bound port.
+    """
+    server = Server(app, limits or http_limits.HttpLimits())
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    bound = listeners[0].socket.getsockname()[1]
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            for listener in listeners:
+                accepting.start_soon(server.accept, listener, connections)
+            task_status.started(bound)
+            await shutdown.wait()
+            # connections that the kernel took before the listener closes
+            # would be reset, and their requests lost
+            await trio.sleep(LAST_ACCEPT_SECONDS)
+            accepting.cancel_scope.cancel()
+        for listener in listeners:
+            await listener.aclose()
+        await server.context.terminated.set()
+        deadline = trio.current_time() + grace_seconds
+        connections.cancel_scope.deadline = deadline
+    if connections.cancel_scope.cancelled_caught:
+        logs.change('requests_broken_off_at_stop', port=bound)
--- /dev/null
+++ b/tests/path_fakes.py
@@ -0,0 +1,316 @@
+"""The request path on loopback, with small fakes in place of the fleet."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import hashlib
+import itertools
+import random
+from typing import Any
+
+import attrs
+import httpx
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import dispatch
+from lavenderbend.coordination import interfaces
+from lavenderbend.coordination import retries
+from lavenderbend.coordination import rules
+from lavenderbend.protocol import http_limits
+from lavenderbend.standin import engine as engine_app
+from lavenderbend.standin import plain_service
+from lavenderbend.state import configuration
+from lavenderbend.state import decisions
+from lavenderbend.state import upstreams
+from lavenderbend.transport import callers
+from lavenderbend.transport import serving
+from lavenderbend.transport import upstream_http
+
+HOST = '127.0.0.1'
+CREDENTIAL = 'open-sesame'
+AUTHORIZATION = {'authorization': f'Bearer {CREDENTIAL}'}
+CHAT_PATH = '/v1/chat/completions'
+
+
+def hashed(credential: str, salt: str = 'salt') -> str:
+    digest = hashlib.sha256((salt + credential).encode()).hexdigest()
+    return f'{salt}${digest}'
+
+
+def document(**then: Any) -> configuration.Configuration:
+    chat = configuration.Rule(
+        'chats',
+        configuration.Then(pool='engines', **then),
+        configuration.When(path=(CHAT_PATH,)),
+    )
+    once = configuration.Rule(
+        'once',
+        configuration.Then(pool='services', idempotent=False, timeout=5.0),
+        configuration.When(path=('/replies', '/briefings')),
+    )
+    closed = configuration.Rule(
+        'closed',
+        configuration.Then(reject='not offered'),
+        configuration.When(path=('/closed*',)),
+    )
+    plain = configuration.Rule(
+        'plain',
+        configuration.Then(pool='services'),
+        configuration.When(path=('/alerts/*', '/deliveries/*')),
+    )
+    customer = configuration.Customer('corte', (hashed(CREDENTIAL),))
+    return configuration.Configuration(
+        rules=(chat, once, closed, plain), customers=(customer,)
+    )
+
+
+class FakeConfigurations(interfaces.Configurations):
+    def __init__(self, item: configuration.Configuration | None) -> None:
+        self.item = item
+
+    def current(self) -> configuration.Revision:
+        if self.item is None:
+            raise errors.NoConfiguration('none yet', 1.0)
+        return configuration.Revision(1, 'digest', self.item)
+
+    async def wait_beyond(self, number: int) -> configuration.Revision:
+        await trio.sleep_forever()
+        raise AssertionError
+
+
+class FakeMembership:
+    def __init__(self) -> None:
+        self.results: list[tuple[str, Exception | None]] = []
+        self.draining: list[str] = []
+
+    def report(self, upstream: str) -> None:
+        return None
+
+    def note_result(self, upstream: str, error: Exception | None) -> None:
+        self.results.append((upstream, error))
+
+    def note_draining(self, upstream: str) -> None:
+        self.draining.append(upstream)
+
+
+class FakeAdmission(interfaces.Admission):
+    """Gives permits in order, avoiding what was tried where it can."""
+
+    def __init__(self, vms: list[upstreams.Vm]) -> None:
+        self.vms = vms
+        self.numbers = itertools.count()
+        self.open: dict[str, interfaces.Permit] = {}
+        self.asks: list[interfaces.PermitAsk] = []
+        self.results: list[str] = []
+
+    async def acquire(self, ask: interfaces.PermitAsk) -> interfaces.Permit:
+        await trio.lowlevel.checkpoint()
+        self.asks.append(ask)
+        kind = upstreams.UpstreamKind.ENGINE
+        if ask.pool == 'services':
+            kind = upstreams.UpstreamKind.SERVICE
+        fits = [vm for vm in self.vms if vm.kind is kind]
+        fresh = [vm for vm in fits if vm.id not in ask.avoid] or fits
+        if not fresh:
+            raise errors.NoUpstream('no upstream', 1.0)
+        permit = interfaces.Permit(
+            f'p/{next(self.numbers)}', fresh[0], 'router', 'first choice'
+        )
+        self.open[permit.id] = permit
+        return permit
+
+    def release(self, permit: interfaces.Permit, result: str) -> None:
+        del self.open[permit.id]
+        self.results.append(result)
+
+
+@attrs.define
+class FakeClaimed:
+    token: tuple[str, str]
+
+
+@attrs.define
+class FakeRecorded:
+    outcome: errors.Outcome
+    status: int
+
+
+class FakeClaims:
+    """The claims log of one router, in memory."""
+
+    def __init__(self) -> None:
+        self.outcomes: dict[tuple[str, str], tuple[Any, int]] = {}
+        self.digests: dict[tuple[str, str], Any] = {}
+        self.unavailable = False
+
+    async def claim(
+        self, customer: str, key: str, digest: Any, deadline: float
+    ) -> FakeClaimed | FakeRecorded:
+        await trio.lowlevel.checkpoint()
+        if self.unavailable:
+            raise errors.ClaimUnavailable('no claims now', 1.0)
+        token = (customer, key)
+        if token not in self.digests:
+            self.digests[token] = digest
+            return FakeClaimed(token)
+        if self.digests[token] != digest:
+            raise errors.IdempotencyKeyReused('another body')
+        while token not in self.outcomes:
+            await trio.sleep(0.01)
+        return FakeRecorded(*self.outcomes[token])
+
+    async def record(self, token: Any, outcome: Any, status: int) -> None:
+        if outcome is errors.Outcome.NOT_RUN:
+            del self.digests[token]
+            return
+        self.outcomes[token] = (outcome, status)
+
+
+class FakeQuarantine:
+    def __init__(self) -> None:
+        self.crashes: list[str] = []
+        self.refused: set[int] = set()
+
+    def check(self, fingerprint: int) -> None:
+        if fingerprint in self.refused:
+            raise errors.RequestQuarantined('it crashed upstreams', 60.0)
+
+    def suspect(self, fingerprint: int) -> bool:
+        return bool(self.crashes)
+
+    def may_retry(self, fingerprint: int) -> bool:
+        return len(self.crashes) < 2
+
+    def survived(self, fingerprint: int) -> None:
+        self.crashes.clear()
+
+    async def crashed(
+        self, fingerprint: int, upstream: str, instance: str, in_progress: int
+    ) -> None:
+        await trio.lowlevel.checkpoint()
+        self.crashes.append(upstream)
+        if len(self.crashes) == 2:
+            self.refused.add(fingerprint)
+
+
+@attrs.define
+class Path:
+    """The whole path with its parts, for tests to look at."""
+
+    engines: list[engine_app.Engine]
+    services: list[plain_service.PlainService]
+    admission: FakeAdmission
+    membership: FakeMembership
+    claims: FakeClaims
+    quarantine: FakeQuarantine
+    decisions: decisions.DecisionStore
+    dispatcher: dispatch.Dispatcher
+    app: callers.CallerApp
+    client: httpx.AsyncClient
+    shutdown: trio.Event
+    port: int
+    budgets: dict[str, retries.RetryBudget]
+
+    def last_decision(self) -> decisions.Decision:
+        return next(iter(self.decisions))
+
+
+def vm(name: str, port: int, kind: upstreams.UpstreamKind) -> upstreams.Vm:
+    return upstreams.Vm(name, HOST, port, 'sala-a', 'service', kind)
+
+
+def engine_settings(index: int, **kwargs: Any) -> engine_app.EngineSettings:
+    defaults = {'step_seconds': 0.001, 'load_lag_seconds': 0.0}
+    return engine_app.EngineSettings(
+        name=f'e{index}', seed=index, **{**defaults, **kwargs}
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(
+    engines: int = 2,
+    services: int = 1,
+    answers: http_limits.AnswerLimits | None = None,
+    limits: http_limits.HttpLimits | None = None,
+    engine_kwargs: dict[str, Any] | None = None,
+    held_bytes: int = 64 * 1024,
+    **then: Any,
+):
+    answers = answers or http_limits.AnswerLimits(stall_seconds=0.5)
+    made_engines = [
+        engine_app.Engine(engine_settings(index, **(engine_kwargs or {})))
+        for index in range(engines)
+    ]
+    made_services = [
+        plain_service.PlainService(plain_service.PlainSettings(f's{index}'))
+        for index in range(services)
+    ]
+    async with trio.open_nursery() as nursery:
+        vms = []
+        for index, engine in enumerate(made_engines):
+            port = await nursery.start(engine_app.serve, HOST, 0, engine)
+            vms.append(vm(f'e{index}', port, upstreams.UpstreamKind.ENGINE))
+        for index, service in enumerate(made_services):
+            port = await nursery.start(plain_service.serve, HOST, 0, service)
+            vms.append(vm(f's{index}', port, upstreams.UpstreamKind.SERVICE))
+        configurations = FakeConfigurations(document(**then))
+        admission = FakeAdmission(vms)
+        membership = FakeMembership()
+        claims = FakeClaims()
+        quarantine = FakeQuarantine()
+        store = decisions.DecisionStore()
+        budgets: dict[str, retries.RetryBudget] = {}
+        upstream_client = upstream_http.HttpUpstreamClient(answers)
+        dispatcher = dispatch.Dispatcher(
+            'router-1',
+            configurations,
+            rules.RuleSet(),
+            admission,
+            upstream_client,
+            membership,
+            claims,
+            quarantine,
+            None,
+            store,
+            budgets,
+            random.Random(1),
+            dispatch.DispatchSettings(answers=answers, held_bytes=held_bytes),
+        )
+        app = callers.CallerApp(dispatcher, configurations, limits, 'sala-a')
+        shutdown = trio.Event()
+        port = await nursery.start(
+            functools.partial(
+                serving.serve, app, HOST, 0, shutdown=shutdown, limits=limits
+            )
+        )
+        async with httpx.AsyncClient(
+            base_url=f'http://{HOST}:{port}', headers=AUTHORIZATION, timeout=10
+        ) as client:
+            yield Path(
+                made_engines,
+                made_services,
+                admission,
+                membership,
+                claims,
+                quarantine,
+                store,
+                dispatcher,
+                app,
+                client,
+                shutdown,
+                port,
+                budgets,
+            )
+        await upstream_client.aclose()
+        nursery.cancel_scope.cancel()
+
+
+def chat_body(text: str = 'hola', **fields: Any) -> dict[str, Any]:
+    return {
+        'model': 'model',
+        'messages': [{'role': 'user', 'content': text}],
+        'max_tokens': 8,
+        **fields,
+    }
