Add at-most-once claims on sharded logs with group commit

A claim is answered only from entries that stand in the log, so two owners at once commit a key once; a given-up claim is released so that it never blocks its key.

--- /dev/null
+++ b/lavenderbend/coordination/claim_shards.py
@@ -0,0 +1,386 @@
+"""One shard of the claims: its table and the writer of its log."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import log
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import records_claims
+from lavenderbend.state import claims
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from lavenderbend.coordination import interfaces
+
+BATCH_ID_BYTES = 8
+MAX_BATCH_LINES = 5000
+LOAD_PAGE_ENTRIES = 250
+RETRY_SECONDS = 0.05
+MAX_RETRY_SECONDS = 0.25
+
+BATCHES = metrics.counter(
+    'lavenderbend_claim_batches_total',
+    'Batches of claims by result: ours, taken by another router, lost.',
+)
+LOADED = metrics.counter(
+    'lavenderbend_claim_loaded_entries_total',
+    'Log entries read when a shard was taken over or found changed.',
+)
+
+
+@attrs.frozen
+class ShardPolicy:
+    """How a shard writes.
+
+    Attributes:
+        gap: Least seconds between the beginnings of two batches.
+        outcome_delay: Seconds that outcomes wait for claims to ride with.
+        give_up: Seconds of silence of the key-value service after which
+            claims are refused at once.
+    """
+
+    gap: float = 0.0105
+    outcome_delay: float = 0.5
+    give_up: float = 2.0
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A claim that waits to be committed.
+
+    Attributes:
+        line: The claim.
+        deadline: When its asker stops waiting.
+        since: When it came.
+        batched: Whether it is part of a batch that may have been written.
+        state: Where it stands, None while undecided.
+        decided: Set with `state`.
+    """
+
+    line: claims.ClaimLine
+    deadline: float
+    since: float
+    batched: bool = False
+    state: claims.ClaimState | None = None
+    decided: trio.Event = attrs.field(factory=trio.Event)
+
+    def decide(self, state: claims.ClaimState) -> None:
+        """Gives the answer."""
+        self.state = state
+        self.decided.set()
+
+
+@attrs.define(eq=False)
+class WaitingOutcomes:
+    """Outcomes that wait to be committed.
+
+    Attributes:
+        lines: The outcomes.
+        since: When they came.
+        committed: Set when they stand in the log.
+    """
+
+    lines: tuple[claims.OutcomeLine, ...]
+    since: float
+    committed: trio.Event = attrs.field(factory=trio.Event)
+
+
+class Shard:
+    """Commits claims of one shard, many with one write.
+
+    Any number of routers may run the same shard at once: the log decides.
+    A claim is answered only from entries that stand in the log.
+
+    Attributes:
+        number: Number of the shard.
+        table: The log's claims as far as read.
+        next: Number of the next log entry.
+        attempt_at: When the latest call to the service began.
+        down_since: When the service stopped answering, None if it answers.
+        stale: Whether others may have written since.
+        used_at: When somebody last asked.
+        loads: Seconds that each reading of the log took.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        store: interfaces.KeyValueStore,
+        prefix: str,
+        rng: random.Random,
+        policy: ShardPolicy,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.number = number
+        self.log = log.Log(store, f'{prefix}{number:04d}/')
+        self.rng = rng
+        self.policy = policy
+        self.clock = clock
+        self.table = claims.ClaimTable()
+        self.next = 0
+        self.waiting: list[Waiting] = []
+        self.outcomes: list[WaitingOutcomes] = []
+        self.work = trio.Event()
+        self.progress = trio.Event()
+        self.last_batch = float('-inf')
+        self.attempt_at = 0.0
+        self.down_since: float | None = None
+        self.stale = True
+        self.used_at = 0.0
+        self.loads: list[float] = []
+
+    async def claim(
+        self, line: claims.ClaimLine, deadline: float
+    ) -> claims.ClaimState:
+        """Commits a claim, or tells where the key's earlier one stands.
+
+        Only `REFUSED` promises that the claim will not come to stand in
+        the log.
+        """
+        self.used_at = trio.current_time()
+        known = self.table.state(line.key, line.token, line.digest)
+        if known is claims.ClaimState.REUSED:
+            # the claim with the other body may have been released since
+            self.stale = True
+        elif not self.stale and known is not claims.ClaimState.ABSENT:
+            return known
+        waiting = Waiting(line, deadline, trio.current_time())
+        self.waiting.append(waiting)
+        self.work.set()
+        with trio.move_on_at(deadline):
+            await waiting.decided.wait()
+        return waiting.state or claims.ClaimState.UNDECIDED
+
+    async def record(
+        self, lines: tuple[claims.OutcomeLine, ...], deadline: float
+    ) -> bool:
+        """Commits outcomes; returns whether they stand in the log."""
+        self.used_at = trio.current_time()
+        waiting = WaitingOutcomes(lines, trio.current_time())
+        self.outcomes.append(waiting)
+        self.work.set()
+        with trio.move_on_at(deadline):
+            await waiting.committed.wait()
+        if waiting.committed.is_set():
+            return True
+        if waiting in self.outcomes:
+            self.outcomes.remove(waiting)
+        return False
+
+    async def outcome(self, key: bytes, deadline: float) -> None:
+        """Waits until the key's claim has an outcome or is released."""
+        while self.running(key):
+            progress = self.progress
+            with trio.move_on_at(deadline) as scope:
+                await progress.wait()
+            if scope.cancelled_caught:
+                return
+
+    def running(self, key: bytes) -> bool:
+        """Returns whether the key's claim has no outcome."""
+        held = self.table.held.get(key)
+        return held is not None and held.outcome is None
+
+    def refuses(self) -> bool:
+        """Returns whether the service has been silent for too long."""
+        if self.down_since is None:
+            return False
+        silent = trio.current_time() - self.down_since
+        return silent >= self.policy.give_up
+
+    def refresh(self) -> None:
+        """Has the log read for what others wrote."""
+        self.stale = True
+        self.work.set()
+
+    async def run(self) -> None:
+        """Writes batches until cancelled."""
+        pause = RETRY_SECONDS
+        while True:
+            await self.wait_for_work()
+            self.attempt_at = trio.current_time()
+            try:
+                if self.stale or self.down_since is not None:
+                    await self.catch_up()
+                self.answer_known()
+                if self.something_due():
+                    await self.commit()
+                self.up()
+                pause = RETRY_SECONDS
+            except errors.LogCompacted:
+                self.reset()
+            except errors.KeyValueError:
+                self.down()
+                await trio.sleep(self.rng.uniform(pause / 2, pause))
+                pause = min(pause * 2, MAX_RETRY_SECONDS)
+
+    async def wait_for_work(self) -> None:
+        """Waits until there is something to write, and for the gap."""
+        if self.down_since is None:
+            self.work = trio.Event()
+            if not self.stale and not self.something_due():
+                with trio.move_on_at(self.outcomes_due()):
+                    await self.work.wait()
+        await trio.sleep_until(self.last_batch + self.policy.gap)
+
+    def something_due(self) -> bool:
+        """Returns whether a batch is to be written now."""
+        if self.waiting:
+            return True
+        return trio.current_time() >= self.outcomes_due()
+
+    def outcomes_due(self) -> float:
+        """Returns when the oldest outcomes have waited long enough."""
+        if not self.outcomes:
+            return float('inf')
+        return self.outcomes[0].since + self.policy.outcome_delay
+
+    async def catch_up(self) -> None:
+        """Reads what stands in the log beyond the table."""
+        began = trio.current_time()
+        while True:
+            if self.next == 0:
+                page = await self.log.read_kept(1, LOAD_PAGE_ENTRIES)
+            else:
+                page = await self.log.read(self.next, LOAD_PAGE_ENTRIES)
+            for entry in page.entries:
+                self.apply(entry)
+            LOADED.add({}, len(page.entries))
+            if page.last:
+                break
+        self.next = max(self.next, 1)
+        self.stale = False
+        self.loads.append(trio.current_time() - began)
+        del self.loads[:-100]
+
+    def apply(self, entry: log.Entry) -> None:
+        """Takes an entry of the log into the table."""
+        self.table.apply(entry.number, records_claims.decode(entry.value))
+        self.next = entry.number + 1
+        progress, self.progress = self.progress, trio.Event()
+        progress.set()
+
+    def answer_known(self) -> None:
+        """Answers the waiting claims that the table decides."""
+        now = trio.current_time()
+        left = []
+        for waiting in self.waiting:
+            line = waiting.line
+            state = self.table.state(line.key, line.token, line.digest)
+            if (line.key, line.token) in self.table.released:
+                # its asker has given up; it must not be committed again
+                waiting.decide(claims.ClaimState.UNAVAILABLE)
+            elif state is not claims.ClaimState.ABSENT:
+                waiting.decide(state)
+            elif waiting.deadline > now:
+                left.append(waiting)
+        self.waiting = left
+
+    async def commit(self) -> None:
+        """Writes one batch and takes whatever stands at its number."""
+        batched = self.waiting[:MAX_BATCH_LINES]
+        outcomes = list(self.outcomes)
+        if not batched and not outcomes:
+            return
+        value = records_claims.encode(
+            claims.Batch(
+                secrets.token_bytes(BATCH_ID_BYTES),
+                self.clock(),
+                tuple(waiting.line for waiting in batched),
+                tuple(line for item in outcomes for line in item.lines),
+            )
+        )
+        for waiting in batched:
+            waiting.batched = True
+        self.last_batch = trio.current_time()
+        entry = await self.settled(self.next, value)
+        self.apply(entry)
+        if entry.value == value:
+            BATCHES.inc({'result': 'ours'})
+            self.committed(outcomes)
+        else:
+            # another router took the number: its entry counts first, and
+            # ours is written again behind it
+            BATCHES.inc({'result': 'taken'})
+            self.stale = True
+        self.answer_known()
+
+    def committed(self, outcomes: list[WaitingOutcomes]) -> None:
+        """Tells those who wait for outcomes to be committed."""
+        for waiting in outcomes:
+            waiting.committed.set()
+        self.outcomes = [
+            waiting
+            for waiting in self.outcomes
+            if not waiting.committed.is_set()
+        ]
+
+    async def settled(self, number: int, value: bytes) -> log.Entry:
+        """Appends until it is known what stands at the number.
+
+        A batch whose answer was lost may stand there. Writing its claims
+        anew before that is known could answer one of them 'claimed' from
+        neither entry; so nothing else is written until it is settled.
+        """
+        pause = RETRY_SECONDS
+        while True:
+            self.attempt_at = trio.current_time()
+            try:
+                entry = await self.log.append(number, value)
+                self.up()
+                return entry
+            except errors.LogCompacted:
+                raise
+            except errors.KeyValueError:
+                BATCHES.inc({'result': 'lost'})
+                self.down()
+            await trio.sleep(self.rng.uniform(pause / 2, pause))
+            pause = min(pause * 2, MAX_RETRY_SECONDS)
+
+    def up(self) -> None:
+        """Notes that the service answers."""
+        self.down_since = None
+
+    def down(self) -> None:
+        """Notes that it does not, and refuses who has waited too long.
+
+        Once the service has been silent for a while, a claim is refused by
+        the first call that began after it came and failed: no later, and
+        never for a silence that was over when it came.
+        """
+        now = trio.current_time()
+        if self.down_since is None:
+            self.down_since = now
+        if not self.refuses():
+            return
+        for waiting in self.waiting:
+            if waiting.since > self.attempt_at:
+                continue
+            if waiting.batched:
+                waiting.decide(claims.ClaimState.UNAVAILABLE)
+            else:
+                waiting.decide(claims.ClaimState.REFUSED)
+        self.waiting = [w for w in self.waiting if w.state is None]
+
+    def reset(self) -> None:
+        """Forgets the table; the log was compacted beyond it."""
+        self.table = claims.ClaimTable()
+        self.next = 0
+        self.stale = True
+
+    async def compact(self, retention: float) -> None:
+        """Forgets claims older than the retention, here and in the log."""
+        before = self.table.first_since(self.clock() - retention)
+        if not before or before <= self.table.batches[0].number:
+            return
+        await self.log.compact(before)
+        self.table.forget(before)
--- a/lavenderbend/protocol/messages_agreed.py
+++ b/lavenderbend/protocol/messages_agreed.py
@@ -96,21 +96,33 @@
 
 @peer.message(32)
 @attrs.frozen
-class OutcomeSay(peer.Message):
-    """Asks the owner of a shard to record an outcome.
+class OutcomesSay(peer.Message):
+    """Asks the owner of a shard to record outcomes; the lists are parallel.
 
     Attributes:
         shard: Number of the shard.
-        key: Hash of customer and idempotency key.
-        token: Token of the claim.
-        outcome: Value of `errors.Outcome`.
-        status: HTTP status that the caller was told.
+        keys: Hashes of customer and idempotency key.
+        tokens: Tokens of the claims.
+        outcomes: Values of `errors.Outcome`.
+        statuses: HTTP statuses that the callers were told, or None.
         patience: Seconds that the sender waits for an answer.
     """
 
     shard: int
-    key: bytes
-    token: bytes
-    outcome: str
-    status: int | None
+    keys: list[bytes]
+    tokens: list[bytes]
+    outcomes: list[str]
+    statuses: list[int | None]
     patience: float
+
+
+@peer.message(33)
+@attrs.frozen
+class OutcomesAnswer(peer.Message):
+    """Says whether the outcomes were committed.
+
+    Attributes:
+        committed: False if the sender is to try again.
+    """
+
+    committed: bool
