--- /dev/null
+++ b/tests/test_coordination/test_rules.py
@@ -0,0 +1,335 @@
+from __future__ import annotations
+
+import pathlib
+
+import attrs
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from lavenderbend import errors
+from lavenderbend.coordination import rule_checks
+from lavenderbend.coordination import rule_differences
+from lavenderbend.coordination import rules
+from lavenderbend.protocol import documents_yaml
+from lavenderbend.state import configuration
+from lavenderbend.state import decisions
+from lavenderbend.state import requests
+
+ROOTS = pathlib.Path(__file__).parents[1] / 'roots'
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+
+
+def load(name):
+    document = documents_yaml.load_configuration(EXAMPLES / name / 'rules.yaml')
+    return configuration.Revision(1, name, document)
+
+
+def revision(*items, number=1):
+    document = configuration.Configuration(rules=items)
+    return configuration.Revision(number, f'd{number}', document)
+
+
+def rule(name, pool='p', **when):
+    return configuration.Rule(
+        name, configuration.Then(pool=pool), configuration.When(**when)
+    )
+
+
+def request(**fields):
+    values = {
+        'id': 'r1',
+        'customer': 'clinica-del-norte',
+        'method': 'POST',
+        'path': '/v1/chat/completions',
+        'headers': {},
+        'body': b'',
+        'arrived': 0.0,
+        'model': 'assistant',
+        'chat_key': 'chat-1',
+        **fields,
+    }
+    return requests.Request(**values)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'expected'),
+    [
+        ({}, 'clinics'),
+        ({'customer': 'corte-santiago'}, 'summaries-and-drafts'),
+        ({'headers': {'x-task': 'sorting'}}, 'sorting'),
+        ({'method': 'GET', 'path': '/alerts/7?x=1'}, 'full-mailbox-alerts'),
+        ({'path': '/alerts/7'}, None),
+        ({'path': '/replies'}, 'replies-to-citizens'),
+        ({'path': '/export/all'}, 'bulk-export-closed'),
+        ({'model': 'other'}, None),
+    ],
+)
+def test_first_match_of_the_example(fields, expected):
+    found = rules.RuleSet().match(load('correo'), request(**fields))
+
+    assert (found.name if found else None) == expected
+
+
+def test_order_decides():
+    first = rule('first', path=('/v1/*',))
+    second = rule('second')
+
+    one = rules.RuleSet().match(revision(first, second), request())
+    other = rules.RuleSet().match(revision(second, first), request())
+
+    assert (one.name, other.name) == ('first', 'second')
+
+
+@pytest.mark.parametrize(
+    ('when', 'matches'),
+    [
+        ({'method': ('post',)}, False),
+        ({'method': ('POST',)}, True),
+        ({'path': ('/v1/chat',)}, False),
+        ({'path': ('/v1/chat*',)}, True),
+        ({'path': ('*',)}, True),
+        ({'header': {'x-a': '*'}}, True),
+        ({'header': {'x-a': '2'}}, False),
+        ({'header': {'x-b': '*'}}, False),
+        ({'availability_zone': ('sala-a',)}, True),
+        ({'availability_zone': ('sala-b',)}, False),
+        ({'priority': ('high',)}, True),
+        ({'adapter': ('legal',)}, False),
+        ({'model': ('a', 'assistant'), 'customer': ('clinica-*',)}, True),
+    ],
+)
+def test_conditions(when, matches):
+    asked = request(
+        headers={'x-a': '1', 'x-priority': 'high'}, availability_zone='sala-a'
+    )
+
+    found = rules.RuleSet().match(revision(rule('r', **when)), asked)
+
+    assert (found is not None) == matches
+
+
+def test_share_takes_whole_chats_near_its_size():
+    shared = revision(rule('tenth', share=10.0), rule('rest'))
+    taken = set()
+    for chat in range(4000):
+        names = {
+            rules.RuleSet()
+            .match(shared, request(id=f'{chat}-{turn}', chat_key=f'c{chat}'))
+            .name
+            for turn in range(2)
+        }
+        assert len(names) == 1
+        if 'tenth' in names:
+            taken.add(chat)
+
+    # 400 expected, standard deviation 19
+    assert 320 < len(taken) < 480
+
+
+def test_equal_shares_of_two_rules_take_different_chats():
+    first = revision(rule('a', share=50.0))
+    second = revision(rule('b', share=50.0), number=2)
+    both = 0
+    for chat in range(1000):
+        asked = request(chat_key=f'c{chat}')
+        in_first = rules.RuleSet().match(first, asked)
+        in_second = rules.RuleSet().match(second, asked)
+        both += in_first is not None and in_second is not None
+
+    assert 180 < both < 320
+
+
+def test_hits_and_requests_without_a_rule_are_counted():
+    rule_set = rules.RuleSet()
+    current = revision(rule('a', method=('POST',)))
+
+    rule_set.match(current, request())
+    rule_set.match(current, request(method='GET'))
+
+    assert rule_set.hits == {'a': 1}
+    assert rule_set.unmatched == 1
+
+
+def test_a_new_revision_is_compiled_and_old_ones_are_forgotten():
+    rule_set = rules.RuleSet()
+    for number in range(1, 20):
+        current = revision(rule(f'r{number}'), number=number)
+        assert rule_set.match(current, request()).name == f'r{number}'
+
+    assert len(rule_set.compiled) <= rules.MAX_COMPILED
+
+
+TEXTS = st.sampled_from(['a', 'b', 'a*', 'ab', '*'])
+WHENS = st.builds(
+    configuration.When,
+    customer=st.lists(TEXTS, max_size=2).map(tuple),
+    model=st.lists(TEXTS, max_size=2).map(tuple),
+    header=st.dictionaries(st.just('x-h'), TEXTS, max_size=1),
+    share=st.sampled_from([100.0, 50.0, 0.0]),
+)
+REQUESTS = st.builds(
+    request,
+    customer=st.sampled_from(['a', 'b', 'ab', 'c']),
+    model=st.sampled_from(['a', 'b', 'abc']),
+    headers=st.dictionaries(st.just('x-h'), st.sampled_from(['a', 'b', 'c'])),
+    chat_key=st.text(max_size=3),
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(whens=st.lists(WHENS, min_size=1, max_size=4), asked=REQUESTS)
+def test_a_rule_warned_about_never_matches_first(whens, asked):
+    items = [
+        configuration.Rule(f'r{n}', configuration.Then(pool='p'), when)
+        for n, when in enumerate(whens)
+    ]
+    current = revision(*items)
+    warned = {w.rule for w in rule_checks.warnings(current.document)}
+
+    found = rules.RuleSet().match(current, asked)
+
+    assert found is None or found.name not in warned
+
+
+def test_rules_that_never_match_are_warned_about():
+    document = documents_yaml.load_configuration(
+        ROOTS / 'test-rules-shadowed' / 'rules.yaml'
+    )
+
+    found = [warning.rule for warning in rule_checks.warnings(document)]
+
+    assert found == ['never-model', 'never-share', '']
+
+
+def test_every_fault_of_rules_is_told():
+    # types first, then what does not fit together: a document whose types
+    # are wrong cannot be looked at as a whole
+    path = ROOTS / 'test-rules-wrong' / 'rules.yaml'
+    with pytest.raises(errors.DocumentErrors) as caught:
+        documents_yaml.load_configuration(path)
+    keys = {fault.key for fault in caught.value.exceptions}
+    text = path.read_text()
+    for wrong, right in (
+        ('110%', '10%'),
+        ('timeout: 30', 'timeout: 30s'),
+        ('limit: 20', 'limit: 20/s'),
+        ('bound: 0.5', 'bound: 1.5'),
+    ):
+        text = text.replace(wrong, right)
+    with pytest.raises(errors.DocumentErrors) as caught:
+        documents_yaml.parse_configuration(text, 'rules')
+    later = {fault.key for fault in caught.value.exceptions}
+
+    assert keys == {
+        'rules[0].when.share',
+        'rules[0].then.timeout',
+        'rules[2].then.limit',
+        'pools[0].bound',
+    }
+    assert later == {
+        'rules[0].when.customer[0]',
+        'rules[0].when.method[0]',
+        'rules[0].then.pool',
+        'rules[1].name',
+        'rules[1].then',
+        'rules[2].then',
+        'rules[2].when.header.X-Task',
+        'customers[0].credentials[0]',
+    }
+
+
+def decision(**fields):
+    values = {
+        'customer': 'clinica-del-norte',
+        'method': 'POST',
+        'path': '/v1/chat/completions',
+        'model': 'assistant',
+        **fields,
+    }
+    return decisions.Decision('d1', **values)
+
+
+def test_differences_name_the_fields_that_change():
+    old = revision(rule('old', pool='a'))
+    new = revision(rule('new', pool='b'), number=2)
+
+    found = rule_differences.differences([decision()], old, new)
+
+    assert found.compared == 1
+    assert found.differences[0].changed == ('pool',)
+    assert found.differences[0].new_rule == 'new'
+
+
+def test_another_name_for_the_same_way_is_no_difference():
+    old = revision(rule('old'))
+    new = revision(rule('new'), number=2)
+
+    assert not rule_differences.differences([decision()], old, new).differences
+
+
+def test_a_header_that_was_not_kept_makes_it_uncertain():
+    old = revision(rule('all'))
+    new = revision(
+        rule('by-header', pool='b', header={'accept-language': 'es'}),
+        rule('all'),
+        number=2,
+    )
+
+    found = rule_differences.differences([decision()], old, new)
+
+    assert found.uncertain == ('d1',)
+
+
+def test_recorded_share_goes_as_the_request_went():
+    shared = revision(rule('half', share=50.0), rule('rest'))
+    for chat in range(50):
+        asked = request(chat_key=f'c{chat}')
+        matched = rules.RuleSet().match(shared, asked)
+        recorded = decision(
+            customer=asked.customer, chat=f'{rules.chat_hash(asked):016x}'
+        )
+        compiled = rule_differences.compiled(shared)
+        facts = rules.facts_of_decision(recorded)
+
+        assert rule_differences.first_match(compiled, facts)[0] is matched
+
+
+def test_kept_headers_are_bounded():
+    headers = {f'x-{n}': 'v' for n in range(100)}
+    headers |= {'x-long': 'v' * 1000, 'cookie': 'secret'}
+
+    kept = rules.kept_headers(headers)
+
+    assert len(kept) == rules.MAX_KEPT_HEADERS
+    assert 'cookie' not in kept
+    assert 'x-long' not in kept
+
+
+NAMES = st.text(min_size=1, max_size=6)
+THENS = st.builds(
+    configuration.Then,
+    pool=st.just('p'),
+    priority=st.sampled_from(requests.Priority),
+    timeout=st.floats(0.001, 86400),
+    limit=st.floats(0, 1_000_000),
+    model=st.none() | NAMES,
+    idempotent=st.booleans(),
+)
+ODD_NAMES = NAMES | st.sampled_from(['no', '010', '1e5', 'null', '~', '1.0'])
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(then=THENS, when=WHENS, name=ODD_NAMES)
+def test_what_is_shown_can_be_read_again(then, when, name):
+    document = configuration.Configuration(
+        rules=(
+            configuration.Rule(name, then, attrs.evolve(when, customer=())),
+        ),
+        pools=(configuration.Pool('p', name),),
+    )
+
+    text = documents_yaml.dump_configuration(document)
+
+    assert documents_yaml.parse_configuration(text, 'again') == document
