--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -143,6 +143,7 @@
     def __init__(self) -> None:
         self.outcomes: dict[tuple[str, str], tuple[Any, int]] = {}
         self.digests: dict[tuple[str, str], Any] = {}
+        self.recorded: dict[tuple[str, str], trio.Event] = {}
         self.unavailable = False
 
     async def claim(
@@ -154,11 +155,11 @@
         token = (customer, key)
         if token not in self.digests:
             self.digests[token] = digest
+            self.recorded[token] = trio.Event()
             return FakeClaimed(token)
         if self.digests[token] != digest:
             raise errors.IdempotencyKeyReused('another body')
-        while token not in self.outcomes:
-            await trio.sleep(0.01)
+        await self.recorded[token].wait()
         return FakeRecorded(*self.outcomes[token])
 
     async def record(self, token: Any, outcome: Any, status: int) -> None:
@@ -166,6 +167,7 @@
             del self.digests[token]
             return
         self.outcomes[token] = (outcome, status)
+        self.recorded[token].set()
 
 
 class FakeQuarantine:
