--- a/lavenderbend/cmd/rules_apply.py
+++ b/lavenderbend/cmd/rules_apply.py
@@ -59,7 +59,7 @@
                 seen=await seen(arguments, text, client),
                 author=arguments['--author'] or getpass.getuser(),
                 reason=arguments['--reason'],
-                timeout=arguments['--wait'],
+                wait=arguments['--wait'],
             )
 
         try:
--- a/lavenderbend/transport/operator_rules.py
+++ b/lavenderbend/transport/operator_rules.py
@@ -74,14 +74,14 @@
     if 'seen' not in args:
         raise errors.RequestInvalid('seen must give the revision seen')
     seen = operator_routes.integer('seen', 0)
-    timeout = operator_routes.seconds(
-        'timeout', IN_FORCE_SECONDS, MAX_IN_FORCE_SECONDS
+    wait = operator_routes.seconds(
+        'wait', IN_FORCE_SECONDS, MAX_IN_FORCE_SECONDS
     )
     started = trio.current_time()
     accepted = await app.configuration_log.accept(
         document, seen, args.get('author', ''), args.get('reason', '')
     )
-    missing = await app.configurations.wait_in_force(accepted.number, timeout)
+    missing = await app.configurations.wait_in_force(accepted.number, wait)
     warnings = rule_checks.warnings(document)
     return operator_routes.as_json(
         {
--- /dev/null
+++ b/tests/test_cmd/test_cmd_main.py
@@ -0,0 +1,270 @@
+from __future__ import annotations
+
+import functools
+import io
+import json
+import pathlib
+
+import pytest
+import trio
+
+import lavenderbend
+from lavenderbend.cmd import base
+from lavenderbend.cmd import exit_codes
+from lavenderbend.cmd import main
+from tests import operator_fakes
+
+Code = exit_codes.ExitCode
+ROOTS = pathlib.Path(__file__).parents[1] / 'roots'
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+main.load_commands()
+
+
+class Result:
+    """What a command line did."""
+
+    def __init__(self, argv) -> None:
+        self.out = io.StringIO()
+        self.err = io.StringIO()
+        output = base.Output(out=self.out, err=self.err)
+        self.code = main.run([str(a) for a in argv], output)
+
+    @property
+    def text(self):
+        return self.out.getvalue()
+
+    @property
+    def errors(self):
+        return self.err.getvalue()
+
+    @property
+    def json(self):
+        return json.loads(self.text)
+
+
+def run(*argv):
+    return Result(argv)
+
+
+def test_help_names_every_command_and_exit_code():
+    result = run('--help')
+
+    assert result.code is Code.OK
+    for name in base.COMMANDS:
+        assert f'  {name} ' in result.text
+    for code in Code:
+        assert str(int(code)) in result.text
+
+
+def test_commands_of_the_product_are_there():
+    main.load_commands()
+
+    assert set(base.COMMANDS) >= {
+        'router',
+        'standin',
+        'rules check',
+        'rules apply',
+        'rules show',
+        'rules history',
+        'rules diff',
+        'explain',
+        'decisions',
+        'status',
+    }
+
+
+def test_version():
+    assert run('--version').text.strip() == lavenderbend.__version__
+
+
+@pytest.mark.parametrize(
+    'argv', [(), ('nothing',), ('rules',), ('router',), ('status', '--x')]
+)
+def test_wrong_command_lines_end_in_usage(argv):
+    assert run(*argv).code is Code.USAGE
+
+
+@pytest.mark.parametrize('name', list(base.COMMANDS))
+def test_help_of_a_command(name):
+    result = run(*name.split(), '--help')
+
+    assert result.code is Code.OK
+    assert f'lavenderbend {name}' in result.text
+
+
+def test_rules_check_of_an_example():
+    result = run('rules', 'check', EXAMPLES / 'correo' / 'rules.yaml')
+
+    assert result.code is Code.OK
+    assert '0 warnings' in result.text
+
+
+def test_rules_check_tells_every_fault_with_its_line():
+    path = ROOTS / 'test-rules-wrong' / 'rules.yaml'
+
+    result = run('rules', 'check', path)
+
+    assert result.code is Code.SETTINGS
+    assert f'{path}:6: rules[0].when.share: ' in result.errors
+    assert 'Traceback' not in result.errors
+    assert len(result.errors.splitlines()) == 5
+
+
+def test_rules_check_warns_and_strict_fails():
+    path = ROOTS / 'test-rules-shadowed' / 'rules.yaml'
+
+    relaxed = run('rules', 'check', path, '--json')
+    strict = run('rules', 'check', path, '--strict')
+
+    assert relaxed.code is Code.OK
+    assert [w['rule'] for w in relaxed.json['warnings']] == [
+        'never-model',
+        'never-share',
+        '',
+    ]
+    assert strict.code is Code.FAILED
+
+
+def test_router_with_wrong_settings_does_not_start():
+    path = ROOTS / 'test-settings-wrong' / 'settings.yaml'
+
+    result = run('router', '--settings', path)
+
+    assert result.code is Code.SETTINGS
+    assert 'callers.port' in result.errors
+
+
+def test_missing_credential_is_told(monkeypatch):
+    monkeypatch.delenv('LAVENDERBEND_CREDENTIAL', raising=False)
+
+    assert run('status').code is Code.SETTINGS
+
+
+def test_unreachable_router_is_told(monkeypatch):
+    monkeypatch.setenv('LAVENDERBEND_CREDENTIAL', 'x')
+
+    result = run('status', '--router', 'http://127.0.0.1:1')
+
+    assert result.code is Code.UNREACHABLE
+    assert 'Traceback' not in result.errors
+
+
+@pytest.fixture
+async def router(nursery, monkeypatch):
+    """An operators' interface on a socket, and commands that ask it."""
+    parts = operator_fakes.make()
+    port = await nursery.start(parts.operators.serve, '127.0.0.1', 0)
+    monkeypatch.setenv('LAVENDERBEND_CREDENTIAL', operator_fakes.SECRET)
+
+    async def ask(*argv):
+        line = (*argv, '--router', f'http://127.0.0.1:{port}')
+        return await trio.to_thread.run_sync(functools.partial(run, *line))
+
+    return parts, ask
+
+
+async def test_status_of_a_router(router):
+    _, ask = router
+
+    text = await ask('status')
+    document = await ask('status', '--json')
+
+    assert text.code is Code.OK
+    assert 'engine-2' in text.text
+    assert document.json['router'] == 'router-1'
+
+
+async def test_wrong_credential_is_refused(router, monkeypatch):
+    _, ask = router
+    monkeypatch.setenv('LAVENDERBEND_CREDENTIAL', 'wrong')
+
+    assert (await ask('status')).code is Code.REFUSED
+
+
+async def test_decisions_and_one_of_them(router):
+    parts, ask = router
+    parts.decisions.add(operator_fakes.decision(1))
+    parts.decisions.add(operator_fakes.decision(2, customer='corte'))
+
+    many = await ask('decisions', '--customer', 'clinica')
+    one = await ask('decisions', 'decision-1')
+    none = await ask('decisions', 'decision-9')
+
+    assert 'decision-1' in many.text
+    assert 'decision-2' not in many.text
+    assert 'passed over engine-2: over bound' in one.text
+    assert none.code is Code.NOT_FOUND
+
+
+async def test_explain_sends_nothing(router):
+    parts, ask = router
+
+    result = await ask(
+        'explain', '--customer', 'clinica', '--model', 'assistant'
+    )
+
+    assert result.code is Code.OK
+    assert 'rule alerts: no, method' in result.text
+    assert 'would be taken' in result.text
+    assert not list(parts.decisions)
+
+
+async def test_shown_rules_are_applied_on_the_revision_they_name(
+    router, tmp_path
+):
+    # story: Ana shows revision 1 and edits it for an hour. Eva's change is
+    # accepted meanwhile. Ana's apply must not undo it: her file says that
+    # it was made from revision 1.
+    parts, ask = router
+    path = tmp_path / 'rules.yaml'
+    path.write_text((await ask('rules', 'show')).text)
+
+    first = await ask('rules', 'apply', path, '--author', 'eva')
+    second = await ask('rules', 'apply', path, '--author', 'ana')
+
+    assert first.code is Code.OK
+    assert second.code is Code.CONFLICT
+    assert 'alerts changed' in second.errors
+    assert len(parts.configurations.revisions) == 2
+
+
+async def test_apply_names_routers_that_lag(router, tmp_path):
+    parts, ask = router
+    parts.configurations.missing = ('router-2',)
+    path = tmp_path / 'rules.yaml'
+    path.write_text(operator_fakes.RULES)
+
+    result = await ask('rules', 'apply', path)
+
+    assert result.code is Code.NOT_IN_FORCE
+    assert 'router-2' in result.text
+
+
+async def test_history_and_diff(router, tmp_path):
+    parts, ask = router
+    parts.decisions.add(operator_fakes.decision(1))
+    path = tmp_path / 'rules.yaml'
+    path.write_text(operator_fakes.RULES.replace('[assistant]', '[other]'))
+
+    history = await ask('rules', 'history', '--json')
+    diff = await ask('rules', 'diff', path)
+
+    assert history.json[0]['author'] == 'ana'
+    assert '1 of 1 decisions would go another way' in diff.text
+
+
+def test_unknown_stand_in_is_told():
+    result = run('standin', 'nothing')
+
+    assert result.code is Code.USAGE
+    assert 'key-value' in result.errors
+
+
+def test_wrong_settings_of_a_stand_in_are_told(tmp_path):
+    path = tmp_path / 'engine.yaml'
+    path.write_text('step_second: 1\n')
+
+    result = run('standin', 'engine', '--settings', path)
+
+    assert result.code is Code.SETTINGS
+    assert 'step_seconds' in result.errors
