--- a/lavenderbend/coordination/ejection.py
+++ b/lavenderbend/coordination/ejection.py
@@ -97,11 +97,13 @@
     Attributes:
         settings: The limits.
         states: By upstream id; forgotten by `forget`.
+        suspects: Those that may be held back; looked at often, so few.
     """
 
     def __init__(self, settings: EjectionSettings | None = None) -> None:
         self.settings = settings or EjectionSettings()
         self.states: dict[str, Health] = {}
+        self.suspects: set[str] = set()
 
     def state(self, upstream: str) -> Health:
         """Returns the state of an upstream."""
@@ -122,6 +124,7 @@
         for upstream in list(self.states):
             if upstream not in keep:
                 del self.states[upstream]
+                self.suspects.discard(upstream)
 
     def note_success(self, upstream: str) -> None:
         """Notes an attempt that the upstream answered."""
@@ -139,6 +142,7 @@
         if not self.is_outlier(state):
             return False
         self.eject(state)
+        self.suspects.add(upstream)
         return True
 
     def is_outlier(self, state: Health) -> bool:
@@ -175,12 +179,13 @@
         state.returns.add(limit=4.0 * self.settings.flaps)
         if state.returns.value() >= self.settings.flaps:
             state.damped = True
+            self.suspects.add(upstream)
 
     def why(self, upstream: str) -> str | None:
         """Returns why an upstream had better be held back, if it had."""
-        state = self.states.get(upstream)
-        if state is None:
+        if upstream not in self.suspects:
             return None
+        state = self.states[upstream]
         left = state.ejected_until - trio.current_time()
         if left > 0:
             return f'ejected for failures, {left:.1f} s left'
@@ -188,6 +193,7 @@
             state.damped = False
         if state.damped:
             return f'flapping, {state.returns.value():.2f} returns'
+        self.suspects.discard(upstream)
         return None
 
     def held(self, members: Iterable[str]) -> frozenset[str]:
--- a/lavenderbend/coordination/membership/candidates.py
+++ b/lavenderbend/coordination/membership/candidates.py
@@ -133,7 +133,7 @@
         )
         held = frozenset(
             name
-            for name in self.fleet.ejector.states
+            for name in tuple(self.fleet.ejector.suspects)
             if self.fleet.ejector.why(name) is not None
         )
         unlisted = frozenset(
--- a/lavenderbend/coordination/membership/list_reader.py
+++ b/lavenderbend/coordination/membership/list_reader.py
@@ -80,4 +80,4 @@
         changes = self.fleet.listing.merge_read(vms)
         self.read.set()
         # what the first read shows is news to this router alone
-        self.fleet.list_changed(changes, spread=not first)
+        self.fleet.news.list_changed(changes, spread=not first)
--- a/lavenderbend/coordination/membership/listing.py
+++ b/lavenderbend/coordination/membership/listing.py
@@ -60,15 +60,18 @@
         self.lines: dict[str, Line] = {}
         self.read_at = -math.inf
         self.distrusted = 0
-        self.distrust_in_row = 0
+        self.loss_since: float | None = None
+        self.kept: tuple[upstreams.Vm, ...] | None = None
 
     def vms(self) -> tuple[upstreams.Vm, ...]:
         """Returns the VMs that are not gone, with their states."""
-        return tuple(
-            line.vm
-            for line in self.lines.values()
-            if line.state is not messages.ListState.GONE
-        )
+        if self.kept is None:
+            self.kept = tuple(
+                line.vm
+                for line in self.lines.values()
+                if line.state is not messages.ListState.GONE
+            )
+        return self.kept
 
     def state(self, vm_id: str) -> messages.ListState | None:
         """Returns the state of a VM, None if it was never listed."""
@@ -102,17 +105,14 @@
         lost = sum(1 for vm in known if vm.id not in shown)
         limit = self.settings.list_drop_share * len(known)
         if lost <= max(limit, 1.0):
-            self.distrust_in_row = 0
+            self.loss_since = None
             return False
-        self.distrust_in_row += 1
-        self.distrusted += 1
-        hold = self.settings.unlisted_hold
-        if trio.current_time() - self.read_at > hold:
-            self.distrust_in_row = 0
-            return False
-        if self.distrust_in_row == 1:
+        now = trio.current_time()
+        if self.loss_since is None:
+            self.loss_since = now
             logs.change('vm_list_distrusted', lost=lost, known=len(known))
-        return True
+        self.distrusted += 1
+        return now - self.loss_since <= self.settings.unlisted_hold
 
     def merge_shown(self, vm: upstreams.Vm) -> list[messages.VmChange]:
         """Takes one VM that the list shows."""
@@ -125,6 +125,7 @@
         if line.vm != vm and line.state is state:
             # only the state moves; other fields of a VM are taken as shown
             line.vm = vm
+            self.kept = None
         return [change] if changed else []
 
     def merge_missing(self, line: Line) -> list[messages.VmChange]:
@@ -157,6 +158,7 @@
         if line is None:
             vm = from_change(change)
             self.lines[change.vm] = Line(vm, state, now)
+            self.kept = None
             return True
         if line.state is messages.ListState.GONE and now - line.since < (
             GONE_HOLD
@@ -167,6 +169,7 @@
         if state is line.state:
             return False
         line.vm = from_change(change)
+        self.kept = None
         line.state = state
         line.since = now
         line.missed = 0
--- a/lavenderbend/coordination/membership/probes.py
+++ b/lavenderbend/coordination/membership/probes.py
@@ -19,6 +19,7 @@
 # every so many periods a router that is believed dead is probed too
 DEAD_PROBE_PERIODS = 5
 SYNC_PEERS = 3
+JOIN_PERIOD = 0.1  # seconds
 
 PROBES = metrics.counter(
     'lavenderbend_membership_probes_total',
@@ -94,7 +95,7 @@
         """Probes a router, then through others; suspects it if in vain."""
         if await self.reaches(target):
             PROBES.inc({'result': 'direct'})
-            self.fleet.note_answer(target)
+            self.fleet.news.note_answer(target)
             return
         item = self.fleet.table.get(target)
         if item is None or not item.answers:
@@ -103,11 +104,11 @@
             PROBES.inc({'result': 'indirect'})
             return
         PROBES.inc({'result': 'none'})
-        self.fleet.suspect(target)
+        self.fleet.news.suspect(target)
 
     async def reaches(self, target: str) -> bool:
         """Returns whether a router answers a direct probe."""
-        ping = messages.Ping(self.fleet.updates_for(target))
+        ping = messages.Ping(self.fleet.news.updates_for(target))
         try:
             answer = await self.fleet.link.request(
                 target, ping, self.fleet.settings.probe_timeout
@@ -115,7 +116,7 @@
         except errors.PeerError:
             return False
         if isinstance(answer, messages.Ack):
-            self.fleet.take_updates(answer.updates)
+            self.fleet.news.take_updates(answer.updates)
         return True
 
     async def reaches_through_others(self, target: str) -> bool:
@@ -143,7 +144,9 @@
         nursery: trio.Nursery,
     ) -> None:
         """Asks another router to probe in our place."""
-        message = messages.PingThrough(target, self.fleet.updates_for(helper))
+        message = messages.PingThrough(
+            target, self.fleet.news.updates_for(helper)
+        )
         try:
             await self.fleet.link.request(
                 helper, message, self.fleet.settings.indirect_timeout
@@ -153,9 +156,26 @@
         found.append(True)
         nursery.cancel_scope.cancel()
 
+    async def join(self) -> None:
+        """Waits for the VM list, or for a peer that knows it, and syncs.
+
+        A router that starts while the list is down knows nobody. The
+        others still have it in their lists and probe it, and from the
+        first of them it learns the list and the fleet.
+        """
+        while True:
+            await self.sync()
+            if self.fleet.has_list():
+                return
+            await trio.sleep(JOIN_PERIOD)
+
     async def sync(self) -> None:
         """Learns from some routers all that they believe."""
-        names = [item.vm.id for item in self.fleet.table if item.listed]
+        names = [
+            item.vm.id
+            for item in self.fleet.table
+            if item.listed or item.answers
+        ]
         count = min(SYNC_PEERS, len(names))
         async with trio.open_nursery() as nursery:
             for name in self.fleet.rng.sample(names, count):
@@ -164,7 +184,7 @@
     async def sync_with(self, name: str) -> None:
         """Learns from one router all that it believes."""
         ask = messages.SyncAsk(
-            self.fleet.updates_for(name), not self.fleet.has_list()
+            self.fleet.news.updates_for(name), not self.fleet.has_list()
         )
         timeout = self.fleet.settings.indirect_timeout
         try:
@@ -172,5 +192,5 @@
         except errors.PeerError:
             return
         if isinstance(answer, messages.SyncAnswer):
-            self.fleet.take_updates(answer.updates)
-            self.fleet.note_answer(name)
+            self.fleet.news.take_updates(answer.updates, spread=False)
+            self.fleet.news.note_answer(name)
--- a/lavenderbend/coordination/membership/reports.py
+++ b/lavenderbend/coordination/membership/reports.py
@@ -19,6 +19,8 @@
 
 Kind = messages.FactKind
 
+POLL_SHARDS = 256
+CHOOSE_PERIOD = 10.0  # seconds, should admission change its mind
 MAX_POLLS = 32  # at the same time
 FAST_RETRY = 0.25  # seconds from a failed report to the next
 TURN = 0.05  # seconds between looks at what is due
@@ -61,14 +63,30 @@
         self.polled: dict[str, Polled] = {}
         self.poked: dict[str, float] = {}
         self.polls = 0
+        self.shards: frozenset[int] = frozenset()
+        self.shards_for: tuple[str, ...] = ()
 
     def wants(self, vm: upstreams.Vm) -> bool:
         """Returns whether this router polls an engine."""
         if self.fleet.wants_report is not None:
             return self.fleet.wants_report(vm)
+        return hashing.hash64(vm.id) % POLL_SHARDS in self.shards
+
+    def own_shards(self) -> frozenset[int]:
+        """Returns the shards of engines that this router polls.
+
+        An order of all routers for each of thousands of engines would take
+        most of a second at each change of the fleet; for shards it takes
+        milliseconds.
+        """
         routers = self.fleet.region_routers()
-        order = hashing.rendezvous_order(vm.id, routers)
-        return self.fleet.vm.id in order[: self.fleet.settings.report_pollers]
+        count = self.fleet.settings.report_pollers
+        own = self.fleet.vm.id
+        return frozenset(
+            shard
+            for shard in range(POLL_SHARDS)
+            if own in hashing.rendezvous_order(f'poll-{shard}', routers)[:count]
+        )
 
     def wanted(self) -> list[upstreams.Vm]:
         """Returns the engines that this router polls."""
@@ -87,6 +105,10 @@
 
     def choose(self) -> None:
         """Decides anew which engines to poll."""
+        routers = self.fleet.region_routers()
+        if routers != self.shards_for and self.fleet.wants_report is None:
+            self.shards_for = routers
+            self.shards = self.own_shards()
         wanted = {vm.id for vm in self.wanted()}
         now = trio.current_time()
         period = self.period(len(wanted))
@@ -111,8 +133,7 @@
             while True:
                 now = trio.current_time()
                 view = self.fleet.view
-                # admission may change its mind without a change of view
-                if view != chosen_for or now - chosen_at > 1.0:
+                if view != chosen_for or now - chosen_at > CHOOSE_PERIOD:
                     self.choose()
                     chosen_for = view
                     chosen_at = now
@@ -176,12 +197,12 @@
         self.reports[vm_id] = report
         self.taken_at[vm_id] = trio.current_time() - report.age
         if report.draining:
-            self.fleet.observe(vm_id, Kind.DRAINING, report.instance)
+            self.fleet.news.observe(vm_id, Kind.DRAINING, report.instance)
             return
         restarted = before is not None and before.instance != report.instance
         ended = before is not None and before.draining
         if restarted or ended or self.fleet.facts.why(vm_id) is not None:
-            self.fleet.observe(vm_id, Kind.RETURNED, report.instance)
+            self.fleet.news.observe(vm_id, Kind.RETURNED, report.instance)
 
     async def confirm(self, vm_id: str) -> None:
         """Has others try an upstream that this router does not reach.
@@ -198,9 +219,9 @@
             for helper in self.fleet.rng.sample(others, count):
                 nursery.start_soon(self.ask, helper, vm_id, answers)
         if answers and not any(answers):
-            self.fleet.observe(vm_id, Kind.UNREACHABLE)
+            self.fleet.news.observe(vm_id, Kind.UNREACHABLE)
             return
-        self.fleet.observe_alone(vm_id)
+        self.fleet.news.observe_alone(vm_id)
 
     async def ask(self, helper: str, vm_id: str, answers: list[bool]) -> None:
         """Asks another router whether it reaches an upstream."""
--- a/lavenderbend/coordination/membership/routers.py
+++ b/lavenderbend/coordination/membership/routers.py
@@ -84,16 +84,18 @@
         fleet that believes it dead. Only the router itself counts its
         incarnation up, so its word goes before all that was said of an
         earlier incarnation.
+
+        Raises:
+            ValueError: The update has values that are none of ours.
         """
+        state = State(update.state)
         if update.incarnation < self.incarnation:
             return False
-        if update.state == self.state and (
-            update.incarnation == self.incarnation
-        ):
+        if state is self.state and (update.incarnation == self.incarnation):
             return False
         if self.state is State.LEFT:
-            return update.state != State.LEFT
-        if update.state == State.ALIVE:
+            return state is not State.LEFT
+        if state is State.ALIVE:
             # an earlier process under this id; this one goes before it
             self.incarnation = max(self.incarnation, update.incarnation)
             return False
--- a/lavenderbend/coordination/upstream_health.py
+++ b/lavenderbend/coordination/upstream_health.py
@@ -17,7 +17,6 @@
 # a fact is forgotten this many seconds after it has ended; until then its
 # number tells a late copy from news
 FORGET_AFTER = 60.0
-MAX_HOLD = 300.0
 
 
 @attrs.frozen
@@ -78,8 +77,6 @@
             ValueError: The fact has values that are none of ours.
         """
         kind = Kind(fact.kind)
-        if not 0 <= fact.seconds <= MAX_HOLD:
-            raise ValueError(f'a fact for {fact.seconds} s')
         known = self.facts.setdefault(fact.upstream, {})
         old = known.get((kind, fact.observer))
         if old is not None and old.sequence >= fact.sequence:
--- a/lavenderbend/protocol/messages_membership.py
+++ b/lavenderbend/protocol/messages_membership.py
@@ -8,6 +8,19 @@
 
 from lavenderbend.protocol import peer
 
+# what comes from another process is checked before it is taken: a wrong
+# type would otherwise show much later, in the midst of a decision
+TEXT = attrs.validators.instance_of(str)
+WHOLE = attrs.validators.and_(
+    attrs.validators.instance_of(int), attrs.validators.ge(0)
+)
+SECONDS = attrs.validators.and_(
+    attrs.validators.instance_of((int, float)),
+    attrs.validators.ge(0),
+    attrs.validators.le(300),
+)
+LIST = attrs.validators.instance_of(list)
+
 PROTOCOL_VERSION = 1
 MIN_PROTOCOL_VERSION = 1
 
@@ -56,9 +69,9 @@
         instance: Differs for each process that runs under the id.
     """
 
-    router: str
-    version: int
-    instance: int = 0
+    router: str = attrs.field(validator=TEXT)
+    version: int = attrs.field(validator=WHOLE)
+    instance: int = attrs.field(default=0, validator=WHOLE)
 
 
 @peer.message(81)
@@ -76,7 +89,7 @@
         updates: Messages by `peer.to_wire`.
     """
 
-    updates: list = attrs.field(factory=list)
+    updates: list = attrs.field(factory=list, validator=LIST)
 
 
 @peer.message(83)
@@ -88,7 +101,7 @@
         updates: Messages by `peer.to_wire`.
     """
 
-    updates: list = attrs.field(factory=list)
+    updates: list = attrs.field(factory=list, validator=LIST)
 
 
 @peer.message(84)
@@ -101,8 +114,8 @@
         updates: Messages by `peer.to_wire`.
     """
 
-    target: str
-    updates: list = attrs.field(factory=list)
+    target: str = attrs.field(validator=TEXT)
+    updates: list = attrs.field(factory=list, validator=LIST)
 
 
 @peer.message(85)
@@ -120,13 +133,13 @@
         region: Its region.
     """
 
-    router: str
-    state: int
-    incarnation: int
-    host: str = ''
-    port: int = 0
-    availability_zone: str = ''
-    region: str = ''
+    router: str = attrs.field(validator=TEXT)
+    state: int = attrs.field(validator=WHOLE)
+    incarnation: int = attrs.field(validator=WHOLE)
+    host: str = attrs.field(default='', validator=TEXT)
+    port: int = attrs.field(default=0, validator=WHOLE)
+    availability_zone: str = attrs.field(default='', validator=TEXT)
+    region: str = attrs.field(default='', validator=TEXT)
 
 
 @peer.message(86)
@@ -143,12 +156,12 @@
         instance: Instance id that it was seen of, empty if unknown.
     """
 
-    upstream: str
-    kind: int
-    observer: str
-    sequence: int
-    seconds: float
-    instance: str = ''
+    upstream: str = attrs.field(validator=TEXT)
+    kind: int = attrs.field(validator=WHOLE)
+    observer: str = attrs.field(validator=TEXT)
+    sequence: int = attrs.field(validator=WHOLE)
+    seconds: float = attrs.field(validator=SECONDS)
+    instance: str = attrs.field(default='', validator=TEXT)
 
 
 @peer.message(87)
@@ -167,14 +180,14 @@
         kind: Value of its `UpstreamKind`.
     """
 
-    vm: str
-    state: int
-    host: str
-    port: int
-    availability_zone: str
-    region: str
-    service: str
-    kind: str
+    vm: str = attrs.field(validator=TEXT)
+    state: int = attrs.field(validator=WHOLE)
+    host: str = attrs.field(validator=TEXT)
+    port: int = attrs.field(validator=WHOLE)
+    availability_zone: str = attrs.field(validator=TEXT)
+    region: str = attrs.field(validator=TEXT)
+    service: str = attrs.field(validator=TEXT)
+    kind: str = attrs.field(validator=TEXT)
 
 
 @peer.message(88)
@@ -186,7 +199,7 @@
         updates: Messages by `peer.to_wire`.
     """
 
-    updates: list
+    updates: list = attrs.field(validator=LIST)
 
 
 @peer.message(89)
@@ -199,7 +212,7 @@
         want_list: Whether the asker needs the VM list too.
     """
 
-    updates: list = attrs.field(factory=list)
+    updates: list = attrs.field(factory=list, validator=LIST)
     want_list: bool = False
 
 
@@ -212,7 +225,7 @@
         updates: Messages by `peer.to_wire`.
     """
 
-    updates: list
+    updates: list = attrs.field(validator=LIST)
 
 
 @peer.message(91)
@@ -224,4 +237,4 @@
         upstream: VM id.
     """
 
-    upstream: str
+    upstream: str = attrs.field(validator=TEXT)
--- a/lavenderbend/transport/peer_connections.py
+++ b/lavenderbend/transport/peer_connections.py
@@ -179,11 +179,6 @@
         Raises:
             PeerProtocolError: It is not, or speaks another version.
         """
-        numbers = (hello.version, hello.instance)
-        if not isinstance(hello.router, str) or not all(
-            isinstance(number, int) for number in numbers
-        ):
-            raise errors.PeerProtocolError('the hello is malformed')
         if expected is not None and hello.router != expected:
             raise errors.PeerProtocolError(
                 f'{expected} was dialed and {hello.router} answers'
