Play each answer fault against the path; name answers by their request

An engine that began a stream with another answer's first event got it past the echo check of the head (test swap at event 0). The id of the answer must now hold the request's id, as the engine's contract says.

--- a/lavenderbend/coordination/dispatch/attempts.py
+++ b/lavenderbend/coordination/dispatch/attempts.py
@@ -105,7 +105,8 @@
                 raise errors.UpstreamBroke('the answer is no stream')
             return bodies.StreamBody(answer, limits, check)
         if chat and whole:
-            return bodies.HeldBody(answer, limits, chat=True)
+            name = self.parts.answer_name(self.request.id)
+            return bodies.HeldBody(answer, limits, chat=True, named_by=name)
         length = bodies.stated_length(answer.start)
         if length is not None and length <= self.parts.settings.held_bytes:
             return bodies.HeldBody(answer, limits, chat=False)
--- a/lavenderbend/coordination/dispatch/bodies.py
+++ b/lavenderbend/coordination/dispatch/bodies.py
@@ -66,6 +66,7 @@
 
     Attributes:
         chat: Whether it must be a whole chat answer.
+        named_by: Text that the id of a chat answer must hold.
         given: Whether the body was passed on.
     """
 
@@ -74,9 +75,11 @@
         answer: interfaces.UpstreamAnswer,
         limits: http_limits.AnswerLimits,
         chat: bool,
+        named_by: str = '',
     ) -> None:
         super().__init__(answer, limits)
         self.chat = chat
+        self.named_by = named_by
         self.given = False
 
     async def next_piece(self) -> bytes | None:
@@ -85,7 +88,7 @@
             return None
         body = await self.read_whole()
         if self.chat:
-            openai.check_whole(body)
+            openai.check_whole(body, self.named_by)
         self.given = True
         return body
 
--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -176,7 +176,7 @@
         claim = await self.claims.claim(
             run.request.customer,
             key,
-            hashing.hash64(run.request.path, run.request.body),
+            once.body_digest(run.request),
             run.deadline,
         )
         token = getattr(claim, 'token', None)
--- a/lavenderbend/coordination/dispatch/exchange.py
+++ b/lavenderbend/coordination/dispatch/exchange.py
@@ -64,7 +64,9 @@
         self.chat = chat
         self.span = span
         self.deadline = request.arrived + rule.then.timeout
-        self.check = relay.StreamCheck(parts.settings.answers.event_bytes)
+        self.check = relay.StreamCheck(
+            parts.settings.answers.event_bytes, parts.answer_name(request.id)
+        )
         self.attempt: attempts.Attempt | None = None
         self.avoid: list[str] = []
         self.tries = 0
--- a/lavenderbend/coordination/dispatch/parts.py
+++ b/lavenderbend/coordination/dispatch/parts.py
@@ -70,6 +70,9 @@
         crash_check_seconds: Time for finding out whether an upstream that
             lost a request has crashed.
         retry_after_seconds: Told to callers whose request was not run.
+        answers_named_by_request: Whether engines take the request's id over
+            into the `id` of a chat answer; an answer without it is then
+            somebody else's.
         require_idempotency_key: Whether a non-idempotent request without an
             Idempotency-Key is refused.
     """
@@ -81,6 +84,7 @@
     retries: retries.RetrySettings = attrs.field(factory=retries.RetrySettings)
     crash_check_seconds: float = 0.5
     retry_after_seconds: float = 1.0
+    answers_named_by_request: bool = True
     require_idempotency_key: bool = True
 
 
@@ -126,3 +130,7 @@
             found = retries.RetryBudget(self.settings.retries)
             self.retry_budgets[pool] = found
         return found
+
+    def answer_name(self, request_id: str) -> str:
+        """Returns what the id of a chat answer must hold."""
+        return request_id if self.settings.answers_named_by_request else ''
--- a/lavenderbend/coordination/dispatch/relay.py
+++ b/lavenderbend/coordination/dispatch/relay.py
@@ -19,6 +19,7 @@
     Attributes:
         parser: Cuts the bytes into events.
         max_bytes: Size of the largest event.
+        named_by: Text that the id of the answer must hold.
         answer_id: Id that the caller saw in the first event.
         source_id: Id in the events of the current upstream.
         next_offset: Number that the next event must have, if numbered.
@@ -34,8 +35,9 @@
         pending: An error that came after events that were passed on.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, named_by: str = '') -> None:
         self.max_bytes = max_bytes
+        self.named_by = named_by
         self.parser = sse.Parser(max_bytes)
         self.answer_id: str | None = None
         self.source_id: str | None = None
@@ -134,6 +136,10 @@
     def check_id(self, source_id: str) -> None:
         """Checks that all events carry the id of one answer."""
         if self.source_id is None:
+            # the head carried the right id, but an upstream that mixes up
+            # its streams may begin with somebody else's first event
+            if self.named_by not in source_id:
+                raise errors.AnswerMismatch('an event of another request')
             self.source_id = source_id
             if self.answer_id is None:
                 self.answer_id = source_id
--- a/lavenderbend/protocol/openai.py
+++ b/lavenderbend/protocol/openai.py
@@ -184,16 +184,24 @@
     return orjson.dumps(document)
 
 
-def check_whole(body: bytes) -> None:
+def check_whole(body: bytes, named_by: str) -> None:
     """Checks that a body is a whole chat answer.
 
+    Args:
+        body: The body.
+        named_by: Text that the id of the answer must hold.
+
     Raises:
-        UpstreamBroke: It is not.
+        UpstreamBroke: It is no chat answer.
+        AnswerMismatch: It is the answer to another request.
     """
     try:
         document = orjson.loads(body)
         whole = bool(document['choices'])
+        named = named_by in document['id']
     except (ValueError, TypeError, LookupError) as exc:
         raise errors.UpstreamBroke('the answer is no chat answer') from exc
     if not whole:
         raise errors.UpstreamBroke('the answer has no choices')
+    if not named:
+        raise errors.AnswerMismatch('the answer is to another request')
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -84,9 +84,13 @@
     def __init__(self) -> None:
         self.results: list[tuple[str, Exception | None]] = []
         self.draining: list[str] = []
+        self.engines: dict[str, engine_app.Engine] = {}
 
-    def report(self, upstream: str) -> None:
-        return None
+    def report(self, upstream: str) -> upstreams.LoadReport | None:
+        engine = self.engines.get(upstream)
+        if engine is None:
+            return None
+        return upstreams.LoadReport(upstream, engine.instance, 0, 0)
 
     def note_result(self, upstream: str, error: Exception | None) -> None:
         self.results.append((upstream, error))
@@ -260,6 +264,9 @@
         configurations = FakeConfigurations(document(**then))
         admission = FakeAdmission(vms)
         membership = FakeMembership()
+        membership.engines = {
+            f'e{index}': engine for index, engine in enumerate(made_engines)
+        }
         claims = FakeClaims()
         quarantine = FakeQuarantine()
         store = decisions.DecisionStore()
