--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 
 import attrs
 from opentelemetry import trace
+import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination.dispatch import answers
@@ -17,6 +18,7 @@
 from lavenderbend.coordination.dispatch import records
 from lavenderbend.coordination.dispatch import spans
 from lavenderbend.protocol import openai
+from lavenderbend.state import claims as claims_state
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
@@ -30,6 +32,7 @@
     from lavenderbend.state import requests
 
 LENGTH = 'content-length'
+OK = 200
 
 
 class Dispatcher:
@@ -174,26 +177,36 @@
                 'no claims log', run.parts.settings.retry_after_seconds
             )
         claim = await self.claims.claim(
-            run.request.customer,
-            key,
-            once.body_digest(run.request),
-            run.deadline,
+            run.request.customer, key, once.digest(run.request), run.deadline
         )
-        token = getattr(claim, 'token', None)
-        if token is None:
+        if isinstance(claim, claims_state.Recorded):
             return replay(run, claim, finish)
-        try:
-            body = await once.run_whole(run)
-        except errors.RequestError as exc:
-            await self.claims.record(token, exc.outcome, exc.status)
-            raise
+        with trio.CancelScope(shield=True):
+            body = await self.run_claimed(run, claim.token)
         start = run.attempt.answer.start
-        await self.claims.record(token, errors.Outcome.COMPLETE, start.status)
         headers = answer_headers(start, self.name, len(body))
         return answers.Answer(
             start.status, headers, run.decision.id, body, None, finish
         )
 
+    async def run_claimed(self, run: exchange.Exchange, token: Any) -> bytes:
+        """Runs a claimed request and records its outcome.
+
+        Shielded by its caller: without its outcome, the claim would leave
+        every further copy of the request unanswered.
+        """
+        outcome, status = errors.Outcome.UNKNOWN, None
+        try:
+            body = await once.run_whole(run)
+            outcome = errors.Outcome.COMPLETE
+            status = run.attempt.answer.start.status
+        except errors.RequestError as exc:
+            outcome, status = exc.outcome, exc.status
+            raise
+        finally:
+            await once.record(self.claims, token, outcome, status)
+        return body
+
     def finish(
         self,
         request: requests.Request,
@@ -244,17 +257,20 @@
 
 
 def replay(
-    run: exchange.Exchange, recorded: Any, finish: Any
+    run: exchange.Exchange, recorded: claims_state.Recorded, finish: Any
 ) -> answers.Answer:
-    """Returns the answer to a further copy of a request that has run."""
+    """Returns the answer to a further copy of a request that has run.
+
+    Raises:
+        RequestError: The first copy did not end well.
+    """
     once.replays.inc({})
-    outcome = getattr(recorded.outcome, 'value', recorded.outcome)
-    body = once.replay_body(outcome, recorded.status)
+    once.check_recorded(recorded)
+    status = recorded.status or OK
+    body = once.replay_body(recorded.outcome, status)
     headers = {
         'content-type': 'application/json',
         LENGTH: str(len(body)),
         once.REPLAYED: '1',
     }
-    return answers.Answer(
-        recorded.status or 200, headers, run.decision.id, body, None, finish
-    )
+    return answers.Answer(status, headers, run.decision.id, body, None, finish)
--- a/lavenderbend/transport/callers.py
+++ b/lavenderbend/transport/callers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
 
-import eliot
 from opentelemetry import trace
 import quart
 import quart_trio
@@ -15,6 +15,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.dispatch import spans
+from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import chat_keys
 from lavenderbend.protocol import http_limits
@@ -97,6 +98,7 @@
         limits: Limits on requests.
         availability_zone: Zone of this router.
         credentials: Finds customers.
+        membership_ready: Set once the VMs are known; not ready before.
         stopping: Whether the router is about to stop.
         app: The application of quart.
     """
@@ -107,12 +109,14 @@
         configurations: interfaces.Configurations,
         limits: http_limits.HttpLimits | None = None,
         availability_zone: str = '',
+        membership_ready: trio.Event | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.configurations = configurations
         self.limits = limits or http_limits.HttpLimits()
         self.availability_zone = availability_zone
         self.credentials = caller_credentials.Credentials()
+        self.membership_ready = membership_ready
         self.stopping = False
         self.app = self.make_app()
 
@@ -161,6 +165,9 @@
             self.configurations.current()
         except errors.NoConfiguration as exc:
             return self.problem(exc, '')
+        ready = self.membership_ready
+        if ready is not None and not ready.is_set():
+            return self.problem(errors.NoUpstream('VMs not yet known'), '')
         return quart.Response('ready\n', content_type='text/plain')
 
     async def forward(self, path: str = '') -> quart.Response:
@@ -289,5 +296,6 @@
         """Answers a fault of the router without telling its insides."""
         internal_errors.inc({'error': type(error).__name__})
         # a fault of the program itself, which no counter can explain
-        eliot.write_traceback()
+        lines = traceback.format_exception(error)
+        logs.change('internal_error', id=request_id, traceback=''.join(lines))
         return self.problem(InternalError('the router failed'), request_id)
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -21,6 +21,7 @@
 from lavenderbend.protocol import http_limits
 from lavenderbend.standin import engine as engine_app
 from lavenderbend.standin import plain_service
+from lavenderbend.state import claims
 from lavenderbend.state import configuration
 from lavenderbend.state import decisions
 from lavenderbend.state import upstreams
@@ -130,17 +131,6 @@
         self.results.append(result)
 
 
-@attrs.define
-class FakeClaimed:
-    token: tuple[str, str]
-
-
-@attrs.define
-class FakeRecorded:
-    outcome: errors.Outcome
-    status: int
-
-
 class FakeClaims:
     """The claims log of one router, in memory."""
 
@@ -152,7 +142,7 @@
 
     async def claim(
         self, customer: str, key: str, digest: Any, deadline: float
-    ) -> FakeClaimed | FakeRecorded:
+    ) -> claims.Claimed | claims.Recorded:
         await trio.lowlevel.checkpoint()
         if self.unavailable:
             raise errors.ClaimUnavailable('no claims now', 1.0)
@@ -160,11 +150,11 @@
         if token not in self.digests:
             self.digests[token] = digest
             self.recorded[token] = trio.Event()
-            return FakeClaimed(token)
+            return claims.Claimed(token)
         if self.digests[token] != digest:
             raise errors.IdempotencyKeyReused('another body')
         await self.recorded[token].wait()
-        return FakeRecorded(*self.outcomes[token])
+        return claims.Recorded(*self.outcomes[token])
 
     async def record(self, token: Any, outcome: Any, status: int) -> None:
         if outcome is errors.Outcome.NOT_RUN:
@@ -267,7 +257,7 @@
         membership.engines = {
             f'e{index}': engine for index, engine in enumerate(made_engines)
         }
-        claims = FakeClaims()
+        fake_claims = FakeClaims()
         quarantine = FakeQuarantine()
         store = decisions.DecisionStore()
         budgets: dict[str, retries.RetryBudget] = {}
@@ -279,7 +269,7 @@
             admission,
             upstream_client,
             membership,
-            claims,
+            fake_claims,
             quarantine,
             None,
             store,
@@ -302,7 +292,7 @@
                 made_services,
                 admission,
                 membership,
-                claims,
+                fake_claims,
                 quarantine,
                 store,
                 dispatcher,
