Serve a request from end to end through separate processes

Cause: the parts stood alone; nobody could send a request. Before: no router process. Conclusion: the thin path stands; proofs under failure come next.

--- /dev/null
+++ b/lavenderbend/daemon/router.py
@@ -0,0 +1,303 @@
+"""One router: the parts of the library put together and run."""
+
+from __future__ import annotations
+
+import random
+import signal
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend.coordination import admission as admission_module
+from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination import configuration_follower
+from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination import dispatch
+from lavenderbend.coordination import limits as limits_module
+from lavenderbend.coordination import membership as membership_module
+from lavenderbend.coordination import quarantine as quarantine_module
+from lavenderbend.coordination import rules as rules_module
+from lavenderbend.daemon import adapters
+from lavenderbend.observe import logs
+from lavenderbend.protocol import http_limits
+from lavenderbend.state import decisions as decisions_module
+from lavenderbend.state import upstreams
+from lavenderbend.transport import callers
+from lavenderbend.transport import operators
+from lavenderbend.transport import serving
+from lavenderbend.transport import upstream_http
+
+if TYPE_CHECKING:
+    from lavenderbend.state import settings as settings_module
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class RouterDaemon:
+    """One router process, or one of several in a demo.
+
+    Attributes:
+        settings: What the router was told at its start.
+        rng: Source of jitter.
+        store: The key-value service.
+        link: Messages to other routers.
+        membership: Routers and upstreams.
+        configurations: The revision in force.
+        admission: Permits.
+        claims: At most once.
+        quarantine: Requests that crash upstreams.
+        limits: Limits of customers.
+        dispatcher: The request path.
+        decisions: The latest decisions.
+        caller_app: The callers' interface.
+        operator_app: The operators' interface.
+        caller_port: Bound port for callers.
+        operator_port: Bound port for operators.
+        stopping: Set to begin a graceful stop.
+        stopped: Set when the last request has ended.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.RouterSettings,
+        peer_port: int | None = None,
+    ) -> None:
+        """Makes a router that does nothing until `run`.
+
+        Args:
+            settings: What the router is told.
+            peer_port: The port that other routers see, if it is not the
+                one in the settings.
+
+        Raises:
+            PeerTlsRequired: Peers would be served beyond loopback without
+                TLS.
+        """
+        self.settings = settings
+        self.rng = random.Random(settings.seed)  # noqa: S311 - jitter only
+        self.stopping = trio.Event()
+        self.stopped = trio.Event()
+        self.caller_port = 0
+        self.operator_port = 0
+        peers = settings.peers
+        self.make_platform(peer_port or peers.advertised_port or peers.port)
+        self.make_decisions()
+        self.make_servers()
+
+    def make_platform(self, peer_port: int) -> None:
+        """Makes what speaks to the platform, peers and upstreams."""
+        settings = self.settings
+        self.vm = upstreams.Vm(
+            id=settings.id,
+            host=settings.peers.host,
+            port=peer_port,
+            availability_zone=settings.availability_zone,
+            service=adapters.ROUTER_SERVICE,
+            kind=upstreams.UpstreamKind.ROUTER,
+            region=settings.region,
+        )
+        self.store = adapters.make_store(settings.key_value, self.rng)
+        self.link = adapters.make_link(settings)
+        self.upstream_client = upstream_http.HttpUpstreamClient()
+        self.membership = membership_module.FleetMembership(
+            self.vm,
+            adapters.make_vm_list(settings.vm_list),
+            self.link,
+            self.upstream_client,
+            self.rng,
+            adapters.membership_settings(settings.vm_list),
+        )
+
+    def make_decisions(self) -> None:
+        """Makes what decides where requests go."""
+        settings = self.settings
+        prefix = settings.key_value.prefix
+        self.configuration_log = configuration_log.ConfigurationLog(
+            self.store, f'{prefix}configuration/'
+        )
+        self.configurations = configuration_follower.ConfigurationFollower(
+            settings.id,
+            self.store,
+            self.link,
+            self.membership,
+            self.rng,
+            f'{prefix}configuration/',
+            settings.configuration.when_cut_off,
+            settings.configuration.cut_off_seconds,
+        )
+        self.admission = admission_module.OwnerAdmission(
+            settings.id,
+            self.link,
+            self.membership,
+            self.configurations,
+            self.rng,
+        )
+        self.claims = claims_module.Claims(
+            settings.id,
+            self.store,
+            self.link,
+            self.membership,
+            self.rng,
+            f'{prefix}claims/',
+        )
+        self.quarantine = quarantine_module.Quarantine(
+            settings.id, self.store, self.link, self.membership
+        )
+        self.limits = limits_module.CustomerLimits(
+            settings.id, self.link, self.membership, self.configurations
+        )
+
+    def make_servers(self) -> None:
+        """Makes what callers and operators speak to."""
+        settings = self.settings
+        self.decisions = decisions_module.DecisionStore(
+            settings.decisions.capacity
+        )
+        self.rules = rules_module.RuleSet()
+        self.dispatcher = dispatch.Dispatcher(
+            settings.id,
+            self.configurations,
+            self.rules,
+            self.admission,
+            self.upstream_client,
+            self.membership,
+            self.claims,
+            self.quarantine,
+            self.limits,
+            self.decisions,
+            {},
+            self.rng,
+        )
+        self.caller_app = callers.CallerApp(
+            self.dispatcher,
+            self.configurations,
+            adapters.caller_limits(settings.callers),
+            settings.availability_zone,
+            self.membership.ready,
+        )
+        self.operator_app = operators.OperatorApp(
+            settings.id,
+            self.configurations,
+            self.configuration_log,
+            self.membership,
+            self.decisions,
+            self.admission,
+            self.link,
+            self.rules,
+            settings,
+        )
+
+    def stop(self) -> None:
+        """Begins a graceful stop."""
+        self.stopping.set()
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs until a graceful stop has ended.
+
+        Args:
+            task_status: Told when callers can be served.
+        """
+        async with trio.open_nursery() as nursery:
+            self.start_parts(nursery)
+            operators_shutdown = trio.Event()
+            self.operator_port = await nursery.start(
+                self.serve_operators, operators_shutdown
+            )
+            callers_shutdown = trio.Event()
+            self.caller_port = await nursery.start(
+                self.serve_callers, callers_shutdown
+            )
+            logs.change(
+                'router_started',
+                router=self.settings.id,
+                caller_port=self.caller_port,
+                operator_port=self.operator_port,
+            )
+            task_status.started()
+            await self.stopping.wait()
+            await self.finish(callers_shutdown)
+            operators_shutdown.set()
+            nursery.cancel_scope.cancel()
+        await self.upstream_client.aclose()
+        logs.change('router_stopped', router=self.settings.id)
+
+    def start_parts(self, nursery: trio.Nursery) -> None:
+        """Starts the tasks of all parts."""
+        for part in (
+            self.link,
+            self.membership,
+            self.configurations,
+            self.admission,
+            self.claims,
+            self.quarantine,
+            self.limits,
+        ):
+            nursery.start_soon(part.run)
+
+    async def finish(self, callers_shutdown: trio.Event) -> None:
+        """Stops without cutting off a request.
+
+        Readiness fails first, and new connections are still served while
+        the balancer takes the router out: a router that closed its listener
+        at once would refuse callers that the balancer still sends. Peers
+        are told before the last requests end, so that what this router owns
+        moves while it can still answer.
+        """
+        logs.change('router_stopping', router=self.settings.id)
+        self.caller_app.begin_stop()
+        await trio.sleep(self.settings.stop.balancer_grace_seconds)
+        callers_shutdown.set()
+        await self.membership.leave()
+        await self.stopped.wait()
+
+    async def serve_callers(
+        self,
+        shutdown: trio.Event,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves callers; sets `stopped` when the last request has ended."""
+        settings = self.settings
+        await serving.serve(
+            self.caller_app,
+            settings.callers.host,
+            settings.callers.port,
+            shutdown=shutdown,
+            limits=self.caller_app.limits,
+            grace_seconds=settings.stop.stream_seconds,
+            task_status=task_status,
+        )
+        self.stopped.set()
+
+    async def serve_operators(
+        self,
+        shutdown: trio.Event,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves operators, until after the last request of a caller."""
+        settings = self.settings
+        await serving.serve(
+            self.operator_app.app,
+            settings.operators.host,
+            settings.operators.port,
+            shutdown=shutdown,
+            limits=http_limits.HttpLimits(),
+            task_status=task_status,
+        )
+
+
+async def stop_on_signal(daemon: RouterDaemon) -> None:
+    """Begins a graceful stop at the first signal."""
+    with trio.open_signal_receiver(*STOP_SIGNALS) as received:
+        async for _ in received:
+            daemon.stop()
+
+
+async def run_router(settings: settings_module.RouterSettings) -> None:
+    """Runs one router process until it has stopped gracefully."""
+    daemon = RouterDaemon(settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signal, daemon)
+        await daemon.run()
+        nursery.cancel_scope.cancel()
--- a/lavenderbend/state/settings.py
+++ b/lavenderbend/state/settings.py
@@ -134,6 +134,8 @@
         host: IP number to bind.
         port: Port to bind, 0 for any.
         link: The protocol.
+        advertised_port: Port at which other routers reach this one, 0 for
+            the bound one.
         tls: Mutual TLS, None for plain connections.
         allow_plain_beyond_loopback: Must be true before plain connections
             are served on an address that other machines reach.
@@ -142,6 +144,7 @@
     host: str = '127.0.0.1'
     port: int = port(8082)
     link: LinkKind = LinkKind.FRAMES
+    advertised_port: int = bounded(0, 0, MAX_PORT)
     tls: TlsSettings | None = None
     allow_plain_beyond_loopback: bool = False
 
