--- /dev/null
+++ b/lavenderbend/cmd/demo.py
@@ -0,0 +1,90 @@
+"""`lavenderbend demo`."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderbend import errors
+from lavenderbend.cmd import base
+from lavenderbend.cmd import demo_text
+from lavenderbend.cmd import exit_codes
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LEAST_SECONDS = 5.0
+MOST_SECONDS = 600.0
+DEPLOYMENTS = ('correo', 'rutaclara', 'both')
+
+
+@base.COMMANDS.register('demo')
+class Demo(base.Command):
+    """Runs a small fleet under load and reports."""
+
+    summary = 'run a small fleet under load in one process, and report'
+    usage = """Run three routers, stand-in upstreams and a load; then report.
+
+Two customers surge, an engine leaves, the rules change and a router stops
+while the load runs. Ends with exit code 1 if any answer was wrong or cut
+off, or anything that may run only once ran twice.
+
+Usage:
+  lavenderbend demo [--seed N] [--seconds S] [--deployment NAME] [--json]
+
+Options:
+  --seed N           Seed of everything random [default: 1].
+  --seconds S        How long calls are begun [default: 20].
+  --deployment NAME  correo, rutaclara or both [default: both].
+  --json             Write the report as JSON; progress goes to standard
+                     error in any case.
+"""
+
+    def run(
+        self, arguments: Mapping[str, Any], output: base.Output
+    ) -> exit_codes.ExitCode:
+        """Runs the demo."""
+        # the daemon and the load take a while to import
+        from lavenderbend.daemon import demo
+
+        plan = demo.DemoPlan(
+            choice(arguments['--deployment']),
+            number('--seconds', arguments, LEAST_SECONDS, MOST_SECONDS),
+            int(number('--seed', arguments, 0, 2**31)),
+        )
+        report = trio.run(demo.Demo(plan, output.note).run)
+        output.result(demo_text.document(report), demo_text.text(report))
+        if report.failed:
+            return exit_codes.ExitCode.FAILED
+        return exit_codes.ExitCode.OK
+
+
+def choice(name: str) -> str:
+    """Returns the deployment.
+
+    Raises:
+        SettingsError: There is none of that name.
+    """
+    if name not in DEPLOYMENTS:
+        allowed = ', '.join(DEPLOYMENTS)
+        raise errors.SettingsError(f'--deployment {name!r}: one of {allowed}')
+    return name
+
+
+def number(
+    option: str, arguments: Mapping[str, Any], least: float, most: float
+) -> float:
+    """Returns a number of the command line.
+
+    Raises:
+        SettingsError: It is none, or out of bounds.
+    """
+    try:
+        value = float(arguments[option])
+    except ValueError as exc:
+        raise errors.SettingsError(f'{option}: {exc}') from exc
+    if not least <= value <= most:
+        raise errors.SettingsError(f'{option}: {least:g} to {most:g}')
+    return value
