--- a/bench/decisions/views.py
+++ b/bench/decisions/views.py
@@ -96,11 +96,14 @@
 
     def __init__(self, document: configuration.Configuration) -> None:
         self.revision = configuration.Revision(1, '', document)
+        self.changed = trio.Event()
 
     def set(self, document: configuration.Configuration) -> None:
         """Puts another configuration in force."""
         number = self.revision.number + 1
         self.revision = configuration.Revision(number, '', document)
+        self.changed.set()
+        self.changed = trio.Event()
 
     def current(self) -> configuration.Revision:
         """Returns the configuration."""
@@ -109,7 +112,7 @@
     async def wait_beyond(self, number: int) -> configuration.Revision:
         """Waits for a later revision."""
         while self.revision.number <= number:
-            await trio.sleep(0.1)
+            await self.changed.wait()
         return self.revision
 
 
--- /dev/null
+++ b/bench/decisions/world.py
@@ -0,0 +1,313 @@
+"""One run: routers, engines, a workload and events on a virtual clock."""
+
+from __future__ import annotations
+
+import collections
+import math
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+import trio.testing
+
+from bench.decisions import engines
+from bench.decisions import network
+from bench.decisions import policies
+from bench.decisions import views
+from bench.decisions import workload
+from lavenderbend import errors
+from lavenderbend.coordination import admission
+from lavenderbend.state import configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lavenderbend.coordination import interfaces
+    from lavenderbend.state import upstreams
+
+    Event = Callable[['World'], None]
+
+SAMPLE_SECONDS = 0.5
+MIN_MEAN_FOR_SKEW = 4.0
+ATTEMPTS = 3
+
+
+@attrs.frozen
+class Case:
+    """What is run.
+
+    Attributes:
+        name: Name in the table.
+        profile: The workload.
+        routers: Number of routers.
+        policy: Name of the policy.
+        pool: The pool.
+        engine: Speeds and sizes of the engines.
+        latency: Seconds one way between routers.
+        timeout: Seconds from arrival to the deadline.
+        warm: Seconds after which figures count.
+        seed: Of all random numbers but the workload's.
+        settings: Of admission.
+    """
+
+    name: str
+    profile: workload.Profile
+    routers: int = 6
+    policy: str = 'lavenderbend'
+    pool: configuration.Pool = configuration.Pool('chat', 'model')
+    engine: engines.EngineSettings = engines.EngineSettings()
+    latency: float = 0.001
+    timeout: float = 60.0
+    warm: float = 60.0
+    seed: int = 1
+    settings: admission.AdmissionSettings = admission.AdmissionSettings()
+
+
+@attrs.define
+class Outcome:
+    """How one request went.
+
+    Attributes:
+        arrival: The request.
+        engine: The last engine, empty if none.
+        waited: Seconds that admission took.
+        first_token: Seconds from arrival to the first token.
+        hit: Prompt tokens found cached.
+        error: Name of the error, empty if complete.
+        attempts: Engines that it was sent to.
+        decided: Seconds from arrival to the answer or the error.
+    """
+
+    arrival: workload.Arrival
+    engine: str = ''
+    waited: float = 0.0
+    first_token: float | None = None
+    hit: int = 0
+    error: str = ''
+    attempts: int = 0
+    decided: float = 0.0
+
+
+@attrs.define
+class Record:
+    """What a run gave.
+
+    Attributes:
+        outcomes: Of all requests that were decided.
+        excess: Times and requests above the bound, for each admission
+            above it.
+        admissions: Number of admissions.
+        skews: Pairs of time and max over mean load.
+        late_work: Requests sent to each leaving engine: seconds after the
+            first signal.
+        counts: Bytes and messages of each router.
+        seconds: Virtual length.
+    """
+
+    outcomes: list[Outcome] = attrs.field(factory=list)
+    excess: list[tuple[float, int]] = attrs.field(factory=list)
+    admissions: int = 0
+    skews: list[tuple[float, float]] = attrs.field(factory=list)
+    late_work: list[float] = attrs.field(factory=list)
+    counts: dict[str, network.Counts] = attrs.field(factory=dict)
+    seconds: float = 0.0
+
+
+class World:
+    """The state of one run."""
+
+    def __init__(self, case: Case, nursery: trio.Nursery) -> None:
+        self.case = case
+        self.nursery = nursery
+        self.pool = case.pool
+        self.board = views.ReportBoard()
+        self.network = network.Network(nursery, case.latency)
+        self.record = Record()
+        self.engines: dict[str, engines.Engine] = {}
+        self.loads: collections.Counter[str] = collections.Counter()
+        self.accepting: dict[str, upstreams.Vm] = {}
+        self.leaving: dict[str, float] = {}
+        self.routers = [f'router-{n}' for n in range(case.routers)]
+        self.alive = list(self.routers)
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.views: dict[str, views.View] = {}
+        self.admissions: dict[str, admission.OwnerAdmission] = {}
+        self.permits: dict[str, interfaces.Permit] = {}
+        customers = tuple(
+            configuration.Customer(name) for name, _ in case.profile.customers
+        )
+        self.configurations = views.FixedConfiguration(
+            configuration.Configuration(pools=(case.pool,), customers=customers)
+        )
+        for number in range(case.profile.engines):
+            self.add_engine(f'engine-{number}')
+        for name in self.routers:
+            self.add_router(name)
+        self.policy = policies.POLICIES.get(case.policy)(self)
+
+    def add_engine(self, name: str) -> None:
+        """Starts an engine; routers see it with its first report."""
+        vm = views.engine_vm(name)
+        engine = engines.Engine(vm, self.case.engine)
+        self.engines[name] = engine
+        self.accepting[name] = vm
+        self.nursery.start_soon(engine.run)
+        self.nursery.start_soon(engine.run_reports, self.board)
+        self.board.put(engine.report(), trio.current_time())
+        self.show_upstreams()
+
+    def add_router(self, name: str) -> None:
+        """Starts a router."""
+        vms = tuple(self.accepting.values())
+        view = views.View(self.alive, vms, self.board)
+        self.views[name] = view
+        scope = trio.CancelScope()
+        self.scopes[name] = scope
+        one = admission.OwnerAdmission(
+            name,
+            self.network.link(name),
+            view,
+            self.configurations,
+            random.Random(f'{self.case.seed}/{name}'),
+            self.case.settings,
+        )
+        self.admissions[name] = one
+        if self.case.policy == 'lavenderbend':
+            self.nursery.start_soon(self.run_router, one, scope)
+
+    async def run_router(
+        self, one: admission.OwnerAdmission, scope: trio.CancelScope
+    ) -> None:
+        """Runs a router's admission until it is killed."""
+        with scope:
+            await one.run()
+
+    def show_upstreams(self) -> None:
+        """Shows every router the engines that accept work."""
+        for view in self.views.values():
+            view.set_upstreams(self.accepting.values())
+
+    def allowed(self, total: int, count: int) -> int:
+        """Returns the bound as the goal states it, by true loads."""
+        pool = self.pool
+        return max(pool.floor, math.ceil(pool.bound * total / count - 1e-9))
+
+    def deadline(self, arrival: workload.Arrival) -> float:
+        """Returns when the caller is told to give up."""
+        return arrival.at + self.case.timeout
+
+    async def arrive(self, arrivals: list[workload.Arrival]) -> None:
+        """Sends all requests at their times."""
+        async with trio.open_nursery() as nursery:
+            for arrival in arrivals:
+                await trio.sleep_until(arrival.at)
+                router = self.alive[arrival.router % len(self.alive)]
+                nursery.start_soon(self.serve, router, arrival)
+
+    async def serve(self, router: str, arrival: workload.Arrival) -> None:
+        """Serves one request at one router."""
+        outcome = Outcome(arrival)
+        with trio.CancelScope() as scope:
+            await self.attempt_all(router, outcome)
+        if scope.cancelled_caught:
+            return
+        outcome.decided = trio.current_time() - arrival.at
+        self.record.outcomes.append(outcome)
+
+    async def attempt_all(self, router: str, outcome: Outcome) -> None:
+        """Tries engines until one runs the request to its end."""
+        avoid: tuple[str, ...] = ()
+        for _ in range(ATTEMPTS):
+            try:
+                name = await self.attempt(router, outcome, avoid)
+            except errors.RequestError as exc:
+                outcome.error = type(exc).__name__
+                return
+            if not name:
+                outcome.error = ''
+                return
+            outcome.error = 'UpstreamBroke'
+            avoid = (*avoid, name)
+
+    async def attempt(
+        self, router: str, outcome: Outcome, avoid: tuple[str, ...]
+    ) -> str:
+        """Tries one engine; returns its name if it died."""
+        started = trio.current_time()
+        arrival = outcome.arrival
+        name, permit = await self.policy.acquire(router, arrival, avoid)
+        outcome.waited += trio.current_time() - started
+        outcome.engine = name
+        outcome.attempts += 1
+        self.loads[name] += 1
+        self.check(name)
+        try:
+            run = await self.engines[name].submit(arrival)
+        except engines.Crashed:
+            return name
+        finally:
+            self.loads[name] -= 1
+            self.policy.release(router, name, permit)
+        outcome.first_token = (run.first_token or 0.0) - arrival.at
+        outcome.hit = run.hit or 0
+        return ''
+
+    def check(self, name: str) -> None:
+        """Compares a new load with the bound, by true loads."""
+        now = trio.current_time()
+        if name in self.leaving:
+            self.record.late_work.append(now - self.leaving[name])
+        if now < self.case.warm:
+            return
+        self.record.admissions += 1
+        if name not in self.accepting:
+            return
+        total = sum(self.loads[one] for one in self.accepting)
+        over = self.loads[name] - self.allowed(total, len(self.accepting))
+        if over > 0:
+            self.record.excess.append((now, over))
+
+    async def sample(self) -> None:
+        """Samples the skew."""
+        while True:
+            await trio.sleep(SAMPLE_SECONDS)
+            now = trio.current_time()
+            loads = [self.loads[name] for name in self.accepting]
+            mean = sum(loads) / len(loads)
+            if now >= self.case.warm and mean >= MIN_MEAN_FOR_SKEW:
+                self.record.skews.append((now, max(loads) / mean))
+
+
+async def drive(
+    case: Case, events: list[tuple[float, Event]], result: list[Record]
+) -> None:
+    """Runs a case on the clock of the running loop."""
+    arrivals = workload.generate(case.profile)
+    async with trio.open_nursery() as nursery:
+        world = World(case, nursery)
+        nursery.start_soon(world.sample)
+        for at, event in events:
+            nursery.start_soon(happen, world, at, event)
+        await world.arrive(arrivals)
+        world.record.counts = dict(world.network.counts)
+        world.record.seconds = trio.current_time()
+        result.append(world.record)
+        nursery.cancel_scope.cancel()
+
+
+async def happen(world: World, at: float, event: Event) -> None:
+    """Lets an event happen at its time."""
+    await trio.sleep_until(at)
+    event(world)
+
+
+def run(case: Case, events: list[tuple[float, Event]] | None = None) -> Record:
+    """Runs a case on a virtual clock; the same figures at every run."""
+    # trio shuffles tasks that wake together on purpose; sorted, a run
+    # depends on its seeds alone
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True  # noqa: SLF001
+    result: list[Record] = []
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(drive, case, events or [], result, clock=clock)
+    return result[0]
--- a/lavenderbend/coordination/admission/groups.py
+++ b/lavenderbend/coordination/admission/groups.py
@@ -41,6 +41,18 @@
     return hashing.rendezvous(key, routers) or ''
 
 
+def standby(group: GroupId, routers: Sequence[str], name: str) -> str:
+    """Returns who should know what an owner knows, empty for nobody.
+
+    That is the router that becomes the owner if the present one is lost; for
+    an owner that is no longer first in the order, the one that is.
+    """
+    key = f'{group.pool}/{group.index}'
+    order = hashing.rendezvous_order(key, routers)
+    others = [router for router in order if router != name]
+    return others[0] if others else ''
+
+
 def index_of(pool: configuration.Pool, upstream: str) -> int:
     """Returns the index of the group that an upstream belongs to."""
     if pool.groups <= 1:
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -29,6 +29,11 @@
 # permits: such a permit must not be taken for a leaked one
 GRANT_IN_FLIGHT_SECONDS = 3.0
 RATE_WEIGHT = 0.2
+MIN_UNSEEN = 1.0
+# for each second; about 800 bytes, while a table is copied for the first time
+COPIED_CHATS = 120
+MIN_PATIENCE_SECONDS = 0.01
+SAME_TIME_SECONDS = 0.001
 MIN_RETRY_AFTER_SECONDS = 1.0
 
 GRANTS = metrics.counter(
@@ -51,6 +56,8 @@
         done: Set when `choice` or `error` is.
         choice: The permit.
         error: Why there is none.
+        patient_until: Owner clock until which it waits for room where its
+            context is, though other upstreams have room.
     """
 
     entry: str
@@ -60,6 +67,7 @@
     done: trio.Event = attrs.field(factory=trio.Event)
     choice: placement.Choice | None = None
     error: errors.RequestError | None = None
+    patient_until: float = 0.0
 
 
 class OwnedGroup:
@@ -87,10 +95,13 @@
         self.table = permits.PermitTable()
         self.places = placements.Placements(settings.chats)
         self.queue: fairness.FairQueue[Waiter] = fairness.FairQueue()
+        self.patient: list[Waiter] = []
+        self.patience_changed = trio.Event()
         self.waiting: dict[tuple[str, int], Waiter] = {}
         self.heard: dict[str, float] = {}
         self.active_since = 0.0
         self.mismatches: dict[str, int] = {}
+        self.standby = ''
         self.rate = 0.0
         self.released = 0
         self.rated_at = trio.current_time()
@@ -100,6 +111,7 @@
         now = trio.current_time()
         if not self.heard:
             self.active_since = now
+            self.places.fresh.clear()
         self.heard[entry] = now
 
     def unhear(self, entry: str) -> None:
@@ -162,7 +174,7 @@
             )
             candidate = placement.Candidate(
                 upstream=vm.id,
-                instance=report.instance if report is not None else '',
+                instance=self.instance(vm.id),
                 load=self.table.load(vm.id),
                 adapter=adapter,
                 avoided=bool(ask.avoid) and short_id(vm.id) in ask.avoid,
@@ -229,10 +241,11 @@
             pool,
             load + ask.others_load,
             len(candidates) + ask.others_engines,
+            MIN_UNSEEN + self.rate * self.settings.flight,
         )
         self.limit_rooms(candidates, allowed)
         places = self.places.get(ask.chat) if ask.chat else ()
-        tried = placement.order(ask.chat, candidates, places, ask.number)
+        tried = placement.order(candidates, places, ask.number)
         return placement.choose(tried, allowed, self.max_load(pool, ask))
 
     def max_load(
@@ -261,14 +274,19 @@
             )
         )
         if ask.chat:
-            report = self.membership.report(upstream)
-            instance = report.instance if report is not None else ''
-            place = placements.Place(upstream, instance, ask.prompt_tokens)
+            place = placements.Place(upstream, self.instance(upstream))
             self.places.put(ask.chat, place)
         waiter.choice = choice
         waiter.done.set()
         GRANTS.inc({'reason': choice.reason})
 
+    def instance(self, upstream: str) -> int:
+        """Returns the short id of an upstream's instance, 0 if unknown."""
+        report = self.membership.report(upstream)
+        if report is None:
+            return 0
+        return messages_decisions.short_id(report.instance)
+
     def refuse(self, waiter: Waiter, error: errors.RequestError) -> None:
         """Ends a waiting request with an error, at once."""
         waiter.error = error
@@ -283,7 +301,8 @@
             self.refuse(waiter, exc)
             return
         if choice is not None and choice.upstream is not None:
-            self.grant(waiter, choice)
+            if not self.be_patient(waiter, choice):
+                self.grant(waiter, choice)
             return
         if self.elsewhere(waiter.ask, choice):
             waiter.choice = choice
@@ -291,6 +310,62 @@
             return
         self.enqueue(waiter)
 
+    def be_patient(self, waiter: Waiter, choice: placement.Choice) -> bool:
+        """Lets a request wait a moment for room where its context is.
+
+        It waits only if that may be shorter than computing the context
+        anew: another place would cost the time and the other's cache too.
+        """
+        ask = waiter.ask
+        if choice.reason == placement.HELD_CHAT or not choice.passed_over:
+            return False
+        held = {place.upstream for place in self.places.get(ask.chat)}
+        if not any(
+            upstream in held and reason == placement.OVER_BOUND
+            for upstream, reason in choice.passed_over
+        ):
+            return False
+        settings = self.settings
+        seconds = min(settings.patience, ask.prompt_tokens / settings.recompute)
+        now = trio.current_time()
+        seconds = min(seconds, (waiter.deadline - now) / 2)
+        if seconds < MIN_PATIENCE_SECONDS:
+            return False
+        waiter.patient_until = now + seconds
+        self.patient.append(waiter)
+        self.waiting[waiter.entry, ask.number] = waiter
+        self.patience_changed.set()
+        return True
+
+    def serve_patient(self) -> None:
+        """Grants to those that wait for their place what is free now."""
+        now = trio.current_time()
+        for waiter in list(self.patient):
+            try:
+                choice = self.place(waiter.ask)
+            except errors.RequestError as exc:
+                self.forget(waiter)
+                self.refuse(waiter, exc)
+                continue
+            held = choice.reason == placement.HELD_CHAT
+            if not held and now < waiter.patient_until - SAME_TIME_SECONDS:
+                continue
+            self.forget(waiter)
+            if choice.upstream is None:
+                self.enqueue(waiter)
+            else:
+                self.grant(waiter, choice)
+
+    async def run_patience(self) -> None:
+        """Ends each patient wait in time."""
+        while True:
+            if not self.patient:
+                self.patience_changed = trio.Event()
+                await self.patience_changed.wait()
+                continue
+            await trio.sleep_until(self.patient[0].patient_until)
+            self.serve_patient()
+
     def elsewhere(
         self,
         ask: messages_decisions.PermitRequest,
@@ -341,6 +416,8 @@
     def forget(self, waiter: Waiter) -> None:
         """Takes a request out of the queue."""
         self.queue.remove(waiter)
+        if waiter in self.patient:
+            self.patient.remove(waiter)
         self.waiting.pop((waiter.entry, waiter.ask.number), None)
 
     def release(self, entry: str, number: int) -> None:
@@ -354,6 +431,7 @@
 
     def dispatch(self) -> None:
         """Grants to those that wait, in their order, what is free now."""
+        self.serve_patient()
         blocked: set[tuple[int | None, bool]] = set()
         for waiter in list(self.queue):
             ask = waiter.ask
@@ -457,6 +535,35 @@
             if waiter.entry == entry:
                 self.forget(waiter)
 
+    def copy_places(self, standby: str) -> messages_decisions.PlacesCopy | None:
+        """Returns the next places to copy to the standby, if any."""
+        if standby != self.standby:
+            self.standby = standby
+            self.places.resend()
+        rows = self.places.take_unsent(COPIED_CHATS)
+        if not rows or not standby:
+            return None
+        places = list(dict.fromkeys(place for _, place in rows))
+        positions = {place: index for index, place in enumerate(places)}
+        short_id = messages_decisions.short_id
+        return messages_decisions.PlacesCopy(
+            self.group.pool,
+            self.group.index,
+            [short_id(place.upstream) for place in places],
+            [place.instance for place in places],
+            [chat for chat, _ in rows],
+            [positions[place] for _, place in rows],
+        )
+
+    def learn_places(self, item: messages_decisions.PlacesCopy) -> None:
+        """Notes places that another owner copied here."""
+        names = self.names()
+        for chat, index in zip(item.chats, item.indices, strict=False):
+            upstream = names.get(item.upstreams[index])
+            if upstream is not None:
+                place = placements.Place(upstream, item.instances[index])
+                self.places.learn(chat, place)
+
     def total(self) -> tuple[int, int]:
         """Returns the load of the group and its number of upstreams."""
         pool = self.pool()
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -17,6 +17,7 @@
     from lavenderbend.protocol import peer
 
 MILLISECOND = 0.001
+COPY_SECONDS = 1.0
 
 
 class Owner:
@@ -28,22 +29,25 @@
 
     def __init__(
         self,
+        name: str,
         link: interfaces.PeerLink,
         membership: interfaces.Membership,
         directory: groups.Directory,
         settings: settings_.AdmissionSettings,
     ) -> None:
+        self.name = name
         self.link = link
         self.membership = membership
         self.directory = directory
         self.settings = settings
+        self.created = trio.Event()
         self.owned: dict[groups.GroupId, owned.OwnedGroup] = {}
-        self.groups_of: dict[tuple[str, int], owned.OwnedGroup] = {}
         link.handle(messages_decisions.PermitRequest, self.on_request)
         link.handle(messages_decisions.PermitRelease, self.on_release)
         link.handle(messages_decisions.PermitRegister, self.on_register)
         link.handle(messages_decisions.PermitMoved, self.on_moved)
         link.handle(messages_decisions.PermitDigest, self.on_digest)
+        link.handle(messages_decisions.PlacesCopy, self.on_places)
 
     def group(self, pool: int, index: int) -> owned.OwnedGroup:
         """Returns the state of a group, made when first asked for."""
@@ -52,6 +56,7 @@
             self.owned[group] = owned.OwnedGroup(
                 group, self.directory, self.membership, self.settings
             )
+            self.created.set()
         return self.owned[group]
 
     async def on_request(
@@ -117,7 +122,7 @@
         for group in self.owned.values():
             for number in item.numbers:
                 group.release(entry, number)
-            if group.queue:
+            if group.waiting:
                 group.dispatch()
 
     async def on_register(self, entry: str, item: peer.Message) -> None:
@@ -143,11 +148,29 @@
                     entry, messages_decisions.PermitResync(pool, index)
                 )
 
+    async def on_places(self, router: str, item: peer.Message) -> None:
+        """Notes the places that another owner copied here."""
+        assert isinstance(item, messages_decisions.PlacesCopy)
+        self.group(item.pool, item.group).learn_places(item)
+
     async def run(self) -> None:
         """Looks after those that wait and after entries that left."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.run_ticks)
             nursery.start_soon(self.run_views)
+            nursery.start_soon(self.run_copies)
+            nursery.start_soon(self.run_groups, nursery)
+
+    async def run_groups(self, nursery: trio.Nursery) -> None:
+        """Starts the task of each new group."""
+        started: set[groups.GroupId] = set()
+        while True:
+            for name, group in list(self.owned.items()):
+                if name not in started:
+                    started.add(name)
+                    nursery.start_soon(group.run_patience)
+            await self.created.wait()
+            self.created = trio.Event()
 
     async def run_ticks(self) -> None:
         """Serves and expires waiting requests."""
@@ -169,3 +192,18 @@
                 for entry in set(group.table.numbers) - live:
                     group.drop_entry(entry)
                 group.dispatch()
+
+    async def run_copies(self) -> None:
+        """Copies places to the standby of each group.
+
+        An owner that is lost takes its table with it; every returning chat
+        would go where there is room, and its context would be lost.
+        """
+        while True:
+            await trio.sleep(COPY_SECONDS)
+            routers = self.membership.routers()
+            for group in list(self.owned.values()):
+                standby = groups.standby(group.group, routers, self.name)
+                item = group.copy_places(standby)
+                if item is not None:
+                    self.link.notify(standby, item)
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -94,7 +94,7 @@
         self.settings = settings or settings_.AdmissionSettings()
         self.directory = groups.Directory(membership, configurations)
         self.owner = owner_.Owner(
-            link, membership, self.directory, self.settings
+            name, link, membership, self.directory, self.settings
         )
         self.local = degraded.LocalShare(name, membership)
         self.held: dict[int, Held] = {}
@@ -306,7 +306,8 @@
     ) -> peer.Message | None:
         """Asks an owner; returns None if it cannot be reached."""
         admission = self.admission
-        hold = admission.settings.hold if self.waits else 0.0
+        settings = admission.settings
+        hold = settings.hold if self.waits else settings.first_hold
         left = self.ask.deadline - trio.current_time()
         hold = max(0.0, min(hold, left - LAST_WORD_SECONDS))
         item = self.message(group, hold, left)
--- a/lavenderbend/coordination/admission/settings.py
+++ b/lavenderbend/coordination/admission/settings.py
@@ -21,6 +21,12 @@
         degraded_poll: Seconds between tries in degraded mode.
         chats: Chats whose places an owner remembers for one group.
         probation: Seconds between two suspect requests on one upstream.
+        patience: Most seconds that a returning chat waits for room where
+            its context is.
+        recompute: Prompt tokens a second that an engine computes; a chat
+            does not wait longer than computing its context anew takes.
+        first_hold: Seconds that an owner holds its first answer.
+        flight: Seconds from the end of a request to its release here.
         instant_reserve: Part of `max_load` only for instant requests.
     """
 
@@ -33,4 +39,8 @@
     degraded_poll: float = 0.1
     chats: int = 50_000
     probation: float = 2.0
+    patience: float = 0.1
+    recompute: float = 10_000.0
+    first_hold: float = 0.3
+    flight: float = 0.005
     instant_reserve: float = 0.1
--- a/lavenderbend/coordination/placement.py
+++ b/lavenderbend/coordination/placement.py
@@ -17,8 +17,6 @@
     from lavenderbend.state import placements
 
 HELD_CHAT = 'held chat'
-FIRST_CHOICE = 'first choice'
-NEXT_CHOICE = 'next choice'
 LEAST_LOADED = 'least loaded'
 OVER_BOUND = 'over bound'
 FULL = 'at max load'
@@ -28,11 +26,11 @@
 OWN_SHARE = 'own share of the last report'
 TESTED = 'runs another suspect request'
 
+ROUNDING = 1e-9
+
 # positions go over the wire: append only
 REASONS = (
     HELD_CHAT,
-    FIRST_CHOICE,
-    NEXT_CHOICE,
     LEAST_LOADED,
     OVER_BOUND,
     FULL,
@@ -84,49 +82,40 @@
     passed_over: tuple[tuple[str, str], ...] = ()
 
 
-def allowed_load(pool: configuration.Pool, load: int, count: int) -> int:
+def allowed_load(
+    pool: configuration.Pool, load: int, count: int, unseen: float = 0.0
+) -> int:
     """Returns the highest load that the bound allows on one upstream.
 
     The mean counts the new request. Some upstream is always at or below the
-    mean, so its next whole number must be allowed; above that the bound is
-    rounded down, to hold without rounding wherever the load is not tiny.
+    mean, so the next whole number above it must be allowed.
 
     Args:
         pool: Bound, floor and hard limit.
         load: Load of all upstreams together, the new request not counted.
         count: How many upstreams.
+        unseen: Requests that may have ended already, their releases being
+            on the way: counted in, they would raise the bound.
     """
     mean = (load + 1) / count
-    bound = int(pool.bound * mean + 1e-9)
-    allowed = max(pool.floor, math.ceil(mean - 1e-9), bound)
+    sure = max(0.0, load + 1 - unseen) / count
+    bound = math.ceil(pool.bound * sure - ROUNDING)
+    allowed = max(pool.floor, math.ceil(mean - ROUNDING), bound)
     return min(allowed, pool.max_load)
 
 
-def chat_order(chat: int, candidates: Iterable[Candidate]) -> list[Candidate]:
-    """Returns the candidates by falling rendezvous score for the chat."""
-    key = chat.to_bytes(8, 'big')
-
-    def score(candidate: Candidate) -> tuple[bool, int, str]:
-        rank = hashing.hash64(key, candidate.upstream)
-        return not candidate.adapter, -rank, candidate.upstream
-
-    return sorted(candidates, key=score)
-
-
 def order(
-    chat: int,
     candidates: Sequence[Candidate],
     places: Sequence[placements.Place],
     tie_break: int,
 ) -> list[tuple[Candidate, str]]:
     """Returns the candidates in the order of trying, with the reasons.
 
-    Where the chat's context was last comes first; a chat that is nowhere
-    goes to its first choice, so that a new owner without the table sends it
-    to the same place. Requests without a chat go to the least loaded.
+    Where the chat's context was last comes first, the others by their load:
+    new chats fill what is empty, and those that return find room at their
+    place.
 
     Args:
-        chat: Hash of the chat, 0 for none.
         candidates: The upstreams.
         places: Where the chat's context was, the latest first.
         tie_break: Decides between equal loads.
@@ -139,15 +128,8 @@
             continue
         del by_name[place.upstream]
         tried.append((held, HELD_CHAT))
-    rest = by_name.values()
-    if chat == 0 or tried:
-        ranked = least_loaded(rest, tie_break)
-        return [*tried, *((one, LEAST_LOADED) for one in ranked)]
-    first, *others = chat_order(chat, rest) or [None]
-    if first is None:
-        return tried
-    ranked = least_loaded(others, tie_break)
-    return [(first, FIRST_CHOICE), *((one, NEXT_CHOICE) for one in ranked)]
+    ranked = least_loaded(by_name.values(), tie_break)
+    return [*tried, *((one, LEAST_LOADED) for one in ranked)]
 
 
 def least_loaded(
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 from lavenderbend.protocol import peer
@@ -15,6 +17,7 @@
 SHORT_ID_BITS = 32
 
 
+@functools.lru_cache(maxsize=16384)
 def short_id(name: str) -> int:
     """Returns the 32-bit id of a name."""
     return hashing.hash64(name) >> (64 - SHORT_ID_BITS)
@@ -178,6 +181,28 @@
     engines: int
 
 
+@peer.message(59)
+@attrs.frozen
+class PlacesCopy(peer.Message):
+    """Notice of where chats are, to the standby of a group's owner.
+
+    Attributes:
+        pool: Short id of the pool.
+        group: Index of the group.
+        upstreams: Short ids of upstreams.
+        instances: Short id of the instance of each.
+        chats: Upper 32 bits of chat hashes.
+        indices: Position in `upstreams` for each chat.
+    """
+
+    pool: int
+    group: int
+    upstreams: list[int]
+    instances: list[int]
+    chats: list[int]
+    indices: list[int]
+
+
 @peer.message(60)
 @attrs.frozen
 class CrashSeen(peer.Message):
--- a/lavenderbend/state/placements.py
+++ b/lavenderbend/state/placements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 
 import attrs
 
@@ -16,23 +17,30 @@
 
     Attributes:
         upstream: VM id.
-        instance: Instance of its process then.
-        tokens: Prompt tokens of that turn.
+        instance: Short id of the instance of its process then.
     """
 
     upstream: str
-    instance: str
-    tokens: int
+    instance: int
 
 
 class Placements:
-    """Chat to its last places, the latest first; the oldest chat goes."""
+    """Chat to its last places, the latest first; the oldest chat goes.
+
+    Attributes:
+        capacity: Most chats that are kept.
+        chats: The places, the chat that was used last at the end.
+        unsent: Chats whose latest place the standby does not know.
+        fresh: Chats placed here since this router became the owner.
+    """
 
     def __init__(self, capacity: int = DEFAULT_CAPACITY) -> None:
         self.capacity = capacity
         self.chats: collections.OrderedDict[int, tuple[Place, ...]] = (
             collections.OrderedDict()
         )
+        self.unsent: dict[int, None] = {}
+        self.fresh: set[int] = set()
 
     def get(self, chat: int) -> tuple[Place, ...]:
         """Returns the places of a chat, the latest first."""
@@ -40,15 +48,37 @@
 
     def put(self, chat: int, place: Place) -> None:
         """Notes the latest place of a chat."""
-        others = [
-            other
-            for other in self.chats.get(chat, ())
-            if other.upstream != place.upstream
-        ]
+        self.fresh.add(chat)
+        known = self.chats.get(chat, ())
+        if not known or known[0] != place:
+            self.unsent[chat] = None
+        self.keep(chat, place, known)
+
+    def keep(self, chat: int, place: Place, known: tuple[Place, ...]) -> None:
+        """Puts a place before the known ones and the chat at the end."""
+        others = [other for other in known if other.upstream != place.upstream]
         self.chats[chat] = (place, *others[: PLACES - 1])
         self.chats.move_to_end(chat)
         if len(self.chats) > self.capacity:
-            self.chats.popitem(last=False)
+            gone, _ = self.chats.popitem(last=False)
+            self.unsent.pop(gone, None)
+            self.fresh.discard(gone)
+
+    def learn(self, chat: int, place: Place) -> None:
+        """Notes a place from another owner, unless this one has newer."""
+        if chat not in self.fresh:
+            self.keep(chat, place, self.chats.get(chat, ()))
+
+    def resend(self) -> None:
+        """Marks all chats as unknown to the standby, the latest first."""
+        self.unsent = dict.fromkeys(reversed(self.chats))
+
+    def take_unsent(self, count: int) -> list[tuple[int, Place]]:
+        """Returns up to so many chats that the standby lacks."""
+        chats = list(itertools.islice(self.unsent, count))
+        for chat in chats:
+            del self.unsent[chat]
+        return [(chat, self.chats[chat][0]) for chat in chats]
 
     def __len__(self) -> int:
         return len(self.chats)
