--- a/lavenderbend/daemon/demo.py
+++ b/lavenderbend/daemon/demo.py
@@ -26,9 +26,9 @@
 SETTLE_SECONDS = 1.5
 PROGRESS_SECONDS = 1.0
 # shares of the load's time at which things happen
-LEAVE_AT = 0.45
-CHANGE_AT = 0.55
-STOP_AT = 0.6
+LEAVE_AT = 0.4
+CHANGE_AT = 0.6
+STOP_AT = 0.5
 DECISIONS_LOOKED_AT = 1000
 
 
--- a/lavenderbend/daemon/demo_fleet.py
+++ b/lavenderbend/daemon/demo_fleet.py
@@ -27,6 +27,10 @@
 HOST = '127.0.0.1'
 ROUTERS = 3
 VM_LIST_LAG_SECONDS = 1.0
+# callers give up idle connections within this time, so that none of them
+# is closed under a call that is just being sent
+GRACE_SECONDS = 5.0
+STREAM_SECONDS = 60.0
 SALT = '00112233aabbccdd'
 
 
@@ -187,7 +191,7 @@
                     f'http://{HOST}:{list_port}/vms',
                     interval_seconds=1.0,
                 ),
-                stop=settings.StopSettings(1.0, 60.0),
+                stop=settings.StopSettings(GRACE_SECONDS, STREAM_SECONDS),
                 seed=self.seed + index,
             )
             daemons.append(router.RouterDaemon(item))
--- a/lavenderbend/daemon/demo_sites.py
+++ b/lavenderbend/daemon/demo_sites.py
@@ -51,8 +51,8 @@
     services: int
     checks_fencing: bool
     surge: tuple[str, ...]
-    rate: float = 16.0
-    surge_factor: float = 4.0
+    rate: float = 7.0
+    surge_factor: float = 3.0
 
 
 SITES: registry.Registry[Site] = registry.Registry('deployment')
@@ -63,7 +63,7 @@
         engine_service='assistant',
         model='assistant',
         engines=5,
-        step_seconds=0.02,
+        step_seconds=0.04,
         plain_service='mailbox',
         services=3,
         checks_fencing=True,
@@ -77,7 +77,7 @@
         engine_service='route-planning',
         model='route-planner',
         engines=9,
-        step_seconds=0.02,
+        step_seconds=0.04,
         plain_service='convoys',
         services=3,
         checks_fencing=False,
