--- /dev/null
+++ b/bench/decisions/cases.py
@@ -0,0 +1,217 @@
+"""The cases of the bench; each gives runs to compare."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bench.decisions import events
+from bench.decisions import policies
+from bench.decisions import workload
+from bench.decisions import world
+from lavenderbend import registry
+from lavenderbend.state import configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Builder = Callable[['Length'], list['Setup']]
+
+CASES: registry.Registry[Builder] = registry.Registry('case')
+
+
+@attrs.frozen
+class Length:
+    """How long the runs are.
+
+    Attributes:
+        seconds: Virtual seconds.
+        warm: Seconds after which figures count.
+        policies: The baselines to run.
+    """
+
+    seconds: float
+    warm: float
+    policies: tuple[str, ...]
+
+
+FULL = Length(420.0, 60.0, tuple(policies.POLICIES))
+SHORT = Length(100.0, 40.0, ('all-knowing', 'lavenderbend', 'local-bounded'))
+
+
+@attrs.frozen
+class Setup:
+    """One run of a case.
+
+    Attributes:
+        label: Name within the case.
+        case: What is run.
+        events: What happens.
+    """
+
+    label: str
+    case: world.Case
+    events: tuple[tuple[float, events.Event], ...] = ()
+
+
+def base(
+    profile: workload.Profile, length: Length, name: str, **changes: object
+) -> world.Case:
+    """Returns a case with a deployment's workload."""
+    profile = attrs.evolve(profile, seconds=length.seconds)
+    case = world.Case(name, profile, warm=length.warm)
+    return attrs.evolve(case, **changes)
+
+
+def compare(
+    case: world.Case,
+    length: Length,
+    what: list[tuple[float, events.Event]] | None = None,
+) -> list[Setup]:
+    """Returns a run for each policy."""
+    return [
+        Setup(name, attrs.evolve(case, policy=name), tuple(what or ()))
+        for name in length.policies
+    ]
+
+
+@CASES.register('correo-steady')
+def correo_steady(length: Length) -> list[Setup]:
+    return compare(base(workload.CORREO, length, 'correo'), length)
+
+
+@CASES.register('rutaclara-steady')
+def rutaclara_steady(length: Length) -> list[Setup]:
+    return compare(base(workload.RUTACLARA, length, 'rutaclara'), length)
+
+
+@CASES.register('correo-churn')
+def correo_churn(length: Length) -> list[Setup]:
+    case = base(workload.CORREO, length, 'correo')
+    return compare(case, length, churn_of(case))
+
+
+@CASES.register('rutaclara-churn')
+def rutaclara_churn(length: Length) -> list[Setup]:
+    case = base(workload.RUTACLARA, length, 'rutaclara')
+    return compare(case, length, churn_of(case))
+
+
+def churn_of(case: world.Case) -> list[tuple[float, events.Event]]:
+    """Returns a change of the engines every 30 s."""
+    return events.churn(case.profile.engines, case.warm, case.profile.seconds)
+
+
+def surge_of(profile: workload.Profile, length: Length) -> workload.Profile:
+    """Returns a profile whose cities ask for five times as much.
+
+    The figures count from the middle of the surge on.
+    """
+    start = length.warm - 20.0
+    cities = tuple(
+        name for name, _ in profile.customers if name.startswith('city')
+    )
+    surge = workload.Surge(start, length.seconds, 5.0, cities)
+    return attrs.evolve(profile, surges=(surge,))
+
+
+@CASES.register('correo-surge')
+def correo_surge(length: Length) -> list[Setup]:
+    profile = surge_of(workload.CORREO, length)
+    return compare(base(profile, length, 'correo'), length)
+
+
+@CASES.register('rutaclara-surge')
+def rutaclara_surge(length: Length) -> list[Setup]:
+    profile = surge_of(workload.RUTACLARA, length)
+    return compare(base(profile, length, 'rutaclara'), length)
+
+
+@CASES.register('faults')
+def faults(length: Length) -> list[Setup]:
+    """One fault, and two at once; reports are 1 s late throughout."""
+    at = length.warm + 10.0
+    single: dict[str, list[tuple[float, events.Event]]] = {
+        'none': [],
+        'owner lost': [(at, events.lose_owner())],
+        'two views': [(at, events.two_views())],
+        'owner cut off from half': [(at, events.cut_owner())],
+        'owner unreachable 5 s': [(at, events.isolate_owner(5.0))],
+        'owner lost, again after 3 s': [
+            (at, events.lose_owner()),
+            (at + 3.0, events.lose_owner()),
+        ],
+        'two views, engine crash': [
+            (at, events.two_views()),
+            (at + 1.0, events.crash('engine-0')),
+        ],
+        'two views, engine leaves, another joins': [
+            (at, events.two_views()),
+            (at + 1.0, events.leave('engine-1')),
+            (at + 2.0, events.join('engine-99')),
+        ],
+        'owner lost, engine crash': [
+            (at, events.lose_owner()),
+            (at + 0.5, events.crash('engine-0')),
+        ],
+    }
+    case = base(workload.CORREO, length, 'correo')
+    setups = [Setup(label, case, tuple(what)) for label, what in single.items()]
+    surge = base(surge_of(workload.CORREO, length), length, 'correo')
+    setups.append(Setup('surge, two views', surge, ((at, events.two_views()),)))
+    setups.append(
+        Setup('surge, owner lost', surge, ((at, events.lose_owner()),))
+    )
+    return setups
+
+
+@CASES.register('leaving')
+def leaving(length: Length) -> list[Setup]:
+    """An engine leaves; the VM list says so 10 s late.
+
+    Membership hears of it within 2 s of the first signal; entry and owner
+    learn it at different times.
+    """
+    at = length.warm + 10.0
+    case = base(workload.CORREO, length, 'correo')
+    names = [f'router-{number}' for number in range(case.routers)]
+    owner_late = {name: 0.3 * place for place, name in enumerate(names)}
+    owner_first = {name: 2.0 - 0.3 * place for place, name in enumerate(names)}
+    return [
+        Setup(
+            'known within 2 s, rising',
+            case,
+            ((at, events.leave('engine-1', owner_late)),),
+        ),
+        Setup(
+            'known within 2 s, falling, two views',
+            case,
+            (
+                (at, events.leave('engine-1', owner_first)),
+                (at, events.two_views()),
+            ),
+        ),
+    ]
+
+
+@CASES.register('scaling')
+def scaling(length: Length) -> list[Setup]:
+    """Routers and engines in proportion, two groups for every 12 routers."""
+    sizes = (6, 12, 24, 48) if length is FULL else (6, 12)
+    seconds = 60.0 if length is FULL else 30.0
+    setups = []
+    for routers in sizes:
+        profile = attrs.evolve(
+            workload.CORREO,
+            rate=workload.CORREO.rate * routers / 6,
+            engines=workload.CORREO.engines * routers // 6,
+            seconds=seconds,
+        )
+        groups = max(1, routers // 6)
+        pool = configuration.Pool('chat', 'model', groups=groups)
+        case = world.Case(
+            f'{routers}', profile, routers=routers, pool=pool, warm=10.0
+        )
+        setups.append(Setup(f'{routers} routers', case))
+    return setups
