--- a/lavenderbend/standin/runs.py
+++ b/lavenderbend/standin/runs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+import trio
 
 COMPLETE = 'complete'
 CANCELLED = 'cancelled'
@@ -56,5 +57,8 @@
             record.result = result
 
     def to_document(self) -> dict[str, Any]:
-        """Returns the runs as a JSON object."""
-        return {'runs': [attrs.asdict(item) for item in self.records]}
+        """Returns the runs as a JSON object, with the clock they are on."""
+        return {
+            'now': trio.current_time(),
+            'runs': [attrs.asdict(item) for item in self.records],
+        }
--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import hashlib
 import json
+import math
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 import trio
 import yaml
 
+from tests.integration import checkers
 from tests.integration import ports
 from tests.integration import processes
 from tests.integration import proxy
@@ -57,6 +59,18 @@
     return f'{salt}${digest}'
 
 
+def read_run(upstream: str, line: dict[str, Any], ahead: float) -> checkers.Run:
+    """Returns a run; `ahead` is how far the upstream's clock is ahead."""
+    ended = math.inf if line['ended'] is None else line['ended'] - ahead
+    return checkers.Run(
+        upstream,
+        line['request_id'],
+        line['idempotency_key'],
+        line['started'] - ahead,
+        ended,
+    )
+
+
 class Upstream:
     """An engine or plain service behind its proxy."""
 
@@ -67,7 +81,7 @@
         self.port = port
         self.line = line
         self.proxy = proxy.FaultProxy(HOST, port)
-        self.last_runs: list[dict[str, Any]] = []
+        self.last_runs: list[checkers.Run] = []
 
     @property
     def id(self) -> str:
@@ -291,14 +305,29 @@
             headers={'authorization': f'Bearer {OPERATOR_SECRET}'},
         )
 
-    async def runs(self, upstream: Upstream) -> list[dict[str, Any]]:
-        """Returns what an upstream recorded of its runs."""
+    async def read_runs(self, upstream: Upstream) -> None:
+        """Reads what an upstream recorded, on the clock of the test."""
+        before = trio.current_time()
         with contextlib.suppress(httpx.HTTPError):
             answer = await self.client.get(
                 f'http://{HOST}:{upstream.port}/standin/runs'
             )
-            upstream.last_runs = json.loads(answer.content)['runs']
-        return upstream.last_runs
+            document = json.loads(answer.content)
+            middle = (before + trio.current_time()) / 2
+            ahead = document['now'] - middle
+            upstream.last_runs = [
+                read_run(upstream.id, line, ahead) for line in document['runs']
+            ]
+
+    async def runs(self, *upstreams: Upstream) -> list[checkers.Run]:
+        """Returns the runs of some upstreams, of all if none is named.
+
+        The record of a process that was killed is the one last read.
+        """
+        chosen = upstreams or (*self.engines, *self.services)
+        for upstream in chosen:
+            await self.read_runs(upstream)
+        return [run for item in chosen for run in item.last_runs]
 
     async def set_fault(self, upstream: Upstream, **fault: Any) -> None:
         answer = await self.client.post(
