--- /dev/null
+++ b/bench/relay/child.py
@@ -0,0 +1,44 @@
+"""One process of the bench: the stub, the bare relay or the router."""
+
+from __future__ import annotations
+
+import cProfile
+import functools
+import os
+import sys
+
+import trio
+
+from bench.relay import bare
+from bench.relay import router
+from bench.relay import stub
+
+PROFILE_VARIABLE = 'BENCH_PROFILE'
+
+
+async def run(kind: str, upstream_port: int) -> None:
+    """Serves until standard input ends."""
+    serve = {
+        'stub': stub.serve,
+        'bare': functools.partial(bare.serve, upstream_port),
+        'router': functools.partial(router.serve, upstream_port),
+    }[kind]
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(serve)
+        print(port, flush=True)
+        await trio.to_thread.run_sync(sys.stdin.read)
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    kind, port = sys.argv[1], int(sys.argv[2])
+    target = os.environ.get(PROFILE_VARIABLE)
+    if not target:
+        trio.run(run, kind, port)
+        return
+    profile = cProfile.Profile()
+    profile.runcall(trio.run, run, kind, port)
+    profile.dump_stats(f'{target}.{kind}')
+
+
+main()
--- /dev/null
+++ b/bench/relay/router.py
@@ -0,0 +1,135 @@
+"""The request path as it is, over an admission that always grants."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import random
+
+import trio
+
+from bench.relay import stub
+from lavenderbend.coordination import dispatch
+from lavenderbend.coordination import interfaces
+from lavenderbend.coordination import rules
+from lavenderbend.protocol import http_limits
+from lavenderbend.state import configuration
+from lavenderbend.state import decisions
+from lavenderbend.state import upstreams
+from lavenderbend.transport import callers
+from lavenderbend.transport import serving
+from lavenderbend.transport import upstream_http
+
+CREDENTIAL = 'bench'
+SALT = 'salt'
+LONG_SECONDS = 600.0
+
+
+def document() -> configuration.Configuration:
+    """Returns a configuration of the size of a small deployment."""
+    others = [
+        configuration.Rule(
+            f'other-{index}',
+            configuration.Then(reject='closed'),
+            configuration.When(path=(f'/closed-{index}*',)),
+        )
+        for index in range(8)
+    ]
+    chats = configuration.Rule(
+        'chats',
+        configuration.Then(pool='engines', timeout=LONG_SECONDS),
+        configuration.When(path=('/v1/chat/completions',)),
+    )
+    digest = hashlib.sha256((SALT + CREDENTIAL).encode()).hexdigest()
+    return configuration.Configuration(
+        rules=(*others, chats),
+        customers=(configuration.Customer('one', (f'{SALT}${digest}',)),),
+    )
+
+
+class FixedConfigurations(interfaces.Configurations):
+    """One revision for ever."""
+
+    def __init__(self) -> None:
+        self.revision = configuration.Revision(1, 'digest', document())
+
+    def current(self) -> configuration.Revision:
+        """Returns it."""
+        return self.revision
+
+    async def wait_beyond(self, number: int) -> configuration.Revision:
+        """Waits for ever."""
+        await trio.sleep_forever()
+        raise AssertionError
+
+
+class GrantingAdmission(interfaces.Admission):
+    """Always grants; what permits cost is measured by bench.decisions."""
+
+    def __init__(self, vm: upstreams.Vm) -> None:
+        self.vm = vm
+        self.numbers = itertools.count()
+
+    async def acquire(self, ask: interfaces.PermitAsk) -> interfaces.Permit:
+        """Returns a permit."""
+        return interfaces.Permit(
+            f'r/{next(self.numbers)}', self.vm, 'router', 'first choice'
+        )
+
+    def release(self, permit: interfaces.Permit, result: str) -> None:
+        """Does nothing."""
+
+
+class QuietMembership:
+    """Takes notes and forgets them."""
+
+    def report(self, upstream: str) -> None:
+        """Returns no report."""
+
+    def note_result(self, upstream: str, error: Exception | None) -> None:
+        """Does nothing."""
+
+    def note_draining(self, upstream: str) -> None:
+        """Does nothing."""
+
+
+async def serve(
+    upstream_port: int,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until cancelled."""
+    vm = upstreams.Vm(
+        'e0',
+        stub.HOST,
+        upstream_port,
+        'zone',
+        'engines',
+        upstreams.UpstreamKind.ENGINE,
+    )
+    answers = http_limits.AnswerLimits(stall_seconds=LONG_SECONDS)
+    configurations = FixedConfigurations()
+    dispatcher = dispatch.Dispatcher(
+        'router',
+        configurations,
+        rules.RuleSet(),
+        GrantingAdmission(vm),
+        upstream_http.HttpUpstreamClient(answers),
+        QuietMembership(),
+        None,
+        None,
+        None,
+        decisions.DecisionStore(),
+        {},
+        random.Random(1),
+        dispatch.DispatchSettings(answers=answers),
+    )
+    limits = http_limits.HttpLimits(idle_seconds=LONG_SECONDS)
+    app = callers.CallerApp(dispatcher, configurations, limits)
+    await serving.serve(
+        app,
+        stub.HOST,
+        0,
+        shutdown=trio.Event(),
+        limits=limits,
+        task_status=task_status,
+    )
