Tell apart the end of a drain from a late report

Cause: an answer said draining, and a load report that was older ended that again within a second, on every router.

--- a/lavenderbend/coordination/membership/fleet.py
+++ b/lavenderbend/coordination/membership/fleet.py
@@ -159,13 +159,18 @@
             logs.change(
                 'upstream_ejected', router=self.vm.id, upstream=upstream_id
             )
+            self.candidates.refresh()
             self.touch()
         if isinstance(error, errors.UpstreamUnreachable):
             self.poke(upstream_id)
 
     def note_draining(self, upstream_id: str) -> None:
         """Takes an upstream's own word that it is leaving."""
-        self.news.observe(upstream_id, Kind.DRAINING)
+        report = self.report(upstream_id)
+        instance = self.facts.instances.get(upstream_id, '')
+        if report is not None:
+            instance = report.instance
+        self.news.observe(upstream_id, Kind.DRAINING, instance)
 
     async def leave(self) -> None:
         """Tells the other routers that this one takes no part any more."""
--- a/lavenderbend/coordination/membership/news.py
+++ b/lavenderbend/coordination/membership/news.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import upstream_health
 from lavenderbend.coordination.membership import listing
 from lavenderbend.coordination.membership import routers
 from lavenderbend.observe import logs
@@ -260,7 +261,7 @@
         # said again only when half of its time has gone
         if (
             held is not None
-            and kind is not Kind.RETURNED
+            and kind not in upstream_health.ENDING
             and held.instance == instance
             and held.until - trio.current_time() > hold / 2
         ):
--- a/lavenderbend/coordination/membership/reports.py
+++ b/lavenderbend/coordination/membership/reports.py
@@ -200,8 +200,11 @@
             self.fleet.news.observe(vm_id, Kind.DRAINING, report.instance)
             return
         restarted = before is not None and before.instance != report.instance
-        ended = before is not None and before.draining
-        if restarted or ended or self.fleet.facts.why(vm_id) is not None:
+        if before is not None and before.draining and not restarted:
+            self.fleet.news.observe(vm_id, Kind.DRAIN_ENDED, report.instance)
+        if restarted or self.fleet.facts.is_contradicted(
+            vm_id, report.instance
+        ):
             self.fleet.news.observe(vm_id, Kind.RETURNED, report.instance)
 
     async def confirm(self, vm_id: str) -> None:
--- a/lavenderbend/coordination/upstream_health.py
+++ b/lavenderbend/coordination/upstream_health.py
@@ -14,6 +14,8 @@
 
 Kind = messages.FactKind
 
+ENDING = frozenset({Kind.RETURNED, Kind.DRAIN_ENDED})
+
 # a fact is forgotten this many seconds after it has ended; until then its
 # number tells a late copy from news
 FORGET_AFTER = 60.0
@@ -83,20 +85,27 @@
             return False
         until = trio.current_time() + fact.seconds
         known[kind, fact.observer] = Fact(until, fact.sequence, fact.instance)
-        if kind is Kind.RETURNED:
-            self.clear_others(fact.upstream, fact.instance)
+        if kind in ENDING:
+            self.end_facts(fact.upstream, kind, fact.instance)
         return True
 
-    def clear_others(self, upstream: str, instance: str) -> None:
-        """Ends the facts about other instances, and that it is unreached."""
+    def end_facts(self, upstream: str, kind: Kind, instance: str) -> None:
+        """Ends the facts that an answer of an instance contradicts."""
         now = trio.current_time()
         self.instances[upstream] = instance
         known = self.facts.get(upstream, {})
         for key, fact in known.items():
-            same = fact.instance == instance and key[0] is Kind.DRAINING
-            if fact.until > now and not same:
+            if fact.until > now and is_ended(key[0], fact, kind, instance):
                 known[key] = attrs.evolve(fact, until=now)
 
+    def is_contradicted(self, upstream: str, instance: str) -> bool:
+        """Returns whether an answer of an instance ends a fact held now."""
+        now = trio.current_time()
+        return any(
+            fact.until > now and is_ended(kind, fact, Kind.RETURNED, instance)
+            for (kind, _), fact in self.facts.get(upstream, {}).items()
+        )
+
     def held(self, upstream: str, kind: Kind) -> list[str]:
         """Returns the observers whose facts of a kind hold now."""
         now = trio.current_time()
@@ -147,3 +156,20 @@
             if not facts and upstream not in keep:
                 del self.facts[upstream]
                 self.instances.pop(upstream, None)
+
+
+def is_ended(kind: Kind, fact: Fact, by: Kind, instance: str) -> bool:
+    """Returns whether a fact is ended by an answer of an instance.
+
+    Load reports are late: one that does not say draining may be older than
+    an answer that did. So a report alone ends the draining of earlier
+    instances only; `DRAIN_ENDED` comes from a router that has seen the
+    reports of one instance say it, and then say it no more.
+    """
+    if kind in {Kind.UNREACHABLE, Kind.REFUSED}:
+        return True
+    if kind is not Kind.DRAINING:
+        return False
+    if by is Kind.DRAIN_ENDED:
+        return fact.instance in {'', instance}
+    return fact.instance not in {'', instance}
--- a/lavenderbend/protocol/messages_membership.py
+++ b/lavenderbend/protocol/messages_membership.py
@@ -41,13 +41,16 @@
     """What is said of an upstream.
 
     `UNREACHABLE` is said once routers that the observer asked do not reach
-    it either; `REFUSED` by one router alone; `RETURNED` ends the others.
+    it either; `REFUSED` by one router alone. `RETURNED` says that it answers,
+    and ends those and the draining of earlier instances; `DRAIN_ENDED` that
+    this very instance has taken its draining back.
     """
 
     DRAINING = 0
     UNREACHABLE = 1
     REFUSED = 2
     RETURNED = 3
+    DRAIN_ENDED = 4
 
 
 class ListState(enum.IntEnum):
