--- a/lavenderbend/transport/tls.py
+++ b/lavenderbend/transport/tls.py
@@ -77,6 +77,7 @@
         self.key = key
         self.ca = ca
         self.generation = 0
+        self.failing = False
         self.seen: tuple = ()
         self.server: ssl.SSLContext
         self.client: ssl.SSLContext
@@ -119,8 +120,11 @@
             # them certificate and key do not fit. The old contexts serve
             # until the files fit again, so no connection fails meanwhile.
             RELOADS.inc({'result': 'failed'})
-            logs.change('peer_tls_reload_failed', error=str(exc))
+            if not self.failing:
+                logs.change('peer_tls_reload_failed', error=str(exc))
+            self.failing = True
             return
+        self.failing = False
         RELOADS.inc({'result': 'done'})
         logs.change('peer_tls_reloaded', generation=self.generation)
 
--- a/lavenderbend/transport/vm_list_http.py
+++ b/lavenderbend/transport/vm_list_http.py
@@ -41,7 +41,7 @@
             answer = await self.client.get(self.url, headers=headers)
         except httpx.HTTPError as exc:
             raise ConnectionError(f'{self.url}: {exc!r}') from exc
-        self.bytes_received += len(answer.content)
+        self.bytes_received += answer.num_bytes_downloaded
         if answer.status_code == httpx.codes.NOT_MODIFIED and self.etag:
             return self.last
         if answer.status_code != httpx.codes.OK:
@@ -68,12 +68,14 @@
     for name in ('id', 'host', 'availability_zone', 'service'):
         if not isinstance(line[name], str) or not line[name]:
             raise TypeError(f'{name} is {line[name]!r}')
-    if not isinstance(line['port'], int) or not 0 < line['port'] < 65536:
-        raise ValueError(f'port is {line["port"]!r}')
+    # a JSON true is an int here, and would be port 1
+    port = line['port']
+    if type(port) is not int or not 0 < port < 65536:
+        raise ValueError(f'port is {port!r}')
     return upstreams.Vm(
         id=line['id'],
         host=line['host'],
-        port=line['port'],
+        port=port,
         availability_zone=line['availability_zone'],
         service=line['service'],
         kind=upstreams.UpstreamKind(line['kind']),
--- a/tests/test_transport/test_peer_links.py
+++ b/tests/test_transport/test_peer_links.py
@@ -9,6 +9,7 @@
 from lavenderbend.protocol import peer
 from lavenderbend.transport import links
 from lavenderbend.transport import peer_frames
+from lavenderbend.transport import peer_grpc
 
 
 async def answer_ping(peer_id, item):
@@ -33,8 +34,21 @@
         link.set_peers(addresses)
 
 
+@pytest.fixture(params=[peer_frames.FramesLink, peer_grpc.GrpcLink])
+def cls(request):
+    return request.param
+
+
 @pytest.fixture
-async def pair(nursery):
+async def pair(nursery, cls):
+    first = await make(nursery, 'r1', cls=cls)
+    second = await make(nursery, 'r2', cls=cls)
+    introduce(first, second)
+    return first, second
+
+
+@pytest.fixture
+async def frames(nursery):
     first = await make(nursery, 'r1')
     second = await make(nursery, 'r2')
     introduce(first, second)
@@ -111,14 +125,14 @@
         await first.request('nobody', messages.Ping(), 1)
 
 
-async def test_both_dialing_at_once_lose_nothing(nursery):
+async def test_both_dialing_at_once_lose_nothing(nursery, cls):
     # two routers dial each other in the same moment, so for a while there
     # are two connections, and each side closes one. If they chose unlike,
     # or closed it with requests still on it, requests would get lost.
     for _ in range(5):
         async with trio.open_nursery() as inner:
-            first = await make(inner, 'r1')
-            second = await make(inner, 'r2')
+            first = await make(inner, 'r1', cls=cls)
+            second = await make(inner, 'r2', cls=cls)
             introduce(first, second)
             answers = []
 
@@ -137,11 +151,11 @@
             inner.cancel_scope.cancel()
 
 
-async def test_garbage_is_dropped_and_the_link_goes_on(pair):
+async def test_garbage_is_dropped_and_the_link_goes_on(frames):
     # a port scanner or an HTTP probe speaks to the peer port. Its bytes look
     # like a huge frame; the connection is closed, counted, and real peers
     # are served on.
-    first, second = pair
+    first, second = frames
     for garbage in (
         b'GET / HTTP/1.1\r\n\r\n',
         b'\x00\x00\x00\x02\xc1\xc1',
@@ -158,8 +172,8 @@
     await first.request('r2', messages.Ping(), 5)
 
 
-async def test_garbage_after_the_hello_is_dropped(pair):
-    first, second = pair
+async def test_garbage_after_the_hello_is_dropped(frames):
+    first, second = frames
     stream = await trio.open_tcp_stream('127.0.0.1', second.port)
     wire = peer_frames.FrameWire(
         peer_frames.CountingStream(stream), stream, None
