--- a/bench/relay/child.py
+++ b/bench/relay/child.py
@@ -12,6 +12,7 @@
 from bench.relay import bare
 from bench.relay import router
 from bench.relay import stub
+from lavenderbend.transport import upstream_clients
 
 PROFILE_VARIABLE = 'BENCH_PROFILE'
 
@@ -21,7 +22,10 @@
     serve = {
         'stub': stub.serve,
         'bare': functools.partial(bare.serve, upstream_port),
-        'router': functools.partial(router.serve, upstream_port),
+        'router': functools.partial(
+            router.serve, upstream_port, upstream_clients.DEFAULT
+        ),
+        'router-httpx': functools.partial(router.serve, upstream_port, 'httpx'),
     }[kind]
     async with trio.open_nursery() as nursery:
         port = await nursery.start(serve)
--- a/bench/relay/router.py
+++ b/bench/relay/router.py
@@ -18,7 +18,9 @@
 from lavenderbend.state import upstreams
 from lavenderbend.transport import callers
 from lavenderbend.transport import serving
-from lavenderbend.transport import upstream_http
+from lavenderbend.transport import upstream_clients
+from lavenderbend.transport import upstream_h11  # noqa: F401
+from lavenderbend.transport import upstream_http  # noqa: F401
 
 CREDENTIAL = 'bench'
 SALT = 'salt'
@@ -95,6 +97,7 @@
 
 async def serve(
     upstream_port: int,
+    client: str,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves until cancelled."""
@@ -113,7 +116,7 @@
         configurations,
         rules.RuleSet(),
         GrantingAdmission(vm),
-        upstream_http.HttpUpstreamClient(answers),
+        upstream_clients.CLIENTS.get(client)(answers),
         QuietMembership(),
         None,
         None,
--- a/lavenderbend/coordination/dispatch/bodies.py
+++ b/lavenderbend/coordination/dispatch/bodies.py
@@ -26,7 +26,7 @@
     Attributes:
         iterator: The bytes as they arrive.
         limits: Limits on the answer.
-        arrived: Whether any byte has come.
+        watched: Whether the iterator itself ends stalls.
     """
 
     def __init__(
@@ -35,8 +35,8 @@
         limits: http_limits.AnswerLimits,
     ) -> None:
         self.iterator: AsyncIterator[bytes] = answer.chunks()
+        self.watched = answer.watches_stalls
         self.limits = limits
-        self.arrived = False
 
     async def receive(self) -> bytes | None:
         """Returns the next bytes, None at the end.
@@ -45,15 +45,15 @@
             UpstreamStalled: Nothing came in time.
             UpstreamBroke: The answer ended early.
         """
-        # without this an upstream that goes silent would hold the caller,
-        # the permit and the memory of the exchange for ever
-        with trio.move_on_after(self.limits.stall_seconds):
-            try:
-                data = await self.iterator.__anext__()
-            except StopAsyncIteration:
-                return None
-            self.arrived = True
-            return data
+        try:
+            if self.watched:
+                return await self.iterator.__anext__()
+            # without this an upstream that goes silent would hold the
+            # caller, the permit and the memory of the exchange for ever
+            with trio.move_on_after(self.limits.stall_seconds):
+                return await self.iterator.__anext__()
+        except StopAsyncIteration:
+            return None
         raise errors.UpstreamStalled('the answer stopped arriving')
 
     async def next_piece(self) -> bytes | None:
--- a/lavenderbend/coordination/interfaces.py
+++ b/lavenderbend/coordination/interfaces.py
@@ -234,6 +234,13 @@
     def routers(self) -> tuple[str, ...]:
         """Returns the ids of the live routers, this one among them."""
 
+    def region_routers(self) -> tuple[str, ...]:
+        """Returns those of this router's region, this one among them.
+
+        Owners are chosen among them: a permit never crosses regions.
+        """
+        return self.routers()
+
     @abc.abstractmethod
     def upstreams(self, service: str) -> tuple[upstreams.Vm, ...]:
         """Returns the upstreams of a service that may get new work."""
@@ -329,9 +336,12 @@
 
     Attributes:
         start: Status and headers.
+        watches_stalls: Whether `chunks` itself raises `UpstreamStalled`
+            when nothing comes for too long.
     """
 
     start: AnswerStart
+    watches_stalls = False
 
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -18,6 +18,7 @@
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import http_limits
 from lavenderbend.protocol import problems
+from lavenderbend.transport import stall_watch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,12 +48,12 @@
 
     Attributes:
         stream: The stream of trio.
-        send_seconds: Longest time for one write.
+        waiter: Noted while a write is in progress.
     """
 
-    def __init__(self, stream: trio.SocketStream, send_seconds: float) -> None:
+    def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
-        self.send_seconds = send_seconds
+        self.waiter = stall_watch.Waiter(self.reset)
 
     @property
     def socket(self) -> trio.socket.SocketType:
@@ -63,12 +64,17 @@
         """Sends all bytes, or breaks the connection off."""
         # a caller that stops reading would hold its answer, its upstream
         # and its permit for ever: hypercorn shields its writes
-        with trio.move_on_after(self.send_seconds):
+        self.waiter.since = trio.current_time()
+        try:
             await self.stream.send_all(data)
-            return
+        finally:
+            self.waiter.since = None
+
+    def reset(self) -> None:
+        """Resets the connection because the other side does not read."""
         slow_callers.inc({})
-        await self.abort()
-        raise trio.BrokenResourceError('the other side does not read')
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.socket.close()
 
     async def abort(self) -> None:
         """Resets the connection, so that nothing that was sent looks whole."""
@@ -159,6 +165,7 @@
         limits: Limits on connections.
         config: Settings of hypercorn.
         context: Tells connections of the end.
+        watch: Ends writes that take too long.
         open: Connections that are open now.
     """
 
@@ -169,6 +176,7 @@
         size = self.config.wsgi_max_body_size
         self.app = utils.wrap_app(shield_ends(limited), size, 'asgi')
         self.context = worker_context.WorkerContext(None)
+        self.watch = stall_watch.StallWatch(limits.send_seconds)
         self.open = 0
 
     async def accept(
@@ -194,7 +202,8 @@
         size = self.limits.send_buffer_bytes
         if size:
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
-        bounded = BoundedStream(stream, self.limits.send_seconds)
+        bounded = BoundedStream(stream)
+        self.watch.add(bounded.waiter)
         # an application finds this in the state of its scope
         state = {ABORT: bounded.abort}
         try:
@@ -206,6 +215,7 @@
             return
         finally:
             self.open -= 1
+            self.watch.remove(bounded.waiter)
 
 
 def shield_ends(app: Callable[..., Any]) -> Callable[..., Any]:
--- a/lavenderbend/transport/upstream_http.py
+++ b/lavenderbend/transport/upstream_http.py
@@ -2,52 +2,29 @@
 
 from __future__ import annotations
 
-from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
 import httpx
-import orjson
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
-from lavenderbend.observe import metrics
 from lavenderbend.protocol import http_limits
-from lavenderbend.state import upstreams
+from lavenderbend.transport import upstream_answers
+from lavenderbend.transport import upstream_clients
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Mapping
 
     from lavenderbend.state import requests
+    from lavenderbend.state import upstreams
 
-REQUEST_ID = 'x-request-id'
-INSTANCE = 'x-instance'
-NOT_STARTED = 'x-not-started'
-REPORT_PATH = '/v1/load'
 CONNECT_SECONDS = 1.0
-REPORT_SECONDS = 1.0
 KEPT_CONNECTIONS = 64
 KEPT_SECONDS = 15.0
 
-# parts of an answer's head that belong to the connection, or that the
-# router's own server sets
-HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'date',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'server',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-
 CONNECTION_ERRORS = (
     httpx.TransportError,
     httpx.StreamError,
@@ -55,21 +32,6 @@
     OSError,
 )
 
-mismatches = metrics.counter(
-    'lavenderbend_answer_mismatches_total',
-    'Answers that carried the id of another request.',
-)
-
-
-def read_headers(response: httpx.Response) -> dict[str, str]:
-    """Returns the headers that go on to the caller, names in lower case."""
-    headers = {}
-    for name, value in response.headers.raw:
-        key = name.decode('latin-1').lower()
-        if key not in HOP_HEADERS:
-            headers[key] = value.decode('latin-1')
-    return headers
-
 
 def build_request(
     vm: upstreams.Vm, request: requests.Request, headers: Mapping[str, str]
@@ -79,7 +41,11 @@
     Raises:
         RequestInvalid: The caller's path is none of HTTP/1.1.
     """
-    merged = {**request.headers, **headers, REQUEST_ID: request.id}
+    merged = {
+        **request.headers,
+        **headers,
+        upstream_answers.REQUEST_ID: request.id,
+    }
     # as bytes, since httpx takes text for ASCII only
     sent = [
         (name.encode('latin-1'), value.encode('latin-1', 'replace'))
@@ -177,6 +143,7 @@
     )
 
 
+@upstream_clients.CLIENTS.register('httpx')
 class HttpUpstreamClient(interfaces.UpstreamClient):
     """Sends requests to upstreams over HTTP/1.1.
 
@@ -248,34 +215,26 @@
         self, response: httpx.Response, request_id: str
     ) -> interfaces.UpstreamAnswer:
         """Returns the answer if it is one to this request."""
-        headers = read_headers(response)
-        start = interfaces.AnswerStart(
-            response.status_code, headers, headers.get(INSTANCE, '')
+        start = upstream_answers.read_start(
+            response.status_code, response.headers.raw
         )
         answer = HttpUpstreamAnswer(response, start, self.limits)
-        echo = headers.get(REQUEST_ID)
-        if echo != request_id:
-            # a late answer to the connection's earlier request would go to
-            # the wrong caller; closing it unread keeps the rest away too
-            mismatches.inc({})
-            await answer.close()
-            raise errors.AnswerMismatch(
-                'the answer does not carry the id of the request'
-            )
-        if response.status_code == 503 and headers.get(NOT_STARTED) == '1':
+        try:
+            upstream_answers.check_start(start, request_id)
+        except errors.UpstreamError:
             await answer.close()
-            raise errors.UpstreamRefused('the upstream did not start it')
+            raise
         return answer
 
     async def report(self, vm: upstreams.Vm) -> upstreams.LoadReport:
         """Fetches an engine's load report."""
         outgoing = httpx.Request(
             'GET',
-            f'http://{vm.host}:{vm.port}{REPORT_PATH}',
+            f'http://{vm.host}:{vm.port}{upstream_answers.REPORT_PATH}',
             extensions={'timeout': {'connect': CONNECT_SECONDS}},
         )
         response = await self.send(
-            self.pools_of(vm).kept, outgoing, REPORT_SECONDS
+            self.pools_of(vm).kept, outgoing, upstream_answers.REPORT_SECONDS
         )
         answer = HttpUpstreamAnswer(
             response,
@@ -283,15 +242,13 @@
             self.limits,
         )
         try:
-            with trio.fail_after(REPORT_SECONDS):
+            with trio.fail_after(upstream_answers.REPORT_SECONDS):
                 data = b''.join([item async for item in answer.chunks()])
         except trio.TooSlowError as exc:
             raise errors.UpstreamBroke('no load report in time') from exc
         finally:
             await answer.close()
-        if response.status_code != 200:
-            raise errors.UpstreamBroke('the upstream gives no load report')
-        return read_report(vm.id, data)
+        return upstream_answers.read_report(vm.id, response.status_code, data)
 
     async def forget(self, vm: upstreams.Vm) -> None:
         """Closes the idle connections of an upstream that has left."""
@@ -304,47 +261,3 @@
         for pools in self.connections.values():
             await pools.aclose()
         self.connections.clear()
-
-
-def read_count(document: dict[str, Any], key: str) -> int:
-    """Returns a count of a load report."""
-    value = document.get(key, 0)
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise errors.UpstreamBroke(f'`{key}` of the load report is no count')
-    return value
-
-
-def read_names(document: dict[str, Any], key: str) -> tuple[str, ...]:
-    """Returns a list of names of a load report."""
-    value = document.get(key, [])
-    if not isinstance(value, list):
-        raise errors.UpstreamBroke(f'`{key}` of the load report is no list')
-    return tuple(str(item) for item in value)
-
-
-def read_report(upstream: str, data: bytes) -> upstreams.LoadReport:
-    """Returns the load report in a body.
-
-    Raises:
-        UpstreamBroke: It is none.
-    """
-    try:
-        document = orjson.loads(data)
-    except orjson.JSONDecodeError as exc:
-        raise errors.UpstreamBroke('the load report is not JSON') from exc
-    if not isinstance(document, dict):
-        raise errors.UpstreamBroke('the load report is no object')
-    age = document.get('age', 0.0)
-    if not isinstance(age, int | float) or not 0 <= age < 3600:
-        raise errors.UpstreamBroke('`age` of the load report is no time')
-    return upstreams.LoadReport(
-        upstream=upstream,
-        instance=str(document.get('instance', '')),
-        running=read_count(document, 'running'),
-        waiting=read_count(document, 'waiting'),
-        age=float(age),
-        models=read_names(document, 'models'),
-        adapters=read_names(document, 'adapters'),
-        draining=document.get('draining') is True,
-        max_running=read_count(document, 'max_running'),
-    )
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -27,7 +27,9 @@
 from lavenderbend.state import upstreams
 from lavenderbend.transport import callers
 from lavenderbend.transport import serving
-from lavenderbend.transport import upstream_http
+from lavenderbend.transport import upstream_clients
+from lavenderbend.transport import upstream_h11  # noqa: F401
+from lavenderbend.transport import upstream_http  # noqa: F401
 
 HOST = '127.0.0.1'
 CREDENTIAL = 'open-sesame'
@@ -240,6 +242,7 @@
     limits: http_limits.HttpLimits | None = None,
     engine_kwargs: dict[str, Any] | None = None,
     held_bytes: int = 64 * 1024,
+    client: str = upstream_clients.DEFAULT,
     **then: Any,
 ):
     answers = answers or http_limits.AnswerLimits(stall_seconds=0.5)
@@ -269,7 +272,7 @@
         quarantine = FakeQuarantine()
         store = decisions.DecisionStore()
         budgets: dict[str, retries.RetryBudget] = {}
-        upstream_client = upstream_http.HttpUpstreamClient(answers)
+        upstream_client = upstream_clients.CLIENTS.get(client)(answers)
         dispatcher = dispatch.Dispatcher(
             'router-1',
             configurations,
@@ -314,6 +317,13 @@
         nursery.cancel_scope.cancel()
 
 
+async def until(predicate: Any) -> None:
+    with trio.fail_after(5):
+        # the stand-ins have no event for what tests wait for
+        while not predicate():  # noqa: ASYNC110
+            await trio.sleep(0.005)
+
+
 def chat_body(text: str = 'hola', **fields: Any) -> dict[str, Any]:
     return {
         'model': 'model',
--- a/tests/test_transport/test_callers.py
+++ b/tests/test_transport/test_callers.py
@@ -162,6 +162,7 @@
         with trio.fail_after(5):
             await path.admission.all_released()
         record = path.engines[0].log.records[0]
+        await path_fakes.until(lambda: record.result)
     assert record.result == 'cancelled'
     assert path.last_decision().error == 'CallerGone'
 
