Poll the engines of a group by its owner; choose owners within a region

Load reports were polled by two routers chosen for each engine; the owner of the group lacked the reports of a third of them, and an engine without a report counts as serving nothing. Ruled out: placement itself (engines came into use the moment a router stopped and polling moved). Also: owners were chosen over all regions, though engines are those of the region. Conclusion: owner and next owner poll; an entry that must admit alone too.

--- a/lavenderbend/coordination/admission/degraded.py
+++ b/lavenderbend/coordination/admission/degraded.py
@@ -36,7 +36,7 @@
         put as many requests above the bound as there are entries. The rest
         goes to those that come first in the upstream's rendezvous order.
         """
-        routers = self.membership.routers()
+        routers = self.membership.region_routers()
         each, rest = divmod(max(0, headroom), max(1, len(routers)))
         order = hashing.rendezvous_order(f'{upstream}/{headroom}', routers)
         extra = self.name in order[:rest]
@@ -46,7 +46,7 @@
         """Returns the load in the last report, or what is live here."""
         report = self.membership.report(upstream)
         if report is None:
-            return self.live[upstream] * len(self.membership.routers())
+            return self.live[upstream] * len(self.membership.region_routers())
         return report.load
 
     def used(self, upstream: str) -> int:
--- a/lavenderbend/coordination/admission/groups.py
+++ b/lavenderbend/coordination/admission/groups.py
@@ -16,6 +16,8 @@
     from lavenderbend.state import configuration
     from lavenderbend.state import upstreams
 
+REPORTED_OWNERS = 2
+
 
 @attrs.frozen
 class GroupId:
@@ -41,6 +43,12 @@
     return hashing.rendezvous(key, routers) or ''
 
 
+def first_owners(group: GroupId, routers: Sequence[str]) -> list[str]:
+    """Returns the owner of a group and who comes after it, if it is lost."""
+    key = f'{group.pool}/{group.index}'
+    return hashing.rendezvous_order(key, routers)[:REPORTED_OWNERS]
+
+
 def standby(group: GroupId, routers: Sequence[str], name: str) -> str:
     """Returns who should know what an owner knows, empty for nobody.
 
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -121,7 +121,7 @@
     def share(self) -> float:
         """Returns the share of live entries that ask this owner."""
         now = trio.current_time()
-        live = self.membership.routers()
+        live = self.membership.region_routers()
         oldest = now - self.settings.heard
         asking = sum(self.heard.get(name, -1.0) >= oldest for name in live)
         return asking / max(1, len(live))
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -187,7 +187,7 @@
         """Frees the permits of entries that have left."""
         while True:
             await self.membership.wait_changed()
-            live = set(self.membership.routers())
+            live = set(self.membership.region_routers())
             for group in list(self.owned.values()):
                 for entry in set(group.table.numbers) - live:
                     group.drop_entry(entry)
@@ -201,7 +201,7 @@
         """
         while True:
             await trio.sleep(COPY_SECONDS)
-            routers = self.membership.routers()
+            routers = self.membership.region_routers()
             for group in list(self.owned.values()):
                 standby = groups.standby(group.group, routers, self.name)
                 item = group.copy_places(standby)
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -75,6 +75,8 @@
         owners: Owner of each group by this router's view.
         suspects: Until when an unreachable router is not asked.
         sums: Load and upstreams of groups as last heard.
+        polling: Whether the reports of a group are needed here, by the
+            routers in `polling_for`.
     """
 
     def __init__(
@@ -102,6 +104,8 @@
         self.suspects: dict[str, float] = {}
         self.sums: dict[groups.GroupId, tuple[int, int]] = {}
         self.last_number = rng.getrandbits(NUMBER_BITS)
+        self.polling: dict[groups.GroupId, bool] = {}
+        self.polling_for: tuple[str, ...] = ()
         link.handle(messages_decisions.PermitResync, self.on_resync)
 
     def next_number(self) -> int:
@@ -139,6 +143,36 @@
         if held.owner:
             self.tell(held.owner, messages_decisions.PermitRelease([number]))
 
+    def wants_report(self, vm: upstreams.Vm) -> bool:
+        """Returns whether this router needs an engine's load reports.
+
+        The owner of its group does, and the router that becomes the owner
+        if that one is lost; any other while it must admit alone.
+        """
+        try:
+            self.directory.refresh()
+        except errors.NoConfiguration:
+            return False
+        return any(
+            self.wants_group(
+                groups.group_id(pool, self.directory.index(pool, vm.id))
+            )
+            for pool in self.directory.pools.values()
+            if pool.service == vm.service
+        )
+
+    def wants_group(self, group: groups.GroupId) -> bool:
+        """Returns whether this router needs the reports of a group."""
+        routers = self.membership.region_routers()
+        if self.polling_for != routers:
+            self.polling_for = routers
+            self.polling.clear()
+        if group not in self.polling:
+            self.polling[group] = self.name in groups.first_owners(
+                group, routers
+            )
+        return self.polling[group] or not self.owner_of(group)
+
     def tell(self, router: str, item: peer.Message) -> None:
         """Queues a notice to a router."""
         self.link.notify(router, item)
@@ -147,7 +181,7 @@
         """Returns the owner of a group, empty if it is not reachable."""
         name = self.owners.get(group)
         if name is None:
-            name = groups.owner(group, self.membership.routers())
+            name = groups.owner(group, self.membership.region_routers())
             self.owners[group] = name
         if self.suspects.get(name, 0.0) > trio.current_time():
             return ''
@@ -163,7 +197,7 @@
 
     def refresh_owners(self) -> None:
         """Reads the owners anew and moves the live permits to new ones."""
-        routers = self.membership.routers()
+        routers = self.membership.region_routers()
         by_group = collections.defaultdict(list)
         for held in self.held.values():
             by_group[held.group].append(held)
--- a/lavenderbend/coordination/membership/reports.py
+++ b/lavenderbend/coordination/membership/reports.py
@@ -20,10 +20,11 @@
 Kind = messages.FactKind
 
 POLL_SHARDS = 256
-CHOOSE_PERIOD = 10.0  # seconds, should admission change its mind
+CHOOSE_PERIOD = 2.0  # seconds, should admission change its mind
 MAX_POLLS = 32  # at the same time
 FAST_RETRY = 0.25  # seconds from a failed report to the next
-TURN = 0.05  # seconds between looks at what is due
+MIN_TURN = 0.01  # seconds between looks at what is due
+MAX_TURN = 0.5
 
 POLLS = metrics.counter(
     'lavenderbend_load_reports_total', 'Load reports polled, by result.'
@@ -36,12 +37,10 @@
 
     Attributes:
         due: Router clock of the next poll.
-        failures: Polls in a row that failed.
         busy: Whether a poll is in progress.
     """
 
     due: float
-    failures: int = 0
     busy: bool = False
 
 
@@ -138,7 +137,14 @@
                     chosen_for = view
                     chosen_at = now
                 self.start_due(nursery)
-                await trio.sleep(TURN)
+                await trio.sleep(self.until_due())
+
+    def until_due(self) -> float:
+        """Returns the seconds until the next poll, within bounds."""
+        now = trio.current_time()
+        due = [item.due for item in self.polled.values() if not item.busy]
+        left = min(due, default=now + MAX_TURN) - now
+        return min(max(left, MIN_TURN), MAX_TURN)
 
     def start_due(self, nursery: trio.Nursery) -> None:
         """Starts the polls that are due."""
@@ -157,16 +163,13 @@
             nursery.start_soon(self.poll_due, vm_id, item)
 
     async def poll_due(self, vm_id: str, item: Polled) -> None:
-        """Polls an engine that is due."""
+        """Polls an engine that is due; looks closer if it is not reached."""
         try:
-            good = await self.poll(vm_id)
-            if good:
-                item.failures = 0
-                return
-            item.failures += 1
-            if item.failures < self.fleet.settings.report_failures:
-                item.due = trio.current_time() + FAST_RETRY
-                return
+            for number in range(self.fleet.settings.report_failures):
+                if number:
+                    await trio.sleep(FAST_RETRY)
+                if await self.poll(vm_id):
+                    return
             await self.confirm(vm_id)
         finally:
             item.busy = False
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -132,6 +132,8 @@
             self.configurations,
             self.rng,
         )
+        # an owner that lacks the reports of an engine would never use it
+        self.membership.wants_report = self.admission.wants_report
         self.claims = claims_module.Claims(
             settings.id,
             self.store,
@@ -235,6 +237,18 @@
             self.limits,
         ):
             nursery.start_soon(part.run)
+        nursery.start_soon(self.follow_revisions)
+
+    async def follow_revisions(self) -> None:
+        """Has membership look anew at what each revision asks for.
+
+        A new pool brings engines whose reports this router now needs.
+        """
+        number = 0
+        while True:
+            revision = await self.configurations.wait_beyond(number)
+            number = revision.number
+            self.membership.touch()
 
     async def finish(self, callers_shutdown: trio.Event) -> None:
         """Stops without cutting off a request.
