--- a/lavenderbend/cmd/status.py
+++ b/lavenderbend/cmd/status.py
@@ -47,18 +47,30 @@
         f'{found["router"]} in {found["availability_zone"]}, '
         f'lavenderbend {found["version"]}, revision {number}'
     )
-    routers = [(r['id'], r['revision']) for r in found['routers']]
+    routers = [
+        (r['id'], r['availability_zone'], r['state'], r['revision'])
+        for r in found['routers']
+    ]
     rules = [
         (r['name'], r['pool'] or 'rejected', r['priority'], r['hits'])
         for r in found['rules']
     ]
-    parts = [head, tables.table(('router', 'revision'), routers)]
+    parts = [
+        head,
+        tables.table(('router', 'zone', 'state', 'revision'), routers),
+    ]
     for pool in found['pools']:
         rows = [
-            (vm['id'], vm['availability_zone'], vm['load'], vm['report_age'])
+            (
+                vm['id'],
+                vm['availability_zone'],
+                vm['load'],
+                vm['report_age'],
+                vm['standing'],
+            )
             for vm in pool['upstreams']
         ]
-        heads = (f'pool {pool["name"]}', 'zone', 'load', 'report age s')
+        heads = (f'pool {pool["name"]}', 'zone', 'load', 'age s', 'new work')
         parts.append(tables.table(heads, rows))
     heads = ('rule', 'goes to', 'priority', 'first matches here')
     parts.append(tables.table(heads, rules))
--- a/lavenderbend/coordination/explain.py
+++ b/lavenderbend/coordination/explain.py
@@ -122,28 +122,47 @@
     request: requests.Request,
 ) -> Explanation:
     """Returns the explanation with the upstreams of the pool."""
-    vms = membership.upstreams(pool.service)
-    if not vms:
-        return attrs.evolve(base, verdict=NO_UPSTREAM)
-    model = base.then.model or request.model if base.then else request.model
+    model = request.model
+    if base.then is not None and base.then.model is not None:
+        model = base.then.model
     able = []
     unable = []
-    for vm in vms:
+    for vm in membership.upstreams(pool.service):
         if serves(pool, membership.report(vm.id), model):
             able.append(vm)
         else:
             unable.append(step(vm, membership, WRONG_MODEL))
     if not able:
         return attrs.evolve(base, candidates=tuple(unable), verdict=NO_UPSTREAM)
-    loads = {vm.id: load_of(membership, vm.id) for vm in able}
-    allowed = placement.allowed_load(pool, sum(loads.values()), len(able))
-    chat = rules.chat_hash(request) if request.chat_key else 0
+    allowed, steps, choice = try_candidates(pool, able, membership, request)
+    verdict = ALL_PASSED_OVER
+    if choice.upstream is not None:
+        verdict = f'{choice.upstream} {TAKEN}: {choice.reason}'
+    return attrs.evolve(
+        base,
+        allowed_load=allowed,
+        candidates=(*steps, *unable),
+        verdict=verdict,
+    )
+
+
+def try_candidates(
+    pool: configuration.Pool,
+    able: list[upstreams.Vm],
+    membership: interfaces.Membership,
+    request: requests.Request,
+) -> tuple[int, tuple[CandidateStep, ...], placement.Choice]:
+    """Returns the allowed load, the candidates and the choice."""
     options = [
-        placement.Candidate(vm.id, instance_of(membership, vm.id), loads[vm.id])
+        placement.Candidate(
+            vm.id, instance_of(membership, vm.id), load_of(membership, vm.id)
+        )
         for vm in able
     ]
+    total = sum(option.load for option in options)
+    allowed = placement.allowed_load(pool, total, len(able))
     tie_break = hashing.hash64(request.id)
-    tried = placement.order(chat, options, (), tie_break)
+    tried = placement.order(options, (), tie_break)
     choice = placement.choose(tried, allowed, pool.max_load)
     by_id = {vm.id: vm for vm in able}
     steps = tuple(
@@ -154,15 +173,7 @@
         )
         for candidate, reason in tried
     )
-    verdict = ALL_PASSED_OVER
-    if choice.upstream is not None:
-        verdict = f'{choice.upstream} {TAKEN}: {choice.reason}'
-    return attrs.evolve(
-        base,
-        allowed_load=allowed,
-        candidates=(*steps, *unable),
-        verdict=verdict,
-    )
+    return allowed, steps, choice
 
 
 def verdict_on(
--- a/lavenderbend/transport/operator_status.py
+++ b/lavenderbend/transport/operator_status.py
@@ -11,15 +11,15 @@
 import lavenderbend
 from lavenderbend import errors
 from lavenderbend.observe import metrics
+from lavenderbend.state import upstreams
 from lavenderbend.transport import operator_routes
 from lavenderbend.transport import operator_rules
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination import membership as membership_module
     from lavenderbend.state import configuration
-    from lavenderbend.state import upstreams
     from lavenderbend.transport import operators
 
 
@@ -52,13 +52,17 @@
 
 
 def routers(app: operators.OperatorApp) -> Iterator[dict[str, Any]]:
-    """Yields the live routers and the revision each has reported."""
+    """Yields the known routers, their state and the revision of each."""
     reported = app.configurations.in_force()
-    for name in sorted(set(app.membership.routers()) | {app.name}):
+    for vm in app.membership.all_vms():
+        if vm.kind is not upstreams.UpstreamKind.ROUTER:
+            continue
         yield {
-            'id': name,
-            'this': name == app.name,
-            'revision': reported.get(name),
+            'id': vm.id,
+            'this': vm.id == app.name,
+            'availability_zone': vm.availability_zone,
+            'state': app.membership.router_state(vm.id),
+            'revision': reported.get(vm.id),
         }
 
 
@@ -66,12 +70,19 @@
     app: operators.OperatorApp, document: configuration.Configuration
 ) -> Iterator[dict[str, Any]]:
     """Yields each pool with its upstreams and their load."""
+    vms = app.membership.all_vms()
     for pool in document.pools:
+        taking = {vm.id for vm in app.membership.upstreams(pool.service)}
         members = [
-            upstream(app.membership, vm)
-            for vm in app.membership.upstreams(pool.service)
+            upstream(app.membership, vm, vm.id in taking)
+            for vm in vms
+            if vm.service == pool.service
+        ]
+        loads = [
+            member['load']
+            for member in members
+            if member['takes_new_work'] and member['load'] is not None
         ]
-        loads = [m['load'] for m in members if m['load'] is not None]
         mean = sum(loads) / len(loads) if loads else None
         yield {
             'name': pool.name,
@@ -86,15 +97,18 @@
 
 
 def upstream(
-    membership: interfaces.Membership, vm: upstreams.Vm
+    membership: membership_module.FleetMembership,
+    vm: upstreams.Vm,
+    takes_new_work: bool,
 ) -> dict[str, Any]:
-    """Returns an upstream that may get new work, with its last report."""
+    """Returns an upstream with its last report."""
     report = membership.report(vm.id)
     shown = {
         'id': vm.id,
         'address': f'{vm.host}:{vm.port}',
         'availability_zone': vm.availability_zone,
-        'state': vm.state.value,
+        'takes_new_work': takes_new_work,
+        'standing': membership.explain(vm.id),
         'load': None,
         'report_age': None,
         'models': [],
--- a/lavenderbend/transport/operators.py
+++ b/lavenderbend/transport/operators.py
@@ -4,11 +4,8 @@
 
 import hashlib
 import hmac
-import logging
 from typing import TYPE_CHECKING
 
-from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
 import quart
 import quart_trio
 import trio
@@ -21,6 +18,7 @@
 from lavenderbend.transport import operator_routes
 from lavenderbend.transport import operator_rules
 from lavenderbend.transport import operator_status
+from lavenderbend.transport import serving
 from lavenderbend.transport import status_page
 
 if TYPE_CHECKING:
@@ -32,6 +30,7 @@
         configuration_log as configuration_log_module,
     )
     from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination import membership as membership_module
     from lavenderbend.coordination import rules as rules_module
     from lavenderbend.state import decisions as decisions_module
     from lavenderbend.state import settings as settings_module
@@ -67,7 +66,7 @@
         name: str,
         configurations: configuration_follower.ConfigurationFollower,
         configuration_log: configuration_log_module.ConfigurationLog,
-        membership: interfaces.Membership,
+        membership: membership_module.FleetMembership,
         decisions: decisions_module.DecisionStore,
         admission: interfaces.Admission,
         link: interfaces.PeerLink,
@@ -162,16 +161,13 @@
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves operators until cancelled; starts with the bound port."""
-        config = hypercorn_config.Config()
-        config.bind = [f'[{host}]:{port}' if ':' in host else f'{host}:{port}']
-        config.accesslog = None
-        # a client that breaks off is no change of state, so no log line
-        config.errorlog = logging.getLogger('lavenderbend.operators')
-        config.errorlog.addHandler(logging.NullHandler())
-        config.errorlog.propagate = False
-        async with trio.open_nursery() as nursery:
-            binds = await nursery.start(hypercorn_trio.serve, self.app, config)
-            task_status.started(int(binds[0].rsplit(':', 1)[1]))
+        await serving.serve(
+            self.app,
+            host,
+            port,
+            shutdown=trio.Event(),
+            task_status=task_status,
+        )
 
 
 def matches(salted: str, secret: str) -> bool:
--- a/lavenderbend/transport/status_page.py
+++ b/lavenderbend/transport/status_page.py
@@ -49,6 +49,9 @@
             app.decisions, wanted, SHOWN_DECISIONS
         ),
         refresh=REFRESH_SECONDS,
+        live='live' in quart.request.args,
+        live_url=f'/?{wanted.query()}&live=1',
+        still_url=f'/?{wanted.query()}',
         **HELPERS,
     )
     return quart.Response(text, content_type='text/html; charset=utf-8')
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -53,6 +53,30 @@
             for vm in self.loads
         )
 
+    def all_vms(self):
+        kind = upstreams.UpstreamKind.ROUTER
+        routers = tuple(
+            upstreams.Vm(name, '127.0.0.1', 9, 'sala-a', 'router', kind)
+            for name in self.routers()
+        )
+        leaving = upstreams.Vm(
+            'engine-3',
+            '127.0.0.1',
+            9,
+            'sala-a',
+            'assistant',
+            upstreams.UpstreamKind.ENGINE,
+        )
+        return (*self.upstreams('assistant'), leaving, *routers)
+
+    def explain(self, upstream_id):
+        if upstream_id in self.loads:
+            return 'candidate'
+        return 'leaving in the VM list'
+
+    def router_state(self, router_id):
+        return 'alive'
+
     def report(self, upstream):
         load = self.loads.get(upstream)
         if load is None:
--- a/tests/test_transport/test_operators.py
+++ b/tests/test_transport/test_operators.py
@@ -101,6 +101,9 @@
     assert found['pools'][0]['mean_load'] == 5
     assert found['pools'][0]['skew'] == pytest.approx(1.8)
     assert found['rules'][1]['hits'] == 7
+    out = [u for u in found['pools'][0]['upstreams'] if u['id'] == 'engine-3']
+    assert out[0]['takes_new_work'] is False
+    assert out[0]['standing'] == 'leaving in the VM list'
 
 
 async def test_status_before_any_configuration():
