--- a/lavenderbend/cmd/decision_text.py
+++ b/lavenderbend/cmd/decision_text.py
@@ -30,7 +30,7 @@
         last['upstream'] if last else None,
         last['reason'] if last else decision['error'],
         decision['outcome'] or 'in progress',
-        round(decision['duration'] * 1000, 1),
+        f'{decision["duration"] * 1000:.1f}',
     )
 
 
--- a/lavenderbend/cmd/demo.py
+++ b/lavenderbend/cmd/demo.py
@@ -11,6 +11,7 @@
 from lavenderbend.cmd import base
 from lavenderbend.cmd import demo_text
 from lavenderbend.cmd import exit_codes
+from lavenderbend.cmd import numbers
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -51,8 +52,8 @@
 
         plan = demo.DemoPlan(
             choice(arguments['--deployment']),
-            number('--seconds', arguments, LEAST_SECONDS, MOST_SECONDS),
-            int(number('--seed', arguments, 0, 2**31)),
+            numbers.read('--seconds', arguments, LEAST_SECONDS, MOST_SECONDS),
+            int(numbers.read('--seed', arguments, 0, 2**31)),
         )
         report = trio.run(demo.Demo(plan, output.note).run)
         output.result(demo_text.document(report), demo_text.text(report))
@@ -71,20 +72,3 @@
         allowed = ', '.join(DEPLOYMENTS)
         raise errors.SettingsError(f'--deployment {name!r}: one of {allowed}')
     return name
-
-
-def number(
-    option: str, arguments: Mapping[str, Any], least: float, most: float
-) -> float:
-    """Returns a number of the command line.
-
-    Raises:
-        SettingsError: It is none, or out of bounds.
-    """
-    try:
-        value = float(arguments[option])
-    except ValueError as exc:
-        raise errors.SettingsError(f'{option}: {exc}') from exc
-    if not least <= value <= most:
-        raise errors.SettingsError(f'{option}: {least:g} to {most:g}')
-    return value
--- a/lavenderbend/cmd/demo_text.py
+++ b/lavenderbend/cmd/demo_text.py
@@ -48,7 +48,7 @@
     """Returns the report for people."""
     parts = [
         answers(report),
-        latencies(report),
+        latency_table(report.loads),
         engines(report),
         events(report),
         control(report),
@@ -66,7 +66,18 @@
 
 
 def answers(report: demo.DemoReport) -> str:
-    """Returns the table of answers."""
+    """Returns what became of the calls."""
+    once = sum(report.once_runs.values())
+    twice = sum(n for times, n in report.once_runs.items() if times > 1)
+    return (
+        f'{answer_table(report.loads)}\n'
+        f'Non-idempotent calls: {once} ran, {twice} of them more than once; '
+        f'{report.told_not_run} were told "not run" and yet ran'
+    )
+
+
+def answer_table(loads: dict[str, results.LoadResult]) -> str:
+    """Returns the table of answers, with examples of what went wrong."""
     heads = (
         'Answers',
         'whole',
@@ -90,26 +101,20 @@
             f'{result.cache_reuse:.1%}',
             f'{result.returning_cache_reuse:.1%}',
         )
-        for name, result in report.loads.items()
+        for name, result in loads.items()
     ]
     lines = [tables.table(heads, rows)]
-    for name, result in report.loads.items():
+    for name, result in loads.items():
         lines += [f'  {name}: {example}' for example in result.examples[:3]]
-    once = sum(report.once_runs.values())
-    twice = sum(n for times, n in report.once_runs.items() if times > 1)
-    lines.append(
-        f'Non-idempotent calls: {once} ran, {twice} of them more than once; '
-        f'{report.told_not_run} were told "not run" and yet ran'
-    )
     return '\n'.join(lines)
 
 
-def latencies(report: demo.DemoReport) -> str:
+def latency_table(loads: dict[str, results.LoadResult]) -> str:
     """Returns the table of latencies."""
     heads = ('Latency, ms', *(f'p{percent:g}' for percent in QUANTILES))
     rows = [
         row
-        for name, result in report.loads.items()
+        for name, result in loads.items()
         for row in latency_rows(name, result)
     ]
     return tables.table(heads, rows)
--- a/lavenderbend/transport/operator_client.py
+++ b/lavenderbend/transport/operator_client.py
@@ -123,11 +123,15 @@
         kind = document['type'].removeprefix(PROBLEM_PREFIX)
         detail = document['detail']
         faults = document.get('faults', ())
+        changes = document.get('difference', ())
     except (ValueError, LookupError, TypeError, AttributeError):
         return errors.OperatorRefused(
             response.status_code, 'no-problem', response.reason_phrase
         )
     lines = [detail]
+    if changes:
+        lines = [detail.partition(':')[0] + ':']
+    lines += [f'  {change}' for change in changes]
     for fault in faults:
         lines.append(
             f'  line {fault["line"]}: {fault["key"]}: {fault["fault"]}; '
--- a/tests/test_cmd/test_cmd_main.py
+++ b/tests/test_cmd/test_cmd_main.py
@@ -70,6 +70,8 @@
         'explain',
         'decisions',
         'status',
+        'demo',
+        'load',
     }
 
 
@@ -268,3 +270,40 @@
 
     assert result.code is Code.SETTINGS
     assert 'step_seconds' in result.errors
+
+
+CUSTOMERS = EXAMPLES / 'correo' / 'customers.yaml'
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        ('load', '--customers', CUSTOMERS, '--mix', 'no', 'http://127.0.0.1:1'),
+        (
+            *('load', '--customers', CUSTOMERS, '--mix', 'correo'),
+            *('--surge', 'nobody', 'http://127.0.0.1:1'),
+        ),
+        (
+            *('load', '--customers', CUSTOMERS, '--mix', 'correo'),
+            *('--rate', '-1', 'http://127.0.0.1:1'),
+        ),
+        ('demo', '--deployment', 'none'),
+        ('demo', '--seconds', 'x'),
+        ('explain', '--customer', 'c', '--header', 'no-colon'),
+    ],
+)
+def test_wrong_options_are_told(line):
+    result = run(*line)
+
+    assert result.code is Code.SETTINGS
+    assert 'Traceback' not in result.errors
+
+
+def test_load_that_reaches_nobody_fails():
+    result = run(
+        *('load', '--customers', CUSTOMERS, '--mix', 'correo'),
+        *('--seconds', '1', '--rate', '5', '--json', 'http://127.0.0.1:1'),
+    )
+
+    assert result.code is Code.FAILED
+    assert result.json['refused'] == result.json['calls'] > 0
