--- a/lavenderbend/coordination/membership/news.py
+++ b/lavenderbend/coordination/membership/news.py
@@ -185,8 +185,7 @@
 
     def end_suspicions(self) -> None:
         """Believes routers dead that did not refute in time."""
-        count = len(self.fleet.table.routers) + 1
-        limit = self.fleet.settings.suspicion_time(count)
+        limit = self.fleet.settings.suspicion
         for item in list(self.fleet.table):
             if item.state is not State.SUSPECT:
                 continue
--- a/lavenderbend/coordination/membership/settings.py
+++ b/lavenderbend/coordination/membership/settings.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import attrs
 
 from lavenderbend.coordination import ejection
@@ -18,9 +16,7 @@
         probe_timeout: For the answer to a direct probe.
         indirect_timeout: For the answer through other routers.
         indirect_probes: Routers that are asked to probe in our place.
-        suspicion: Least time that a suspected router has to refute.
-        suspicion_factor: Times log10 of the fleet's size, the time to
-            refute in larger fleets.
+        suspicion: Time that a suspected router has to refute.
         fanout: Routers that an urgent update is sent to by each.
         spread_delay: Time that urgent updates gather.
         piggyback_bytes: Updates on one probe or answer.
@@ -44,12 +40,11 @@
         ejection: When upstreams are ejected and damped.
     """
 
-    probe_period: float = 1.0
+    probe_period: float = 0.5
     probe_timeout: float = 0.4
     indirect_timeout: float = 0.8
     indirect_probes: int = 3
     suspicion: float = 2.0
-    suspicion_factor: float = 2.0
     fanout: int = 5
     spread_delay: float = 0.02
     piggyback_bytes: int = 512
@@ -69,8 +64,3 @@
     ejection: ejection.EjectionSettings = attrs.field(
         factory=ejection.EjectionSettings
     )
-
-    def suspicion_time(self, routers: int) -> float:
-        """Returns the time to refute in a fleet of that many routers."""
-        scaled = self.suspicion_factor * math.log10(max(routers, 1))
-        return max(self.suspicion, scaled)
