--- a/lavenderbend/coordination/admission/degraded.py
+++ b/lavenderbend/coordination/admission/degraded.py
@@ -13,6 +13,10 @@
     from lavenderbend.state import configuration
     from lavenderbend.state import upstreams
 
+SHARED_PART = 0.5
+# what the load may have fallen by since the report
+UNSEEN_PART = 0.1
+
 
 class LocalShare:
     """This entry's share of the headroom that the last reports show.
@@ -35,9 +39,11 @@
         All live entries may be admitting alone: rounding each part up would
         put as many requests above the bound as there are entries. The rest
         goes to those that come first in the upstream's rendezvous order.
+        Half of the headroom is left to an owner that may still be alive.
         """
         routers = self.membership.region_routers()
-        each, rest = divmod(max(0, headroom), max(1, len(routers)))
+        part = max(0, headroom) * SHARED_PART
+        each, rest = divmod(int(part), max(1, len(routers)))
         order = hashing.rendezvous_order(f'{upstream}/{headroom}', routers)
         extra = self.name in order[:rest]
         return each + extra
@@ -66,7 +72,10 @@
         if not vms:
             return None
         loads = {vm.id: self.load(vm.id) for vm in vms}
-        allowed = placement.allowed_load(pool, sum(loads.values()), len(vms))
+        load = sum(loads.values())
+        allowed = placement.allowed_load(
+            pool, load, len(vms), UNSEEN_PART * load
+        )
         order = hashing.rendezvous_order(chat.to_bytes(8, 'big'), loads)
         for upstream in order:
             if upstream in avoid:
--- a/lavenderbend/coordination/admission/groups.py
+++ b/lavenderbend/coordination/admission/groups.py
@@ -70,13 +70,12 @@
     return names.index(best) if best is not None else 0
 
 
-def chat_groups(pool: configuration.Pool, chat: int) -> list[int]:
-    """Returns the indices of the groups in the order to ask for a chat."""
+def chat_group(pool: configuration.Pool, chat: int) -> int:
+    """Returns the index of the group to ask first for a chat."""
     if pool.groups <= 1:
-        return [0]
+        return 0
     names = [str(index) for index in range(pool.groups)]
-    key = chat.to_bytes(8, 'big')
-    return [int(name) for name in hashing.rendezvous_order(key, names)]
+    return int(hashing.rendezvous(chat.to_bytes(8, 'big'), names) or 0)
 
 
 class Directory:
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from lavenderbend.coordination import fairness
 from lavenderbend.coordination import placement
 from lavenderbend.coordination.admission import serving
+from lavenderbend.coordination.admission import sums
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_decisions
 from lavenderbend.state import permits
@@ -30,6 +32,9 @@
 GRANT_IN_FLIGHT_SECONDS = 3.0
 RATE_WEIGHT = 0.2
 MIN_UNSEEN = 1.0
+MAX_HOPS = 2
+# what load from elsewhere may have fallen by since the report
+FOREIGN_DRIFT = 0.25
 # for each second; about 800 bytes, while a table is copied for the first time
 COPIED_CHATS = 120
 MIN_PATIENCE_SECONDS = 0.01
@@ -56,6 +61,7 @@
         done: Set when `choice` or `error` is.
         choice: The permit.
         error: Why there is none.
+        elsewhere: Group of the pool to ask instead, if any.
         patient_until: Owner clock until which it waits for room where its
             context is, though other upstreams have room.
     """
@@ -67,6 +73,7 @@
     done: trio.Event = attrs.field(factory=trio.Event)
     choice: placement.Choice | None = None
     error: errors.RequestError | None = None
+    elsewhere: int | None = None
     patient_until: float = 0.0
 
 
@@ -87,7 +94,12 @@
         directory: groups.Directory,
         membership: interfaces.Membership,
         settings: settings_.AdmissionSettings,
+        pool_sums: sums.PoolSums,
     ) -> None:
+        self.sums = pool_sums
+        self.moved: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
         self.group = group
         self.directory = directory
         self.membership = membership
@@ -130,11 +142,11 @@
         """Returns the pool.
 
         Raises:
-            NoUpstream: The pool is not in this router's configuration.
+            NoConfiguration: It is not in this router's configuration yet.
         """
         pool = self.directory.pool(self.group.pool)
         if pool is None:
-            raise errors.NoUpstream('the owner does not know the pool yet', 1)
+            raise errors.NoConfiguration('the owner does not know the pool', 1)
         return pool
 
     def join_reports(self, vms: list[upstreams.Vm]) -> None:
@@ -236,18 +248,29 @@
         candidates = self.candidates(vms, ask)
         if all(candidate.avoided for candidate in candidates):
             raise errors.NoUpstream('no upstream of the pool serves this', 1)
-        load = sum(candidate.load for candidate in candidates)
-        allowed = placement.allowed_load(
-            pool,
-            load + ask.others_load,
-            len(candidates) + ask.others_engines,
-            MIN_UNSEEN + self.rate * self.settings.flight,
-        )
+        allowed = self.allowed(pool, candidates)
         self.limit_rooms(candidates, allowed)
         places = self.places.get(ask.chat) if ask.chat else ()
         tried = placement.order(candidates, places, ask.number)
         return placement.choose(tried, allowed, self.max_load(pool, ask))
 
+    def allowed(
+        self,
+        pool: configuration.Pool,
+        candidates: list[placement.Candidate],
+    ) -> int:
+        """Returns the highest load that the bound allows now."""
+        load = sum(candidate.load for candidate in candidates)
+        own = sum(self.table.own(one.upstream) for one in candidates)
+        others = self.sums.others(self.group.pool, self.group.index)
+        elsewhere = sum(item.load for item in others.values())
+        engines = sum(item.engines for item in others.values())
+        unseen = MIN_UNSEEN + self.rate * self.settings.flight
+        unseen += sums.DRIFT * elsewhere + FOREIGN_DRIFT * (load - own)
+        return placement.allowed_load(
+            pool, load + elsewhere, len(candidates) + engines, unseen
+        )
+
     def max_load(
         self,
         pool: configuration.Pool,
@@ -294,7 +317,11 @@
         REFUSALS.inc({'error': type(error).__name__})
 
     def submit(self, waiter: Waiter) -> None:
-        """Grants, refuses or queues a new request."""
+        """Grants, refuses, queues or sends on a new request."""
+        waiter.elsewhere = self.settled(waiter.ask)
+        if waiter.elsewhere is not None:
+            waiter.done.set()
+            return
         try:
             choice = None if self.blocked(waiter) else self.place(waiter.ask)
         except errors.RequestError as exc:
@@ -304,8 +331,9 @@
             if not self.be_patient(waiter, choice):
                 self.grant(waiter, choice)
             return
-        if self.elsewhere(waiter.ask, choice):
-            waiter.choice = choice
+        other = self.elsewhere(waiter.ask, choice)
+        if other is not None:
+            waiter.elsewhere = other
             waiter.done.set()
             return
         self.enqueue(waiter)
@@ -370,9 +398,53 @@
         self,
         ask: messages_decisions.PermitRequest,
         choice: placement.Choice | None,
-    ) -> bool:
-        """Returns whether another group of the pool should be asked."""
-        return choice is not None and ask.others_engines > 0
+    ) -> int | None:
+        """Returns the group that should be asked instead, if any."""
+        if ask.hops >= MAX_HOPS:
+            return None
+        emptiest = self.sums.emptiest(self.group.pool, self.group.index)
+        if emptiest is None:
+            return None
+        index, other = emptiest
+        load, engines = self.total()
+        if other.mean >= load / max(1, engines):
+            return None
+        if choice is not None and choice.upstream is None:
+            self.remember_move(ask.chat, index)
+            return index
+        return None
+
+    def settled(self, ask: messages_decisions.PermitRequest) -> int | None:
+        """Returns the group that a chat was sent on to, or should be.
+
+        A chat that is nowhere yet is sent on when this group has more than
+        its part of the pool's load.
+        """
+        if ask.hops > 0 or self.places.get(ask.chat):
+            return None
+        if ask.chat in self.moved:
+            self.moved.move_to_end(ask.chat)
+            return self.moved[ask.chat]
+        others = self.sums.others(self.group.pool, self.group.index)
+        if not others:
+            return None
+        load, engines = self.total()
+        all_load = load + sum(item.load for item in others.values())
+        all_engines = engines + sum(item.engines for item in others.values())
+        if load * all_engines <= sums.UNEVEN * all_load * engines:
+            return None
+        index = min(others, key=lambda one: (others[one].mean, one))
+        self.remember_move(ask.chat, index)
+        return index
+
+    def remember_move(self, chat: int, index: int) -> None:
+        """Notes that a chat was sent on to another group."""
+        if not chat:
+            return
+        self.moved[chat] = index
+        self.moved.move_to_end(chat)
+        if len(self.moved) > self.settings.chats:
+            self.moved.popitem(last=False)
 
     def blocked(self, waiter: Waiter) -> bool:
         """Returns whether others wait that go before a new request."""
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -6,9 +6,11 @@
 
 import trio
 
+from lavenderbend import errors
 from lavenderbend.coordination import placement
 from lavenderbend.coordination.admission import groups
 from lavenderbend.coordination.admission import owned
+from lavenderbend.coordination.admission import sums
 from lavenderbend.protocol import messages_decisions
 
 if TYPE_CHECKING:
@@ -41,6 +43,7 @@
         self.directory = directory
         self.settings = settings
         self.created = trio.Event()
+        self.sums = sums.PoolSums()
         self.owned: dict[groups.GroupId, owned.OwnedGroup] = {}
         link.handle(messages_decisions.PermitRequest, self.on_request)
         link.handle(messages_decisions.PermitRelease, self.on_release)
@@ -48,13 +51,19 @@
         link.handle(messages_decisions.PermitMoved, self.on_moved)
         link.handle(messages_decisions.PermitDigest, self.on_digest)
         link.handle(messages_decisions.PlacesCopy, self.on_places)
+        link.handle(messages_decisions.PermitPoll, self.on_poll)
+        link.handle(messages_decisions.GroupSums, self.on_sums)
 
     def group(self, pool: int, index: int) -> owned.OwnedGroup:
         """Returns the state of a group, made when first asked for."""
         group = groups.GroupId(pool, index)
         if group not in self.owned:
             self.owned[group] = owned.OwnedGroup(
-                group, self.directory, self.membership, self.settings
+                group,
+                self.directory,
+                self.membership,
+                self.settings,
+                self.sums,
             )
             self.created.set()
         return self.owned[group]
@@ -70,50 +79,59 @@
         if live is not None:
             # asked again because the first answer was lost: another permit
             # would count the request twice
-            return self.answer(group, placement.Choice(live.upstream))
+            return self.answer(placement.Choice(live.upstream))
         waiter = group.waiting.get((entry, item.number))
         now = trio.current_time()
         if waiter is None:
             deadline = now + item.left * MILLISECOND
             waiter = owned.Waiter(entry, item, deadline, now)
             group.submit(waiter)
-        waiter.polled = now
-        with trio.move_on_after(item.hold * MILLISECOND):
-            await waiter.done.wait()
-        waiter.polled = trio.current_time()
-        return self.outcome(group, waiter)
+        return await self.wait(group, waiter, item.hold)
+
+    async def on_poll(
+        self, entry: str, item: peer.Message
+    ) -> peer.Message | None:
+        """Answers how a waiting request stands."""
+        assert isinstance(item, messages_decisions.PermitPoll)
+        group = self.group(item.pool, item.group)
+        group.hear(entry)
+        live = group.table.get(entry, item.number)
+        if live is not None:
+            return self.answer(placement.Choice(live.upstream))
+        waiter = group.waiting.get((entry, item.number))
+        if waiter is None:
+            # forgotten here, by a restart or for want of polls: the entry
+            # must ask anew or it would poll until its deadline
+            raise errors.NotWaiting('no such request waits here')
+        return await self.wait(group, waiter, item.hold)
 
-    def outcome(
-        self, group: owned.OwnedGroup, waiter: owned.Waiter
+    async def wait(
+        self, group: owned.OwnedGroup, waiter: owned.Waiter, hold: int
     ) -> peer.Message:
-        """Returns the answer as things stand."""
+        """Waits for a decision as long as the entry allows."""
+        waiter.polled = trio.current_time()
+        with trio.move_on_after(hold * MILLISECOND):
+            await waiter.done.wait()
+        waiter.polled = trio.current_time()
         if waiter.error is not None:
             raise waiter.error
+        if waiter.elsewhere is not None:
+            return messages_decisions.PermitElsewhere(waiter.elsewhere)
         if waiter.choice is None:
             return messages_decisions.PermitWaiting()
-        return self.answer(group, waiter.choice)
+        return self.answer(waiter.choice)
 
-    def answer(
-        self, group: owned.OwnedGroup, choice: placement.Choice
-    ) -> peer.Message:
-        """Returns the message for a choice."""
-        load = 0
-        engines = 0
-        if group.pool().groups > 1:
-            load, engines = group.total()
-        if choice.upstream is None:
-            return messages_decisions.PermitElsewhere(load, engines)
+    def answer(self, choice: placement.Choice) -> peer.Message:
+        """Returns the message for a granted permit."""
         short_id = messages_decisions.short_id
         passed_over: list[int] = []
         for upstream, reason in choice.passed_over:
             passed_over.append(short_id(upstream))
             passed_over.append(placement.REASON_NUMBERS[reason])
         return messages_decisions.PermitGrant(
-            short_id(choice.upstream),
+            short_id(choice.upstream or ''),
             placement.REASON_NUMBERS.get(choice.reason, 0),
             passed_over,
-            load,
-            engines,
         )
 
     async def on_release(self, entry: str, item: peer.Message) -> None:
@@ -159,6 +177,7 @@
             nursery.start_soon(self.run_ticks)
             nursery.start_soon(self.run_views)
             nursery.start_soon(self.run_copies)
+            nursery.start_soon(self.run_sums)
             nursery.start_soon(self.run_groups, nursery)
 
     async def run_groups(self, nursery: trio.Nursery) -> None:
@@ -193,6 +212,55 @@
                     group.drop_entry(entry)
                 group.dispatch()
 
+    async def on_sums(self, router: str, item: peer.Message) -> None:
+        """Notes the load of other groups."""
+        assert isinstance(item, messages_decisions.GroupSums)
+        rows = zip(item.groups, item.loads, item.engines, strict=False)
+        for index, load, engines in rows:
+            self.sums.put(item.pool, index, load, engines)
+
+    async def run_sums(self) -> None:
+        """Tells the owners of a pool's groups of each other's load."""
+        while True:
+            await trio.sleep(sums.SUMS_SECONDS)
+            for item, routers in self.sums_to_tell():
+                for router in routers:
+                    self.link.notify(router, item)
+
+    def sums_to_tell(
+        self,
+    ) -> list[tuple[messages_decisions.GroupSums, list[str]]]:
+        """Returns the sums of each pool's own groups, and whom to tell."""
+        routers = self.membership.routers()
+        items: dict[int, messages_decisions.GroupSums] = {}
+        for name, group in self.owned.items():
+            if groups.owner(name, routers) != self.name:
+                continue
+            pool = self.directory.pool(name.pool)
+            if pool is None or pool.groups <= 1:
+                continue
+            load, engines = group.total()
+            item = items.setdefault(
+                name.pool, messages_decisions.GroupSums(name.pool, [], [], [])
+            )
+            item.groups.append(name.index)
+            item.loads.append(load)
+            item.engines.append(engines)
+        return [
+            (item, self.owners_of(pool, routers))
+            for pool, item in items.items()
+        ]
+
+    def owners_of(self, pool: int, routers: tuple[str, ...]) -> list[str]:
+        """Returns the owners of a pool's groups."""
+        known = self.directory.pool(pool)
+        count = known.groups if known is not None else 0
+        owners = {
+            groups.owner(groups.GroupId(pool, index), routers)
+            for index in range(count)
+        }
+        return sorted(owners)
+
     async def run_copies(self) -> None:
         """Copies places to the standby of each group.
 
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -31,7 +31,6 @@
 
 NUMBER_BITS = 32
 CHAT_SHIFT = 32
-RESUM_SECONDS = 0.02
 LAST_WORD_SECONDS = 0.05
 
 DEGRADED = metrics.counter(
@@ -74,7 +73,7 @@
         held: Permits in use here, by number.
         owners: Owner of each group by this router's view.
         suspects: Until when an unreachable router is not asked.
-        sums: Load and upstreams of groups as last heard.
+        asking: Requests that wait for each router's answer.
         polling: Whether the reports of a group are needed here, by the
             routers in `polling_for`.
     """
@@ -102,7 +101,9 @@
         self.held: dict[int, Held] = {}
         self.owners: dict[groups.GroupId, str] = {}
         self.suspects: dict[str, float] = {}
-        self.sums: dict[groups.GroupId, tuple[int, int]] = {}
+        self.asking: dict[str, set[trio.CancelScope]] = collections.defaultdict(
+            set
+        )
         self.last_number = rng.getrandbits(NUMBER_BITS)
         self.polling: dict[groups.GroupId, bool] = {}
         self.polling_for: tuple[str, ...] = ()
@@ -193,8 +194,18 @@
         if self.suspects.get(router, 0.0) <= now:
             logs.change('owner_unreachable', owner=router)
         self.suspects[router] = now + self.settings.suspect
+        self.stop_asking(router)
         UNREACHABLE.inc({'owner': router})
 
+    def stop_asking(self, router: str) -> None:
+        """Ends the wait for the answers of a router that is lost.
+
+        Those that wait in its queue would else learn of it only when the
+        time is over that it may hold an answer.
+        """
+        for scope in list(self.asking[router]):
+            scope.cancel()
+
     def refresh_owners(self) -> None:
         """Reads the owners anew and moves the live permits to new ones."""
         routers = self.membership.region_routers()
@@ -302,17 +313,15 @@
         self.number = admission.next_number()
         self.started = trio.current_time()
         self.avoid = {messages_decisions.short_id(one) for one in ask.avoid}
-        self.groups = collections.deque(
-            groups.chat_groups(pool, self.chat or self.number)
-        )
-        self.tried = 0
+        self.index = groups.chat_group(pool, self.chat or self.number)
+        self.hops = 0
         self.waits = False
 
     async def run(self) -> interfaces.Permit:
         """Returns the permit; raises as `Admission.acquire`."""
         while True:
             self.check_deadline()
-            group = groups.group_id(self.pool, self.groups[0])
+            group = groups.group_id(self.pool, self.index)
             owner = self.admission.owner_of(group)
             if not owner:
                 permit = self.admit_alone(group)
@@ -321,7 +330,7 @@
                 await trio.sleep(self.admission.settings.degraded_poll)
                 continue
             answer = await self.request(owner, group)
-            permit = await self.follow(answer, owner, group)
+            permit = self.follow(answer, owner, group)
             if permit is not None:
                 return permit
 
@@ -340,29 +349,54 @@
     ) -> peer.Message | None:
         """Asks an owner; returns None if it cannot be reached."""
         admission = self.admission
-        settings = admission.settings
-        hold = settings.hold if self.waits else settings.first_hold
+        with trio.CancelScope() as scope:
+            admission.asking[owner].add(scope)
+            try:
+                return await self.exchange(owner, group)
+            except errors.PeerRefused as exc:
+                self.raise_refusal(exc)
+                self.abandon(owner)
+                await trio.sleep(admission.settings.degraded_poll)
+                return None
+            except errors.PeerUnreachable:
+                admission.asking[owner].discard(scope)
+                admission.suspect(owner)
+                self.abandon(owner)
+                return None
+            except trio.Cancelled:
+                self.give_up(owner)
+                raise
+            finally:
+                admission.asking[owner].discard(scope)
+        # cancelled because the owner is lost
+        self.abandon(owner)
+        return None
+
+    async def exchange(self, owner: str, group: groups.GroupId) -> peer.Message:
+        """Sends the request or a poll and returns the answer."""
+        settings = self.admission.settings
         left = self.ask.deadline - trio.current_time()
+        hold = settings.hold if self.waits else settings.first_hold
         hold = max(0.0, min(hold, left - LAST_WORD_SECONDS))
-        item = self.message(group, hold, left)
-        timeout = hold + admission.settings.ask_timeout
-        try:
-            return await admission.link.request(owner, item, timeout)
-        except errors.PeerRefused as exc:
-            self.raise_refusal(exc)
-            admission.suspect(owner)
-            return None
-        except errors.PeerUnreachable:
-            # the owner may have granted all the same: without this notice
-            # the permit would be live there until the next resync
-            self.give_up(owner)
-            admission.suspect(owner)
-            self.number = admission.next_number()
-            self.waits = False
-            return None
-        except trio.Cancelled:
-            self.give_up(owner)
-            raise
+        item: peer.Message
+        if self.waits:
+            item = messages_decisions.PermitPoll(
+                self.number, group.pool, group.index, round(hold * 1000)
+            )
+        else:
+            item = self.message(group, hold, left)
+        timeout = hold + settings.ask_timeout
+        return await self.admission.link.request(owner, item, timeout)
+
+    def abandon(self, owner: str) -> None:
+        """Goes on with another number.
+
+        The owner may have granted this one all the same: without the notice
+        the permit would be live there until the next resync.
+        """
+        self.give_up(owner)
+        self.number = self.admission.next_number()
+        self.waits = False
 
     def give_up(self, owner: str) -> None:
         """Tells an owner that this number is not used."""
@@ -385,7 +419,6 @@
         """Returns the message that asks for the permit."""
         short_id = messages_decisions.short_id
         ask = self.ask
-        load, engines = self.others(group)
         return messages_decisions.PermitRequest(
             number=self.number,
             pool=group.pool,
@@ -399,27 +432,11 @@
             left=round(left * 1000),
             hold=round(hold * 1000),
             avoid=sorted(self.avoid),
-            others_load=load,
-            others_engines=engines,
+            hops=self.hops,
             suspect=ask.suspect,
         )
 
-    def others(self, group: groups.GroupId) -> tuple[int, int]:
-        """Returns load and upstreams of the pool's other groups."""
-        if self.pool.groups <= 1:
-            return 0, 0
-        load = 0
-        engines = 0
-        for index in range(self.pool.groups):
-            if index == group.index:
-                continue
-            other = groups.GroupId(group.pool, index)
-            sums = self.admission.sums.get(other, (0, 0))
-            load += sums[0]
-            engines += sums[1]
-        return load, engines
-
-    async def follow(
+    def follow(
         self, answer: peer.Message | None, owner: str, group: groups.GroupId
     ) -> interfaces.Permit | None:
         """Acts on an answer; returns the permit if there is one."""
@@ -427,20 +444,13 @@
             self.waits = True
             return None
         if isinstance(answer, messages_decisions.PermitElsewhere):
-            self.admission.sums[group] = (answer.load, answer.engines)
-            await self.next_group()
+            self.index = answer.group
+            self.hops += 1
             return None
         if isinstance(answer, messages_decisions.PermitGrant):
             return self.accept(answer, owner, group)
         return None
 
-    async def next_group(self) -> None:
-        """Goes on to the chat's next group, after a round with a pause."""
-        self.groups.rotate(-1)
-        self.tried += 1
-        if self.tried % len(self.groups) == 0:
-            await trio.sleep(RESUM_SECONDS)
-
     def accept(
         self,
         grant: messages_decisions.PermitGrant,
@@ -449,14 +459,13 @@
     ) -> interfaces.Permit | None:
         """Returns the permit, None if this entry may not use it."""
         admission = self.admission
-        if grant.engines:
-            admission.sums[group] = (grant.load, grant.engines)
         names = self.names()
         vm = names.get(grant.upstream)
         if vm is None:
             # this entry knows already that the upstream is leaving, the
             # owner does not: a leaving upstream must get nothing new
-            self.refuse_grant(grant, owner)
+            self.abandon(owner)
+            self.avoid.add(grant.upstream)
             return None
         now = trio.current_time()
         admission.held[self.number] = Held(
@@ -476,15 +485,6 @@
         vms = self.admission.membership.upstreams(self.pool.service)
         return {messages_decisions.short_id(vm.id): vm for vm in vms}
 
-    def refuse_grant(
-        self, grant: messages_decisions.PermitGrant, owner: str
-    ) -> None:
-        """Gives a permit back that this entry may not use."""
-        self.give_up(owner)
-        self.number = self.admission.next_number()
-        self.waits = False
-        self.avoid.add(grant.upstream)
-
     def passed_over(
         self,
         grant: messages_decisions.PermitGrant,
--- a/lavenderbend/coordination/admission/settings.py
+++ b/lavenderbend/coordination/admission/settings.py
@@ -31,7 +31,7 @@
     """
 
     ask_timeout: float = 0.3
-    hold: float = 1.0
+    hold: float = 10.0
     suspect: float = 1.0
     beat: float = 2.0
     heard: float = 5.0
--- a/lavenderbend/coordination/placement.py
+++ b/lavenderbend/coordination/placement.py
@@ -27,6 +27,7 @@
 TESTED = 'runs another suspect request'
 
 ROUNDING = 1e-9
+LARGE_MEAN = 25.0
 
 # positions go over the wire: append only
 REASONS = (
@@ -88,7 +89,9 @@
     """Returns the highest load that the bound allows on one upstream.
 
     The mean counts the new request. Some upstream is always at or below the
-    mean, so the next whole number above it must be allowed.
+    mean, so the next whole number above it must be allowed. The bound is
+    rounded up only while one request is a large part of the mean: rounded
+    down there, returning chats would find no room at their place.
 
     Args:
         pool: Bound, floor and hard limit.
@@ -99,7 +102,10 @@
     """
     mean = (load + 1) / count
     sure = max(0.0, load + 1 - unseen) / count
-    bound = math.ceil(pool.bound * sure - ROUNDING)
+    if mean < LARGE_MEAN:
+        bound = math.ceil(pool.bound * sure - ROUNDING)
+    else:
+        bound = math.floor(pool.bound * sure + ROUNDING)
     allowed = max(pool.floor, math.ceil(mean - ROUNDING), bound)
     return min(allowed, pool.max_load)
 
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -185,6 +185,12 @@
     kind = 'pool-full'
 
 
+class NotWaiting(RequestError):
+    """An owner does not know of the request that is said to wait there."""
+
+    kind = 'not-waiting'
+
+
 class RouterStopping(RequestError):
     """The router is stopping; another router takes the request."""
 
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -41,8 +41,7 @@
         left: Milliseconds until the deadline.
         hold: Milliseconds that the owner may hold its answer.
         avoid: Short ids of upstreams not to use.
-        others_load: Last known load of the other groups of the pool.
-        others_engines: Their number of upstreams.
+        hops: Groups of the pool that sent the request on.
         suspect: Whether it was on an upstream that died.
     """
 
@@ -58,8 +57,7 @@
     left: int
     hold: int = 0
     avoid: list[int] = attrs.field(factory=list)
-    others_load: int = 0
-    others_engines: int = 0
+    hops: int = 0
     suspect: bool = False
 
 
@@ -72,15 +70,11 @@
         upstream: Short id of the upstream.
         reason: Index in `placement.REASONS`.
         passed_over: Pairs of short id and index in `placement.REASONS`.
-        load: Load of the group.
-        engines: Upstreams in the group.
     """
 
     upstream: int
     reason: int
     passed_over: list[int] = attrs.field(factory=list)
-    load: int = 0
-    engines: int = 0
 
 
 @peer.message(52)
@@ -170,15 +164,13 @@
 @peer.message(58)
 @attrs.frozen
 class PermitElsewhere(peer.Message):
-    """The group is above its share of the pool; ask the next group.
+    """Another group of the pool has more room; ask its owner.
 
     Attributes:
-        load: Load of the group.
-        engines: Upstreams in the group.
+        group: Index of that group.
     """
 
-    load: int
-    engines: int
+    group: int
 
 
 @peer.message(59)
@@ -203,6 +195,42 @@
     indices: list[int]
 
 
+@peer.message(63)
+@attrs.frozen
+class GroupSums(peer.Message):
+    """Notice of the load of groups, to the owners of the pool's others.
+
+    Attributes:
+        pool: Short id of the pool.
+        groups: Index of each group.
+        loads: Load of each.
+        engines: Upstreams in each.
+    """
+
+    pool: int
+    groups: list[int]
+    loads: list[int]
+    engines: list[int]
+
+
+@peer.message(64)
+@attrs.frozen
+class PermitPoll(peer.Message):
+    """Asks how a waiting request stands.
+
+    Attributes:
+        number: The entry's number for the permit.
+        pool: Short id of the pool.
+        group: Index of the group.
+        hold: Milliseconds that the owner may hold its answer.
+    """
+
+    number: int
+    pool: int
+    group: int
+    hold: int
+
+
 @peer.message(60)
 @attrs.frozen
 class CrashSeen(peer.Message):
