--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -1,10 +1,11 @@
 """Measures the relay beside a bare one; fails when a bound is passed.
 
-Usage: python -m bench.relay [--quick]
+Usage: python -m bench.relay [--quick] [--httpx]
 """
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import functools
 import json
@@ -19,7 +20,8 @@
 
 from bench.relay import client
 
-ROUNDS = 3
+ROUNDS = 7
+QUICK_ROUNDS = 3
 WHOLE_CONNECTIONS = 8
 WHOLE_REQUESTS = 150
 STREAMS = 20
@@ -28,6 +30,10 @@
 FULL_STREAMS = 40
 FULL_PACE = 0.0005
 HELD_STREAMS = 2000
+# the router and the bare relay by the router's own client, which count; both
+# by httpx, for comparison, with --httpx
+KINDS = ('bare', 'router')
+HTTPX_KINDS = ('bare-httpx', 'router-httpx')
 TICKS = os.sysconf('SC_CLK_TCK')
 KIB = 1024
 
@@ -133,55 +139,72 @@
     )
 
 
-def run(quick: bool) -> dict:
-    """Measures both relays in turns, so that both see the same machine."""
-    rounds = 1 if quick else ROUNDS
-    requests = WHOLE_REQUESTS // (3 if quick else 1)
+def run(quick: bool, kinds: tuple[str, ...]) -> dict:
+    """Measures the relays in turns, so that all see the same machine."""
     held = HELD_STREAMS // (10 if quick else 1)
     found: dict[str, dict[str, list[Cost]]] = {}
     memory: dict[str, float] = {}
     with child('stub') as stub_child, contextlib.ExitStack() as stack:
         relays = {
             kind: stack.enter_context(child(kind, stub_child.port))
-            for kind in ('bare', 'router')
+            for kind in kinds
         }
         for relay in relays.values():
             whole_cost(relay, 20)
-        for _ in range(rounds):
+        for _ in range(QUICK_ROUNDS if quick else ROUNDS):
             for kind, relay in relays.items():
-                costs = found.setdefault(kind, {})
-                costs.setdefault('request', []).append(
-                    whole_cost(relay, requests)
-                )
-                costs.setdefault('chunk', []).append(
-                    chunk_cost(relay, STREAMS, STREAM_CHUNKS, STREAM_PACE)
-                )
-                costs.setdefault('chunk at full load', []).append(
-                    chunk_cost(relay, FULL_STREAMS, STREAM_CHUNKS, FULL_PACE)
-                )
+                costs = found.setdefault(kind, collections.defaultdict(list))
+                measure_once(relay, costs)
         for kind, relay in relays.items():
-            memory[kind] = held_memory(relay, held)
+            memory[kind] = round(held_memory(relay, held), 2)
     return report(found, memory, held)
 
 
+def measure_once(relay: Child, costs: dict[str, list[Cost]]) -> None:
+    """Adds one round of costs."""
+    costs['request'].append(whole_cost(relay, WHOLE_REQUESTS))
+    costs['chunk'].append(
+        chunk_cost(relay, STREAMS, STREAM_CHUNKS, STREAM_PACE)
+    )
+    costs['chunk at full load'].append(
+        chunk_cost(relay, FULL_STREAMS, STREAM_CHUNKS, FULL_PACE)
+    )
+
+
 def report(found: dict, memory: dict[str, float], held: int) -> dict:
     """Returns the figures."""
     result: dict = {'held_streams': held, 'held_kib': memory}
     for name in ('request', 'chunk', 'chunk at full load'):
-        bare = median(found['bare'][name])
-        router = median(found['router'][name])
-        result[name] = {
-            'bare_us': round(bare.cpu_us, 1),
-            'router_us': round(router.cpu_us, 1),
-            'ratio': round(router.cpu_us / bare.cpu_us, 3),
-            'router_per_core': round(router.per_core),
-        }
+        figures: dict = {}
+        for kind, costs in found.items():
+            figures[f'{kind}_us'] = round(median(costs[name]).cpu_us, 1)
+        figures['ratio'] = ratio(found['router'][name], found['bare'][name])
+        if 'bare-httpx' in found:
+            figures['ratio_httpx'] = ratio(
+                found['router-httpx'][name], found['bare-httpx'][name]
+            )
+        figures['router_per_core'] = round(
+            median(found['router'][name]).per_core
+        )
+        result[name] = figures
     return result
 
 
+def ratio(costs: list[Cost], bases: list[Cost]) -> float:
+    """Returns the median of the ratios of each round.
+
+    The machine's speed changes from minute to minute; the two costs of one
+    round are taken within seconds of each other.
+    """
+    pairs = zip(costs, bases, strict=True)
+    found = [cost.cpu_us / base.cpu_us for cost, base in pairs]
+    return round(statistics.median(found), 3)
+
+
 def main() -> int:
     started = time.monotonic()
-    result = run('--quick' in sys.argv)
+    kinds = KINDS + (HTTPX_KINDS if '--httpx' in sys.argv else ())
+    result = run('--quick' in sys.argv, kinds)
     result['seconds'] = round(time.monotonic() - started, 1)
     print(json.dumps(result, indent=2))
     failed = []
--- a/bench/relay/child.py
+++ b/bench/relay/child.py
@@ -21,7 +21,10 @@
     """Serves until standard input ends."""
     serve = {
         'stub': stub.serve,
-        'bare': functools.partial(bare.serve, upstream_port),
+        'bare-httpx': functools.partial(bare.serve, upstream_port, 'httpx'),
+        'bare': functools.partial(
+            bare.serve, upstream_port, upstream_clients.DEFAULT
+        ),
         'router': functools.partial(
             router.serve, upstream_port, upstream_clients.DEFAULT
         ),
--- a/lavenderbend/coordination/dispatch/attempts.py
+++ b/lavenderbend/coordination/dispatch/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from opentelemetry import trace
@@ -80,15 +81,17 @@
         self,
         check: relay.StreamCheck,
         headers: Mapping[str, str],
-        deadline: float,
     ) -> None:
-        """Sends the request and reads the head of the answer."""
+        """Sends the request and reads the head of the answer.
+
+        The caller bounds the time.
+        """
         sent = {**headers, **self.hop.headers}
         self.answer = await self.parts.upstream_client.open(
             self.permit.upstream,
             self.request,
             sent,
-            deadline - trio.current_time(),
+            math.inf,
         )
         self.body = self.choose_body(self.answer, check)
 
--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -125,13 +125,10 @@
         self.note_request(decision.pool)
         first = await run.begin()
         start = run.attempt.answer.start
+        length = run.held_length(first)
+        headers = answer_headers(start, self.name, length)
         return answers.Answer(
-            start.status,
-            answer_headers(start, self.name, None),
-            decision.id,
-            first,
-            run,
-            finish,
+            start.status, headers, decision.id, first, run, finish
         )
 
     def find_rule(
--- a/lavenderbend/coordination/dispatch/exchange.py
+++ b/lavenderbend/coordination/dispatch/exchange.py
@@ -9,6 +9,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
 from lavenderbend.coordination.dispatch import attempts
+from lavenderbend.coordination.dispatch import bodies
 from lavenderbend.coordination.dispatch import relay
 from lavenderbend.coordination.dispatch import resume
 
@@ -141,7 +142,7 @@
         """Opens an attempt and returns its first piece."""
         with trio.move_on_at(self.deadline):
             sent = {**self.headers, **headers}
-            await attempt.open(self.check, sent, self.deadline)
+            await attempt.open(self.check, sent)
             resume.align(self, attempt)
             return await attempt.next_piece()
         raise errors.UpstreamStalled('no answer before the deadline')
@@ -149,24 +150,33 @@
     async def guard(
         self, attempt: attempts.Attempt, step: Awaitable[bytes | None]
     ) -> bytes | None:
-        """Runs a step of an attempt and settles the attempt if it fails."""
+        """Runs a step of an attempt and settles the attempt if it ends."""
         try:
             piece = await step
-        except errors.UpstreamError as exc:
-            await attempt.settle(type(exc).__name__, exc)
-            raise
-        except trio.Cancelled:
-            await attempt.settle(attempts.CALLER_GONE, None)
-            raise
         except BaseException as exc:
-            await attempt.settle(type(exc).__name__, None)
+            await self.settle_failed(attempt, exc)
             raise
         if piece is None:
-            await attempt.settle(attempts.COMPLETE, None)
-            if self.parts.quarantine is not None:
-                self.parts.quarantine.survived(self.fingerprint)
+            await self.settle_whole(attempt)
         return piece
 
+    async def settle_failed(
+        self, attempt: attempts.Attempt, error: BaseException
+    ) -> None:
+        """Settles an attempt that failed or was given up."""
+        if isinstance(error, errors.UpstreamError):
+            await attempt.settle(type(error).__name__, error)
+        elif isinstance(error, trio.Cancelled):
+            await attempt.settle(attempts.CALLER_GONE, None)
+        else:
+            await attempt.settle(type(error).__name__, None)
+
+    async def settle_whole(self, attempt: attempts.Attempt) -> None:
+        """Settles an attempt whose answer is whole."""
+        await attempt.settle(attempts.COMPLETE, None)
+        if self.parts.quarantine is not None:
+            self.parts.quarantine.survived(self.fingerprint)
+
     async def next_piece(self) -> bytes | None:
         """Returns more of the answer, None when the caller has all of it.
 
@@ -174,10 +184,26 @@
             RequestError: The answer cannot be completed.
         """
         attempt = self.attempt
+        # once for each streamed chunk: as few calls deep as can be
         try:
-            return await self.guard(attempt, attempt.next_piece())
+            piece = await attempt.body.next_piece()
         except errors.UpstreamError as exc:
+            await self.settle_failed(attempt, exc)
             return await resume.recover(self, exc)
+        except BaseException as exc:
+            await self.settle_failed(attempt, exc)
+            raise
+        if piece is None:
+            await self.settle_whole(attempt)
+        return piece
+
+    def held_length(self, first: bytes | None) -> int | None:
+        """Returns the length of the answer if it was held until whole."""
+        if self.request.method == 'HEAD':
+            return None
+        if not isinstance(self.attempt.body, bodies.HeldBody):
+            return None
+        return len(first or b'')
 
     async def give_up(self) -> None:
         """Ends the current attempt because its caller is gone."""
--- a/lavenderbend/coordination/dispatch/relay.py
+++ b/lavenderbend/coordination/dispatch/relay.py
@@ -91,14 +91,16 @@
 
     def read_events(self, data: bytes, out: list[bytes]) -> None:
         """Adds to `out` what the events in the bytes pass on."""
-        for event in self.parser.feed(data):
-            if event.done:
+        for block in self.parser.split(data):
+            event = sse.parse_event(block)
+            if event.data == sse.DONE:
                 self.check_end()
                 self.done = True
-                out.append(event.raw)
+                out.append(block)
                 # what follows the terminator is no part of the answer
                 return
             out.append(self.accept(event))
+        self.parser.check_size()
 
     def raise_pending(self) -> None:
         """Raises the error that was held back by `feed`, if any."""
--- a/lavenderbend/protocol/sse.py
+++ b/lavenderbend/protocol/sse.py
@@ -13,6 +13,9 @@
 
 CONTENT_TYPE = 'text/event-stream'
 DONE = b'[DONE]'
+ID_FIELD = b'id: '
+DATA_FIELD = b'data: '
+END = b'\n\n'
 TERMINATOR = b'data: [DONE]\n\n'
 
 
@@ -44,9 +47,20 @@
     Raises:
         UpstreamBroke: The block is no event.
     """
-    # the usual event is a single data line
-    if raw.startswith(b'data: ') and raw.find(b'\n') == len(raw) - 2:
-        return Event(raw, raw[6:-2])
+    # the usual event is one data line, with or without a number before it
+    start = 0
+    offset = None
+    if raw.startswith(ID_FIELD):
+        start = raw.find(b'\n') + 1
+        offset = read_offset(raw[len(ID_FIELD) : start - 1])
+    one_line = raw.find(b'\n', start) == len(raw) - 2
+    if one_line and raw.startswith(DATA_FIELD, start):
+        return Event(raw, raw[start + len(DATA_FIELD) : -2], b'', offset)
+    return parse_lines(raw)
+
+
+def parse_lines(raw: bytes) -> Event:
+    """Returns the event of any block of lines."""
     lines: list[bytes] = []
     name = b''
     offset = None
@@ -89,19 +103,37 @@
         Raises:
             UpstreamBroke: An event is too large or is none.
         """
+        for block in self.split(data):
+            yield parse_event(block)
+        self.check_size()
+
+    def split(self, data: bytes) -> list[bytes]:
+        """Returns the blocks that are complete with these bytes."""
         buffer = self.rest + data if self.rest else data
         if b'\r' in buffer:
             buffer = self.normalise(buffer)
+        end = buffer.find(END)
+        # the usual read is one whole event
+        if end == len(buffer) - len(END) and end > 0:
+            self.rest = b''
+            return [buffer]
+        blocks = []
         start = 0
-        while True:
-            end = buffer.find(b'\n\n', start)
-            if end < 0:
-                break
-            block = buffer[start : end + 2]
-            start = end + 2
-            if len(block) > 2:
-                yield parse_event(block)
+        while end >= 0:
+            block = buffer[start : end + len(END)]
+            start = end + len(END)
+            if len(block) > len(END):
+                blocks.append(block)
+            end = buffer.find(END, start)
         self.rest = buffer[start:]
+        return blocks
+
+    def check_size(self) -> None:
+        """Checks that what is held of an event is not too much.
+
+        Raises:
+            UpstreamBroke: It is.
+        """
         if len(self.rest) > self.max_bytes:
             raise errors.UpstreamBroke('an event of the answer is too large')
 
--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -25,6 +25,7 @@
 
 BACKLOG = 1024
 HEADER_TOO_LARGE = 431
+LAST_PART = 'http.response.body'
 DEFAULT_GRACE_SECONDS = 900.0
 # time in which connections that the kernel has accepted are still taken
 LAST_ACCEPT_SECONDS = 0.05
@@ -229,7 +230,7 @@
 
     async def shielded(scope: Any, receive: Any, send: Any) -> None:
         async def send_shielded(message: Any) -> None:
-            if message.get('more_body', False):
+            if message['type'] != LAST_PART or message.get('more_body'):
                 await send(message)
                 return
             with trio.CancelScope(shield=True):
--- a/lavenderbend/transport/upstream_h11.py
+++ b/lavenderbend/transport/upstream_h11.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import socket
 from typing import Any
 from typing import TYPE_CHECKING
@@ -234,23 +235,23 @@
         # that may run once only goes on a fresh one
         once = request.idempotency_key is not None
         connection = None if once else self.take_idle((vm.host, vm.port))
+        if timeout == math.inf:
+            return await self.exchange(vm, connection, head, request)
         with trio.move_on_after(max(timeout, 0.0)):
-            if connection is None:
-                connection = await connect(vm)
             return await self.exchange(vm, connection, head, request)
-        if connection is None:
-            raise errors.UpstreamUnreachable('no connection in time')
         raise errors.UpstreamStalled('no answer before the deadline')
 
     async def exchange(
         self,
         vm: upstreams.Vm,
-        connection: UpstreamConnection,
+        connection: UpstreamConnection | None,
         head: h11.Request,
         request: requests.Request,
     ) -> interfaces.UpstreamAnswer:
         """Sends a request on a connection and reads the head of its answer."""
         address = (vm.host, vm.port)
+        if connection is None:
+            connection = await connect(vm)
         self.watch.add(connection.waiter)
         kept = False
         try:
