--- /dev/null
+++ b/bench/agreed/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of what is agreed and kept."""
--- a/lavenderbend/coordination/claim_shards.py
+++ b/lavenderbend/coordination/claim_shards.py
@@ -26,6 +26,7 @@
 LOAD_PAGE_ENTRIES = 250
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.25
+CALLS_FOR_REFUSAL = 3
 
 BATCHES = metrics.counter(
     'lavenderbend_claim_batches_total',
@@ -46,11 +47,15 @@
         outcome_delay: Seconds that outcomes wait for claims to ride with.
         give_up: Seconds of silence of the key-value service after which
             claims are refused at once.
+        failed_calls: Calls that must have failed in a row besides, so that
+            a service that only loses answers now and then is not taken for
+            one that is down.
     """
 
     gap: float = 0.0105
     outcome_delay: float = 0.5
     give_up: float = 2.0
+    failed_calls: int = 8
 
 
 @attrs.define(eq=False)
@@ -61,6 +66,7 @@
         line: The claim.
         deadline: When its asker stops waiting.
         since: When it came.
+        failures: Calls to the service that began since and failed.
         batched: Whether it is part of a batch that may have been written.
         state: Where it stands, None while undecided.
         decided: Set with `state`.
@@ -69,6 +75,7 @@
     line: claims.ClaimLine
     deadline: float
     since: float
+    failures: int = 0
     batched: bool = False
     state: claims.ClaimState | None = None
     decided: trio.Event = attrs.field(factory=trio.Event)
@@ -106,6 +113,7 @@
         next: Number of the next log entry.
         attempt_at: When the latest call to the service began.
         down_since: When the service stopped answering, None if it answers.
+        failures: Calls to it that failed in a row.
         stale: Whether others may have written since.
         used_at: When somebody last asked.
         loads: Seconds that each reading of the log took.
@@ -121,7 +129,7 @@
         clock: Callable[[], float] = time.time,
     ) -> None:
         self.number = number
-        self.log = log.Log(store, f'{prefix}{number:04d}/')
+        self.log = log.Log(store, f'{prefix}{number:04d}/', attempts=1)
         self.rng = rng
         self.policy = policy
         self.clock = clock
@@ -134,6 +142,7 @@
         self.last_batch = float('-inf')
         self.attempt_at = 0.0
         self.down_since: float | None = None
+        self.failures = 0
         self.stale = True
         self.used_at = 0.0
         self.loads: list[float] = []
@@ -192,7 +201,7 @@
 
     def refuses(self) -> bool:
         """Returns whether the service has been silent for too long."""
-        if self.down_since is None:
+        if self.failures < self.policy.failed_calls:
             return False
         silent = trio.current_time() - self.down_since
         return silent >= self.policy.give_up
@@ -349,26 +358,27 @@
     def up(self) -> None:
         """Notes that the service answers."""
         self.down_since = None
+        self.failures = 0
 
     def down(self) -> None:
         """Notes that it does not, and refuses who has waited too long.
 
         Once the service has been silent for a while, a claim is refused by
-        the first call that began after it came and failed: no later, and
-        never for a silence that was over when it came.
+        the first few calls that began after it came and failed: no later,
+        and not for a silence that was over when it came.
         """
         now = trio.current_time()
+        self.failures += 1
         if self.down_since is None:
             self.down_since = now
-        if not self.refuses():
-            return
         for waiting in self.waiting:
-            if waiting.since > self.attempt_at:
-                continue
-            if waiting.batched:
-                waiting.decide(claims.ClaimState.UNAVAILABLE)
-            else:
-                waiting.decide(claims.ClaimState.REFUSED)
+            waiting.failures += waiting.since <= self.attempt_at
+            if self.refuses() and waiting.failures >= CALLS_FOR_REFUSAL:
+                waiting.decide(
+                    claims.ClaimState.UNAVAILABLE
+                    if waiting.batched
+                    else claims.ClaimState.REFUSED
+                )
         self.waiting = [w for w in self.waiting if w.state is None]
 
     def reset(self) -> None:
--- a/lavenderbend/coordination/configuration_follower.py
+++ b/lavenderbend/coordination/configuration_follower.py
@@ -15,6 +15,7 @@
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_agreed as messages
 from lavenderbend.protocol import records_configuration as records
+from lavenderbend.state import hashing
 from lavenderbend.state import settings
 
 if TYPE_CHECKING:
@@ -23,7 +24,13 @@
     from lavenderbend.protocol import peer
     from lavenderbend.state import configuration
 
-COMPARE_SECONDS = 1.0
+COMPARE_SECONDS = 1.5
+# routers that watch the service; the others hear from peers, so that the
+# calls to the service stay the same however large the fleet is
+WATCHERS = 64
+RANK_KEY = 'configuration watchers'
+# of a digest, when routers compare; the log holds it whole
+DIGEST_CHARACTERS = 16
 FANOUT = 4
 POLL_SECONDS = 10.0
 # the fleet together polls the service at most so often
@@ -191,6 +198,8 @@
                 await self.log.catch_up()
                 self.contact()
                 pause = RETRY_SECONDS
+                while not self.watches():
+                    await self.membership.wait_changed()
                 await self.watch()
             except errors.KeyValueError:
                 await trio.sleep(self.rng.uniform(pause / 2, pause))
@@ -199,6 +208,14 @@
                 logs.change('configuration_unreadable', fault=str(exc))
                 await trio.sleep(MAX_RETRY_SECONDS)
 
+    def watches(self) -> bool:
+        """Returns whether this router is one of those that watch."""
+        routers = {*self.membership.routers(), self.name}
+        if len(routers) <= WATCHERS:
+            return True
+        ranked = hashing.rendezvous_order(RANK_KEY, routers)
+        return self.name in ranked[:WATCHERS]
+
     async def watch(self) -> None:
         """Takes changes as the service tells them, until a gap."""
         changes = self.store.watch(
@@ -260,8 +277,8 @@
         self.heard(router, answer)
 
     def digest(self) -> str:
-        """Returns the digest of the revision here."""
-        return self.chain.known.document.digest
+        """Returns the digest of the revision here, as peers compare it."""
+        return self.chain.known.document.digest[:DIGEST_CHARACTERS]
 
     async def on_ask(
         self, router: str, ask: messages.RevisionAsk
--- a/lavenderbend/coordination/log.py
+++ b/lavenderbend/coordination/log.py
@@ -57,10 +57,17 @@
     Attributes:
         store: The key-value service.
         prefix: Prefix of the keys.
+        attempts: Calls made before `append` gives up on a lost answer.
     """
 
-    def __init__(self, store: interfaces.KeyValueStore, prefix: str) -> None:
+    def __init__(
+        self,
+        store: interfaces.KeyValueStore,
+        prefix: str,
+        attempts: int = SETTLE_ATTEMPTS,
+    ) -> None:
         self.store = store
+        self.attempts = attempts
         self.prefix = prefix
         self.marker = f'{prefix}compacted'
         self.first_key = f'{prefix}entry/'
@@ -87,7 +94,7 @@
                 the next one.
         """
         lost = False
-        for _ in range(SETTLE_ATTEMPTS):
+        for _ in range(self.attempts):
             try:
                 if await self.create(number, value):
                     return Entry(number, value)
--- /dev/null
+++ b/tests/test_coordination/test_agreed_bounds.py
@@ -0,0 +1,130 @@
+"""Short runs of the bench, and proof that its checks can fail."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from bench.agreed import at_most_once
+from bench.agreed import claim_rate
+from bench.agreed import claim_table
+from bench.agreed import measures
+from bench.agreed import operators
+from bench.agreed import spread
+from lavenderbend.coordination import claim_shards
+from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination import configuration_chain
+from lavenderbend.coordination import configuration_follower
+from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination import log
+
+
+def check(lines):
+    over = [line for line in lines if not line.holds]
+    assert not over
+
+
+def test_non_idempotent_requests_run_at_most_once():
+    result = at_most_once.run(1500, seed=5, rate=15.0)
+    assert result.ran > 1400
+    assert min(result.kills, result.outages, result.lost_answers) > 0
+    check(measures.of_at_most_once(result))
+
+
+class TrustingShard(claim_shards.Shard):
+    """Takes its ownership for exclusive: answers before the log does."""
+
+    async def settled(self, number, value):
+        return log.Entry(number, value)
+
+
+def test_at_most_once_check_finds_owners_that_trust_themselves(monkeypatch):
+    monkeypatch.setattr(claim_shards, 'Shard', TrustingShard)
+    result = at_most_once.run(1500, seed=5, rate=15.0)
+    assert result.ran_twice > 0
+
+
+class ImpatientClaims(claims_module.Claims):
+    """Takes any trouble for a service that is down."""
+
+    async def ask(self, inquiry):
+        answer = await super().ask(inquiry)
+        if answer.state == 'undecided':
+            raise self.unavailable('trouble')
+        return answer
+
+
+def test_at_most_once_check_finds_innocents_refused():
+    result = at_most_once.run(1500, seed=5, rate=15.0, make=ImpatientClaims)
+    assert result.innocent_refused > 0
+
+
+def test_claims_stay_within_writes_and_latency():
+    result = claim_rate.run(seconds=3.0)
+    assert result.claims_per_second > 900
+    check(measures.of_claim_rate(result))
+
+
+def test_claims_table_stays_small():
+    check(measures.of_claim_table(claim_table.run(5000)))
+
+
+def test_racing_operators_lose_nothing():
+    result = operators.run(150)
+    assert result.accepted >= 150
+    assert min(result.conflicts, result.restarts, result.outages) > 0
+    check(measures.of_operators(result))
+
+
+class LastWriterWins(configuration_log.ConfigurationLog):
+    """Accepts a document on whatever revision is the newest."""
+
+    async def accept(self, document, seen, author, reason):
+        await self.catch_up()
+        return await super().accept(document, self.chain.number, author, reason)
+
+
+def test_operator_check_finds_lost_changes(monkeypatch):
+    monkeypatch.setattr(configuration_log, 'ConfigurationLog', LastWriterWins)
+    assert operators.run(150).lost > 0
+
+
+class SlidingChain(configuration_chain.Chain):
+    """Takes whatever whole revision it is offered."""
+
+    def take_whole(self, known):
+        self.step(known)
+        return True
+
+
+class SlidingFollower(configuration_follower.ConfigurationFollower):
+    """Fetches whole revisions from peers without comparing numbers."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.chain = SlidingChain()
+        self.log.chain = self.chain
+
+    def heard(self, router, item):
+        super().heard(router, item)
+        if item.number < self.chain.number:
+            self.wanted = router
+            self.wake.set()
+
+    async def on_entries(self, router, ask):
+        return await super().on_entries(router, attrs.evolve(ask, after=-1))
+
+
+def test_operator_check_finds_revisions_that_go_back():
+    result = operators.run(150, follower_class=SlidingFollower)
+    assert result.went_back > 0
+
+
+def test_following_a_large_configuration_is_cheap():
+    check(measures.of_spread(spread.run(seconds=120.0)))
+
+
+@pytest.mark.parametrize('routers', [70])
+def test_calls_to_the_service_do_not_grow_with_a_large_fleet(routers):
+    result = spread.run(routers, 20.0)
+    assert result.watches_per_router * routers <= 64
