--- a/bench/relay/bare.py
+++ b/bench/relay/bare.py
@@ -15,7 +15,7 @@
 from lavenderbend.protocol import http_limits
 from lavenderbend.state import requests
 from lavenderbend.state import upstreams
-from lavenderbend.transport import upstream_h11
+from lavenderbend.transport import upstream_http
 
 CHAT_PATH = '/v1/chat/completions'
 LONG_SECONDS = 600.0
@@ -41,7 +41,7 @@
 
 async def open_h11(upstream_port: int):
     """Returns a function that opens an answer by the router's own client."""
-    client = upstream_h11.H11UpstreamClient(
+    client = upstream_http.HttpUpstreamClient(
         http_limits.AnswerLimits(stall_seconds=LONG_SECONDS)
     )
     kind = upstreams.UpstreamKind.ENGINE
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -28,8 +28,8 @@
 from lavenderbend.transport import callers
 from lavenderbend.transport import serving
 from lavenderbend.transport import upstream_clients
-from lavenderbend.transport import upstream_h11  # noqa: F401
 from lavenderbend.transport import upstream_http  # noqa: F401
+from lavenderbend.transport import upstream_httpx  # noqa: F401
 
 HOST = '127.0.0.1'
 CREDENTIAL = 'open-sesame'
