--- /dev/null
+++ b/tests/test_coordination/test_dispatch_relay.py
@@ -0,0 +1,161 @@
+"""The checks on a streamed answer, and answers continued by another run."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+import pytest
+
+from lavenderbend import errors
+from lavenderbend.coordination.dispatch import relay
+from lavenderbend.protocol import openai
+from lavenderbend.protocol import sse
+
+TEXT = 'la ruta sale a las seis por el puente norte'
+
+
+def event(text, answer_id='a-r1', reason=None, offset=None, delta=None):
+    content = {'content': text} if delta is None else delta
+    choice = {'index': 0, 'delta': content, 'finish_reason': reason}
+    data = orjson.dumps({'id': answer_id, 'choices': [choice]})
+    return sse.encode(data, '', offset)
+
+
+def stream(text, sizes, answer_id='a-r1', numbered=False):
+    """Returns the events of an answer cut into pieces of these sizes."""
+    events = []
+    start = 0
+    while start < len(text):
+        size = sizes[len(events) % len(sizes)]
+        offset = len(events) if numbered else None
+        part = text[start : start + size]
+        events.append(event(part, answer_id, offset=offset))
+        start += size
+    last = event('', answer_id, 'stop', len(events) if numbered else None, {})
+    return [*events, last, sse.TERMINATOR]
+
+
+def read(data):
+    """Returns text, ids, finish reasons and whether it is terminated."""
+    texts, ids, reasons, done = [], set(), 0, False
+    for item in sse.Parser(10_000).feed(data):
+        if item.done:
+            done = True
+            continue
+        chunk = openai.read_chunk(item.data)
+        texts.append(chunk.text)
+        ids.add(chunk.id)
+        reasons += chunk.final
+    return ''.join(texts), ids, reasons, done
+
+
+SIZES = strategies.lists(strategies.integers(1, 9), min_size=1, max_size=5)
+
+
+def settings():
+    return hypothesis.settings(
+        max_examples=200, derandomize=True, deadline=None, database=None
+    )
+
+
+@settings()
+@hypothesis.given(SIZES, SIZES, strategies.integers(0, 60))
+def test_further_run_adds_only_what_the_caller_lacks(first, second, cut):
+    # An engine dies in the middle of a Route Plan; another one runs the
+    # request again and cuts its answer into other pieces. The Planner must
+    # read the plan once, under one id, with one finish reason.
+    check = relay.StreamCheck(10_000, 'r1')
+    events = stream(TEXT, first)
+    cut = min(cut, len(events) - 1)
+    out = b''.join(check.feed(item) for item in events[:cut])
+    check.continue_from_start()
+    out += b''.join(check.feed(item) for item in stream(TEXT, second, 'b-r1'))
+    text, ids, reasons, done = read(out)
+    assert text == TEXT
+    assert reasons == 1
+    assert done
+    assert len(ids) == 1
+
+
+@settings()
+@hypothesis.given(SIZES, SIZES, strategies.integers(2, 8))
+def test_further_run_that_says_something_else_is_refused(first, second, cut):
+    # The second run answers with another plan. Its end on the first one's
+    # beginning would be a plan that nobody made.
+    check = relay.StreamCheck(10_000, 'r1')
+    events = stream(TEXT, first)
+    out = b''.join(check.feed(item) for item in events[:cut])
+    passed = read(out)[0]
+    check.continue_from_start()
+    other = 'X' + TEXT[1:]
+    with pytest.raises(errors.AnswerContradicts):
+        for item in stream(other, second):
+            out += check.feed(item)
+    assert read(out)[0] == passed
+
+
+def test_shorter_further_run_is_refused():
+    check = relay.StreamCheck(10_000)
+    check.feed(event(TEXT))
+    check.continue_from_start()
+    with pytest.raises(errors.AnswerContradicts):
+        for item in stream(TEXT[:10], [3]):
+            check.feed(item)
+
+
+def test_tool_calls_cannot_be_compared():
+    # A tool call says more than its text: two runs whose texts agree may
+    # call different tools.
+    check = relay.StreamCheck(10_000)
+    check.feed(event('', delta={'tool_calls': [{'id': 'x'}]}))
+    assert not check.comparable
+
+
+@settings()
+@hypothesis.given(strategies.data())
+def test_numbered_events_pass_once_and_in_order(data):
+    # Events come twice, out of order or with gaps. What passes is always a
+    # beginning of the answer, and an error is raised where one is missing.
+    check = relay.StreamCheck(10_000)
+    events = stream(TEXT, [4], numbered=True)[:-1]
+    order = data.draw(
+        strategies.lists(strategies.sampled_from(events), max_size=30)
+    )
+    out = b''
+    try:
+        for item in order:
+            out += check.feed(item)
+    except errors.UpstreamBroke:
+        pass
+    text = read(out)[0]
+    assert TEXT.startswith(text)
+
+
+def test_events_before_a_broken_one_reach_the_caller_first():
+    # One read brings a good event and noise. The good one counts as passed
+    # on, so it must be passed on before the noise is dealt with.
+    check = relay.StreamCheck(10_000)
+    out = check.feed(event('la ') + b'data: noise\n\n')
+    assert read(out)[0] == 'la '
+    with pytest.raises(errors.UpstreamBroke):
+        check.raise_pending()
+    check.raise_pending()
+
+
+def test_bytes_after_the_terminator_are_no_part_of_the_answer():
+    check = relay.StreamCheck(10_000)
+    out = check.feed(event('la') + sse.TERMINATOR + event('more'))
+    assert out.endswith(sse.TERMINATOR)
+    assert read(out)[0] == 'la'
+
+
+@settings()
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_are_events_or_a_typed_error(data):
+    check = relay.StreamCheck(100)
+    try:
+        check.feed(data)
+        check.raise_pending()
+    except errors.UpstreamError:
+        return
