--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from lavenderbend.coordination.dispatch import once
 from lavenderbend.coordination.dispatch import parts as parts_module
 from lavenderbend.coordination.dispatch import records
+from lavenderbend.coordination.dispatch import rule_limits
 from lavenderbend.coordination.dispatch import spans
 from lavenderbend.protocol import openai
 from lavenderbend.state import claims as claims_state
@@ -46,6 +47,7 @@
             refused.
         limits: Limits of the customers, or None.
         parts: The collaborators of the attempts.
+        rule_limits: Limits that rules set.
         in_progress: Requests that have not ended.
     """
 
@@ -80,6 +82,7 @@
             rng=rng,
             settings=settings or parts_module.DispatchSettings(),
         )
+        self.rule_limits = rule_limits.RuleLimits(membership)
         self.in_progress = 0
 
     async def dispatch(self, request: requests.Request) -> answers.Answer:
@@ -115,6 +118,7 @@
         rule = self.find_rule(revision, request, decision)
         if self.limits is not None:
             self.limits.check(request.customer)
+        self.rule_limits.check(rule, request.customer)
         sent = apply_rule(rule, request)
         fingerprint = self.check_quarantine(sent)
         run = exchange.Exchange(
--- /dev/null
+++ b/lavenderbend/coordination/dispatch/rule_limits.py
@@ -0,0 +1,92 @@
+"""The limit that a rule sets for each customer."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.observe import metrics
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination import interfaces
+    from lavenderbend.state import configuration
+
+# what may come at once, in seconds of the rate
+BURST_SECONDS = 1.0
+MAX_BUCKETS = 10_000
+
+refused = metrics.counter(
+    'lavenderbend_rule_limit_refused_total',
+    'Requests over the limit of their rule.',
+)
+
+
+@attrs.define
+class Bucket:
+    """Tokens of one customer under one rule.
+
+    Attributes:
+        tokens: Requests that may come now.
+        at: Router clock of that figure.
+    """
+
+    tokens: float
+    at: float
+
+
+class RuleLimits:
+    """Counts requests by rule and customer.
+
+    Each router grants an even part of the limit: requests of one customer
+    come in by all routers alike, since a balancer spreads them. Through a
+    single router a customer gets that part only.
+
+    Attributes:
+        membership: Says how many routers there are.
+        buckets: By rule and customer, least recently used first.
+    """
+
+    def __init__(self, membership: interfaces.Membership) -> None:
+        self.membership = membership
+        self.buckets: collections.OrderedDict[tuple[str, str], Bucket] = (
+            collections.OrderedDict()
+        )
+
+    def check(self, rule: configuration.Rule, customer: str) -> None:
+        """Counts a request.
+
+        Raises:
+            CustomerOverLimit: The customer is over the rule's limit.
+        """
+        if not rule.then.limit:
+            return
+        rate = rule.then.limit / max(1, len(self.membership.routers()))
+        capacity = max(1.0, rate * BURST_SECONDS)
+        bucket = self.bucket((rule.name, customer), capacity)
+        now = trio.current_time()
+        earned = (now - bucket.at) * rate
+        bucket.tokens = min(capacity, bucket.tokens + earned)
+        bucket.at = now
+        if bucket.tokens >= 1.0:
+            bucket.tokens -= 1.0
+            return
+        refused.inc({'rule': rule.name, 'customer': customer})
+        raise errors.CustomerOverLimit(
+            f'{customer} is over the limit of the rule {rule.name}',
+            retry_after=(1.0 - bucket.tokens) / rate,
+        )
+
+    def bucket(self, key: tuple[str, str], capacity: float) -> Bucket:
+        """Returns the bucket of a rule and customer."""
+        found = self.buckets.get(key)
+        if found is None:
+            found = Bucket(capacity, trio.current_time())
+            self.buckets[key] = found
+            while len(self.buckets) > MAX_BUCKETS:
+                self.buckets.popitem(last=False)
+        self.buckets.move_to_end(key)
+        return found
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -95,6 +95,9 @@
             return None
         return upstreams.LoadReport(upstream, engine.instance, 0, 0)
 
+    def routers(self) -> tuple[str, ...]:
+        return ('router-1', 'router-2')
+
     def note_result(self, upstream: str, error: Exception | None) -> None:
         self.results.append((upstream, error))
 
--- /dev/null
+++ b/tests/test_coordination/test_dispatch_limits.py
@@ -0,0 +1,110 @@
+"""Limits that rules set, deadlines, and spans of the request path."""
+
+from __future__ import annotations
+
+from opentelemetry import trace
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace.export import in_memory_span_exporter
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination.dispatch import rule_limits
+from lavenderbend.coordination.dispatch import spans
+from lavenderbend.state import configuration
+from tests import path_fakes
+
+LIMITED = configuration.Rule(
+    'sorting', configuration.Then(pool='engines', limit=4.0)
+)
+
+
+async def test_limit_of_a_rule_holds_over_the_fleet(autojump_clock):
+    # Two routers, four requests a second: each grants two a second, to each
+    # customer of its own.
+    limits = rule_limits.RuleLimits(path_fakes.FakeMembership())
+    for _ in range(2):
+        limits.check(LIMITED, 'corte')
+    with pytest.raises(errors.CustomerOverLimit) as caught:
+        limits.check(LIMITED, 'corte')
+    assert caught.value.retry_after == pytest.approx(0.5)
+    assert caught.value.outcome is errors.Outcome.NOT_RUN
+    limits.check(LIMITED, 'clinica')
+    await trio.sleep(0.5)
+    limits.check(LIMITED, 'corte')
+
+
+async def test_rule_without_a_limit_counts_nothing():
+    limits = rule_limits.RuleLimits(path_fakes.FakeMembership())
+    limits.check(configuration.Rule('free', configuration.Then()), 'corte')
+    assert not limits.buckets
+
+
+async def test_request_over_a_rules_limit_is_not_run():
+    async with path_fakes.running(limit=2.0) as path:
+        for _ in range(2):
+            response = await path.client.post(
+                path_fakes.CHAT_PATH, json=path_fakes.chat_body()
+            )
+    assert response.status_code == 429
+    assert response.headers['retry-after'] == '1'
+    assert len(path.admission.asks) == 1
+
+
+async def test_engine_that_never_answers_ends_at_the_deadline():
+    # The engine takes the request and stays silent; the rule's timeout ends
+    # the wait, and nobody can say whether it ran.
+    slow = {'step_seconds': 30.0}
+    async with path_fakes.running(
+        engines=1, engine_kwargs=slow, timeout=0.2, retries=0
+    ) as path:
+        response = await path.client.post(
+            path_fakes.CHAT_PATH, json=path_fakes.chat_body()
+        )
+    assert response.status_code == 504
+    assert response.json()['outcome'] == 'unknown'
+    assert not path.admission.open
+
+
+async def test_stream_longer_than_the_timeout_is_not_cut():
+    # The timeout bounds the wait for the answer's beginning; a long summary
+    # that keeps coming is not cut off by it.
+    async with path_fakes.running(
+        engines=1, engine_kwargs={'step_seconds': 0.02}, timeout=0.25
+    ) as path:
+        response = await path.client.post(
+            path_fakes.CHAT_PATH,
+            json=path_fakes.chat_body(stream=True, max_tokens=30),
+        )
+    assert response.text.endswith('data: [DONE]\n\n')
+
+
+def test_without_an_exporter_the_callers_context_is_passed_on():
+    headers = {'traceparent': '00-' + '1' * 32 + '-' + '2' * 16 + '-01'}
+    hop = spans.Hop('request', headers, trace.SpanKind.SERVER)
+    assert hop.headers == headers
+    assert hop.span is None
+    hop.end('error')
+
+
+def test_each_hop_is_a_child_of_the_one_before(monkeypatch):
+    # An operator follows one request from the caller's own trace through
+    # the router to the engine: each hop names the one before as its parent.
+    exporter = in_memory_span_exporter.InMemorySpanExporter()
+    provider = sdk_trace.TracerProvider()
+    provider.add_span_processor(export.SimpleSpanProcessor(exporter))
+    monkeypatch.setattr(trace, 'get_tracer_provider', lambda: provider)
+    tracer = provider.get_tracer('test')
+    monkeypatch.setattr(spans.tracing, 'tracer', lambda: tracer)
+    sent = {'traceparent': '00-' + '1' * 32 + '-' + '2' * 16 + '-01'}
+    first = spans.Hop('request', sent, trace.SpanKind.SERVER)
+    second = spans.Hop('attempt', first.headers, trace.SpanKind.CLIENT)
+    second.end('UpstreamLost')
+    first.end()
+    inner, outer = exporter.get_finished_spans()
+    assert f'{outer.context.trace_id:x}' == '1' * 32
+    assert f'{outer.parent.span_id:x}' == '2' * 16
+    assert inner.parent.span_id == outer.context.span_id
+    assert inner.status.status_code is trace.StatusCode.ERROR
+    assert second.headers['traceparent'] != first.headers['traceparent']
