--- a/lavenderbend/cmd/demo_text.py
+++ b/lavenderbend/cmd/demo_text.py
@@ -164,10 +164,10 @@
     leaving = report.leaving
     if leaving is not None:
         rest = 'its requests ended' if leaving.finished else 'still working'
-        lines.append(
-            f'  {leaving.engine} got its last new request '
-            f'{leaving.last_new_work:.2f} s after it left; {rest}'
-        )
+        last = 'no new request'
+        if leaving.last_new_work is not None:
+            last = f'its last new request {leaving.last_new_work:.2f} s'
+        lines.append(f'  {leaving.engine} got {last} after it left; {rest}')
     if report.router_stop_seconds is not None:
         lines.append(
             f'  the router stopped in {report.router_stop_seconds:.2f} s'
--- a/lavenderbend/daemon/demo_samples.py
+++ b/lavenderbend/daemon/demo_samples.py
@@ -63,13 +63,13 @@
     Attributes:
         engine: VM id.
         last_new_work: Seconds after its leaving at which it last got a new
-            request, 0 for none.
+            request, None if it got none.
         finished: Whether all its requests ended while it was watched.
         cut: Requests of it that did not complete.
     """
 
     engine: str
-    last_new_work: float
+    last_new_work: float | None
     finished: bool
     cut: int
 
@@ -191,10 +191,10 @@
         before = len(log.records)
         await trio.sleep(LEAVING_SECONDS)
         new = log.records[before:]
-        last = max((record.started for record in new), default=started)
+        last = max((record.started for record in new), default=None)
         return Leaving(
             self.worker.vm.id,
-            max(0.0, last - started),
+            None if last is None else last - started,
             self.worker.load == 0,
             sum(r.result == 'crashed' for r in log.records),
         )
--- a/lavenderbend/observe/tracing.py
+++ b/lavenderbend/observe/tracing.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import logging
+
 from opentelemetry import trace
 from opentelemetry.trace.propagation import tracecontext
 
+# a collector that is down delays the end of a process by two of these
+EXPORT_SECONDS = 2.0
 PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 
 
@@ -28,6 +32,9 @@
     """
     if otlp_endpoint is None:
         return
+    # the exporter would write a line for each batch that it cannot deliver
+    logging.getLogger('opentelemetry').addHandler(logging.NullHandler())
+    logging.getLogger('opentelemetry').propagate = False
     # the SDK takes a tenth of a second to import; only who traces pays
     from opentelemetry.exporter.otlp.proto.http import trace_exporter
     from opentelemetry.sdk import resources
@@ -38,6 +45,8 @@
         {'service.name': 'lavenderbend', 'service.instance.id': name}
     )
     provider = sdk.TracerProvider(resource=resource)
-    exporter = trace_exporter.OTLPSpanExporter(endpoint=otlp_endpoint)
+    exporter = trace_exporter.OTLPSpanExporter(
+        endpoint=otlp_endpoint, timeout=EXPORT_SECONDS
+    )
     provider.add_span_processor(export.BatchSpanProcessor(exporter))
     trace.set_tracer_provider(provider)
--- /dev/null
+++ b/tests/test_observe/test_observe_metrics.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import importlib
+import pkgutil
+import re
+
+import pytest
+
+import lavenderbend
+from lavenderbend.observe import metrics
+from lavenderbend.transport import operators
+
+NAME = re.compile(r'lavenderbend_[a-z0-9_]+')
+UNITS = ('_seconds', '_bytes', '_ratio')
+
+
+def import_all():
+    for module in pkgutil.walk_packages(
+        lavenderbend.__path__, f'{lavenderbend.__name__}.'
+    ):
+        if not module.name.endswith('__main__'):
+            importlib.import_module(module.name)
+
+
+import_all()
+COLLECTORS = sorted(metrics.REGISTRY.collectors.items())
+
+
+@pytest.mark.parametrize(('name', 'item'), COLLECTORS)
+def test_metric_has_a_name_by_the_rules_and_a_sentence(name, item):
+    kind = type(item).__name__
+
+    assert NAME.fullmatch(name)
+    assert item.doc.endswith('.')
+    assert (kind == 'Counter') == name.endswith('_total')
+    if kind == 'Histogram':
+        assert name.endswith(UNITS)
+
+
+def test_exposition_is_text():
+    operators.CALLS.inc({'status': '200'})
+
+    assert b'lavenderbend_operator_calls_total{' in metrics.render()
