--- a/lavenderbend/cmd/status.py
+++ b/lavenderbend/cmd/status.py
@@ -47,6 +47,12 @@
         f'{found["router"]} in {found["availability_zone"]}, '
         f'lavenderbend {found["version"]}, revision {number}'
     )
+    if found['cut_off_seconds'] is not None:
+        head += (
+            f'\ncut off from the key-value service and all peers for '
+            f'{found["cut_off_seconds"]:.0f} s, policy: '
+            f'{found["when_cut_off"]}'
+        )
     routers = [
         (r['id'], r['availability_zone'], r['state'], r['revision'])
         for r in found['routers']
--- a/lavenderbend/coordination/explain.py
+++ b/lavenderbend/coordination/explain.py
@@ -13,7 +13,7 @@
 from lavenderbend.state import upstreams
 
 if TYPE_CHECKING:
-    from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination import membership as membership_module
     from lavenderbend.state import configuration
     from lavenderbend.state import requests
 
@@ -90,7 +90,7 @@
 def explain(
     revision: configuration.Revision,
     rule_set: rules.RuleSet,
-    membership: interfaces.Membership,
+    membership: membership_module.FleetMembership,
     request: requests.Request,
 ) -> Explanation:
     """Returns what would be decided for a request now."""
@@ -118,7 +118,7 @@
 def explain_pool(
     base: Explanation,
     pool: configuration.Pool,
-    membership: interfaces.Membership,
+    membership: membership_module.FleetMembership,
     request: requests.Request,
 ) -> Explanation:
     """Returns the explanation with the upstreams of the pool."""
@@ -132,6 +132,7 @@
             able.append(vm)
         else:
             unable.append(step(vm, membership, WRONG_MODEL))
+    unable += held_back(pool, membership)
     if not able:
         return attrs.evolve(base, candidates=tuple(unable), verdict=NO_UPSTREAM)
     allowed, steps, choice = try_candidates(pool, able, membership, request)
@@ -146,10 +147,22 @@
     )
 
 
+def held_back(
+    pool: configuration.Pool, membership: membership_module.FleetMembership
+) -> list[CandidateStep]:
+    """Returns the upstreams that get no new work now, and why."""
+    taking = {vm.id for vm in membership.upstreams(pool.service)}
+    return [
+        step(vm, membership, membership.explain(vm.id))
+        for vm in membership.all_vms()
+        if vm.service == pool.service and vm.id not in taking
+    ]
+
+
 def try_candidates(
     pool: configuration.Pool,
     able: list[upstreams.Vm],
-    membership: interfaces.Membership,
+    membership: membership_module.FleetMembership,
     request: requests.Request,
 ) -> tuple[int, tuple[CandidateStep, ...], placement.Choice]:
     """Returns the allowed load, the candidates and the choice."""
@@ -200,20 +213,26 @@
     return report is None or not report.models or model in report.models
 
 
-def load_of(membership: interfaces.Membership, upstream: str) -> int:
+def load_of(
+    membership: membership_module.FleetMembership, upstream: str
+) -> int:
     """Returns the load in the last report, 0 without one."""
     report = membership.report(upstream)
     return report.load if report else 0
 
 
-def instance_of(membership: interfaces.Membership, upstream: str) -> str:
+def instance_of(
+    membership: membership_module.FleetMembership, upstream: str
+) -> str:
     """Returns the instance in the last report, empty without one."""
     report = membership.report(upstream)
     return report.instance if report else ''
 
 
 def step(
-    vm: upstreams.Vm, membership: interfaces.Membership, verdict: str
+    vm: upstreams.Vm,
+    membership: membership_module.FleetMembership,
+    verdict: str,
 ) -> CandidateStep:
     """Returns the line of one upstream."""
     report = membership.report(vm.id)
--- a/lavenderbend/transport/operator_decisions.py
+++ b/lavenderbend/transport/operator_decisions.py
@@ -233,7 +233,7 @@
     question = read_question(await quart.request.get_data())
     request = to_request(question, app.settings.availability_zone)
     found = explain.explain(
-        app.configurations.current(), app.rules, app.membership, request
+        app.configurations.chain.current(), app.rules, app.membership, request
     )
     value = attrs.asdict(found, recurse=True)
     if found.then is not None:
--- a/lavenderbend/transport/operator_rules.py
+++ b/lavenderbend/transport/operator_rules.py
@@ -13,6 +13,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination import rule_checks
 from lavenderbend.coordination import rule_differences
+from lavenderbend.observe import logs
 from lavenderbend.protocol import documents_yaml
 from lavenderbend.state import configuration
 from lavenderbend.transport import operator_routes
@@ -56,7 +57,7 @@
 @operator_routes.route('GET', '/v1/rules')
 async def show(app: operators.OperatorApp) -> quart.Response:
     """The configuration in force here, as the YAML it can be edited in."""
-    revision = app.configurations.current()
+    revision = app.configurations.chain.current()
     return operator_routes.as_json(
         {
             **revision_json(revision),
@@ -94,6 +95,12 @@
     accepted = await app.configuration_log.accept(
         document, seen, args.get('author', ''), args.get('reason', '')
     )
+    logs.change(
+        'configuration_accepted',
+        number=accepted.number,
+        author=accepted.author,
+        reason=accepted.reason,
+    )
     missing = await app.configurations.wait_in_force(accepted.number, wait)
     warnings = await trio.to_thread.run_sync(rule_checks.warnings, document)
     return operator_routes.as_json(
@@ -112,7 +119,7 @@
     """Which recorded decisions would go another way under other rules."""
     text = await quart.request.get_data()
     document = await parse(text)
-    current = app.configurations.current()
+    current = app.configurations.chain.current()
     candidate = configuration.Revision(current.number + 1, '', document)
     limit = operator_routes.integer('limit', app.decisions.capacity)
     recorded = list(itertools.islice(app.decisions, limit))
--- a/lavenderbend/transport/operator_status.py
+++ b/lavenderbend/transport/operator_status.py
@@ -35,6 +35,8 @@
         'revision': operator_rules.revision_json(revision)
         if revision
         else None,
+        'cut_off_seconds': cut_off_seconds(app),
+        'when_cut_off': app.settings.configuration.when_cut_off.value,
         'routers': list(routers(app)),
         'pools': list(pools(app, document)) if document else [],
         'rules': list(rule_hits(app, document)) if document else [],
@@ -44,13 +46,23 @@
 
 
 def current(app: operators.OperatorApp) -> configuration.Revision | None:
-    """Returns the revision in force here, None if requests are refused."""
+    """Returns the newest revision known here, None before the first.
+
+    Asked of the chain: a router that is cut off and refuses requests still
+    shows what it has.
+    """
     try:
-        return app.configurations.current()
-    except errors.RequestError:
+        return app.configurations.chain.current()
+    except errors.NoConfiguration:
         return None
 
 
+def cut_off_seconds(app: operators.OperatorApp) -> float | None:
+    """Returns for how long nobody has confirmed the revision, if so."""
+    since = app.configurations.stale_since
+    return None if since is None else trio.current_time() - since
+
+
 def routers(app: operators.OperatorApp) -> Iterator[dict[str, Any]]:
     """Yields the known routers, their state and the revision of each."""
     reported = app.configurations.in_force()
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -98,6 +98,8 @@
     def __init__(self) -> None:
         self.revisions: list[configuration.Revision] = []
         self.missing: tuple[str, ...] = ()
+        self.chain = self
+        self.stale_since: float | None = None
 
     def add(self, document, author='ana', reason='first'):
         number = len(self.revisions) + 1
--- a/tests/test_transport/test_operators.py
+++ b/tests/test_transport/test_operators.py
@@ -1,7 +1,12 @@
 from __future__ import annotations
 
 import base64
+import json
+from urllib import parse
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 import orjson
 import pytest
 import trio
@@ -117,6 +122,18 @@
     assert b'every request is refused' in await page.get_data()
 
 
+async def test_a_router_that_is_cut_off_says_so(parts, autojump_clock):
+    parts.configurations.stale_since = trio.current_time()
+    await trio.sleep(90)
+
+    _, found = await json_of(parts, 'GET', '/v1/status')
+    page = await (await call(parts, 'GET', '/')).get_data(as_text=True)
+
+    assert found['cut_off_seconds'] == 90
+    assert found['revision']['number'] == 1
+    assert 'cut off for 90 s' in page
+
+
 async def test_decisions_are_filtered_newest_first(parts):
     for number in range(5):
         rule = 'chats' if number % 2 else 'alerts'
@@ -166,6 +183,7 @@
     verdicts = {c['upstream']: c['verdict'] for c in found['candidates']}
     assert verdicts['engine-2'] == 'over bound'
     assert verdicts['engine-1'].startswith('would be taken')
+    assert verdicts['engine-3'] == 'leaving in the VM list'
     assert not parts.rules.hits
 
 
@@ -314,3 +332,61 @@
 
     assert status == 500
     assert 'secret' not in str(found)
+
+
+PATHS = st.sampled_from(
+    [
+        '/v1/status',
+        '/v1/decisions',
+        '/v1/decisions/x',
+        '/v1/explain',
+        '/v1/rules',
+        '/v1/rules/history',
+        '/v1/rules/apply',
+        '/v1/rules/diff',
+        '/decisions/x',
+        '/',
+    ]
+)
+QUERIES = st.dictionaries(
+    st.sampled_from(['limit', 'seen', 'wait', 'customer', 'path', 'live']),
+    st.text(max_size=8),
+    max_size=3,
+)
+BODIES = st.one_of(
+    st.binary(max_size=60),
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda inner: st.dictionaries(
+            st.sampled_from(
+                ['customer', 'body', 'path', 'headers', 'messages', 'model']
+            ),
+            inner | st.lists(inner, max_size=2),
+            max_size=4,
+        ),
+        max_leaves=8,
+    ).map(json.dumps),
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    method=st.sampled_from(['GET', 'POST', 'PUT', 'HEAD', 'OPTIONS']),
+    path=PATHS | st.text(max_size=6).map(lambda text: '/' + text),
+    query=QUERIES,
+    body=BODIES,
+)
+def test_any_call_is_answered_without_an_internal_error(
+    method, path, query, body
+):
+    async def run():
+        parts = operator_fakes.make()
+        url = parse.quote(path) + '?' + parse.urlencode(query)
+        response = await call(parts, method, url, body)
+        again = await call(parts, 'GET', '/v1/status')
+        return response.status_code, again.status_code
+
+    status, again = trio.run(run)
+
+    assert status < 500, (method, path, query, body)
+    assert again == 200
