--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -34,6 +34,10 @@
     'bytes_most',
     'messages',
     'refused',
+    'others_waited',
+    'others_first_token',
+    'others_refused',
+    'late_refusals',
     'late_work',
     'requests',
 )
@@ -43,7 +47,7 @@
     """Prints the figures of a case."""
     width = max(len(label) for label in table)
     print(f'\n{name}')
-    print(' ' * width, *(f'{column:>11}' for column in COLUMNS))
+    print(' ' * width, *(f'{column[:11]:>11}' for column in COLUMNS))
     for label, row in table.items():
         values = attrs.asdict(row)
         cells = (f'{values[column]:11.4g}' for column in COLUMNS)
--- a/bench/decisions/cases.py
+++ b/bench/decisions/cases.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bench.decisions import events
+from bench.decisions import figures
 from bench.decisions import policies
 from bench.decisions import workload
 from bench.decisions import world
@@ -103,8 +104,10 @@
     return events.churn(case.profile.engines, case.warm, case.profile.seconds)
 
 
-def surge_of(profile: workload.Profile, length: Length) -> workload.Profile:
-    """Returns a profile whose cities ask for five times as much.
+def surge_of(
+    profile: workload.Profile, length: Length, factor: float = 3.0
+) -> workload.Profile:
+    """Returns a profile whose cities ask for several times as much.
 
     The figures count from the middle of the surge on.
     """
@@ -112,7 +115,7 @@
     cities = tuple(
         name for name, _ in profile.customers if name.startswith('city')
     )
-    surge = workload.Surge(start, length.seconds, 5.0, cities)
+    surge = workload.Surge(start, length.seconds, factor, cities)
     return attrs.evolve(profile, surges=(surge,))
 
 
@@ -128,6 +131,33 @@
     return compare(base(profile, length, 'rutaclara'), length)
 
 
+@CASES.register('rutaclara-overload')
+def rutaclara_overload(length: Length) -> list[Setup]:
+    """A surge of more than the engines can do."""
+    profile = surge_of(workload.RUTACLARA, length, 5.0)
+    return compare(base(profile, length, 'rutaclara'), length)
+
+
+@CASES.register('fairness')
+def fairness(length: Length) -> list[Setup]:
+    """Two small customers ask for twenty times as much."""
+    pool = configuration.Pool('chat', 'model', max_load=32)
+    case = base(workload.CORREO, length, 'correo', pool=pool)
+    surge = workload.Surge(
+        length.warm - 20.0, length.seconds, 20.0, figures.SURGING
+    )
+    profile = attrs.evolve(case.profile, surges=(surge,))
+    return [
+        Setup('without the surge', case),
+        Setup('two surge 20-fold', attrs.evolve(case, profile=profile)),
+        Setup(
+            'two surge 20-fold, owner lost',
+            attrs.evolve(case, profile=profile),
+            ((length.warm + 10.0, events.lose_owner()),),
+        ),
+    ]
+
+
 @CASES.register('faults')
 def faults(length: Length) -> list[Setup]:
     """One fault, and two at once; reports are 1 s late throughout."""
--- a/bench/decisions/figures.py
+++ b/bench/decisions/figures.py
@@ -14,6 +14,10 @@
     from bench.decisions import world
 
 
+SURGING = ('clinic-3', 'city-5')
+TIMEOUT = 60.0
+
+
 @attrs.frozen
 class Figures:
     """What the table shows of a run.
@@ -30,6 +34,10 @@
         first_token: 99th percentile of seconds to the first token.
         waited: 99th percentile of seconds in admission.
         instant: 99th percentile of seconds in admission, instant calls.
+        others_waited: The same of customers that do not surge 20-fold.
+        others_first_token: 99th percentile of their first token.
+        others_refused: Their requests that got an error.
+        late_refusals: Refusals told within a second of the deadline.
         refused: Requests that got an error.
         late_work: Most seconds after its first signal that a leaving
             engine got work.
@@ -46,6 +54,10 @@
     first_token: float
     waited: float
     instant: float
+    others_waited: float
+    others_first_token: float
+    others_refused: int
+    late_refusals: int
     refused: int
     late_work: float
     requests: int
@@ -70,6 +82,8 @@
     routers = max(1, len(record.counts))
     waits = [one.waited for one in complete]
     instant = requests.Priority.INSTANT
+    others = [one for one in counted if one.arrival.customer not in SURGING]
+    served = [one for one in others if not one.error]
     return Figures(
         reuse=hits / max(1, shared),
         above=len(record.excess),
@@ -86,6 +100,14 @@
             [one.waited for one in complete if one.arrival.priority == instant],
             0.99,
         ),
+        others_waited=percentile([one.waited for one in served], 0.99),
+        others_first_token=percentile(
+            [one.first_token or 0 for one in served], 0.99
+        ),
+        others_refused=len(others) - len(served),
+        late_refusals=sum(
+            bool(one.error) and one.decided > TIMEOUT - 1 for one in counted
+        ),
         refused=len(counted) - len(complete),
         late_work=max(record.late_work, default=0.0),
         requests=len(counted),
--- a/lavenderbend/coordination/admission/degraded.py
+++ b/lavenderbend/coordination/admission/degraded.py
@@ -15,7 +15,7 @@
 
 SHARED_PART = 0.5
 # what the load may have fallen by since the report
-UNSEEN_PART = 0.1
+UNSEEN_PART = 0.2
 
 
 class LocalShare:
--- /dev/null
+++ b/lavenderbend/coordination/admission/entries.py
@@ -0,0 +1,63 @@
+"""Which entries take this router for the owner of a group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination import interfaces
+
+
+class Entries:
+    """The entries of a group and when each was last heard.
+
+    Attributes:
+        heard: Owner clock of each entry's last sign.
+        active_since: When the first of them was heard.
+        mismatches: Heartbeats in a row with other sums than the owner's.
+    """
+
+    def __init__(
+        self, membership: interfaces.Membership, seconds: float
+    ) -> None:
+        self.membership = membership
+        self.seconds = seconds
+        self.heard: dict[str, float] = {}
+        self.active_since = 0.0
+        self.mismatches: dict[str, int] = {}
+
+    def hear(self, entry: str) -> bool:
+        """Notes a sign of an entry; returns whether it is the first."""
+        now = trio.current_time()
+        first = not self.heard
+        if first:
+            self.active_since = now
+        self.heard[entry] = now
+        return first
+
+    def drop(self, entry: str) -> None:
+        """Notes that an entry asks another owner, or is gone."""
+        self.heard.pop(entry, None)
+        self.mismatches.pop(entry, None)
+
+    def share(self) -> float:
+        """Returns the share of live entries that ask this owner."""
+        live = self.membership.region_routers()
+        oldest = trio.current_time() - self.seconds
+        asking = sum(self.heard.get(name, -1.0) >= oldest for name in live)
+        return asking / max(1, len(live))
+
+    def compare(self, entry: str, equal: bool) -> bool:
+        """Notes a heartbeat; returns whether the entry should list all.
+
+        A release may be lost with its connection; the permit would stand in
+        the table for ever and its engine would look loaded. One difference
+        may be a grant on its way, a second in a row is a loss.
+        """
+        if equal:
+            self.mismatches.pop(entry, None)
+            return False
+        self.mismatches[entry] = self.mismatches.get(entry, 0) + 1
+        return self.mismatches[entry] >= 2
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.admission import groups
 from lavenderbend.coordination.admission import owned
 from lavenderbend.coordination.admission import sums
+from lavenderbend.coordination.admission import waiting
 from lavenderbend.protocol import messages_decisions
 
 if TYPE_CHECKING:
@@ -80,11 +81,11 @@
             # asked again because the first answer was lost: another permit
             # would count the request twice
             return self.answer(placement.Choice(live.upstream))
-        waiter = group.waiting.get((entry, item.number))
+        waiter = group.room.waiting.get((entry, item.number))
         now = trio.current_time()
         if waiter is None:
             deadline = now + item.left * MILLISECOND
-            waiter = owned.Waiter(entry, item, deadline, now)
+            waiter = waiting.Waiter(entry, item, deadline, now, now)
             group.submit(waiter)
         return await self.wait(group, waiter, item.hold)
 
@@ -98,7 +99,7 @@
         live = group.table.get(entry, item.number)
         if live is not None:
             return self.answer(placement.Choice(live.upstream))
-        waiter = group.waiting.get((entry, item.number))
+        waiter = group.room.waiting.get((entry, item.number))
         if waiter is None:
             # forgotten here, by a restart or for want of polls: the entry
             # must ask anew or it would poll until its deadline
@@ -106,7 +107,7 @@
         return await self.wait(group, waiter, item.hold)
 
     async def wait(
-        self, group: owned.OwnedGroup, waiter: owned.Waiter, hold: int
+        self, group: owned.OwnedGroup, waiter: waiting.Waiter, hold: int
     ) -> peer.Message:
         """Waits for a decision as long as the entry allows."""
         waiter.polled = trio.current_time()
@@ -140,8 +141,8 @@
         for group in self.owned.values():
             for number in item.numbers:
                 group.release(entry, number)
-            if group.waiting:
-                group.dispatch()
+            if group.room.waiting:
+                group.room.dispatch()
 
     async def on_register(self, entry: str, item: peer.Message) -> None:
         """Takes over an entry's live permits."""
@@ -151,7 +152,7 @@
     async def on_moved(self, entry: str, item: peer.Message) -> None:
         """Notes that an entry asks another owner from now on."""
         assert isinstance(item, messages_decisions.PermitMoved)
-        self.group(item.pool, item.group).unhear(entry)
+        self.group(item.pool, item.group).entries.drop(entry)
 
     async def on_digest(self, entry: str, item: peer.Message) -> None:
         """Compares an entry's sums with this owner's."""
@@ -187,7 +188,7 @@
             for name, group in list(self.owned.items()):
                 if name not in started:
                     started.add(name)
-                    nursery.start_soon(group.run_patience)
+                    nursery.start_soon(group.room.run_patience)
             await self.created.wait()
             self.created = trio.Event()
 
@@ -196,11 +197,7 @@
         while True:
             await trio.sleep(self.settings.tick)
             for group in list(self.owned.values()):
-                group.measure_rate()
-                if not group.queue:
-                    continue
-                group.dispatch()
-                group.expire()
+                group.look_after()
 
     async def run_views(self) -> None:
         """Frees the permits of entries that have left."""
@@ -208,9 +205,9 @@
             await self.membership.wait_changed()
             live = set(self.membership.region_routers())
             for group in list(self.owned.values()):
-                for entry in set(group.table.numbers) - live:
+                for entry in sorted(set(group.table.numbers) - live):
                     group.drop_entry(entry)
-                group.dispatch()
+                group.room.dispatch()
 
     async def on_sums(self, router: str, item: peer.Message) -> None:
         """Notes the load of other groups."""
@@ -239,7 +236,7 @@
             pool = self.directory.pool(name.pool)
             if pool is None or pool.groups <= 1:
                 continue
-            load, engines = group.total()
+            load, engines = group.loads.total()
             item = items.setdefault(
                 name.pool, messages_decisions.GroupSums(name.pool, [], [], [])
             )
@@ -272,6 +269,6 @@
             routers = self.membership.region_routers()
             for group in list(self.owned.values()):
                 standby = groups.standby(group.group, routers, self.name)
-                item = group.copy_places(standby)
+                item = group.copies.next(standby)
                 if item is not None:
                     self.link.notify(standby, item)
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -10,16 +10,14 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
-from lavenderbend.coordination import placement
 from lavenderbend.coordination.admission import degraded
 from lavenderbend.coordination.admission import groups
 from lavenderbend.coordination.admission import owner as owner_
-from lavenderbend.coordination.admission import serving
+from lavenderbend.coordination.admission import search
 from lavenderbend.coordination.admission import settings as settings_
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_decisions
-from lavenderbend.state import decisions
 from lavenderbend.state import permits
 
 if TYPE_CHECKING:
@@ -30,41 +28,11 @@
     from lavenderbend.state import upstreams
 
 NUMBER_BITS = 32
-CHAT_SHIFT = 32
-LAST_WORD_SECONDS = 0.05
 
-DEGRADED = metrics.counter(
-    'lavenderbend_permits_degraded_total', 'Permits given without an owner.'
-)
 UNREACHABLE = metrics.counter(
     'lavenderbend_owner_unreachable_total', 'Permit requests without answer.'
 )
 
-REFUSALS: dict[str, type[errors.RequestError]] = {
-    'PoolFull': errors.PoolFull,
-    'NoUpstream': errors.NoUpstream,
-    'CustomerOverLimit': errors.CustomerOverLimit,
-}
-
-
-@attrs.frozen
-class Held:
-    """A permit that this entry uses.
-
-    Attributes:
-        number: This entry's number for it.
-        group: The group of its upstream.
-        upstream: VM id.
-        owner: Router that was last told of it.
-        granted_at: Router clock.
-    """
-
-    number: int
-    group: groups.GroupId
-    upstream: str
-    owner: str
-    granted_at: float
-
 
 class OwnerAdmission(interfaces.Admission):
     """Permits from the owner of each group of upstreams.
@@ -73,6 +41,7 @@
         held: Permits in use here, by number.
         owners: Owner of each group by this router's view.
         suspects: Until when an unreachable router is not asked.
+        out_of_touch: Owners that could not be reached since their last answer.
         asking: Requests that wait for each router's answer.
         polling: Whether the reports of a group are needed here, by the
             routers in `polling_for`.
@@ -98,9 +67,10 @@
             name, link, membership, self.directory, self.settings
         )
         self.local = degraded.LocalShare(name, membership)
-        self.held: dict[int, Held] = {}
+        self.held: dict[int, search.Held] = {}
         self.owners: dict[groups.GroupId, str] = {}
         self.suspects: dict[str, float] = {}
+        self.out_of_touch: set[str] = set()
         self.asking: dict[str, set[trio.CancelScope]] = collections.defaultdict(
             set
         )
@@ -130,8 +100,7 @@
     async def acquire(self, ask: interfaces.PermitAsk) -> interfaces.Permit:
         """Returns a permit, waiting up to the deadline for one."""
         pool = self.pool(ask.pool)
-        search = Search(self, ask, pool)
-        return await search.run()
+        return await search.Search(self, ask, pool).run()
 
     def release(self, permit: interfaces.Permit, result: str) -> None:
         """Gives the permit back; safe to call twice."""
@@ -224,7 +193,7 @@
             self.register(group, name, by_group[group])
 
     def register(
-        self, group: groups.GroupId, name: str, held: list[Held]
+        self, group: groups.GroupId, name: str, held: list[search.Held]
     ) -> None:
         """Lists this entry's permits of a group to its owner."""
         now = trio.current_time()
@@ -235,6 +204,7 @@
             [one.number for one in held],
             [short_id(one.upstream) for one in held],
             [round((now - one.granted_at) * 10) for one in held],
+            [one.customer for one in held],
         )
         for one in held:
             self.held[one.number] = attrs.evolve(one, owner=name)
@@ -295,239 +265,3 @@
             item.counts.append(len(numbers))
             item.digests.append(permits.digest(tuple(numbers)))
         return items
-
-
-class Search:
-    """The search for one permit."""
-
-    def __init__(
-        self,
-        admission: OwnerAdmission,
-        ask: interfaces.PermitAsk,
-        pool: configuration.Pool,
-    ) -> None:
-        self.admission = admission
-        self.ask = ask
-        self.pool = pool
-        self.chat = ask.chat >> CHAT_SHIFT
-        self.number = admission.next_number()
-        self.started = trio.current_time()
-        self.avoid = {messages_decisions.short_id(one) for one in ask.avoid}
-        self.index = groups.chat_group(pool, self.chat or self.number)
-        self.hops = 0
-        self.waits = False
-
-    async def run(self) -> interfaces.Permit:
-        """Returns the permit; raises as `Admission.acquire`."""
-        while True:
-            self.check_deadline()
-            group = groups.group_id(self.pool, self.index)
-            owner = self.admission.owner_of(group)
-            if not owner:
-                permit = self.admit_alone(group)
-                if permit is not None:
-                    return permit
-                await trio.sleep(self.admission.settings.degraded_poll)
-                continue
-            answer = await self.request(owner, group)
-            permit = self.follow(answer, owner, group)
-            if permit is not None:
-                return permit
-
-    def check_deadline(self) -> None:
-        """Ends the search at the deadline.
-
-        Raises:
-            PoolFull: The deadline has come.
-        """
-        if trio.current_time() < self.ask.deadline - LAST_WORD_SECONDS:
-            return
-        raise errors.PoolFull('no upstream was free before the deadline', 1)
-
-    async def request(
-        self, owner: str, group: groups.GroupId
-    ) -> peer.Message | None:
-        """Asks an owner; returns None if it cannot be reached."""
-        admission = self.admission
-        with trio.CancelScope() as scope:
-            admission.asking[owner].add(scope)
-            try:
-                return await self.exchange(owner, group)
-            except errors.PeerRefused as exc:
-                self.raise_refusal(exc)
-                self.abandon(owner)
-                await trio.sleep(admission.settings.degraded_poll)
-                return None
-            except errors.PeerUnreachable:
-                admission.asking[owner].discard(scope)
-                admission.suspect(owner)
-                self.abandon(owner)
-                return None
-            except trio.Cancelled:
-                self.give_up(owner)
-                raise
-            finally:
-                admission.asking[owner].discard(scope)
-        # cancelled because the owner is lost
-        self.abandon(owner)
-        return None
-
-    async def exchange(self, owner: str, group: groups.GroupId) -> peer.Message:
-        """Sends the request or a poll and returns the answer."""
-        settings = self.admission.settings
-        left = self.ask.deadline - trio.current_time()
-        hold = settings.hold if self.waits else settings.first_hold
-        hold = max(0.0, min(hold, left - LAST_WORD_SECONDS))
-        item: peer.Message
-        if self.waits:
-            item = messages_decisions.PermitPoll(
-                self.number, group.pool, group.index, round(hold * 1000)
-            )
-        else:
-            item = self.message(group, hold, left)
-        timeout = hold + settings.ask_timeout
-        return await self.admission.link.request(owner, item, timeout)
-
-    def abandon(self, owner: str) -> None:
-        """Goes on with another number.
-
-        The owner may have granted this one all the same: without the notice
-        the permit would be live there until the next resync.
-        """
-        self.give_up(owner)
-        self.number = self.admission.next_number()
-        self.waits = False
-
-    def give_up(self, owner: str) -> None:
-        """Tells an owner that this number is not used."""
-        item = messages_decisions.PermitRelease([self.number])
-        self.admission.tell(owner, item)
-
-    def raise_refusal(self, exc: errors.PeerRefused) -> None:
-        """Raises the owner's typed refusal as this entry's own."""
-        kind = str(exc.args[0]) if exc.args else ''
-        refusal = REFUSALS.get(kind)
-        if refusal is None:
-            return
-        failure = exc.args[1] if len(exc.args) > 1 else None
-        detail = getattr(failure, 'detail', kind)
-        raise refusal(detail, getattr(failure, 'retry_after', None)) from exc
-
-    def message(
-        self, group: groups.GroupId, hold: float, left: float
-    ) -> messages_decisions.PermitRequest:
-        """Returns the message that asks for the permit."""
-        short_id = messages_decisions.short_id
-        ask = self.ask
-        return messages_decisions.PermitRequest(
-            number=self.number,
-            pool=group.pool,
-            group=group.index,
-            customer=short_id(ask.customer),
-            chat=self.chat,
-            model=short_id(ask.model) if ask.model else None,
-            adapter=short_id(ask.adapter) if ask.adapter else None,
-            priority=int(ask.priority),
-            prompt_tokens=ask.prompt_tokens,
-            left=round(left * 1000),
-            hold=round(hold * 1000),
-            avoid=sorted(self.avoid),
-            hops=self.hops,
-            suspect=ask.suspect,
-        )
-
-    def follow(
-        self, answer: peer.Message | None, owner: str, group: groups.GroupId
-    ) -> interfaces.Permit | None:
-        """Acts on an answer; returns the permit if there is one."""
-        if isinstance(answer, messages_decisions.PermitWaiting):
-            self.waits = True
-            return None
-        if isinstance(answer, messages_decisions.PermitElsewhere):
-            self.index = answer.group
-            self.hops += 1
-            return None
-        if isinstance(answer, messages_decisions.PermitGrant):
-            return self.accept(answer, owner, group)
-        return None
-
-    def accept(
-        self,
-        grant: messages_decisions.PermitGrant,
-        owner: str,
-        group: groups.GroupId,
-    ) -> interfaces.Permit | None:
-        """Returns the permit, None if this entry may not use it."""
-        admission = self.admission
-        names = self.names()
-        vm = names.get(grant.upstream)
-        if vm is None:
-            # this entry knows already that the upstream is leaving, the
-            # owner does not: a leaving upstream must get nothing new
-            self.abandon(owner)
-            self.avoid.add(grant.upstream)
-            return None
-        now = trio.current_time()
-        admission.held[self.number] = Held(
-            self.number, group, vm.id, owner, now
-        )
-        return interfaces.Permit(
-            id=f'{admission.name}/{self.number}',
-            upstream=vm,
-            owner=owner,
-            reason=placement.REASONS[grant.reason],
-            passed_over=self.passed_over(grant, names),
-            waited=now - self.started,
-        )
-
-    def names(self) -> dict[int, upstreams.Vm]:
-        """Returns the pool's upstreams by short id, as seen here."""
-        vms = self.admission.membership.upstreams(self.pool.service)
-        return {messages_decisions.short_id(vm.id): vm for vm in vms}
-
-    def passed_over(
-        self,
-        grant: messages_decisions.PermitGrant,
-        names: dict[int, upstreams.Vm],
-    ) -> tuple[decisions.PassedOver, ...]:
-        """Returns who was passed over and why."""
-        rows = zip(
-            grant.passed_over[::2], grant.passed_over[1::2], strict=False
-        )
-        result = []
-        for number, reason in rows:
-            vm = names.get(number)
-            upstream = vm.id if vm is not None else f'{number:08x}'
-            text = placement.REASONS[reason]
-            result.append(decisions.PassedOver(upstream, text))
-        return tuple(result)
-
-    def admit_alone(self, group: groups.GroupId) -> interfaces.Permit | None:
-        """Returns a permit within this entry's own share, if any."""
-        admission = self.admission
-        ask = self.ask
-        model = messages_decisions.short_id(ask.model) if ask.model else None
-        vms = serving.serving(
-            admission.membership,
-            admission.membership.upstreams(self.pool.service),
-            model,
-        )
-        names = {vm.id: vm for vm in vms}
-        upstream = admission.local.choose(self.pool, vms, self.chat, ask.avoid)
-        if upstream is None:
-            return None
-        now = trio.current_time()
-        index = admission.directory.index(self.pool, upstream)
-        group = groups.group_id(self.pool, index)
-        admission.held[self.number] = Held(
-            self.number, group, upstream, '', now
-        )
-        DEGRADED.inc({'pool': self.pool.name})
-        return interfaces.Permit(
-            id=f'{admission.name}/{self.number}',
-            upstream=names[upstream],
-            owner=admission.name,
-            reason=placement.OWN_SHARE,
-            waited=now - self.started,
-            degraded=True,
-        )
--- a/lavenderbend/coordination/admission/settings.py
+++ b/lavenderbend/coordination/admission/settings.py
@@ -27,6 +27,10 @@
             does not wait longer than computing its context anew takes.
         first_hold: Seconds that an owner holds its first answer.
         flight: Seconds from the end of a request to its release here.
+        full_patience: Most seconds that a returning chat waits in a full
+            pool for room where its context is.
+        fair_reserve: Part of `max_load` only for customers below their
+            fair share.
         instant_reserve: Part of `max_load` only for instant requests.
     """
 
@@ -43,4 +47,6 @@
     recompute: float = 10_000.0
     first_hold: float = 0.3
     flight: float = 0.005
+    full_patience: float = 1.0
+    fair_reserve: float = 0.1
     instant_reserve: float = 0.1
--- a/lavenderbend/coordination/placement.py
+++ b/lavenderbend/coordination/placement.py
@@ -26,6 +26,8 @@
 OWN_SHARE = 'own share of the last report'
 TESTED = 'runs another suspect request'
 
+# reasons that hold for the moment only
+MAY_PASS = (OVER_BOUND, FULL, OTHER_OWNER)
 ROUNDING = 1e-9
 LARGE_MEAN = 25.0
 
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -106,6 +106,7 @@
         numbers: Number of each permit.
         upstreams: Short id of the upstream of each.
         ages: Tenths of a second since each was granted.
+        customers: Short id of the customer of each.
     """
 
     pool: int
@@ -113,6 +114,7 @@
     numbers: list[int]
     upstreams: list[int]
     ages: list[int]
+    customers: list[int]
 
 
 @peer.message(55)
--- a/lavenderbend/state/permits.py
+++ b/lavenderbend/state/permits.py
@@ -22,6 +22,7 @@
         upstream: VM id.
         granted_at: Owner clock.
         suspect: Whether its request was on an upstream that died.
+        customer: Short id of its customer, 0 if unknown.
     """
 
     entry: str
@@ -29,6 +30,7 @@
     upstream: str
     granted_at: float
     suspect: bool = False
+    customer: int = 0
 
 
 @attrs.frozen
@@ -98,13 +100,6 @@
             released.popleft()
         return permit
 
-    def drop_entry(self, entry: str, now: float) -> int:
-        """Removes all permits of an entry; returns how many."""
-        numbers = list(self.numbers.get(entry, ()))
-        for number in numbers:
-            self.remove(entry, number, now)
-        return len(numbers)
-
     def digest(self, entry: str) -> tuple[int, int]:
         """Returns the number of an entry's permits and their digest."""
         numbers = self.numbers.get(entry, ())
