--- a/lavenderbend/transport/operator_client.py
+++ b/lavenderbend/transport/operator_client.py
@@ -87,7 +87,14 @@
             )
         if response.is_error:
             raise refused(response)
-        return orjson.loads(response.content)
+        try:
+            return orjson.loads(response.content)
+        except orjson.JSONDecodeError as exc:
+            raise errors.OperatorRefused(
+                response.status_code,
+                'no-json',
+                f'{self.url} does not answer as a router does',
+            ) from exc
 
     async def follow(
         self, path: str, query: Mapping[str, str]
--- /dev/null
+++ b/tests/test_transport/test_operators_client.py
@@ -0,0 +1,95 @@
+from __future__ import annotations
+
+import httpx
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.transport import operator_client
+from tests import operator_fakes
+
+
+@pytest.fixture
+async def router(nursery):
+    """An operators' interface on a socket, and a client of it."""
+    parts = operator_fakes.make()
+    port = await nursery.start(parts.operators.serve, '127.0.0.1', 0)
+    client = operator_client.OperatorClient(
+        f'http://127.0.0.1:{port}', operator_fakes.SECRET
+    )
+    async with client:
+        yield parts, client
+
+
+async def test_live_stream_over_a_socket(router):
+    parts, client = router
+    found = []
+
+    async def watch():
+        query = {'customer': 'clinica'}
+        async for decision in client.follow('/v1/decisions', query):
+            found.append(decision['id'])
+            if len(found) == 2:
+                return
+
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            number = 0
+            while len(found) < 2:
+                # until the stream is open, decisions are not in it
+                number += 1
+                parts.decisions.add(
+                    operator_fakes.decision(number, customer='corte')
+                )
+                parts.decisions.add(operator_fakes.decision(1000 + number))
+                await trio.sleep(0.05)
+
+    assert all(int(text.partition('-')[2]) > 1000 for text in found)
+    assert found == sorted(found)
+
+
+async def test_refusal_has_status_kind_and_faults(router):
+    _, client = router
+
+    with pytest.raises(errors.OperatorRefused) as caught:
+        await client.post('/v1/rules/apply', b'rules: 5', seen=1)
+
+    assert caught.value.status == 422
+    assert caught.value.kind == 'document-invalid'
+    assert "'5'" not in str(caught.value)
+    assert 'line 1: rules: 5 is no list; allowed: a list' in str(caught.value)
+
+
+async def test_nobody_there():
+    client = operator_client.OperatorClient('http://127.0.0.1:1', 'x')
+
+    async with client:
+        with pytest.raises(errors.OperatorUnreachable):
+            await client.get('/v1/status')
+
+
+@pytest.mark.parametrize('body', [b'', b'<html>', b'[]', b'{"type": 5}'])
+async def test_an_answer_of_something_else_is_a_typed_error(body):
+    # story: an operator gives the callers' address, or that of some other
+    # server, and gets whatever that one says.
+    transport = httpx.MockTransport(
+        lambda request: httpx.Response(500, content=body)
+    )
+    client = operator_client.OperatorClient('http://x', 'x', transport)
+
+    async with client:
+        with pytest.raises(errors.OperatorRefused):
+            await client.get('/v1/status')
+
+
+@pytest.mark.parametrize('body', [b'', b'<html>'])
+async def test_a_good_answer_that_is_no_json_is_a_typed_error(body):
+    transport = httpx.MockTransport(
+        lambda request: httpx.Response(200, content=body)
+    )
+    client = operator_client.OperatorClient('http://x', 'x', transport)
+
+    async with client:
+        with pytest.raises(errors.OperatorRefused):
+            await client.get('/v1/status')
