--- a/lavenderbend/coordination/membership/candidates.py
+++ b/lavenderbend/coordination/membership/candidates.py
@@ -32,6 +32,7 @@
         self.fleet = fleet
         self.services: dict[str, tuple[upstreams.Vm, ...]] = {}
         self.ids: frozenset[str] | None = None
+        self.order: tuple[str, ...] = ()
         self.away: frozenset[str] = frozenset()
         self.held: frozenset[str] = frozenset()
         self.unlisted: frozenset[str] = frozenset()
@@ -54,8 +55,14 @@
             if self.fleet.table.state is not State.LEFT or not ids:
                 ids.add(self.fleet.vm.id)
             self.ids = frozenset(ids)
+            self.order = tuple(sorted(ids))
         return self.ids
 
+    def ordered_ids(self) -> tuple[str, ...]:
+        """Returns the live routers, sorted."""
+        self.router_ids()
+        return self.order
+
     def is_live(self, item: routers_lib.Router) -> bool:
         """Returns whether a router takes part."""
         if not item.answers:
@@ -139,7 +146,7 @@
         unlisted = frozenset(
             item.vm.id
             for item in self.fleet.table
-            if item.answers and not self.is_live(item)
+            if item.answers and not item.listed and not self.is_live(item)
         )
         for name in self.away - away:
             self.fleet.ejector.note_return(name)
--- a/lavenderbend/coordination/membership/fleet.py
+++ b/lavenderbend/coordination/membership/fleet.py
@@ -91,7 +91,7 @@
 
     def routers(self) -> tuple[str, ...]:
         """Returns the ids of the live routers, this one among them."""
-        return tuple(sorted(self.candidates.router_ids()))
+        return self.candidates.ordered_ids()
 
     def region_routers(self) -> tuple[str, ...]:
         """Returns the live routers of this router's region."""
--- a/lavenderbend/coordination/membership/list_reader.py
+++ b/lavenderbend/coordination/membership/list_reader.py
@@ -37,12 +37,18 @@
         self.fleet = fleet
         self.read = trio.Event()
         self.failing = False
+        self.chosen_for: tuple[str, ...] = ()
+        self.chosen = False
 
     def is_reader(self) -> bool:
         """Returns whether this router reads often."""
         routers = self.fleet.region_routers()
-        order = hashing.rendezvous_order('vm-list', routers)
-        return self.fleet.vm.id in order[: self.fleet.settings.list_readers]
+        if routers != self.chosen_for:
+            self.chosen_for = routers
+            order = hashing.rendezvous_order('vm-list', routers)
+            readers = order[: self.fleet.settings.list_readers]
+            self.chosen = self.fleet.vm.id in readers
+        return self.chosen
 
     async def run(self) -> None:
         """Reads until cancelled."""
