Order engines under a lease, with fencing numbers and rolling changes

Before the count of failures was kept in the service, up to 8 orders for one bad version were carried out, as each new holder began to count anew.

--- a/bench/agreed/__main__.py
+++ b/bench/agreed/__main__.py
@@ -1,7 +1,7 @@
-"""Measures what is agreed and kept.
+"""Measures what is agreed and kept; run as `python -m bench.agreed`.
 
 Usage:
-  python -m bench.agreed [--figures FILE]
+  agreed [--figures FILE]
 
 Options:
   --figures FILE  Where all figures go [default: bench/agreed/figures.json].
--- a/bench/agreed/fleets.py
+++ b/bench/agreed/fleets.py
@@ -176,7 +176,8 @@
 def virtual(seed: int, main):
     """Runs a trial on the virtual clock, the same way for the same seed."""
     # trio mixes the order of tasks that are ready at once; it offers no
-    # public way to seed that
+    # public way to make that the same in each run
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
     return trio.run(main, clock=clock)
--- a/bench/agreed/measures.py
+++ b/bench/agreed/measures.py
@@ -10,6 +10,7 @@
 from bench.agreed import claim_rate
 from bench.agreed import claim_table
 from bench.agreed import operators
+from bench.agreed import order_rolls
 from bench.agreed import spread
 
 FLEETS = (7, 30, 130)
@@ -101,6 +102,25 @@
     ]
 
 
+def of_order_rolls(result: order_rolls.Result) -> list[Measure]:
+    """Returns the lines of orders."""
+    return [
+        Measure(
+            'stale orders carried out, checking engines',
+            result.stale_checking,
+            0,
+        ),
+        Measure(
+            'stale orders carried out, others after the wait',
+            result.stale_others,
+            0,
+        ),
+        Measure('seconds with too few engines', result.too_few, 0),
+        Measure('engines that met a bad version', result.most_exposed, 3),
+        Measure('models left at a wrong version', result.unsettled, 0),
+    ]
+
+
 def all_of_them() -> tuple[list[Measure], dict[str, Any]]:
     """Runs everything; returns the table and all figures."""
     results = {
@@ -108,6 +128,7 @@
         'claim_rate': claim_rate.run(),
         'claim_table': claim_table.run(),
         'operators': operators.run(),
+        'order_rolls': order_rolls.run(),
     }
     fleets = [spread.run(count, 600.0 * 7 / count) for count in FLEETS]
     table = [
@@ -116,6 +137,7 @@
         *of_claim_table(results['claim_table']),
         *of_operators(results['operators']),
         *of_spread(fleets[0]),
+        *of_order_rolls(results['order_rolls']),
     ]
     figures = {name: attrs.asdict(item) for name, item in results.items()}
     figures['spread'] = [attrs.asdict(item) for item in fleets]
--- /dev/null
+++ b/lavenderbend/coordination/order_memory.py
@@ -0,0 +1,141 @@
+"""What order controllers of one pool tell their successors."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lavenderbend import errors
+from lavenderbend.state import orders
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination import interfaces
+
+
+@attrs.frozen
+class Failures:
+    """Orders that failed in a row.
+
+    Attributes:
+        target: What was ordered.
+        count: How many failed.
+    """
+
+    target: orders.Target
+    count: int
+
+
+class OrderMemory:
+    """Targets known to be good or bad, in one key of the service.
+
+    Attributes:
+        store: The key-value service.
+        key: The key.
+        good: Target that a whole roll ended with, by model.
+        bad: Targets whose roll was stopped, by model.
+        failures: The latest target that failed and how often, by model.
+    """
+
+    def __init__(self, store: interfaces.KeyValueStore, key: str) -> None:
+        self.store = store
+        self.key = key
+        self.good: dict[str, orders.Target] = {}
+        self.bad: dict[str, orders.Target] = {}
+        self.failures: dict[str, Failures] = {}
+        self.revision = 0
+        self.unsaved = False
+
+    async def load(self) -> None:
+        """Reads what earlier controllers left.
+
+        Raises:
+            KeyValueError: The service does not answer.
+        """
+        found = await self.store.read(self.key)
+        self.revision = 0
+        self.good, self.bad, self.failures = {}, {}, {}
+        if not found.items:
+            return
+        self.revision = found.items[0].mod_revision
+        value = json.loads(found.items[0].value)
+        self.good = targets(value['good'])
+        self.bad = targets(value['bad'])
+        self.failures = {
+            model: Failures(read_target(item['target']), item['count'])
+            for model, item in value['failures'].items()
+        }
+
+    def note_good(self, target: orders.Target) -> None:
+        """Notes a target that all its engines serve."""
+        if self.good.get(target.model) != target:
+            self.good[target.model] = target
+            self.unsaved = True
+
+    def note_bad(self, target: orders.Target) -> None:
+        """Notes a target that engines failed to serve."""
+        if self.bad.get(target.model) != target:
+            self.bad[target.model] = target
+            self.unsaved = True
+
+    def note_failure(self, target: orders.Target) -> int:
+        """Counts an order that failed; returns how many have.
+
+        The count outlives the controller: controllers that change often
+        would try a bad version on engine after engine otherwise.
+        """
+        known = self.failures.get(target.model)
+        count = 1
+        if known is not None and known.target == target:
+            count += known.count
+        self.failures[target.model] = Failures(target, count)
+        self.unsaved = True
+        return count
+
+    def forget_bad(self, model: str, wanted: orders.Target) -> None:
+        """Forgets a bad target once something else is wanted."""
+        if model in self.bad and self.bad[model] != wanted:
+            del self.bad[model]
+            self.unsaved = True
+
+    async def save(self) -> None:
+        """Writes what has changed; a failure leaves it for the next time."""
+        if not self.unsaved:
+            return
+        value = json.dumps(
+            {
+                'good': {m: attrs.asdict(t) for m, t in self.good.items()},
+                'bad': {m: attrs.asdict(t) for m, t in self.bad.items()},
+                'failures': {
+                    m: attrs.asdict(f) for m, f in self.failures.items()
+                },
+            }
+        ).encode()
+        try:
+            if self.revision:
+                await self.store.replace(self.key, value, self.revision)
+            else:
+                await self.store.create(self.key, value)
+            # read back: the answer may have been lost, or another
+            # controller may have written since
+            found = await self.store.read(self.key)
+        except errors.KeyValueError:
+            return
+        self.revision = found.items[0].mod_revision if found.items else 0
+        self.unsaved = not found.items or found.items[0].value != value
+
+
+def targets(value: dict[str, dict]) -> dict[str, orders.Target]:
+    """Returns targets by model from their JSON form."""
+    return {model: read_target(item) for model, item in value.items()}
+
+
+def read_target(item: dict) -> orders.Target:
+    """Returns a target from its JSON form."""
+    return orders.Target(
+        item['model'],
+        item['version'],
+        tuple(item['adapters']),
+        item['role'],
+    )
--- /dev/null
+++ b/tests/test_coordination/test_agreed_orders.py
@@ -0,0 +1,335 @@
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+import trio
+
+from bench.agreed import engines as engines_module
+from bench.agreed import fleets
+from bench.agreed import measures
+from bench.agreed import order_rolls
+from lavenderbend import errors
+from lavenderbend.coordination import orders as orders_module
+from lavenderbend.standin import weight_store
+from lavenderbend.state import configuration
+from lavenderbend.state import orders
+from lavenderbend.state import upstreams
+from tests.test_coordination import agreed_fakes as fakes
+
+OLD = orders.Target('m', '1')
+NEW = orders.Target('m', '2')
+
+
+def situation(states, busy=None, proven=(OLD,)):
+    return orders.Situation(
+        {
+            name: orders.EngineState(0, target, healthy)
+            for name, (target, healthy) in states.items()
+        },
+        busy or {},
+        proven,
+    )
+
+
+def test_new_target_goes_to_one_engine_first():
+    states = {f'e{n}': (OLD, True) for n in range(8)}
+    wanted = (orders.Wanted(NEW, 8),)
+    assert len(orders.plan(wanted, situation(states))) == 1
+    busy = {'e0': NEW}
+    assert orders.plan(wanted, situation(states, busy)) == ()
+
+
+def test_proven_target_takes_down_no_more_than_the_share():
+    states = {f'e{n}': (OLD, True) for n in range(8)}
+    states['e0'] = (NEW, True)
+    steps = orders.plan(
+        (orders.Wanted(NEW, 8),), situation(states, proven=(OLD, NEW))
+    )
+    assert [step.upstream for step in steps] == ['e1', 'e2']
+
+
+def test_engine_that_is_down_counts_against_the_share():
+    states = {f'e{n}': (OLD, True) for n in range(8)}
+    states['e0'] = (NEW, True)
+    states['e7'] = (OLD, False)
+    steps = orders.plan(
+        (orders.Wanted(NEW, 8),), situation(states, proven=(OLD, NEW))
+    )
+    assert [step.upstream for step in steps] == ['e7', 'e1']
+
+
+def test_spare_engine_is_loaded_before_a_serving_one_is_taken_down():
+    states = {'e0': (OLD, True), 'e1': (orders.Target('x', '1'), True)}
+    steps = orders.plan((orders.Wanted(NEW, 1),), situation(states))
+    assert steps == (orders.Step('e1', NEW),)
+
+
+def test_frozen_model_is_left_alone():
+    states = {'e0': (OLD, True), 'e1': (NEW, False)}
+    wanted = (orders.Wanted(NEW, 2, frozen=True),)
+    assert orders.plan(wanted, situation(states)) == ()
+
+
+class Pool:
+    """One pool of engines and routers that may order them."""
+
+    def __init__(self, nursery, checks, policy, engines=1):
+        self.nursery = nursery
+        self.store = fakes.service()
+        self.policy = policy
+        self.engines = {
+            f'pool-{n}': engines_module.Engine(
+                f'pool-{n}',
+                OLD,
+                checks,
+                set(),
+                weight_store.WeightStore(10.0, 10.0),
+            )
+            for n in range(engines)
+        }
+        self.vms = [
+            upstreams.Vm(
+                name, '', 1, 'z', 'pool', upstreams.UpstreamKind.ENGINE
+            )
+            for name in self.engines
+        ]
+        self.checks = checks
+        self.configurations = order_rolls.Configurations()
+        self.faults = engines_module.OrderFaults(0.0, 0.0)
+
+    def want(self, version, number, replicas=1):
+        document = configuration.Configuration(
+            pools=(
+                configuration.Pool('p', 'pool', checks_fencing=self.checks),
+            ),
+            orders=(configuration.Order('p', 'm', version, replicas),),
+        )
+        self.configurations.revision = configuration.Revision(
+            number, '', document
+        )
+
+    def start(self, name, orderer_class=engines_module.PausableOrderer):
+        pause = fleets.Pause()
+        orderer = orderer_class(
+            self.engines, pause, self.nursery, random.Random(1), self.faults
+        )
+        controller = orders_module.OrderController(
+            name,
+            fleets.PausableStore(self.store, pause),
+            fakes.Membership(['a', 'b'], self.vms),
+            self.configurations,
+            orderer,
+            random.Random(name),
+            policy=self.policy,
+        )
+        self.nursery.start_soon(controller.run)
+        return controller
+
+
+class PausedLater(engines_module.PausableOrderer):
+    """A router paused after the check of its lease in its second order.
+
+    Attributes:
+        checked: Set when it is paused.
+        resumed: When it goes on.
+    """
+
+    resumed = 110.0
+    # each order has two places for a pause; the second follows the check
+    place = 4
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.checked = trio.Event()
+        self.stops = 0
+
+    async def stop(self):
+        self.stops += 1
+        if self.stops == self.place:
+            self.checked.set()
+            self.pause.until = trio.current_time() + self.resumed
+        await super().stop()
+
+
+class PausedAfterCheck(PausedLater):
+    """Paused in its first order, as no order shows the fencing number."""
+
+    place = 2
+
+
+async def paused_holder(
+    nursery, checks, policy, read_seconds=60.0, engine_checks=None
+):
+    """Plays the story; returns what the engine carried out.
+
+    The holder looks at its clock, is paused for minutes, and sends its
+    order for version 2 when another has held the lease for long and has
+    brought the engine to version 3.
+    """
+    pool = Pool(nursery, checks, policy)
+    pool.engines['pool-0'].read_seconds = read_seconds
+    if engine_checks is not None:
+        pool.engines['pool-0'].checks = engine_checks
+    pool.want('2', 1)
+    first = pool.start('a', PausedLater if checks else PausedAfterCheck)
+    await first.orderer.checked.wait()
+    pool.want('3', 2)
+    pool.start('b')
+    await trio.sleep(300)
+    engine = pool.engines['pool-0']
+    return [
+        (item.order.target.version, item.order.fencing)
+        for item in engine.carried
+        if item.changed
+    ]
+
+
+class Hasty(orders_module.OrderPolicy):
+    """Does not wait after a takeover."""
+
+    takeover_wait = 0.0
+
+
+async def test_engine_that_checks_refuses_a_holder_paused_after_its_check(
+    nursery, autojump_clock
+):
+    """The engine refuses the order that comes after its sender's pause."""
+    carried = await paused_holder(
+        nursery, True, orders_module.OrderPolicy(), read_seconds=1e9
+    )
+    assert [version for version, _ in carried] == ['3']
+
+
+async def test_engine_wrongly_said_to_check_carries_out_the_old_order(
+    nursery, autojump_clock
+):
+    """Shows that the test above would see a stale order."""
+    carried = await paused_holder(
+        nursery,
+        True,
+        orders_module.OrderPolicy(),
+        read_seconds=1e9,
+        engine_checks=False,
+    )
+    assert [version for version, _ in carried][:2] == ['3', '2']
+
+
+async def test_engine_that_ignores_numbers_drops_a_body_that_comes_late(
+    nursery, autojump_clock
+):
+    """The engine has dropped the request when its sender goes on."""
+    carried = await paused_holder(nursery, False, orders_module.OrderPolicy())
+    assert [version for version, _ in carried] == ['3']
+
+
+async def test_next_holder_waits_as_long_as_the_engine_might(
+    nursery, autojump_clock
+):
+    """An engine that reads slowly takes the old order, but before the new.
+
+    The next holder orders only after that, so its order is the last.
+    """
+    policy = orders_module.OrderPolicy(engine_read_seconds=150.0)
+    carried = await paused_holder(nursery, False, policy, read_seconds=150.0)
+    assert [version for version, _ in carried] == ['2', '3']
+
+
+async def test_without_the_wait_the_old_order_undoes_the_new_one(
+    nursery, autojump_clock
+):
+    """Shows that the tests above would see a stale order."""
+    carried = await paused_holder(nursery, False, Hasty(), read_seconds=150.0)
+    versions = [version for version, _ in carried]
+    assert versions[:2] == ['3', '2']
+
+
+async def test_bad_version_stops_the_roll_and_goes_back(
+    nursery, autojump_clock
+):
+    """Version 2 cannot be served; at most two engines may meet it."""
+    policy = orders_module.OrderPolicy(bake_seconds=5.0)
+    pool = Pool(nursery, True, policy, engines=8)
+    pool.want('1', 1, 8)
+    pool.start('a')
+    await trio.sleep(60)
+    for engine in pool.engines.values():
+        engine.bad = {'2'}
+    pool.want('2', 2, 8)
+    await trio.sleep(300)
+    met = [
+        engine.id
+        for engine in pool.engines.values()
+        if any(item.order.target == NEW for item in engine.carried)
+    ]
+    assert 1 <= len(met) <= 2
+    targets = {engine.target for engine in pool.engines.values()}
+    assert targets == {OLD}
+    assert all(engine.healthy for engine in pool.engines.values())
+    pool.want('3', 3, 8)
+    await trio.sleep(300)
+    versions = {e.target.version for e in pool.engines.values()}
+    assert versions == {'3'}
+
+
+def test_rolls_under_kills_pauses_and_outages():
+    result = order_rolls.run(2500.0, seed=3)
+    assert result.orders > 10
+    assert min(result.kills, result.pauses) > 0
+    over = [m for m in measures.of_order_rolls(result) if not m.holds]
+    assert not over
+
+
+def test_roll_check_finds_too_few_serving():
+    policy = orders_module.OrderPolicy(load_gap=0.0, unavailable=1.0)
+    strict = attrs.evolve(policy, unavailable=0.25)
+    trial = order_rolls.Trial(3000.0, 2, policy, True, 60.0)
+    trial.allowed = strict
+    trial.faults.pause_share = 0.0
+    trial.weights.rate = trial.weights.burst = 10.0
+    result = fleets.virtual(2, trial.run)
+    assert result.too_few > 0
+
+
+async def test_orders_over_http_reach_the_stand_in_engine(nursery):
+    """Order, refusal of an old number and reading back, on sockets."""
+    from lavenderbend.transport import orders_http
+
+    sent = []
+
+    async def answer(stream):
+        data = b''
+        async with stream:
+            while b'\r\n\r\n' not in data or not data.endswith(b'}'):
+                data += await stream.receive_some(4096)
+            sent.append(data)
+            fencing = 7 if b'"fencing": 7' in data else 0
+            body = b'{"state": {}}' if fencing else b'{"fencing": 7}'
+            status = b'200 OK' if fencing else b'409 Conflict'
+            await stream.send_all(
+                b'HTTP/1.1 %s\r\ncontent-length: %d\r\n'
+                b'connection: close\r\n\r\n%s' % (status, len(body), body)
+            )
+
+    listeners = await nursery.start(trio.serve_tcp, answer, 0)
+    port = listeners[0].socket.getsockname()[1]
+    vm = upstreams.Vm(
+        'e', '127.0.0.1', port, 'z', 's', upstreams.UpstreamKind.ENGINE
+    )
+    orderer = orders_http.HttpOrderer()
+    order = orders.EngineOrder(7, NEW)
+    await orderer.send(vm, order, 5.0, lambda: None)
+    with pytest.raises(errors.OrderRefused) as caught:
+        await orderer.send(vm, orders.EngineOrder(6, NEW), 5.0, lambda: None)
+    assert caught.value.highest == 7
+
+    def lost():
+        raise errors.LeaseLost('too late')
+
+    before = len(sent)
+    with pytest.raises(errors.LeaseLost):
+        await orderer.send(vm, order, 5.0, lost)
+    assert len(sent) == before
+    await orderer.close()
+    nursery.cancel_scope.cancel()
