--- a/docs/reference/generate.py
+++ b/docs/reference/generate.py
@@ -22,6 +22,7 @@
 from lavenderbend.cmd import exit_codes
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import structuring
+from lavenderbend.protocol import units
 from lavenderbend.state import configuration
 from lavenderbend.state import settings
 from lavenderbend.transport import operator_routes
@@ -34,17 +35,17 @@
 HERE = pathlib.Path(__file__).parent
 NOTE = '.. written by docs/reference/generate.py; change the code, not this\n\n'
 UNITS = {
-    settings.Seconds: structuring.DURATION,
-    settings.ByteCount: structuring.SIZE,
+    settings.Seconds: units.DURATION,
+    settings.ByteCount: units.SIZE,
     str: 'a text',
     int: 'a whole number',
     float: 'a number',
     bool: 'true or false',
 }
 HOOK_UNITS = {
-    structuring.duration: structuring.DURATION,
-    structuring.rate: structuring.RATE,
-    structuring.share: structuring.SHARE,
+    units.duration: units.DURATION,
+    units.rate: units.RATE,
+    units.share: units.SHARE,
 }
 
 
--- a/lavenderbend/cmd/exit_codes.py
+++ b/lavenderbend/cmd/exit_codes.py
@@ -9,9 +9,9 @@
     """What a command's exit tells a script.
 
     Attributes:
-        OK: Done; for `router`, stopped without cutting off a request.
+        OK: Done.
         FAILED: Ran, and found what it is there to find: answers wrong or
-            cut off in `demo` and `load`, requests cut off by a stop.
+            cut off in `demo` and `load`, warnings in `rules check --strict`.
         USAGE: The command line cannot be understood.
         SETTINGS: A settings or rules file cannot be used; nothing was done.
         UNREACHABLE: The operators' interface or a stand-in's address
--- a/lavenderbend/protocol/documents_yaml.py
+++ b/lavenderbend/protocol/documents_yaml.py
@@ -13,6 +13,7 @@
 
 from lavenderbend import errors
 from lavenderbend.protocol import structuring
+from lavenderbend.protocol import units
 from lavenderbend.protocol import yaml_nodes
 from lavenderbend.state import configuration
 from lavenderbend.state import rule_sets
@@ -76,7 +77,7 @@
     """Returns the document as an attrs class."""
     try:
         return structuring.CONVERTER.structure(document.value, cls)
-    except (cattrs.BaseValidationError, structuring.Fault) as exc:
+    except (cattrs.BaseValidationError, units.Fault) as exc:
         faults = sorted(translate(document, exc, ()), key=place)
     raise errors.DocumentErrors(f'{document.name} cannot be used', faults)
 
@@ -109,7 +110,7 @@
         names = ', '.join(field.name for field in attrs.fields(exc.cl))
         for key in sorted(exc.extra_fields):
             yield document.fault((*path, key), 'unknown key', names)
-    elif isinstance(exc, structuring.Fault):
+    elif isinstance(exc, units.Fault):
         yield document.fault(path, exc.fault, exc.allowed)
     elif isinstance(exc, KeyError):
         yield document.fault(path, 'missing', 'a value for this key')
--- a/lavenderbend/protocol/structuring.py
+++ b/lavenderbend/protocol/structuring.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import decimal
 import enum
-import re
 from typing import Any
 from typing import get_args
 from typing import get_origin
@@ -14,9 +12,11 @@
 import cattrs
 from cattrs import gen
 
+from lavenderbend.protocol import units
 from lavenderbend.state import configuration
 from lavenderbend.state import requests
 from lavenderbend.state import settings
+from lavenderbend.state import upstreams
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,119 +24,36 @@
     Hook = Callable[[Any, Any], Any]
     Writer = Callable[[Any], Any]
 
-QUANTITY = re.compile(r'([0-9]+(?:\.[0-9]+)?) ?([A-Za-z/%]+)')
-DURATION_UNITS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0, 'd': 86400.0}
-SIZE_UNITS = {'B': 1, 'KiB': 1024, 'MiB': 1024**2, 'GiB': 1024**3}
-RATE_UNITS = {'/s': 1.0, '/m': 1 / 60}
-SHARE_UNITS = {'%': 1.0}
-
-DURATION = 'a duration such as 500ms, 30s, 5m, 2h, 1d'
-SIZE = 'a size such as 512B, 32KiB, 1MiB, 1GiB'
-RATE = 'a rate such as 20/s or 300/m'
-SHARE = 'a share such as 12.5%'
-
-
-class Fault(ValueError):
-    """A value that may not stand where it stands.
-
-    Attributes:
-        fault: What is wrong.
-        allowed: What may stand there.
-    """
-
-    def __init__(self, fault: str, allowed: str) -> None:
-        super().__init__(fault)
-        self.fault = fault
-        self.allowed = allowed
-
-
-def shown(value: Any) -> str:
-    """Returns a value as an error message shows it."""
-    kinds = {dict: 'a map', list: 'a list', type(None): 'nothing'}
-    if type(value) in kinds:
-        return kinds[type(value)]
-    if not isinstance(value, str):
-        return str(value)
-    return repr(value if len(value) <= 60 else value[:57] + '...')
-
-
-def quantity(value: Any, units: dict[str, float], allowed: str) -> float:
-    """Returns a number with a unit, in the base unit."""
-    found = QUANTITY.fullmatch(value) if isinstance(value, str) else None
-    if found is None:
-        raise Fault(f'{shown(value)} is no number with a unit', allowed)
-    if found[2] not in units:
-        raise Fault(f'unknown unit {found[2]!r}', allowed)
-    return float(found[1]) * units[found[2]]
-
-
-def duration(value: Any, _: Any) -> float:
-    """Returns seconds."""
-    return quantity(value, DURATION_UNITS, DURATION)
-
-
-def size(value: Any, _: Any) -> int:
-    """Returns bytes."""
-    return int(quantity(value, SIZE_UNITS, SIZE))
-
-
-def rate(value: Any, _: Any) -> float:
-    """Returns events a second."""
-    return quantity(value, RATE_UNITS, RATE)
-
-
-def share(value: Any, _: Any) -> float:
-    """Returns a percentage."""
-    return quantity(value, SHARE_UNITS, SHARE)
-
-
-def decimal_text(value: float) -> str:
-    """Returns all digits of a number, without an exponent."""
-    return f'{decimal.Decimal(repr(value)):f}'.removesuffix('.0')
-
-
-def write_duration(value: float) -> str:
-    """Returns a duration in seconds, or in milliseconds if it is short."""
-    if value < 1 and round(value * 1000) == value * 1000:
-        return f'{round(value * 1000)}ms'
-    return f'{decimal_text(value)}s'
-
-
-def write_rate(value: float) -> str:
-    """Returns a rate a second."""
-    return f'{decimal_text(value)}/s'
-
-
-def write_share(value: float) -> str:
-    """Returns a percentage."""
-    return f'{decimal_text(value)}%'
-
 
 def text(value: Any, _: Any) -> str:
     """Returns a text."""
     if not isinstance(value, str):
-        raise Fault(f'{shown(value)} is no text', 'a text (quote numbers)')
+        raise units.Fault(
+            f'{units.shown(value)} is no text', 'a text (quote numbers)'
+        )
     return value
 
 
 def integer(value: Any, _: Any) -> int:
     """Returns a whole number."""
     if type(value) is not int:
-        raise Fault(f'{shown(value)} is no whole number', 'a whole number')
+        raise units.Fault(
+            f'{units.shown(value)} is no whole number', 'a whole number'
+        )
     return value
 
 
 def number(value: Any, _: Any) -> float:
     """Returns a number."""
     if type(value) not in (int, float):
-        raise Fault(f'{shown(value)} is no number', 'a number')
+        raise units.Fault(f'{units.shown(value)} is no number', 'a number')
     return float(value)
 
 
 def boolean(value: Any, _: Any) -> bool:
     """Returns true or false."""
     if not isinstance(value, bool):
-        raise Fault(f'{shown(value)} is neither', 'true or false')
+        raise units.Fault(f'{units.shown(value)} is neither', 'true or false')
     return value
 
 
@@ -151,8 +68,8 @@
     """Returns the member of an enum class."""
     members = {enum_key(member): member for member in cls}
     if not isinstance(value, str) or value not in members:
-        raise Fault(
-            f'{shown(value)} is none of them', ' | '.join(sorted(members))
+        raise units.Fault(
+            f'{units.shown(value)} is none of them', ' | '.join(sorted(members))
         )
     return members[value]
 
@@ -160,14 +77,14 @@
 # fields of the configuration that have a unit, bounds or a shape; those of
 # the settings say so in their own metadata
 FIELD_HOOKS: dict[tuple[type, str], Hook] = {
-    (configuration.When, 'share'): share,
-    (configuration.Then, 'timeout'): duration,
-    (configuration.Then, 'limit'): rate,
+    (configuration.When, 'share'): units.share,
+    (configuration.Then, 'timeout'): units.duration,
+    (configuration.Then, 'limit'): units.rate,
 }
 FIELD_WRITERS: dict[tuple[type, str], Writer] = {
-    (configuration.When, 'share'): write_share,
-    (configuration.Then, 'timeout'): write_duration,
-    (configuration.Then, 'limit'): write_rate,
+    (configuration.When, 'share'): units.write_share,
+    (configuration.Then, 'timeout'): units.write_duration,
+    (configuration.Then, 'limit'): units.write_rate,
 }
 FIELD_BOUNDS: dict[tuple[type, str], settings.Bounds] = {
     (configuration.When, 'share'): settings.Bounds(0, 100),
@@ -185,6 +102,7 @@
     ),
     (configuration.Customer, 'burst'): settings.Bounds(0, 1_000_000),
     (configuration.Order, 'replicas'): settings.Bounds(0, 100_000),
+    (upstreams.Vm, 'port'): settings.Bounds(1, settings.MAX_PORT),
 }
 
 
@@ -194,7 +112,9 @@
     def hook(value: Any, cls: Any) -> Any:
         result = inner(value, cls)
         if not bounds.holds(result):
-            raise Fault(f'{shown(value)} is impossible', str(bounds))
+            raise units.Fault(
+                f'{units.shown(value)} is impossible', str(bounds)
+            )
         return result
 
     return hook
@@ -211,8 +131,8 @@
         self.register_structure_hook(bool, boolean)
         # an IntEnum would be read as an int before it is seen as an enum
         self.register_structure_hook(requests.Priority, member_of)
-        self.register_structure_hook(settings.Seconds, duration)
-        self.register_structure_hook(settings.ByteCount, size)
+        self.register_structure_hook(settings.Seconds, units.duration)
+        self.register_structure_hook(settings.ByteCount, units.size)
         self.register_structure_hook_factory(is_enum, lambda cls: member_of)
         self.register_structure_hook_factory(is_tuple, self.tuple_hook)
         self.register_structure_hook_factory(is_map, self.map_hook)
@@ -229,7 +149,7 @@
         def hook(value: Any, _: Any) -> Any:
             # a text would otherwise become one entry for each letter
             if not isinstance(value, list):
-                raise Fault(f'{shown(value)} is no list', 'a list')
+                raise units.Fault(f'{units.shown(value)} is no list', 'a list')
             return tuple(self.structure(value, list[member]))
 
         return hook
@@ -240,7 +160,7 @@
 
         def hook(value: Any, _: Any) -> Any:
             if not isinstance(value, dict):
-                raise Fault(f'{shown(value)} is no map', 'a map')
+                raise units.Fault(f'{units.shown(value)} is no map', 'a map')
             return inner(value, cls)
 
         return hook
@@ -258,7 +178,9 @@
 
         def hook(value: Any, _: Any) -> Any:
             if not isinstance(value, dict):
-                raise Fault(f'{shown(value)} is no map', f'keys: {names}')
+                raise units.Fault(
+                    f'{units.shown(value)} is no map', f'keys: {names}'
+                )
             return inner(value, cls)
 
         return hook
--- a/tests/test_state/test_settings.py
+++ b/tests/test_state/test_settings.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import pathlib
+from typing import get_args
 
+import attrs
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -10,6 +12,8 @@
 
 from lavenderbend import errors
 from lavenderbend.protocol import documents_yaml
+from lavenderbend.protocol import structuring
+from lavenderbend.state import configuration
 from lavenderbend.state import settings
 
 ROOTS = pathlib.Path(__file__).parents[1] / 'roots'
@@ -205,3 +209,32 @@
         documents_yaml.parse_settings(changed, 'f')
     except errors.DocumentErrors as exc:
         assert exc.exceptions
+
+
+def numbers_of(cls):
+    for part in reference_classes(cls, []):
+        for field in attrs.fields(part):
+            kinds = (int, float, settings.Seconds, settings.ByteCount)
+            if field.type in kinds:
+                yield part, field
+
+
+def reference_classes(cls, found):
+    found.append(cls)
+    for field in attrs.fields(attrs.resolve_types(cls)):
+        for part in (field.type, *get_args(field.type)):
+            if attrs.has(part) and part not in found:
+                reference_classes(part, found)
+    return found
+
+
+@pytest.mark.parametrize(
+    'cls', [settings.RouterSettings, configuration.Configuration]
+)
+def test_every_number_has_bounds(cls):
+    # a new number without bounds could be set to -1 and break a router only
+    # once it is under load
+    for part, field in numbers_of(cls):
+        key = (part, field.name)
+        known = 'bounds' in field.metadata or key in structuring.FIELD_BOUNDS
+        assert known, key
