--- a/lavenderbend/daemon/demo_fleet.py
+++ b/lavenderbend/daemon/demo_fleet.py
@@ -17,6 +17,7 @@
 from lavenderbend.standin import key_value
 from lavenderbend.standin import plain_service
 from lavenderbend.standin import vm_list
+from lavenderbend.standin import weight_store
 from lavenderbend.state import settings
 from lavenderbend.state import upstreams
 from lavenderbend.transport import operator_client
@@ -63,6 +64,7 @@
         nursery: Where everything runs.
         store: The stand-in of the key-value service.
         vms: The stand-in of the VM list.
+        weights: The stand-in of the weight store.
         workers: The engines.
         services: The plain services.
         routers: The routers.
@@ -79,6 +81,7 @@
         self.nursery = nursery
         self.store = key_value.MemoryStore(random.Random(seed))
         self.vms = vm_list.VmListStandIn(lag=VM_LIST_LAG_SECONDS)
+        self.weights = weight_store.WeightStore()
         self.workers: list[Worker] = []
         self.services: list[plain_service.PlainService] = []
         self.routers: list[router.RouterDaemon] = []
@@ -88,6 +91,7 @@
         start = self.nursery.start
         store_url = await start(key_value.serve, HOST, 0, self.store)
         list_port = await start(vm_list.serve, HOST, 0, self.vms)
+        await start(weight_store.serve, HOST, 0, self.weights)
         vms = []
         for site in self.sites:
             vms += await self.start_engines(site)
--- a/lavenderbend/daemon/standins.py
+++ b/lavenderbend/daemon/standins.py
@@ -19,6 +19,7 @@
 from lavenderbend.standin import key_value
 from lavenderbend.standin import plain_service
 from lavenderbend.standin import vm_list
+from lavenderbend.standin import weight_store
 from lavenderbend.state import settings as settings_module
 from lavenderbend.state import upstreams  # noqa: TC001 - read by cattrs
 
@@ -174,3 +175,42 @@
         """Serves until cancelled."""
         served = vm_list.VmListStandIn(item.vms, item.lag_seconds)
         await vm_list.serve(host, port, served, task_status=task_status)
+
+
+@attrs.frozen
+class WeightStoreStandInSettings:
+    """How the stand-in of the weight store behaves.
+
+    Attributes:
+        rate: Fetches a second that it allows.
+        burst: Fetches that may come at once.
+        fetch_seconds: Time that one fetch takes.
+    """
+
+    rate: float = settings_module.bounded(1.0, 0.001, 1_000_000.0)
+    burst: float = settings_module.bounded(2.0, 1.0, 1_000_000.0)
+    fetch_seconds: settings_module.Seconds = settings_module.bounded(
+        0.0, 0.0, 600.0
+    )
+
+
+@STANDINS.register('weight-store')
+class WeightStoreStandIn(StandIn[WeightStoreStandInSettings]):
+    """The weight store."""
+
+    summary = 'the store of model weights, with its rate limit'
+    default_port = 2391
+    settings = WeightStoreStandInSettings
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        item: WeightStoreStandInSettings,
+        task_status: trio.TaskStatus[Any],
+    ) -> None:
+        """Serves until cancelled."""
+        store = weight_store.WeightStore(
+            item.rate, item.burst, item.fetch_seconds
+        )
+        await weight_store.serve(host, port, store, task_status=task_status)
