--- a/lavenderbend/protocol/messages_membership.py
+++ b/lavenderbend/protocol/messages_membership.py
@@ -80,7 +80,13 @@
 @peer.message(81)
 @attrs.frozen
 class Goodbye(peer.Message):
-    """The last message of one side of a connection."""
+    """The last message of one side of a connection.
+
+    Attributes:
+        final: Whether the sender stops and answers nothing any more.
+    """
+
+    final: bool = False
 
 
 @peer.message(82)
--- a/lavenderbend/transport/links.py
+++ b/lavenderbend/transport/links.py
@@ -45,6 +45,8 @@
             after which its connection is closed.
         retry_delay: Seconds between a failed dial and the next.
         idle: Seconds without a message after which a connection closes.
+        age: Seconds after which a connection is replaced by a new one,
+            made with the certificates of that time.
     """
 
     dial_timeout: float = 2.0
@@ -54,6 +56,7 @@
     misses: int = 3
     retry_delay: float = 0.1
     idle: float = 300.0
+    age: float = 3600.0
 
 
 @attrs.define(eq=False)
@@ -225,7 +228,7 @@
             if required:
                 raise errors.PeerUnreachable(f'{box.peer_id}: {problem}')
             return
-        box.put(data)
+        box.put(number, data)
         if box.connection is None:
             self.redial(box)
 
@@ -361,12 +364,13 @@
                 call.done.set()
 
     async def close_idle(self) -> None:
-        """Closes connections that nobody has used for long."""
+        """Closes connections that nobody has used for long, or are old."""
         while True:
-            await trio.sleep(self.limits.idle / 4)
-            limit = trio.current_time() - self.limits.idle
+            await trio.sleep(min(self.limits.idle, self.limits.age) / 4)
+            now = trio.current_time()
             for connection in list(self.live):
-                if connection.last_used < limit:
+                unused = now - connection.last_used > self.limits.idle
+                if unused or now - connection.began > self.limits.age:
                     connection.retire()
 
     async def close(self) -> None:
@@ -452,11 +456,8 @@
     ) -> None:
         """Queues an answer."""
         box = self.box(connection.peer_id)
-        # the asker's process is gone: its successor under the same id
-        # counts its own requests and must not get this answer
-        if box.connection is None or (
-            box.connection.instance != connection.instance
-        ):
+        # the asker's process is gone, and its successor must not get this
+        if box.instance != connection.instance:
             return
         self.enqueue(box, -number, answer, required=False)
 
--- a/lavenderbend/transport/peer_connections.py
+++ b/lavenderbend/transport/peer_connections.py
@@ -50,6 +50,10 @@
             CodecError: The peer sent something else.
         """
 
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Waits until all that was sent has left, before a close."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes the connection at once."""
@@ -60,25 +64,27 @@
 
     Attributes:
         peer_id: The peer.
-        items: Encoded messages in order.
+        items: Encoded messages in order, each with its call's number.
         size: Their bytes.
         connection: The connection in use, if there is one.
         dialing: Whether one is being opened.
         dial_after: Router clock before which none is opened.
+        instance: Process of the peer that was connected last.
     """
 
     def __init__(self, peer_id: str) -> None:
         self.peer_id = peer_id
-        self.items: collections.deque[bytes] = collections.deque()
+        self.items: collections.deque[tuple[int, bytes]] = collections.deque()
+        self.instance = 0
         self.size = 0
         self.connection: Connection | None = None
         self.dialing = False
         self.dial_after = 0.0
         self.filled = trio.Event()
 
-    def put(self, data: bytes) -> None:
+    def put(self, number: int, data: bytes) -> None:
         """Appends a message."""
-        self.items.append(data)
+        self.items.append((number, data))
         self.size += len(data)
         self.filled.set()
 
@@ -87,7 +93,7 @@
         taken: list[bytes] = []
         total = 0
         while self.items and (not taken or total < limit):
-            data = self.items.popleft()
+            _, data = self.items.popleft()
             total += len(data)
             taken.append(data)
         self.size -= total
@@ -95,6 +101,19 @@
             self.filled = trio.Event()
         return taken
 
+    def set_instance(self, instance: int) -> None:
+        """Notes the peer's process; drops answers meant for an earlier one.
+
+        A process that follows another under one id counts its requests
+        from one again: an answer to the other's request would be taken for
+        the answer to its own.
+        """
+        if instance != self.instance:
+            kept = [item for item in self.items if item[0] >= 0]
+            self.items = collections.deque(kept)
+            self.size = sum(len(data) for _, data in kept)
+        self.instance = instance
+
     def clear(self) -> None:
         """Drops everything."""
         self.items.clear()
@@ -123,10 +142,12 @@
         self.instance = 0
         self.in_progress = 0
         self.misses = 0
-        self.last_received = trio.current_time()
+        self.began = trio.current_time()
+        self.last_received = self.began
         self.last_used = self.last_received
         self.notices: collections.deque[peer.Message] = collections.deque()
         self.retiring = trio.Event()
+        self.goodbye: messages.Goodbye | None = None
         self.scope = trio.CancelScope()
 
     # opening
@@ -200,9 +221,9 @@
 
         Two routers may dial each other at once. The connection dialed by
         the smaller id is kept; both sides decide alike, and the other is
-        closed by goodbyes so that nothing in flight on it is lost. A
-        second connection of the same direction, or of another process,
-        shows that the first is dead.
+        closed by goodbyes so that nothing in flight on it is lost. So is
+        the older of two of the same direction: its dialer is closing it,
+        or has found it dead. One of another process is dead for certain.
         """
         link = self.link
         link.live.add(self)
@@ -210,13 +231,14 @@
         box = link.box(self.peer_id)
         old = box.connection
         box.connection = self
+        box.set_instance(self.instance)
         if old is None:
             return
-        if old.instance != self.instance or old.dialed == self.dialed:
+        if old.instance != self.instance:
             old.abort()
             return
         smaller_is_us = link.name < self.peer_id
-        if self.dialed == smaller_is_us:
+        if old.dialed == self.dialed or self.dialed == smaller_is_us:
             old.retire()
             return
         box.connection = old
@@ -233,6 +255,8 @@
                     nursery.start_soon(self.write, box)
                     await self.read()
                     self.retire()
+                if self.goodbye is not None:
+                    await self.wire.finish()
         finally:
             with trio.CancelScope(shield=True):
                 await self.discard()
@@ -270,6 +294,7 @@
         while self.notices:
             notice = self.notices.popleft()
             if isinstance(notice, messages.Goodbye):
+                self.goodbye = notice
                 return False
             await self.link.handle_notice(self.peer_id, notice)
         return True
@@ -289,7 +314,7 @@
             if box.connection is self and not link.stopping:
                 box.connection = None
                 link.redial(box)
-            await self.send_now(messages.Goodbye())
+            await self.send_now(messages.Goodbye(link.stopping))
             # a peer that never says goodbye in its turn is cut off
             self.scope.deadline = trio.current_time() + GOODBYE_TIMEOUT
         except OSError:
@@ -326,10 +351,13 @@
         link.closed_bytes_sent += self.wire.bytes_sent
         link.closed_bytes_received += self.wire.bytes_received
         box = link.box(self.peer_id)
-        if box.connection not in {self, None}:
+        if box.connection is self:
+            box.connection = None
+        if box.connection is not None or box.dialing:
             return
-        box.connection = None
-        if box.dialing:
+        if self.goodbye is not None and not self.goodbye.final:
+            # closed in agreement: what is in flight goes on by the next
+            link.redial(box)
             return
         box.clear()
         link.fail_calls('the connection was lost', self.peer_id)
--- a/lavenderbend/transport/peer_frames.py
+++ b/lavenderbend/transport/peer_frames.py
@@ -115,6 +115,9 @@
             self.buffer += data
         return True
 
+    async def finish(self) -> None:
+        """Has nothing to wait for: the kernel has all that was sent."""
+
     async def close(self) -> None:
         """Closes the connection at once."""
         await trio.aclose_forcefully(self.stream)
--- a/lavenderbend/transport/peer_grpc.py
+++ b/lavenderbend/transport/peer_grpc.py
@@ -80,6 +80,17 @@
         self.room.release()
         return batch
 
+    async def finish(self) -> None:
+        """Ends our side of the stream and waits for the peer's end.
+
+        gRPC takes messages long before it has written them, and a cancel
+        drops those: answers taken just before a close would be lost.
+        """
+        self.outgoing.put(None)
+        while not self.ended:
+            self.arrived = trio.Event()
+            await self.arrived.wait()
+
     async def close(self) -> None:
         """Ends the stream at once."""
         self.end()
--- a/tests/test_transport/test_peer_links.py
+++ b/tests/test_transport/test_peer_links.py
@@ -151,6 +151,76 @@
             inner.cancel_scope.cancel()
 
 
+async def test_closing_connections_lose_no_request(pair):
+    # connections close when they are idle or old, on one side, in the very
+    # moment in which the other sends a request. The request, or its answer,
+    # must go on by the next connection.
+    first, second = pair
+    answers = []
+
+    async def slow(peer_id, item):
+        await trio.sleep(0.002 * (item.updates[0] % 5))
+        return messages.Ack(item.updates)
+
+    first.handle(messages.Ping, slow)
+    second.handle(messages.Ping, slow)
+
+    async def ask(link, peer_id, numbers):
+        for number in numbers:
+            item = messages.Ping([number])
+            answer = await link.request(peer_id, item, 30)
+            answers.append(answer.updates[0])
+
+    async def close():
+        for number in range(20):
+            await trio.sleep(0.01)
+            for connection in list((first, second)[number % 2].live):
+                connection.retire()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(close)
+        for worker in range(8):
+            numbers = range(worker, 400, 8)
+            nursery.start_soon(ask, first, 'r2', numbers)
+            nursery.start_soon(ask, second, 'r1', numbers)
+
+    assert sorted(answers) == sorted([*range(400), *range(400)])
+    assert first.dropped == {}
+
+
+async def test_answer_never_reaches_a_successor_of_its_asker(nursery):
+    # a router's process asks, dies, and another starts under its id, whose
+    # first request has the same number. The late answer to the first one's
+    # request must not be taken for the answer to the second's.
+    release = trio.Event()
+
+    async def hold(peer_id, item):
+        if item.updates == ['old']:
+            await release.wait()
+        else:
+            release.set()
+            await trio.sleep(0.05)
+        return messages.Ack(item.updates)
+
+    second = await make(nursery, 'r2')
+    second.handle(messages.Ping, hold)
+    answers = []
+
+    async def live(updates):
+        async with trio.open_nursery() as inner:
+            link = await make(inner, 'r1')
+            introduce(link, second)
+            item = messages.Ping(updates)
+            with trio.move_on_after(0.2 if updates == ['old'] else 30):
+                answers.append(await link.request('r2', item, 30))
+            inner.cancel_scope.cancel()
+
+    await live(['old'])
+    await live(['new'])
+
+    assert answers == [messages.Ack(['new'])]
+
+
 async def test_garbage_is_dropped_and_the_link_goes_on(frames):
     # a port scanner or an HTTP probe speaks to the peer port. Its bytes look
     # like a huge frame; the connection is closed, counted, and real peers
