--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -329,6 +329,22 @@
             await self.read_runs(upstream)
         return [run for item in chosen for run in item.last_runs]
 
+    async def crashes(self) -> int:
+        """Returns how often engines crashed, by their instance ids."""
+        count = 0
+        for engine in self.engines:
+            answer = await self.client.get(
+                f'http://{HOST}:{engine.port}/standin/runs'
+            )
+            lines = json.loads(answer.content)['runs']
+            instances = {
+                line['instance']
+                for line in lines
+                if line['result'] == 'crashed'
+            }
+            count += len(instances)
+        return count
+
     async def set_fault(self, upstream: Upstream, **fault: Any) -> None:
         answer = await self.client.post(
             f'http://{HOST}:{upstream.port}/standin/faults', json=fault
