--- a/lavenderbend/coordination/membership/fleet.py
+++ b/lavenderbend/coordination/membership/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -112,7 +113,7 @@
 
     def report_at(self, upstream: str) -> float:
         """Returns the router clock at which that report was taken."""
-        return self.poller.taken_at[upstream]
+        return self.poller.taken_at.get(upstream, -math.inf)
 
     async def wait_changed(self) -> None:
         """Waits until routers or upstreams change."""
--- a/lavenderbend/coordination/membership/reports.py
+++ b/lavenderbend/coordination/membership/reports.py
@@ -132,7 +132,10 @@
             while True:
                 now = trio.current_time()
                 view = self.fleet.view
-                if view != chosen_for or now - chosen_at > CHOOSE_PERIOD:
+                age = now - chosen_at
+                # in a large fleet a choice takes milliseconds; when many
+                # VMs start at once it is made for all of them together
+                if age > CHOOSE_PERIOD or (view != chosen_for and age > 1.0):
                     self.choose()
                     chosen_for = view
                     chosen_at = now
