--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -195,13 +195,21 @@
             NoUpstream: No upstream of the group serves it.
         """
         candidates = self.candidates(ask)
-        allowed = self.allowed(candidates)
+        unknown = serving.unknown(self.membership, self.upstreams(), ask.model)
+        allowed = self.allowed(candidates, unknown)
         self.limit_rooms(candidates, allowed)
         tried = placement.order(candidates, places, ask.number)
         return placement.choose(tried, allowed, max_load)
 
-    def allowed(self, candidates: list[placement.Candidate]) -> int:
-        """Returns the highest load that the bound allows now."""
+    def allowed(
+        self, candidates: list[placement.Candidate], unknown: int = 0
+    ) -> int:
+        """Returns the highest load that the bound allows now.
+
+        Args:
+            candidates: Who serves the model.
+            unknown: How many further upstreams may serve it.
+        """
         load = sum(candidate.load for candidate in candidates)
         own = sum(self.table.own(one.upstream) for one in candidates)
         others = self.sums.others(self.group.pool, self.group.index)
@@ -210,7 +218,10 @@
         unseen = MIN_UNSEEN + self.rates.rate * self.settings.flight
         unseen += sums.DRIFT * elsewhere + FOREIGN_DRIFT * (load - own)
         return placement.allowed_load(
-            self.pool(), load + elsewhere, len(candidates) + engines, unseen
+            self.pool(),
+            load + elsewhere,
+            len(candidates) + unknown + engines,
+            unseen,
         )
 
     def max_load(self, priority: int, over: bool) -> int:
--- a/lavenderbend/coordination/admission/search.py
+++ b/lavenderbend/coordination/admission/search.py
@@ -275,13 +275,14 @@
         admission = self.admission
         ask = self.ask
         model = messages_decisions.short_id(ask.model) if ask.model else None
-        vms = serving.serving(
-            admission.membership,
-            admission.membership.upstreams(self.pool.service),
-            model,
-        )
+        membership = admission.membership
+        usable = membership.upstreams(self.pool.service)
+        vms = serving.serving(membership, usable, model)
+        unknown = serving.unknown(membership, usable, model)
         names = {vm.id: vm for vm in vms}
-        upstream = admission.local.choose(self.pool, vms, self.chat, ask.avoid)
+        upstream = admission.local.choose(
+            self.pool, vms, self.chat, ask.avoid, unknown
+        )
         if upstream is None:
             return None
         now = trio.current_time()
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -163,9 +163,24 @@
         if self.suspects.get(router, 0.0) <= now:
             logs.change('owner_unreachable', owner=router)
         self.suspects[router] = now + self.settings.suspect
+        if router not in self.out_of_touch:
+            self.out_of_touch.add(router)
+            self.local.lost_at = now
         self.stop_asking(router)
         UNREACHABLE.inc({'owner': router})
 
+    def back_in_touch(self, router: str) -> None:
+        """Lists the permits of an owner's groups after a time without it.
+
+        Permits taken alone meanwhile are unknown to it: it would see their
+        load one report late and fill the engines above the bound.
+        """
+        self.out_of_touch.discard(router)
+        for group, name in self.owners.items():
+            if name == router:
+                held = [one for one in self.held.values() if one.group == group]
+                self.register(group, router, held)
+
     def stop_asking(self, router: str) -> None:
         """Ends the wait for the answers of a router that is lost.
 
--- a/lavenderbend/coordination/admission/serving.py
+++ b/lavenderbend/coordination/admission/serving.py
@@ -37,6 +37,24 @@
     ]
 
 
+def unknown(
+    membership: interfaces.Membership,
+    vms: Sequence[upstreams.Vm],
+    model: int | None,
+) -> int:
+    """Returns how many upstreams have yet to say what they serve.
+
+    A new owner has the reports of some upstreams before those of others.
+    Were the mean taken over the first alone, the bound would let them take
+    the load of all; so the others count as idle until their reports come or
+    membership finds them unreachable.
+    """
+    if model is None:
+        return 0
+    reported = sum(membership.report(vm.id) is not None for vm in vms)
+    return len(vms) - reported if reported else 0
+
+
 def serves(
     membership: interfaces.Membership, upstream: str, model: int
 ) -> bool:
--- a/lavenderbend/coordination/admission/waiting.py
+++ b/lavenderbend/coordination/admission/waiting.py
@@ -344,7 +344,11 @@
         """
         if waiter.ask.priority == requests.Priority.INSTANT:
             return False
-        until = waiter.since + self.settings.full_patience
+        # who is below its fair share has not filled the pool
+        over = self.shares.over(waiter.ask.customer, self.loads.slots())
+        settings = self.settings
+        patience = settings.full_patience if over else settings.patience
+        until = waiter.since + patience
         if trio.current_time() >= until:
             return False
         return self.held_but_full(waiter, choice)
