--- a/bench/relay/child.py
+++ b/bench/relay/child.py
@@ -17,7 +17,7 @@
 PROFILE_VARIABLE = 'BENCH_PROFILE'
 
 
-async def run(kind: str, upstream_port: int) -> None:
+async def run(kind: str, upstream_port: int, service_port: int) -> None:
     """Serves until standard input ends."""
     serve = {
         'stub': stub.serve,
@@ -26,7 +26,7 @@
             bare.serve, upstream_port, upstream_clients.DEFAULT
         ),
         'router': functools.partial(
-            router.serve, upstream_port, upstream_clients.DEFAULT
+            router.serve, upstream_port, service_port, upstream_clients.DEFAULT
         ),
         'router-httpx': functools.partial(router.serve, upstream_port, 'httpx'),
     }[kind]
@@ -38,13 +38,15 @@
 
 
 def main() -> None:
-    kind, port = sys.argv[1], int(sys.argv[2])
+
+    kind = sys.argv[1]
+    ports = [int(item) for item in sys.argv[2:4]]
     target = os.environ.get(PROFILE_VARIABLE)
     if not target:
-        trio.run(run, kind, port)
+        trio.run(run, kind, *ports)
         return
     profile = cProfile.Profile()
-    profile.runcall(trio.run, run, kind, port)
+    profile.runcall(trio.run, run, kind, *ports)
     profile.dump_stats(f'{target}.{kind}')
 
 
--- a/bench/relay/router.py
+++ b/bench/relay/router.py
@@ -74,14 +74,17 @@
 class GrantingAdmission(interfaces.Admission):
     """Always grants; what permits cost is measured by bench.decisions."""
 
-    def __init__(self, vm: upstreams.Vm) -> None:
-        self.vm = vm
+    def __init__(self, engine: upstreams.Vm, service: upstreams.Vm) -> None:
+        self.vms = {'engines': engine, 'services': service}
         self.numbers = itertools.count()
 
     async def acquire(self, ask: interfaces.PermitAsk) -> interfaces.Permit:
         """Returns a permit."""
         return interfaces.Permit(
-            f'r/{next(self.numbers)}', self.vm, 'router', 'first choice'
+            f'r/{next(self.numbers)}',
+            self.vms[ask.pool],
+            'router',
+            'first choice',
         )
 
     def release(self, permit: interfaces.Permit, result: str) -> None:
@@ -101,27 +104,27 @@
         """Does nothing."""
 
 
+def vm_at(port: int, kind: upstreams.UpstreamKind) -> upstreams.Vm:
+    """Returns an upstream on this machine."""
+    return upstreams.Vm(kind.value, stub.HOST, port, 'zone', 'all', kind)
+
+
 async def serve(
     upstream_port: int,
+    service_port: int,
     client: str,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves until cancelled."""
-    vm = upstreams.Vm(
-        'e0',
-        stub.HOST,
-        upstream_port,
-        'zone',
-        'engines',
-        upstreams.UpstreamKind.ENGINE,
-    )
+    engine = vm_at(upstream_port, upstreams.UpstreamKind.ENGINE)
+    service = vm_at(service_port, upstreams.UpstreamKind.SERVICE)
     answers = http_limits.AnswerLimits(stall_seconds=LONG_SECONDS)
     configurations = FixedConfigurations()
     dispatcher = dispatch.Dispatcher(
         'router',
         configurations,
         rules.RuleSet(),
-        GrantingAdmission(vm),
+        GrantingAdmission(engine, service),
         upstream_clients.CLIENTS.get(client)(answers),
         QuietMembership(),
         None,
--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -83,7 +83,7 @@
             decisions=decisions,
             rng=rng,
             settings=settings,
-            pacer=pacing.RelayPacer(settings.pacing),
+            pacer=pacing.RelayPacer(rng, settings.pacing),
         )
         self.rule_limits = rule_limits.RuleLimits(membership)
         self.in_progress = 0
--- a/lavenderbend/coordination/dispatch/pacing.py
+++ b/lavenderbend/coordination/dispatch/pacing.py
@@ -11,6 +11,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import random
+
+# share by which an interval is shorter or longer
+SPREAD = 0.5
 
 interval_gauge = metrics.gauge(
     'lavenderbend_relay_interval_seconds',
@@ -34,8 +38,8 @@
     """
 
     enabled: bool = True
-    low: float = 0.45
-    high: float = 0.6
+    low: float = 0.25
+    high: float = 0.4
     sample_seconds: float = 0.1
     step_seconds: float = 0.004
     max_seconds: float = 0.04
@@ -50,6 +54,7 @@
     tokens at its next read and passes them on at the price of one.
 
     Attributes:
+        rng: Spreads the pieces of streams over time.
         settings: When and how far streams give way.
         interval: Seconds between two pieces, 0 for no pause.
         sampled_at: Wall clock of the last sample.
@@ -58,10 +63,12 @@
 
     def __init__(
         self,
+        rng: random.Random,
         settings: PacingSettings | None = None,
         clock: Callable[[], float] = time.perf_counter,
         usage: Callable[[], float] = time.process_time,
     ) -> None:
+        self.rng = rng
         self.settings = settings or PacingSettings()
         self.clock = clock
         self.usage = usage
@@ -78,7 +85,12 @@
         now = self.clock()
         if now - self.sampled_at >= self.settings.sample_seconds:
             self.sample(now)
-        return last + self.interval - now
+        if not self.interval:
+            return 0.0
+        # streams that once passed on a piece together would do so for ever,
+        # and an instant call would wait behind all of them at once
+        spread = 1.0 + SPREAD * (2.0 * self.rng.random() - 1.0)
+        return last + self.interval * spread - now
 
     def sample(self, now: float) -> None:
         """Adapts the interval to the share of the core in use."""
--- a/lavenderbend/standin/asgi.py
+++ b/lavenderbend/standin/asgi.py
@@ -17,6 +17,14 @@
 JSON_TYPE = 'application/json'
 
 
+def read_object(body: bytes) -> dict[str, Any]:
+    """Returns the JSON object in a body; raises `ValueError` for none."""
+    document = orjson.loads(body)
+    if not isinstance(document, dict):
+        raise ValueError('the body is no JSON object')
+    return document
+
+
 class CallerLeft(Exception):  # noqa: N818
     """The caller closed the connection before its request was whole."""
 
--- a/lavenderbend/standin/plain_service.py
+++ b/lavenderbend/standin/plain_service.py
@@ -95,7 +95,7 @@
 
     async def set_fault(self, exchange: asgi.HttpExchange, body: bytes) -> None:
         """Sets faults: `{"kind": ..., "count": ...}`."""
-        document = orjson.loads(body)
+        document = asgi.read_object(body)
         kind = document.get('kind')
         if kind == 'drain':
             self.draining = bool(document.get('on', True))
--- /dev/null
+++ b/tests/test_load/test_load_driver.py
@@ -0,0 +1,125 @@
+"""The load tool against the request path and against answers gone wrong."""
+
+from __future__ import annotations
+
+import io
+
+import pytest
+
+from lavenderbend import load
+from lavenderbend.load import driver as driver_module
+from lavenderbend.load import plots
+from lavenderbend.load import results
+from lavenderbend.standin import engine_faults
+from lavenderbend.standin import engine_texts
+from tests import path_fakes
+
+
+def make_plan(**fields):
+    customers = (load.LoadCustomer('corte', path_fakes.CREDENTIAL),) * 2
+    values = {'mix': 'correo', 'seconds': 0.6, 'rate': 40.0, 'seed': 3}
+    return load.LoadPlan(
+        **{**values, **fields, 'customers': customers, 'model': 'model'}
+    )
+
+
+def address(path):
+    return f'http://{path_fakes.HOST}:{path.port}'
+
+
+async def test_good_routers_get_a_clean_result():
+    async with path_fakes.running() as path:
+        result = await load.run_load(
+            make_plan(), [address(path)], engine_texts.answer_text
+        )
+        ran = path.services[0].log.records
+    assert result.calls == result.whole > 5
+    assert result.refused == result.wrong == result.cut == 0
+    done = [key for key, known in result.once_keys.items() if known]
+    assert sorted(item.idempotency_key for item in ran) == sorted(done)
+    assert 0 < result.cached_tokens < result.prompt_tokens
+
+
+async def test_wrong_answers_are_found():
+    # The checker knows the one right text of each answer: a router that
+    # passed on somebody else's would be found out.
+    async with path_fakes.running() as path:
+        result = await load.run_load(
+            make_plan(),
+            [address(path)],
+            lambda request_id, body: 'something else',
+        )
+    assert result.wrong > 0
+    assert 'chat' in result.examples[0]
+
+
+async def test_cut_answers_are_found():
+    # Every engine ends its streams early and nothing may be tried again.
+    async with path_fakes.running(retries=0) as path:
+        for engine in path.engines:
+            fault = engine_faults.Fault('short', after=1)
+            engine.faults.extend([fault] * 1000)
+        result = await load.run_load(
+            make_plan(), [address(path)], engine_texts.answer_text
+        )
+    assert result.cut > 0
+    assert result.wrong == 0
+
+
+async def test_call_that_was_not_run_is_sent_to_another_address():
+    # One of the addresses is gone, as during a restart: every call must be
+    # served by the other one.
+    async with path_fakes.running() as path:
+        result = await load.run_load(
+            make_plan(),
+            [f'http://{path_fakes.HOST}:1', address(path)],
+            engine_texts.answer_text,
+        )
+    assert result.calls == result.whole
+    assert result.retried > 0
+
+
+async def test_refusals_are_counted_by_kind():
+    async with path_fakes.running() as path:
+        path.app.configurations.item = None
+        result = await load.run_load(
+            make_plan(seconds=0.2, tries=1), [address(path)]
+        )
+    assert result.refused == result.calls
+    assert set(result.refusals) == {'no-configuration'}
+
+
+def test_surge_raises_the_rate_of_its_customers_only():
+    surge = load.Surge(('a',), 10.0, 5.0, 2.0)
+    customers = (load.LoadCustomer('a', 'x'), load.LoadCustomer('b', 'y'))
+    plan = load.LoadPlan('correo', customers, surges=(surge,))
+    assert plan.rate_of(0, 6.0) == pytest.approx(10 * plan.rate_of(0, 1.0))
+    assert plan.rate_of(1, 6.0) == plan.rate_of(1, 1.0)
+    assert plan.rate_of(0, 7.0) == plan.rate_of(0, 1.0)
+
+
+async def test_equal_plans_make_equal_chats():
+    first, second = (
+        driver_module.Driver(make_plan(), [], None) for _ in range(2)
+    )
+    for _ in range(5):
+        left = first.chats.next_turn(0)
+        right = second.chats.next_turn(0)
+        assert first.chats.body(left) == second.chats.body(right)
+        first.chats.put_back(left, 'answer')
+        second.chats.put_back(right, 'answer')
+
+
+def test_result_is_written_and_drawn(tmp_path):
+    result = results.LoadResult()
+    for index in range(100):
+        result.time(results.Timing.CHAT, 0.001 * (index + 1))
+    result.note(results.Verdict.WHOLE)
+    stream = io.BytesIO()
+    plots.write_histograms(result, stream)
+    target = tmp_path / 'plot.png'
+    plots.write_plot(result, str(target))
+    assert b'# chat, ms' in stream.getvalue()
+    assert target.read_bytes().startswith(b'\x89PNG')
+    document = result.to_document()
+    assert document['latency_ms']['chat']['p50'] == pytest.approx(50, rel=0.05)
