--- /dev/null
+++ b/lavenderbend/coordination/call_budget.py
@@ -0,0 +1,207 @@
+"""A limit of calls to the key-value service, with priorities."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import interfaces
+from lavenderbend.observe import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MIN_PAUSE_SECONDS = 0.001
+
+HELD_BACK = metrics.counter(
+    'lavenderbend_key_value_held_back_total',
+    'Calls that waited for the budget or were given up, by priority.',
+)
+
+
+class CallPriority(enum.IntEnum):
+    """What a call is for; a smaller number goes first."""
+
+    CLAIMS = 0
+    LEASES = 1
+    CONFIGURATION = 2
+    BACKGROUND = 3
+
+
+# part of the burst that calls of a priority leave to those before them
+RESERVES = {
+    CallPriority.CLAIMS: 0.0,
+    CallPriority.LEASES: 0.1,
+    CallPriority.CONFIGURATION: 0.3,
+    CallPriority.BACKGROUND: 0.6,
+}
+
+
+@attrs.define
+class Allowance:
+    """Calls that may be made now, growing at a rate.
+
+    Attributes:
+        rate: Calls a second.
+        burst: Calls that may come at once.
+        level: Calls that may be made now.
+        at: When `level` was right.
+    """
+
+    rate: float
+    burst: float
+    level: float = attrs.field(
+        default=attrs.Factory(lambda self: self.burst, takes_self=True)
+    )
+    at: float = 0.0
+
+    def wait(self, priority: CallPriority) -> float:
+        """Takes a call, or returns the seconds until it can be taken."""
+        now = trio.current_time()
+        gained = max(0.0, now - self.at) * self.rate
+        self.level = min(self.burst, self.level + gained)
+        self.at = now
+        needed = 1.0 + RESERVES[priority] * self.burst
+        if self.level >= needed:
+            self.level -= 1.0
+            return 0.0
+        return max(MIN_PAUSE_SECONDS, (needed - self.level) / self.rate)
+
+
+class CallBudget:
+    """What one process may ask of the service.
+
+    The service counts calls and refuses beyond its rates, whoever makes
+    them: a router that follows configuration too eagerly would have another
+    router's claims refused. Less urgent calls leave a part of the burst to
+    more urgent ones, and are given up rather than queued for long.
+
+    Attributes:
+        writes: Allowance of writes.
+        reads: Allowance of reads.
+        patience: Seconds that a call waits before it is given up.
+    """
+
+    def __init__(
+        self,
+        writes_per_second: float = 150.0,
+        reads_per_second: float = 200.0,
+        burst_seconds: float = 0.5,
+        patience: float = 1.0,
+    ) -> None:
+        self.writes = Allowance(
+            writes_per_second, max(3.0, writes_per_second * burst_seconds)
+        )
+        self.reads = Allowance(
+            reads_per_second, max(3.0, reads_per_second * burst_seconds)
+        )
+        self.patience = patience
+
+    async def take(self, allowance: Allowance, priority: CallPriority) -> None:
+        """Waits until a call may be made.
+
+        Raises:
+            KeyValueUnavailable: Not within the patience; nothing was sent.
+        """
+        limit = trio.current_time() + self.patience
+        pause = allowance.wait(priority)
+        while pause > 0:
+            labels = {'priority': priority.name.lower()}
+            HELD_BACK.inc(labels)
+            if trio.current_time() + pause > limit:
+                raise errors.KeyValueUnavailable(
+                    f'over the call budget for {priority.name.lower()}'
+                )
+            await trio.sleep(pause)
+            pause = allowance.wait(priority)
+
+
+class BudgetedStore(interfaces.KeyValueStore):
+    """A key-value store whose calls come out of a budget.
+
+    Attributes:
+        store: The store that is called.
+        budget: Shared by all uses of the process.
+        priority: Of the calls made through this one.
+    """
+
+    def __init__(
+        self,
+        store: interfaces.KeyValueStore,
+        budget: CallBudget,
+        priority: CallPriority,
+    ) -> None:
+        self.store = store
+        self.budget = budget
+        self.priority = priority
+
+    async def take_read(self) -> None:
+        """Waits until a read may be made."""
+        await self.budget.take(self.budget.reads, self.priority)
+
+    async def take_write(self) -> None:
+        """Waits until a write may be made."""
+        await self.budget.take(self.budget.writes, self.priority)
+
+    async def read(
+        self, key: str, end: str | None = None, limit: int = 0
+    ) -> interfaces.Range:
+        """Reads within the budget."""
+        await self.take_read()
+        return await self.store.read(key, end, limit)
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        lease: int = 0,
+        present: str | None = None,
+        absent: str | None = None,
+    ) -> bool:
+        """Creates within the budget."""
+        await self.take_write()
+        return await self.store.create(key, value, lease, present, absent)
+
+    async def replace(
+        self, key: str, value: bytes, mod_revision: int, lease: int = 0
+    ) -> bool:
+        """Replaces within the budget."""
+        await self.take_write()
+        return await self.store.replace(key, value, mod_revision, lease)
+
+    async def delete(
+        self, key: str, end: str | None = None, mod_revision: int | None = None
+    ) -> int:
+        """Deletes within the budget."""
+        await self.take_write()
+        return await self.store.delete(key, end, mod_revision)
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Grants within the budget."""
+        await self.take_write()
+        return await self.store.grant_lease(seconds)
+
+    async def renew_lease(self, lease: int) -> float:
+        """Renews within the budget."""
+        await self.take_write()
+        return await self.store.renew_lease(lease)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Revokes within the budget."""
+        await self.take_write()
+        await self.store.revoke_lease(lease)
+
+    async def watch(
+        self, key: str, end: str | None, start_revision: int
+    ) -> AsyncIterator[tuple[interfaces.Change, ...]]:
+        """Watches; opening it counts as a read."""
+        await self.take_read()
+        changes = self.store.watch(key, end, start_revision)
+        async with contextlib.aclosing(changes):
+            async for batch in changes:
+                yield batch
--- /dev/null
+++ b/tests/test_coordination/test_agreed_stateful.py
@@ -0,0 +1,344 @@
+"""Random stories over claims and configuration, against simple models."""
+
+from __future__ import annotations
+
+import functools
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+
+from bench.agreed import fleets
+from lavenderbend import errors
+from lavenderbend.coordination import claim_shards
+from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination import configuration_follower
+from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination import log
+from lavenderbend.state import claims
+from tests.test_coordination import agreed_fakes as fakes
+
+ROUTERS = 3
+KEYS = 3
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=80, database=None
+)
+SERVICE = strategies.sampled_from(
+    [
+        ('outage', {'outage': True}),
+        ('lossy', {'lost_answers': 0.4, 'lost_requests': 0.2}),
+        ('late', {'lost_requests': 0.4, 'late_writes': 1.0, 'late_by': 8.0}),
+        ('well', {'outage': False, 'lost_answers': 0, 'lost_requests': 0}),
+    ]
+)
+ROUTER = strategies.integers(0, ROUTERS - 1)
+WAIT = strategies.sampled_from([0.0, 0.01, 0.3, 3.0])
+CLAIM_STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just('claim'), ROUTER, strategies.integers(0, KEYS - 1)
+        ),
+        strategies.tuples(strategies.just('finish'), strategies.integers(0, 9)),
+        strategies.tuples(
+            strategies.just('give up'), strategies.integers(0, 9)
+        ),
+        strategies.tuples(
+            strategies.just('pause'),
+            ROUTER,
+            strategies.sampled_from([1.0, 6.0]),
+        ),
+        strategies.tuples(strategies.just('kill'), ROUTER),
+        strategies.tuples(strategies.just('service'), SERVICE),
+        strategies.tuples(strategies.just('wait'), WAIT),
+    ),
+    min_size=8,
+    max_size=40,
+)
+
+
+class ClaimStory:
+    """Plays steps and keeps what every claim was told.
+
+    Attributes:
+        running: Tokens that were given and not yet finished.
+        finished: Keys whose request was run to its end.
+        held: Token that may run, by key: never two at once, and none once
+            a key is finished.
+        lost: Keys whose asker was killed while it asked or released.
+        released: Routers and the keys they gave up.
+    """
+
+    def __init__(self, make):
+        self.make = make
+        self.store = fakes.service()
+        self.rng = random.Random(1)
+        self.running = []
+        self.finished = set()
+        self.held = {}
+        self.lost = set()
+        self.released = []
+
+    async def play(self, steps):
+        self.fleet = fleets.Fleet(
+            self.store,
+            random.Random(2),
+            claims_module.ClaimPolicy(),
+            self.make,
+        )
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            for _ in range(ROUTERS):
+                await self.fleet.start(nursery)
+            for name, *arguments in steps:
+                method = getattr(self, name.replace(' ', '_'))
+                await method(*arguments)
+                await trio.sleep(0.001)
+            self.store.fault(outage=False, lost_answers=0, lost_requests=0)
+            await trio.sleep(20)
+            for key in range(KEYS):
+                await self.last(key)
+            nursery.cancel_scope.cancel()
+
+    def router(self, index):
+        return list(self.fleet.live.values())[index]
+
+    async def claim(self, index, key):
+        router = self.router(index)
+        router.nursery.start_soon(self.one, router, key, 5.0)
+
+    async def one(self, router, key, seconds):
+        deadline = trio.current_time() + seconds
+        name = f'k{key}'
+        try:
+            got = await router.claims.claim('c', name, b'b', deadline)
+        except errors.ClaimUnavailable:
+            return None
+        except trio.Cancelled:
+            self.lost.add(key)
+            raise
+        if isinstance(got, claims.Claimed):
+            assert key not in self.finished, 'claimed after it had run'
+            assert self.held.get(key) is None, 'claimed twice at once'
+            self.held[key] = got.token
+            self.running.append((router, key, got.token))
+        elif got.outcome is errors.Outcome.COMPLETE:
+            assert key in self.finished, 'told complete before it was'
+        return got
+
+    def take(self, index):
+        """Takes a request that runs on a live router, if there is one."""
+        live = [one for one in self.running if not one[0].scope.cancel_called]
+        if not live:
+            return None
+        taken = live[index % len(live)]
+        self.running.remove(taken)
+        return taken
+
+    async def finish(self, index):
+        taken = self.take(index)
+        if taken is None:
+            return
+        router, key, token = taken
+        self.finished.add(key)
+        await router.claims.record(token, errors.Outcome.COMPLETE, 200)
+
+    async def give_up(self, index):
+        taken = self.take(index)
+        if taken is None:
+            return
+        router, key, token = taken
+        self.held[key] = None
+        self.released.append((router, key))
+        await router.claims.record(token, errors.Outcome.NOT_RUN)
+
+    async def pause(self, index, seconds):
+        self.router(index).pause.until = trio.current_time() + seconds
+
+    async def kill(self, index):
+        router = self.router(index)
+        # a release that was still queued dies with its router
+        self.lost |= {key for one, key in self.released if one is router}
+        self.fleet.kill(router.name, self.nursery)
+        await self.fleet.start(self.nursery)
+
+    async def service(self, fault):
+        self.store.fault(**fault[1])
+
+    async def wait(self, seconds):
+        await trio.sleep(seconds)
+
+    async def last(self, key):
+        """Once all is well, every key gets an answer that fits."""
+        got = await self.one(self.router(0), key, 30.0)
+        assert got is not None
+        known = key in self.finished or key in self.lost
+        fresh = not known and self.held.get(key) is None
+        assert isinstance(got, claims.Claimed) or not fresh
+
+
+def play_claims(steps, make=claims_module.Claims):
+    fleets.virtual(1, functools.partial(ClaimStory(make).play, steps))
+
+
+class TrustingShard(claim_shards.Shard):
+    """Takes its ownership for exclusive: answers before the log does."""
+
+    async def settled(self, number, value):
+        return log.Entry(number, value)
+
+
+def test_stories_find_owners_that_trust_themselves(monkeypatch):
+    monkeypatch.setattr(claim_shards, 'Shard', TrustingShard)
+    story = [('claim', index, 0) for index in range(ROUTERS)]
+    story += [('kill', index) for index in range(ROUTERS)]
+    story += [('claim', index, 0) for index in range(ROUTERS)]
+    story += [('wait', 3.0)]
+    with pytest.RaisesGroup(AssertionError, flatten_subgroups=True):
+        play_claims(story)
+
+
+@SETTINGS
+@hypothesis.given(CLAIM_STEPS)
+def test_claims_hold_in_random_stories(steps):
+    play_claims(steps)
+
+
+CONFIGURATION_STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(strategies.just('accept'), ROUTER),
+        strategies.tuples(strategies.just('read'), ROUTER),
+        strategies.tuples(strategies.just('restart'), ROUTER),
+        strategies.tuples(strategies.just('cut'), ROUTER, ROUTER),
+        strategies.tuples(strategies.just('join')),
+        strategies.tuples(strategies.just('compact')),
+        strategies.tuples(strategies.just('service'), SERVICE),
+        strategies.tuples(strategies.just('wait'), WAIT),
+    ),
+    min_size=8,
+    max_size=40,
+)
+
+
+class ConfigurationStory:
+    """Routers accept changes and follow; the log is the model."""
+
+    def __init__(self):
+        self.store = fakes.service()
+        self.network = fakes.Network()
+        self.names = [f'r{n}' for n in range(ROUTERS)]
+        self.followers = {}
+        self.scopes = {}
+        self.seen = {}
+        self.accepted = {}
+        self.newest = dict.fromkeys(self.names, 0)
+        self.count = 0
+
+    async def play(self, steps):
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            for name in self.names:
+                self.start(name)
+            for name, *arguments in steps:
+                await getattr(self, name)(*arguments)
+                await trio.sleep(0.001)
+                self.look()
+            self.network.cut.clear()
+            self.store.fault(outage=False, lost_answers=0, lost_requests=0)
+            await trio.sleep(30)
+            self.look()
+            await self.compare()
+            nursery.cancel_scope.cancel()
+
+    def start(self, name):
+        link = fakes.Link(name, self.network)
+        follower = configuration_follower.ConfigurationFollower(
+            name,
+            self.store,
+            link,
+            fakes.Membership(self.names),
+            random.Random(name),
+        )
+        self.followers[name] = follower
+        self.newest[name] = 0
+        scope = self.scopes[name] = trio.CancelScope()
+
+        async def run():
+            with scope:
+                async with trio.open_nursery() as inner:
+                    inner.start_soon(link.run)
+                    inner.start_soon(follower.run)
+
+        self.nursery.start_soon(run)
+
+    def look(self):
+        for name, follower in self.followers.items():
+            number = follower.chain.number
+            assert number >= self.newest[name], 'went back'
+            self.newest[name] = number
+            if number:
+                digest = follower.current().digest
+                known = self.seen.setdefault(number, digest)
+                assert known == digest, 'two documents for one revision'
+
+    async def accept(self, index):
+        self.nursery.start_soon(self.change, self.names[index])
+
+    async def change(self, name):
+        follower = self.followers[name]
+        self.count += 1
+        reason = f'change {self.count}'
+        try:
+            revision = await follower.accept(
+                fakes.document(reason), follower.chain.number, name, reason
+            )
+        except (errors.ConfigurationConflict, errors.KeyValueUnavailable):
+            self.accepted[reason] = 0
+        except errors.KeyValueUncertain:
+            self.accepted[reason] = None
+        else:
+            self.accepted[reason] = revision.number
+
+    async def read(self, index):
+        try:
+            await self.followers[self.names[index]].log.catch_up()
+        except errors.KeyValueError:
+            return
+
+    async def restart(self, index):
+        name = self.names[index]
+        self.scopes[name].cancel()
+        self.start(name)
+
+    async def cut(self, one, two):
+        self.network.cut.add(frozenset((self.names[one], self.names[two])))
+
+    async def join(self):
+        self.network.cut.clear()
+
+    async def compact(self):
+        self.store.compact_events()
+
+    async def service(self, fault):
+        self.store.fault(**fault[1])
+
+    async def wait(self, seconds):
+        await trio.sleep(seconds)
+
+    async def compare(self):
+        log = configuration_log.ConfigurationLog(self.store)
+        lines = {line.reason: line for line in await log.history()}
+        for reason, number in self.accepted.items():
+            if number == 0:
+                assert reason not in lines, 'told refused, yet accepted'
+            elif number is not None:
+                assert lines[reason].number == number, 'accepted, yet lost'
+        for follower in self.followers.values():
+            assert follower.chain.number == len(lines)
+
+
+@SETTINGS
+@hypothesis.given(CONFIGURATION_STEPS)
+def test_configuration_holds_in_random_stories(steps):
+    fleets.virtual(1, functools.partial(ConfigurationStory().play, steps))
