--- a/lavenderbend/coordination/membership/list_reader.py
+++ b/lavenderbend/coordination/membership/list_reader.py
@@ -16,6 +16,7 @@
 READS = metrics.counter(
     'lavenderbend_vm_list_reads_total', 'Reads of the VM list, by result.'
 )
+BACKSTOP_PART = 8  # what the others spend on reads, as a part of a reader's
 TURN = 0.5  # seconds between looks at whether this router is a reader
 
 
@@ -31,12 +32,14 @@
         fleet: The membership.
         read: Set after the first good read.
         failing: Whether the last read failed.
+        size: Bytes of the list as it came last.
     """
 
     def __init__(self, fleet: fleet_lib.FleetMembership) -> None:
         self.fleet = fleet
         self.read = trio.Event()
         self.failing = False
+        self.size = 0
         self.chosen_for: tuple[str, ...] = ()
         self.chosen = False
 
@@ -52,24 +55,40 @@
 
     async def run(self) -> None:
         """Reads until cancelled."""
-        settings = self.fleet.settings
         while True:
             await self.read_once()
             began = trio.current_time()
             # without this the fleet would read in step and surge the list
             jitter = self.fleet.rng.uniform(0.75, 1.25)
             while True:
-                often = self.is_reader() or not self.read.is_set()
-                period = settings.list_period
-                if not often:
-                    period = settings.list_backstop
-                left = began + period * jitter - trio.current_time()
+                left = began + self.period() * jitter - trio.current_time()
                 if left <= 0:
                     break
                 await trio.sleep(min(left, TURN))
 
+    def period(self) -> float:
+        """Returns the seconds between reads, longer for a list of size.
+
+        A list of thousands of VMs has a megabyte and changes every few
+        seconds somewhere: read often, it would take many times what a
+        router may spend on control traffic.
+        """
+        settings = self.fleet.settings
+        if not self.read.is_set():
+            return settings.list_period
+        if self.is_reader():
+            rate = settings.list_byte_rate
+            return max(settings.list_period, self.size / rate)
+        rate = settings.list_byte_rate / BACKSTOP_PART
+        return max(settings.list_backstop, self.size / rate)
+
+    def bytes_received(self) -> int:
+        """Returns the bytes that reads have taken, where that is counted."""
+        return getattr(self.fleet.vm_list, 'bytes_received', 0)
+
     async def read_once(self) -> None:
         """Reads the list once; a failed read changes nothing."""
+        before = self.bytes_received()
         try:
             vms = await self.fleet.vm_list.fetch()
         except OSError as exc:
@@ -82,6 +101,8 @@
         if self.failing:
             logs.change('vm_list_back')
         self.failing = False
+        # an unchanged list comes without its body, and keeps its size
+        self.size = self.bytes_received() - before or self.size
         first = not self.read.is_set()
         changes = self.fleet.listing.merge_read(vms)
         self.read.set()
--- a/lavenderbend/coordination/membership/listing.py
+++ b/lavenderbend/coordination/membership/listing.py
@@ -62,6 +62,8 @@
         self.distrusted = 0
         self.loss_since: float | None = None
         self.kept: tuple[upstreams.Vm, ...] | None = None
+        self.last_read: Iterable[upstreams.Vm] | None = None
+        self.unsettled = True
 
     def vms(self) -> tuple[upstreams.Vm, ...]:
         """Returns the VMs that are not gone, with their states."""
@@ -82,9 +84,14 @@
         self, read: Iterable[upstreams.Vm]
     ) -> list[messages.VmChange]:
         """Takes a read of the list; returns what it changed."""
+        if read is self.last_read and self.is_settled():
+            # unchanged, and nothing waits for a second read to confirm it
+            self.read_at = trio.current_time()
+            return []
         shown = {vm.id: vm for vm in read}
         if self.is_distrusted(shown):
             return []
+        self.last_read = read
         self.read_at = trio.current_time()
         changes = []
         for vm in shown.values():
@@ -94,6 +101,13 @@
                 changes.extend(self.merge_missing(line))
         return changes
 
+    def is_settled(self) -> bool:
+        """Returns whether the last read has confirmed every line."""
+        if not self.unsettled:
+            return True
+        self.unsettled = any(map(is_open, self.lines.values()))
+        return not self.unsettled
+
     def is_distrusted(self, shown: dict[str, upstreams.Vm]) -> bool:
         """Returns whether a read lost too many VMs to be believed.
 
@@ -139,6 +153,7 @@
             # a peer has read a newer list than this one; it is not missing
             return []
         line.missed += 1
+        self.unsettled = True
         # one read without a VM may be a read during the list's own restart
         if line.missed < 2:
             return []
@@ -153,6 +168,7 @@
             ValueError: The change has values that are none of ours.
         """
         state = messages.ListState(change.state)
+        self.unsettled = True
         line = self.lines.get(change.vm)
         now = trio.current_time()
         if line is None:
@@ -176,6 +192,14 @@
         return True
 
 
+def is_open(line: Line) -> bool:
+    """Returns whether another read of the same list may change a line."""
+    if line.state is messages.ListState.GONE:
+        # the list shows it again, and it is held back for a while
+        return line.missed == 0
+    return line.missed > 0 or not line.confirmed
+
+
 def list_state(vm: upstreams.Vm) -> messages.ListState:
     """Returns the state of a VM that the list shows."""
     if vm.state is upstreams.VmState.LEAVING:
--- a/lavenderbend/coordination/membership/settings.py
+++ b/lavenderbend/coordination/membership/settings.py
@@ -21,6 +21,8 @@
         spread_delay: Time that urgent updates gather.
         piggyback_bytes: Updates on one probe or answer.
         list_period: Between reads of the VM list by its readers.
+        list_byte_rate: Bytes a second that a reader spends on the list; a
+            large list is read less often than each period.
         list_readers: Routers of a region that read it that often.
         list_backstop: Between reads of the VM list by the others.
         unlisted_hold: Time that a router which answers is kept while the
@@ -49,6 +51,7 @@
     spread_delay: float = 0.02
     piggyback_bytes: int = 512
     list_period: float = 2.0
+    list_byte_rate: float = 8192.0
     list_readers: int = 3
     list_backstop: float = 60.0
     unlisted_hold: float = 60.0
--- a/tests/test_coordination/test_membership_fleet.py
+++ b/tests/test_coordination/test_membership_fleet.py
@@ -276,6 +276,38 @@
     assert len(fleet.using(vm.id)) == 24
 
 
+async def test_large_list_is_read_within_its_bytes(nursery, autojump_clock):
+    # the list of a large site has a megabyte and is never the same for
+    # long. Read every two seconds it would take thirty times what a router
+    # may spend on all its control traffic.
+    fleet = await fleets.make_fleet(nursery, 6, engines=2)
+    readers = {
+        name: member.reader
+        for name, member in fleet.members.items()
+        if member.reader.is_reader()
+    }
+    for member in fleet.members.values():
+        member.vm_list = CountedList(member.vm_list)
+    await trio.sleep(1000)
+
+    for name, member in fleet.members.items():
+        rate = member.vm_list.bytes_received / 1000
+        assert rate < (10_500 if name in readers else 2_500)
+        assert rate > 500
+
+
+class CountedList:
+    """A list of a megabyte that changes at every read."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.bytes_received = 0
+
+    async def fetch(self):
+        self.bytes_received += 1_000_000
+        return await self.inner.fetch()
+
+
 async def test_malformed_updates_are_refused_and_those_before_hold(
     nursery, autojump_clock
 ):
