--- a/lavenderbend/standin/asgi.py
+++ b/lavenderbend/standin/asgi.py
@@ -21,7 +21,8 @@
     """Returns the JSON object in a body; raises `ValueError` for none."""
     document = orjson.loads(body)
     if not isinstance(document, dict):
-        raise ValueError('the body is no JSON object')
+        # as for bytes that are no JSON at all
+        raise ValueError('the body is no JSON object')  # noqa: TRY004
     return document
 
 
