--- a/lavenderbend/cmd/demo.py
+++ b/lavenderbend/cmd/demo.py
@@ -49,8 +49,9 @@
         """Runs the demo."""
         # the daemon and the load take a while to import
         from lavenderbend.daemon import demo
+        from lavenderbend.daemon import demo_report
 
-        plan = demo.DemoPlan(
+        plan = demo_report.DemoPlan(
             choice(arguments['--deployment']),
             numbers.read('--seconds', arguments, LEAST_SECONDS, MOST_SECONDS),
             int(numbers.read('--seed', arguments, 0, 2**31)),
--- a/lavenderbend/cmd/demo_text.py
+++ b/lavenderbend/cmd/demo_text.py
@@ -11,13 +11,13 @@
 from lavenderbend.cmd import tables
 
 if TYPE_CHECKING:
-    from lavenderbend.daemon import demo
+    from lavenderbend.daemon import demo_report
     from lavenderbend.load import results
 
 QUANTILES = (50.0, 95.0, 99.0)
 
 
-def document(report: demo.DemoReport) -> dict[str, Any]:
+def document(report: demo_report.DemoReport) -> dict[str, Any]:
     """Returns the report as plain values."""
     return {
         'plan': attrs.asdict(report.plan),
@@ -44,7 +44,7 @@
     return None if item is None else attrs.asdict(item)
 
 
-def text(report: demo.DemoReport) -> str:
+def text(report: demo_report.DemoReport) -> str:
     """Returns the report for people."""
     parts = [
         answers(report),
@@ -65,7 +65,7 @@
     return '\n\n' + '\n\n'.join(parts)
 
 
-def answers(report: demo.DemoReport) -> str:
+def answers(report: demo_report.DemoReport) -> str:
     """Returns what became of the calls."""
     once = sum(report.once_runs.values())
     twice = sum(n for times, n in report.once_runs.items() if times > 1)
@@ -133,7 +133,7 @@
     ]
 
 
-def engines(report: demo.DemoReport) -> str:
+def engines(report: demo_report.DemoReport) -> str:
     """Returns the table of skew."""
     heads = (
         'Engine load',
@@ -157,7 +157,7 @@
     return tables.table(heads, rows)
 
 
-def events(report: demo.DemoReport) -> str:
+def events(report: demo_report.DemoReport) -> str:
     """Returns what happened and what came of it."""
     lines = ['What happened']
     lines += [f'  {at:5.1f} s  {event}' for at, event in report.events]
@@ -175,7 +175,7 @@
     return '\n'.join(lines)
 
 
-def control(report: demo.DemoReport) -> str:
+def control(report: demo_report.DemoReport) -> str:
     """Returns the table of control traffic."""
     found = report.control
     if found is None:
--- a/lavenderbend/daemon/demo.py
+++ b/lavenderbend/daemon/demo.py
@@ -12,6 +12,7 @@
 from lavenderbend import errors
 from lavenderbend import load
 from lavenderbend.daemon import demo_fleet
+from lavenderbend.daemon import demo_report
 from lavenderbend.daemon import demo_samples
 from lavenderbend.daemon import demo_sites
 from lavenderbend.protocol import documents_yaml
@@ -25,6 +26,7 @@
     from lavenderbend.transport import operator_client
 
 SETTLE_SECONDS = 1.5
+QUIET_SECONDS = 0.2
 PROGRESS_SECONDS = 1.0
 # shares of the load's time at which things happen
 LEAVE_AT = 0.4
@@ -33,62 +35,6 @@
 DECISIONS_LOOKED_AT = 1000
 
 
-@attrs.frozen
-class DemoPlan:
-    """What a demo does.
-
-    Attributes:
-        deployment: Name of a site, or `both`.
-        seconds: How long calls are begun.
-        seed: Seed of everything random.
-    """
-
-    deployment: str = 'both'
-    seconds: float = 20.0
-    seed: int = 1
-
-
-@attrs.define
-class DemoReport:
-    """What a demo measured.
-
-    Attributes:
-        plan: What it did.
-        events: What happened, with seconds from the start of the load.
-        loads: What became of the calls, by site.
-        skews: Evenness of the engines' load over time, by site.
-        control: Traffic between routers and with the platform.
-        leaving: What became of the engine that left.
-        router_stop_seconds: How long the graceful stop of a router took.
-        in_force_seconds: How long a change took to be in force everywhere.
-        once_runs: Non-idempotent calls by how often each ran.
-        told_not_run: Calls that were told "not run" and yet ran.
-        decision: One decision, as the operators' interface gives it.
-    """
-
-    plan: DemoPlan
-    events: list[tuple[float, str]] = attrs.field(factory=list)
-    loads: dict[str, results.LoadResult] = attrs.field(factory=dict)
-    skews: dict[str, demo_samples.Skew] = attrs.field(factory=dict)
-    control: demo_samples.Control | None = None
-    leaving: demo_samples.Leaving | None = None
-    router_stop_seconds: float | None = None
-    in_force_seconds: float | None = None
-    once_runs: collections.Counter[int] = attrs.field(
-        factory=collections.Counter
-    )
-    told_not_run: int = 0
-    decision: dict[str, Any] | None = None
-
-    @property
-    def failed(self) -> bool:
-        """Whether anything broke what the fleet promises."""
-        broken = sum(r.wrong + r.cut for r in self.loads.values())
-        twice = any(count > 1 for count in self.once_runs)
-        nothing = not any(r.whole for r in self.loads.values())
-        return bool(broken or twice or self.told_not_run or nothing)
-
-
 class Demo:
     """One demo in progress.
 
@@ -98,31 +44,44 @@
         report: What it has measured so far.
     """
 
-    def __init__(self, plan: DemoPlan, note: Callable[[str], None]) -> None:
+    def __init__(
+        self, plan: demo_report.DemoPlan, note: Callable[[str], None]
+    ) -> None:
         self.plan = plan
         self.note = note
-        self.report = DemoReport(plan)
+        self.report = demo_report.DemoReport(plan)
         self.sites = demo_sites.chosen(plan.deployment)
         self.documents = [demo_sites.load_document(s) for s in self.sites]
         self.began = 0.0
 
-    async def run(self) -> DemoReport:
+    async def run(self) -> demo_report.DemoReport:
         """Starts everything, sends the load, and measures."""
-        async with trio.open_nursery() as nursery:
-            fleet = demo_fleet.DemoFleet(self.sites, self.plan.seed, nursery)
-            self.note(
-                f'starting {demo_fleet.ROUTERS} routers, '
-                f'{sum(s.engines for s in self.sites)} engines, '
-                f'{sum(s.services for s in self.sites)} plain services'
-            )
-            await fleet.start()
-            await self.accept(fleet)
-            await trio.sleep(SETTLE_SECONDS)
-            await self.send_load(fleet)
-            await self.look_back(fleet)
-            nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as standins:
+            async with trio.open_nursery() as routers:
+                fleet = demo_fleet.DemoFleet(
+                    self.sites, self.plan.seed, standins, routers
+                )
+                await self.run_fleet(fleet)
+                routers.cancel_scope.cancel()
+            # a server that is cancelled while it sends the head of an answer
+            # ends in an error of its own; no router asks any more
+            await trio.sleep(QUIET_SECONDS)
+            standins.cancel_scope.cancel()
         return self.report
 
+    async def run_fleet(self, fleet: demo_fleet.DemoFleet) -> None:
+        """Starts the fleet, sends the load, and looks back."""
+        self.note(
+            f'starting {demo_fleet.ROUTERS} routers, '
+            f'{sum(s.engines for s in self.sites)} engines, '
+            f'{sum(s.services for s in self.sites)} plain services'
+        )
+        await fleet.start()
+        await self.accept(fleet)
+        await trio.sleep(SETTLE_SECONDS)
+        await self.send_load(fleet)
+        await self.look_back(fleet)
+
     def event(self, text: str) -> None:
         """Notes something that happened."""
         at = trio.current_time() - self.began
--- a/lavenderbend/daemon/demo_fleet.py
+++ b/lavenderbend/daemon/demo_fleet.py
@@ -61,7 +61,8 @@
     Attributes:
         sites: The deployments.
         seed: Seed of everything random.
-        nursery: Where everything runs.
+        nursery: Where the platform and the upstreams run.
+        router_nursery: Where the routers run.
         store: The stand-in of the key-value service.
         vms: The stand-in of the VM list.
         weights: The stand-in of the weight store.
@@ -75,10 +76,12 @@
         sites: Sequence[demo_sites.Site],
         seed: int,
         nursery: trio.Nursery,
+        router_nursery: trio.Nursery,
     ) -> None:
         self.sites = sites
         self.seed = seed
         self.nursery = nursery
+        self.router_nursery = router_nursery
         self.store = key_value.MemoryStore(random.Random(seed))
         self.vms = vm_list.VmListStandIn(lag=VM_LIST_LAG_SECONDS)
         self.weights = weight_store.WeightStore()
@@ -103,7 +106,7 @@
         self.vms.shown = dict(self.vms.newest)
         async with trio.open_nursery() as starting:
             for daemon in self.routers:
-                starting.start_soon(start, daemon.run)
+                starting.start_soon(self.router_nursery.start, daemon.run)
 
     async def start_engines(self, site: demo_sites.Site) -> list[upstreams.Vm]:
         """Starts a site's engines and returns their lines."""
--- a/tests/test_cmd/test_cmd_demo.py
+++ b/tests/test_cmd/test_cmd_demo.py
@@ -8,7 +8,7 @@
 from lavenderbend.cmd import base
 from lavenderbend.cmd import exit_codes
 from lavenderbend.cmd import main
-from lavenderbend.daemon import demo
+from lavenderbend.daemon import demo_report
 from lavenderbend.daemon import demo_sites
 from lavenderbend.load import results
 
@@ -40,7 +40,7 @@
 @pytest.fixture
 def report():
     """A report of a demo in which all was well."""
-    item = demo.DemoReport(demo.DemoPlan())
+    item = demo_report.DemoReport(demo_report.DemoPlan())
     result = results.LoadResult()
     result.note(results.Verdict.WHOLE)
     item.loads['correo'] = result
@@ -72,7 +72,7 @@
 
 
 def test_a_demo_without_answers_fails():
-    assert demo.DemoReport(demo.DemoPlan()).failed
+    assert demo_report.DemoReport(demo_report.DemoPlan()).failed
 
 
 def test_joined_configuration_keeps_the_deployments_apart():
