--- a/lavenderbend/transport/links.py
+++ b/lavenderbend/transport/links.py
@@ -19,6 +19,8 @@
 from lavenderbend.protocol import messages_membership as messages
 from lavenderbend.protocol import peer
 from lavenderbend.transport import peer_connections
+from lavenderbend.transport import peer_handlers
+from lavenderbend.transport import peer_wires
 from lavenderbend.transport import tls as peer_tls
 
 if TYPE_CHECKING:
@@ -113,7 +115,7 @@
         self.instance = random.SystemRandom().getrandbits(53)
         self.started = trio.Event()
         self.addresses: dict[str, tuple[str, int]] = {}
-        self.boxes: dict[str, peer_connections.Outbox] = {}
+        self.boxes: dict[str, peer_wires.Outbox] = {}
         self.calls: dict[int, Call] = {}
         self.next_call = 1
         self.nursery: trio.Nursery | None = None
@@ -126,6 +128,7 @@
         self.closed_bytes_received = 0
         self.live: set[peer_connections.Connection] = set()
         self.dropped: collections.Counter[str] = collections.Counter()
+        self.incoming = peer_handlers.Incoming(self)
         self.packer = msgpack.Packer()
 
     # counters
@@ -186,7 +189,9 @@
             if self.nursery is None:
                 self.count_dropped('link not running')
                 return
-            self.nursery.start_soon(self.handle_notice, self.name, item)
+            self.nursery.start_soon(
+                self.incoming.handle_notice, self.name, item
+            )
             return
         self.enqueue(self.box(peer_id), 0, item, required=False)
 
@@ -196,22 +201,22 @@
         """Calls this router's own handler."""
         answer: peer.Message | None = None
         with trio.move_on_after(timeout):
-            answer = await self.answer_of(self.name, item)
+            answer = await self.incoming.answer_of(self.name, item)
         if answer is None:
             raise errors.PeerUnreachable(f'no answer in {timeout:g} s')
         return checked(self.name, answer)
 
     # queues
 
-    def box(self, peer_id: str) -> peer_connections.Outbox:
+    def box(self, peer_id: str) -> peer_wires.Outbox:
         """Returns the outbox of a peer."""
         if peer_id not in self.boxes:
-            self.boxes[peer_id] = peer_connections.Outbox(peer_id)
+            self.boxes[peer_id] = peer_wires.Outbox(peer_id)
         return self.boxes[peer_id]
 
     def enqueue(
         self,
-        box: peer_connections.Outbox,
+        box: peer_wires.Outbox,
         number: int,
         item: peer.Message,
         required: bool,
@@ -232,7 +237,7 @@
         if box.connection is None:
             self.redial(box)
 
-    def why_not(self, box: peer_connections.Outbox, size: int) -> str | None:
+    def why_not(self, box: peer_wires.Outbox, size: int) -> str | None:
         """Returns why a message cannot be queued, None if it can."""
         if self.nursery is None or self.stopping:
             return 'link not running'
@@ -248,7 +253,7 @@
             return 'dial failed just now'
         return None
 
-    def redial(self, box: peer_connections.Outbox) -> None:
+    def redial(self, box: peer_wires.Outbox) -> None:
         """Opens a connection for what still waits in an outbox."""
         if not box.items or box.dialing or self.nursery is None:
             return
@@ -265,7 +270,7 @@
         self.count_dropped('bad handshake')
         logs.change('peer_refused', router=self.name, error=str(exc))
 
-    def note_miss(self, box: peer_connections.Outbox, began: float) -> None:
+    def note_miss(self, box: peer_wires.Outbox, began: float) -> None:
         """Counts a request without an answer; closes silent connections.
 
         A half-open connection (the peer's VM is gone, or a firewall drops
@@ -306,9 +311,7 @@
         """Serves inbound wires by `accept`; sets `port` and `started`."""
 
     @abc.abstractmethod
-    async def dial(
-        self, peer_id: str, host: str, port: int
-    ) -> peer_connections.Wire:
+    async def dial(self, peer_id: str, host: str, port: int) -> peer_wires.Wire:
         """Returns a wire to a peer.
 
         Raises:
@@ -316,7 +319,7 @@
             PeerProtocolError: The peer is somebody else.
         """
 
-    async def dial_peer(self, box: peer_connections.Outbox) -> None:
+    async def dial_peer(self, box: peer_wires.Outbox) -> None:
         """Connects to a peer and serves the connection."""
         host, port = self.addresses.get(box.peer_id, ('', 0))
         connection = None
@@ -333,7 +336,7 @@
         box.dialing = False
         await connection.serve()
 
-    def dial_failed(self, box: peer_connections.Outbox, exc: Exception) -> None:
+    def dial_failed(self, box: peer_wires.Outbox, exc: Exception) -> None:
         """Gives up what waited for a connection that did not come."""
         box.dialing = False
         box.dial_after = trio.current_time() + self.limits.retry_delay
@@ -343,7 +346,7 @@
         box.clear()
         self.fail_calls(f'no connection: {exc!r}', box.peer_id)
 
-    async def accept(self, wire: peer_connections.Wire) -> None:
+    async def accept(self, wire: peer_wires.Wire) -> None:
         """Serves a wire that a peer has opened."""
         connection = peer_connections.Connection(self, wire, False)
         try:
@@ -392,101 +395,6 @@
         self.counted.set()
         self.counted = trio.Event()
 
-    # messages that arrive
-
-    def dispatch(
-        self, connection: peer_connections.Connection, number: int, item: list
-    ) -> None:
-        """Takes one message of a batch.
-
-        Raises:
-            CodecError: It is no message of ours.
-        """
-        message = peer.from_wire(item)
-        self.messages_received += 1
-        if number == 0:
-            connection.notices.append(message)
-            return
-        if number > 0:
-            self.begin_request(connection, number, message)
-            return
-        call = self.calls.get(-number)
-        # an answer that comes after its timeout, or from a peer that was
-        # not asked, must not end another peer's request
-        if call is None or call.peer_id != connection.peer_id:
-            self.count_dropped('late answer')
-            return
-        call.answer = message
-        call.done.set()
-
-    def begin_request(
-        self,
-        connection: peer_connections.Connection,
-        number: int,
-        message: peer.Message,
-    ) -> None:
-        """Starts the handler of a request."""
-        if connection.in_progress >= self.limits.handlers:
-            failure = peer.Failure('PeerBusy', 'too many requests', 0.1)
-            self.reply(connection, number, failure)
-            return
-        connection.in_progress += 1
-        self.nursery.start_soon(
-            self.handle_request, connection, number, message
-        )
-
-    async def handle_request(
-        self,
-        connection: peer_connections.Connection,
-        number: int,
-        message: peer.Message,
-    ) -> None:
-        """Answers one request."""
-        try:
-            answer = await self.answer_of(connection.peer_id, message)
-        finally:
-            connection.in_progress -= 1
-        self.reply(connection, number, answer)
-
-    def reply(
-        self,
-        connection: peer_connections.Connection,
-        number: int,
-        answer: peer.Message,
-    ) -> None:
-        """Queues an answer."""
-        box = self.box(connection.peer_id)
-        # the asker's process is gone, and its successor must not get this
-        if box.instance != connection.instance:
-            return
-        self.enqueue(box, -number, answer, required=False)
-
-    async def answer_of(
-        self, peer_id: str, message: peer.Message
-    ) -> peer.Message:
-        """Returns the handler's answer, or the failure it raised."""
-        handler = self.handlers.get(type(message))
-        if handler is None:
-            return peer.Failure('NoHandler', type(message).__name__)
-        try:
-            answer = await handler(peer_id, message)
-        except errors.LavenderbendError as exc:
-            retry_after = getattr(exc, 'retry_after', None)
-            return peer.Failure(type(exc).__name__, str(exc), retry_after)
-        except Exception as exc:
-            # one wrong handler must not end the link of this router with
-            # all its peers; the asker gets a typed failure
-            self.count_dropped('handler failed')
-            logs.change('peer_handler_failed', error=repr(exc))
-            return peer.Failure('HandlerFailed', type(exc).__name__)
-        return peer.Done() if answer is None else answer
-
-    async def handle_notice(self, peer_id: str, message: peer.Message) -> None:
-        """Hands a notice to its handler; a failure is only counted."""
-        answer = await self.answer_of(peer_id, message)
-        if isinstance(answer, peer.Failure):
-            self.count_dropped(f'notice {answer.kind}')
-
     def hello(self) -> messages.Hello:
         """Returns the hello of this router."""
         return messages.Hello(
--- a/lavenderbend/transport/peer_frames.py
+++ b/lavenderbend/transport/peer_frames.py
@@ -10,7 +10,7 @@
 from lavenderbend import errors
 from lavenderbend.protocol import peer
 from lavenderbend.transport import links
-from lavenderbend.transport import peer_connections
+from lavenderbend.transport import peer_wires
 from lavenderbend.transport import tls as peer_tls
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
         await self.stream.aclose()
 
 
-class FrameWire(peer_connections.Wire):
+class FrameWire(peer_wires.Wire):
     """Frames on a stream: four bytes of length, then a batch."""
 
     def __init__(
--- a/lavenderbend/transport/peer_grpc.py
+++ b/lavenderbend/transport/peer_grpc.py
@@ -13,8 +13,8 @@
 
 from lavenderbend import errors
 from lavenderbend.transport import links
-from lavenderbend.transport import peer_connections
 from lavenderbend.transport import peer_frames
+from lavenderbend.transport import peer_wires
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -35,7 +35,7 @@
 )
 
 
-class StreamWire(peer_connections.Wire):
+class StreamWire(peer_wires.Wire):
     """One gRPC stream, bridged from its threads to trio.
 
     gRPC's own event loop is asyncio's, so its threaded API is used: a
