Take back a leaving that the list calls off; keep pausing peers' links

Cause: three probes that timed out within 1.2 s closed a connection and failed all requests on it though the peer had only paused. It now takes 3 s of silence besides. And a VM marked leaving by mistake got nothing for ever; the list's word ends that after 30 s of reads that show it live.

--- a/bench/peers/fleets.py
+++ b/bench/peers/fleets.py
@@ -79,15 +79,16 @@
             self.settings,
         )
         self.members[vm.id] = member
-        self.scopes[vm.id] = trio.CancelScope()
-        self.nursery.start_soon(self.run_member, vm.id, member)
+        scope = trio.CancelScope()
+        self.scopes[vm.id] = scope
+        self.nursery.start_soon(self.run_member, member, scope)
         return member
 
     async def run_member(
-        self, name: str, member: membership.FleetMembership
+        self, member: membership.FleetMembership, scope: trio.CancelScope
     ) -> None:
         """Runs a router until it is ended."""
-        with self.scopes[name]:
+        with scope:
             await member.run()
 
     def end(self, name: str) -> None:
--- a/lavenderbend/coordination/membership/listing.py
+++ b/lavenderbend/coordination/membership/listing.py
@@ -32,6 +32,8 @@
         since: Router clock at which it came into the state.
         missed: Reads in a row that did not show it.
         confirmed: Whether the list itself has shown it to this router.
+        live_since: Router clock since which all reads show it live though
+            it was leaving.
     """
 
     vm: upstreams.Vm
@@ -39,6 +41,7 @@
     since: float
     missed: int = 0
     confirmed: bool = False
+    live_since: float | None = None
 
 
 class Listing:
@@ -136,12 +139,35 @@
         line = self.lines[vm.id]
         line.missed = 0
         line.confirmed = True
+        if self.is_called_off(line, state):
+            line.vm = vm
+            line.state = state
+            line.since = trio.current_time()
+            self.kept = None
+            return [change]
         if line.vm != vm and line.state is state:
             # only the state moves; other fields of a VM are taken as shown
             line.vm = vm
             self.kept = None
         return [change] if changed else []
 
+    def is_called_off(self, line: Line, state: messages.ListState) -> bool:
+        """Returns whether a VM that was leaving stays after all.
+
+        One read that shows it live is an older copy of the list. When all
+        reads have for longer than any copy lags, it has been called off;
+        without this the VM would get nothing until it is replaced.
+        """
+        if line.state is not messages.ListState.LEAVING or (
+            state is not messages.ListState.LIVE
+        ):
+            line.live_since = None
+            return False
+        now = trio.current_time()
+        if line.live_since is None:
+            line.live_since = now
+        return now - line.live_since > GONE_HOLD
+
     def merge_missing(self, line: Line) -> list[messages.VmChange]:
         """Takes one VM that the list does not show."""
         now = trio.current_time()
@@ -197,6 +223,8 @@
     if line.state is messages.ListState.GONE:
         # the list shows it again, and it is held back for a while
         return line.missed == 0
+    if line.live_since is not None:
+        return True
     return line.missed > 0 or not line.confirmed
 
 
--- a/lavenderbend/transport/links.py
+++ b/lavenderbend/transport/links.py
@@ -45,6 +45,8 @@
         handlers: Requests of one peer that may be in progress.
         misses: Timed-out requests in a row, without a sign of the peer,
             after which its connection is closed.
+        silence: Seconds without a sign that it takes besides, so that a
+            short pause of the peer loses no request.
         retry_delay: Seconds between a failed dial and the next.
         idle: Seconds without a message after which a connection closes.
         age: Seconds after which a connection is replaced by a new one,
@@ -56,6 +58,7 @@
     batch_bytes: int = 256 * 1024
     handlers: int = 4096
     misses: int = 3
+    silence: float = 3.0
     retry_delay: float = 0.1
     idle: float = 300.0
     age: float = 3600.0
@@ -287,7 +290,10 @@
             connection.misses = 0
             return
         connection.misses += 1
-        if connection.misses < self.limits.misses:
+        silence = trio.current_time() - connection.last_received
+        if connection.misses < self.limits.misses or (
+            silence < self.limits.silence
+        ):
             return
         self.count_dropped('silent')
         logs.change('peer_silent', router=self.name, peer=box.peer_id)
--- a/tests/test_coordination/test_membership_fleet.py
+++ b/tests/test_coordination/test_membership_fleet.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 import trio
 
@@ -333,3 +334,38 @@
     assert facts.why('e') == 'draining, says x'
     await trio.sleep(30)
     assert len(fleet.believing('router-001')) == 2
+
+
+async def test_regions_that_lose_each_other_serve_on(nursery, autojump_clock):
+    # two regions lose each other. Each must keep its own routers and
+    # engines, hear of its own drains within 2 s, and meet again afterwards.
+    fleet = await fleets.make_fleet(nursery, 1, engines=4)
+    fleet.end('router-000')
+    for number in range(8):
+        region = 'north' if number % 2 else 'south'
+        vm = fleets.router_vm(number, region)
+        fleet.vm_list.add(vm)
+        fleet.start(vm)
+    for number in range(4):
+        region = 'north' if number % 2 else 'south'
+        vm = attrs.evolve(fleets.engine_vm(number), region=region)
+        fleet.vm_list.add(vm)
+    await fleets.settle(fleet, 8)
+    north = [f'router-{number:03d}' for number in (1, 3, 5, 7)]
+    south = [f'router-{number:03d}' for number in (0, 2, 4, 6)]
+    await trio.sleep(5)
+    assert fleet.using('engine-0001') == north
+
+    fleet.network.cut_off(north, south)
+    await trio.sleep(20)
+    fleet.engines['engine-0001'].draining = True
+    await trio.sleep(2)
+    assert fleet.using('engine-0001') == []
+    assert fleet.using('engine-0003') == north
+    assert fleet.members['router-001'].routers() == tuple(north)
+
+    fleet.network.cut.clear()
+    await trio.sleep(30)
+    for name in north + south:
+        assert len(fleet.believing(name)) == 8
+        assert len(fleet.members[name].region_routers()) == 4
--- a/tests/test_coordination/test_membership_listing.py
+++ b/tests/test_coordination/test_membership_listing.py
@@ -112,6 +112,21 @@
     assert lines.state(VMS[0].id) is messages.ListState.LEAVING
 
 
+async def test_leaving_that_is_called_off_ends_after_a_while(
+    lines, autojump_clock
+):
+    # an operator marks the wrong VM as leaving and takes it back. Reads of
+    # older copies must not end the leaving, but the platform's word must.
+    leaving = attrs.evolve(VMS[0], state=upstreams.VmState.LEAVING)
+    lines.merge_read((leaving, *VMS[1:]))
+    for _ in range(20):
+        await trio.sleep(2)
+        lines.merge_read(VMS)
+
+    assert lines.state(VMS[0].id) is messages.ListState.LIVE
+    assert VMS[0] in lines.vms()
+
+
 async def test_two_readers_agree_after_any_reads(autojump_clock):
     rng = random.Random(5)
     for _ in range(50):
