--- a/bench/peers/bounds.py
+++ b/bench/peers/bounds.py
@@ -7,6 +7,7 @@
 # seconds, bytes a second, and ratios; stated in docs/design
 DRAIN_SECONDS = 2.0
 DETECTION_SECONDS = 8.0
+UNPOLLED_DRAIN_SECONDS = 10.0
 CALM_BYTES_PER_SECOND = 150.0
 # a request, its answer and its release at 23 requests a second
 LINK_BYTES = 200.0
@@ -30,6 +31,10 @@
     """Returns the lines of one size of the fleet."""
     found = {
         'drain': (row['drain, all views']['max'], DRAIN_SECONDS),
+        'drain and its only poller lost': (
+            row['drain and its only poller lost, all views']['max'],
+            UNPOLLED_DRAIN_SECONDS,
+        ),
         'silent death': (
             row['silent death, all views']['max'],
             DETECTION_SECONDS,
--- a/bench/peers/scale.py
+++ b/bench/peers/scale.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from bench.peers import fleets
+from lavenderbend.state import hashing
 
 LAG = 10.0  # seconds that the VM list is late
 ENGINES_PER_ROUTER = 18.5  # 6,100 engines before 330 routers
@@ -86,6 +87,38 @@
     return summary(alls)
 
 
+async def drains_unseen(nursery, routers, count, seed):
+    """Times until all know of a drain whose only poller dies with it."""
+    engines = max(count, 4)
+    fleet = await fleets.make_fleet(
+        nursery, routers, engines=engines, seed=seed, lag=3 * LAG
+    )
+    for name, member in fleet.members.items():
+        member.wants_report = lambda vm, name=name: poller(fleet, vm) == name
+    alls = []
+    await trio.sleep(15)
+    for number in range(count):
+        name = f'engine-{number:04d}'
+        vm = fleets.engine_vm(number)
+        lost = poller(fleet, vm)
+        router = fleet.members[lost].vm
+        fleet.end(lost)
+        fleet.engines[name].draining = True
+        _, last = await until_none(lambda n=name: fleet.using(n))
+        alls.append(last)
+        fleet.start(router)
+        await fleets.settle(fleet, routers)
+        await trio.sleep(15)
+    return summary(alls)
+
+
+def poller(fleet, vm):
+    """Returns the router that polls an engine, by the views of the live."""
+    live = sorted(fleet.members)
+    view = fleet.members[live[0]].routers()
+    return hashing.rendezvous(vm.id, view)
+
+
 async def false_positives(nursery, routers, minutes, seed):
     """Wrong losses a router-hour under cuts, pauses and lost messages."""
     fleet = await fleets.make_fleet(nursery, routers, seed=seed)
@@ -183,6 +216,9 @@
         _, last = on_virtual_clock(detection, routers, few, 1, False)
         row['refusing death, all views'] = last
         row['drain, all views'] = on_virtual_clock(drains, routers, few, 1)
+        row['drain and its only poller lost, all views'] = on_virtual_clock(
+            drains_unseen, routers, few, 1
+        )
         if routers <= 24:
             row['wrong losses'] = on_virtual_clock(
                 false_positives, routers, minutes, 1
--- a/bench/peers/wires.py
+++ b/bench/peers/wires.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import pathlib
 import random
+import resource
 import tempfile
 import time
 
@@ -222,6 +224,39 @@
     await pace(link, names, 23.0, count, rng)
 
 
+def resident_bytes():
+    """Returns the memory that this process holds now."""
+    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+async def open_many(secure, count):
+    """Returns what it costs to open and to keep many connections."""
+    names = [f'router-{number:03d}' for number in range(count + 1)]
+    rng = random.Random(7)
+    with tempfile.TemporaryDirectory() as directory:
+        shared = certificates.issue_shared(directory, names)
+        tls = dict.fromkeys(names, shared) if secure else {}
+        async with trio.open_nursery() as nursery:
+            links = await start(nursery, KINDS['frames'], names, tls)
+            hub = links[0]
+            for link in links[1:]:
+                link.set_peers({hub.name: ('127.0.0.1', hub.port)})
+            await one(links[-1], hub.name, 1, rng)
+            memory = resident_bytes()
+            cpu = time.process_time()
+            for link in links[1:-1]:
+                await one(link, hub.name, 1, rng)
+            cpu = time.process_time() - cpu
+            memory = resident_bytes() - memory
+            nursery.cancel_scope.cancel()
+    opened = count - 1
+    return {
+        'cpu_ms_to_open': round(cpu / opened * 1000, 2),
+        'kib_both_ends': round(memory / opened / 1024, 1),
+    }
+
+
 def table(saturated=10_000, paced=350):
     """Returns the costs of all kinds, as plain values."""
     rows = {}
@@ -236,4 +271,8 @@
                 'paced 23/s over 20 peers': attrs.asdict(calm),
             }
             print(name, rows[name], flush=True)
+    for secure in (False, True):
+        name = 'frames, TLS' if secure else 'frames'
+        rows[name]['connection'] = trio.run(open_many, secure, 200)
+        print(name, rows[name]['connection'], flush=True)
     return rows
--- a/tests/test_coordination/test_membership_upstreams.py
+++ b/tests/test_coordination/test_membership_upstreams.py
@@ -287,3 +287,48 @@
     await trio.sleep(60)
 
     assert 500 <= member.poller.polls - before <= 610
+
+
+async def test_isolated_router_finds_a_drain_by_itself(nursery, autojump_clock):
+    # two faults at once: a router is cut off from all others but not from
+    # the engines, and one of those begins to drain. Nobody can tell it; once
+    # it believes itself alone it polls all engines.
+    fleet = await fleets.make_fleet(nursery, 6, engines=5, lag=10.0)
+    names = sorted(fleet.members)
+    await trio.sleep(2)
+    fleet.network.cut_off(names[:1], names[1:])
+    for number in range(5):
+        fleet.engines[f'engine-{number:04d}'].draining = number != 2
+
+    await trio.sleep(2)
+    assert fleet.using('engine-0001') in ([], names[:1])
+
+    await trio.sleep(6)
+    for number in (0, 1, 3, 4):
+        assert fleet.using(f'engine-{number:04d}') == []
+    assert fleet.using('engine-0002') == names
+
+
+async def test_only_poller_of_an_engine_is_lost(nursery, autojump_clock):
+    # admission has each engine polled by its owner alone. The owner dies as
+    # the engine begins to drain: nobody sees it until the owner is believed
+    # dead and the next one polls. An answer that says it ends that at once.
+    fleet = await fleets.make_fleet(nursery, 6, engines=5, lag=20.0)
+    for name, member in fleet.members.items():
+        member.wants_report = lambda vm, name=name: owner(fleet, name)
+    await trio.sleep(12)
+    fleet.end(owner_name(fleet))
+    fleet.engines['engine-0003'].draining = True
+
+    await trio.sleep(8)
+
+    assert fleet.using('engine-0003') == []
+    assert len(fleet.using('engine-0001')) == 5
+
+
+def owner(fleet, name):
+    return fleet.members[name].routers()[0] == name
+
+
+def owner_name(fleet):
+    return next(name for name in sorted(fleet.members) if owner(fleet, name))
