--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -38,6 +38,8 @@
     'others_first_token',
     'others_refused',
     'late_refusals',
+    'poisoned',
+    'innocents',
     'late_work',
     'requests',
 )
--- a/bench/decisions/cases.py
+++ b/bench/decisions/cases.py
@@ -160,6 +160,47 @@
     ]
 
 
+@CASES.register('poison')
+def poison(length: Length) -> list[Setup]:
+    """One request kills each engine that runs it; it is sent 50 times."""
+    at = length.warm + 5.0
+    case = base(workload.RUTACLARA, length, 'rutaclara')
+    slow = tuple(workload.poison(at, 0.6, 50, case.routers))
+    fast = tuple(workload.poison(at, 0.05, 50, case.routers))
+    dies = (at - 2.0, events.crash('engine-0'))
+    return [
+        Setup('sent every 0.6 s', attrs.evolve(case, extra=slow)),
+        Setup('sent every 0.05 s', attrs.evolve(case, extra=fast)),
+        Setup(
+            'no such request, two engines die',
+            case,
+            (
+                dies,
+                (at - 1.5, events.crash('engine-1')),
+            ),
+        ),
+        Setup(
+            'no such request, three engines die',
+            case,
+            (
+                dies,
+                (at - 1.7, events.crash('engine-1')),
+                (at - 1.0, events.crash('engine-2')),
+            ),
+        ),
+        Setup(
+            'sent every 0.6 s, an engine dies',
+            attrs.evolve(case, extra=slow),
+            (dies,),
+        ),
+        Setup(
+            'sent every 0.6 s, owner lost',
+            attrs.evolve(case, extra=slow),
+            ((at + 0.2, events.lose_owner()),),
+        ),
+    ]
+
+
 @CASES.register('faults')
 def faults(length: Length) -> list[Setup]:
     """One fault, and two at once; reports are 1 s late throughout."""
--- a/bench/decisions/engines.py
+++ b/bench/decisions/engines.py
@@ -11,6 +11,8 @@
 from lavenderbend.state import upstreams
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bench.decisions import views
     from bench.decisions import workload
 
@@ -21,6 +23,10 @@
     """The engine died while it ran the request."""
 
 
+class Unreachable(Exception):
+    """The engine is down; nothing of the request has run."""
+
+
 @attrs.frozen
 class EngineSettings:
     """Speeds and sizes of an engine.
@@ -93,11 +99,22 @@
 
 
 class Engine:
-    """One engine process on a VM."""
+    """One engine process on a VM.
+
+    Attributes:
+        instance: Counts the starts of the process.
+        poisoned: Deaths by a request that crashes it.
+        on_crash: Called with the VM id at such a death.
+    """
 
     def __init__(
-        self, vm: upstreams.Vm, settings: EngineSettings, poison: bool = True
+        self,
+        vm: upstreams.Vm,
+        settings: EngineSettings,
+        on_crash: Callable[[str], None],
     ) -> None:
+        self.on_crash = on_crash
+        self.poisoned = 0
         self.vm = vm
         self.settings = settings
         self.instance = 0
@@ -117,11 +134,12 @@
         """Runs a request to its end.
 
         Raises:
-            Crashed: The engine is down or died.
+            Unreachable: The engine is down.
+            Crashed: The engine died.
         """
         run = Run(arrival)
         if self.down:
-            raise Crashed
+            raise Unreachable
         self.queue.append(run)
         self.wake.set()
         try:
@@ -194,7 +212,10 @@
         self.queue.sort(key=lambda run: run.arrival.priority)
         started = self.queue[:room]
         del self.queue[:room]
+        self.running.extend(started)
         for run in started:
+            if self.down:
+                return
             self.start(run)
         self.running.sort(key=lambda run: run.arrival.priority)
 
@@ -202,12 +223,13 @@
         """Starts a request; what is cached need not be computed."""
         arrival = run.arrival
         if arrival.poison:
+            self.poisoned += 1
             self.crash()
+            self.on_crash(self.vm.id)
             return
         run.hit = min(self.cache.get(arrival.chat), arrival.shared)
         run.prefill = arrival.prompt - run.hit
         run.decode = float(arrival.out)
-        self.running.append(run)
 
     def finish(self, run: Run) -> None:
         """Ends a request and keeps its context."""
--- a/bench/decisions/figures.py
+++ b/bench/decisions/figures.py
@@ -38,6 +38,8 @@
         others_first_token: 99th percentile of their first token.
         others_refused: Their requests that got an error.
         late_refusals: Refusals told within a second of the deadline.
+        poisoned: Engines that a request killed.
+        innocents: Requests without fault that the quarantine refused.
         refused: Requests that got an error.
         late_work: Most seconds after its first signal that a leaving
             engine got work.
@@ -58,6 +60,8 @@
     others_first_token: float
     others_refused: int
     late_refusals: int
+    poisoned: int
+    innocents: int
     refused: int
     late_work: float
     requests: int
@@ -108,6 +112,11 @@
         late_refusals=sum(
             bool(one.error) and one.decided > TIMEOUT - 1 for one in counted
         ),
+        poisoned=record.poisoned,
+        innocents=sum(
+            one.error == 'RequestQuarantined' and not one.arrival.poison
+            for one in record.outcomes
+        ),
         refused=len(counted) - len(complete),
         late_work=max(record.late_work, default=0.0),
         requests=len(counted),
--- a/bench/decisions/policies.py
+++ b/bench/decisions/policies.py
@@ -207,6 +207,7 @@
             prompt_tokens=arrival.prompt,
             deadline=self.world.deadline(arrival),
             avoid=avoid,
+            suspect=self.world.suspect(router, arrival),
         )
         permit = await self.world.admissions[router].acquire(ask)
         return permit.upstream.id, permit
--- a/bench/decisions/results.py
+++ b/bench/decisions/results.py
@@ -44,6 +44,8 @@
             'above': max(row.above for row in table.values()),
             'most_above': max(row.most_above for row in table.values()),
             'late_work': max(row.late_work for row in table.values()),
+            'poisoned': max(row.poisoned for row in table.values()),
+            'innocents': max(row.innocents for row in table.values()),
             'refused': max(row.refused for row in table.values()),
             'bytes_most': max(row.bytes_most for row in table.values()),
             'reuse': min(row.reuse for row in table.values()),
--- a/bench/decisions/workload.py
+++ b/bench/decisions/workload.py
@@ -183,6 +183,34 @@
     return 1.0
 
 
+def poison(
+    start: float, every: float, count: int, routers: int
+) -> list[Arrival]:
+    """Returns one request that is sent again and again through all routers.
+
+    Args:
+        start: Virtual clock of the first.
+        every: Seconds between two.
+        count: How many.
+        routers: Number of routers.
+    """
+    chat = hashing.hash64('poison')
+    return [
+        Arrival(
+            at=start + number * every,
+            number=-1,
+            customer='city-5',
+            chat=chat,
+            prompt=900,
+            shared=0,
+            out=100,
+            router=number % routers,
+            poison=True,
+        )
+        for number in range(count)
+    ]
+
+
 def turns(
     profile: Profile, name: str, chat: int, at: float, rng: random.Random
 ) -> list[Arrival]:
--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -14,10 +14,12 @@
 from bench.decisions import engines
 from bench.decisions import network
 from bench.decisions import policies
+from bench.decisions import store
 from bench.decisions import views
 from bench.decisions import workload
 from lavenderbend import errors
 from lavenderbend.coordination import admission
+from lavenderbend.coordination import quarantine
 from lavenderbend.coordination.admission import groups
 from lavenderbend.state import configuration
 
@@ -32,6 +34,8 @@
 SAMPLE_SECONDS = 0.5
 MIN_MEAN_FOR_SKEW = 4.0
 ATTEMPTS = 3
+DETECT_SECONDS = 1.0
+RESTART_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -50,6 +54,7 @@
         warm: Seconds after which figures count.
         seed: Of all random numbers but the workload's.
         settings: Of admission.
+        extra: Further requests.
     """
 
     name: str
@@ -63,6 +68,7 @@
     warm: float = 60.0
     seed: int = 1
     settings: admission.AdmissionSettings = admission.AdmissionSettings()
+    extra: tuple[workload.Arrival, ...] = ()
 
 
 @attrs.define
@@ -104,6 +110,7 @@
         skews: Pairs of time and max over mean load.
         late_work: Requests sent to each leaving engine: seconds after the
             first signal.
+        poisoned: Engines that were killed by a request.
         counts: Bytes and messages of each router.
         seconds: Virtual length.
     """
@@ -113,6 +120,7 @@
     admissions: int = 0
     skews: list[tuple[float, float]] = attrs.field(factory=list)
     late_work: list[float] = attrs.field(factory=list)
+    poisoned: int = 0
     counts: dict[str, network.Counts] = attrs.field(factory=dict)
     seconds: float = 0.0
 
@@ -142,6 +150,8 @@
         )
         self.views: dict[str, views.View] = {}
         self.admissions: dict[str, admission.OwnerAdmission] = {}
+        self.quarantines: dict[str, quarantine.Quarantine] = {}
+        self.store = store.MemoryStore()
         self.permits: dict[str, interfaces.Permit] = {}
         customers = tuple(
             configuration.Customer(name) for name, _ in case.profile.customers
@@ -158,7 +168,7 @@
     def add_engine(self, name: str) -> None:
         """Starts an engine; routers see it with its first report."""
         vm = views.engine_vm(name)
-        engine = engines.Engine(vm, self.case.engine)
+        engine = engines.Engine(vm, self.case.engine, self.engine_died)
         self.engines[name] = engine
         self.accepting[name] = vm
         self.nursery.start_soon(engine.run)
@@ -166,6 +176,24 @@
         self.board.put(engine.report(), trio.current_time())
         self.show_upstreams()
 
+    def engine_died(self, name: str) -> None:
+        """Brings an engine back that a request has killed."""
+        self.record.poisoned += 1
+        self.nursery.start_soon(self.bring_back, name)
+
+    async def bring_back(self, name: str) -> None:
+        """Lets routers see that an engine is down, and restarts it."""
+        await trio.sleep(DETECT_SECONDS)
+        vm = self.accepting.pop(name, None)
+        self.show_upstreams()
+        await trio.sleep(RESTART_SECONDS)
+        engine = self.engines[name]
+        engine.restart()
+        self.board.put(engine.report(), trio.current_time())
+        if vm is not None:
+            self.accepting[name] = vm
+        self.show_upstreams()
+
     def add_router(self, name: str) -> None:
         """Starts a router."""
         vms = tuple(self.accepting.values())
@@ -182,15 +210,18 @@
             self.case.settings,
         )
         self.admissions[name] = one
+        self.quarantines[name] = quarantine.Quarantine(
+            name, self.store, self.network.links[name], view
+        )
         if self.case.policy == 'lavenderbend':
-            self.nursery.start_soon(self.run_router, one, scope)
+            self.nursery.start_soon(self.run_router, name, scope)
 
-    async def run_router(
-        self, one: admission.OwnerAdmission, scope: trio.CancelScope
-    ) -> None:
-        """Runs a router's admission until it is killed."""
+    async def run_router(self, name: str, scope: trio.CancelScope) -> None:
+        """Runs a router's tasks until it is killed."""
         with scope:
-            await one.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.admissions[name].run)
+                nursery.start_soon(self.quarantines[name].run)
 
     def show_upstreams(self) -> None:
         """Shows every router the engines that accept work."""
@@ -237,6 +268,10 @@
         pool = self.pool
         return max(pool.floor, math.ceil(pool.bound * total / count - 1e-9))
 
+    def suspect(self, router: str, arrival: workload.Arrival) -> bool:
+        """Returns whether an engine died while it ran the request."""
+        return self.quarantines[router].suspect(fingerprint_of(arrival))
+
     def deadline(self, arrival: workload.Arrival) -> float:
         """Returns when the caller is told to give up."""
         return arrival.at + self.case.timeout
@@ -264,8 +299,10 @@
     async def attempt_all(self, router: str, outcome: Outcome) -> None:
         """Tries engines until one runs the request to its end."""
         avoid: tuple[str, ...] = ()
+        fingerprint = fingerprint_of(outcome.arrival)
         for _ in range(ATTEMPTS):
             try:
+                self.quarantines[router].check(fingerprint)
                 name = await self.attempt(router, outcome, avoid)
             except errors.RequestError as exc:
                 outcome.error = type(exc).__name__
@@ -275,6 +312,36 @@
                 return
             outcome.error = 'UpstreamBroke'
             avoid = (*avoid, name)
+            if not self.quarantines[router].may_retry(fingerprint):
+                return
+
+    def check_again(
+        self,
+        router: str,
+        arrival: workload.Arrival,
+        name: str,
+        permit: interfaces.Permit | None,
+    ) -> None:
+        """Checks the quarantine again after a wait for the permit."""
+        try:
+            self.quarantines[router].check(fingerprint_of(arrival))
+        except errors.RequestQuarantined:
+            if permit is not None:
+                one = self.admissions[router]
+                one.release(permit, 'RequestQuarantined')
+            raise
+
+    async def note_crash(
+        self, router: str, outcome: Outcome, instance: str, sent: float
+    ) -> None:
+        """Tells the quarantine of a request whose engine died."""
+        await self.quarantines[router].crashed(
+            fingerprint_of(outcome.arrival),
+            outcome.engine,
+            instance,
+            1,
+            trio.current_time() - sent,
+        )
 
     async def attempt(
         self, router: str, outcome: Outcome, avoid: tuple[str, ...]
@@ -283,20 +350,28 @@
         started = trio.current_time()
         arrival = outcome.arrival
         name, permit = await self.policy.acquire(router, arrival, avoid)
-        outcome.waited += trio.current_time() - started
+        sent = trio.current_time()
+        outcome.waited += sent - started
+        self.check_again(router, arrival, name, permit)
         outcome.engine = name
         outcome.attempts += 1
         self.loads[name] += 1
         self.check(name)
+        engine = self.engines[name]
+        instance = f'{name}-{engine.instance}'
         try:
-            run = await self.engines[name].submit(arrival)
+            run = await engine.submit(arrival)
+        except engines.Unreachable:
+            return name
         except engines.Crashed:
+            await self.note_crash(router, outcome, instance, sent)
             return name
         finally:
             self.loads[name] -= 1
             self.policy.release(router, name, permit)
         outcome.first_token = (run.first_token or 0.0) - arrival.at
         outcome.hit = run.hit or 0
+        self.quarantines[router].survived(fingerprint_of(arrival))
         return ''
 
     def check(self, name: str) -> None:
@@ -334,11 +409,17 @@
                 self.record.skews.append((now, max(loads) / mean))
 
 
+def fingerprint_of(arrival: workload.Arrival) -> int:
+    """Returns the fingerprint of a request."""
+    return arrival.chat if arrival.poison else arrival.number
+
+
 async def drive(
     case: Case, events: list[tuple[float, Event]], result: list[Record]
 ) -> None:
     """Runs a case on the clock of the running loop."""
-    arrivals = workload.generate(case.profile)
+    arrivals = [*workload.generate(case.profile), *case.extra]
+    arrivals.sort(key=lambda arrival: arrival.at)
     async with trio.open_nursery() as nursery:
         world = World(case, nursery)
         nursery.start_soon(world.sample)
--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -40,6 +40,8 @@
     Attributes:
         table: Live permits joined with reports.
         rates: How fast permits come back.
+        tested: Until when no other suspect is sent to an upstream.
+        tested_chats: Until when a suspect's chat is not sent again.
     """
 
     def __init__(
@@ -59,6 +61,8 @@
         self.sums = pool_sums
         self.table = permits.PermitTable()
         self.rates = rates.Rates()
+        self.tested: dict[str, float] = {}
+        self.tested_chats: dict[int, float] = {}
 
     def pool(self) -> configuration.Pool:
         """Returns the pool.
@@ -118,7 +122,7 @@
                 load=self.table.load(vm.id),
                 adapter=self.has_adapter(vm.id, ask.adapter),
                 avoided=bool(ask.avoid) and short_id(vm.id) in ask.avoid,
-                tested=ask.suspect and self.tests_suspect(vm.id),
+                tested=ask.suspect and self.tests_suspect(vm.id, ask.chat),
             )
             for vm in vms
         ]
@@ -136,18 +140,31 @@
         short_id = messages_decisions.short_id
         return any(short_id(name) == adapter for name in report.adapters)
 
-    def tests_suspect(self, upstream: str) -> bool:
-        """Returns whether a suspect was sent there a short while ago.
+    def tests_suspect(self, upstream: str, chat: int) -> bool:
+        """Returns whether a suspect must not be sent to an upstream now.
 
         When an upstream dies, all that it ran are suspects. Two of them on
         one further upstream that dies could not be told apart, and an
-        innocent request would be quarantined with the other.
+        innocent request would be quarantined with the other. And the same
+        request, sent twice at a time, would kill two more.
         """
-        since = trio.current_time() - self.settings.probation
-        return any(
-            permit.suspect and permit.granted_at > since
-            for permit in self.table.live[upstream].values()
-        )
+        now = trio.current_time()
+        busy = self.tested.get(upstream, 0.0) > now
+        return busy or self.tested_chats.get(chat, 0.0) > now
+
+    def note_suspect(self, upstream: str, chat: int) -> None:
+        """Notes that a suspect was sent to an upstream."""
+        now = trio.current_time()
+        self.tested[upstream] = now + self.settings.probation
+        self.tested_chats[chat] = now + self.settings.probation
+        for table in (self.tested, self.tested_chats):
+            for key in [key for key, until in table.items() if until <= now]:
+                del table[key]
+
+    def clear_suspect(self, upstream: str, chat: int) -> None:
+        """Notes that a suspect was not sent there after all."""
+        self.tested.pop(upstream, None)
+        self.tested_chats.pop(chat, None)
 
     def limit_rooms(
         self, candidates: list[placement.Candidate], allowed: int
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -76,7 +76,7 @@
             return
         self.room.enqueue(waiter)
 
-    def release(self, entry: str, number: int) -> bool:
+    def release(self, entry: str, number: int, unused: bool = False) -> bool:
         """Takes a permit back, or a waiting request out; whether it had."""
         waiter = self.room.waiting.get((entry, number))
         if waiter is not None:
@@ -85,7 +85,10 @@
         if permit is None:
             return False
         self.shares.live[permit.customer] -= 1
-        self.loads.rates.note(permit)
+        if not unused:
+            self.loads.rates.note(permit)
+        elif permit.suspect_chat is not None:
+            self.loads.clear_suspect(permit.upstream, permit.suspect_chat)
         return True
 
     def look_after(self) -> None:
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -140,7 +140,7 @@
         assert isinstance(item, messages_decisions.PermitRelease)
         for group in self.owned.values():
             for number in item.numbers:
-                group.release(entry, number)
+                group.release(entry, number, item.unused)
             if group.room.waiting:
                 group.room.dispatch()
 
--- a/lavenderbend/coordination/admission/search.py
+++ b/lavenderbend/coordination/admission/search.py
@@ -163,7 +163,7 @@
 
     def give_up(self, owner: str) -> None:
         """Tells an owner that this number is not used."""
-        item = messages_decisions.PermitRelease([self.number])
+        item = messages_decisions.PermitRelease([self.number], True)
         self.admission.tell(owner, item)
 
     def raise_refusal(self, exc: errors.PeerRefused) -> None:
@@ -272,6 +272,9 @@
 
     def admit_alone(self, group: groups.GroupId) -> interfaces.Permit | None:
         """Returns a permit within this entry's own share, if any."""
+        if self.ask.suspect:
+            # suspects cannot be kept apart without an owner
+            return None
         admission = self.admission
         ask = self.ask
         model = messages_decisions.short_id(ask.model) if ask.model else None
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -28,6 +28,8 @@
     from lavenderbend.state import upstreams
 
 NUMBER_BITS = 32
+# results of attempts that sent nothing
+UNUSED_RESULTS = ('RequestQuarantined',)
 
 UNREACHABLE = metrics.counter(
     'lavenderbend_owner_unreachable_total', 'Permit requests without answer.'
@@ -111,7 +113,9 @@
         if permit.degraded:
             self.local.release(held.upstream)
         if held.owner:
-            self.tell(held.owner, messages_decisions.PermitRelease([number]))
+            unused = result in UNUSED_RESULTS
+            item = messages_decisions.PermitRelease([number], unused)
+            self.tell(held.owner, item)
 
     def wants_report(self, vm: upstreams.Vm) -> bool:
         """Returns whether this router needs an engine's load reports.
--- a/lavenderbend/coordination/admission/settings.py
+++ b/lavenderbend/coordination/admission/settings.py
@@ -42,7 +42,7 @@
     tick: float = 0.1
     degraded_poll: float = 0.1
     chats: int = 50_000
-    probation: float = 2.0
+    probation: float = 1.0
     patience: float = 0.1
     recompute: float = 10_000.0
     first_hold: float = 0.3
--- a/lavenderbend/coordination/admission/waiting.py
+++ b/lavenderbend/coordination/admission/waiting.py
@@ -135,10 +135,12 @@
             ask.number,
             upstream,
             trio.current_time(),
-            ask.suspect,
             ask.customer,
+            ask.chat if ask.suspect else None,
         )
         self.loads.table.add(permit)
+        if ask.suspect:
+            self.loads.note_suspect(upstream, ask.chat)
         self.shares.live[ask.customer] += 1
         if ask.chat:
             instance = self.loads.instance(upstream)
@@ -302,13 +304,13 @@
     def dispatch(self) -> None:
         """Grants to those that wait, in their order, what is free now."""
         self.serve_patient()
-        blocked: set[tuple[int | None, int]] = set()
+        blocked: set[tuple[int | None, int, bool]] = set()
         tries = 0
         for waiter in list(self.queue):
             if not self.waits(waiter):
                 continue
             ask = waiter.ask
-            kind = (ask.model, self.max_load(ask))
+            kind = (ask.model, self.max_load(ask), ask.suspect)
             if kind in blocked:
                 continue
             tries += 1
--- a/lavenderbend/coordination/limits.py
+++ b/lavenderbend/coordination/limits.py
@@ -75,10 +75,12 @@
     Attributes:
         rate: Requests a second.
         at: Router clock when it came.
+        given: Part of the limit that it was last given.
     """
 
     rate: float
     at: float
+    given: float = 0.0
 
 
 class CustomerLimits:
@@ -227,8 +229,11 @@
             if name is None:
                 continue
             demands = self.demands.setdefault(name, {})
-            demands[router] = Demand(max(1, rate) / HUNDREDTHS, now)
+            before = demands.get(router)
+            given = before.given if before is not None else 0.0
+            demands[router] = Demand(max(1, rate) / HUNDREDTHS, now, given)
             share = self.share(self.customers[name], router)
+            demands[router].given = share
             answer.customers.append(number)
             answer.rates.append(int(share * HUNDREDTHS))
         self.link.notify(router, answer)
@@ -245,7 +250,14 @@
         kept = silent * UNREPORTED_PART * self.even_rate(limit)
         whole = limit.requests_per_second - kept
         total = sum(demand.rate for demand in demands.values())
-        return whole * demands[router].rate / total
+        part = whole * demands[router].rate / total
+        # the others use what they were given until they report again: a
+        # part by demand alone would add up to more than the limit till then
+        given = sum(
+            demand.given for other, demand in demands.items() if other != router
+        )
+        least = UNREPORTED_PART * self.even_rate(limit)
+        return max(least, min(part, whole - given))
 
     async def on_share(self, router: str, item: peer.Message) -> None:
         """Uses the parts that a home router gives."""
--- a/lavenderbend/coordination/quarantine.py
+++ b/lavenderbend/coordination/quarantine.py
@@ -4,6 +4,7 @@
 
 import collections
 import json
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -26,6 +27,11 @@
 # a fault of the machines, such as a rack, and one more crash is asked for
 OTHER_CRASHES_SECONDS = 30.0
 NOTICE_DELAY_SECONDS = 0.02
+# time for the other routers' notices of a death
+SETTLE_SECONDS = 0.5
+# one that ran longer is less suspect than one that was just sent; the same
+# as `AdmissionSettings.probation`
+PROBATION_SECONDS = 1.0
 RETRY_SECONDS = 1.0
 CRASHES_TO_QUARANTINE = 2
 
@@ -63,7 +69,8 @@
     suspect with it, is the cause.
 
     Attributes:
-        crashes: Fingerprints on each upstream that died, and when.
+        crashes: Fingerprints on each upstream that died, and whether each
+            had only just been sent there.
         suspects: Deaths that each suspect was there at.
         until: Until when each fingerprint is quarantined.
     """
@@ -79,11 +86,14 @@
         self.store = store
         self.link = link
         self.membership = membership
-        self.crashes: dict[Crash, set[int]] = {}
+        self.crashes: dict[Crash, dict[int, bool]] = {}
         self.crashed_at: dict[Crash, float] = {}
         self.suspects: dict[int, set[Crash]] = {}
         self.until: dict[int, float] = {}
-        self.unsent: dict[Crash, set[int]] = collections.defaultdict(set)
+        self.unsent: dict[Crash, dict[int, bool]] = collections.defaultdict(
+            dict
+        )
+        self.unsettled: list[Crash] = []
         self.cleared: set[int] = set()
         self.unwritten: set[int] = set()
         self.wake = trio.Event()
@@ -129,7 +139,12 @@
         self.wake.set()
 
     async def crashed(
-        self, fingerprint: int, upstream: str, instance: str, in_progress: int
+        self,
+        fingerprint: int,
+        upstream: str,
+        instance: str,
+        in_progress: int,
+        ran: float = math.inf,
     ) -> None:
         """Notes that an upstream died while it ran the request.
 
@@ -138,39 +153,66 @@
             upstream: VM id.
             instance: Instance of the process that died.
             in_progress: Requests of this router that it ran.
+            ran: Seconds since the request was sent there.
         """
         short_id = messages_decisions.short_id
         crash = Crash(short_id(upstream), short_id(instance))
         CRASHES.inc({'upstream': upstream})
-        self.unsent[crash].add(fingerprint)
-        self.note(crash, [fingerprint])
+        fresh = ran < PROBATION_SECONDS
+        self.unsent[crash][fingerprint] = fresh
+        self.note(crash, {fingerprint: fresh})
         self.wake.set()
 
-    def note(self, crash: Crash, fingerprints: list[int]) -> None:
+    def note(self, crash: Crash, fingerprints: dict[int, bool]) -> None:
         """Adds requests to those that were there at a death."""
         now = trio.current_time()
-        self.crashed_at.setdefault(crash, now)
-        present = self.crashes.setdefault(crash, set())
-        present.update(fingerprints)
+        if crash not in self.crashed_at:
+            self.crashed_at[crash] = now
+            self.unsettled.append(crash)
+            self.wake.set()
+        self.crashes.setdefault(crash, {}).update(fingerprints)
         for fingerprint in fingerprints:
             self.suspects.setdefault(fingerprint, set()).add(crash)
-        for fingerprint in sorted(present):
-            if self.guilty(fingerprint, crash):
-                self.quarantine(fingerprint, QUARANTINE_SECONDS)
-                self.unwritten.add(fingerprint)
+        for fingerprint, fresh in fingerprints.items():
+            if fresh:
+                self.judge(fingerprint, crash)
+
+    def judge(self, fingerprint: int, crash: Crash) -> None:
+        """Quarantines a request if it is the cause of a death."""
+        if self.guilty(fingerprint, crash):
+            self.quarantine(fingerprint, QUARANTINE_SECONDS)
+            self.unwritten.add(fingerprint)
 
     def guilty(self, fingerprint: int, crash: Crash) -> bool:
         """Returns whether a request is the cause of a death.
 
-        It must have been on enough upstreams that died, and be the only one
-        there at the last death that had been at one before.
+        It must have been on enough upstreams that died, and no other of
+        those that were there may be as suspect. One that had only just been
+        sent there is more suspect than those that had run for a while, and
+        admission sends suspects one at a time.
         """
         if fingerprint in self.until:
             return False
         if self.deaths(fingerprint) < self.needed(fingerprint):
             return False
-        others = self.crashes[crash] - {fingerprint}
-        return all(self.deaths(other) < 2 for other in others)
+        present = self.crashes[crash]
+        only_fresh = present.get(fingerprint, False)
+        return not any(
+            other != fingerprint
+            and (fresh or not only_fresh)
+            and self.deaths(other) >= CRASHES_TO_QUARANTINE
+            for other, fresh in present.items()
+        )
+
+    def settle(self) -> None:
+        """Judges deaths of which all routers have told by now."""
+        now = trio.current_time()
+        for crash in list(self.unsettled):
+            if self.crashed_at.get(crash, 0.0) > now - SETTLE_SECONDS:
+                continue
+            self.unsettled.remove(crash)
+            for fingerprint in sorted(self.crashes.get(crash, {})):
+                self.judge(fingerprint, crash)
 
     def deaths(self, fingerprint: int) -> int:
         """Returns how many upstreams died with the request on them."""
@@ -205,7 +247,8 @@
         """Notes what another router had on an upstream that died."""
         assert isinstance(item, messages_decisions.CrashSeen)
         crash = Crash(item.upstream, item.instance)
-        self.note(crash, item.fingerprints)
+        fresh = set(item.fresh)
+        self.note(crash, {one: one in fresh for one in item.fingerprints})
 
     async def on_quarantined(self, router: str, item: peer.Message) -> None:
         """Takes over another router's finding."""
@@ -233,6 +276,10 @@
             self.send_notices()
             self.expire()
             await self.write_records()
+            if self.unsettled:
+                await trio.sleep(SETTLE_SECONDS)
+                self.settle()
+                self.wake.set()
 
     def send_notices(self) -> None:
         """Tells all routers what this one has found since the last time."""
@@ -240,7 +287,10 @@
         for crash, fingerprints in self.unsent.items():
             items.append(
                 messages_decisions.CrashSeen(
-                    crash.upstream, crash.instance, sorted(fingerprints)
+                    crash.upstream,
+                    crash.instance,
+                    sorted(fingerprints),
+                    sorted(one for one in fingerprints if fingerprints[one]),
                 )
             )
         for fingerprint in sorted(self.unwritten):
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -90,9 +90,11 @@
 
     Attributes:
         numbers: The entry's numbers of those permits.
+        unused: Whether nothing was sent with them.
     """
 
     numbers: list[int]
+    unused: bool = False
 
 
 @peer.message(54)
@@ -242,11 +244,13 @@
         upstream: Short id of the upstream.
         instance: Short id of its instance.
         fingerprints: Of the requests that the sender had there.
+        fresh: Those that had only just been sent there.
     """
 
     upstream: int
     instance: int
     fingerprints: list[int]
+    fresh: list[int] = attrs.field(factory=list)
 
 
 @peer.message(61)
--- a/lavenderbend/state/permits.py
+++ b/lavenderbend/state/permits.py
@@ -21,16 +21,16 @@
         number: The entry's number for it.
         upstream: VM id.
         granted_at: Owner clock.
-        suspect: Whether its request was on an upstream that died.
         customer: Short id of its customer, 0 if unknown.
+        suspect_chat: Chat of a request that was on an upstream that died.
     """
 
     entry: str
     number: int
     upstream: str
     granted_at: float
-    suspect: bool = False
     customer: int = 0
+    suspect_chat: int | None = None
 
 
 @attrs.frozen
