Test admission under faults, and mend what the tests found

Requests that waited at an owner that died stayed there until they polled again, up to 10 s; an entry alone never admitted when the loads were even; a group without upstreams for a model refused what the next group serves.

--- a/lavenderbend/coordination/admission/degraded.py
+++ b/lavenderbend/coordination/admission/degraded.py
@@ -52,7 +52,7 @@
         part = max(0, headroom) * SHARED_PART
         if self.stale(upstream):
             part = min(1.0, headroom)
-        each, rest = divmod(int(part), max(1, len(routers)))
+        each, rest = divmod(math.ceil(part), max(1, len(routers)))
         order = hashing.rendezvous_order(f'{upstream}/{headroom}', routers)
         if self.stale(upstream):
             order = hashing.rendezvous_order(upstream, routers)
--- a/lavenderbend/coordination/admission/groups.py
+++ b/lavenderbend/coordination/admission/groups.py
@@ -70,11 +70,11 @@
     return names.index(best) if best is not None else 0
 
 
-def chat_group(pool: configuration.Pool, chat: int) -> int:
-    """Returns the index of the group to ask first for a chat."""
-    if pool.groups <= 1:
-        return 0
-    names = [str(index) for index in range(pool.groups)]
+def chat_group(chat: int, indices: Sequence[int]) -> int:
+    """Returns which of some groups to ask first for a chat."""
+    if len(indices) == 1:
+        return indices[0]
+    names = [str(index) for index in indices]
     return int(hashing.rendezvous(chat.to_bytes(8, 'big'), names) or 0)
 
 
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -67,6 +67,13 @@
         try:
             if self.room.try_now(waiter):
                 return
+        except errors.NoUpstream as exc:
+            waiter.nobody = self.loads.pool().groups > 1
+            if waiter.nobody:
+                waiter.done.set()
+            else:
+                self.room.refuse(waiter, exc)
+            return
         except errors.RequestError as exc:
             self.room.refuse(waiter, exc)
             return
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -116,7 +116,7 @@
         waiter.polled = trio.current_time()
         if waiter.error is not None:
             raise waiter.error
-        if waiter.elsewhere is not None:
+        if waiter.elsewhere is not None or waiter.nobody:
             return messages_decisions.PermitElsewhere(waiter.elsewhere)
         if waiter.choice is None:
             return messages_decisions.PermitWaiting()
--- a/lavenderbend/coordination/admission/search.py
+++ b/lavenderbend/coordination/admission/search.py
@@ -24,6 +24,8 @@
 
 CHAT_SHIFT = 32
 LAST_WORD_SECONDS = 0.05
+# how long a group without upstreams for a model is not asked for it
+EMPTY_SECONDS = 3.0
 
 DEGRADED = metrics.counter(
     'lavenderbend_permits_degraded_total', 'Permits given without an owner.'
@@ -73,7 +75,7 @@
         self.number = admission.next_number()
         self.started = trio.current_time()
         self.avoid = {messages_decisions.short_id(one) for one in ask.avoid}
-        self.index = groups.chat_group(pool, self.chat or self.number)
+        self.index = self.first_group()
         self.hops = 0
         self.waits = False
 
@@ -94,6 +96,34 @@
             if permit is not None:
                 return permit
 
+    def first_group(self) -> int:
+        """Returns the group to ask, of those that may serve the model.
+
+        Raises:
+            NoUpstream: Every group has said that none of its upstreams does.
+        """
+        now = trio.current_time()
+        empty = self.admission.empty
+        indices = [
+            index
+            for index in range(max(1, self.pool.groups))
+            if empty.get((self.pool.name, index, self.ask.model), 0.0) <= now
+        ]
+        if not indices:
+            raise errors.NoUpstream('no upstream of the pool serves this', 1)
+        return groups.chat_group(self.chat or self.number, indices)
+
+    def next_group(self, answer: messages_decisions.PermitElsewhere) -> None:
+        """Goes on to another group."""
+        if answer.group is not None:
+            self.index = answer.group
+            self.hops += 1
+            return
+        key = (self.pool.name, self.index, self.ask.model)
+        self.admission.empty[key] = trio.current_time() + EMPTY_SECONDS
+        self.index = self.first_group()
+        self.hops = 0
+
     def check_deadline(self) -> None:
         """Ends the search at the deadline.
 
@@ -207,8 +237,7 @@
             self.waits = True
             return None
         if isinstance(answer, messages_decisions.PermitElsewhere):
-            self.index = answer.group
-            self.hops += 1
+            self.next_group(answer)
             return None
         if isinstance(answer, messages_decisions.PermitGrant):
             return self.accept(answer, owner, group)
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -44,6 +44,8 @@
         owners: Owner of each group by this router's view.
         suspects: Until when an unreachable router is not asked.
         out_of_touch: Owners that could not be reached since their last answer.
+        empty: Until when a group is not asked for a model that none of its
+            upstreams serves, by pool, group and model.
         asking: Requests that wait for each router's answer.
         polling: Whether the reports of a group are needed here, by the
             routers in `polling_for`.
@@ -73,6 +75,7 @@
         self.owners: dict[groups.GroupId, str] = {}
         self.suspects: dict[str, float] = {}
         self.out_of_touch: set[str] = set()
+        self.empty: dict[tuple[str, int, str | None], float] = {}
         self.asking: dict[str, set[trio.CancelScope]] = collections.defaultdict(
             set
         )
@@ -197,6 +200,9 @@
     def refresh_owners(self) -> None:
         """Reads the owners anew and moves the live permits to new ones."""
         routers = self.membership.region_routers()
+        for router in list(self.asking):
+            if router not in routers:
+                self.stop_asking(router)
         by_group = collections.defaultdict(list)
         for held in self.held.values():
             by_group[held.group].append(held)
--- a/lavenderbend/coordination/admission/waiting.py
+++ b/lavenderbend/coordination/admission/waiting.py
@@ -56,6 +56,7 @@
         choice: The permit.
         error: Why there is none.
         elsewhere: Group of the pool to ask instead.
+        nobody: Whether no upstream of the group serves it.
         passed: Times that others of its customer went before it.
         patient_until: Owner clock until which it waits for room where its
             context is, though other upstreams have room.
@@ -70,6 +71,7 @@
     choice: placement.Choice | None = None
     error: errors.RequestError | None = None
     elsewhere: int | None = None
+    nobody: bool = False
     passed: int = 0
     patient_until: float = 0.0
 
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -171,10 +171,11 @@
     """Another group of the pool has more room; ask its owner.
 
     Attributes:
-        group: Index of that group.
+        group: Index of that group, None if the entry is to choose because
+            this one has no upstream that serves the model.
     """
 
-    group: int
+    group: int | None
 
 
 @peer.message(59)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -65,7 +65,7 @@
             'request_id': f'request-{number}',
             'pool': self.pool.name,
             'customer': 'court',
-            'chat': number * 0x9E3779B97F4A7C15 % 2**64,
+            'chat': (number + 1) * 0x9E3779B97F4A7C15 % 2**64,
             'model': 'chat-1',
             'adapter': None,
             'priority': requests.Priority.NORMAL,
--- /dev/null
+++ b/tests/test_coordination/test_admission_faults.py
@@ -0,0 +1,343 @@
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import placement
+from lavenderbend.state import configuration
+from tests import fakes
+
+
+async def fill(fleet, count, start=0):
+    """Returns permits taken through all live routers in turn."""
+    permits = []
+    names = [name for name in fleet.names if name not in fleet.network.dead]
+    for number in range(start, start + count):
+        name = names[number % len(names)]
+        permit = await fleet.admissions[name].acquire(fleet.ask(number))
+        permits.append((name, permit))
+    return permits
+
+
+def lose(fleet, name):
+    """A router dies; all others see it at once."""
+    fleet.network.dead.add(name)
+    rest = [one for one in fleet.names if one != name]
+    for one in rest:
+        fleet.views[one].set_routers(rest)
+
+
+async def test_new_owner_knows_the_permits_of_the_lost_one(
+    nursery, autojump_clock
+):
+    # the owner's VM dies with 30 permits out; a new owner that started from
+    # nothing would see empty engines and load them to twice the bound
+    fleet = fakes.Fleet(nursery, routers=4, engines=5)
+    await fill(fleet, 30)
+    await trio.sleep(1)
+    lost = fleet.owner()
+    gone = len(fleet.admissions[lost].held)
+    lose(fleet, lost)
+    await trio.sleep(1)
+    owner = fleet.owner()
+
+    group = next(iter(fleet.admissions[owner].owner.owned.values()))
+
+    assert owner != lost
+    assert len(group.table.permits) == 30 - gone
+
+
+async def test_chats_stay_where_they_are_when_the_owner_is_lost(
+    nursery, autojump_clock
+):
+    # the owner dies with its table of places; without the standby's copy
+    # every returning chat's context would be computed anew elsewhere
+    fleet = fakes.Fleet(nursery, routers=4, engines=5)
+    before = {}
+    for number in range(1, 41):
+        entry = fleet.admissions[fleet.names[number % 4]]
+        permit = await entry.acquire(fleet.ask(number))
+        before[number] = permit.upstream.id
+        entry.release(permit, 'complete')
+    await trio.sleep(3)
+    lose(fleet, fleet.owner())
+    await trio.sleep(1)
+    entry = fleet.admissions[fleet.owner()]
+    same = 0
+    for number in range(1, 41):
+        permit = await entry.acquire(fleet.ask(number))
+        same += permit.upstream.id == before[number]
+        entry.release(permit, 'complete')
+
+    assert same == 40
+
+
+async def test_lost_release_does_not_leak_load(nursery, autojump_clock):
+    # the connection to the owner breaks while a release is on the way: the
+    # engine would look loaded for ever
+    fleet = fakes.Fleet(nursery, routers=3, engines=2)
+    owner = fleet.owner()
+    entry = next(name for name in fleet.names if name != owner)
+    permit = await fleet.admissions[entry].acquire(fleet.ask(1))
+    fleet.network.cut(owner, entry)
+    fleet.admissions[entry].release(permit, 'complete')
+    await trio.sleep(0.5)
+    fleet.network.mend(owner, entry)
+    await trio.sleep(15)
+
+    group = next(iter(fleet.admissions[owner].owner.owned.values()))
+
+    assert not group.table.permits
+
+
+async def test_entry_that_dies_frees_its_permits(nursery, autojump_clock):
+    fleet = fakes.Fleet(nursery, routers=3, engines=2)
+    await fill(fleet, 6)
+    owner = fleet.owner()
+    entry = next(name for name in fleet.names if name != owner)
+    lose(fleet, entry)
+    await trio.sleep(1)
+
+    group = next(iter(fleet.admissions[owner].owner.owned.values()))
+
+    assert len(group.table.permits) == 4
+
+
+async def test_two_owners_share_the_headroom_between_reports(
+    nursery, autojump_clock
+):
+    # half of the routers see the owner as gone for five seconds and ask the
+    # next one; each of the two sees the other's permits only in reports that
+    # are a second old. Both filling the same headroom, engines would stand
+    # at nearly twice the bound
+    fleet = fakes.Fleet(nursery, routers=6, engines=4)
+    await fill(fleet, 40)
+    fleet.report(fleet.loads())
+    await trio.sleep(1)
+    owner = fleet.owner()
+    others = [name for name in fleet.names if name != owner]
+    for name in others[:3]:
+        fleet.views[name].set_routers(others)
+    await trio.sleep(0.1)
+    most = []
+
+    async def ask(number):
+        entry = fleet.admissions[fleet.names[number % 6]]
+        with trio.move_on_after(4):
+            await entry.acquire(fleet.ask(number))
+            loads = fleet.loads()
+            allowed = placement.allowed_load(
+                fleet.pool, sum(loads.values()) - 1, 4
+            )
+            most.append(max(loads.values()) - allowed)
+
+    async with trio.open_nursery() as asking:
+        for number in range(100, 130):
+            asking.start_soon(ask, number)
+
+    assert most
+    assert max(most) <= 1
+
+
+async def test_entry_knows_first_that_an_upstream_is_leaving(
+    nursery, autojump_clock
+):
+    # the VM list tells the entry that an engine is leaving, the owner hears
+    # it seconds later and still grants it: nothing new may be sent there
+    fleet = fakes.Fleet(nursery, routers=3, engines=3)
+    owner = fleet.owner()
+    entry = next(name for name in fleet.names if name != owner)
+    fleet.views[entry].set_upstreams(fleet.vms[1:])
+
+    used = []
+
+    async def ask(number):
+        permit = await fleet.admissions[entry].acquire(fleet.ask(number))
+        used.append(permit.upstream.id)
+
+    async with trio.open_nursery() as asking:
+        for number in range(20):
+            asking.start_soon(ask, number)
+        await trio.sleep(3)
+        fleet.views[owner].set_upstreams(fleet.vms[1:])
+
+    assert len(used) == 20
+    assert set(used) == {'engine-1', 'engine-2'}
+
+
+async def test_no_owner_reachable_admits_within_the_own_share(
+    nursery, autojump_clock
+):
+    # the owner is cut off from everybody and no view shows it yet
+    fleet = fakes.Fleet(nursery, routers=4, engines=4)
+    fleet.report({vm.id: 8 for vm in fleet.vms})
+    owner = fleet.owner()
+    rest = [name for name in fleet.names if name != owner]
+    for name in rest:
+        fleet.network.cut(owner, name)
+    granted = []
+
+    async def ask(number):
+        entry = fleet.admissions[rest[number % 3]]
+        with trio.move_on_after(3):
+            granted.append(await entry.acquire(fleet.ask(number)))
+
+    async def report():
+        await trio.sleep(1)
+        fleet.report({vm.id: 8 for vm in fleet.vms})
+
+    async with trio.open_nursery() as asking:
+        asking.start_soon(report)
+        for number in range(60):
+            asking.start_soon(ask, number)
+
+    loads = fleet.loads()
+    allowed = placement.allowed_load(fleet.pool, 32, 4)
+    assert granted
+    assert all(permit.degraded for permit in granted)
+    assert 8 + max(loads.values()) <= allowed + 1
+
+
+async def test_waiting_requests_move_to_the_next_owner(nursery, autojump_clock):
+    # the owner dies while requests wait in its queue: they must not stay
+    # there until their deadline
+    pool = configuration.Pool('chat', 'model', max_load=1)
+    fleet = fakes.Fleet(nursery, routers=4, engines=1, pool=pool)
+    lost = fleet.owner()
+    rest = [name for name in fleet.names if name != lost]
+    first = await fleet.admissions[rest[0]].acquire(fleet.ask(1))
+    done = []
+
+    async def ask():
+        permit = await fleet.admissions[rest[1]].acquire(fleet.ask(2))
+        done.append((trio.current_time(), permit))
+
+    nursery.start_soon(ask)
+    await trio.sleep(2)
+    lose(fleet, lost)
+    await trio.sleep(1)
+    fleet.admissions[rest[0]].release(first, 'complete')
+    await trio.sleep(2)
+
+    assert done
+    assert done[0][0] < 5.5
+
+
+async def test_pool_full_is_told_at_once_when_the_queue_is_too_long(
+    nursery, autojump_clock
+):
+    # a request that cannot be served in time must not be held back until
+    # its deadline: its caller is told now, and when to come again
+    pool = configuration.Pool('chat', 'model', max_load=1)
+    fleet = fakes.Fleet(nursery, routers=1, engines=1, pool=pool)
+    entry = fleet.admissions['router-0']
+
+    async def keep_busy(number):
+        permit = await entry.acquire(
+            fleet.ask(number, deadline=trio.current_time() + 600)
+        )
+        await trio.sleep(2)
+        entry.release(permit, 'complete')
+
+    for number in range(40):
+        nursery.start_soon(keep_busy, number)
+    await trio.sleep(10)
+    started = trio.current_time()
+
+    with pytest.raises(errors.PoolFull) as caught:
+        await entry.acquire(fleet.ask(99, deadline=started + 20))
+
+    assert trio.current_time() - started < 0.5
+    assert caught.value.retry_after > 20
+
+
+async def test_small_customer_passes_the_queue_of_a_surging_one(
+    nursery, autojump_clock
+):
+    pool = configuration.Pool('chat', 'model', max_load=2, max_waiting=50)
+    fleet = fakes.Fleet(nursery, routers=2, engines=2, pool=pool)
+    entry = fleet.admissions['router-0']
+    refused = []
+
+    async def surge(number):
+        deadline = trio.current_time() + 600
+        ask = fleet.ask(number, customer='city', deadline=deadline)
+        try:
+            permit = await entry.acquire(ask)
+        except errors.PoolFull:
+            refused.append(number)
+            return
+        await trio.sleep(1)
+        entry.release(permit, 'complete')
+
+    for number in range(100):
+        nursery.start_soon(surge, number)
+    await trio.sleep(3)
+    started = trio.current_time()
+
+    await fleet.admissions['router-1'].acquire(
+        fleet.ask(1000, customer='court')
+    )
+
+    assert trio.current_time() - started <= 1.1
+    assert refused
+
+
+async def test_instant_requests_find_room_in_a_full_pool(
+    nursery, autojump_clock
+):
+    pool = configuration.Pool('chat', 'model', max_load=10)
+    fleet = fakes.Fleet(nursery, routers=2, engines=2, pool=pool)
+    entry = fleet.admissions['router-0']
+
+    async def hold(number):
+        await entry.acquire(fleet.ask(number))
+
+    for number in range(40):
+        nursery.start_soon(hold, number)
+    await trio.sleep(1)
+    started = trio.current_time()
+
+    await fleet.admissions['router-1'].acquire(
+        fleet.ask(99, priority=fakes.requests.Priority.INSTANT)
+    )
+
+    assert trio.current_time() - started < 0.01
+
+
+async def test_joining_engine_pulls_no_returning_chat(nursery, autojump_clock):
+    # an engine joins with an empty cache and no load; returning chats that
+    # went there would have their contexts computed anew for nothing
+    fleet = fakes.Fleet(nursery, routers=2, engines=3)
+    entry = fleet.admissions['router-0']
+    before = {}
+    for number in range(30):
+        permit = await entry.acquire(fleet.ask(number))
+        before[number] = permit.upstream.id
+        entry.release(permit, 'complete')
+    joined = [*fleet.vms, fakes.engine_vm('engine-9')]
+    for view in fleet.views.values():
+        view.set_upstreams(joined)
+
+    for number in range(30):
+        permit = await entry.acquire(fleet.ask(number))
+        assert permit.upstream.id == before[number]
+        entry.release(permit, 'complete')
+
+
+async def test_groups_of_a_pool_keep_one_bound(nursery, autojump_clock):
+    # three groups with owners of their own; each knows its engines only and
+    # hears of the others' load every half second
+    pool = configuration.Pool('chat', 'model', groups=3)
+    fleet = fakes.Fleet(nursery, routers=5, engines=9, pool=pool)
+    await trio.sleep(1)
+    for number in range(120):
+        name = fleet.names[number % 5]
+        await fleet.admissions[name].acquire(fleet.ask(number))
+        await trio.sleep(0.05)
+    await trio.sleep(1)
+
+    loads = fleet.loads()
+
+    assert max(loads.values()) <= 1.25 * 120 / 9 + 1
