--- a/bench/decisions/cases.py
+++ b/bench/decisions/cases.py
@@ -160,6 +160,21 @@
     ]
 
 
+@CASES.register('ownership')
+def ownership(length: Length) -> list[Setup]:
+    """One owner for the pool against more and smaller groups."""
+    case = base(workload.RUTACLARA, length, 'rutaclara')
+    setups = []
+    for count in (1, 3, 9):
+        pool = configuration.Pool('chat', 'model', groups=count)
+        one = attrs.evolve(case, pool=pool)
+        setups.append(Setup(f'{count} groups, steady', one))
+        setups.append(
+            Setup(f'{count} groups, churn', one, tuple(churn_of(case)))
+        )
+    return setups
+
+
 @CASES.register('poison')
 def poison(length: Length) -> list[Setup]:
     """One request kills each engine that runs it; it is sent 50 times."""
