--- a/bench/agreed/at_most_once.py
+++ b/bench/agreed/at_most_once.py
@@ -213,10 +213,12 @@
             await self.every(OUTAGE_EVERY_SECONDS)
             began = trio.current_time()
             if self.rng.random() < 0.5:
+                # one that lasts beyond the end of the run counts as well
+                self.outages.append((began, float('inf')))
                 self.store.fault(outage=True)
                 await self.every(4.0)
                 self.store.fault(outage=False)
-                self.outages.append((began, trio.current_time()))
+                self.outages[-1] = (began, trio.current_time())
             else:
                 self.store.fault(lost_answers=0.2, lost_requests=0.1)
                 await self.every(4.0)
@@ -244,13 +246,9 @@
         """Returns whether an outage touched the life of a sending."""
         return any(
             send.began <= end and start <= send.told_at
-            for start, end in [*self.outages, *self.current_outage()]
+            for start, end in self.outages
         )
 
-    def current_outage(self) -> list[tuple[float, float]]:
-        """Returns an outage that was not over at the end of the run."""
-        return [(0, 0)] if not self.store.faults.outage else [(0, 1e18)]
-
     def result(self) -> Result:
         """Counts what happened."""
         refused = [
--- a/bench/agreed/claim_rate.py
+++ b/bench/agreed/claim_rate.py
@@ -9,6 +9,7 @@
 
 from bench.agreed import fleets
 from lavenderbend import errors
+from lavenderbend.coordination import claim_waiting
 from lavenderbend.coordination import claims as claims_module
 from lavenderbend.standin import key_value
 
@@ -61,7 +62,7 @@
         )
         policy = claims_module.ClaimPolicy(
             shards=shards,
-            shard=claims_module.claim_shards.ShardPolicy(gap=0.0105 * shards),
+            shard=claim_waiting.ShardPolicy(gap=0.0105 * shards),
         )
         self.fleet = fleets.Fleet(
             self.store, self.rng, policy, claims_module.Claims
--- a/lavenderbend/coordination/claim_shards.py
+++ b/lavenderbend/coordination/claim_shards.py
@@ -6,11 +6,12 @@
 import time
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import claim_waiting
 from lavenderbend.coordination import log
+from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import records_claims
 from lavenderbend.state import claims
@@ -38,69 +39,6 @@
 )
 
 
-@attrs.frozen
-class ShardPolicy:
-    """How a shard writes.
-
-    Attributes:
-        gap: Least seconds between the beginnings of two batches.
-        outcome_delay: Seconds that outcomes wait for claims to ride with.
-        give_up: Seconds of silence of the key-value service after which
-            claims are refused at once.
-        failed_calls: Calls that must have failed in a row besides, so that
-            a service that only loses answers now and then is not taken for
-            one that is down.
-    """
-
-    gap: float = 0.0105
-    outcome_delay: float = 0.5
-    give_up: float = 2.0
-    failed_calls: int = 8
-
-
-@attrs.define(eq=False)
-class Waiting:
-    """A claim that waits to be committed.
-
-    Attributes:
-        line: The claim.
-        deadline: When its asker stops waiting.
-        since: When it came.
-        failures: Calls to the service that began since and failed.
-        batched: Whether it is part of a batch that may have been written.
-        state: Where it stands, None while undecided.
-        decided: Set with `state`.
-    """
-
-    line: claims.ClaimLine
-    deadline: float
-    since: float
-    failures: int = 0
-    batched: bool = False
-    state: claims.ClaimState | None = None
-    decided: trio.Event = attrs.field(factory=trio.Event)
-
-    def decide(self, state: claims.ClaimState) -> None:
-        """Gives the answer."""
-        self.state = state
-        self.decided.set()
-
-
-@attrs.define(eq=False)
-class WaitingOutcomes:
-    """Outcomes that wait to be committed.
-
-    Attributes:
-        lines: The outcomes.
-        since: When they came.
-        committed: Set when they stand in the log.
-    """
-
-    lines: tuple[claims.OutcomeLine, ...]
-    since: float
-    committed: trio.Event = attrs.field(factory=trio.Event)
-
-
 class Shard:
     """Commits claims of one shard, many with one write.
 
@@ -125,7 +63,7 @@
         store: interfaces.KeyValueStore,
         prefix: str,
         rng: random.Random,
-        policy: ShardPolicy,
+        policy: claim_waiting.ShardPolicy,
         clock: Callable[[], float] = time.time,
     ) -> None:
         self.number = number
@@ -135,8 +73,8 @@
         self.clock = clock
         self.table = claims.ClaimTable()
         self.next = 0
-        self.waiting: list[Waiting] = []
-        self.outcomes: list[WaitingOutcomes] = []
+        self.waiting: list[claim_waiting.Waiting] = []
+        self.outcomes: list[claim_waiting.WaitingOutcomes] = []
         self.work = trio.Event()
         self.progress = trio.Event()
         self.last_batch = float('-inf')
@@ -160,9 +98,11 @@
         if known is claims.ClaimState.REUSED:
             # the claim with the other body may have been released since
             self.stale = True
-        elif not self.stale and known is not claims.ClaimState.ABSENT:
+        elif known is not claims.ClaimState.ABSENT:
+            # also while the service is down: a copy of a request that ran
+            # must not hear 'not run' where it is known that it ran
             return known
-        waiting = Waiting(line, deadline, trio.current_time())
+        waiting = claim_waiting.Waiting(line, deadline, trio.current_time())
         self.waiting.append(waiting)
         self.work.set()
         with trio.move_on_at(deadline):
@@ -174,7 +114,7 @@
     ) -> bool:
         """Commits outcomes; returns whether they stand in the log."""
         self.used_at = trio.current_time()
-        waiting = WaitingOutcomes(lines, trio.current_time())
+        waiting = claim_waiting.WaitingOutcomes(lines, trio.current_time())
         self.outcomes.append(waiting)
         self.work.set()
         with trio.move_on_at(deadline):
@@ -227,7 +167,11 @@
                 pause = RETRY_SECONDS
             except errors.LogCompacted:
                 self.reset()
-            except errors.KeyValueError:
+            except (errors.KeyValueError, errors.CodecError) as exc:
+                # an entry that cannot be read may hold a claim: nothing is
+                # answered from beyond it
+                if isinstance(exc, errors.CodecError):
+                    logs.change('claims_unreadable', fault=str(exc))
                 self.down()
                 await trio.sleep(self.rng.uniform(pause / 2, pause))
                 pause = min(pause * 2, MAX_RETRY_SECONDS)
@@ -323,7 +267,7 @@
             self.stale = True
         self.answer_known()
 
-    def committed(self, outcomes: list[WaitingOutcomes]) -> None:
+    def committed(self, outcomes: list[claim_waiting.WaitingOutcomes]) -> None:
         """Tells those who wait for outcomes to be committed."""
         for waiting in outcomes:
             waiting.committed.set()
--- a/lavenderbend/coordination/claims.py
+++ b/lavenderbend/coordination/claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import secrets
 import time
 from typing import TYPE_CHECKING
@@ -10,9 +11,11 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import claim_inquiries
+from lavenderbend.coordination import claim_outcomes
 from lavenderbend.coordination import claim_shards
+from lavenderbend.coordination import claim_waiting
 from lavenderbend.observe import logs
-from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_agreed as messages
 from lavenderbend.state import claims
 from lavenderbend.state import hashing
@@ -25,25 +28,9 @@
     from lavenderbend.protocol import peer
 
 DEFAULT_PREFIX = '/lavenderbend/claims/'
-ASK_SECONDS = 1.0
-ANSWER_MARGIN_SECONDS = 0.5
-REFUSED_RETRY_SECONDS = 2.0
-OUTCOME_GATHER_SECONDS = 0.1
-OUTCOME_ASK_SECONDS = 2.0
-OUTCOME_RETRY_SECONDS = 0.5
-MAX_OUTCOMES_QUEUED = 100_000
 HOUSEKEEPING_SECONDS = 10.0
 DROP_IDLE_SECONDS = 60.0
-UNDECIDED_SECONDS = 0.02
-GIVEN_UP = (claims.ClaimState.REFUSED, claims.ClaimState.UNAVAILABLE)
-
-CLAIMS = metrics.counter(
-    'lavenderbend_claims_total', 'Claims by what their asker was told.'
-)
-OUTCOMES_DROPPED = metrics.counter(
-    'lavenderbend_claim_outcomes_dropped_total',
-    'Outcomes never recorded because too many were queued.',
-)
+MAX_OWN = 20_000
 
 
 @attrs.frozen
@@ -64,34 +51,11 @@
     retention: float = 3600.0
     clock_margin: float = 300.0
     gone_seconds: float = 5.0
-    shard: claim_shards.ShardPolicy = attrs.field(
-        factory=claim_shards.ShardPolicy
+    shard: claim_waiting.ShardPolicy = attrs.field(
+        factory=claim_waiting.ShardPolicy
     )
 
 
-@attrs.define
-class Inquiry:
-    """What one call of `Claims.claim` goes through.
-
-    Attributes:
-        token: Of the claim.
-        digest: Hash of the body.
-        deadline: When to give up.
-        tries: Owners asked in vain.
-        unsure: Whether the claim may stand in the log or come to.
-    """
-
-    token: claims.ClaimToken
-    digest: bytes
-    deadline: float
-    tries: int = 0
-    unsure: bool = False
-
-    def left(self) -> float:
-        """Returns the seconds to the deadline."""
-        return self.deadline - trio.current_time()
-
-
 class Claims:
     """Claims on one router: asks owners, and is the owner of its shards.
 
@@ -103,7 +67,9 @@
         rng: Source of jitter.
         policy: How claims are kept.
         shards: Shards loaded here, by number.
-        queue: Outcomes not yet delivered, by shard.
+        outcomes: Outcomes not yet recorded.
+        inquirer: Asks the owners of shards.
+        own: The latest requests claimed here, by key, with their outcomes.
     """
 
     def __init__(
@@ -127,14 +93,15 @@
         self.clock = clock
         self.shards: dict[int, claim_shards.Shard] = {}
         self.scopes: dict[int, trio.CancelScope] = {}
-        self.queue: dict[int, list[claims.OutcomeLine]] = {}
-        self.queued = trio.Event()
-        self.delivering = False
-        self.delivered = trio.Event()
-        self.outcome_tries: dict[int, int] = {}
+        self.outcomes = claim_outcomes.OutcomeQueue(link, self.owner, rng)
+        self.inquirer = claim_inquiries.Inquirer(name, link, self.owner, rng)
+        self.own: collections.OrderedDict[bytes, claims.Recorded] = (
+            collections.OrderedDict()
+        )
         self.missing_since: dict[str, float] = {}
         self.nursery: trio.Nursery | None = None
         link.handle(messages.ClaimAsk, self.on_claim)
+        link.handle(messages.ClaimLook, self.on_look)
         link.handle(messages.OutcomesSay, self.on_outcomes)
 
     async def claim(
@@ -156,9 +123,11 @@
         )
         # a hash of the digest, so that digests of any length may come
         digest = claims.key_hash('', body_digest.hex())
-        inquiry = Inquiry(token, digest[: claims.DIGEST_BYTES], deadline)
+        inquiry = claim_inquiries.Inquiry(
+            token, digest[: claims.DIGEST_BYTES], deadline
+        )
         try:
-            answer = await self.decided(inquiry)
+            answer = await self.inquirer.decided(inquiry)
         except BaseException:
             # whoever gives up must free the key: the claim may stand in
             # the log, or come to stand there later
@@ -171,9 +140,10 @@
         self, answer: messages.ClaimAnswer, token: claims.ClaimToken
     ) -> claims.Claimed | claims.Recorded:
         """Returns what the answer of an owner means to the asker."""
-        CLAIMS.inc({'result': answer.state})
+        claim_inquiries.CLAIMS.inc({'result': answer.state})
         state = claims.ClaimState(answer.state)
         if state is claims.ClaimState.CLAIMED:
+            self.remember(token, errors.Outcome.UNKNOWN, None)
             return claims.Claimed(token)
         if state is claims.ClaimState.REUSED:
             raise errors.IdempotencyKeyReused(
@@ -184,59 +154,24 @@
             return claims.Recorded(outcome, answer.status)
         return claims.Recorded(errors.Outcome.UNKNOWN)
 
-    async def decided(self, inquiry: Inquiry) -> messages.ClaimAnswer:
-        """Asks owners until one decides, or the deadline comes.
-
-        Raises:
-            ClaimUnavailable: None did.
-        """
-        running = None
-        while inquiry.left() > 0:
-            answer = await self.ask(inquiry)
-            state = claims.ClaimState(answer.state)
-            if state in GIVEN_UP:
-                raise self.unavailable('the key-value service is down')
-            if state is claims.ClaimState.RUNNING:
-                running = answer
-            elif state is claims.ClaimState.UNDECIDED:
-                inquiry.tries += 1
-                await trio.sleep(self.rng.uniform(0, UNDECIDED_SECONDS))
-            elif inquiry.left() > 0:
-                return answer
-        if running is not None:
-            return running
-        raise self.unavailable('not decided before the deadline')
-
-    def unavailable(self, detail: str) -> errors.ClaimUnavailable:
-        """Returns the error for a claim that was not committed."""
-        CLAIMS.inc({'result': claims.ClaimState.UNAVAILABLE.value})
-        return errors.ClaimUnavailable(detail, REFUSED_RETRY_SECONDS)
-
-    async def ask(self, inquiry: Inquiry) -> messages.ClaimAnswer:
-        """Asks one owner; undecided if it cannot be reached.
-
-        After a failure the next router by rank is asked, with the same
-        token: if the first one committed the claim all the same, the log
-        says so and the answer is 'claimed', once.
-        """
-        token = inquiry.token
-        patience = min(inquiry.left(), ASK_SECONDS)
-        ask = messages.ClaimAsk(
-            token.shard, token.key, token.id, inquiry.digest, patience
-        )
-        timeout = min(inquiry.left(), patience + ANSWER_MARGIN_SECONDS)
-        owner = self.owner(token.shard, inquiry.tries)
-        sure, inquiry.unsure = not inquiry.unsure, True
-        try:
-            with trio.move_on_after(timeout):
-                answer = await self.link.request(owner, ask, timeout)
-                refused = claims.ClaimState.REFUSED.value
-                if sure and answer.state == refused:
-                    inquiry.unsure = False
-                return answer
-        except errors.PeerError:
-            pass
-        return messages.ClaimAnswer(claims.ClaimState.UNDECIDED.value)
+    async def on_look(
+        self, router: str, look: messages.ClaimLook
+    ) -> peer.Message:
+        """Answers from what is known here without asking the service."""
+        own = self.own.get(look.key)
+        if own is not None:
+            return messages.ClaimAnswer(
+                claims.ClaimState.RECORDED.value,
+                own.outcome.value,
+                own.status,
+            )
+        shard = self.shards.get(look.shard)
+        if shard is None:
+            return messages.ClaimAnswer(claims.ClaimState.ABSENT.value)
+        state = shard.table.state(look.key, look.token, look.digest)
+        if state is claims.ClaimState.RECORDED:
+            return self.recorded(shard, look.key)
+        return messages.ClaimAnswer(state.value)
 
     def owner(self, shard: int, tries: int = 0) -> str:
         """Returns the router to ask, the next by rank after each try."""
@@ -251,89 +186,38 @@
         status: int | None = None,
     ) -> None:
         """Queues the outcome of a claimed request; does not wait."""
-        self.enqueue(token, outcome, status)
-
-    def release(self, token: claims.ClaimToken) -> None:
-        """Queues the end of a claim that will never be run."""
-        self.enqueue(token, errors.Outcome.NOT_RUN, None)
+        self.remember(token, outcome, status)
+        self.outcomes.add(token, outcome, status)
 
-    def enqueue(
+    def remember(
         self,
         token: claims.ClaimToken,
         outcome: errors.Outcome,
         status: int | None,
     ) -> None:
-        """Queues an outcome for the owner of its shard."""
-        lines = self.queue.setdefault(token.shard, [])
-        if len(lines) >= MAX_OUTCOMES_QUEUED:
-            OUTCOMES_DROPPED.inc({})
-            return
-        line = claims.OutcomeLine(token.key, token.id, outcome, status)
-        lines.append(line)
-        self.queued.set()
+        """Notes what became of a request that was claimed here."""
+        self.own.pop(token.key, None)
+        if outcome is not errors.Outcome.NOT_RUN:
+            self.own[token.key] = claims.Recorded(outcome, status)
+        while len(self.own) > MAX_OWN:
+            self.own.popitem(last=False)
+
+    def release(self, token: claims.ClaimToken) -> None:
+        """Queues the end of a claim that will never be run."""
+        self.outcomes.add(token, errors.Outcome.NOT_RUN, None)
 
     async def drain(self) -> None:
         """Waits until every queued outcome is recorded."""
-        while self.delivering or any(self.queue.values()):
-            await self.delivered.wait()
+        await self.outcomes.drain()
 
     async def run(self) -> None:
         """Serves peers and delivers outcomes until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            nursery.start_soon(self.deliver)
+            nursery.start_soon(self.outcomes.run)
             nursery.start_soon(self.keep_house)
             nursery.start_soon(self.load_owned)
 
-    async def deliver(self) -> None:
-        """Takes queued outcomes to the owners of their shards."""
-        while True:
-            await self.queued.wait()
-            await trio.sleep(OUTCOME_GATHER_SECONDS)
-            self.queued = trio.Event()
-            queue, self.queue = self.queue, {}
-            self.delivering = True
-            async with trio.open_nursery() as nursery:
-                for shard, lines in queue.items():
-                    nursery.start_soon(self.deliver_lines, shard, lines)
-            self.delivering = False
-            delivered, self.delivered = self.delivered, trio.Event()
-            delivered.set()
-
-    async def deliver_lines(
-        self, shard: int, lines: list[claims.OutcomeLine]
-    ) -> None:
-        """Has outcomes recorded, or puts them back into the queue."""
-        say = messages.OutcomesSay(
-            shard,
-            [line.key for line in lines],
-            [line.token for line in lines],
-            [line.outcome.value for line in lines],
-            [line.status for line in lines],
-            OUTCOME_ASK_SECONDS,
-        )
-        if await self.say(say, self.outcome_tries.get(shard, 0)):
-            self.outcome_tries.pop(shard, None)
-            return
-        # the next by rank; an owner that was asked in vain may be gone
-        self.outcome_tries[shard] = self.outcome_tries.get(shard, 0) + 1
-        self.queue.setdefault(shard, [])[:0] = lines
-        self.queued.set()
-        pause = OUTCOME_RETRY_SECONDS
-        await trio.sleep(self.rng.uniform(pause / 2, pause))
-
-    async def say(self, say: messages.OutcomesSay, tries: int) -> bool:
-        """Asks one owner to record outcomes; returns whether it did."""
-        timeout = say.patience + ANSWER_MARGIN_SECONDS
-        owner = self.owner(say.shard, tries)
-        try:
-            with trio.move_on_after(timeout):
-                answer = await self.link.request(owner, say, timeout)
-                return answer.committed
-        except errors.PeerError:
-            pass
-        return False
-
     async def on_claim(
         self, router: str, ask: messages.ClaimAsk
     ) -> peer.Message:
@@ -348,14 +232,14 @@
             state = await self.wait_for_first(shard, line, deadline)
         if state is not claims.ClaimState.RECORDED:
             return messages.ClaimAnswer(state.value)
-        return self.recorded(shard, ask)
+        return self.recorded(shard, ask.key)
 
     def recorded(
-        self, shard: claim_shards.Shard, ask: messages.ClaimAsk
+        self, shard: claim_shards.Shard, key: bytes
     ) -> messages.ClaimAnswer:
         """Returns the recorded outcome, unknown while there is none."""
         state = claims.ClaimState.RECORDED.value
-        held = shard.table.held.get(ask.key)
+        held = shard.table.held.get(key)
         if held is None or held.outcome is None:
             return messages.ClaimAnswer(state, errors.Outcome.UNKNOWN.value)
         return messages.ClaimAnswer(state, held.outcome.value, held.status)
--- a/lavenderbend/protocol/messages_agreed.py
+++ b/lavenderbend/protocol/messages_agreed.py
@@ -126,3 +126,21 @@
     """
 
     committed: bool
+
+
+@peer.message(34)
+@attrs.frozen
+class ClaimLook(peer.Message):
+    """Asks what the receiver's table knows of a key, without writing.
+
+    Attributes:
+        shard: Number of the shard.
+        key: Hash of customer and idempotency key.
+        token: Token of the asker's claim.
+        digest: Hash of the body.
+    """
+
+    shard: int
+    key: bytes
+    token: bytes
+    digest: bytes
--- a/tests/test_coordination/test_agreed_bounds.py
+++ b/tests/test_coordination/test_agreed_bounds.py
@@ -11,8 +11,8 @@
 from bench.agreed import measures
 from bench.agreed import operators
 from bench.agreed import spread
+from lavenderbend.coordination import claim_inquiries
 from lavenderbend.coordination import claim_shards
-from lavenderbend.coordination import claims as claims_module
 from lavenderbend.coordination import configuration_chain
 from lavenderbend.coordination import configuration_follower
 from lavenderbend.coordination import configuration_log
@@ -44,7 +44,7 @@
     assert result.ran_twice > 0
 
 
-class ImpatientClaims(claims_module.Claims):
+class ImpatientInquirer(claim_inquiries.Inquirer):
     """Takes any trouble for a service that is down."""
 
     async def ask(self, inquiry):
@@ -53,9 +53,13 @@
             raise self.unavailable('trouble')
         return answer
 
+    async def look_around(self, inquiry):
+        return None
 
-def test_at_most_once_check_finds_innocents_refused():
-    result = at_most_once.run(1500, seed=5, rate=15.0, make=ImpatientClaims)
+
+def test_at_most_once_check_finds_innocents_refused(monkeypatch):
+    monkeypatch.setattr(claim_inquiries, 'Inquirer', ImpatientInquirer)
+    result = at_most_once.run(1500, seed=5, rate=15.0)
     assert result.innocent_refused > 0
 
 
--- a/tests/test_coordination/test_agreed_claims.py
+++ b/tests/test_coordination/test_agreed_claims.py
@@ -137,7 +137,7 @@
     first = await one.claim('ana', 'k', BODY, soon())
     await two.record(first.token, errors.Outcome.NOT_RUN)
     # the release goes through another owner, unseen by the first
-    two.outcome_tries[0] = 1
+    two.outcomes.tries[0] = 1
     await two.drain()
     second = await one.claim('ana', 'k', b'another', soon())
     assert isinstance(second, claims.Claimed)
@@ -161,7 +161,7 @@
         with pytest.raises(errors.ClaimUnavailable):
             await two.claim('ana', f'k{number}', BODY, soon(60))
     assert trio.current_time() - before < 100 * 0.8
-    assert sum(len(lines) for lines in two.queue.values()) == 0
+    assert sum(len(lines) for lines in two.outcomes.queue.values()) == 0
     fleet.store.fault(outage=False)
     await trio.sleep(2)
     assert isinstance(await two.claim('ana', 'k', BODY, soon()), claims.Claimed)
@@ -310,3 +310,31 @@
     assert state is claims.ClaimState.UNAVAILABLE
     got = await two.claim('ana', 'k', BODY, soon())
     assert isinstance(got, claims.Claimed)
+
+
+async def test_copy_during_an_outage_hears_that_the_first_ran(
+    fleet, autojump_clock
+):
+    """The service goes down and the owner's VM is replaced, then a copy comes.
+
+    The new owner cannot read the log. Told 'not run', the caller might send
+    its reply to a citizen under another key.
+    """
+    one, two = fleet.others()
+    first = await one.claim('ana', 'k', BODY, soon())
+    fleet.store.fault(outage=True)
+    await one.record(first.token, errors.Outcome.COMPLETE, 200)
+    fleet.kill(fleet.owner())
+    second = await two.claim('ana', 'k', BODY, soon())
+    assert second == claims.Recorded(errors.Outcome.COMPLETE, 200)
+
+
+async def test_unreadable_entry_refuses_claims_and_hides_none(
+    store, nursery, autojump_clock
+):
+    """Something else wrote into the log; the router must not crash on it."""
+    await store.create('/lavenderbend/claims/0000/entry/' + '1' * 16, b'x')
+    fleet = Fleet(store, nursery)
+    with pytest.raises(errors.ClaimUnavailable):
+        await fleet.others()[0].claim('ana', 'k', BODY, soon())
+    nursery.cancel_scope.cancel()
