--- a/lavenderbend/coordination/interfaces.py
+++ b/lavenderbend/coordination/interfaces.py
@@ -251,7 +251,10 @@
 
     @abc.abstractmethod
     def report_at(self, upstream: str) -> float:
-        """Returns the router clock at which that report was taken."""
+        """Returns the router clock at which that report was taken.
+
+        Minus infinity while there is none.
+        """
 
     @abc.abstractmethod
     async def wait_changed(self) -> None:
--- a/tests/test_coordination/test_admission_reports.py
+++ b/tests/test_coordination/test_admission_reports.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import trio
+
 from bench.decisions import views
 from lavenderbend.coordination.admission import groups
 from tests import fakes
@@ -37,3 +39,31 @@
     fleet.admissions[entry].suspect(order[0])
 
     assert entry in pollers(fleet, 'engine-0')
+
+
+async def test_first_reports_do_not_draw_all_load(nursery, autojump_clock):
+    # a router becomes the owner and has the report of one engine a moment
+    # before those of the others: a mean over that engine alone let it take
+    # everything, and a planner's route waited there while others were idle
+    fleet = fakes.Fleet(nursery, engines=5)
+    fleet.report({'engine-0': 0})
+    granted = []
+
+    async def acquire(number: int) -> None:
+        entry = fleet.admissions[fleet.names[number % 3]]
+        granted.append(await entry.acquire(fleet.ask(number)))
+
+    with trio.move_on_after(0.5):
+        async with trio.open_nursery() as asking:
+            for number in range(10):
+                asking.start_soon(acquire, number)
+    assert len(granted) <= fleet.pool.floor
+
+    fleet.report(fleet.loads())
+    # those that gave up above were still waiting at the owner
+    await trio.sleep(0.5)
+    fleet.report(fleet.loads())
+    async with trio.open_nursery() as asking:
+        for number in range(10, 16):
+            asking.start_soon(acquire, number)
+    assert max(fleet.loads().values()) <= fleet.pool.floor
