--- a/lavenderbend/coordination/dispatch/once.py
+++ b/lavenderbend/coordination/dispatch/once.py
@@ -59,9 +59,9 @@
 async def run_whole(run: exchange.Exchange) -> bytes:
     """Runs a request to its end and returns the whole body.
 
-    It goes on when the caller goes away: cut off, nobody could say whether
-    it ran, and the caller's next copy could never be answered. The rule's
-    timeout bounds it.
+    The caller shields it: cut off because its own caller went away, nobody
+    could say whether it ran, and the next copy could never be answered. The
+    rule's timeout bounds it.
 
     Raises:
         RequestError: The answer cannot be had.
@@ -69,7 +69,7 @@
     limit = run.parts.settings.answers.whole_bytes
     parts: list[bytes] = []
     size = 0
-    with trio.CancelScope(shield=True, deadline=run.deadline):
+    with trio.move_on_at(run.deadline):
         piece = await run.begin()
         while piece is not None:
             size += len(piece)
--- a/tests/test_coordination/test_dispatch_faults.py
+++ b/tests/test_coordination/test_dispatch_faults.py
@@ -182,6 +182,18 @@
     assert response.json()['outcome'] == 'unknown'
 
 
+async def test_no_permit_after_a_broken_attempt_is_not_called_not_run():
+    # The same with admission in the second engine's place: it has no other
+    # upstream to give. Its own error says "not run", which is untrue by now.
+    async with path_fakes.running(engines=1) as path:
+        path.admission.only_fresh = True
+        inject(path, 'cut')
+        response = await path.client.post(
+            path_fakes.CHAT_PATH, json=path_fakes.chat_body()
+        )
+    assert response.json()['outcome'] == 'unknown'
+
+
 async def test_upstream_error_answer_is_passed_on_as_it_is():
     # An engine answers 500 in good order: that is its whole answer, and the
     # caller gets it rather than a second run.
