Bound the handshakes that peers may begin at once

Cause: whoever reaches the peer port could open connections, say nothing, and have each held until its handshake timed out. 512 at most now.

--- a/lavenderbend/transport/links.py
+++ b/lavenderbend/transport/links.py
@@ -18,14 +18,16 @@
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_membership as messages
 from lavenderbend.protocol import peer
-from lavenderbend.transport import peer_connections
 from lavenderbend.transport import peer_handlers
+from lavenderbend.transport import peer_openings
 from lavenderbend.transport import peer_wires
 from lavenderbend.transport import tls as peer_tls
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from lavenderbend.transport import peer_connections
+
 LINKS: registry.Registry[type[BatchLink]] = registry.Registry('peer link')
 
 DROPPED = metrics.counter(
@@ -48,6 +50,7 @@
         silence: Seconds without a sign that it takes besides, so that a
             short pause of the peer loses no request.
         retry_delay: Seconds between a failed dial and the next.
+        handshakes: Connections of peers that may be opening at once.
         idle: Seconds without a message after which a connection closes.
         age: Seconds after which a connection is replaced by a new one,
             made with the certificates of that time.
@@ -60,6 +63,7 @@
     misses: int = 3
     silence: float = 3.0
     retry_delay: float = 0.1
+    handshakes: int = 512
     idle: float = 300.0
     age: float = 3600.0
 
@@ -132,6 +136,7 @@
         self.live: set[peer_connections.Connection] = set()
         self.dropped: collections.Counter[str] = collections.Counter()
         self.incoming = peer_handlers.Incoming(self)
+        self.openings = peer_openings.Openings(self)
         self.packer = msgpack.Packer()
 
     # counters
@@ -238,7 +243,7 @@
             return
         box.put(number, data)
         if box.connection is None:
-            self.redial(box)
+            self.openings.redial(box)
 
     def why_not(self, box: peer_wires.Outbox, size: int) -> str | None:
         """Returns why a message cannot be queued, None if it can."""
@@ -256,13 +261,6 @@
             return 'dial failed just now'
         return None
 
-    def redial(self, box: peer_wires.Outbox) -> None:
-        """Opens a connection for what still waits in an outbox."""
-        if not box.items or box.dialing or self.nursery is None:
-            return
-        box.dialing = True
-        self.nursery.start_soon(self.dial_peer, box)
-
     def count_dropped(self, cause: str) -> None:
         """Counts something that was given up."""
         DROPPED.inc({'cause': cause})
@@ -306,7 +304,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
-                nursery.start_soon(self.close_idle)
+                nursery.start_soon(self.openings.close_idle)
                 await self.listen()
         finally:
             self.nursery = None
@@ -314,7 +312,7 @@
 
     @abc.abstractmethod
     async def listen(self) -> None:
-        """Serves inbound wires by `accept`; sets `port` and `started`."""
+        """Serves inbound wires by `openings`; sets `port` and `started`."""
 
     @abc.abstractmethod
     async def dial(self, peer_id: str, host: str, port: int) -> peer_wires.Wire:
@@ -325,46 +323,6 @@
             PeerProtocolError: The peer is somebody else.
         """
 
-    async def dial_peer(self, box: peer_wires.Outbox) -> None:
-        """Connects to a peer and serves the connection."""
-        host, port = self.addresses.get(box.peer_id, ('', 0))
-        connection = None
-        try:
-            with trio.fail_after(self.limits.dial_timeout):
-                wire = await self.dial(box.peer_id, host, port)
-                connection = peer_connections.Connection(self, wire, True)
-                await connection.greet(box.peer_id)
-        except (OSError, trio.TooSlowError, errors.LavenderbendError) as exc:
-            if connection is not None:
-                await connection.discard()
-            self.dial_failed(box, exc)
-            return
-        box.dialing = False
-        await connection.serve()
-
-    def dial_failed(self, box: peer_wires.Outbox, exc: Exception) -> None:
-        """Gives up what waited for a connection that did not come."""
-        box.dialing = False
-        box.dial_after = trio.current_time() + self.limits.retry_delay
-        self.count_dropped('dial failed')
-        if box.connection is not None:
-            return
-        box.clear()
-        self.fail_calls(f'no connection: {exc!r}', box.peer_id)
-
-    async def accept(self, wire: peer_wires.Wire) -> None:
-        """Serves a wire that a peer has opened."""
-        connection = peer_connections.Connection(self, wire, False)
-        try:
-            with trio.fail_after(self.limits.dial_timeout):
-                await connection.greet(None)
-        except (OSError, trio.TooSlowError, errors.LavenderbendError) as exc:
-            self.count_dropped('bad hello')
-            logs.change('peer_refused', router=self.name, error=str(exc))
-            await connection.discard()
-            return
-        await connection.serve()
-
     def fail_calls(self, reason: str, peer_id: str | None = None) -> None:
         """Ends requests that can get no answer any more."""
         for call in self.calls.values():
@@ -372,16 +330,6 @@
                 call.error = errors.PeerUnreachable(f'{call.peer_id}: {reason}')
                 call.done.set()
 
-    async def close_idle(self) -> None:
-        """Closes connections that nobody has used for long, or are old."""
-        while True:
-            await trio.sleep(min(self.limits.idle, self.limits.age) / 4)
-            now = trio.current_time()
-            for connection in list(self.live):
-                unused = now - connection.last_used > self.limits.idle
-                if unused or now - connection.began > self.limits.age:
-                    connection.retire()
-
     async def close(self) -> None:
         """Says goodbye to all peers; new messages are refused."""
         self.stopping = True
--- a/lavenderbend/transport/peer_connections.py
+++ b/lavenderbend/transport/peer_connections.py
@@ -214,7 +214,7 @@
                 await self.wire.send(b''.join(items))
             if box.connection is self and not link.stopping:
                 box.connection = None
-                link.redial(box)
+                link.openings.redial(box)
             await self.send_now(messages.Goodbye(link.stopping))
             # a peer that never says goodbye in its turn is cut off
             self.scope.deadline = trio.current_time() + GOODBYE_TIMEOUT
@@ -258,7 +258,7 @@
             return
         if self.goodbye is not None and not self.goodbye.final:
             # closed in agreement: what is in flight goes on by the next
-            link.redial(box)
+            link.openings.redial(box)
             return
         box.clear()
         link.fail_calls('the connection was lost', self.peer_id)
--- a/lavenderbend/transport/peer_frames.py
+++ b/lavenderbend/transport/peer_frames.py
@@ -136,16 +136,21 @@
 
     async def accept_stream(self, stream: trio.SocketStream) -> None:
         """Serves a peer that has connected to us."""
-        counting = counted(stream)
+        if not self.openings.may_accept():
+            await trio.aclose_forcefully(stream)
+            return
+        self.openings.accepting += 1
         try:
             with trio.fail_after(self.limits.dial_timeout):
                 context = self.tls and self.tls.server_context()
-                wire = await secured(counting, context, server_side=True)
+                wire = await secured(counted(stream), context, server_side=True)
         except (OSError, trio.TooSlowError) as exc:
             self.note_handshake_failure(exc)
             await trio.aclose_forcefully(stream)
             return
-        await self.accept(wire)
+        finally:
+            self.openings.accepting -= 1
+        await self.openings.accept(wire)
 
     async def dial(self, peer_id: str, host: str, port: int) -> FrameWire:
         """Returns a wire to a peer."""
--- a/lavenderbend/transport/peer_grpc.py
+++ b/lavenderbend/transport/peer_grpc.py
@@ -242,7 +242,7 @@
     def begin(self, wire: StreamWire) -> None:
         """Begins to serve a wire, in trio."""
         if self.link.nursery is not None:
-            self.link.nursery.start_soon(self.link.accept, wire)
+            self.link.nursery.start_soon(self.link.openings.accept, wire)
 
 
 def certificate_names(context: dict) -> frozenset[str]:
--- a/tests/test_transport/test_tls.py
+++ b/tests/test_transport/test_tls.py
@@ -202,3 +202,34 @@
         assert await stream.receive_some(100) == b''
 
     assert link.dropped['bad handshake'] == 1
+
+
+async def test_idle_handshakes_are_bounded(nursery, files):
+    # somebody opens connections to the peer port and says nothing on them.
+    # Each would hold memory until its handshake times out.
+    limits = links.LinkLimits(handshakes=3, dial_timeout=60.0)
+    link = peer_frames.FramesLink(
+        'r1', '127.0.0.1', 0, files.issue('r1'), limits
+    )
+    nursery.start_soon(link.run)
+    await link.started.wait()
+    streams = [
+        await trio.open_tcp_stream('127.0.0.1', link.port) for _ in range(8)
+    ]
+    ended = []
+
+    async def read(stream):
+        ended.append(await stream.receive_some(100))
+
+    with trio.move_on_after(30) as scope:
+        async with trio.open_nursery() as reading:
+            for stream in streams:
+                reading.start_soon(read, stream)
+            with trio.fail_after(20):
+                while link.dropped['too many handshakes'] < 5:
+                    await trio.lowlevel.checkpoint()
+            scope.cancel()
+
+    assert link.openings.accepting == 3
+    for stream in streams:
+        await stream.aclose()
