--- /dev/null
+++ b/lavenderbend/coordination/cache_transfer.py
@@ -0,0 +1,168 @@
+"""Moves chat contexts off engines that are leaving, where it pays."""
+
+from __future__ import annotations
+
+import abc
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.observe import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MOVED = metrics.counter(
+    'lavenderbend_contexts_moved_total', 'Contexts moved off leaving engines.'
+)
+LEFT = metrics.counter(
+    'lavenderbend_contexts_left_total', 'Contexts that did not pay to move.'
+)
+
+
+class CacheClient(abc.ABC):
+    """Exports and imports KV cache of engines."""
+
+    @abc.abstractmethod
+    async def export_chat(self, upstream: str, chat: int) -> bytes:
+        """Returns the cache of a chat.
+
+        Raises:
+            UpstreamError: The engine has none, or does not answer.
+        """
+
+    @abc.abstractmethod
+    async def import_chat(self, upstream: str, chat: int, data: bytes) -> None:
+        """Gives an engine the cache of a chat.
+
+        Raises:
+            UpstreamError: The engine did not take it.
+        """
+
+
+@attrs.frozen
+class TransferSettings:
+    """What the cost rule reckons with.
+
+    Attributes:
+        bytes_per_token: Size of the cache of one token.
+        bytes_per_second: What the link of the leaving engine carries.
+        tokens_per_second: Prompt tokens a second that an engine computes.
+        return_seconds: Mean time after which a chat returns.
+        margin: How many times the time of moving must be saved.
+        seconds: Time that a leaving engine has for it.
+    """
+
+    bytes_per_token: float = 131_072.0
+    bytes_per_second: float = 1.25e9
+    tokens_per_second: float = 10_000.0
+    return_seconds: float = 300.0
+    margin: float = 2.0
+    seconds: float = 10.0
+
+
+@attrs.frozen
+class Context:
+    """A chat's context on the leaving engine.
+
+    Attributes:
+        chat: Hash of the chat.
+        tokens: Its size.
+        idle: Seconds since the chat's last turn.
+    """
+
+    chat: int
+    tokens: int
+    idle: float
+
+
+@attrs.frozen
+class Move:
+    """A context and where it goes.
+
+    Attributes:
+        context: The context.
+        target: VM id of the engine that gets it.
+        seconds: Time that moving takes.
+    """
+
+    context: Context
+    target: str
+    seconds: float
+
+
+def move_seconds(tokens: int, settings: TransferSettings) -> float:
+    """Returns the time that moving a context takes."""
+    return tokens * settings.bytes_per_token / settings.bytes_per_second
+
+
+def saved_seconds(context: Context, settings: TransferSettings) -> float:
+    """Returns the time that a moved context is expected to save.
+
+    That is the time of computing it anew, by the chance that the chat
+    returns at all: the longer it has been idle, the smaller.
+    """
+    chance = math.exp(-context.idle / settings.return_seconds)
+    return chance * context.tokens / settings.tokens_per_second
+
+
+def pays(context: Context, settings: TransferSettings) -> bool:
+    """Returns whether a context should be moved."""
+    cost = move_seconds(context.tokens, settings) * settings.margin
+    return saved_seconds(context, settings) > cost
+
+
+def plan(
+    contexts: Sequence[Context],
+    loads: dict[str, int],
+    settings: TransferSettings,
+) -> list[Move]:
+    """Returns the moves that pay, those that save most for their time first.
+
+    Args:
+        contexts: What the leaving engine holds.
+        loads: Load of each engine that could take some.
+        settings: The cost rule.
+    """
+    if not loads:
+        return []
+    expected = {name: float(load) for name, load in loads.items()}
+    left = settings.seconds
+    moves: list[Move] = []
+    order = sorted(contexts, key=lambda one: (one.idle, one.chat))
+    for context in order:
+        seconds = move_seconds(context.tokens, settings)
+        if not pays(context, settings) or seconds > left:
+            continue
+        left -= seconds
+        target = min(expected, key=lambda name: (expected[name], name))
+        expected[target] += 0.1
+        moves.append(Move(context, target, seconds))
+    return moves
+
+
+async def carry_out(
+    client: CacheClient, source: str, moves: Sequence[Move], seconds: float
+) -> list[Move]:
+    """Moves contexts within a time; returns the moves that succeeded.
+
+    One at a time: the link of the leaving engine also carries the answers
+    that it is still generating.
+    """
+    done: list[Move] = []
+    with trio.move_on_after(seconds):
+        for move in moves:
+            chat = move.context.chat
+            try:
+                data = await client.export_chat(source, chat)
+                await client.import_chat(move.target, chat, data)
+            except errors.UpstreamError:
+                # the context is computed anew at its next turn
+                LEFT.inc({'upstream': source})
+                continue
+            MOVED.inc({'upstream': source})
+            done.append(move)
+    return done
