--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -180,12 +180,17 @@
             raise errors.ClaimUnavailable(
                 'no claims log', run.parts.settings.retry_after_seconds
             )
-        claim = await self.claims.claim(
-            run.request.customer, key, once.digest(run.request), run.deadline
-        )
-        if isinstance(claim, claims_state.Recorded):
-            return replay(run, claim, finish)
+        # a caller that goes away during the claim leaves it committed or not;
+        # going on to the outcome answers its next copy in either case
         with trio.CancelScope(shield=True):
+            claim = await self.claims.claim(
+                run.request.customer,
+                key,
+                once.digest(run.request),
+                run.deadline,
+            )
+            if isinstance(claim, claims_state.Recorded):
+                return replay(run, claim, finish)
             body = await self.run_claimed(run, claim.token)
         start = run.attempt.answer.start
         headers = answer_headers(start, self.name, len(body))
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -155,6 +155,7 @@
         self.digests: dict[tuple[str, str], Any] = {}
         self.recorded: dict[tuple[str, str], trio.Event] = {}
         self.unavailable = False
+        self.commit_seconds = 0.0
 
     async def claim(
         self, customer: str, key: str, digest: Any, deadline: float
@@ -166,6 +167,7 @@
         if token not in self.digests:
             self.digests[token] = digest
             self.recorded[token] = trio.Event()
+            await trio.sleep(self.commit_seconds)
             return claims.Claimed(token)
         if self.digests[token] != digest:
             raise errors.IdempotencyKeyReused('another body')
--- a/tests/test_coordination/test_dispatch_once.py
+++ b/tests/test_coordination/test_dispatch_once.py
@@ -100,6 +100,19 @@
     assert len(service.log.records) == 1
 
 
+async def test_caller_that_goes_away_during_the_claim_leaves_an_outcome():
+    # The caller gives up while the claim is being committed. Given up with
+    # it, the claim would stand without an outcome: the next copy would wait
+    # in vain and be told "unknown" though nothing ran.
+    async with path_fakes.running() as path:
+        path.claims.commit_seconds = 0.2
+        with trio.move_on_after(0.1):
+            await post(path)
+        second = await post(path)
+    assert second.json()['outcome'] == 'complete'
+    assert len(path.services[0].log.records) == 1
+
+
 async def test_without_a_key_it_is_refused_before_anything():
     async with path_fakes.running() as path:
         response = await post(path, headers={})
