Keep a server up when an answer is cancelled at its head

Cause: an application cancelled inside the first part of its answer makes hypercorn send an error on top; h11 refuses it, and the error ended the server's nursery. After: that one connection is reset, the next is served; the new test fails without the guard.

--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import h11
 import hypercorn
 from hypercorn import utils
 from hypercorn.trio import tcp_server
@@ -212,9 +213,14 @@
             await tcp_server.TCPServer(
                 self.app, self.config, self.context, state, bounded
             ).run()
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             # the other side went away, which is its right
-            return
+            pass
+        except* h11.LocalProtocolError:
+            # an application that is cancelled while it sends the head of
+            # its answer: hypercorn then sends an error of its own on top,
+            # which h11 refuses; unguarded that ended the whole server
+            await bounded.abort()
         finally:
             self.open -= 1
             self.watch.remove(bounded.waiter)
--- a/tests/test_transport/test_serving.py
+++ b/tests/test_transport/test_serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 
 import pytest
@@ -219,3 +220,48 @@
         stream = await connect(port, b'GET / HT')
         assert await read_until(stream, b'never') == b''
         nursery.cancel_scope.cancel()
+
+
+async def cancelled_app(scope, receive, send):
+    """Is cancelled between the head and the body of its answer."""
+    if scope['type'] != 'http':
+        return
+    if scope['path'] == '/gone':
+        with trio.CancelScope() as scope_of_answer:
+            scope_of_answer.cancel()
+            await send(
+                {'type': 'http.response.start', 'status': 200, 'headers': []}
+            )
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': b'x',
+                    'more_body': True,
+                }
+            )
+        return
+    await send({'type': 'http.response.start', 'status': 200, 'headers': []})
+    await send({'type': 'http.response.body', 'body': b'ok'})
+
+
+async def test_answer_cancelled_at_its_head_ends_one_connection(nursery):
+    # a clerk's browser goes away just as the head of its answer is sent:
+    # the error that the server then tried to send broke the protocol, and
+    # the whole router ended with every other clerk's answer
+    serve = functools.partial(
+        serving.serve, cancelled_app, '127.0.0.1', 0, shutdown=trio.Event()
+    )
+    port = await nursery.start(serve)
+    gone = await trio.open_tcp_stream('127.0.0.1', port)
+    await gone.send_all(REQUEST.replace(b'GET /', b'GET /gone'))
+    with contextlib.suppress(trio.BrokenResourceError):
+        while await gone.receive_some():
+            pass
+
+    other = await trio.open_tcp_stream('127.0.0.1', port)
+    await other.send_all(CLOSING)
+    received = b''
+    while data := await other.receive_some():
+        received += data
+
+    assert received.endswith(b'ok\r\n0\r\n\r\n')
