Move contexts off leaving engines where the cost rule says so

At 10 Gbit/s and 128 KiB of cache a token, moving a context takes as long as computing it anew at 10,000 tokens a second; the rule moves nothing then.

--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -38,6 +38,7 @@
     'others_first_token',
     'others_refused',
     'late_refusals',
+    'moved',
     'poisoned',
     'innocents',
     'late_work',
--- a/bench/decisions/cases.py
+++ b/bench/decisions/cases.py
@@ -12,6 +12,7 @@
 from bench.decisions import workload
 from bench.decisions import world
 from lavenderbend import registry
+from lavenderbend.coordination import cache_transfer
 from lavenderbend.state import configuration
 
 if TYPE_CHECKING:
@@ -160,6 +161,21 @@
     ]
 
 
+@CASES.register('transfer')
+def transfer(length: Length) -> list[Setup]:
+    """An engine leaves every 30 s and another joins; contexts move or not."""
+    case = base(workload.CORREO, length, 'correo')
+    moving = configuration.Pool('chat', 'model', exports_cache=True)
+    what = tuple(churn_of(case))
+    setups = [Setup('left behind', case, what)]
+    for name, rate in (('10 Gbit/s', 1.25e9), ('100 Gbit/s', 12.5e9)):
+        rule = cache_transfer.TransferSettings(bytes_per_second=rate)
+        settings = attrs.evolve(case.settings, transfer=rule)
+        one = attrs.evolve(case, pool=moving, settings=settings)
+        setups.append(Setup(f'moved where it pays, {name}', one, what))
+    return setups
+
+
 @CASES.register('ownership')
 def ownership(length: Length) -> list[Setup]:
     """One owner for the pool against more and smaller groups."""
--- a/bench/decisions/figures.py
+++ b/bench/decisions/figures.py
@@ -38,6 +38,7 @@
         others_first_token: 99th percentile of their first token.
         others_refused: Their requests that got an error.
         late_refusals: Refusals told within a second of the deadline.
+        moved: Contexts that were moved off leaving engines.
         poisoned: Engines that a request killed.
         innocents: Requests without fault that the quarantine refused.
         refused: Requests that got an error.
@@ -60,6 +61,7 @@
     others_first_token: float
     others_refused: int
     late_refusals: int
+    moved: int
     poisoned: int
     innocents: int
     refused: int
@@ -112,6 +114,7 @@
         late_refusals=sum(
             bool(one.error) and one.decided > TIMEOUT - 1 for one in counted
         ),
+        moved=record.moved,
         poisoned=record.poisoned,
         innocents=sum(
             one.error == 'RequestQuarantined' and not one.arrival.poison
--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -19,6 +19,7 @@
 from bench.decisions import workload
 from lavenderbend import errors
 from lavenderbend.coordination import admission
+from lavenderbend.coordination import cache_transfer
 from lavenderbend.coordination import quarantine
 from lavenderbend.coordination.admission import groups
 from lavenderbend.state import configuration
@@ -111,6 +112,7 @@
         late_work: Requests sent to each leaving engine: seconds after the
             first signal.
         poisoned: Engines that were killed by a request.
+        moved: Contexts that were moved off leaving engines.
         counts: Bytes and messages of each router.
         seconds: Virtual length.
     """
@@ -121,6 +123,7 @@
     skews: list[tuple[float, float]] = attrs.field(factory=list)
     late_work: list[float] = attrs.field(factory=list)
     poisoned: int = 0
+    moved: int = 0
     counts: dict[str, network.Counts] = attrs.field(factory=dict)
     seconds: float = 0.0
 
@@ -208,6 +211,7 @@
             self.configurations,
             random.Random(f'{self.case.seed}/{name}'),
             self.case.settings,
+            EngineCaches(self),
         )
         self.admissions[name] = one
         self.quarantines[name] = quarantine.Quarantine(
@@ -409,6 +413,39 @@
                 self.record.skews.append((now, max(loads) / mean))
 
 
+class EngineCaches(cache_transfer.CacheClient):
+    """Moves contexts between the engines of a run."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    async def export_chat(self, upstream: str, chat: int) -> bytes:
+        """Returns the size of a context, after the time it takes."""
+        engine = self.world.engines[upstream]
+        full = self.find(engine, chat)
+        tokens = engine.cache.get(full)
+        if engine.down:
+            raise errors.UpstreamUnreachable(upstream)
+        if tokens == 0:
+            raise errors.UpstreamRefused(upstream)
+        transfer = self.world.case.settings.transfer
+        await trio.sleep(cache_transfer.move_seconds(tokens, transfer))
+        self.world.record.moved += 1
+        return f'{full} {tokens}'.encode()
+
+    async def import_chat(self, upstream: str, chat: int, data: bytes) -> None:
+        """Puts a context into an engine's cache."""
+        full, tokens = data.decode().split()
+        self.world.engines[upstream].cache.put(int(full), int(tokens))
+
+    def find(self, engine: engines.Engine, chat: int) -> int:
+        """Returns the whole hash of a chat, 0 if it is not cached."""
+        for full in engine.cache.chats:
+            if full >> 32 == chat:
+                return full
+        return 0
+
+
 def fingerprint_of(arrival: workload.Arrival) -> int:
     """Returns the fingerprint of a request."""
     return arrival.chat if arrival.poison else arrival.number
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -9,6 +9,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination.admission import copies
 from lavenderbend.coordination.admission import entries
+from lavenderbend.coordination.admission import leaving
 from lavenderbend.coordination.admission import loads
 from lavenderbend.coordination.admission import shares
 from lavenderbend.coordination.admission import spread
@@ -17,6 +18,7 @@
 from lavenderbend.state import placements
 
 if TYPE_CHECKING:
+    from lavenderbend.coordination import cache_transfer
     from lavenderbend.coordination import interfaces
     from lavenderbend.coordination.admission import groups
     from lavenderbend.coordination.admission import settings as settings_
@@ -38,6 +40,7 @@
         membership: interfaces.Membership,
         settings: settings_.AdmissionSettings,
         pool_sums: sums.PoolSums,
+        cache_client: cache_transfer.CacheClient | None = None,
     ) -> None:
         self.group = group
         self.entries = entries.Entries(membership, settings.heard)
@@ -52,6 +55,9 @@
         )
         self.spread = spread.Spread(self.loads, self.places, settings.chats)
         self.copies = copies.Copies(group, self.places)
+        self.leaving = leaving.Leaving(
+            self.loads, self.places, cache_client, settings.transfer
+        )
 
     def hear(self, entry: str) -> None:
         """Notes a sign that an entry takes this router for the owner."""
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -15,6 +15,7 @@
 from lavenderbend.protocol import messages_decisions
 
 if TYPE_CHECKING:
+    from lavenderbend.coordination import cache_transfer
     from lavenderbend.coordination import interfaces
     from lavenderbend.coordination.admission import settings as settings_
     from lavenderbend.protocol import peer
@@ -37,6 +38,7 @@
         membership: interfaces.Membership,
         directory: groups.Directory,
         settings: settings_.AdmissionSettings,
+        cache_client: cache_transfer.CacheClient | None = None,
     ) -> None:
         self.name = name
         self.link = link
@@ -45,6 +47,7 @@
         self.settings = settings
         self.created = trio.Event()
         self.sums = sums.PoolSums()
+        self.cache_client = cache_client
         self.owned: dict[groups.GroupId, owned.OwnedGroup] = {}
         link.handle(messages_decisions.PermitRequest, self.on_request)
         link.handle(messages_decisions.PermitRelease, self.on_release)
@@ -65,6 +68,7 @@
                 self.membership,
                 self.settings,
                 self.sums,
+                self.cache_client,
             )
             self.created.set()
         return self.owned[group]
@@ -189,9 +193,19 @@
                 if name not in started:
                     started.add(name)
                     nursery.start_soon(group.room.run_patience)
+                    nursery.start_soon(self.run_leaving, group)
             await self.created.wait()
             self.created = trio.Event()
 
+    async def run_leaving(self, group: owned.OwnedGroup) -> None:
+        """Moves contexts off the upstreams that leave a group."""
+        while True:
+            try:
+                await group.leaving.look()
+            except errors.NoConfiguration:
+                pass
+            await self.membership.wait_changed()
+
     async def run_ticks(self) -> None:
         """Serves and expires waiting requests."""
         while True:
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     import random
 
+    from lavenderbend.coordination import cache_transfer
     from lavenderbend.protocol import peer
     from lavenderbend.state import configuration
     from lavenderbend.state import upstreams
@@ -59,6 +60,7 @@
         configurations: interfaces.Configurations,
         rng: random.Random,
         settings: settings_.AdmissionSettings | None = None,
+        cache_client: cache_transfer.CacheClient | None = None,
     ) -> None:
         self.name = name
         self.link = link
@@ -68,7 +70,12 @@
         self.settings = settings or settings_.AdmissionSettings()
         self.directory = groups.Directory(membership, configurations)
         self.owner = owner_.Owner(
-            name, link, membership, self.directory, self.settings
+            name,
+            link,
+            membership,
+            self.directory,
+            self.settings,
+            cache_client,
         )
         self.local = degraded.LocalShare(name, membership)
         self.held: dict[int, search.Held] = {}
--- a/lavenderbend/coordination/admission/settings.py
+++ b/lavenderbend/coordination/admission/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from lavenderbend.coordination import cache_transfer
+
 
 @attrs.frozen
 class AdmissionSettings:
@@ -32,6 +34,7 @@
         fair_reserve: Part of `max_load` only for customers below their
             fair share.
         instant_reserve: Part of `max_load` only for instant requests.
+        transfer: Cost rule for contexts on engines that leave.
     """
 
     ask_timeout: float = 0.3
@@ -50,3 +53,6 @@
     full_patience: float = 1.0
     fair_reserve: float = 0.1
     instant_reserve: float = 0.1
+    transfer: cache_transfer.TransferSettings = (
+        cache_transfer.TransferSettings()
+    )
--- a/lavenderbend/coordination/admission/waiting.py
+++ b/lavenderbend/coordination/admission/waiting.py
@@ -146,7 +146,9 @@
         self.shares.live[ask.customer] += 1
         if ask.chat:
             instance = self.loads.instance(upstream)
-            self.places.put(ask.chat, placements.Place(upstream, instance))
+            use = placements.Use(ask.prompt_tokens, trio.current_time())
+            place = placements.Place(upstream, instance)
+            self.places.put(ask.chat, place, use)
         waiter.choice = choice
         waiter.done.set()
         GRANTS.inc({'reason': choice.reason})
--- a/lavenderbend/coordination/cache_transfer.py
+++ b/lavenderbend/coordination/cache_transfer.py
@@ -13,6 +13,7 @@
 from lavenderbend.observe import metrics
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Sequence
 
 MOVED = metrics.counter(
@@ -22,6 +23,8 @@
     'lavenderbend_contexts_left_total', 'Contexts that did not pay to move.'
 )
 
+MAX_FAILURES = 3
+
 
 class CacheClient(abc.ABC):
     """Exports and imports KV cache of engines."""
@@ -31,7 +34,8 @@
         """Returns the cache of a chat.
 
         Raises:
-            UpstreamError: The engine has none, or does not answer.
+            UpstreamUnreachable: The engine does not answer.
+            UpstreamError: It has none.
         """
 
     @abc.abstractmethod
@@ -146,23 +150,46 @@
 
 async def carry_out(
     client: CacheClient, source: str, moves: Sequence[Move], seconds: float
-) -> list[Move]:
-    """Moves contexts within a time; returns the moves that succeeded.
+) -> AsyncIterator[Move]:
+    """Moves contexts within a time; yields the moves that succeeded.
 
     One at a time: the link of the leaving engine also carries the answers
-    that it is still generating.
+    that it is still generating. An engine that has died instead of leaving
+    is given up after a few failures.
+    """
+    deadline = trio.current_time() + seconds
+    failures = 0
+    for move in moves:
+        left = deadline - trio.current_time()
+        if left <= 0 or failures >= MAX_FAILURES:
+            return
+        moved = False
+        try:
+            with trio.move_on_after(left):
+                moved = await move_one(client, source, move)
+        except errors.UpstreamUnreachable:
+            failures += 1
+        if moved:
+            failures = 0
+            yield move
+
+
+async def move_one(client: CacheClient, source: str, move: Move) -> bool:
+    """Moves one context; returns whether it has arrived.
+
+    Raises:
+        UpstreamUnreachable: One of the two engines does not answer.
     """
-    done: list[Move] = []
-    with trio.move_on_after(seconds):
-        for move in moves:
-            chat = move.context.chat
-            try:
-                data = await client.export_chat(source, chat)
-                await client.import_chat(move.target, chat, data)
-            except errors.UpstreamError:
-                # the context is computed anew at its next turn
-                LEFT.inc({'upstream': source})
-                continue
-            MOVED.inc({'upstream': source})
-            done.append(move)
-    return done
+    chat = move.context.chat
+    try:
+        data = await client.export_chat(source, chat)
+        await client.import_chat(move.target, chat, data)
+    except errors.UpstreamUnreachable:
+        LEFT.inc({'upstream': source})
+        raise
+    except errors.UpstreamError:
+        # the context is computed anew at its next turn
+        LEFT.inc({'upstream': source})
+        return False
+    MOVED.inc({'upstream': source})
+    return True
--- a/lavenderbend/state/placements.py
+++ b/lavenderbend/state/placements.py
@@ -24,6 +24,19 @@
     instance: int
 
 
+@attrs.frozen
+class Use:
+    """The last turn of a chat.
+
+    Attributes:
+        tokens: Its prompt tokens.
+        at: Owner clock.
+    """
+
+    tokens: int
+    at: float
+
+
 class Placements:
     """Chat to its last places, the latest first; the oldest chat goes.
 
@@ -32,6 +45,7 @@
         chats: The places, the chat that was used last at the end.
         unsent: Chats whose latest place the standby does not know.
         fresh: Chats placed here since this router became the owner.
+        uses: Size and time of the last turn of chats placed here.
     """
 
     def __init__(self, capacity: int = DEFAULT_CAPACITY) -> None:
@@ -41,14 +55,17 @@
         )
         self.unsent: dict[int, None] = {}
         self.fresh: set[int] = set()
+        self.uses: dict[int, Use] = {}
 
     def get(self, chat: int) -> tuple[Place, ...]:
         """Returns the places of a chat, the latest first."""
         return self.chats.get(chat, ())
 
-    def put(self, chat: int, place: Place) -> None:
+    def put(self, chat: int, place: Place, use: Use | None = None) -> None:
         """Notes the latest place of a chat."""
         self.fresh.add(chat)
+        if use is not None:
+            self.uses[chat] = use
         known = self.chats.get(chat, ())
         if not known or known[0] != place:
             self.unsent[chat] = None
@@ -63,6 +80,7 @@
             gone, _ = self.chats.popitem(last=False)
             self.unsent.pop(gone, None)
             self.fresh.discard(gone)
+            self.uses.pop(gone, None)
 
     def learn(self, chat: int, place: Place) -> None:
         """Notes a place from another owner, unless this one has newer."""
@@ -82,3 +100,11 @@
 
     def __len__(self) -> int:
         return len(self.chats)
+
+    def at(self, place: Place) -> dict[int, Use]:
+        """Returns the chats whose context is at a place, with their uses."""
+        return {
+            chat: self.uses[chat]
+            for chat, places in self.chats.items()
+            if places[0] == place and chat in self.uses
+        }
--- /dev/null
+++ b/tests/test_coordination/test_placement_cache_transfer.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination import cache_transfer
+from lavenderbend.state import configuration
+from tests import fakes
+
+FAST = cache_transfer.TransferSettings(bytes_per_second=12.5e9)
+
+
+class Client(cache_transfer.CacheClient):
+    def __init__(self, error=None):
+        self.error = error
+        self.exports = 0
+        self.imports = []
+
+    async def export_chat(self, upstream, chat):
+        self.exports += 1
+        if self.error is not None:
+            raise self.error
+        await trio.sleep(0.01)
+        return b'cache'
+
+    async def import_chat(self, upstream, chat, data):
+        self.imports.append((upstream, chat, data))
+
+
+def test_moving_does_not_pay_on_a_slow_link():
+    context = cache_transfer.Context(1, 4000, 1.0)
+    slow = cache_transfer.TransferSettings(bytes_per_second=1.25e9)
+
+    assert cache_transfer.pays(context, FAST)
+    assert not cache_transfer.pays(context, slow)
+
+
+def test_chat_that_will_hardly_return_is_left_behind():
+    assert not cache_transfer.pays(
+        cache_transfer.Context(1, 4000, 3600.0), FAST
+    )
+
+
+def test_plan_spreads_and_keeps_to_the_time():
+    contexts = [
+        cache_transfer.Context(chat, 100_000, 1.0) for chat in range(20)
+    ]
+
+    moves = cache_transfer.plan(contexts, {'a': 1, 'b': 1}, FAST)
+
+    assert sum(move.seconds for move in moves) <= FAST.seconds
+    assert {move.target for move in moves} == {'a', 'b'}
+    assert 0 < len(moves) < 20
+
+
+async def test_engine_that_died_is_given_up_soon(autojump_clock):
+    # the engine is not leaving but dead: trying all its chats would take
+    # the connection timeout of each
+    client = Client(errors.UpstreamUnreachable('gone'))
+    contexts = [cache_transfer.Context(chat, 1000, 1.0) for chat in range(50)]
+    moves = cache_transfer.plan(contexts, {'a': 1}, FAST)
+
+    done = [
+        move
+        async for move in cache_transfer.carry_out(client, 'x', moves, 10.0)
+    ]
+
+    assert done == []
+    assert client.exports == cache_transfer.MAX_FAILURES
+
+
+async def test_chats_follow_their_moved_contexts(nursery, autojump_clock):
+    # an engine leaves and its chats' contexts are moved; the next turn of
+    # each must go where its context now is
+    pool = configuration.Pool('chat', 'model', exports_cache=True)
+    fleet = fakes.Fleet(nursery, routers=2, engines=3, pool=pool)
+    fleet.report({vm.id: 0 for vm in fleet.vms})
+    client = Client()
+    owner = fleet.admissions[fleet.owner()]
+    owner.owner.cache_client = client
+    owner.owner.owned.clear()
+    settings = cache_transfer.TransferSettings(bytes_per_second=12.5e9)
+    for number in range(1, 31):
+        entry = fleet.admissions[fleet.names[number % 2]]
+        ask = fleet.ask(number, prompt_tokens=5000)
+        entry.release(await entry.acquire(ask), 'complete')
+    group = next(iter(owner.owner.owned.values()))
+    group.leaving.settings = settings
+    await trio.sleep(1)
+    for view in fleet.views.values():
+        view.set_upstreams(fleet.vms[1:])
+    await trio.sleep(5)
+
+    assert client.imports
+    for target, chat, _ in client.imports:
+        assert group.places.get(chat)[0].upstream == target
