Bound the outcomes in one batch of claims

After a long outage a queue of 100,000 outcomes would have made an entry over the service's limit of a value, refused for ever. Seen red without the bound.

--- a/lavenderbend/coordination/claim_outcomes.py
+++ b/lavenderbend/coordination/claim_outcomes.py
@@ -22,6 +22,7 @@
 ANSWER_MARGIN_SECONDS = 0.5
 RETRY_SECONDS = 0.5
 MAX_QUEUED = 100_000
+MAX_LINES = 2000
 
 DROPPED = metrics.counter(
     'lavenderbend_claim_outcomes_dropped_total',
@@ -81,7 +82,7 @@
             await self.queued.wait()
             await trio.sleep(GATHER_SECONDS)
             self.queued = trio.Event()
-            queue, self.queue = self.queue, {}
+            queue = self.take()
             self.delivering = True
             async with trio.open_nursery() as nursery:
                 for shard, lines in queue.items():
@@ -90,6 +91,21 @@
             delivered, self.delivered = self.delivered, trio.Event()
             delivered.set()
 
+    def take(self) -> dict[int, list[claims.OutcomeLine]]:
+        """Takes the next outcomes, no more than fit one batch of a log.
+
+        After a long outage there are many: all in one entry would be over
+        the service's limit of a value, and nothing would ever be written.
+        """
+        taken = {}
+        for shard, lines in self.queue.items():
+            taken[shard] = lines[:MAX_LINES]
+            self.queue[shard] = lines[MAX_LINES:]
+        self.queue = {n: lines for n, lines in self.queue.items() if lines}
+        if self.queue:
+            self.queued.set()
+        return taken
+
     async def deliver_lines(
         self, shard: int, lines: list[claims.OutcomeLine]
     ) -> None:
--- a/lavenderbend/coordination/claim_shards.py
+++ b/lavenderbend/coordination/claim_shards.py
@@ -238,10 +238,21 @@
                 left.append(waiting)
         self.waiting = left
 
+    def next_outcomes(self) -> list[claim_waiting.WaitingOutcomes]:
+        """Returns the oldest outcomes, as many as fit one batch."""
+        lines = 0
+        found = []
+        for waiting in self.outcomes:
+            lines += len(waiting.lines)
+            if found and lines > MAX_BATCH_LINES:
+                break
+            found.append(waiting)
+        return found
+
     async def commit(self) -> None:
         """Writes one batch and takes whatever stands at its number."""
         batched = self.waiting[:MAX_BATCH_LINES]
-        outcomes = list(self.outcomes)
+        outcomes = self.next_outcomes()
         if not batched and not outcomes:
             return
         value = records_claims.encode(
--- a/tests/test_coordination/test_agreed_claims.py
+++ b/tests/test_coordination/test_agreed_claims.py
@@ -338,3 +338,29 @@
     with pytest.raises(errors.ClaimUnavailable):
         await fleet.others()[0].claim('ana', 'k', BODY, soon())
     nursery.cancel_scope.cancel()
+
+
+async def test_many_outcomes_kept_back_fit_the_service(fleet, autojump_clock):
+    """After a long outage every router brings a long queue of outcomes.
+
+    In one entry they would be over the service's limit, refused again and
+    again, and claims with them.
+    """
+    original = fleet.store.create
+    sizes = []
+
+    async def create(key, value, *args, **kwargs):
+        sizes.append(len(value))
+        return await original(key, value, *args, **kwargs)
+
+    fleet.store.create = create
+    for name, router in fleet.routers.items():
+        for number in range(20_000):
+            key = claims.key_hash(name, f'{number}')
+            token = claims.ClaimToken(0, key, number.to_bytes(8, 'big'))
+            await router.record(token, errors.Outcome.NOT_RUN)
+    for router in fleet.routers.values():
+        await router.drain()
+    assert max(sizes) < 1_000_000
+    got = await fleet.others()[0].claim('ana', 'k', BODY, soon())
+    assert isinstance(got, claims.Claimed)
