--- a/bench/peers/scale.py
+++ b/bench/peers/scale.py
@@ -156,16 +156,18 @@
     fleet.network.loss = 0.0
 
 
-async def cost(nursery, routers, seconds, seed):
+async def cost(
+    nursery, routers, seconds, seed, share=ENGINES_PER_ROUTER, settle=15
+):
     """Bytes and processor time a router and second, with nothing new."""
-    engines = round(routers * ENGINES_PER_ROUTER)
+    engines = round(routers * share)
     fleet = await fleets.make_fleet(
         nursery, routers, engines=engines, seed=seed
     )
     for name, member in fleet.members.items():
         # as admission has it: one router polls each engine
         member.wants_report = owner_of(name, sorted(fleet.members))
-    await trio.sleep(15)
+    await trio.sleep(settle)
     links = [fleet.network.links[name] for name in fleet.members]
     before = sum(link.bytes_sent + link.bytes_received for link in links)
     polls = sum(member.poller.polls for member in fleet.members.values())
--- a/lavenderbend/transport/peer_openings.py
+++ b/lavenderbend/transport/peer_openings.py
@@ -50,14 +50,20 @@
     async def dial_peer(self, box: peer_wires.Outbox) -> None:
         """Connects to a peer and serves the connection."""
         host, port = self.link.addresses.get(box.peer_id, ('', 0))
+        connection = None
+        greeted = False
         try:
             with trio.fail_after(self.link.limits.dial_timeout):
                 wire = await self.link.dial(box.peer_id, host, port)
                 connection = peer_connections.Connection(self.link, wire, True)
-                await self.greet(connection, box.peer_id)
+                await connection.greet(box.peer_id)
+            greeted = True
         except OPENING_ERRORS as exc:
             self.dial_failed(box, exc)
             return
+        finally:
+            if connection is not None and not greeted:
+                await discard(connection)
         box.dialing = False
         await connection.serve()
 
@@ -74,13 +80,19 @@
     async def accept(self, wire: peer_wires.Wire) -> None:
         """Serves a wire that a peer has opened."""
         connection = peer_connections.Connection(self.link, wire, False)
+        greeted = False
         try:
             with trio.fail_after(self.link.limits.dial_timeout):
-                await self.greet(connection, None)
+                await connection.greet(None)
+            greeted = True
         except OPENING_ERRORS as exc:
+            # counted before the peer can see the end of the connection
             self.link.count_dropped('bad hello')
             logs.change('peer_refused', router=self.link.name, error=str(exc))
             return
+        finally:
+            if not greeted:
+                await discard(connection)
         await connection.serve()
 
     async def close_idle(self) -> None:
@@ -95,13 +107,8 @@
                 if unused or now - connection.began > self.link.limits.age:
                     connection.retire()
 
-    async def greet(
-        self, connection: peer_connections.Connection, expected: str | None
-    ) -> None:
-        """Exchanges hellos, and closes the connection if that fails."""
-        try:
-            await connection.greet(expected)
-        except BaseException:
-            with trio.CancelScope(shield=True):
-                await connection.discard()
-            raise
+
+async def discard(connection: peer_connections.Connection) -> None:
+    """Closes a connection that did not open, also when cancelled."""
+    with trio.CancelScope(shield=True):
+        await connection.discard()
