--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -104,6 +104,9 @@
         self.in_progress += 1
         try:
             return await self.route(request, decision, chat, hop, finish)
+        except trio.Cancelled:
+            finish(errors.CallerGone('the caller went away'))
+            raise
         except BaseException as exc:
             finish(exc)
             raise
@@ -159,9 +162,7 @@
         quarantine = self.parts.quarantine
         if quarantine is None:
             return 0
-        fingerprint = hashing.hash64(
-            request.customer, request.path, request.body
-        )
+        fingerprint = fingerprint_of(request)
         quarantine.check(fingerprint)
         return fingerprint
 
@@ -236,6 +237,18 @@
     return hashing.hash64(request.customer, request.chat_key)
 
 
+def fingerprint_of(request: requests.Request) -> int:
+    """Returns the hash by which a request is known that crashes upstreams.
+
+    A caller sends it again with other spaces, or streamed in place of whole:
+    of a chat request only what the engine works on counts.
+    """
+    body = request.body
+    if request.model is not None:
+        body = openai.work_of(body)
+    return hashing.hash64(request.customer, request.path, body)
+
+
 def apply_rule(
     rule: configuration.Rule, request: requests.Request
 ) -> requests.Request:
--- a/lavenderbend/protocol/openai.py
+++ b/lavenderbend/protocol/openai.py
@@ -117,6 +117,13 @@
     )
 
 
+def work_of(body: bytes) -> bytes:
+    """Returns what the engine works on, the same for equal work."""
+    document = load_object(body)
+    work = [document.get(key) for key in ('model', 'adapter', 'messages')]
+    return orjson.dumps(work, option=orjson.OPT_SORT_KEYS)
+
+
 def rewrite(body: bytes, model: str | None, adapter: str | None) -> bytes:
     """Returns the body with model and adapter replaced where given."""
     document = load_object(body)
--- a/tests/test_coordination/test_dispatch_limits.py
+++ b/tests/test_coordination/test_dispatch_limits.py
@@ -67,6 +67,26 @@
     assert not path.admission.open
 
 
+async def test_caller_that_leaves_before_the_answer_is_recorded_as_gone():
+    # The caller gives up while the engine is silent: the decision says so,
+    # and the engine is told.
+    slow = {'step_seconds': 30.0}
+    async with path_fakes.running(engines=1, engine_kwargs=slow) as path:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(post_chat, path)
+            await path_fakes.until(lambda: path.engines[0].waiting)
+            nursery.cancel_scope.cancel()
+        await path_fakes.until(lambda: path.last_decision().error)
+        await path_fakes.until(lambda: not path.engines[0].waiting)
+    assert path.last_decision().error == 'CallerGone'
+    assert path.last_decision().attempts[0].result == 'CallerGone'
+    assert not path.admission.open
+
+
+async def post_chat(path):
+    await path.client.post(path_fakes.CHAT_PATH, json=path_fakes.chat_body())
+
+
 async def test_stream_longer_than_the_timeout_is_not_cut():
     # The timeout bounds the wait for the answer's beginning; a long summary
     # that keeps coming is not cut off by it.
--- a/tests/test_protocol/test_protocol_openai.py
+++ b/tests/test_protocol/test_protocol_openai.py
@@ -68,6 +68,15 @@
         openai.parse(data)
 
 
+def test_work_is_the_same_however_it_is_written():
+    # A prompt that crashes engines comes again, streamed and with other
+    # spaces; known by its bytes it would crash two more.
+    first = body([SYSTEM, USER])
+    again = b' ' + body([SYSTEM, USER], stream=True, temperature=0.1)
+    assert openai.work_of(first) == openai.work_of(again)
+    assert openai.work_of(first) != openai.work_of(body([USER, SYSTEM]))
+
+
 def test_rewrite_replaces_only_what_is_given():
     data = body([USER], stream=True)
     document = orjson.loads(openai.rewrite(data, 'new', None))
