Refuse claims of a router with another number of shards

It would look for a key in another log, not find it there, and run its request again. The number stands in the service and in each ask.

--- a/lavenderbend/coordination/claim_inquiries.py
+++ b/lavenderbend/coordination/claim_inquiries.py
@@ -44,6 +44,7 @@
         token: Of the claim.
         digest: Hash of the body.
         deadline: When to give up.
+        shards: How many shards there are.
         tries: Owners asked in vain.
         unsure: Whether the claim may stand in the log or come to.
     """
@@ -51,6 +52,7 @@
     token: claims.ClaimToken
     digest: bytes
     deadline: float
+    shards: int
     tries: int = 0
     unsure: bool = False
 
@@ -163,7 +165,12 @@
         token = inquiry.token
         patience = min(inquiry.left(), ASK_SECONDS)
         ask = messages.ClaimAsk(
-            token.shard, token.key, token.id, inquiry.digest, patience
+            token.shard,
+            token.key,
+            token.id,
+            inquiry.digest,
+            patience,
+            inquiry.shards,
         )
         timeout = min(inquiry.left(), patience + ANSWER_MARGIN_SECONDS)
         owner = self.owner(token.shard, inquiry.tries)
--- a/lavenderbend/coordination/claim_shards.py
+++ b/lavenderbend/coordination/claim_shards.py
@@ -28,6 +28,7 @@
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.25
 CALLS_FOR_REFUSAL = 3
+UNUSABLE = (errors.CodecError, errors.ClaimLayoutDiffers)
 
 BATCHES = metrics.counter(
     'lavenderbend_claim_batches_total',
@@ -65,8 +66,12 @@
         rng: random.Random,
         policy: claim_waiting.ShardPolicy,
         clock: Callable[[], float] = time.time,
+        shards: int = 1,
     ) -> None:
         self.number = number
+        self.store = store
+        self.layout_key = f'{prefix}shards'
+        self.shards = shards
         self.log = log.Log(store, f'{prefix}{number:04d}/', attempts=1)
         self.rng = rng
         self.policy = policy
@@ -170,8 +175,8 @@
             except (errors.KeyValueError, errors.CodecError) as exc:
                 # an entry that cannot be read may hold a claim: nothing is
                 # answered from beyond it
-                if isinstance(exc, errors.CodecError):
-                    logs.change('claims_unreadable', fault=str(exc))
+                if isinstance(exc, UNUSABLE) and self.down_since is None:
+                    logs.change('claims_unusable', fault=str(exc))
                 self.down()
                 await trio.sleep(self.rng.uniform(pause / 2, pause))
                 pause = min(pause * 2, MAX_RETRY_SECONDS)
@@ -200,6 +205,8 @@
     async def catch_up(self) -> None:
         """Reads what stands in the log beyond the table."""
         began = trio.current_time()
+        if self.next == 0:
+            await self.check_layout()
         while True:
             if self.next == 0:
                 page = await self.log.read_kept(1, LOAD_PAGE_ENTRIES)
@@ -215,6 +222,23 @@
         self.loads.append(trio.current_time() - began)
         del self.loads[:-100]
 
+    async def check_layout(self) -> None:
+        """Makes sure that every router spreads the claims alike.
+
+        A router with another number of shards would look for a key in
+        another log, not find it there, and run its request again.
+
+        Raises:
+            ClaimLayoutDiffers: This router's number is not the fleet's.
+        """
+        value = str(self.shards).encode()
+        await self.store.create(self.layout_key, value)
+        found = await self.store.read(self.layout_key)
+        if not found.items or found.items[0].value != value:
+            raise errors.ClaimLayoutDiffers(
+                f'{self.shards} shards here, not so at {self.layout_key}'
+            )
+
     def apply(self, entry: log.Entry) -> None:
         """Takes an entry of the log into the table."""
         self.table.apply(entry.number, records_claims.decode(entry.value))
--- a/lavenderbend/coordination/claims.py
+++ b/lavenderbend/coordination/claims.py
@@ -124,7 +124,10 @@
         # a hash of the digest, so that digests of any length may come
         digest = claims.key_hash('', body_digest.hex())
         inquiry = claim_inquiries.Inquiry(
-            token, digest[: claims.DIGEST_BYTES], deadline
+            token,
+            digest[: claims.DIGEST_BYTES],
+            deadline,
+            self.policy.shards,
         )
         try:
             answer = await self.inquirer.decided(inquiry)
@@ -223,7 +226,9 @@
     ) -> peer.Message:
         """Commits a peer's claim, or waits with it for the first copy."""
         deadline = trio.current_time() + ask.patience
-        shard = self.shard(ask.shard)
+        shard = None
+        if ask.shards == self.policy.shards:
+            shard = self.shard(ask.shard)
         if shard is None:
             return messages.ClaimAnswer(claims.ClaimState.UNDECIDED.value)
         line = claims.ClaimLine(ask.key, ask.token, ask.digest, router)
@@ -302,6 +307,7 @@
             self.rng,
             self.policy.shard,
             self.clock,
+            self.policy.shards,
         )
         shard.used_at = trio.current_time()
         self.shards[number] = shard
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -316,6 +316,10 @@
     """Entries of a log that were asked for have been deleted."""
 
 
+class ClaimLayoutDiffers(KeyValueError):
+    """The claims are spread over another number of shards than here."""
+
+
 class LeaseLost(KeyValueError):
     """The lease is no longer surely held."""
 
--- a/lavenderbend/protocol/messages_agreed.py
+++ b/lavenderbend/protocol/messages_agreed.py
@@ -69,6 +69,7 @@
         token: Unlike that of any other claim.
         digest: Hash of the body.
         patience: Seconds that the sender waits for an answer.
+        shards: How many shards there are for the sender.
     """
 
     shard: int
@@ -76,6 +77,7 @@
     token: bytes
     digest: bytes
     patience: float
+    shards: int = 1
 
 
 @peer.message(31)
--- a/tests/test_coordination/test_agreed_claims.py
+++ b/tests/test_coordination/test_agreed_claims.py
@@ -359,8 +359,29 @@
             key = claims.key_hash(name, f'{number}')
             token = claims.ClaimToken(0, key, number.to_bytes(8, 'big'))
             await router.record(token, errors.Outcome.NOT_RUN)
-    for router in fleet.routers.values():
-        await router.drain()
+    with trio.fail_after(100):
+        for router in fleet.routers.values():
+            await router.drain()
     assert max(sizes) < 1_000_000
     got = await fleet.others()[0].claim('ana', 'k', BODY, soon())
     assert isinstance(got, claims.Claimed)
+
+
+async def test_router_with_another_number_of_shards_runs_nothing(
+    fleet, nursery, autojump_clock
+):
+    """A new version comes with more shards while old routers still run.
+
+    It would look for a key in another log and run its request again.
+    """
+    one = fleet.others()[0]
+    await one.claim('ana', 'k', BODY, soon())
+    fleet.policy = claims_module.ClaimPolicy(shards=16)
+    fleet.start('new')
+    await trio.sleep(1)
+    new = fleet.routers['new']
+    with pytest.raises(errors.ClaimUnavailable):
+        await new.claim('ana', 'another', BODY, soon(5))
+    # the router that claimed this one knows it, whatever the layout
+    copy = await new.claim('ana', 'k', BODY, soon(5))
+    assert copy == claims.Recorded(errors.Outcome.UNKNOWN)
