Poll alone on restarted routers too in the bench

Cause: they fell back to the default pollers, so one engine of ten was polled by nobody and its drain was never seen: a fault of the bench.

--- a/bench/peers/scale.py
+++ b/bench/peers/scale.py
@@ -93,8 +93,8 @@
     fleet = await fleets.make_fleet(
         nursery, routers, engines=engines, seed=seed, lag=3 * LAG
     )
-    for name, member in fleet.members.items():
-        member.wants_report = lambda vm, name=name: poller(fleet, vm) == name
+    for member in fleet.members.values():
+        poll_alone(fleet, member)
     alls = []
     await trio.sleep(15)
     for number in range(count):
@@ -106,12 +106,17 @@
         fleet.engines[name].draining = True
         _, last = await until_none(lambda n=name: fleet.using(n))
         alls.append(last)
-        fleet.start(router)
+        poll_alone(fleet, fleet.start(router))
         await fleets.settle(fleet, routers)
         await trio.sleep(15)
     return summary(alls)
 
 
+def poll_alone(fleet, member):
+    """Has a router poll the engines of which it is the only poller."""
+    member.wants_report = lambda vm: poller(fleet, vm) == member.vm.id
+
+
 def poller(fleet, vm):
     """Returns the router that polls an engine, by the views of the live."""
     live = sorted(fleet.members)
