Keep a fault of one connection from ending the server

Any error of a connection's task ended the listener and every other connection (test: a group raised inside the HTTP library). They are counted now; an error in the watch, a system task, would have ended the process.

--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -7,7 +7,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import h11
 import hypercorn
 from hypercorn import utils
 from hypercorn.trio import tcp_server
@@ -46,6 +45,12 @@
 )
 
 
+failed_connections = metrics.counter(
+    'lavenderbend_connections_failed_total',
+    'Connections that ended by an error outside of any request.',
+)
+
+
 class BoundedStream(trio.abc.HalfCloseableStream):
     """A TCP stream whose writes end in time.
 
@@ -202,24 +207,27 @@
 
     async def run_connection(self, stream: trio.SocketStream) -> None:
         """Serves one connection to its end."""
-        size = self.limits.send_buffer_bytes
-        if size:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
         bounded = BoundedStream(stream)
         self.watch.add(bounded.waiter)
         # an application finds this in the state of its scope
         state = {ABORT: bounded.abort}
+        size = self.limits.send_buffer_bytes
         try:
+            if size:
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
             await tcp_server.TCPServer(
                 self.app, self.config, self.context, state, bounded
             ).run()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             # the other side went away, which is its right
             pass
-        except* h11.LocalProtocolError:
-            # an application that is cancelled while it sends the head of
-            # its answer: hypercorn then sends an error of its own on top,
-            # which h11 refuses; unguarded that ended the whole server
+        except* Exception as group:
+            # such as an application that is cancelled while it sends the
+            # head of its answer: hypercorn then sends an error of its own on
+            # top, which h11 refuses. Unguarded, a fault of one connection
+            # ended the whole server and cut off every other one
+            for error in group.exceptions:
+                failed_connections.inc({'error': type(error).__name__})
             await bounded.abort()
         finally:
             self.open -= 1
--- a/lavenderbend/transport/stall_watch.py
+++ b/lavenderbend/transport/stall_watch.py
@@ -72,4 +72,13 @@
             if waiter.since is not None and waiter.since <= oldest:
                 waiter.since = None
                 waiter.expired = True
-                waiter.abort()
+                self.end(waiter)
+
+    def end(self, waiter: Waiter) -> None:
+        """Ends one wait."""
+        try:
+            waiter.abort()
+        except OSError:
+            # closed by its own task in the meantime; an error in this task
+            # would end the whole process
+            return
--- a/tests/test_transport/test_serving.py
+++ b/tests/test_transport/test_serving.py
@@ -10,6 +10,7 @@
 
 from lavenderbend.protocol import http_limits
 from lavenderbend.transport import serving
+from lavenderbend.transport import stall_watch
 from tests import path_fakes
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
@@ -195,6 +196,49 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_fault_on_one_connection_leaves_the_others(monkeypatch):
+    # A connection fails inside the HTTP library. Its error, in a group,
+    # would end the listener and cut off every other caller.
+    run = serving.tcp_server.TCPServer.run
+    failures = [ExceptionGroup('fault', [RuntimeError('inside')])]
+
+    async def fail_once(server):
+        if failures:
+            raise failures.pop()
+        await run(server)
+
+    monkeypatch.setattr(serving.tcp_server.TCPServer, 'run', fail_once)
+    app = SlowApp()
+    app.go_on.set()
+    async with trio.open_nursery() as nursery:
+        port = await start(nursery, app, trio.Event())
+        first = await trio.open_tcp_stream(path_fakes.HOST, port)
+        await path_fakes.until(lambda: not failures)
+        data = await read_until(await connect(port), b'0\r\n\r\n')
+        await first.aclose()
+        nursery.cancel_scope.cancel()
+    assert data.startswith(b'HTTP/1.1 200')
+
+
+async def test_wait_that_cannot_be_ended_leaves_the_watch_running():
+    # A socket is closed in the moment in which the watch ends its wait. The
+    # watch is a system task: an error in it ends the process.
+    ended = []
+
+    def fail():
+        raise OSError('closed')
+
+    watch = stall_watch.StallWatch(1.0)
+    waiters = [stall_watch.Waiter(fail)]
+    waiters.append(stall_watch.Waiter(lambda: ended.append(True)))
+    for waiter in waiters:
+        waiter.since = 0.0
+        watch.waiters.add(waiter)
+    watch.check(5.0)
+    assert ended == [True]
+    assert all(waiter.expired for waiter in waiters)
+
+
 async def test_connections_beyond_the_limit_are_closed_at_once():
     limits = http_limits.HttpLimits(connections=2)
     app = SlowApp()
