--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for docs/CAPACITY.md that the other benches do not give."""
