--- a/docs/conf.py
+++ b/docs/conf.py
@@ -8,5 +8,6 @@
 author = 'the lavenderbend maintainers'
 release = lavenderbend.__version__
 extensions = []
-exclude_patterns = ['_build']
+# Markdown pages are read as they are; nothing here parses them
+exclude_patterns = ['_build', '*.md']
 html_theme = 'alabaster'
