--- a/bench/agreed/measures.py
+++ b/bench/agreed/measures.py
@@ -11,6 +11,7 @@
 from bench.agreed import claim_table
 from bench.agreed import operators
 from bench.agreed import order_rolls
+from bench.agreed import outage_spread
 from bench.agreed import spread
 
 FLEETS = (7, 30, 130)
@@ -102,6 +103,17 @@
     ]
 
 
+def of_outage_spread(result: outage_spread.Result) -> list[Measure]:
+    """Returns the line of a service that is down just after acceptance."""
+    return [
+        Measure(
+            f'ms to be in force on {result.routers}, service down after it',
+            result.slowest_ms,
+            3000,
+        )
+    ]
+
+
 def of_order_rolls(result: order_rolls.Result) -> list[Measure]:
     """Returns the lines of orders."""
     return [
@@ -129,6 +141,8 @@
         'claim_table': claim_table.run(),
         'operators': operators.run(),
         'order_rolls': order_rolls.run(),
+        'outage_spread': outage_spread.run(),
+        'outage_spread_130': outage_spread.run(130, 10),
     }
     fleets = [spread.run(count, 600.0 * 7 / count) for count in FLEETS]
     table = [
@@ -137,6 +151,7 @@
         *of_claim_table(results['claim_table']),
         *of_operators(results['operators']),
         *of_spread(fleets[0]),
+        *of_outage_spread(results['outage_spread']),
         *of_order_rolls(results['order_rolls']),
     ]
     figures = {name: attrs.asdict(item) for name, item in results.items()}
--- a/tests/test_coordination/test_agreed_bounds.py
+++ b/tests/test_coordination/test_agreed_bounds.py
@@ -10,6 +10,7 @@
 from bench.agreed import claim_table
 from bench.agreed import measures
 from bench.agreed import operators
+from bench.agreed import outage_spread
 from bench.agreed import spread
 from lavenderbend.coordination import claim_inquiries
 from lavenderbend.coordination import claim_shards
@@ -128,6 +129,10 @@
     check(measures.of_spread(spread.run(seconds=120.0)))
 
 
+def test_change_spreads_when_the_service_dies_after_accepting_it():
+    check(measures.of_outage_spread(outage_spread.run(changes=10)))
+
+
 @pytest.mark.parametrize('routers', [70])
 def test_calls_to_the_service_do_not_grow_with_a_large_fleet(routers):
     result = spread.run(routers, 20.0)
