--- a/lavenderbend/coordination/ejection.py
+++ b/lavenderbend/coordination/ejection.py
@@ -206,7 +206,8 @@
         """
         members = list(members)
         limit = math.floor(self.settings.max_share * len(members))
-        held = [name for name in members if self.why(name) is not None]
+        suspects = self.suspects.intersection(members)
+        held = [name for name in suspects if self.why(name) is not None]
         if len(held) <= limit:
             return frozenset(held)
         held.sort(key=lambda name: (-self.badness(name), name))
--- a/lavenderbend/coordination/membership/candidates.py
+++ b/lavenderbend/coordination/membership/candidates.py
@@ -33,6 +33,9 @@
         self.services: dict[str, tuple[upstreams.Vm, ...]] = {}
         self.ids: frozenset[str] | None = None
         self.order: tuple[str, ...] = ()
+        self.region: tuple[str, ...] | None = None
+        self.members_of: tuple[upstreams.Vm, ...] = ()
+        self.by_service: dict[str, tuple[upstreams.Vm, ...]] = {}
         self.away: frozenset[str] = frozenset()
         self.held: frozenset[str] = frozenset()
         self.unlisted: frozenset[str] = frozenset()
@@ -41,6 +44,7 @@
         """Drops what is kept, after a change."""
         self.services = {}
         self.ids = None
+        self.region = None
 
     # routers
 
@@ -63,6 +67,19 @@
         self.router_ids()
         return self.order
 
+    def region_ids(self) -> tuple[str, ...]:
+        """Returns the live routers of this router's region, sorted."""
+        order = self.ordered_ids()
+        if self.region is None:
+            own = self.fleet.vm
+            table = self.fleet.table.routers
+            self.region = tuple(
+                name
+                for name in order
+                if name == own.id or table[name].vm.region == own.region
+            )
+        return self.region
+
     def is_live(self, item: routers_lib.Router) -> bool:
         """Returns whether a router takes part."""
         if not item.answers:
@@ -82,35 +99,48 @@
             self.services[service] = self.choose(service)
         return self.services[service]
 
-    def members(self, service: str) -> list[upstreams.Vm]:
+    def members(self, service: str) -> tuple[upstreams.Vm, ...]:
         """Returns the upstreams of a service, of this region if any."""
-        members = [
-            vm
-            for vm in self.fleet.listing.vms()
-            if vm.service == service
-            and vm.kind is not upstreams.UpstreamKind.ROUTER
-        ]
-        home = [vm for vm in members if vm.region == self.fleet.vm.region]
-        return home or members
+        vms = self.fleet.listing.vms()
+        if vms is not self.members_of:
+            # thousands of VMs; only a change of the list changes this
+            self.members_of = vms
+            self.by_service = {}
+        if service not in self.by_service:
+            members = [
+                vm
+                for vm in vms
+                if vm.service == service
+                and vm.kind is not upstreams.UpstreamKind.ROUTER
+            ]
+            home = [vm for vm in members if vm.region == self.fleet.vm.region]
+            self.by_service[service] = tuple(
+                sorted(home or members, key=lambda vm: vm.id)
+            )
+        return self.by_service[service]
 
     def choose(self, service: str) -> tuple[upstreams.Vm, ...]:
         """Returns the upstreams of a service that may get new work."""
+        facts = self.fleet.facts
+        draining = {name for name in facts.facts if self.is_draining(name)}
+        live = upstreams.VmState.LIVE
         staying = [
-            vm for vm in self.members(service) if not self.is_leaving(vm)
+            vm
+            for vm in self.members(service)
+            if vm.state is live and vm.id not in draining
         ]
-        usable = [vm for vm in staying if self.fleet.facts.why(vm.id) is None]
+        away = {name for name in facts.facts if facts.why(name) is not None}
+        usable = [vm for vm in staying if vm.id not in away]
         # with nobody reached it is likelier that we are the ones cut off
         usable = usable or staying
         held = self.fleet.ejector.held(vm.id for vm in staying)
         chosen = [vm for vm in usable if vm.id not in held] or usable
-        return tuple(sorted(chosen, key=lambda vm: vm.id))
+        return tuple(chosen)
 
-    def is_leaving(self, vm: upstreams.Vm) -> bool:
-        """Returns whether an upstream is leaving, by any sign."""
-        if vm.state is upstreams.VmState.LEAVING:
-            return True
+    def is_draining(self, upstream: str) -> bool:
+        """Returns whether an upstream said that it is leaving."""
         kind = messages.FactKind.DRAINING
-        return bool(self.fleet.facts.held(vm.id, kind))
+        return bool(self.fleet.facts.held(upstream, kind))
 
     def explain(self, upstream_id: str) -> str:
         """Returns why an upstream is a candidate, or why it is not."""
--- a/lavenderbend/coordination/membership/fleet.py
+++ b/lavenderbend/coordination/membership/fleet.py
@@ -96,12 +96,7 @@
 
     def region_routers(self) -> tuple[str, ...]:
         """Returns the live routers of this router's region."""
-        return tuple(
-            name
-            for name in self.routers()
-            if name == self.vm.id
-            or self.table.routers[name].vm.region == self.vm.region
-        )
+        return self.candidates.region_ids()
 
     def upstreams(self, service: str) -> tuple[upstreams.Vm, ...]:
         """Returns the upstreams of a service that may get new work."""
--- a/lavenderbend/coordination/membership/routers.py
+++ b/lavenderbend/coordination/membership/routers.py
@@ -39,7 +39,7 @@
     @property
     def answers(self) -> bool:
         """Whether it is believed to answer; suspected ones still are."""
-        return self.state in {State.ALIVE, State.SUSPECT}
+        return self.state is State.ALIVE or self.state is State.SUSPECT
 
 
 class RouterTable:
