--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import trio
@@ -23,6 +24,11 @@
 MILLISECOND = 0.001
 COPY_SECONDS = 1.0
 
+# a router that has just started is taken for the owner before it has heard
+# of a configuration, and one that is cut off may have to refuse; what its
+# tasks do by the clock then waits, and must not end the process
+UNCONFIGURED = contextlib.suppress(errors.RequestError)
+
 
 class Owner:
     """Serves any group that entries take this router to own.
@@ -210,8 +216,9 @@
         """Serves and expires waiting requests."""
         while True:
             await trio.sleep(self.settings.tick)
-            for group in list(self.owned.values()):
-                group.look_after()
+            with UNCONFIGURED:
+                for group in list(self.owned.values()):
+                    group.look_after()
 
     async def run_views(self) -> None:
         """Frees the permits of entries that have left."""
@@ -221,7 +228,8 @@
             for group in list(self.owned.values()):
                 for entry in sorted(set(group.table.numbers) - live):
                     group.drop_entry(entry)
-                group.room.dispatch()
+                with UNCONFIGURED:
+                    group.room.dispatch()
 
     async def on_sums(self, router: str, item: peer.Message) -> None:
         """Notes the load of other groups."""
@@ -234,9 +242,10 @@
         """Tells the owners of a pool's groups of each other's load."""
         while True:
             await trio.sleep(sums.SUMS_SECONDS)
-            for item, routers in self.sums_to_tell():
-                for router in routers:
-                    self.link.notify(router, item)
+            with UNCONFIGURED:
+                for item, routers in self.sums_to_tell():
+                    for router in routers:
+                        self.link.notify(router, item)
 
     def sums_to_tell(
         self,
