--- /dev/null
+++ b/lavenderbend/transport/header_limits.py
@@ -0,0 +1,63 @@
+"""The limit on the size of a request's header."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from lavenderbend import errors
+from lavenderbend.protocol import problems
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HEADER_TOO_LARGE = 431
+
+
+def header_bytes(scope: Any) -> int:
+    """Returns the size of a request's target and headers."""
+    size = len(scope['raw_path']) + len(scope['query_string'])
+    for name, value in scope['headers']:
+        size += len(name) + len(value)
+    return size
+
+
+class HeaderLimit:
+    """An ASGI application that refuses requests with large headers.
+
+    h11 bounds only what it holds of an incomplete header: one that comes
+    whole in a single read gets past it.
+
+    Attributes:
+        app: The application behind it.
+        limit: Bytes.
+    """
+
+    def __init__(self, app: Callable[..., Any], limit: int) -> None:
+        self.app = app
+        self.limit = limit
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serves one request."""
+        if scope['type'] != 'http' or header_bytes(scope) <= self.limit:
+            await self.app(scope, receive, send)
+            return
+        error = errors.RequestTooLarge(f'the header is over {self.limit} bytes')
+        error.status = HEADER_TOO_LARGE
+        headers = problems.to_headers(error, '')
+        headers['connection'] = 'close'
+        raw = [(k.encode(), v.encode()) for k, v in headers.items()]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': error.status,
+                'headers': raw,
+            }
+        )
+        await send(
+            {
+                'type': 'http.response.body',
+                'body': problems.to_body(error, ''),
+                'more_body': False,
+            }
+        )
--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -13,11 +13,10 @@
 from hypercorn.trio import worker_context
 import trio
 
-from lavenderbend import errors
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import http_limits
-from lavenderbend.protocol import problems
+from lavenderbend.transport import header_limits
 from lavenderbend.transport import stall_watch
 
 if TYPE_CHECKING:
@@ -25,7 +24,6 @@
     from collections.abc import Callable
 
 BACKLOG = 1024
-HEADER_TOO_LARGE = 431
 LAST_PART = 'http.response.body'
 DEFAULT_GRACE_SECONDS = 900.0
 # time in which connections that the kernel has accepted are still taken
@@ -116,55 +114,6 @@
             await self.stream.aclose()
 
 
-def header_bytes(scope: Any) -> int:
-    """Returns the size of a request's target and headers."""
-    size = len(scope['raw_path']) + len(scope['query_string'])
-    for name, value in scope['headers']:
-        size += len(name) + len(value)
-    return size
-
-
-class HeaderLimit:
-    """An ASGI application that refuses requests with large headers.
-
-    h11 bounds only what it holds of an incomplete header: one that comes
-    whole in a single read gets past it.
-
-    Attributes:
-        app: The application behind it.
-        limit: Bytes.
-    """
-
-    def __init__(self, app: Callable[..., Any], limit: int) -> None:
-        self.app = app
-        self.limit = limit
-
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Serves one request."""
-        if scope['type'] != 'http' or header_bytes(scope) <= self.limit:
-            await self.app(scope, receive, send)
-            return
-        error = errors.RequestTooLarge(f'the header is over {self.limit} bytes')
-        error.status = HEADER_TOO_LARGE
-        headers = problems.to_headers(error, '')
-        headers['connection'] = 'close'
-        raw = [(k.encode(), v.encode()) for k, v in headers.items()]
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': error.status,
-                'headers': raw,
-            }
-        )
-        await send(
-            {
-                'type': 'http.response.body',
-                'body': problems.to_body(error, ''),
-                'more_body': False,
-            }
-        )
-
-
 class Server:
     """Connections of one address.
 
@@ -180,7 +129,7 @@
     def __init__(self, app: Any, limits: http_limits.HttpLimits) -> None:
         self.limits = limits
         self.config = make_config(limits)
-        limited = HeaderLimit(app, limits.header_bytes)
+        limited = header_limits.HeaderLimit(app, limits.header_bytes)
         size = self.config.wsgi_max_body_size
         self.app = utils.wrap_app(shield_ends(limited), size, 'asgi')
         self.context = worker_context.WorkerContext(None)
--- /dev/null
+++ b/lavenderbend/transport/upstream_connections.py
@@ -0,0 +1,136 @@
+"""Connections to upstreams, by h11 on trio streams."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from lavenderbend import errors
+from lavenderbend.transport import stall_watch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lavenderbend.state import upstreams
+
+RECEIVE_BYTES = 64 * 1024
+CONNECT_SECONDS = 1.0
+KEPT_SECONDS = 15.0
+
+
+class UpstreamConnection:
+    """One connection to an upstream, used by one request at a time.
+
+    Attributes:
+        stream: The TCP stream.
+        protocol: The HTTP/1.1 state of the connection.
+        waiter: Noted while the upstream is waited for.
+        idle_since: Router clock at which the last answer ended.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.protocol = h11.Connection(h11.CLIENT)
+        self.waiter = stall_watch.Waiter(self.abort)
+        self.idle_since = 0.0
+
+    def abort(self) -> None:
+        """Closes the socket; a task that reads from it gets an error."""
+        self.stream.socket.close()
+
+    async def send(self, request: h11.Request, body: bytes) -> None:
+        """Sends a whole request in one write."""
+        protocol = self.protocol
+        data = protocol.send(request)
+        if body:
+            data += protocol.send(h11.Data(data=body))
+        data += protocol.send(h11.EndOfMessage())
+        await self.stream.send_all(data)
+
+    async def receive(
+        self, wait_to_read: Callable[[], float] | None = None
+    ) -> None:
+        """Reads what has come into the protocol, waiting if need be."""
+        waiter = self.waiter
+        waiter.since = trio.current_time()
+        if wait_to_read is not None:
+            await trio.lowlevel.wait_readable(self.stream.socket)
+            wait = wait_to_read()
+            if wait > 0.0:
+                await trio.sleep(wait)
+        data = await self.stream.receive_some(RECEIVE_BYTES)
+        waiter.since = None
+        self.protocol.receive_data(data)
+
+    async def read_head(self) -> h11.Response:
+        """Returns the head of the answer."""
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                await self.receive()
+            elif isinstance(event, h11.Response):
+                return event
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError('closed before its answer')
+
+    def read_ready(self, parts: list[bytes]) -> bool:
+        """Adds the data that is already here; returns whether it ended."""
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                return False
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return True
+
+    def reusable(self) -> bool:
+        """Returns whether an idle connection may be used again.
+
+        Bytes on an idle connection are its end, or a late answer to a
+        request that was given up: neither may meet the next request.
+        """
+        fresh = trio.current_time() - self.idle_since < KEPT_SECONDS
+        return fresh and not self.stream.socket.is_readable()
+
+
+CONNECTION_ERRORS = (
+    h11.RemoteProtocolError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    OSError,
+)
+
+
+def lost(
+    connection: UpstreamConnection, cause: Exception
+) -> errors.UpstreamBroke:
+    """Returns the error for an exchange that broke off."""
+    if connection.waiter.expired:
+        return errors.UpstreamStalled('the answer stopped arriving')
+    return errors.UpstreamLost(f'broken off: {type(cause).__name__}')
+
+
+async def connect(vm: upstreams.Vm) -> UpstreamConnection:
+    """Opens a connection.
+
+    Raises:
+        UpstreamUnreachable: There is none to be had.
+    """
+    family = socket.AF_INET6 if ':' in vm.host else socket.AF_INET
+    connecting = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        with trio.fail_after(CONNECT_SECONDS):
+            await connecting.connect((vm.host, vm.port))
+    except (OSError, trio.TooSlowError) as exc:
+        connecting.close()
+        raise errors.UpstreamUnreachable(
+            f'no connection: {type(exc).__name__}'
+        ) from exc
+    except BaseException:
+        connecting.close()
+        raise
+    return UpstreamConnection(trio.SocketStream(connecting))
