Give each region its own controller of orders

Cause: found while working out the capacity: one controller ordered a pool over all regions, but a router sees the engines of its own region; engines of the others got no orders. Before: no candidate in a region of 2 routers of 22 (new test). After: the region's routers are candidates, with a lease and a memory of their own. Replicas of an order now count for each region.

--- a/lavenderbend/coordination/orders.py
+++ b/lavenderbend/coordination/orders.py
@@ -103,7 +103,7 @@
 
 
 class OrderController:
-    """Runs a controller for each pool that has orders.
+    """Runs a controller for each pool of its region that has orders.
 
     Attributes:
         name: Id of this router.
@@ -112,6 +112,7 @@
         configurations: The configuration in force.
         orderer: Sends orders.
         rng: Source of jitter.
+        prefix: Where leases and memory are kept, one for each region.
         policy: How orders are sent.
         pools: Controllers that run here, by pool.
     """
@@ -157,12 +158,17 @@
             self.scopes.pop(pool).cancel()
 
     def mine(self) -> set[str]:
-        """Returns the pools for which this router is a candidate."""
+        """Returns the pools for which this router is a candidate.
+
+        Candidates are those of the region: a router sees the engines of its
+        own region, and a controller elsewhere would leave them without
+        orders.
+        """
         try:
             document = self.configurations.current().document
         except errors.RequestError:
             return set(self.pools)
-        routers = {*self.membership.routers(), self.name}
+        routers = {*self.membership.region_routers(), self.name}
         found = set()
         for pool in {item.pool for item in document.orders}:
             ranked = hashing.rendezvous_order(f'orders {pool}', routers)
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -177,7 +177,7 @@
             self.configurations,
             self.orderer,
             self.rng,
-            f'{prefix}orders/',
+            f'{prefix}orders/{settings.region}/',
         )
         self.limits = limits_module.CustomerLimits(
             settings.id, self.link, self.membership, self.configurations
--- a/lavenderbend/state/configuration.py
+++ b/lavenderbend/state/configuration.py
@@ -137,7 +137,7 @@
         pool: Name of the pool.
         model: Model that `replicas` engines serve.
         version: Version of its weights.
-        replicas: How many engines serve it.
+        replicas: How many engines of each region serve it.
         adapters: Adapters loaded beside it.
         role: Role of those engines.
     """
--- a/tests/test_coordination/test_agreed_orders.py
+++ b/tests/test_coordination/test_agreed_orders.py
@@ -9,6 +9,7 @@
 from bench.agreed import fleets
 from bench.agreed import measures
 from bench.agreed import order_rolls
+from bench.decisions import views as decision_views
 from lavenderbend.coordination import orders as orders_module
 from lavenderbend.standin import weight_store
 from lavenderbend.state import configuration
@@ -288,3 +289,35 @@
     trial.weights.rate = trial.weights.burst = 10.0
     result = fleets.virtual(2, trial.run)
     assert result.too_few > 0
+
+
+class RegionMembership(fakes.Membership):
+    """Routers of two regions, as one of the second sees them."""
+
+    def region_routers(self):
+        return tuple(name for name in self.names if name.startswith('north'))
+
+
+def test_each_region_has_its_own_controller():
+    # an operator asks for a new version, and the engines of one region
+    # never get it: the one controller of the pool stood in another region,
+    # whose routers do not see those engines
+    names = [f'south-{n}' for n in range(20)] + ['north-0', 'north-1']
+    document = configuration.Configuration(
+        pools=(configuration.Pool('chat', 'model'),),
+        orders=(configuration.Order('chat', 'm', '2', 1),),
+    )
+    candidates = []
+    for name in ('north-0', 'north-1'):
+        controller = orders_module.OrderController(
+            name,
+            fakes.service(),
+            RegionMembership(names),
+            decision_views.FixedConfiguration(document),
+            None,
+            random.Random(1),
+        )
+        if controller.mine() == {'chat'}:
+            candidates.append(name)
+
+    assert candidates
