--- /dev/null
+++ b/bench/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report of all benches: one HTML page."""
