Keep a tenth of the headroom where the mean is large

Waiting is split into modules; scopes are kept in order, so that a run does not depend on addresses.

--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -148,8 +148,8 @@
         self.routers = [f'router-{n}' for n in range(case.routers)]
         self.alive = list(self.routers)
         self.scopes: dict[str, trio.CancelScope] = {}
-        self.serving: dict[str, set[trio.CancelScope]] = (
-            collections.defaultdict(set)
+        self.serving: dict[str, dict[trio.CancelScope, None]] = (
+            collections.defaultdict(dict)
         )
         self.views: dict[str, views.View] = {}
         self.admissions: dict[str, admission.OwnerAdmission] = {}
@@ -292,9 +292,9 @@
         """Serves one request at one router."""
         outcome = Outcome(arrival, router=router)
         with trio.CancelScope() as scope:
-            self.serving[router].add(scope)
+            self.serving[router][scope] = None
             await self.attempt_all(router, outcome)
-        self.serving[router].discard(scope)
+        self.serving[router].pop(scope, None)
         if scope.cancelled_caught:
             return
         outcome.decided = trio.current_time() - arrival.at
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -23,6 +23,7 @@
     from lavenderbend.coordination.admission import groups
     from lavenderbend.coordination.admission import settings as settings_
     from lavenderbend.coordination.admission import sums
+    from lavenderbend.coordination.admission import waiter as waiter_
     from lavenderbend.protocol import messages_decisions
 
 # a grant may still be on its way to the entry when the entry lists its
@@ -64,7 +65,7 @@
         if self.entries.hear(entry):
             self.places.fresh.clear()
 
-    def submit(self, waiter: waiting.Waiter) -> None:
+    def submit(self, waiter: waiter_.Waiter) -> None:
         """Grants, refuses, queues or sends on a new request."""
         waiter.elsewhere = self.spread.settled(waiter.ask)
         if waiter.elsewhere is not None:
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -12,7 +12,7 @@
 from lavenderbend.coordination.admission import groups
 from lavenderbend.coordination.admission import owned
 from lavenderbend.coordination.admission import sums
-from lavenderbend.coordination.admission import waiting
+from lavenderbend.coordination.admission import waiter as waiter_
 from lavenderbend.protocol import messages_decisions
 
 if TYPE_CHECKING:
@@ -95,7 +95,7 @@
         now = trio.current_time()
         if waiter is None:
             deadline = now + item.left * MILLISECOND
-            waiter = waiting.Waiter(entry, item, deadline, now, now)
+            waiter = waiter_.Waiter(entry, item, deadline, now, now)
             group.submit(waiter)
         return await self.wait(group, waiter, item.hold)
 
@@ -117,7 +117,7 @@
         return await self.wait(group, waiter, item.hold)
 
     async def wait(
-        self, group: owned.OwnedGroup, waiter: waiting.Waiter, hold: int
+        self, group: owned.OwnedGroup, waiter: waiter_.Waiter, hold: int
     ) -> peer.Message:
         """Waits for a decision as long as the entry allows."""
         waiter.polled = trio.current_time()
@@ -198,7 +198,7 @@
             for name, group in list(self.owned.items()):
                 if name not in started:
                     started.add(name)
-                    nursery.start_soon(group.room.run_patience)
+                    nursery.start_soon(group.room.patience.run)
                     nursery.start_soon(self.run_leaving, group)
             await self.created.wait()
             self.created = trio.Event()
@@ -251,7 +251,7 @@
         self,
     ) -> list[tuple[messages_decisions.GroupSums, list[str]]]:
         """Returns the sums of each pool's own groups, and whom to tell."""
-        routers = self.membership.routers()
+        routers = self.membership.region_routers()
         items: dict[int, messages_decisions.GroupSums] = {}
         for name, group in self.owned.items():
             if groups.owner(name, routers) != self.name:
--- a/lavenderbend/coordination/admission/search.py
+++ b/lavenderbend/coordination/admission/search.py
@@ -140,7 +140,7 @@
         """Asks an owner; returns None if it cannot be reached."""
         admission = self.admission
         with trio.CancelScope() as scope:
-            admission.asking[owner].add(scope)
+            admission.asking[owner][scope] = None
             try:
                 answer = await self.exchange(owner, group)
                 if owner in admission.out_of_touch:
@@ -152,7 +152,7 @@
                 await trio.sleep(admission.settings.degraded_poll)
                 return None
             except errors.PeerUnreachable:
-                admission.asking[owner].discard(scope)
+                admission.asking[owner].pop(scope, None)
                 admission.suspect(owner)
                 self.abandon(owner)
                 return None
@@ -160,7 +160,7 @@
                 self.give_up(owner)
                 raise
             finally:
-                admission.asking[owner].discard(scope)
+                admission.asking[owner].pop(scope, None)
         # cancelled because the owner is lost
         self.abandon(owner)
         return None
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -83,8 +83,8 @@
         self.suspects: dict[str, float] = {}
         self.out_of_touch: set[str] = set()
         self.empty: dict[tuple[str, int, str | None], float] = {}
-        self.asking: dict[str, set[trio.CancelScope]] = collections.defaultdict(
-            set
+        self.asking: dict[str, dict[trio.CancelScope, None]] = (
+            collections.defaultdict(dict)
         )
         self.last_number = rng.getrandbits(NUMBER_BITS)
         self.polling: dict[groups.GroupId, bool] = {}
--- a/lavenderbend/coordination/admission/waiting.py
+++ b/lavenderbend/coordination/admission/waiting.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination import fairness
 from lavenderbend.coordination import placement
+from lavenderbend.coordination.admission import estimates
+from lavenderbend.coordination.admission import patience
 from lavenderbend.observe import metrics
 from lavenderbend.state import permits
 from lavenderbend.state import placements
@@ -21,18 +23,13 @@
     from lavenderbend.coordination.admission import loads
     from lavenderbend.coordination.admission import settings as settings_
     from lavenderbend.coordination.admission import shares
+    from lavenderbend.coordination.admission import waiter as waiter_
     from lavenderbend.protocol import messages_decisions
 
-MIN_RETRY_AFTER_SECONDS = 1.0
-MIN_PATIENCE_SECONDS = 0.01
-SAME_TIME_SECONDS = 0.001
 # tries of one round over those that wait; the next release goes on
 TRIES = 64
 LOOK_AHEAD = 64
 MAX_PASSED = 64
-# requests that come later may go before one that waits already
-ESTIMATE_MARGIN = 1.25
-SERVICE_PART = 0.25
 
 GRANTS = metrics.counter(
     'lavenderbend_permits_granted_total', 'Permits granted, by reason.'
@@ -42,38 +39,12 @@
 )
 
 
-@attrs.define(eq=False)
-class Waiter:
-    """A permit request that is not decided yet.
-
-    Attributes:
-        entry: Router that asks.
-        ask: What it asks for.
-        deadline: Owner clock.
-        since: Owner clock at which it came.
-        polled: Owner clock of the entry's last sign about it.
-        done: Set when `choice`, `error` or `elsewhere` is.
-        choice: The permit.
-        error: Why there is none.
-        elsewhere: Group of the pool to ask instead.
-        nobody: Whether no upstream of the group serves it.
-        passed: Times that others of its customer went before it.
-        patient_until: Owner clock until which it waits for room where its
-            context is, though other upstreams have room.
-    """
+class Served(enum.Enum):
+    """What became of a try to serve a waiting request."""
 
-    entry: str
-    ask: messages_decisions.PermitRequest
-    deadline: float
-    since: float
-    polled: float
-    done: trio.Event = attrs.field(factory=trio.Event)
-    choice: placement.Choice | None = None
-    error: errors.RequestError | None = None
-    elsewhere: int | None = None
-    nobody: bool = False
-    passed: int = 0
-    patient_until: float = 0.0
+    DECIDED = 'decided'
+    LATER = 'later'
+    NO_ROOM = 'no room'
 
 
 class WaitingRoom:
@@ -81,7 +52,7 @@
 
     Attributes:
         queue: Those that wait for room, by priority and fair share.
-        patient: Those that wait a moment for room at their place.
+        patience: Those that wait a moment for room at their place.
         waiting: Both, by entry and number.
     """
 
@@ -96,10 +67,10 @@
         self.places = places
         self.shares = fair_shares
         self.settings = settings
-        self.queue: fairness.FairQueue[Waiter] = fairness.FairQueue()
-        self.patient: list[Waiter] = []
-        self.patience_changed = trio.Event()
-        self.waiting: dict[tuple[str, int], Waiter] = {}
+        self.estimates = estimates.Estimates(group_loads.rates)
+        self.queue: fairness.FairQueue[waiter_.Waiter] = fairness.FairQueue()
+        self.patience = patience.Patience(self)
+        self.waiting: dict[tuple[str, int], waiter_.Waiter] = {}
 
     def max_load(self, ask: messages_decisions.PermitRequest) -> int:
         """Returns the hard limit of an upstream for a request."""
@@ -113,7 +84,7 @@
             places = self.places.get(ask.chat)
         return self.loads.place(ask, places, self.max_load(ask))
 
-    def try_now(self, waiter: Waiter) -> bool:
+    def try_now(self, waiter: waiter_.Waiter) -> bool:
         """Grants a new request if there is room; whether that is decided.
 
         Raises:
@@ -124,11 +95,11 @@
         choice = self.place(waiter.ask)
         if choice.upstream is None:
             return False
-        if not self.be_patient(waiter, choice):
+        if not self.patience.take(waiter, choice):
             self.grant(waiter, choice)
         return True
 
-    def grant(self, waiter: Waiter, choice: placement.Choice) -> None:
+    def grant(self, waiter: waiter_.Waiter, choice: placement.Choice) -> None:
         """Records a permit."""
         ask = waiter.ask
         upstream = choice.upstream or ''
@@ -153,102 +124,41 @@
         waiter.done.set()
         GRANTS.inc({'reason': choice.reason})
 
-    def refuse(self, waiter: Waiter, error: errors.RequestError) -> None:
+    def refuse(
+        self, waiter: waiter_.Waiter, error: errors.RequestError
+    ) -> None:
         """Ends a request with an error, at once."""
         waiter.error = error
         waiter.done.set()
         REFUSALS.inc({'error': type(error).__name__})
 
-    def add(self, waiter: Waiter) -> None:
+    def add(self, waiter: waiter_.Waiter) -> None:
         """Notes a request that waits."""
         self.waiting[waiter.entry, waiter.ask.number] = waiter
         self.shares.waiting[waiter.ask.customer] += 1
 
-    def forget(self, waiter: Waiter) -> None:
+    def forget(self, waiter: waiter_.Waiter) -> None:
         """Takes a request out that waits no more."""
         self.queue.remove(waiter)
-        if waiter in self.patient:
-            self.patient.remove(waiter)
+        if waiter in self.patience.waiters:
+            self.patience.waiters.remove(waiter)
         key = (waiter.entry, waiter.ask.number)
         if self.waiting.pop(key, None) is not None:
             self.shares.waiting[waiter.ask.customer] -= 1
 
-    def waits(self, waiter: Waiter) -> bool:
+    def waits(self, waiter: waiter_.Waiter) -> bool:
         """Returns whether a request still waits."""
         return (waiter.entry, waiter.ask.number) in self.waiting
 
-    # waiting for room where the context is
-
-    def held_but_full(self, waiter: Waiter, choice: placement.Choice) -> bool:
-        """Returns whether its context is at an upstream without room."""
-        if choice.reason == placement.HELD_CHAT or not waiter.ask.chat:
-            return False
-        held = {place.upstream for place in self.places.get(waiter.ask.chat)}
-        return any(
-            upstream in held and reason in placement.MAY_PASS
-            for upstream, reason in choice.passed_over
-        )
-
-    def be_patient(self, waiter: Waiter, choice: placement.Choice) -> bool:
-        """Lets a request wait a moment for room where its context is.
-
-        It waits only if that may be shorter than computing the context
-        anew: another place would cost the time and the other's cache too.
-        """
-        if not self.held_but_full(waiter, choice):
-            return False
-        settings = self.settings
-        cost = waiter.ask.prompt_tokens / settings.recompute
-        left = waiter.deadline - waiter.since
-        seconds = min(settings.patience, cost, left / 2)
-        if seconds < MIN_PATIENCE_SECONDS:
-            return False
-        waiter.patient_until = waiter.since + seconds
-        self.patient.append(waiter)
-        self.add(waiter)
-        self.patience_changed.set()
-        return True
-
-    def serve_patient(self) -> None:
-        """Grants to those that wait for their place what is free now."""
-        now = trio.current_time()
-        for waiter in list(self.patient):
-            try:
-                choice = self.place(waiter.ask)
-            except errors.RequestError as exc:
-                self.forget(waiter)
-                self.refuse(waiter, exc)
-                continue
-            held = choice.reason == placement.HELD_CHAT
-            if not held and now < waiter.patient_until - SAME_TIME_SECONDS:
-                continue
-            self.forget(waiter)
-            if choice.upstream is None:
-                self.enqueue(waiter)
-            else:
-                self.grant(waiter, choice)
-
-    async def run_patience(self) -> None:
-        """Ends each patient wait in time."""
-        while True:
-            if not self.patient:
-                self.patience_changed = trio.Event()
-                await self.patience_changed.wait()
-                continue
-            await trio.sleep_until(
-                min(waiter.patient_until for waiter in self.patient)
-            )
-            self.serve_patient()
-
-    # waiting for any room
-
-    def enqueue(self, waiter: Waiter) -> None:
+    def enqueue(self, waiter: waiter_.Waiter) -> None:
         """Queues a request, or refuses it if it cannot be served in time."""
         ask = waiter.ask
         ahead = self.queue.ahead(ask.priority, ask.customer)
         mine = self.queue.count_of(ask.priority, ask.customer)
-        if self.too_late(ahead, mine, waiter):
-            self.refuse(waiter, self.pool_full(ahead, mine, ask.customer))
+        if self.estimates.too_late(ahead, mine, waiter):
+            self.refuse(
+                waiter, self.estimates.pool_full(ahead, mine, ask.customer)
+            )
             return
         weight = self.loads.directory.weight(ask.customer)
         self.queue.push(waiter, ask.priority, ask.customer, weight)
@@ -261,53 +171,14 @@
         last = self.queue.last()
         self.forget(last)
         count = self.queue.count_of(last.ask.priority, last.ask.customer)
-        error = self.pool_full(len(self.queue), count, last.ask.customer)
-        self.refuse(last, error)
-
-    def estimate(self, ahead: int, mine: int, customer: int) -> float:
-        """Returns the seconds that a request will wait, 0 if unknown.
-
-        Args:
-            ahead: Requests before it.
-            mine: Those of them that are its customer's.
-            customer: Its customer.
-        """
-        rates = self.loads.rates
-        seconds = 0.0
-        if rates.rate > 0:
-            seconds = (ahead + 1) / rates.rate
-        own_rate = rates.customers.get(customer, 0.0)
-        if own_rate > 0 and mine > 0:
-            seconds = max(seconds, (mine + 1) / own_rate)
-        return seconds * ESTIMATE_MARGIN
-
-    def too_late(self, ahead: int, mine: int, waiter: Waiter) -> bool:
-        """Returns whether a request would not be served in time.
-
-        One that is granted just before its deadline would run for nobody:
-        some of the time that requests take is kept for it to run.
-        """
-        left = waiter.deadline - trio.current_time()
-        if left <= 0:
-            return True
-        whole = waiter.deadline - waiter.since
-        service = min(self.loads.rates.service, SERVICE_PART * whole)
-        seconds = self.estimate(ahead, mine, waiter.ask.customer)
-        return seconds > 0 and seconds + service > left
-
-    def pool_full(
-        self, ahead: int, mine: int, customer: int
-    ) -> errors.PoolFull:
-        """Returns the error for a request with so many before it."""
-        seconds = self.estimate(ahead, mine, customer)
-        retry_after = max(MIN_RETRY_AFTER_SECONDS, round(seconds, 1))
-        return errors.PoolFull(
-            f'{len(self.queue)} requests wait for the pool', retry_after
+        error = self.estimates.pool_full(
+            len(self.queue), count, last.ask.customer
         )
+        self.refuse(last, error)
 
     def dispatch(self) -> None:
         """Grants to those that wait, in their order, what is free now."""
-        self.serve_patient()
+        self.patience.serve()
         blocked: set[tuple[int | None, int, bool]] = set()
         tries = 0
         for waiter in list(self.queue):
@@ -320,10 +191,10 @@
             tries += 1
             if tries > TRIES:
                 return
-            if self.serve(waiter) == Served.NO_ROOM and not ask.avoid:
+            if self.serve(waiter) is Served.NO_ROOM and not ask.avoid:
                 blocked.add(kind)
 
-    def serve(self, waiter: Waiter) -> str:
+    def serve(self, waiter: waiter_.Waiter) -> Served:
         """Grants to a waiting request if possible."""
         try:
             choice = self.place(waiter.ask)
@@ -342,7 +213,9 @@
         self.grant(waiter, choice)
         return Served.DECIDED
 
-    def waits_for_place(self, waiter: Waiter, choice: placement.Choice) -> bool:
+    def waits_for_place(
+        self, waiter: waiter_.Waiter, choice: placement.Choice
+    ) -> bool:
         """Returns whether a request lets this room go to the next.
 
         In a full pool the room is hardly ever where its context is; served
@@ -357,11 +230,11 @@
         until = waiter.since + patience
         if trio.current_time() >= until:
             return False
-        return self.held_but_full(waiter, choice)
+        return self.patience.held_but_full(waiter, choice)
 
     def swap_for_held(
-        self, waiter: Waiter, choice: placement.Choice
-    ) -> tuple[Waiter, placement.Choice]:
+        self, waiter: waiter_.Waiter, choice: placement.Choice
+    ) -> tuple[waiter_.Waiter, placement.Choice]:
         """Returns who takes the turn of a customer, and where.
 
         The turn goes to the first of the customer's requests whose context
@@ -392,17 +265,9 @@
             count = mine.get(key, 0)
             if waiter.polled < now - 2 * patience:
                 self.forget(waiter)
-            elif self.too_late(ahead, count, waiter):
+            elif self.estimates.too_late(ahead, count, waiter):
                 self.forget(waiter)
-                error = self.pool_full(ahead, count, ask.customer)
+                error = self.estimates.pool_full(ahead, count, ask.customer)
                 self.refuse(waiter, error)
             else:
                 mine[key] = count + 1
-
-
-class Served:
-    """What became of a try to serve a waiting request."""
-
-    DECIDED = 'decided'
-    LATER = 'later'
-    NO_ROOM = 'no room'
--- a/lavenderbend/coordination/placement.py
+++ b/lavenderbend/coordination/placement.py
@@ -29,7 +29,9 @@
 # reasons that hold for the moment only
 MAY_PASS = (OVER_BOUND, FULL, OTHER_OWNER)
 ROUNDING = 1e-9
-LARGE_MEAN = 25.0
+LARGE_MEAN = 16.0
+# the mean may fall after a request was admitted; a tenth is kept for that
+KEPT_PART = 0.9
 
 # positions go over the wire: append only
 REASONS = (
@@ -91,9 +93,10 @@
     """Returns the highest load that the bound allows on one upstream.
 
     The mean counts the new request. Some upstream is always at or below the
-    mean, so the next whole number above it must be allowed. The bound is
-    rounded up only while one request is a large part of the mean: rounded
-    down there, returning chats would find no room at their place.
+    mean, so the next whole number above it must be allowed. While one
+    request is a large part of the mean the bound is rounded up: rounded
+    down, returning chats would find no room at their place. Above that the
+    load also stays under c times the mean while the mean falls.
 
     Args:
         pool: Bound, floor and hard limit.
@@ -107,7 +110,8 @@
     if mean < LARGE_MEAN:
         bound = math.ceil(pool.bound * sure - ROUNDING)
     else:
-        bound = math.floor(pool.bound * sure + ROUNDING)
+        inner = 1 + KEPT_PART * (pool.bound - 1)
+        bound = math.floor(inner * sure + ROUNDING)
     allowed = max(pool.floor, math.ceil(mean - ROUNDING), bound)
     return min(allowed, pool.max_load)
 
