--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -229,6 +229,11 @@
         """
         load = sum(candidate.load for candidate in candidates)
         own = sum(self.table.own(one.upstream) for one in candidates)
+        for one in candidates:
+            if one.avoided:
+                # it may just have died, and what other owners sent there
+                # with it: the report does not show that yet
+                load -= one.load - self.table.own(one.upstream)
         others = self.sums.others(self.group.pool, self.group.index)
         elsewhere = sum(item.load for item in others.values())
         engines = sum(item.engines for item in others.values())
