--- a/bench/decisions/results.py
+++ b/bench/decisions/results.py
@@ -18,6 +18,7 @@
 
 CEILING = 'all-knowing'
 OURS = 'lavenderbend'
+CALM = 'without the surge'
 BOUNDS = pathlib.Path(__file__).with_name('bounds.yaml')
 
 Table = dict[str, figures.Figures]
@@ -40,16 +41,7 @@
     cases: the worst over the runs.
     """
     if OURS not in table:
-        return {
-            'above': max(row.above for row in table.values()),
-            'most_above': max(row.most_above for row in table.values()),
-            'late_work': max(row.late_work for row in table.values()),
-            'poisoned': max(row.poisoned for row in table.values()),
-            'innocents': max(row.innocents for row in table.values()),
-            'refused': max(row.refused for row in table.values()),
-            'bytes_most': max(row.bytes_most for row in table.values()),
-            'reuse': min(row.reuse for row in table.values()),
-        }
+        return worst(table)
     ours = table[OURS]
     result = {
         'reuse': ours.reuse,
@@ -68,6 +60,29 @@
     return result
 
 
+def worst(table: Table) -> dict[str, float]:
+    """Returns the worst figures over the runs of a case."""
+    rows = table.values()
+    result = {
+        'above': max(row.above for row in rows),
+        'most_above': max(row.most_above for row in rows),
+        'late_work': max(row.late_work for row in rows),
+        'poisoned': max(row.poisoned for row in rows),
+        'innocents': max(row.innocents for row in rows),
+        'refused': max(row.refused for row in rows),
+        'bytes_most': max(row.bytes_most for row in rows),
+        'bytes_mean': max(row.bytes_mean for row in rows),
+        'reuse': min(row.reuse for row in rows),
+    }
+    calm = table.get(CALM)
+    if calm is not None:
+        waits = max(row.others_waited for row in rows)
+        tokens = max(row.others_first_token for row in rows)
+        result['others_wait_ratio'] = waits / calm.others_waited
+        result['others_token_ratio'] = tokens / calm.others_first_token
+    return result
+
+
 @attrs.frozen
 class Breach:
     """A figure outside of its bounds.
--- a/lavenderbend/coordination/admission/search.py
+++ b/lavenderbend/coordination/admission/search.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
 from lavenderbend.coordination import placement
 from lavenderbend.coordination.admission import groups
+from lavenderbend.coordination.admission import held
+from lavenderbend.coordination.admission import refusals
 from lavenderbend.coordination.admission import serving
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_decisions
-from lavenderbend.state import decisions
 
 if TYPE_CHECKING:
     from lavenderbend.coordination.admission import service
@@ -31,33 +31,6 @@
     'lavenderbend_permits_degraded_total', 'Permits given without an owner.'
 )
 
-REFUSALS: dict[str, type[errors.RequestError]] = {
-    'PoolFull': errors.PoolFull,
-    'NoUpstream': errors.NoUpstream,
-    'CustomerOverLimit': errors.CustomerOverLimit,
-}
-
-
-@attrs.frozen
-class Held:
-    """A permit that this entry uses.
-
-    Attributes:
-        number: This entry's number for it.
-        group: The group of its upstream.
-        upstream: VM id.
-        owner: Router that was last told of it.
-        granted_at: Router clock.
-        customer: Short id of the customer.
-    """
-
-    number: int
-    group: groups.GroupId
-    upstream: str
-    owner: str
-    granted_at: float
-    customer: int
-
 
 class Search:
     """The search for one permit."""
@@ -147,7 +120,7 @@
                     admission.back_in_touch(owner)
                 return answer
             except errors.PeerRefused as exc:
-                self.raise_refusal(exc)
+                refusals.raise_refusal(exc)
                 self.abandon(owner)
                 await trio.sleep(admission.settings.degraded_poll)
                 return None
@@ -196,16 +169,6 @@
         item = messages_decisions.PermitRelease([self.number], True)
         self.admission.tell(owner, item)
 
-    def raise_refusal(self, exc: errors.PeerRefused) -> None:
-        """Raises the owner's typed refusal as this entry's own."""
-        kind = str(exc.args[0]) if exc.args else ''
-        refusal = REFUSALS.get(kind)
-        if refusal is None:
-            return
-        failure = exc.args[1] if len(exc.args) > 1 else None
-        detail = getattr(failure, 'detail', kind)
-        raise refusal(detail, getattr(failure, 'retry_after', None)) from exc
-
     def message(
         self, group: groups.GroupId, hold: float, left: float
     ) -> messages_decisions.PermitRequest:
@@ -260,7 +223,7 @@
             self.avoid.add(grant.upstream)
             return None
         now = trio.current_time()
-        admission.held[self.number] = Held(
+        admission.held[self.number] = held.Held(
             self.number,
             group,
             vm.id,
@@ -272,8 +235,8 @@
             id=f'{admission.name}/{self.number}',
             upstream=vm,
             owner=owner,
-            reason=placement.REASONS[grant.reason],
-            passed_over=self.passed_over(grant, names),
+            reason=placement.reason_text(grant.reason),
+            passed_over=refusals.passed_over(grant, names),
             waited=now - self.started,
         )
 
@@ -282,23 +245,6 @@
         vms = self.admission.membership.upstreams(self.pool.service)
         return {messages_decisions.short_id(vm.id): vm for vm in vms}
 
-    def passed_over(
-        self,
-        grant: messages_decisions.PermitGrant,
-        names: dict[int, upstreams.Vm],
-    ) -> tuple[decisions.PassedOver, ...]:
-        """Returns who was passed over and why."""
-        rows = zip(
-            grant.passed_over[::2], grant.passed_over[1::2], strict=False
-        )
-        result = []
-        for number, reason in rows:
-            vm = names.get(number)
-            upstream = vm.id if vm is not None else f'{number:08x}'
-            text = placement.REASONS[reason]
-            result.append(decisions.PassedOver(upstream, text))
-        return tuple(result)
-
     def admit_alone(self, group: groups.GroupId) -> interfaces.Permit | None:
         """Returns a permit within this entry's own share, if any."""
         if self.ask.suspect:
@@ -320,7 +266,7 @@
         now = trio.current_time()
         index = admission.directory.index(self.pool, upstream)
         group = groups.group_id(self.pool, index)
-        admission.held[self.number] = Held(
+        admission.held[self.number] = held.Held(
             self.number,
             group,
             upstream,
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -12,6 +12,7 @@
 from lavenderbend.coordination import interfaces
 from lavenderbend.coordination.admission import degraded
 from lavenderbend.coordination.admission import groups
+from lavenderbend.coordination.admission import held as held_
 from lavenderbend.coordination.admission import owner as owner_
 from lavenderbend.coordination.admission import search
 from lavenderbend.coordination.admission import settings as settings_
@@ -78,7 +79,7 @@
             cache_client,
         )
         self.local = degraded.LocalShare(name, membership)
-        self.held: dict[int, search.Held] = {}
+        self.held: dict[int, held_.Held] = {}
         self.owners: dict[groups.GroupId, str] = {}
         self.suspects: dict[str, float] = {}
         self.out_of_touch: set[str] = set()
@@ -225,7 +226,7 @@
             self.register(group, name, by_group[group])
 
     def register(
-        self, group: groups.GroupId, name: str, held: list[search.Held]
+        self, group: groups.GroupId, name: str, held: list[held_.Held]
     ) -> None:
         """Lists this entry's permits of a group to its owner."""
         now = trio.current_time()
--- a/lavenderbend/coordination/placement.py
+++ b/lavenderbend/coordination/placement.py
@@ -48,6 +48,13 @@
 REASON_NUMBERS = {reason: number for number, reason in enumerate(REASONS)}
 
 
+def reason_text(number: int) -> str:
+    """Returns a reason by its number; a newer router may know more."""
+    if 0 <= number < len(REASONS):
+        return REASONS[number]
+    return f'reason {number}'
+
+
 @attrs.define
 class Candidate:
     """An upstream that could take the request.
