Show the proofs to fail when their guards are broken

Cause: a checker that cannot fail proves nothing. In scratch copies, each guard was broken and its proof run: claims always granted: a reply ran twice, red; the bound ignored: 2 starts above it, red; a stop that does not wait: an answer cut off, red; signs of leaving ignored (in all three places that heed them): green at first, since the stand-in itself refused what it was sent. The engine of that proof now goes on running what it gets.

--- a/lavenderbend/standin/engine_control.py
+++ b/lavenderbend/standin/engine_control.py
@@ -123,6 +123,7 @@
         app.engine.crash()
     elif kind == 'drain':
         app.engine.draining = bool(document.get('on', True))
+        app.engine.drain_refuses = bool(document.get('refuse', True))
     elif engine_faults.known(kind):
         fault = engine_faults.Fault(
             kind,
--- a/lavenderbend/standin/engine_core.py
+++ b/lavenderbend/standin/engine_core.py
@@ -121,6 +121,7 @@
         faults: Faults that the next requests meet.
         orders: Desired and actual models.
         draining: Whether it says that it is leaving.
+        drain_refuses: Whether it then refuses new requests, as good engines do.
         down: Whether it is restarting.
     """
 
@@ -149,6 +150,7 @@
             collections.deque([(0.0, 0, 0)])
         )
         self.draining = False
+        self.drain_refuses = True
         self.down = False
         self.work = trio.lowlevel.ParkingLot()
 
@@ -161,7 +163,7 @@
     def refuses(self) -> bool:
         """Whether new requests are refused before they start."""
         full = len(self.waiting) >= self.settings.max_waiting
-        return self.draining or full
+        return (self.draining and self.drain_refuses) or full
 
     def submit(
         self,
--- a/tests/integration/test_integration_upstreams.py
+++ b/tests/integration/test_integration_upstreams.py
@@ -20,7 +20,8 @@
 async def test_leaving_engine_gets_nothing_new(tmp_path):
     # an engine's VM is taken away while the VM list cannot be read: the
     # engine itself says that it is leaving, and within two seconds no
-    # router sends it anything new, though nobody told most of them
+    # router sends it anything new, though nobody told most of them. This
+    # engine would still run what it gets: one that refuses hides the fault
     rng = random.Random(3)
     async with fleet.running(FIVE, tmp_path) as subject:
         load = traffic.Traffic(subject, rng, traffic.Mix(chats=12, once=0))
@@ -31,7 +32,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load.run)
             await trio.sleep(1.5)
-            await subject.set_fault(leaving, kind='drain')
+            await subject.set_fault(leaving, kind='drain', refuse=False)
             since = trio.current_time() + LEAVING_SECONDS
             await trio.sleep(LEAVING_SECONDS + 2)
             load.stop()
