--- a/bench/capacity/limits_cost.py
+++ b/bench/capacity/limits_cost.py
@@ -35,6 +35,7 @@
         cpu_ms_per_second: Of the limits and the codec, without sockets.
         refused: Requests over a part though the customer is far below its
             limit, of a thousand.
+        refused_by_one: The same, if one bucket saw all requests.
     """
 
     routers: int
@@ -43,6 +44,7 @@
     bytes_per_second: float
     cpu_ms_per_second: float
     refused: float
+    refused_by_one: float
 
 
 class View:
@@ -56,16 +58,27 @@
         return self.names
 
 
+def limits_of(parts: list[float], rate: float) -> list[float]:
+    """Returns the limit of each customer, for a rate of the fleet."""
+    whole = LIMIT_FACTOR * rate / sum(parts)
+    return [whole * part for part in parts]
+
+
+def make_bucket(limit: float) -> limits.Bucket:
+    """Returns a bucket that holds a second of the limit."""
+    capacity = max(1.0, limit * limits.COVERED_SECONDS)
+    return limits.Bucket(limit, capacity, capacity, trio.current_time())
+
+
 class Fixed:
     """One revision."""
 
     def __init__(self, parts: list[float], rate: float) -> None:
-        whole = LIMIT_FACTOR * rate / sum(parts)
         customers = tuple(
             configuration.Customer(
-                f'customer-{number}', requests_per_second=whole * part
+                f'customer-{number}', requests_per_second=limit
             )
-            for number, part in enumerate(parts)
+            for number, limit in enumerate(limits_of(parts, rate))
         )
         document = configuration.Configuration(customers=customers)
         self.revision = configuration.Revision(1, 'digest', document)
@@ -89,12 +102,16 @@
         sums: Weights of the customers, summed up.
         asked: Requests whose limit was checked.
         refused: Those over their part.
+        whole: A bucket for each customer that sees all its requests.
+        refused_by_one: Those that such a bucket refuses.
     """
 
-    def __init__(self, parts: list[float]) -> None:
+    def __init__(self, parts: list[float], rate: float) -> None:
         self.sums = list(itertools.accumulate(parts))
         self.asked = 0
         self.refused = 0
+        self.refused_by_one = 0
+        self.whole = [make_bucket(limit) for limit in limits_of(parts, rate)]
 
     async def come(
         self, one: limits.CustomerLimits, rng: random.Random
@@ -108,6 +125,15 @@
                 one.check(f'customer-{min(number, CUSTOMERS - 1)}')
             except errors.CustomerOverLimit:
                 self.refused += 1
+            self.ask_one(self.whole[min(number, CUSTOMERS - 1)])
+
+    def ask_one(self, bucket: limits.Bucket) -> None:
+        """Checks a request against the bucket that sees all."""
+        bucket.refill(trio.current_time())
+        if bucket.tokens < 1.0:
+            self.refused_by_one += 1
+            return
+        bucket.tokens -= 1.0
 
 
 async def measure(routers: int, kind: str, seconds: int) -> Result:
@@ -116,7 +142,7 @@
     view = View(names)
     parts = weights(kind)
     fixed = Fixed(parts, routers * REQUESTS_PER_ROUTER)
-    traffic = Traffic(parts)
+    traffic = Traffic(parts, routers * REQUESTS_PER_ROUTER)
     async with trio.open_nursery() as nursery:
         net = network.Network(nursery, 0.001)
         for name in names:
@@ -126,7 +152,7 @@
             nursery.start_soon(traffic.come, one, rng)
         await trio.sleep(SETTLE_SECONDS)
         net.counts.clear()
-        traffic.asked = traffic.refused = 0
+        traffic.asked = traffic.refused = traffic.refused_by_one = 0
         spent = time.process_time()
         await trio.sleep(seconds)
         spent = time.process_time() - spent
@@ -140,6 +166,7 @@
         round(sum(one.sent + one.received for one in counts) / share),
         round(1000 * spent / share, 2),
         round(1000 * traffic.refused / traffic.asked, 1),
+        round(1000 * traffic.refused_by_one / traffic.asked, 1),
     )
 
 
