Spread the routers' watches of quarantine records over time

Cause: each router tried its watch again after exactly a second, so a fleet came at one moment, each second, to a key-value service that was coming back. Now the pause doubles from 1 s to 15 s with full jitter, and a watch that lasted longer than that begins anew. Peers tell new findings meanwhile.

The new test fails on the module as it was.

daemon/router.py: gives the router's source of jitter.

--- a/lavenderbend/coordination/quarantine.py
+++ b/lavenderbend/coordination/quarantine.py
@@ -5,12 +5,14 @@
 import collections
 import json
 import math
+import random
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import retries
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_decisions
@@ -33,6 +35,8 @@
 # as `AdmissionSettings.probation`
 PROBATION_SECONDS = 1.0
 RETRY_SECONDS = 1.0
+# between two tries to watch the findings; peers tell new ones meanwhile
+WATCH_RETRIES = retries.RetrySettings(base_delay=1.0, max_delay=15.0)
 CRASHES_TO_QUARANTINE = 2
 
 CRASHES = metrics.counter(
@@ -69,6 +73,7 @@
     suspect with it, is the cause.
 
     Attributes:
+        rng: Source of jitter.
         crashes: Fingerprints on each upstream that died, and whether each
             had only just been sent there.
         suspects: Deaths that each suspect was there at.
@@ -81,11 +86,14 @@
         store: interfaces.KeyValueStore,
         link: interfaces.PeerLink,
         membership: interfaces.Membership,
+        rng: random.Random | None = None,
     ) -> None:
         self.name = name
         self.store = store
         self.link = link
         self.membership = membership
+        # by name, so that routers without a source of their own differ too
+        self.rng = rng or random.Random(name)
         self.crashes: dict[Crash, dict[int, bool]] = {}
         self.crashed_at: dict[Crash, float] = {}
         self.suspects: dict[int, set[Crash]] = {}
@@ -338,22 +346,39 @@
             self.unwritten.discard(fingerprint)
 
     async def run_watch(self) -> None:
-        """Learns what was found before this router started."""
+        """Keeps up with the records of the key-value service.
+
+        Every router watches. With one fixed pause between tries all routers
+        of the fleet would come at once, each second, to a service that is
+        just coming back, and keep it down; so the pauses grow, and differ.
+        """
+        failures = 0
         while True:
+            began = trio.current_time()
             try:
-                found = await self.store.read(PREFIX, PREFIX_END)
-                for item in found.items:
-                    self.learn(item.key)
-                changes = self.store.watch(
-                    PREFIX, PREFIX_END, found.revision + 1
-                )
-                async for batch in changes:
-                    for change in batch:
-                        if not change.deleted:
-                            self.learn(change.item.key)
+                await self.follow_records()
             except errors.KeyValueError:
                 pass
-            await trio.sleep(RETRY_SECONDS)
+            if trio.current_time() - began > WATCH_RETRIES.max_delay:
+                failures = 0
+            failures += 1
+            pause = retries.backoff(failures, self.rng, math.inf, WATCH_RETRIES)
+            await trio.sleep(pause or 0.0)
+
+    async def follow_records(self) -> None:
+        """Learns the records there are, then each new one.
+
+        Raises:
+            KeyValueError: The service does not answer, or the watch ended.
+        """
+        found = await self.store.read(PREFIX, PREFIX_END)
+        for item in found.items:
+            self.learn(item.key)
+        changes = self.store.watch(PREFIX, PREFIX_END, found.revision + 1)
+        async for batch in changes:
+            for change in batch:
+                if not change.deleted:
+                    self.learn(change.item.key)
 
     def learn(self, key: str) -> None:
         """Takes a record over."""
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -168,6 +168,7 @@
             self.budgeted(call_budget.CallPriority.BACKGROUND),
             self.link,
             self.membership,
+            self.rng,
         )
         self.orderer = orders_http.HttpOrderer()
         self.orders = orders_module.OrderController(
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -161,6 +161,38 @@
     assert len(routers.store.items) == 1
 
 
+async def test_watches_spread_out_while_the_store_is_down(
+    nursery, autojump_clock
+):
+    # the key-value service falls over under load and comes back after ten
+    # minutes; were every router of the fleet to come each second, all at
+    # the same moments, it would be kept down, for a watch that can wait
+    routers = Routers(nursery, 0)
+    asked = []
+
+    class Down(store.MemoryStore):
+        async def read(self, *args, **kwargs):
+            asked.append(trio.current_time())
+            raise errors.KeyValueUnavailable('down')
+
+    working = routers.store
+    routers.store = Down()
+    all_routers = [routers.start(f'router-{number}') for number in range(20)]
+    began = trio.current_time()
+    await trio.sleep(600)
+
+    late = [at for at in asked if at > began + 60]
+    assert 20 * 20 < len(late) < 20 * 120
+    assert len({round(at, 3) for at in late}) > 0.95 * len(late)
+
+    await working.create(f'{quarantine.PREFIX}{POISON:016x}', b'{}')
+    for one in all_routers:
+        one.store = working
+    await trio.sleep(quarantine.WATCH_RETRIES.max_delay)
+    for one in all_routers:
+        assert not one.may_retry(POISON)
+
+
 def test_poison_kills_two_engines_and_no_innocent_is_refused():
     # a request that kills its engine is sent 50 times through all routers
     # while 20 others a second run
