Take no old report for load once all entries have listed theirs

After a time without an owner the new one saw the loads of before it on all engines, 17 each, and placed blindly while they stood at 4 to 8.

--- a/lavenderbend/coordination/admission/entries.py
+++ b/lavenderbend/coordination/admission/entries.py
@@ -16,6 +16,7 @@
     Attributes:
         heard: Owner clock of each entry's last sign.
         active_since: When the first of them was heard.
+        changed_at: When the last of them was heard for the first time.
         mismatches: Heartbeats in a row with other sums than the owner's.
     """
 
@@ -26,6 +27,7 @@
         self.seconds = seconds
         self.heard: dict[str, float] = {}
         self.active_since = 0.0
+        self.changed_at = 0.0
         self.mismatches: dict[str, int] = {}
 
     def hear(self, entry: str) -> bool:
@@ -34,6 +36,8 @@
         first = not self.heard
         if first:
             self.active_since = now
+        if entry not in self.heard:
+            self.changed_at = now
         self.heard[entry] = now
         return first
 
--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -88,6 +88,24 @@
                 self.table.join(vm.id, at, report.load)
         return vms
 
+    def load(self, upstream: str, share: float) -> int:
+        """Returns the load of an upstream as far as it is known.
+
+        Once all entries have listed their permits to a new owner, what an
+        earlier report shows above them has ended: requests that ended before
+        the lists came. Counted until the next report, it would hide which
+        engines are empty after a time without an owner.
+
+        Args:
+            upstream: VM id.
+            share: Share of the live entries that ask this owner.
+        """
+        seen = self.table.seen.get(upstream)
+        old = seen is None or seen.at < self.entries.changed_at
+        if share >= 1.0 and old:
+            return self.table.own(upstream)
+        return self.table.load(upstream)
+
     def names(self) -> dict[int, str]:
         """Returns VM ids by short id, of all upstreams of the group."""
         vms = self.directory.upstreams(self.pool(), self.group.index)
@@ -96,7 +114,8 @@
     def total(self) -> tuple[int, int]:
         """Returns the load of the group and its number of upstreams."""
         vms = self.directory.upstreams(self.pool(), self.group.index)
-        return sum(self.table.load(vm.id) for vm in vms), len(vms)
+        share = self.entries.share()
+        return sum(self.load(vm.id, share) for vm in vms), len(vms)
 
     def instance(self, upstream: str) -> int:
         """Returns the short id of an upstream's instance, 0 if unknown."""
@@ -115,11 +134,12 @@
         """
         vms = serving.serving(self.membership, self.upstreams(), ask.model)
         short_id = messages_decisions.short_id
+        share = self.entries.share()
         candidates = [
             placement.Candidate(
                 upstream=vm.id,
                 instance=self.instance(vm.id),
-                load=self.table.load(vm.id),
+                load=self.load(vm.id, share),
                 adapter=self.has_adapter(vm.id, ask.adapter),
                 avoided=bool(ask.avoid) and short_id(vm.id) in ask.avoid,
                 tested=ask.suspect and self.tests_suspect(vm.id, ask.chat),
