--- a/tests/integration/proxy.py
+++ b/tests/integration/proxy.py
@@ -40,13 +40,21 @@
 
 
 class FaultProxy:
-    """Forwards connections to one target, with faults on order."""
+    """Forwards connections to one target, with faults on order.
+
+    Attributes:
+        faults: What it does from now on.
+        port: Where it listens.
+        bytes_passed: Payload passed on, both directions together.
+        streams: Connections that are open now.
+    """
 
     def __init__(self, target_host: str, target_port: int) -> None:
         self.target_host = target_host
         self.target_port = target_port
         self.faults = Faults()
         self.port = 0
+        self.bytes_passed = 0
         self.streams: set[trio.SocketStream] = set()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -120,4 +128,5 @@
             await trio.sleep(len(data) / faults.bytes_per_second)
         if self.faults.cut in (direction, Cut.BOTH):
             return
+        self.bytes_passed += len(data)
         await sink.send_all(data)
--- a/tests/test_coordination/test_admission_start.py
+++ b/tests/test_coordination/test_admission_start.py
@@ -12,16 +12,17 @@
 class LateConfiguration(fakes.FixedConfiguration):
     """A configuration that has not been heard of yet."""
 
-    known = False
+    def __init__(self, document):
+        super().__init__(document)
+        self.known = trio.Event()
 
     def current(self):
-        if not self.known:
+        if not self.known.is_set():
             raise errors.NoConfiguration('none yet')
         return super().current()
 
     async def wait_beyond(self, number):
-        while not self.known:
-            await trio.sleep(0.1)
+        await self.known.wait()
         return await super().wait_beyond(number)
 
 
@@ -49,7 +50,7 @@
             await entry.acquire(fleet.ask(number))
         view.wake()
     await trio.sleep(10)
-    late.known = True
+    late.known.set()
     await trio.sleep(5)
 
     permit = await one.acquire(fleet.ask(99))
