Let the settings file say how claims, orders, answers and retries go

state/settings.py: sections admission, claims, orders, answers, attempts, with units and bounds; defaults unchanged, which a test compares to those of the parts. An answer that is held can't be larger than the largest whole one. daemon/adapters.py turns them into the parts' classes; daemon/router.py passes them in. docs/reference: shares, rates and durations of both files now show their units in the column of defaults.

--- a/docs/reference/generate.py
+++ b/docs/reference/generate.py
@@ -131,9 +131,12 @@
     return kind(present[0]) if present else str(cls)
 
 
-def default(field: attrs.Attribute) -> str:
+def default(cls: type, field: attrs.Attribute) -> str:
     """Returns the default of a key."""
     value = field.default
+    writer = structuring.FIELD_WRITERS.get((cls, field.name))
+    if writer is not None and isinstance(value, float):
+        return f'``{writer(value)}``'
     if value is attrs.NOTHING:
         return 'needed'
     if isinstance(value, attrs.Factory) or value in ((), ''):
@@ -154,7 +157,7 @@
         (
             f'``{field.name}``',
             allowed(cls, field),
-            default(field),
+            default(cls, field),
             escape(docs.get(field.name, '')),
         )
         for field in attrs.fields(attrs.resolve_types(cls))
--- a/lavenderbend/daemon/adapters.py
+++ b/lavenderbend/daemon/adapters.py
@@ -1,10 +1,16 @@
-"""The adapters that a router's settings name."""
+"""What a router's settings name: adapters, policies and limits."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from lavenderbend.coordination import admission as admission_module
+from lavenderbend.coordination import claim_waiting
+from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination import dispatch
 from lavenderbend.coordination import membership as membership_module
+from lavenderbend.coordination import orders as orders_module
+from lavenderbend.coordination import retries
 from lavenderbend.protocol import http_limits
 from lavenderbend.state import settings as settings_module
 from lavenderbend.transport import key_value_etcd  # noqa: F401 - registers
@@ -21,6 +27,7 @@
     from lavenderbend.coordination import interfaces
 
 ROUTER_SERVICE = 'router'
+PERCENT = 100
 
 
 def make_store(
@@ -81,3 +88,63 @@
         idle_seconds=settings.idle_seconds,
         connections=settings.max_connections,
     )
+
+
+def admission_settings(
+    settings: settings_module.AdmissionSettings,
+) -> admission_module.AdmissionSettings:
+    """Returns the sizes of admission."""
+    return admission_module.AdmissionSettings(chats=settings.chats)
+
+
+def claim_policy(
+    settings: settings_module.ClaimSettings,
+) -> claims_module.ClaimPolicy:
+    """Returns how claims are kept."""
+    return claims_module.ClaimPolicy(
+        shards=settings.shards,
+        retention=settings.retention_seconds,
+        shard=claim_waiting.ShardPolicy(gap=settings.write_gap_seconds),
+    )
+
+
+def order_policy(
+    settings: settings_module.OrderSettings,
+) -> orders_module.OrderPolicy:
+    """Returns how orders are sent."""
+    return orders_module.OrderPolicy(
+        interval=settings.interval_seconds,
+        loads_at_once=settings.loads_at_once,
+        load_gap=settings.load_gap_seconds,
+        unavailable=settings.unavailable / PERCENT,
+        settle_seconds=settings.settle_seconds,
+        bake_seconds=settings.bake_seconds,
+        engine_read_seconds=settings.engine_read_seconds,
+    )
+
+
+def answer_limits(
+    settings: settings_module.AnswerSettings,
+) -> http_limits.AnswerLimits:
+    """Returns the limits on the answers of upstreams."""
+    return http_limits.AnswerLimits(
+        event_bytes=settings.max_event_bytes,
+        whole_bytes=settings.max_whole_bytes,
+        stall_seconds=settings.stall_seconds,
+    )
+
+
+def dispatch_settings(
+    settings: settings_module.RouterSettings,
+) -> dispatch.DispatchSettings:
+    """Returns the times and sizes of the request path."""
+    answers = settings.answers
+    attempts = settings.attempts
+    return dispatch.DispatchSettings(
+        answers=answer_limits(answers),
+        held_bytes=answers.held_bytes,
+        retries=retries.RetrySettings(share=attempts.retry_share / PERCENT),
+        retry_after_seconds=attempts.retry_after_seconds,
+        answers_named_by_request=answers.named_by_request,
+        require_idempotency_key=attempts.require_idempotency_key,
+    )
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -110,7 +110,9 @@
             WRITES_PER_SECOND, READS_PER_SECOND
         )
         self.link = adapters.make_link(settings)
-        self.upstream_client = upstream_http.HttpUpstreamClient()
+        self.upstream_client = upstream_http.HttpUpstreamClient(
+            adapters.answer_limits(settings.answers)
+        )
         self.membership = membership_module.FleetMembership(
             self.vm,
             adapters.make_vm_list(settings.vm_list),
@@ -152,6 +154,7 @@
             self.membership,
             self.configurations,
             self.rng,
+            adapters.admission_settings(settings.admission),
         )
         # an owner that lacks the reports of an engine would never use it
         self.membership.wants_report = self.admission.wants_report
@@ -162,6 +165,7 @@
             self.membership,
             self.rng,
             f'{prefix}claims/',
+            adapters.claim_policy(settings.claims),
         )
         self.quarantine = quarantine_module.Quarantine(
             settings.id,
@@ -179,6 +183,7 @@
             self.orderer,
             self.rng,
             f'{prefix}orders/{settings.region}/',
+            adapters.order_policy(settings.orders),
         )
         self.limits = limits_module.CustomerLimits(
             settings.id, self.link, self.membership, self.configurations
@@ -204,6 +209,7 @@
             self.decisions,
             {},
             self.rng,
+            adapters.dispatch_settings(settings),
         )
         self.caller_app = callers.CallerApp(
             self.dispatcher,
--- a/lavenderbend/protocol/structuring.py
+++ b/lavenderbend/protocol/structuring.py
@@ -74,17 +74,21 @@
     return members[value]
 
 
-# fields of the configuration that have a unit, bounds or a shape; those of
-# the settings say so in their own metadata
+# fields whose unit is not in their type, and the bounds of those of the
+# configuration; those of the settings are in their own metadata
 FIELD_HOOKS: dict[tuple[type, str], Hook] = {
     (configuration.When, 'share'): units.share,
     (configuration.Then, 'timeout'): units.duration,
     (configuration.Then, 'limit'): units.rate,
+    (settings.OrderSettings, 'unavailable'): units.share,
+    (settings.AttemptSettings, 'retry_share'): units.share,
 }
 FIELD_WRITERS: dict[tuple[type, str], Writer] = {
     (configuration.When, 'share'): units.write_share,
     (configuration.Then, 'timeout'): units.write_duration,
     (configuration.Then, 'limit'): units.write_rate,
+    (settings.OrderSettings, 'unavailable'): units.write_share,
+    (settings.AttemptSettings, 'retry_share'): units.write_share,
 }
 FIELD_BOUNDS: dict[tuple[type, str], settings.Bounds] = {
     (configuration.When, 'share'): settings.Bounds(0, 100),
--- a/lavenderbend/state/settings.py
+++ b/lavenderbend/state/settings.py
@@ -236,6 +236,103 @@
     cut_off_seconds: Seconds = bounded(30.0, 1.0, DAY)
 
 
+@attrs.frozen
+class AdmissionSettings:
+    """How much the owners of chats remember; the same on all routers.
+
+    Attributes:
+        chats: Chats whose places an owner remembers for one group of chats.
+    """
+
+    chats: int = bounded(50_000, 100, 10_000_000)
+
+
+@attrs.frozen
+class ClaimSettings:
+    """How non-idempotent requests are kept from running twice.
+
+    Attributes:
+        shards: Logs that the claims are spread over; the same on every
+            router, changed only with the whole fleet stopped for longer
+            than the retention.
+        retention_seconds: A request that comes again within this time is
+            not run again.
+        write_gap_seconds: Least time between two writes of one shard.
+    """
+
+    shards: int = bounded(1, 1, 256)
+    retention_seconds: Seconds = bounded(3600.0, 60.0, 7 * DAY)
+    write_gap_seconds: Seconds = bounded(0.0105, 0.0, 1.0)
+
+
+@attrs.frozen
+class OrderSettings:
+    """How engines are brought to the models they are to serve.
+
+    Attributes:
+        interval_seconds: How often a controller reads its engines.
+        loads_at_once: Orders of a pool in progress at once.
+        load_gap_seconds: Least time between two orders of a pool: what the
+            weight store bears.
+        unavailable: Share of a model's engines that may be down at once.
+        settle_seconds: Time in which an engine must serve what it was
+            ordered to.
+        bake_seconds: Time for which a first engine must serve a new target
+            before others follow.
+        engine_read_seconds: An engine drops a request whose body has not
+            come for so long; a new controller waits for it where engines
+            ignore fencing tokens.
+    """
+
+    interval_seconds: Seconds = bounded(2.0, 0.1, 60.0)
+    loads_at_once: int = bounded(4, 1, 1000)
+    load_gap_seconds: Seconds = bounded(1.0, 0.0, 3600.0)
+    unavailable: float = bounded(25.0, 0, 100)
+    settle_seconds: Seconds = bounded(600.0, 1.0, DAY)
+    bake_seconds: Seconds = bounded(30.0, 0.0, DAY)
+    engine_read_seconds: Seconds = bounded(60.0, 1.0, 3600.0)
+
+
+@attrs.frozen
+class AnswerSettings:
+    """Limits on the answers of upstreams.
+
+    Attributes:
+        max_event_bytes: A larger server-sent event breaks its stream.
+        max_whole_bytes: A larger whole model answer is refused.
+        held_bytes: An answer that states at most this length is held until
+            it is whole, so that it can be tried again unseen.
+        stall_seconds: An answer without a byte for so long is broken off.
+        named_by_request: Whether engines take the request's id over into
+            the `id` of a chat answer; an answer without it is then taken
+            for another request's.
+    """
+
+    max_event_bytes: ByteCount = bounded(256 * 1024, 1024, 64 * 1024 * 1024)
+    max_whole_bytes: ByteCount = bounded(
+        8 * 1024 * 1024, 1024 * 1024, 1024 * 1024 * 1024
+    )
+    held_bytes: ByteCount = bounded(64 * 1024, 0, 1024 * 1024)
+    stall_seconds: Seconds = bounded(30.0, 0.1, DAY)
+    named_by_request: bool = True
+
+
+@attrs.frozen
+class AttemptSettings:
+    """When a request is run, again or not at all.
+
+    Attributes:
+        retry_share: Retries allowed for each first attempt of a pool.
+        retry_after_seconds: Told to callers whose request was not run.
+        require_idempotency_key: Whether a non-idempotent request without an
+            Idempotency-Key is refused.
+    """
+
+    retry_share: float = bounded(10.0, 0, 100)
+    retry_after_seconds: Seconds = bounded(1.0, 0.1, 3600.0)
+    require_idempotency_key: bool = True
+
+
 @attrs.frozen
 class RouterSettings:
     """Everything that one router process is told at its start.
@@ -253,6 +350,11 @@
         decisions: How many decisions are kept.
         tracing: Where spans go.
         configuration: What holds while cut off.
+        admission: How much the owners of chats remember.
+        claims: How non-idempotent requests are kept from running twice.
+        orders: How engines are brought to their models.
+        answers: Limits on the answers of upstreams.
+        attempts: When a request is run, again or not at all.
         seed: Seed of the random numbers, None for one of the system.
     """
 
@@ -270,4 +372,9 @@
     configuration: ConfigurationSettings = attrs.field(
         factory=ConfigurationSettings
     )
+    admission: AdmissionSettings = attrs.field(factory=AdmissionSettings)
+    claims: ClaimSettings = attrs.field(factory=ClaimSettings)
+    orders: OrderSettings = attrs.field(factory=OrderSettings)
+    answers: AnswerSettings = attrs.field(factory=AnswerSettings)
+    attempts: AttemptSettings = attrs.field(factory=AttemptSettings)
     seed: int | None = None
