--- a/lavenderbend/standin/key_value.py
+++ b/lavenderbend/standin/key_value.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-import bisect
 import collections
-import functools
 import random
 from typing import TYPE_CHECKING
 
 import attrs
-import hypercorn
-import hypercorn.trio
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
+from lavenderbend.standin import app_serving
+from lavenderbend.standin import key_value_data
 from lavenderbend.standin import key_value_http
 
 if TYPE_CHECKING:
@@ -24,8 +22,7 @@
     import quart_trio
 
 MAX_VALUE_BYTES = 1024 * 1024
-EVENTS_KEPT = 100_000
-# keys that the JSON gateway would carry beside each value
+# these count against the limit of writes, all others against that of reads
 WRITE_KINDS = ('create', 'replace', 'delete')
 
 
@@ -81,21 +78,6 @@
     sure: bool
 
 
-@attrs.define
-class HeldLease:
-    """A lease with its keys.
-
-    Attributes:
-        seconds: Granted time.
-        expires: Clock at which it lapses.
-        keys: Keys that end with it.
-    """
-
-    seconds: float
-    expires: float
-    keys: set[str] = attrs.field(factory=set)
-
-
 class Gate:
     """A limit of calls a second with a burst of one second."""
 
@@ -115,16 +97,12 @@
         return True
 
 
-class MemoryStore(interfaces.KeyValueStore):
-    """Keys, leases and watches in memory, on trio's clock.
+class MemoryStore(key_value_data.Data, interfaces.KeyValueStore):
+    """Calls and watches on data in memory, with faults, on trio's clock.
 
     Attributes:
         faults: What goes wrong now; change it through `fault`.
         rng: Source of the faults.
-        revision: Store revision.
-        items: All keys.
-        order: Their names, sorted.
-        events: Changes in order, for watches.
         calls: Calls by kind.
         bytes_written: Bytes of values in writes.
         bytes_read: Bytes of values in answers to reads and watches.
@@ -137,20 +115,11 @@
         faults: Faults | None = None,
         record: bool = False,
     ) -> None:
+        super().__init__()
         self.faults = faults or Faults()
         self.rng = rng or random.Random(0)
         self.record = record
-        self.revision = 1
-        self.items: dict[str, interfaces.KeyValue] = {}
-        self.order: list[str] = []
-        self.events: collections.deque[interfaces.Change] = collections.deque(
-            maxlen=EVENTS_KEPT
-        )
-        self.compacted = 1
-        self.leases: dict[int, HeldLease] = {}
-        self.next_lease = 1000
         self.late: list[tuple[float, Callable[[], object]]] = []
-        self.watchers = trio.lowlevel.ParkingLot()
         self.gates = {'write': Gate(), 'read': Gate()}
         self.calls: collections.Counter[str] = collections.Counter()
         self.refused = 0
@@ -230,7 +199,9 @@
         def effect() -> int:
             self.next_lease += 1
             expires = trio.current_time() + seconds
-            self.leases[self.next_lease] = HeldLease(seconds, expires)
+            self.leases[self.next_lease] = key_value_data.HeldLease(
+                seconds, expires
+            )
             return self.next_lease
 
         return await self.call('grant', '', b'', effect)
@@ -378,83 +349,6 @@
         dues += [due for due, effect in self.late]
         return min(dues, default=float('inf'))
 
-    def names(self, key: str, end: str | None) -> list[str]:
-        """Returns the keys that are there, in order."""
-        if end is None:
-            return [key] if key in self.items else []
-        first = bisect.bisect_left(self.order, key)
-        last = bisect.bisect_left(self.order, end)
-        return self.order[first:last]
-
-    def put(self, key: str, value: bytes, lease: int) -> bool:
-        """Writes a key; refused if its lease is gone."""
-        if lease and lease not in self.leases:
-            raise errors.KeyValueUnavailable('lease not found')
-        self.revision += 1
-        old = self.items.get(key)
-        created = old.create_revision if old else self.revision
-        item = interfaces.KeyValue(key, value, created, self.revision, lease)
-        if old is None:
-            bisect.insort(self.order, key)
-        elif old.lease in self.leases:
-            self.leases[old.lease].keys.discard(key)
-        if lease:
-            self.leases[lease].keys.add(key)
-        self.items[key] = item
-        self.publish(interfaces.Change(item))
-        return True
-
-    def remove(self, names: list[str]) -> int:
-        """Deletes the keys in one store revision."""
-        if not names:
-            return 0
-        self.revision += 1
-        first = bisect.bisect_left(self.order, names[0])
-        contiguous = self.order[first : first + len(names)] == names
-        if contiguous:
-            del self.order[first : first + len(names)]
-        for name in names:
-            item = self.items.pop(name)
-            if not contiguous:
-                self.order.remove(name)
-            if item.lease in self.leases:
-                self.leases[item.lease].keys.discard(name)
-            gone = interfaces.KeyValue(name, b'', 0, self.revision)
-            self.publish(interfaces.Change(gone, deleted=True))
-        return len(names)
-
-    def end_lease(self, lease: int) -> None:
-        """Forgets a lease and deletes its keys."""
-        held = self.leases.pop(lease, None)
-        if held is not None:
-            self.remove(sorted(held.keys))
-
-    def publish(self, change: interfaces.Change) -> None:
-        """Shows a change to the watches."""
-        if len(self.events) == EVENTS_KEPT:
-            self.compacted = self.events[0].item.mod_revision + 1
-        self.events.append(change)
-        self.watchers.unpark_all()
-
-    def compact_events(self) -> None:
-        """Forgets past changes, as the service does now and then."""
-        self.events.clear()
-        self.compacted = self.revision + 1
-        self.watchers.unpark_all()
-
-    def changes(
-        self, key: str, end: str | None, start_revision: int
-    ) -> tuple[interfaces.Change, ...]:
-        """Returns changes of the keys from a store revision on."""
-        found = []
-        for change in reversed(self.events):
-            if change.item.mod_revision < start_revision:
-                break
-            name = change.item.key
-            if name == key or (end is not None and key <= name < end):
-                found.append(change)
-        return tuple(reversed(found))
-
 
 def app(store: MemoryStore) -> quart_trio.QuartTrio:
     """Returns the application that serves the store over HTTP."""
@@ -468,17 +362,4 @@
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves the store until cancelled; reports its URL when it is bound."""
-    config = hypercorn.Config()
-    config.bind = [f'{host}:{port}']
-    config.loglevel = 'WARNING'
-    config.accesslog = None
-    async with trio.open_nursery() as nursery:
-        urls = await nursery.start(
-            functools.partial(
-                hypercorn.trio.serve,
-                app(store),
-                config,
-                shutdown_trigger=trio.sleep_forever,
-            )
-        )
-        task_status.started(urls[0])
+    await app_serving.serve(app(store), host, port, task_status)
--- a/lavenderbend/standin/weight_store.py
+++ b/lavenderbend/standin/weight_store.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import functools
-
-import hypercorn
-import hypercorn.trio
 import quart_trio
 import trio
 
+from lavenderbend.standin import app_serving
+
 TOO_MANY_STATUS = 429
 
 
@@ -71,17 +69,4 @@
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves the store until cancelled; reports its URL when it is bound."""
-    config = hypercorn.Config()
-    config.bind = [f'{host}:{port}']
-    config.loglevel = 'WARNING'
-    config.accesslog = None
-    async with trio.open_nursery() as nursery:
-        urls = await nursery.start(
-            functools.partial(
-                hypercorn.trio.serve,
-                app(store),
-                config,
-                shutdown_trigger=trio.sleep_forever,
-            )
-        )
-        task_status.started(urls[0])
+    await app_serving.serve(app(store), host, port, task_status)
