--- a/lavenderbend/coordination/configuration_follower.py
+++ b/lavenderbend/coordination/configuration_follower.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-import contextlib
 from typing import TYPE_CHECKING
 
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination import configuration_chain
+from lavenderbend.coordination import configuration_contact
 from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination import configuration_service
 from lavenderbend.coordination import interfaces
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_agreed as messages
 from lavenderbend.protocol import records_configuration as records
-from lavenderbend.state import hashing
 from lavenderbend.state import settings
 
 if TYPE_CHECKING:
@@ -25,18 +25,9 @@
     from lavenderbend.state import configuration
 
 COMPARE_SECONDS = 1.5
-# routers that watch the service; the others hear from peers, so that the
-# calls to the service stay the same however large the fleet is
-WATCHERS = 64
-RANK_KEY = 'configuration watchers'
 # of a digest, when routers compare; the log holds it whole
 DIGEST_CHARACTERS = 16
 FANOUT = 4
-POLL_SECONDS = 10.0
-# the fleet together polls the service at most so often
-FLEET_POLLS_PER_SECOND = 20.0
-RETRY_SECONDS = 0.5
-MAX_RETRY_SECONDS = 5.0
 PEER_TIMEOUT_SECONDS = 2.0
 ASK_AGAIN_SECONDS = 0.2
 ASKS_AT_ONCE = 16
@@ -45,14 +36,6 @@
     'lavenderbend_configuration_revision',
     'Number of the configuration revision in force.',
 )
-STALE = metrics.gauge(
-    'lavenderbend_configuration_stale_seconds',
-    'Time for which neither the service nor a peer has confirmed it.',
-)
-FETCHES = metrics.counter(
-    'lavenderbend_configuration_steps_total',
-    'Steps to a newer revision, by where it came from.',
-)
 
 
 class ConfigurationFollower(interfaces.Configurations):
@@ -66,10 +49,9 @@
         log: The log of accepted changes.
         chain: Revisions known here.
         policy: What `current` does while cut off.
-        cut_off_seconds: Silence after which this router counts as cut off.
+        contact: When the service or a peer last answered.
+        service: Follows the log at the key-value service.
         said: Revision that each peer last said.
-        contact_at: When the service or a peer last answered.
-        stale_since: Clock of the last contact while cut off, else None.
     """
 
     def __init__(
@@ -84,23 +66,30 @@
         cut_off_seconds: float = 30.0,
     ) -> None:
         self.name = name
-        self.store = store
         self.link = link
         self.membership = membership
         self.rng = rng
         self.chain = configuration_chain.Chain()
         self.log = configuration_log.ConfigurationLog(store, prefix, self.chain)
         self.policy = policy
-        self.cut_off_seconds = cut_off_seconds
+        self.contact = configuration_contact.Contact(
+            self.chain, cut_off_seconds
+        )
+        self.service = configuration_service.ServiceFollower(
+            name, store, self.log, membership, self.contact, rng
+        )
         self.said: dict[str, int] = {}
-        self.contact_at = 0.0
-        self.stale_since: float | None = None
         self.wanted: str | None = None
         self.wake = trio.Event()
         link.handle(messages.RevisionAsk, self.on_ask)
         link.handle(messages.RevisionSay, self.on_say)
         link.handle(messages.EntriesAsk, self.on_entries)
 
+    @property
+    def stale_since(self) -> float | None:
+        """Clock of the last contact while cut off, else None."""
+        return self.contact.stale_since
+
     def current(self) -> configuration.Revision:
         """Returns the revision in force.
 
@@ -182,77 +171,13 @@
 
     async def run(self) -> None:
         """Follows until cancelled."""
-        self.contact_at = trio.current_time()
+        self.contact.at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.follow_service)
-            nursery.start_soon(self.poll_service)
+            nursery.start_soon(self.service.run)
             nursery.start_soon(self.compare_in_turn)
             nursery.start_soon(self.fetch_when_wanted)
             nursery.start_soon(self.announce)
 
-    async def follow_service(self) -> None:
-        """Reads and watches the log, again and again."""
-        pause = RETRY_SECONDS
-        while True:
-            try:
-                await self.log.catch_up()
-                self.contact()
-                pause = RETRY_SECONDS
-                while not self.watches():
-                    await self.membership.wait_changed()
-                await self.watch()
-            except errors.KeyValueError:
-                await trio.sleep(self.rng.uniform(pause / 2, pause))
-                pause = min(pause * 2, MAX_RETRY_SECONDS)
-            except errors.CodecError as exc:
-                logs.change('configuration_unreadable', fault=str(exc))
-                await trio.sleep(MAX_RETRY_SECONDS)
-
-    def watches(self) -> bool:
-        """Returns whether this router is one of those that watch."""
-        routers = {*self.membership.routers(), self.name}
-        if len(routers) <= WATCHERS:
-            return True
-        ranked = hashing.rendezvous_order(RANK_KEY, routers)
-        return self.name in ranked[:WATCHERS]
-
-    async def watch(self) -> None:
-        """Takes changes as the service tells them, until a gap."""
-        changes = self.store.watch(
-            self.log.log.first_key,
-            self.log.log.end_key,
-            self.log.revision + 1,
-        )
-        async with contextlib.aclosing(changes):
-            async for batch in changes:
-                self.contact()
-                for change in batch:
-                    if not change.deleted and not self.take(change.item):
-                        return
-
-    def take(self, item: interfaces.KeyValue) -> bool:
-        """Takes an entry seen by the watch; false if some are missing."""
-        number = self.log.log.number(item.key)
-        if number <= self.chain.number:
-            return True
-        if not self.chain.take(number, item.value):
-            return False
-        FETCHES.inc({'source': 'watch'})
-        return True
-
-    async def poll_service(self) -> None:
-        """Reads once in a while: a dead watch looks like a quiet one."""
-        while True:
-            routers = len(self.membership.routers())
-            pause = max(POLL_SECONDS, routers / FLEET_POLLS_PER_SECOND)
-            await trio.sleep(self.rng.uniform(pause / 2, pause))
-            try:
-                await self.log.catch_up()
-                self.contact()
-            except (errors.KeyValueError, errors.CodecError):
-                pass
-            self.check_stale()
-
     async def compare_in_turn(self) -> None:
         """Compares revisions with one other router after another."""
         while True:
@@ -261,7 +186,7 @@
             others = self.others()
             if others:
                 await self.compare(self.rng.choice(others))
-            self.check_stale()
+            self.contact.check()
 
     def others(self) -> list[str]:
         """Returns the other live routers."""
@@ -295,7 +220,7 @@
         self, router: str, item: messages.RevisionAsk | messages.RevisionSay
     ) -> None:
         """Notes a peer's revision and has a newer one fetched."""
-        self.contact()
+        self.contact.note()
         self.said[router] = max(item.number, self.said.get(router, 0))
         if item.number > self.chain.number:
             self.wanted = router
@@ -329,8 +254,8 @@
             self.chain.take_whole(records.decode_known(answer.snapshot))
         for number, value in enumerate(answer.records, answer.first):
             self.chain.take(number, value)
-        self.contact()
-        FETCHES.inc({'source': 'peer'})
+        self.contact.note()
+        configuration_service.FETCHES.inc({'source': 'peer'})
 
     async def on_entries(
         self, router: str, ask: messages.EntriesAsk
@@ -355,21 +280,3 @@
             say = messages.RevisionSay(number, self.digest())
             for router in chosen:
                 self.link.notify(router, say)
-
-    def contact(self) -> None:
-        """Notes that the service or a peer has answered."""
-        self.contact_at = trio.current_time()
-        if self.stale_since is not None:
-            self.stale_since = None
-            STALE.set({}, 0)
-            logs.change('configuration_confirmed', number=self.chain.number)
-
-    def check_stale(self) -> None:
-        """Notes that nobody has answered for too long."""
-        silent = trio.current_time() - self.contact_at
-        if silent < self.cut_off_seconds:
-            return
-        STALE.set({}, silent)
-        if self.stale_since is None:
-            self.stale_since = self.contact_at
-            logs.change('configuration_stale', number=self.chain.number)
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -90,7 +90,8 @@
         self.operator_port = 0
         peers = settings.peers
         self.make_platform(peer_port or peers.advertised_port or peers.port)
-        self.make_decisions()
+        self.make_placement()
+        self.make_agreed()
         self.make_servers()
 
     def make_platform(self, peer_port: int) -> None:
@@ -128,8 +129,8 @@
         """Returns the key-value service as a part of the router sees it."""
         return call_budget.BudgetedStore(self.store, self.budget, priority)
 
-    def make_decisions(self) -> None:
-        """Makes what decides where requests go."""
+    def make_placement(self) -> None:
+        """Makes what decides where requests go, and who may send them."""
         settings = self.settings
         prefix = settings.key_value.prefix
         configuration_store = self.budgeted(
@@ -158,6 +159,14 @@
         )
         # an owner that lacks the reports of an engine would never use it
         self.membership.wants_report = self.admission.wants_report
+        self.limits = limits_module.CustomerLimits(
+            settings.id, self.link, self.membership, self.configurations
+        )
+
+    def make_agreed(self) -> None:
+        """Makes what the routers agree on through the key-value service."""
+        settings = self.settings
+        prefix = settings.key_value.prefix
         self.claims = claims_module.Claims(
             settings.id,
             self.budgeted(call_budget.CallPriority.CLAIMS),
@@ -185,9 +194,6 @@
             f'{prefix}orders/{settings.region}/',
             adapters.order_policy(settings.orders),
         )
-        self.limits = limits_module.CustomerLimits(
-            settings.id, self.link, self.membership, self.configurations
-        )
 
     def make_servers(self) -> None:
         """Makes what callers and operators speak to."""
