--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -67,6 +67,7 @@
         text: What it printed.
         seconds: How long it took.
         figures: Its figures, empty if it gave none.
+        short: Whether it was a short run.
     """
 
     name: str
@@ -74,6 +75,7 @@
     text: str
     seconds: float
     figures: dict[str, Any]
+    short: bool = False
 
 
 def run(bench: Bench, short: bool, folder: pathlib.Path) -> Outcome:
@@ -83,7 +85,8 @@
     target.unlink(missing_ok=True)
     if bench.output:
         command += [bench.output, str(target)]
-    if short and bench.short:
+    short = short and bool(bench.short)
+    if short:
         command.append(bench.short)
     started = time.monotonic()
     done = subprocess.run(  # noqa: S603
@@ -101,6 +104,7 @@
         done.stdout + done.stderr,
         time.monotonic() - started,
         figures.read(target),
+        short,
     )
 
 
@@ -143,7 +147,11 @@
     found = outcomes(options, report.parent)
     sections = [
         page.section(
-            one.name, page.verdict(one.code, one.seconds), one.figures, one.text
+            one.name,
+            page.verdict(one.code, one.seconds),
+            one.figures,
+            one.text,
+            one.short,
         )
         for one in found
     ]
--- a/bench/report/page.py
+++ b/bench/report/page.py
@@ -97,7 +97,7 @@
     return '\n'.join(parts)
 
 
-def others(bench: str, now: dict[str, Any]) -> str:
+def others(now: dict[str, Any], committed: dict[str, Any]) -> str:
     """Returns each figure of a bench beside the committed one."""
     rows = [
         row(
@@ -108,7 +108,7 @@
                 percent(pair.change),
             ]
         )
-        for pair in figures.pairs(figures.read_committed(bench), now)
+        for pair in figures.pairs(committed, now)
     ]
     return table(['figure', 'committed', 'now', 'change'], rows)
 
@@ -121,14 +121,27 @@
     return f'{word}, {seconds:.0f} s'
 
 
-def section(name: str, how: str, now: dict[str, Any], text: str) -> str:
-    """Returns the part of the page for one bench."""
-    committed = figures.read_committed(name)
+def section(
+    name: str, how: str, now: dict[str, Any], text: str, short: bool = False
+) -> str:
+    """Returns the part of the page for one bench.
+
+    Args:
+        name: Name of the bench.
+        how: How it ended.
+        now: Its figures.
+        text: What it printed.
+        short: Whether the run was short: the committed figures are those of
+            full runs, and a difference would mean nothing.
+    """
+    committed = {} if short else figures.read_committed(name)
     parts = [f'<h2>{html.escape(name)}: {html.escape(how)}</h2>']
+    if short:
+        parts.append('<p>A short run, not compared with committed figures.</p>')
     if name == 'decisions':
         parts.append(decisions(now, committed))
     elif now or committed:
-        parts.append(others(name, now))
+        parts.append(others(now, committed))
     if text:
         parts.append(
             '<details><summary>what it printed</summary>'
--- a/tests/test_bench_report.py
+++ b/tests/test_bench_report.py
@@ -57,3 +57,13 @@
 
     assert 'FAILED, exit code 3, 12 s' in text
     assert 'match &lt;b&gt; BROKEN' in text
+
+
+def test_short_runs_are_not_compared_with_full_ones():
+    now = {'correo-steady': {'runs': {'lavenderbend': run(0.1)}}}
+
+    short = page.section('decisions', 'bounds kept', now, '', short=True)
+    full = page.section('decisions', 'bounds kept', now, '')
+
+    assert 'against the committed figures' not in short
+    assert 'against the committed figures' in full
