--- a/lavenderbend/coordination/claim_shards.py
+++ b/lavenderbend/coordination/claim_shards.py
@@ -23,11 +23,9 @@
     from lavenderbend.coordination import interfaces
 
 BATCH_ID_BYTES = 8
-MAX_BATCH_LINES = 5000
 LOAD_PAGE_ENTRIES = 250
 RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.25
-CALLS_FOR_REFUSAL = 3
 UNUSABLE = (errors.CodecError, errors.ClaimLayoutDiffers)
 
 BATCHES = metrics.counter(
@@ -50,6 +48,7 @@
         number: Number of the shard.
         table: The log's claims as far as read.
         next: Number of the next log entry.
+        queue: What waits to be committed.
         attempt_at: When the latest call to the service began.
         down_since: When the service stopped answering, None if it answers.
         failures: Calls to it that failed in a row.
@@ -78,8 +77,7 @@
         self.clock = clock
         self.table = claims.ClaimTable()
         self.next = 0
-        self.waiting: list[claim_waiting.Waiting] = []
-        self.outcomes: list[claim_waiting.WaitingOutcomes] = []
+        self.queue = claim_waiting.Queue(policy)
         self.work = trio.Event()
         self.progress = trio.Event()
         self.last_batch = float('-inf')
@@ -108,7 +106,7 @@
             # must not hear 'not run' where it is known that it ran
             return known
         waiting = claim_waiting.Waiting(line, deadline, trio.current_time())
-        self.waiting.append(waiting)
+        self.queue.claims.append(waiting)
         self.work.set()
         with trio.move_on_at(deadline):
             await waiting.decided.wait()
@@ -120,14 +118,14 @@
         """Commits outcomes; returns whether they stand in the log."""
         self.used_at = trio.current_time()
         waiting = claim_waiting.WaitingOutcomes(lines, trio.current_time())
-        self.outcomes.append(waiting)
+        self.queue.outcomes.append(waiting)
         self.work.set()
         with trio.move_on_at(deadline):
             await waiting.committed.wait()
         if waiting.committed.is_set():
             return True
-        if waiting in self.outcomes:
-            self.outcomes.remove(waiting)
+        if waiting in self.queue.outcomes:
+            self.queue.outcomes.remove(waiting)
         return False
 
     async def outcome(self, key: bytes, deadline: float) -> None:
@@ -165,8 +163,8 @@
             try:
                 if self.stale or self.down_since is not None:
                     await self.catch_up()
-                self.answer_known()
-                if self.something_due():
+                self.queue.answer(self.table)
+                if self.queue.due():
                     await self.commit()
                 self.up()
                 pause = RETRY_SECONDS
@@ -185,23 +183,11 @@
         """Waits until there is something to write, and for the gap."""
         if self.down_since is None:
             self.work = trio.Event()
-            if not self.stale and not self.something_due():
-                with trio.move_on_at(self.outcomes_due()):
+            if not self.stale and not self.queue.due():
+                with trio.move_on_at(self.queue.outcomes_due()):
                     await self.work.wait()
         await trio.sleep_until(self.last_batch + self.policy.gap)
 
-    def something_due(self) -> bool:
-        """Returns whether a batch is to be written now."""
-        if self.waiting:
-            return True
-        return trio.current_time() >= self.outcomes_due()
-
-    def outcomes_due(self) -> float:
-        """Returns when the oldest outcomes have waited long enough."""
-        if not self.outcomes:
-            return float('inf')
-        return self.outcomes[0].since + self.policy.outcome_delay
-
     async def catch_up(self) -> None:
         """Reads what stands in the log beyond the table."""
         began = trio.current_time()
@@ -246,37 +232,10 @@
         progress, self.progress = self.progress, trio.Event()
         progress.set()
 
-    def answer_known(self) -> None:
-        """Answers the waiting claims that the table decides."""
-        now = trio.current_time()
-        left = []
-        for waiting in self.waiting:
-            line = waiting.line
-            state = self.table.state(line.key, line.token, line.digest)
-            if (line.key, line.token) in self.table.released:
-                # its asker has given up; it must not be committed again
-                waiting.decide(claims.ClaimState.UNAVAILABLE)
-            elif state is not claims.ClaimState.ABSENT:
-                waiting.decide(state)
-            elif waiting.deadline > now:
-                left.append(waiting)
-        self.waiting = left
-
-    def next_outcomes(self) -> list[claim_waiting.WaitingOutcomes]:
-        """Returns the oldest outcomes, as many as fit one batch."""
-        lines = 0
-        found = []
-        for waiting in self.outcomes:
-            lines += len(waiting.lines)
-            if found and lines > MAX_BATCH_LINES:
-                break
-            found.append(waiting)
-        return found
-
     async def commit(self) -> None:
         """Writes one batch and takes whatever stands at its number."""
-        batched = self.waiting[:MAX_BATCH_LINES]
-        outcomes = self.next_outcomes()
+        batched = self.queue.next_claims()
+        outcomes = self.queue.next_outcomes()
         if not batched and not outcomes:
             return
         value = records_claims.encode(
@@ -294,23 +253,13 @@
         self.apply(entry)
         if entry.value == value:
             BATCHES.inc({'result': 'ours'})
-            self.committed(outcomes)
+            self.queue.committed(outcomes)
         else:
             # another router took the number: its entry counts first, and
             # ours is written again behind it
             BATCHES.inc({'result': 'taken'})
             self.stale = True
-        self.answer_known()
-
-    def committed(self, outcomes: list[claim_waiting.WaitingOutcomes]) -> None:
-        """Tells those who wait for outcomes to be committed."""
-        for waiting in outcomes:
-            waiting.committed.set()
-        self.outcomes = [
-            waiting
-            for waiting in self.outcomes
-            if not waiting.committed.is_set()
-        ]
+        self.queue.answer(self.table)
 
     async def settled(self, number: int, value: bytes) -> log.Entry:
         """Appends until it is known what stands at the number.
@@ -340,25 +289,12 @@
         self.failures = 0
 
     def down(self) -> None:
-        """Notes that it does not, and refuses who has waited too long.
-
-        Once the service has been silent for a while, a claim is refused by
-        the first few calls that began after it came and failed: no later,
-        and not for a silence that was over when it came.
-        """
+        """Notes that it does not, and refuses who has waited too long."""
         now = trio.current_time()
         self.failures += 1
         if self.down_since is None:
             self.down_since = now
-        for waiting in self.waiting:
-            waiting.failures += waiting.since <= self.attempt_at
-            if self.refuses() and waiting.failures >= CALLS_FOR_REFUSAL:
-                waiting.decide(
-                    claims.ClaimState.UNAVAILABLE
-                    if waiting.batched
-                    else claims.ClaimState.REFUSED
-                )
-        self.waiting = [w for w in self.waiting if w.state is None]
+        self.queue.call_failed(self.attempt_at, self.refuses())
 
     def reset(self) -> None:
         """Forgets the table; the log was compacted beyond it."""
--- a/lavenderbend/coordination/claim_waiting.py
+++ b/lavenderbend/coordination/claim_waiting.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 import trio
 
-if TYPE_CHECKING:
-    from lavenderbend.state import claims
+from lavenderbend.state import claims
+
+MAX_BATCH_LINES = 5000
+CALLS_FOR_REFUSAL = 3
 
 
 @attrs.frozen
@@ -72,3 +72,92 @@
     lines: tuple[claims.OutcomeLine, ...]
     since: float
     committed: trio.Event = attrs.field(factory=trio.Event)
+
+
+class Queue:
+    """What waits to be committed to one shard, oldest first.
+
+    Attributes:
+        policy: How the shard writes.
+        claims: Claims without an answer.
+        outcomes: Outcomes not known to stand in the log.
+    """
+
+    def __init__(self, policy: ShardPolicy) -> None:
+        self.policy = policy
+        self.claims: list[Waiting] = []
+        self.outcomes: list[WaitingOutcomes] = []
+
+    def due(self) -> bool:
+        """Returns whether a batch is to be written now."""
+        if self.claims:
+            return True
+        return trio.current_time() >= self.outcomes_due()
+
+    def outcomes_due(self) -> float:
+        """Returns when the oldest outcomes have waited long enough."""
+        if not self.outcomes:
+            return float('inf')
+        return self.outcomes[0].since + self.policy.outcome_delay
+
+    def next_claims(self) -> list[Waiting]:
+        """Returns the oldest claims, as many as fit one batch."""
+        return self.claims[:MAX_BATCH_LINES]
+
+    def next_outcomes(self) -> list[WaitingOutcomes]:
+        """Returns the oldest outcomes, as many as fit one batch."""
+        lines = 0
+        found = []
+        for waiting in self.outcomes:
+            lines += len(waiting.lines)
+            if found and lines > MAX_BATCH_LINES:
+                break
+            found.append(waiting)
+        return found
+
+    def answer(self, table: claims.ClaimTable) -> None:
+        """Answers the claims that the table decides."""
+        now = trio.current_time()
+        left = []
+        for waiting in self.claims:
+            line = waiting.line
+            state = table.state(line.key, line.token, line.digest)
+            if (line.key, line.token) in table.released:
+                # its asker has given up; it must not be committed again
+                waiting.decide(claims.ClaimState.UNAVAILABLE)
+            elif state is not claims.ClaimState.ABSENT:
+                waiting.decide(state)
+            elif waiting.deadline > now:
+                left.append(waiting)
+        self.claims = left
+
+    def committed(self, outcomes: list[WaitingOutcomes]) -> None:
+        """Tells those who wait for outcomes to be committed."""
+        for waiting in outcomes:
+            waiting.committed.set()
+        self.outcomes = [
+            waiting
+            for waiting in self.outcomes
+            if not waiting.committed.is_set()
+        ]
+
+    def call_failed(self, began: float, refuse: bool) -> None:
+        """Counts a failed call to the service for the claims it concerns.
+
+        Once the service has been silent for a while, a claim is refused by
+        the first few calls that began after it came and failed: no later,
+        and not for a silence that was over when it came.
+
+        Args:
+            began: When the call began.
+            refuse: Whether the service has been silent for too long.
+        """
+        for waiting in self.claims:
+            waiting.failures += waiting.since <= began
+            if refuse and waiting.failures >= CALLS_FOR_REFUSAL:
+                waiting.decide(
+                    claims.ClaimState.UNAVAILABLE
+                    if waiting.batched
+                    else claims.ClaimState.REFUSED
+                )
+        self.claims = [w for w in self.claims if w.state is None]
--- a/lavenderbend/coordination/claims.py
+++ b/lavenderbend/coordination/claims.py
@@ -342,7 +342,7 @@
 
     def idle(self, shard: claim_shards.Shard) -> bool:
         """Returns whether nobody needs the shard here."""
-        if shard.waiting or shard.outcomes:
+        if shard.queue.claims or shard.queue.outcomes:
             return False
         return trio.current_time() - shard.used_at >= DROP_IDLE_SECONDS
 
