--- a/lavenderbend/transport/links.py
+++ b/lavenderbend/transport/links.py
@@ -18,6 +18,7 @@
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_membership as messages
 from lavenderbend.protocol import peer
+from lavenderbend.transport import peer_calls
 from lavenderbend.transport import peer_handlers
 from lavenderbend.transport import peer_openings
 from lavenderbend.transport import peer_wires
@@ -68,23 +69,6 @@
     age: float = 3600.0
 
 
-@attrs.define(eq=False)
-class Call:
-    """A request that waits for its answer.
-
-    Attributes:
-        peer_id: Who it was sent to.
-        done: Set when there is an answer or an error.
-        answer: The answer.
-        error: Why there will be none.
-    """
-
-    peer_id: str
-    done: trio.Event = attrs.field(factory=trio.Event)
-    answer: peer.Message | None = None
-    error: errors.PeerError | None = None
-
-
 class BatchLink(interfaces.PeerLink):
     """What is common to the links; variants give the wires.
 
@@ -95,7 +79,7 @@
         started: Set when peers are served.
         addresses: Of the peers, by router id.
         boxes: What waits for each peer, and its connection.
-        calls: Requests without an answer yet, by number.
+        calls: Requests without an answer yet.
     """
 
     def __init__(
@@ -123,8 +107,7 @@
         self.started = trio.Event()
         self.addresses: dict[str, tuple[str, int]] = {}
         self.boxes: dict[str, peer_wires.Outbox] = {}
-        self.calls: dict[int, Call] = {}
-        self.next_call = 1
+        self.calls = peer_calls.Calls()
         self.nursery: trio.Nursery | None = None
         self.stopping = False
         self.connections = 0
@@ -170,18 +153,11 @@
         """Sends a request and returns its answer; see `PeerLink`."""
         if peer_id == self.name:
             return await self.request_self(item, timeout)
-        number = self.next_call
-        self.next_call += 1
-        call = Call(peer_id)
+        number = self.calls.number()
         box = self.box(peer_id)
         self.enqueue(box, number, item, required=True)
-        self.calls[number] = call
         began = trio.current_time()
-        try:
-            with trio.move_on_after(timeout):
-                await call.done.wait()
-        finally:
-            del self.calls[number]
+        call = await self.calls.wait(number, peer_id, timeout)
         if call.error is not None:
             raise call.error
         if call.answer is None:
@@ -189,7 +165,7 @@
             raise errors.PeerUnreachable(
                 f'{peer_id} gave no answer in {timeout:g} s'
             )
-        return checked(peer_id, call.answer)
+        return peer_calls.checked(peer_id, call.answer)
 
     def notify(self, peer_id: str, item: peer.Message) -> None:
         """Queues a notice; it rides with the next batch, or is dropped."""
@@ -212,7 +188,7 @@
             answer = await self.incoming.answer_of(self.name, item)
         if answer is None:
             raise errors.PeerUnreachable(f'no answer in {timeout:g} s')
-        return checked(self.name, answer)
+        return peer_calls.checked(self.name, answer)
 
     # queues
 
@@ -308,7 +284,7 @@
                 await self.listen()
         finally:
             self.nursery = None
-            self.fail_calls('the link has stopped')
+            self.calls.fail('the link has stopped')
 
     @abc.abstractmethod
     async def listen(self) -> None:
@@ -323,13 +299,6 @@
             PeerProtocolError: The peer is somebody else.
         """
 
-    def fail_calls(self, reason: str, peer_id: str | None = None) -> None:
-        """Ends requests that can get no answer any more."""
-        for call in self.calls.values():
-            if peer_id in {None, call.peer_id} and not call.done.is_set():
-                call.error = errors.PeerUnreachable(f'{call.peer_id}: {reason}')
-                call.done.set()
-
     async def close(self) -> None:
         """Says goodbye to all peers; new messages are refused."""
         self.stopping = True
@@ -354,14 +323,3 @@
         return messages.Hello(
             self.name, messages.PROTOCOL_VERSION, self.instance
         )
-
-
-def checked(peer_id: str, answer: peer.Message) -> peer.Message:
-    """Returns an answer that is no failure.
-
-    Raises:
-        PeerRefused: It is one.
-    """
-    if isinstance(answer, peer.Failure):
-        raise errors.PeerRefused(answer.kind, answer, peer_id)
-    return answer
--- a/lavenderbend/transport/peer_connections.py
+++ b/lavenderbend/transport/peer_connections.py
@@ -261,4 +261,4 @@
             link.openings.redial(box)
             return
         box.clear()
-        link.fail_calls('the connection was lost', self.peer_id)
+        link.calls.fail('the connection was lost', self.peer_id)
--- a/lavenderbend/transport/peer_handlers.py
+++ b/lavenderbend/transport/peer_handlers.py
@@ -39,7 +39,7 @@
         if number > 0:
             self.begin_request(connection, number, message)
             return
-        call = self.link.calls.get(-number)
+        call = self.link.calls.open.get(-number)
         # an answer that comes after its timeout, or from a peer that was
         # not asked, must not end another peer's request
         if call is None or call.peer_id != connection.peer_id:
--- a/lavenderbend/transport/peer_openings.py
+++ b/lavenderbend/transport/peer_openings.py
@@ -75,7 +75,7 @@
         if box.connection is not None:
             return
         box.clear()
-        self.link.fail_calls(f'no connection: {exc!r}', box.peer_id)
+        self.link.calls.fail(f'no connection: {exc!r}', box.peer_id)
 
     async def accept(self, wire: peer_wires.Wire) -> None:
         """Serves a wire that a peer has opened."""
