--- a/lavenderbend/coordination/pool_orders.py
+++ b/lavenderbend/coordination/pool_orders.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import order_calls
 from lavenderbend.observe import logs
-from lavenderbend.observe import metrics
 from lavenderbend.state import configuration
 from lavenderbend.state import orders
 
@@ -20,22 +19,6 @@
     from lavenderbend.coordination import orders as orders_module
     from lavenderbend.state import upstreams
 
-READS_AT_ONCE = 32
-
-ORDERS = metrics.counter(
-    'lavenderbend_orders_total', 'Orders to engines by result.'
-)
-
-
-class OrderResult(enum.Enum):
-    """What became of one order."""
-
-    DONE = 'done'
-    HELD_BACK = 'held-back'
-    REFUSED = 'refused'
-    FAILED = 'failed'
-    LOST = 'lost'
-
 
 @attrs.define
 class Sent:
@@ -59,6 +42,7 @@
         pool: The pool.
         lease: The lease.
         memory: What earlier controllers left.
+        engines: Calls to the engines.
         states: Engines as last read.
         sent: Orders in progress, by engine.
         proven: Targets that an engine has served well for some time.
@@ -76,8 +60,10 @@
         self.memory = memory
         self.membership = controller.membership
         self.configurations = controller.configurations
-        self.orderer = controller.orderer
         self.policy = controller.policy
+        self.engines = order_calls.EngineCalls(
+            controller.orderer, lease, controller.policy
+        )
         self.states: dict[str, orders.EngineState] = {}
         self.sent: dict[str, Sent] = {}
         self.well_since: dict[orders.Target, float] = {}
@@ -110,7 +96,7 @@
             await trio.sleep(self.policy.takeover_wait)
         await self.load_memory()
         while True:
-            await self.read_engines()
+            self.states = await self.engines.read(self.vms().values())
             await self.announce()
             self.judge()
             self.send_steps(nursery)
@@ -165,26 +151,6 @@
                 found.append(orders.Wanted(target, item.replicas, bad))
         return tuple(found)
 
-    async def read_engines(self) -> None:
-        """Reads all engines back."""
-        vms = self.vms()
-        limiter = trio.CapacityLimiter(READS_AT_ONCE)
-        states = {}
-
-        async def read(vm: upstreams.Vm) -> None:
-            async with limiter:
-                try:
-                    states[vm.id] = await self.orderer.read(
-                        vm, self.policy.interval
-                    )
-                except errors.UpstreamError:
-                    return
-
-        async with trio.open_nursery() as nursery:
-            for vm in vms.values():
-                nursery.start_soon(read, vm)
-        self.states = states
-
     async def announce(self) -> None:
         """Shows the new number to engines that check it.
 
@@ -207,8 +173,8 @@
             self.announced.add(vm.id)
             return
         order = orders.EngineOrder(self.lease.fencing, state.target)
-        result = await self.deliver(vm, order)
-        if result is OrderResult.DONE:
+        result = await self.engines.deliver(vm, order)
+        if result is order_calls.OrderResult.DONE:
             self.announced.add(vm.id)
 
     def judge(self) -> None:
@@ -300,35 +266,9 @@
         """Sends one order."""
         sent = self.sent[vm.id]
         order = orders.EngineOrder(self.lease.fencing, target)
-        result = await self.deliver(vm, order)
+        result = await self.engines.deliver(vm, order)
         sent.answered = True
-        if result is OrderResult.FAILED:
+        if result is order_calls.OrderResult.FAILED:
             self.fail(vm.id, target)
             # at once: a successor must know before it tries the next engine
             await self.memory.save()
-
-    async def deliver(
-        self, vm: upstreams.Vm, order: orders.EngineOrder
-    ) -> OrderResult:
-        """Sends an order under the lease."""
-        timeout = self.policy.order_timeout
-        result = OrderResult.DONE
-        try:
-            await self.orderer.send(
-                vm,
-                order,
-                timeout,
-                lambda: self.lease.check(timeout + self.policy.margin),
-            )
-        except errors.LeaseLost:
-            result = OrderResult.HELD_BACK
-        except errors.OrderRefused:
-            result = OrderResult.REFUSED
-            # somebody holds a newer lease, whatever the clock says
-            self.lease.lose()
-        except errors.OrderError:
-            result = OrderResult.FAILED
-        except errors.UpstreamError:
-            result = OrderResult.LOST
-        ORDERS.inc({'result': result.value})
-        return result
