Quarantine at the second death; write durations to the last bit

Cause: a poison request crashed three engines in the integration tests. The entry never said how long the request had run, so every death was judged late, after the caller's next resend; and an entry that got no byte does not know the engine's instance, so that its death and the clerk's beside it counted as two, and two at once ask for a third. Ruled out: late notices between routers (same delay before and after).

--- a/lavenderbend/coordination/dispatch/parts.py
+++ b/lavenderbend/coordination/dispatch/parts.py
@@ -54,7 +54,12 @@
         """Notes that an upstream ran the request to its end."""
 
     async def crashed(
-        self, fingerprint: int, upstream: str, instance: str, in_progress: int
+        self,
+        fingerprint: int,
+        upstream: str,
+        instance: str,
+        in_progress: int,
+        ran: float,
     ) -> None:
         """Notes that an upstream died while it ran the request."""
 
--- a/lavenderbend/coordination/dispatch/resume.py
+++ b/lavenderbend/coordination/dispatch/resume.py
@@ -37,12 +37,14 @@
         return
     attempt = run.attempt
     upstream = attempt.permit.upstream
+    lost_at = trio.current_time()
     if await crashed(run.parts, upstream, attempt.instance):
         await quarantine.crashed(
             run.fingerprint,
             upstream.id,
             attempt.instance,
             run.parts.in_progress(upstream.id),
+            lost_at - attempt.record.started,
         )
 
 
--- a/lavenderbend/coordination/quarantine.py
+++ b/lavenderbend/coordination/quarantine.py
@@ -235,11 +235,13 @@
         with it twice.
         """
         since = trio.current_time() - OTHER_CRASHES_SECONDS
-        mine = self.suspects.get(fingerprint, set())
+        # by upstream, not by death: whoever got no byte of its answer does
+        # not know the instance, and tells of the same death by another name
+        mine = {crash.upstream for crash in self.suspects.get(fingerprint, ())}
         others = {
             crash.upstream
             for crash, at in self.crashed_at.items()
-            if at > since and crash not in mine
+            if at > since and crash.upstream not in mine
         }
         return CRASHES_TO_QUARANTINE + bool(others)
 
--- a/lavenderbend/protocol/units.py
+++ b/lavenderbend/protocol/units.py
@@ -79,8 +79,10 @@
 
 def write_duration(value: float) -> str:
     """Returns a duration in seconds, or in milliseconds if it is short."""
-    if value < 1 and round(value * 1000) == value * 1000:
-        return f'{round(value * 1000)}ms'
+    count = round(value * 1000)
+    # only if reading it again gives the same number to the last bit
+    if value < 1 and count * DURATION_UNITS['ms'] == value:
+        return f'{count}ms'
     return f'{decimal_text(value)}s'
 
 
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -201,7 +201,12 @@
         self.crashes.clear()
 
     async def crashed(
-        self, fingerprint: int, upstream: str, instance: str, in_progress: int
+        self,
+        fingerprint: int,
+        upstream: str,
+        instance: str,
+        in_progress: int,
+        ran: float,
     ) -> None:
         await trio.lowlevel.checkpoint()
         self.crashes.append(upstream)
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -59,6 +59,23 @@
         assert caught.value.retry_after > 0
 
 
+async def test_one_death_by_two_names_counts_once(routers, autojump_clock):
+    # a poison request kills its engine before a byte of its answer, beside
+    # a clerk's stream there: its entry does not know the engine's instance,
+    # the clerk's does. Taken for two deaths, the second looked like a fault
+    # of the machines, and a third engine had to die
+    first, second, _ = routers.all
+    await first.crashed(POISON, 'engine-0', '', 2, 0.1)
+    await second.crashed(0x5AFE, 'engine-0', 'a', 1, 9.0)
+    await trio.sleep(0.5)
+
+    await second.crashed(POISON, 'engine-1', '', 1, 0.1)
+
+    with pytest.raises(errors.RequestQuarantined):
+        second.check(POISON)
+    second.check(0x5AFE)
+
+
 async def test_quarantine_survives_all_routers(nursery, autojump_clock):
     # every router is replaced within minutes of the finding, and the caller
     # sends the request again: only the key-value service still knows
