--- a/bench/peers/unary.py
+++ b/bench/peers/unary.py
@@ -80,17 +80,4 @@
             {'Call': grpc.unary_unary_rpc_method_handler(self.serve)},
         )
         server.add_generic_rpc_handlers((handler,))
-        address = f'{self.host}:{self.port}'
-        if self.tls is None:
-            self.port = server.add_insecure_port(address)
-        else:
-            credentials = peer_grpc.server_credentials(self.tls)
-            self.port = server.add_secure_port(address, credentials)
-        server.start()
-        self.started.set()
-        try:
-            await trio.sleep_forever()
-        finally:
-            with trio.CancelScope(shield=True):
-                await trio.to_thread.run_sync(server.stop(0).wait)
-            pool.shutdown(wait=False)
+        await peer_grpc.serve(self, server, pool)
--- a/lavenderbend/transport/peer_grpc.py
+++ b/lavenderbend/transport/peer_grpc.py
@@ -154,6 +154,28 @@
             self.soon(self.end)
 
 
+async def serve(
+    link: links.BatchLink,
+    server: grpc.Server,
+    pool: futures.ThreadPoolExecutor,
+) -> None:
+    """Serves a link at its address until cancelled; sets its `port`."""
+    address = f'{link.host}:{link.port}'
+    if link.tls is None:
+        link.port = server.add_insecure_port(address)
+    else:
+        credentials = server_credentials(link.tls)
+        link.port = server.add_secure_port(address, credentials)
+    server.start()
+    link.started.set()
+    try:
+        await trio.sleep_forever()
+    finally:
+        with trio.CancelScope(shield=True):
+            await trio.to_thread.run_sync(server.stop(0).wait)
+        pool.shutdown(wait=False)
+
+
 @links.LINKS.register('grpc')
 class GrpcLink(links.BatchLink):
     """Batches over gRPC, with threads beside trio's."""
@@ -165,20 +187,7 @@
         pool = futures.ThreadPoolExecutor(MAX_THREADS, 'peer-grpc')
         server = grpc.server(pool, options=CHANNEL_OPTIONS)
         server.add_generic_rpc_handlers((Exchange(self, token),))
-        address = f'{self.host}:{self.port}'
-        if self.tls is None:
-            self.port = server.add_insecure_port(address)
-        else:
-            credentials = server_credentials(self.tls)
-            self.port = server.add_secure_port(address, credentials)
-        server.start()
-        self.started.set()
-        try:
-            await trio.sleep_forever()
-        finally:
-            with trio.CancelScope(shield=True):
-                await trio.to_thread.run_sync(server.stop(0).wait)
-            pool.shutdown(wait=False)
+        await serve(self, server, pool)
 
     async def dial(self, peer_id: str, host: str, port: int) -> StreamWire:
         """Returns a wire to a peer."""
