--- a/lavenderbend/coordination/order_memory.py
+++ b/lavenderbend/coordination/order_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,6 +12,8 @@
 from lavenderbend.state import orders
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lavenderbend.coordination import interfaces
 
 
@@ -105,11 +108,9 @@
             return
         value = json.dumps(
             {
-                'good': {m: attrs.asdict(t) for m, t in self.good.items()},
-                'bad': {m: attrs.asdict(t) for m, t in self.bad.items()},
-                'failures': {
-                    m: attrs.asdict(f) for m, f in self.failures.items()
-                },
+                'good': plain(self.good),
+                'bad': plain(self.bad),
+                'failures': plain(self.failures),
             }
         ).encode()
         try:
@@ -139,3 +140,10 @@
         tuple(item['adapters']),
         item['role'],
     )
+
+
+def plain(
+    items: Mapping[str, orders.Target | Failures],
+) -> dict[str, dict[str, Any]]:
+    """Returns what is known by model, as JSON can hold it."""
+    return {model: attrs.asdict(item) for model, item in items.items()}
