Tell every router of a quarantine before its caller hears of it

Cause found by following one poison request: the first router had quarantined it after the second crash, the others heard 0.48 s later. The task that sends notices was waiting out the time for judging deaths, and the caller's next try, 0.1 s later, came first.

--- a/lavenderbend/coordination/quarantine.py
+++ b/lavenderbend/coordination/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import json
 import math
 import random
@@ -28,6 +29,7 @@
 # further upstreams that died within this time without the request speak for
 # a fault of the machines, such as a rack, and one more crash is asked for
 OTHER_CRASHES_SECONDS = 30.0
+TELL_SECONDS = 0.3
 NOTICE_DELAY_SECONDS = 0.02
 # time for the other routers' notices of a death
 SETTLE_SECONDS = 0.5
@@ -105,6 +107,7 @@
         self.cleared: set[int] = set()
         self.unwritten: set[int] = set()
         self.wake = trio.Event()
+        self.died = trio.Event()
         link.handle(messages_decisions.CrashSeen, self.on_crash)
         link.handle(messages_decisions.Quarantined, self.on_quarantined)
         link.handle(messages_decisions.SuspectCleared, self.on_cleared)
@@ -168,8 +171,29 @@
         CRASHES.inc({'upstream': upstream})
         fresh = ran < PROBATION_SECONDS
         self.unsent[crash][fingerprint] = fresh
+        known = fingerprint in self.until
         self.note(crash, {fingerprint: fresh})
         self.wake.set()
+        if not known and fingerprint in self.until:
+            await self.tell_at_once(fingerprint)
+
+    async def tell_at_once(self, fingerprint: int) -> None:
+        """Tells all routers of a finding before the caller hears of it.
+
+        A caller sends again as soon as it is told; through a router that
+        had not heard yet, its request crashed one more engine.
+        """
+        item = messages_decisions.Quarantined(fingerprint, QUARANTINE_SECONDS)
+        with trio.move_on_after(TELL_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for router in self.membership.routers():
+                    if router != self.name:
+                        nursery.start_soon(self.tell, router, item)
+
+    async def tell(self, router: str, item: peer.Message) -> None:
+        """Tells one router; if that fails, the notice follows."""
+        with contextlib.suppress(errors.PeerError):
+            await self.link.request(router, item, TELL_SECONDS)
 
     def note(self, crash: Crash, fingerprints: dict[int, bool]) -> None:
         """Adds requests to those that were there at a death."""
@@ -177,7 +201,7 @@
         if crash not in self.crashed_at:
             self.crashed_at[crash] = now
             self.unsettled.append(crash)
-            self.wake.set()
+            self.died.set()
         self.crashes.setdefault(crash, {}).update(fingerprints)
         for fingerprint in fingerprints:
             self.suspects.setdefault(fingerprint, set()).add(crash)
@@ -275,6 +299,7 @@
         """Sends findings to the other routers and keeps them."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.run_notices)
+            nursery.start_soon(self.run_settle)
             nursery.start_soon(self.run_watch)
 
     async def run_notices(self) -> None:
@@ -286,10 +311,19 @@
             self.send_notices()
             self.expire()
             await self.write_records()
-            if self.unsettled:
+
+    async def run_settle(self) -> None:
+        """Judges deaths once all routers have told of them.
+
+        Not by the task that sends notices: a quarantine that is found
+        meanwhile must not wait behind this.
+        """
+        while True:
+            await self.died.wait()
+            self.died = trio.Event()
+            while self.unsettled:
                 await trio.sleep(SETTLE_SECONDS)
                 self.settle()
-                self.wake.set()
 
     def send_notices(self) -> None:
         """Tells all routers what this one has found since the last time."""
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -76,6 +76,21 @@
     second.check(0x5AFE)
 
 
+async def test_all_routers_refuse_before_the_caller_is_told(
+    routers, autojump_clock
+):
+    # a caller whose request has just killed its second engine is told so
+    # and sends it again at once through another router, which had not heard
+    # yet: a third engine died
+    first, second, third = routers.all
+    await first.crashed(POISON, 'engine-0', 'a', 1, 0.1)
+    await first.crashed(POISON, 'engine-1', 'b', 1, 0.1)
+
+    for one in (second, third):
+        with pytest.raises(errors.RequestQuarantined):
+            one.check(POISON)
+
+
 async def test_quarantine_survives_all_routers(nursery, autojump_clock):
     # every router is replaced within minutes of the finding, and the caller
     # sends the request again: only the key-value service still knows
