Lend whole tokens of customers' limits in place of parts of a rate

Cause: an even part of a limit at 330 routers is one request in seconds, in a bucket of one; two that come to a router by chance were refused though the fleet had tokens for hundreds. The time went into a report for each customer seen to as many homes each second, and the home's loop over all routers for each customer of each report.

Now 16 groups of customers with a home each; routers hold whole tokens, report what is missing each ten seconds, sooner if a bucket runs low, and give back what they do not need. Bound in any T seconds: limit x T + burst + 2 s of the limit + 2 for each router, once. Views that differ: so many times as routers take themselves for the home.

The bench's one bucket for comparison is its own class now, with the same capacity as before. Its bound on messages falls from 60 to 8; a bound on refusals is new. figures.json and docs/CAPACITY.md are not touched.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -33,7 +33,8 @@
 BOUNDED_FLEET = '24 routers'
 BOUNDED_SIZES = ('today', 'the target, its share of the engines')
 # counts and differences, which the load of the machine does not change much
-MAX_LIMIT_MESSAGES = 60.0  # a second, of a router of 24
+MAX_LIMIT_MESSAGES = 8.0  # a second, of a router of 24
+MAX_LIMIT_REFUSED = 4.0  # of 1,000, far below the limit, 24 routers
 MAX_KNOWLEDGE_MIB = 40.0  # all that is known of the target
 MAX_RECORD_BYTES = 3000.0
 
@@ -119,6 +120,10 @@
         found.append(
             Bound('messages/s of limits, 24 routers', most, MAX_LIMIT_MESSAGES)
         )
+        refused = max(row['refused'] for row in rows)
+        found.append(
+            Bound('refused of 1,000, 24 routers', refused, MAX_LIMIT_REFUSED)
+        )
     return found
 
 
--- a/bench/capacity/limits_cost.py
+++ b/bench/capacity/limits_cost.py
@@ -64,10 +64,33 @@
     return [whole * part for part in parts]
 
 
-def make_bucket(limit: float) -> limits.Bucket:
+@attrs.define
+class OneBucket:
+    """A bucket that sees all requests of a customer.
+
+    Attributes:
+        rate: Tokens a second.
+        capacity: Most tokens: a second of the limit, at least one.
+        tokens: Tokens at `at`.
+        at: Clock.
+    """
+
+    rate: float
+    capacity: float
+    tokens: float
+    at: float
+
+    def refill(self, now: float) -> None:
+        """Adds the tokens of the time that has passed."""
+        added = (now - self.at) * self.rate
+        self.tokens = min(self.capacity, self.tokens + added)
+        self.at = now
+
+
+def make_bucket(limit: float) -> OneBucket:
     """Returns a bucket that holds a second of the limit."""
-    capacity = max(1.0, limit * limits.COVERED_SECONDS)
-    return limits.Bucket(limit, capacity, capacity, trio.current_time())
+    capacity = max(1.0, limit)
+    return OneBucket(limit, capacity, capacity, trio.current_time())
 
 
 class Fixed:
@@ -127,7 +150,7 @@
                 self.refused += 1
             self.ask_one(self.whole[min(number, CUSTOMERS - 1)])
 
-    def ask_one(self, bucket: limits.Bucket) -> None:
+    def ask_one(self, bucket: OneBucket) -> None:
         """Checks a request against the bucket that sees all."""
         bucket.refill(trio.current_time())
         if bucket.tokens < 1.0:
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -283,26 +283,33 @@
 @peer.message(65)
 @attrs.frozen
 class CustomerDemand(peer.Message):
-    """Notice of what customers ask of a router, to their home router.
+    """Notice of the tokens that a router wants, to the customers' home.
 
     Attributes:
         customers: Short ids of customers with a limit.
-        rates: Hundredths of a request a second that each asks for.
+        rates: Empty, so that routers of the version before take nothing for
+            a demand.
+        wants: Tokens that it wants of each; below 0, what it gives back.
+        held: Tokens that it has of each, after giving back.
     """
 
     customers: list[int]
     rates: list[int]
+    wants: list[int] = attrs.field(factory=list)
+    held: list[int] = attrs.field(factory=list)
 
 
 @peer.message(66)
 @attrs.frozen
 class CustomerShare(peer.Message):
-    """Notice of the part of each customer's limit that a router may use.
+    """Notice of tokens that a home router lends.
 
     Attributes:
         customers: Short ids of customers.
-        rates: Hundredths of a request a second.
+        rates: Empty, as above.
+        tokens: Whole requests that the router may pass, of each.
     """
 
     customers: list[int]
     rates: list[int]
+    tokens: list[int] = attrs.field(factory=list)
