--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -5,8 +5,8 @@
 
 Options:
   --part NAME    Only this of small, limits, router and relay.
-  --fleets LIST  Fleets whose limits are measured [default: 6,24]. Some
-                 minutes for 96, a quarter of an hour for 330.
+  --fleets LIST  Fleets whose limits are measured [default: 6,24]; a minute
+                 for 330.
   --json FILE    Put the figures there.
   --write        Put the figures into figures.json.
 
