Check the quarantine again after the wait for a permit; mend two tests

The check is made again with the permit in hand; the new test is red without it by its records of runs. Cause 2: the proof of killed engines called an answer cut off that had ended in a typed error event: the caller's reader dropped the lines that came before the break. It now reads them; a stream without that event still counts as cut off.

--- a/lavenderbend/coordination/dispatch/exchange.py
+++ b/lavenderbend/coordination/dispatch/exchange.py
@@ -106,6 +106,29 @@
                 ) from exc
             raise
 
+    def check_again(self, permit: interfaces.Permit) -> None:
+        """Checks the quarantine once more, after the wait for a permit.
+
+        Copies of a request that kills engines may wait for permits when it
+        is quarantined; sent all the same, each would kill one more.
+
+        Raises:
+            RequestQuarantined: No attempt of the request has been sent.
+            OutcomeUnknown: One has.
+        """
+        quarantine = self.parts.quarantine
+        if quarantine is None:
+            return
+        try:
+            quarantine.check(self.fingerprint)
+        except errors.RequestQuarantined as exc:
+            self.parts.admission.release(permit, type(exc).__name__)
+            if self.dispatched:
+                raise errors.OutcomeUnknown(
+                    f'an attempt broke off and no other may be made: {exc}'
+                ) from exc
+            raise
+
     def suspect(self) -> bool:
         """Returns whether an upstream died while it ran the request."""
         quarantine = self.parts.quarantine
@@ -129,6 +152,7 @@
     async def try_once(self, headers: dict[str, str]) -> bytes | None:
         """Makes one attempt and returns its first piece."""
         permit = await self.acquire()
+        self.check_again(permit)
         self.tries += 1
         self.avoid.append(permit.upstream.id)
         attempt = attempts.Attempt(self.parts, self.request, permit, self.span)
--- a/tests/integration/callers.py
+++ b/tests/integration/callers.py
@@ -79,8 +79,8 @@
         if not line.startswith('data: ') or line == TERMINATOR:
             continue
         event = json.loads(line.removeprefix('data: '))
-        if 'choices' not in event:
-            call.told = Told(event.get('outcome', Told.BROKEN.value))
+        if 'error' in event:
+            call.told = Told(event['error']['outcome'])
             call.detail = line[:300]
             return
         call.request_id = event['id'].removeprefix('chatcmpl-')
@@ -145,8 +145,10 @@
         except (httpx.ConnectError, httpx.ConnectTimeout):
             call.told = Told.UNREACHABLE
         except httpx.HTTPError as exc:
-            call.told = Told.BROKEN
-            call.detail = repr(exc)
+            # a break after an error event has been told of
+            if call.told in (Told.UNREACHABLE, Told.COMPLETE):
+                call.told = Told.BROKEN
+            call.detail = call.detail or repr(exc)
         call.ended = trio.current_time()
         self.calls.append(call)
         return call
@@ -163,11 +165,23 @@
             if answer.status_code >= 400:
                 read_problem(call, await answer.aread())
             elif call.body.get('stream'):
-                lines = [line async for line in answer.aiter_lines()]
-                read_stream(call, lines)
+                await self.read_lines(call, answer)
             else:
                 self.read_whole(call, json.loads(await answer.aread()))
 
+    async def read_lines(self, call: Call, answer: httpx.Response) -> None:
+        """Takes a streamed answer, whole or told to be broken off.
+
+        A router that cannot complete a stream sends an error event and then
+        breaks the connection off, so that nothing looks whole.
+        """
+        lines = []
+        try:
+            async for line in answer.aiter_lines():
+                lines.append(line)
+        finally:
+            read_stream(call, lines)
+
     def read_whole(self, call: Call, document: dict[str, Any]) -> None:
         call.told = Told.COMPLETE
         if call.kind == 'chat':
--- a/tests/test_coordination/test_dispatch_faults.py
+++ b/tests/test_coordination/test_dispatch_faults.py
@@ -276,3 +276,30 @@
 
 def refuse(request):
     raise errors.RequestQuarantined('it crashed upstreams', 60.0)
+
+
+async def test_request_quarantined_while_it_waits_is_not_sent():
+    # Copies of a request that kills engines wait for permits when it is
+    # quarantined. Each of them used to be sent when its permit came, and
+    # killed one more engine.
+    async with path_fakes.running() as path:
+        acquire = path.admission.acquire
+
+        async def acquire_late(ask):
+            permit = await acquire(ask)
+            path.quarantine.check = refuse_fingerprint
+            return permit
+
+        path.admission.acquire = acquire_late
+        response = await path.client.post(
+            path_fakes.CHAT_PATH, json=path_fakes.chat_body(stream=True)
+        )
+        runs = [run for engine in path.engines for run in engine.log.records]
+    assert response.status_code == 422
+    assert response.json()['outcome'] == 'not-run'
+    assert runs == []
+    assert path.admission.open == {}
+
+
+def refuse_fingerprint(fingerprint):
+    raise errors.RequestQuarantined('it crashed upstreams', 60.0)
--- a/tests/test_coordination/test_membership_upstreams.py
+++ b/tests/test_coordination/test_membership_upstreams.py
@@ -68,7 +68,8 @@
     # two faults at once: the router that polls an engine dies in the moment
     # in which the engine begins to drain. The second poller tells the rest.
     fleet = await fleets.make_fleet(nursery, 12, engines=5, lag=10.0)
-    await trio.sleep(1)
+    # routers agree on who polls once they have chosen in a settled view
+    await trio.sleep(5)
     pollers = [
         name
         for name, member in fleet.members.items()
