Part the quarantine's records from its judgement

Records are a module with a task of their own now, under the prefix of the settings (it was fixed, so that two fleets on one service shared them). A finding that cannot be written is still told again each second. One test names the store where it now is; what it asserts is unchanged.

--- a/lavenderbend/coordination/quarantine.py
+++ b/lavenderbend/coordination/quarantine.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import json
 import math
 import random
 from typing import TYPE_CHECKING
@@ -13,7 +12,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import retries
+from lavenderbend.coordination import quarantine_records
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_decisions
@@ -22,8 +21,6 @@
     from lavenderbend.coordination import interfaces
     from lavenderbend.protocol import peer
 
-PREFIX = '/lavenderbend/quarantine/'
-PREFIX_END = '/lavenderbend/quarantine0'
 QUARANTINE_SECONDS = 900
 SUSPECT_SECONDS = 600.0
 # further upstreams that died within this time without the request speak for
@@ -31,14 +28,12 @@
 OTHER_CRASHES_SECONDS = 30.0
 TELL_SECONDS = 0.3
 NOTICE_DELAY_SECONDS = 0.02
+RESEND_SECONDS = 1.0
 # time for the other routers' notices of a death
 SETTLE_SECONDS = 0.5
 # one that ran longer is less suspect than one that was just sent; the same
 # as `AdmissionSettings.probation`
 PROBATION_SECONDS = 1.0
-RETRY_SECONDS = 1.0
-# between two tries to watch the findings; peers tell new ones meanwhile
-WATCH_RETRIES = retries.RetrySettings(base_delay=1.0, max_delay=15.0)
 CRASHES_TO_QUARANTINE = 2
 
 CRASHES = metrics.counter(
@@ -75,7 +70,7 @@
     suspect with it, is the cause.
 
     Attributes:
-        rng: Source of jitter.
+        records: The findings in the key-value service.
         crashes: Fingerprints on each upstream that died, and whether each
             had only just been sent there.
         suspects: Deaths that each suspect was there at.
@@ -89,13 +84,20 @@
         link: interfaces.PeerLink,
         membership: interfaces.Membership,
         rng: random.Random | None = None,
+        prefix: str = quarantine_records.DEFAULT_PREFIX,
     ) -> None:
         self.name = name
-        self.store = store
         self.link = link
         self.membership = membership
         # by name, so that routers without a source of their own differ too
-        self.rng = rng or random.Random(name)
+        self.records = quarantine_records.Records(
+            name,
+            store,
+            rng or random.Random(name),
+            self.learn,
+            QUARANTINE_SECONDS,
+            prefix,
+        )
         self.crashes: dict[Crash, dict[int, bool]] = {}
         self.crashed_at: dict[Crash, float] = {}
         self.suspects: dict[int, set[Crash]] = {}
@@ -105,7 +107,7 @@
         )
         self.unsettled: list[Crash] = []
         self.cleared: set[int] = set()
-        self.unwritten: set[int] = set()
+        self.found: set[int] = set()
         self.wake = trio.Event()
         self.died = trio.Event()
         link.handle(messages_decisions.CrashSeen, self.on_crash)
@@ -213,7 +215,8 @@
         """Quarantines a request if it is the cause of a death."""
         if self.guilty(fingerprint, crash):
             self.quarantine(fingerprint, QUARANTINE_SECONDS)
-            self.unwritten.add(fingerprint)
+            self.found.add(fingerprint)
+            self.records.keep(fingerprint)
 
     def guilty(self, fingerprint: int, crash: Crash) -> bool:
         """Returns whether a request is the cause of a death.
@@ -300,17 +303,20 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.run_notices)
             nursery.start_soon(self.run_settle)
-            nursery.start_soon(self.run_watch)
+            nursery.start_soon(self.records.run)
 
     async def run_notices(self) -> None:
         """Sends what was found, gathered for a moment."""
         while True:
-            await self.wake.wait()
+            # a finding that could not be written is told again and again:
+            # a router that missed the notice has no record to learn it from
+            again = RESEND_SECONDS if self.records.unwritten else math.inf
+            with trio.move_on_after(again):
+                await self.wake.wait()
             self.wake = trio.Event()
             await trio.sleep(NOTICE_DELAY_SECONDS)
             self.send_notices()
             self.expire()
-            await self.write_records()
 
     async def run_settle(self) -> None:
         """Judges deaths once all routers have told of them.
@@ -337,7 +343,7 @@
                     sorted(one for one in fingerprints if fingerprints[one]),
                 )
             )
-        for fingerprint in sorted(self.unwritten):
+        for fingerprint in sorted(self.found | self.records.unwritten):
             items.append(
                 messages_decisions.Quarantined(fingerprint, QUARANTINE_SECONDS)
             )
@@ -346,6 +352,7 @@
                 messages_decisions.SuspectCleared(sorted(self.cleared))
             )
         self.unsent.clear()
+        self.found.clear()
         self.cleared.clear()
         for router in self.membership.routers():
             if router == self.name:
@@ -353,6 +360,11 @@
             for item in items:
                 self.link.notify(router, item)
 
+    def learn(self, fingerprint: int) -> None:
+        """Takes over a finding from the key-value service."""
+        if fingerprint not in self.until:
+            self.quarantine(fingerprint, QUARANTINE_SECONDS)
+
     def expire(self) -> None:
         """Forgets deaths and suspects after a time."""
         since = trio.current_time() - SUSPECT_SECONDS
@@ -365,63 +377,3 @@
                 crashes.discard(crash)
                 if not crashes:
                     self.suspects.pop(fingerprint, None)
-
-    async def write_records(self) -> None:
-        """Keeps new findings in the key-value service."""
-        for fingerprint in sorted(self.unwritten):
-            key = f'{PREFIX}{fingerprint:016x}'
-            value = json.dumps({'found_by': self.name}).encode()
-            try:
-                lease = await self.store.grant_lease(QUARANTINE_SECONDS)
-                await self.store.create(key, value, lease)
-            except errors.KeyValueError:
-                # kept for the next try; the other routers know it already
-                await trio.sleep(RETRY_SECONDS)
-                self.wake.set()
-                continue
-            self.unwritten.discard(fingerprint)
-
-    async def run_watch(self) -> None:
-        """Keeps up with the records of the key-value service.
-
-        Every router watches. With one fixed pause between tries all routers
-        of the fleet would come at once, each second, to a service that is
-        just coming back, and keep it down; so the pauses grow, and differ.
-        """
-        failures = 0
-        while True:
-            began = trio.current_time()
-            try:
-                await self.follow_records()
-            except errors.KeyValueError:
-                pass
-            if trio.current_time() - began > WATCH_RETRIES.max_delay:
-                failures = 0
-            failures += 1
-            pause = retries.backoff(failures, self.rng, math.inf, WATCH_RETRIES)
-            await trio.sleep(pause or 0.0)
-
-    async def follow_records(self) -> None:
-        """Learns the records there are, then each new one.
-
-        Raises:
-            KeyValueError: The service does not answer, or the watch ended.
-        """
-        found = await self.store.read(PREFIX, PREFIX_END)
-        for item in found.items:
-            self.learn(item.key)
-        changes = self.store.watch(PREFIX, PREFIX_END, found.revision + 1)
-        async for batch in changes:
-            for change in batch:
-                if not change.deleted:
-                    self.learn(change.item.key)
-
-    def learn(self, key: str) -> None:
-        """Takes a record over."""
-        text = key.removeprefix(PREFIX)
-        try:
-            fingerprint = int(text, 16)
-        except ValueError:
-            return
-        if fingerprint not in self.until:
-            self.quarantine(fingerprint, QUARANTINE_SECONDS)
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -182,6 +182,7 @@
             self.link,
             self.membership,
             self.rng,
+            f'{prefix}quarantine/',
         )
         self.orderer = orders_http.HttpOrderer()
         self.orders = orders_module.OrderController(
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -9,6 +9,7 @@
 from bench.decisions import world
 from lavenderbend import errors
 from lavenderbend.coordination import quarantine
+from lavenderbend.coordination import quarantine_records
 from tests import fakes
 
 POISON = 0xBAD
@@ -217,10 +218,12 @@
     assert 20 * 20 < len(late) < 20 * 120
     assert len({round(at, 3) for at in late}) > 0.95 * len(late)
 
-    await working.create(f'{quarantine.PREFIX}{POISON:016x}', b'{}')
+    await working.create(
+        f'{quarantine_records.DEFAULT_PREFIX}{POISON:016x}', b'{}'
+    )
     for one in all_routers:
-        one.store = working
-    await trio.sleep(quarantine.WATCH_RETRIES.max_delay)
+        one.records.store = working
+    await trio.sleep(quarantine_records.WATCH_RETRIES.max_delay)
     for one in all_routers:
         assert not one.may_retry(POISON)
 
