--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/lavenderbend demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n 6
+	$(BIN)/python -m pytest -n 6 --dist worksteal
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
