--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -7,7 +7,7 @@
 from lavenderbend.protocol import peer
 
 
-@peer.message(90)
+@peer.message(100)
 @attrs.frozen
 class RouterState(peer.Message):
     """What a router tells others of itself, in one datagram.
@@ -48,7 +48,7 @@
     members: list[str] = attrs.field(factory=list)
 
 
-@peer.message(91)
+@peer.message(101)
 @attrs.frozen
 class SnapshotContent(peer.Message):
     """A snapshot for a router that lacks it.
