--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -177,8 +177,11 @@
             load = self.loads.load(one.instance)
             busy = load / max(1, one.slots)
             far = self.far(one) and busy < 1.0
-            return busy >= 0.5, far, busy, hashing.hash64(
-                tie_break, one.instance
+            return (
+                busy >= 0.5,
+                far,
+                busy,
+                hashing.hash64(tie_break, one.instance),
             )
 
         upstream = min(found, key=rank)
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -59,9 +59,7 @@
         self.compiled = rules_module.CompiledRules(())
         self.customers: dict[str, forwarding.ForwardCustomer] = {}
 
-    async def admit(
-        self, request: interfaces.CallerRequest
-    ) -> tickets.Ticket:
+    async def admit(self, request: interfaces.CallerRequest) -> tickets.Ticket:
         """Returns the ticket of a request.
 
         Raises:
@@ -77,9 +75,7 @@
             await self.require_fresh(self.apply_seconds, request)
             return await self.decide(request)
 
-    async def decide(
-        self, request: interfaces.CallerRequest
-    ) -> tickets.Ticket:
+    async def decide(self, request: interfaces.CallerRequest) -> tickets.Ticket:
         """Returns the ticket by the version in force.
 
         Raises:
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -13,7 +13,6 @@
 from lavenderbend.protocol import messages_forwarding
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Iterable
     import random
 
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -169,7 +169,9 @@
             nursery.start_soon(self.snapshots.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.tidy)
-            await nursery.start(self.readiness.serve, *address(listen.readiness))
+            await nursery.start(
+                self.readiness.serve, *address(listen.readiness)
+            )
             await nursery.start(self.callers.serve, *address(listen.callers))
             logs.change(
                 'router_started',
--- a/lavenderbend/observe/log_writer.py
+++ b/lavenderbend/observe/log_writer.py
@@ -47,9 +47,7 @@
     def try_take(self) -> bool:
         """Takes a line if there is one left."""
         now = self.clock()
-        self.tokens = min(
-            self.burst, self.tokens + (now - self.at) * self.rate
-        )
+        self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
         self.at = now
         if self.tokens < 1.0:
             return False
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -195,9 +195,7 @@
         if self.protocol.trailing_data[0]:
             return True
         idle = self.server.limits().idle_seconds
-        self.idle_scope = trio.CancelScope(
-            deadline=trio.current_time() + idle
-        )
+        self.idle_scope = trio.CancelScope(deadline=trio.current_time() + idle)
         if self.server.closing_idle:
             self.idle_scope.cancel()
         with self.idle_scope:
@@ -351,9 +349,7 @@
             self.gone = True
             raise errors.CallerGone(type(exc).__name__) from exc
 
-    def head(
-        self, status: int, headers: interfaces.Headers
-    ) -> h11.Response:
+    def head(self, status: int, headers: interfaces.Headers) -> h11.Response:
         """Returns the head as an event."""
         if self.closing():
             headers = (*headers, (b'connection', b'close'))
