--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -12,6 +12,7 @@
 from lavenderbend.protocol import hop_headers
 
 if TYPE_CHECKING:
+    from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import directory as directories
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
@@ -45,12 +46,14 @@
         found: directories.Directory,
         health: health_module.Health,
         loads: loads_module.Loads,
+        crashes: crashes_module.Crashes,
         headers: settings_module.ForwardHeaders,
     ) -> None:
         self.exchanges = exchanges
         self.directory = found
         self.health = health
         self.loads = loads
+        self.crashes = crashes
         self.headers = headers
         self.signature = headers.signature.encode()
         self.not_run = headers.not_run.encode()
@@ -97,6 +100,10 @@
                 await self.run(ticket, upstream, exchange, answer, may_repeat)
             finally:
                 exchange.close()
+        except errors.UpstreamLost:
+            self.health.note_failure(upstream.instance)
+            self.crashes.note_lost(ticket, upstream)
+            raise
         except errors.UpstreamBroke:
             self.health.note_failure(upstream.instance)
             raise
@@ -147,14 +154,14 @@
         self.check_answer(head)
         if ticket.rule.then.streaming and head.status < 300:
             await self.relay(ticket, exchange, head, answer, may_repeat, wait)
-            self.health.note_success(upstream.instance)
+            self.note_success(ticket, upstream)
             return
         body = await read_whole(exchange)
         failed = head.status >= SERVER_ERROR
         if failed:
             self.health.note_failure(upstream.instance)
         else:
-            self.health.note_success(upstream.instance)
+            self.note_success(ticket, upstream)
         if failed and may_repeat:
             ticket.fallback = tickets.WholeAnswer(head, body)
             raise errors.UpstreamError(f'answered {head.status}')
@@ -162,6 +169,13 @@
             raise errors.UpstreamBroke(f'answered {head.status} to a resume')
         await answer.whole(head.status, head.headers, body)
 
+    def note_success(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> None:
+        """Notes that a request ran to a good end."""
+        self.health.note_success(upstream.instance)
+        self.crashes.note_success(ticket)
+
     def request(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> interfaces.UpstreamRequest:
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -130,6 +130,7 @@
         Raises:
             RequestError: None of them answered.
         """
+        self.attempts.crashes.check(ticket)
         self.budget.note_request(ticket.service)
         while True:
             upstream = self.next_upstream(ticket)
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lavenderbend.protocol import messages_forwarding
+    from lavenderbend.protocol import peer
     from lavenderbend.state import forwarding
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -141,6 +141,10 @@
 class Exchanges(abc.ABC):
     """Connections to upstreams."""
 
+    @abc.abstractmethod
+    async def accepts(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether the upstream accepts a connection now."""
+
     @abc.abstractmethod
     async def open(
         self, upstream: forwarding.Upstream, repeatable: bool
@@ -179,10 +183,10 @@
         receiver: Called with each message that arrives.
     """
 
-    receiver: Callable[[messages_forwarding.RouterState], None]
+    receiver: Callable[[peer.Message], None]
 
     @abc.abstractmethod
-    def send(self, host: str, message: messages_forwarding.RouterState) -> None:
+    def send(self, host: str, message: peer.Message) -> None:
         """Sends a message; it may be lost."""
 
     @abc.abstractmethod
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -16,9 +16,11 @@
     from collections.abc import Iterable
     import random
 
+    from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import snapshots
+    from lavenderbend.protocol import peer
     from lavenderbend.state import forwarding
 
 # loads change within a tenth of a second or two; bytes between zones are dear
@@ -37,6 +39,8 @@
 # routers that fell silent count for the parts of the fleet's budget as long
 # as their requests may
 ALIVE_SECONDS = 5.0
+# a datagram may be lost; a notice is sent only once, so in two copies
+CRASH_COPIES = 2
 MAX_MEMBERS_TOLD = 12
 MAX_LOAD = 255
 
@@ -121,7 +125,8 @@
         self.order: tuple[int, list[str]] = (0, [])
         followed.peer_count = self.fleet_size
         followed.on_proof.append(self.tell_proof)
-        link.receiver = self.on_state
+        link.receiver = self.on_message
+        self.crashes: crashes_module.Crashes | None = None
 
     def fleet_size(self) -> int:
         """Returns how many routers were alive lately, this one included."""
@@ -242,6 +247,19 @@
             for instance in self.instances(current)
         )
 
+    def on_message(self, message: peer.Message) -> None:
+        """Takes in a message of another router."""
+        if isinstance(message, messages_forwarding.RouterState):
+            self.on_state(message)
+        elif isinstance(message, messages_forwarding.CrashNotice):
+            self.crashes.on_notice(message)
+
+    def tell_crash(self, notice: messages_forwarding.CrashNotice) -> None:
+        """Tells all routers of a request that upstreams died of."""
+        for member in self.alive():
+            for _ in range(CRASH_COPIES):
+                self.link.send(member.host, notice)
+
     def on_state(self, state: messages_forwarding.RouterState) -> None:
         """Takes in what another router tells of itself."""
         if state.name == self.name:
@@ -254,6 +272,8 @@
         self.note_freshness(state)
         if new:
             self.send(state.host)
+            for notice in self.crashes.notices():
+                self.link.send(state.host, notice)
 
     def note_member(self, state: messages_forwarding.RouterState) -> bool:
         """Notes that a router is alive; returns whether it is new."""
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -45,6 +45,8 @@
         used: Instances that it was sent to.
         unreachable: Instances that no connection was to be had to.
         may_have_run: Whether an upstream may have begun to run it.
+        fingerprint: What it has in common with its repetitions, None until
+            it is asked for.
         fallback: A failure answered by an upstream, to be passed on if no
             other upstream does better.
     """
@@ -61,6 +63,7 @@
     used: list[str] = attrs.field(factory=list)
     unreachable: list[str] = attrs.field(factory=list)
     may_have_run: bool = False
+    fingerprint: int | None = None
     fallback: WholeAnswer | None = None
 
     @property
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.forwarding import attempts
 from lavenderbend.coordination.forwarding import budget
 from lavenderbend.coordination.forwarding import choice
+from lavenderbend.coordination.forwarding import crashes
 from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import entry
 from lavenderbend.coordination.forwarding import forwarder
@@ -96,6 +97,10 @@
         """Makes what requests go through."""
         settings = self.forwarding
         self.exchanges = upstream_exchanges.UpstreamExchanges()
+        self.crashes = crashes.Crashes(
+            self.exchanges.accepts, self.peers.tell_crash
+        )
+        self.peers.crashes = self.crashes
         self.budget = budget.RepeatBudget(
             budget.RepeatSettings(
                 settings.repeat_share,
@@ -121,6 +126,7 @@
                 self.directory,
                 self.health,
                 self.loads,
+                self.crashes,
                 settings.headers,
             ),
             self.budget,
@@ -168,6 +174,7 @@
             await nursery.start(self.link.run)
             nursery.start_soon(self.snapshots.run)
             nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.crashes.run)
             nursery.start_soon(self.tidy)
             await nursery.start(
                 self.readiness.serve, *address(listen.readiness)
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -60,3 +60,19 @@
 
     revision: int
     content: bytes
+
+
+@peer.message(102)
+@attrs.frozen
+class CrashNotice(peer.Message):
+    """A request that was on upstreams when they died, or that is cleared.
+
+    Attributes:
+        fingerprint: The request.
+        instances: Upstreams that died with it.
+        cleared: Whether it has run to a good end since.
+    """
+
+    fingerprint: int
+    instances: list[str]
+    cleared: bool
--- a/lavenderbend/transport/peer_datagrams.py
+++ b/lavenderbend/transport/peer_datagrams.py
@@ -71,10 +71,9 @@
             except errors.CodecError as exc:
                 logs.change('peer_message_unreadable', cause=str(exc))
                 continue
-            if isinstance(message, messages_forwarding.RouterState):
-                self.receiver(message)
+            self.receiver(message)
 
-    def send(self, host: str, message: messages_forwarding.RouterState) -> None:
+    def send(self, host: str, message: peer.Message) -> None:
         """Sends a message; it may be lost."""
         try:
             self.socket._sock.sendto(peer.encode(message), (host, self.port))
@@ -123,7 +122,7 @@
         return b''.join(parts)
 
 
-def ignore(message: messages_forwarding.RouterState) -> None:
+def ignore(message: peer.Message) -> None:
     """Drops messages that come before somebody takes them."""
 
 
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -114,6 +114,15 @@
         CONNECTIONS.inc({'service': upstream.vm.service})
         return UpstreamExchange(self, upstream.instance, connection)
 
+    async def accepts(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether the upstream accepts a connection now."""
+        try:
+            connection = await connect(upstream)
+        except errors.UpstreamUnreachable:
+            return False
+        self.keep(upstream.instance, connection)
+        return True
+
     def keep(self, instance: str, connection: KeptConnection) -> None:
         """Keeps a connection for the next request."""
         connection.idle_since = trio.current_time()
