--- /dev/null
+++ b/tests/forwarding_fakes.py
@@ -0,0 +1,369 @@
+"""Fakes at the interfaces of forwarding."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination.forwarding import attempts
+from lavenderbend.coordination.forwarding import budget
+from lavenderbend.coordination.forwarding import choice
+from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import directory
+from lavenderbend.coordination.forwarding import entry
+from lavenderbend.coordination.forwarding import forwarder
+from lavenderbend.coordination.forwarding import health
+from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.coordination.forwarding import loads
+from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import snapshots
+from lavenderbend.state import configuration
+from lavenderbend.state import forwarding
+from lavenderbend.state import hashing
+from lavenderbend.state import settings
+from lavenderbend.state import upstreams
+
+HEADERS = settings.ForwardHeaders(reserved=('x-hold',))
+ZONE = 'sala-a'
+KEY = 'llave-1'
+
+
+def upstream(name, service='chat', zone=ZONE, leaving=False, slots=64):
+    state = upstreams.VmState.LEAVING if leaving else upstreams.VmState.LIVE
+    vm = upstreams.Vm(
+        name,
+        '127.0.0.1',
+        9,
+        zone,
+        service,
+        upstreams.UpstreamKind.SERVICE,
+        state=state,
+    )
+    return forwarding.Upstream(name, vm, slots)
+
+
+def rule(name='chat', path='/chat/*', **then):
+    values = {
+        'pools': (forwarding.PoolShare('chat', 1.0),),
+        'timeout': 5.0,
+        **then,
+    }
+    when = configuration.When(path=(path,), header={'host': 'a.example'})
+    return forwarding.ForwardRule(name, when, forwarding.Forward(**values))
+
+
+def table(version=1, rules=None, customers=None):
+    if customers is None:
+        customers = (forwarding.ForwardCustomer('corte', (KEY,), 1),)
+    return forwarding.ForwardingTable(
+        version, rules or (rule(),), customers=customers
+    )
+
+
+def snapshot(revision=1, the_table=None, *found):
+    by_name = {one.instance: one for one in found}
+    parts = [str(the_table), *sorted(str(one) for one in found)]
+    return forwarding.Snapshot(
+        revision,
+        hashing.hash64(*parts),
+        the_table,
+        by_name,
+        forwarding.RawSnapshot(revision, ' '.join(parts).encode()),
+    )
+
+
+class Source(interfaces.SnapshotSource):
+    """A store whose content, delay and failure a test sets."""
+
+    def __init__(self, content=None):
+        self.content = content
+        self.known = {}
+        self.delay = 0.004
+        self.error = None
+        self.reads = 0
+
+    def put(self, content):
+        self.content = content
+
+    async def read(self):
+        self.reads += 1
+        await trio.sleep(self.delay)
+        if self.error is not None:
+            raise self.error
+        self.known[self.content.raw.content] = self.content
+        return self.content.raw
+
+    def decode(self, raw):
+        if raw.content not in self.known:
+            raise errors.CodecError('unknown content')
+        return attrs.evolve(
+            self.known[raw.content], revision=raw.revision, raw=raw
+        )
+
+
+class SuspensionClock:
+    """A clock that goes on while the process is suspended."""
+
+    def __init__(self):
+        self.suspended = 0.0
+
+    def __call__(self):
+        return trio.current_time() + self.suspended
+
+
+class Answer(interfaces.CallerAnswer):
+    """Keeps what a caller gets."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = ()
+        self.body = b''
+        self.heads = 0
+
+    async def whole(self, status, headers, body):
+        self.started = self.finished = True
+        self.heads += 1
+        self.status, self.headers, self.body = status, headers, body
+        await trio.lowlevel.checkpoint()
+
+    async def start(self, status, headers):
+        self.started = True
+        self.heads += 1
+        self.status, self.headers = status, headers
+        await trio.lowlevel.checkpoint()
+
+    async def send(self, data):
+        self.body += data
+        await trio.lowlevel.checkpoint()
+
+    async def finish(self):
+        self.finished = True
+        await trio.lowlevel.checkpoint()
+
+
+def reply(status=200, body=(b'done',), delay=0.0, then=None, **headers):
+    """Returns what an upstream does with one request.
+
+    `then` is raised behind the body; a number between the parts of the body
+    is a pause in seconds.
+    """
+    named = {'x-signature': 'sig', **headers}
+    raw = tuple((k.encode(), v.encode()) for k, v in named.items() if v)
+    return Reply(interfaces.AnswerHead(status, raw), tuple(body), delay, then)
+
+
+@attrs.frozen
+class Reply:
+    head: interfaces.AnswerHead
+    body: tuple
+    delay: float
+    then: Exception | None
+
+
+def not_run(status=503):
+    return reply(status, (b'',), **{'x-signature': '', 'x-not-run': '1'})
+
+
+class Exchange(interfaces.Exchange):
+    def __init__(self, owner, instance, step):
+        self.owner = owner
+        self.instance = instance
+        self.step = step
+        self.parts = list(getattr(step, 'body', ()))
+        self.ended = False
+
+    async def send(self, request):
+        self.owner.sent.append((self.instance, request))
+        if isinstance(self.step, Exception):
+            raise self.step
+        await trio.sleep(self.step.delay)
+        return self.step.head
+
+    async def read(self):
+        while self.parts:
+            part = self.parts.pop(0)
+            if isinstance(part, float):
+                await trio.sleep(part)
+            else:
+                await trio.lowlevel.checkpoint()
+                return part
+        if self.step.then is not None:
+            raise self.step.then
+        self.ended = True
+        return None
+
+    def close(self):
+        self.owner.closed.append((self.instance, self.ended))
+
+
+class Exchanges(interfaces.Exchanges):
+    """Upstreams that do what a test lists, by instance.
+
+    Attributes:
+        steps: What each does next; the last is repeated.
+        sent: Instances and the requests that they got.
+        closed: Instances, and whether their answer had come whole.
+        dead: Instances that accept no connections.
+    """
+
+    def __init__(self, **steps):
+        self.steps = {name: list(value) for name, value in steps.items()}
+        self.sent = []
+        self.closed = []
+        self.dead = set()
+
+    async def accepts(self, one):
+        await trio.lowlevel.checkpoint()
+        return one.instance not in self.dead
+
+    async def open(self, one, repeatable):
+        await trio.lowlevel.checkpoint()
+        if one.instance in self.dead:
+            raise errors.UpstreamUnreachable('refused')
+        steps = self.steps[one.instance]
+        step = steps.pop(0) if len(steps) > 1 else steps[0]
+        return Exchange(self, one.instance, step)
+
+    def names(self):
+        return [instance for instance, _ in self.sent]
+
+
+class Router:
+    """The parts of a forwarding router over fakes."""
+
+    def __init__(self, content, exchanges, fleet=1, **follow):
+        self.clock = SuspensionClock()
+        self.source = Source(content)
+        self.snapshots = snapshots.Snapshots(
+            self.source,
+            snapshots.FollowSettings(**follow),
+            random.Random(1),
+            self.clock,
+        )
+        self.directory = directory.Directory(self.snapshots)
+        self.health = health.Health()
+        self.loads = loads.Loads()
+        self.exchanges = exchanges
+        self.notices = []
+        self.crashes = crashes.Crashes(exchanges.accepts, self.notices.append)
+        self.budget = budget.RepeatBudget(
+            budget.RepeatSettings(0.2, 50.0, 10.0), lambda: fleet
+        )
+        self.entry = entry.Entry(self.snapshots, HEADERS, 2.0)
+        self.chooser = choice.Chooser(
+            ZONE, self.directory, self.health, self.loads, 2.0, False
+        )
+        self.forwarder = forwarder.Forwarder(
+            self.entry,
+            self.chooser,
+            attempts.Attempts(
+                exchanges,
+                self.directory,
+                self.health,
+                self.loads,
+                self.crashes,
+                HEADERS,
+            ),
+            self.budget,
+        )
+        self.snapshots.accept(content, self.clock())
+
+    async def ask(self, **fields):
+        """Returns the caller's answer and the error, if there was one."""
+        answer = Answer()
+        try:
+            await self.forwarder.forward(request(**fields), answer)
+        except errors.RequestError as exc:
+            return answer, exc
+        return answer, None
+
+
+def request(path='/chat/1', body=b'{}', key=KEY, method=b'POST', **headers):
+    named = {
+        'host': 'a.example',
+        'x-request-id': 'r1',
+        'x-deadline-ms': '5000',
+        'authorization': f'Bearer {key}' if key else '',
+        **{name.replace('_', '-'): value for name, value in headers.items()},
+    }
+    raw = tuple(
+        (name.encode(), value.encode())
+        for name, value in named.items()
+        if value
+    )
+    return interfaces.CallerRequest(
+        method, path.encode(), raw, body, trio.current_time()
+    )
+
+
+class Network(interfaces.DatagramLink):
+    """Datagrams of one router over a shared map of routers.
+
+    Attributes:
+        cut: Pairs of hosts between which nothing passes.
+    """
+
+    def __init__(self, host, routers, cut):
+        self.host = host
+        self.routers = routers
+        self.cut = cut
+        self.held = None
+
+    def reaches(self, host):
+        return host in self.routers and (self.host, host) not in self.cut
+
+    def send(self, host, message):
+        if not self.reaches(host):
+            return
+        link = self.routers[host].link
+        if link.held is not None:
+            link.held.append(message)
+        else:
+            link.receiver(message)
+
+    def release(self):
+        held, self.held = self.held, None
+        for message in held:
+            self.receiver(message)
+
+    async def fetch(self, host):
+        await trio.sleep(0.001)
+        if not self.reaches(host):
+            raise errors.PeerUnreachable('cut')
+        return self.routers[host].snapshots.current.raw
+
+
+class Node:
+    """One router's knowledge, with its peers."""
+
+    def __init__(self, host, zone, source, routers, cut, seeds, **follow):
+        self.clock = SuspensionClock()
+        self.source = source
+        self.snapshots = snapshots.Snapshots(
+            source,
+            snapshots.FollowSettings(**follow),
+            random.Random(host),
+            self.clock,
+        )
+        self.loads = loads.Loads()
+        self.link = Network(host, routers, cut)
+        self.peers = peers.Peers(
+            f'router-{host}',
+            host,
+            zone,
+            seeds,
+            self.snapshots,
+            self.loads,
+            self.link,
+            random.Random(host),
+        )
+        self.crashes = crashes.Crashes(lambda one: True, self.peers.tell_crash)
+        self.peers.crashes = self.crashes
+        routers[host] = self
+
+    def start(self, nursery):
+        nursery.start_soon(self.snapshots.run)
+        nursery.start_soon(self.peers.run)
--- /dev/null
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -0,0 +1,195 @@
+"""Forwarding routers that share freshness, loads and crashes."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.protocol import messages_forwarding
+from tests import forwarding_fakes as fakes
+
+REVOCATION = 5.0
+HOSTS = ('10.0.0.1', '10.0.0.2', '10.0.0.3', '10.0.0.4')
+
+
+class Fleet:
+    def __init__(self, nursery, hosts=HOSTS):
+        self.content = fakes.snapshot(
+            1, fakes.table(1), fakes.upstream('e1'), fakes.upstream('e2')
+        )
+        self.cut = set()
+        self.routers = {}
+        self.nursery = nursery
+        for host in hosts:
+            self.add(host)
+
+    def add(self, host, seeds=HOSTS[:2]):
+        node = fakes.Node(
+            host,
+            'sala-a' if host in HOSTS[:2] else 'sala-b',
+            fakes.Source(self.content),
+            self.routers,
+            self.cut,
+            seeds,
+            apply_seconds=2.0,
+            revocation_seconds=REVOCATION,
+        )
+        node.start(self.nursery)
+        return node
+
+    def put(self, content):
+        self.content = content
+        for node in self.routers.values():
+            node.source.known[content.raw.content] = content
+            node.source.put(content)
+
+    def reads(self):
+        return sum(node.source.reads for node in self.routers.values())
+
+    def isolate_from_store(self, host):
+        self.routers[host].source.error = errors.KeyValueUnavailable('cut')
+
+    def isolate_from_peers(self, host):
+        for other in HOSTS:
+            self.cut |= {(host, other), (other, host)}
+
+
+@pytest.fixture
+async def fleet(nursery, autojump_clock):
+    fleet = Fleet(nursery)
+    await trio.sleep(5.0)
+    return fleet
+
+
+async def test_routers_find_each_other_from_few_addresses(fleet):
+    assert [n.peers.fleet_size() for n in fleet.routers.values()] == [4] * 4
+
+
+async def test_one_read_serves_the_fleet(fleet):
+    before = fleet.reads()
+    await trio.sleep(20.0)
+    # alone, four routers would make more than a read a second each
+    assert fleet.reads() - before < 45
+
+
+async def test_version_reaches_all_within_its_time(fleet):
+    fleet.put(fakes.snapshot(2, fakes.table(2)))
+    await trio.sleep(1.2)
+    versions = [n.snapshots.table.version for n in fleet.routers.values()]
+    assert versions == [2] * 4
+
+
+async def test_router_that_the_store_turns_away_serves_by_its_peers(fleet):
+    # The store refuses one router and serves the others. Its callers are
+    # served as long as its peers prove that nothing has changed, and a
+    # change reaches it through them.
+    fleet.isolate_from_store(HOSTS[3])
+    node = fleet.routers[HOSTS[3]]
+    await trio.sleep(12.0)
+    assert node.snapshots.may_serve_credentials()
+    fleet.put(fakes.snapshot(2, fakes.table(2)))
+    await trio.sleep(1.5)
+    assert node.snapshots.table.version == 2
+
+
+async def test_router_that_nobody_reaches_stops_serving_credentials(fleet):
+    fleet.isolate_from_store(HOSTS[3])
+    fleet.isolate_from_peers(HOSTS[3])
+    node = fleet.routers[HOSTS[3]]
+    await trio.sleep(REVOCATION)
+    assert not node.snapshots.may_serve_credentials()
+
+
+async def test_messages_that_waited_prove_nothing_new(fleet):
+    # A router is suspended for eight seconds. Meanwhile a credential is
+    # taken away, and its socket holds messages from before, each of which
+    # says that its sender was fresh a moment ago. Taken at their word on
+    # waking, they would have it serve the credential.
+    fleet.isolate_from_store(HOSTS[3])
+    node = fleet.routers[HOSTS[3]]
+    await trio.sleep(1.0)
+    node.link.held = []
+    await trio.sleep(0.5)
+    held = list(node.link.held)
+    assert held
+    fleet.isolate_from_peers(HOSTS[3])
+    node.clock.suspended += 8.0
+    node.link.release()
+    assert not node.snapshots.may_serve_credentials()
+
+
+async def test_echo_of_an_earlier_life_proves_nothing(fleet):
+    # A VM lost power and its clock began anew; a peer still echoes the clock
+    # of its earlier life, which now lies far ahead.
+    node = fleet.routers[HOSTS[0]]
+    state = fleet.routers[HOSTS[1]].peers.state_for(HOSTS[0])
+    node.peers.incarnation += 1
+    assert node.peers.proved_at(state) == float('-inf')
+
+
+async def test_proof_is_never_ahead_of_the_own_clock(fleet):
+    node = fleet.routers[HOSTS[0]]
+    state = messages_forwarding.RouterState(
+        'x',
+        1,
+        HOSTS[1],
+        'z',
+        False,
+        0.0,
+        node.peers.incarnation,
+        node.clock() + 100.0,
+        0.0,
+        0.0,
+        1,
+        1,
+        b'',
+    )
+    assert node.peers.proved_at(state) <= node.clock()
+
+
+async def test_loads_of_peers_are_known(fleet):
+    fleet.routers[HOSTS[0]].loads.begin('e2')
+    fleet.routers[HOSTS[0]].loads.begin('e2')
+    await trio.sleep(0.3)
+    assert fleet.routers[HOSTS[1]].loads.load('e2') == 2
+    await trio.sleep(1.0)
+    assert fleet.routers[HOSTS[3]].loads.load('e2') == 2
+
+
+async def test_loads_of_a_silent_peer_end(fleet):
+    fleet.routers[HOSTS[0]].loads.begin('e2')
+    await trio.sleep(1.0)
+    fleet.isolate_from_peers(HOSTS[0])
+    await trio.sleep(4.0)
+    assert fleet.routers[HOSTS[1]].loads.load('e2') == 0
+
+
+async def test_router_that_starts_while_the_store_is_down_gets_all_from_peers(
+    fleet,
+):
+    for host in HOSTS:
+        fleet.isolate_from_store(host)
+    node = fleet.add('10.0.0.9')
+    node.source.error = errors.KeyValueUnavailable('down')
+    node.source.known.update(fleet.routers[HOSTS[0]].source.known)
+    await trio.sleep(1.5)
+    assert node.snapshots.table.version == 1
+    assert node.snapshots.may_serve_credentials()
+
+
+async def test_new_router_learns_of_requests_that_upstreams_die_of(fleet):
+    fleet.routers[HOSTS[0]].crashes.note_death(7, ['e1', 'e2'])
+    node = fleet.add('10.0.0.9')
+    await trio.sleep(1.5)
+    assert node.crashes.records[7].instances == {'e1', 'e2'}
+
+
+async def test_bytes_of_a_message_are_bounded_by_the_fleet(fleet):
+    from lavenderbend.protocol import peer
+
+    for number in range(200):
+        fleet.routers[HOSTS[0]].peers.learn(f'10.9.0.{number}')
+    for _ in range(50):
+        state = fleet.routers[HOSTS[0]].peers.state_for(HOSTS[1])
+        assert len(peer.encode(state)) < 400
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/test_platform/test_platform_store.py
@@ -0,0 +1,130 @@
+"""The platform's store as routers read it, and what lies in it."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.platform import store as platform_store
+from lavenderbend.state import upstreams
+from tests import platform_standins as standins
+
+PACKAGE = pathlib.Path(__file__).parents[2] / 'lavenderbend'
+# words of the platform that no other module may know
+PLATFORM_WORDS = re.compile(
+    r'lavenderbend/(ready|kv-|report)|lavenderbend-(request|response|server|'
+    r'prompt|token|tenant|expect|not-exec)|pathPrefix|storeRevision|'
+    r'trafficSplit|apiKeys|targetLatencyMs|maxAttempts|non_idempotent|'
+    r'op/config|servers/|coldLeftMs|seqNo'
+)
+
+
+@pytest.fixture
+async def store(nursery):
+    store = standins.Store()
+    store.put('op/config', standins.configuration())
+    worker = standins.Worker('i-1', 'engines')
+    worker.port = 4000
+    store.put('servers/i-1', worker.entry())
+    store.put('servers/i-2', worker.entry('draining'))
+    await nursery.start(store.serve)
+    return store
+
+
+@pytest.fixture
+def client(store):
+    return platform_store.PlatformStore(f'http://127.0.0.1:{store.port}', 0.3)
+
+
+async def test_one_call_reads_configuration_and_upstreams(store, client):
+    snapshot = client.decode(await client.read())
+    assert len(store.asked) == 1
+    assert snapshot.revision == store.revision
+    assert snapshot.table.version == 1
+    assert snapshot.upstreams['i-1'].vm.port == 4000
+    assert snapshot.upstreams['i-1'].vm.state is upstreams.VmState.LIVE
+    assert snapshot.upstreams['i-2'].vm.state is upstreams.VmState.LEAVING
+
+
+async def test_routes_become_rules_in_the_order_of_their_prefixes(
+    store, client
+):
+    table = client.decode(await client.read()).table
+    assert [rule.name for rule in table.rules][0] == 'look'
+    by_name = {rule.name: rule.then for rule in table.rules}
+    assert by_name['look'].repeatable
+    assert not by_name['desk'].repeatable
+    assert by_name['desk'].attempts == 1
+    assert by_name['chat'].streaming
+    assert by_name['chat'].repeatable
+    assert table.customers[0].rank == 1
+    assert table.limits.header_seconds == 1.0
+
+
+async def test_kind_alone_says_what_may_be_repeated(store, client):
+    # a route's name or its `sticky` says nothing of it
+    routes = [
+        standins.route('safe-read', '/a/', 'desk', 'non_idempotent'),
+        standins.route('once', '/b/', 'desk', 'streaming'),
+    ]
+    store.put('op/config', standins.configuration(2, routes=routes))
+    table = client.decode(await client.read()).table
+    assert not any(rule.then.repeatable for rule in table.rules)
+
+
+async def test_large_store_is_read_page_by_page(store, client):
+    store.page = 1
+    snapshot = client.decode(await client.read())
+    assert len(store.asked) == 3
+    assert sorted(snapshot.upstreams) == ['i-1', 'i-2']
+
+
+async def test_equal_contents_have_equal_digests(store, client):
+    first = client.decode(await client.read())
+    store.revision += 5
+    second = client.decode(await client.read())
+    assert first.digest == second.digest
+    store.put('servers/i-1', {**standins.Worker('i-1', 'x').entry()})
+    assert client.decode(await client.read()).digest != first.digest
+
+
+@pytest.mark.parametrize('fault', ['busy', 'many', 'reset', 'silent'])
+async def test_store_that_fails_is_a_typed_error_and_regained(
+    store, client, fault
+):
+    await client.read()
+    store.fault = fault
+    with trio.fail_after(2.0), pytest.raises(errors.KeyValueUnavailable):
+        await client.read()
+    store.fault = ''
+    await client.read()
+
+
+@pytest.mark.parametrize(
+    ('key', 'value', 'named'),
+    [
+        ('op/config', {'version': 2}, 'routes'),
+        ('op/config', [], 'op/config'),
+        ('servers/i-1', {'service': 'x'}, 'servers/i-1'),
+        ('servers/i-1', {'address': 'x:y'}, 'servers/i-1'),
+    ],
+)
+async def test_unreadable_value_is_named(store, client, key, value, named):
+    store.put(key, value)
+    raw = await client.read()
+    with pytest.raises(errors.CodecError, match=named):
+        client.decode(raw)
+
+
+def test_no_other_module_knows_a_name_of_the_platform():
+    found = [
+        (str(path), match.group())
+        for path in PACKAGE.rglob('*.py')
+        if path.parent.name != 'platform'
+        for match in PLATFORM_WORDS.finditer(path.read_text())
+    ]
+    assert found == []
--- /dev/null
+++ b/tests/test_transport/test_peer_datagrams.py
@@ -0,0 +1,92 @@
+"""Datagrams and snapshots between forwarding routers, over sockets."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.protocol import messages_forwarding
+from lavenderbend.transport import peer_datagrams
+from tests import forwarding_fakes as fakes
+
+NOTICE = messages_forwarding.CrashNotice(7, ['i-1'], False)
+
+
+class Received:
+    def __init__(self):
+        self.messages = []
+        self.first = trio.Event()
+
+    def take(self, message):
+        self.messages.append(message)
+        self.first.set()
+
+
+@pytest.fixture
+async def links(nursery):
+    """Two links on two loopback addresses and one port."""
+    content = fakes.snapshot(3, fakes.table(1), fakes.upstream('e1'))
+    first = peer_datagrams.PeerDatagrams('127.0.0.1', 0, lambda: content)
+    probe = trio.socket.socket(type=trio.socket.SOCK_STREAM)
+    await probe.bind(('127.0.0.1', 0))
+    port = probe.getsockname()[1]
+    probe.close()
+    first.port = port
+    second = peer_datagrams.PeerDatagrams('127.0.0.2', port, lambda: None)
+    await nursery.start(first.run)
+    await nursery.start(second.run)
+    return first, second
+
+
+async def test_message_arrives(links):
+    first, second = links
+    got = Received()
+    second.receiver = got.take
+    first.send('127.0.0.2', NOTICE)
+    with trio.fail_after(2.0):
+        await got.first.wait()
+    assert got.messages == [NOTICE]
+
+
+async def test_bytes_that_are_no_message_are_passed_over(links):
+    first, second = links
+    got = Received()
+    second.receiver = got.take
+    first.socket._sock.sendto(b'\xff\xfe', ('127.0.0.2', first.port))
+    first.send('127.0.0.2', NOTICE)
+    with trio.fail_after(2.0):
+        await got.first.wait()
+    assert got.messages == [NOTICE]
+
+
+async def test_message_to_nobody_is_no_error(links):
+    first, _ = links
+    first.send('127.0.0.9', NOTICE)
+    await trio.sleep(0.05)
+    first.send('127.0.0.9', NOTICE)
+
+
+async def test_snapshot_is_fetched(links):
+    _, second = links
+    raw = await second.fetch('127.0.0.1')
+    assert raw.revision == 3
+
+
+async def test_router_without_snapshot_is_a_typed_failure(links):
+    first, _ = links
+    with pytest.raises(errors.CodecError):
+        await first.fetch('127.0.0.2')
+
+
+async def test_router_that_is_gone_is_a_typed_failure(links):
+    first, _ = links
+    with pytest.raises(errors.PeerUnreachable):
+        await first.fetch('127.0.0.9')
+
+
+def test_snapshot_cut_short_is_refused():
+    content = fakes.snapshot(3, fakes.table(1)).raw
+    data = peer_datagrams.encoded(content)
+    with pytest.raises(errors.CodecError):
+        peer_datagrams.decoded(data[:-3])
