--- /dev/null
+++ b/tests/integration/test_integration_forwarding.py
@@ -0,0 +1,161 @@
+"""Forwarding routers as real processes, before the platform's stand-ins."""
+
+from __future__ import annotations
+
+import json
+import signal
+
+import pytest
+import trio
+
+from tests import platform_standins as standins
+from tests.integration import forwarding_fleet
+
+EVENTS = b''.join(
+    b'id: %d\ndata: x%d\n\n' % (number, number) for number in range(1, 6)
+)
+
+
+@pytest.fixture
+async def fleet(tmp_path, nursery):
+    subject = forwarding_fleet.ForwardingFleet(tmp_path)
+    try:
+        await subject.start(nursery)
+        yield subject
+    finally:
+        await subject.end()
+
+
+async def test_whole_path(fleet):
+    for number, router in enumerate(fleet.routers):
+        chat = await forwarding_fleet.ask(router, '/chat/1', number)
+        assert (chat.status_code, chat.content) == (200, EVENTS)
+        assert chat.headers['lavenderbend-response-signature'].startswith('sig')
+        desk = await forwarding_fleet.ask(router, '/desk/send', number)
+        assert desk.content == b'did /desk/send'
+        none = await forwarding_fleet.ask(router, '/none/')
+        assert none.status_code == 404
+        wrong = await forwarding_fleet.ask(router, '/desk/send', key='no')
+        assert wrong.status_code == 401
+    ran = [asked for one in fleet.workers.values() for asked in one.ran]
+    assert len(ran) == 6
+    assert {asked.headers['lavenderbend-tenant'] for asked in ran} == {'corte'}
+    assert not any('authorization' in asked.headers for asked in ran)
+
+
+async def test_accepted_version_is_in_force_on_all_routers(fleet):
+    routes = [standins.route('new', '/new/', 'desk', 'idempotent')]
+    fleet.store.put('op/config', standins.configuration(2, routes=routes))
+
+    async def in_force():
+        statuses = [
+            (await forwarding_fleet.ask(router, '/new/1', 5)).status_code
+            for router in fleet.routers
+        ]
+        return statuses == [200] * 3
+
+    await fleet.until(in_force)
+    for router in fleet.routers:
+        old = await forwarding_fleet.ask(router, '/desk/send', 6)
+        assert old.status_code == 404
+
+
+async def test_stop_cuts_off_no_request(fleet):
+    # A router is stopped while it passes a stream on, and a caller goes on
+    # using its connection until it is told to close it. Both get all of
+    # their answers; the process ends by itself.
+    router = fleet.routers[0]
+    for name in ('i-e1', 'i-e2'):
+        fleet.workers[name].gap = 0.2
+    stream = await trio.open_tcp_stream(router.host, router.callers)
+    caller = forwarding_fleet.KeptCaller(stream)
+    assert (await caller.ask('/desk/a', 1))[2]
+    answers = []
+
+    async def chat():
+        answers.append(await forwarding_fleet.ask(router, '/chat/1', 7))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(chat)
+        await trio.sleep(0.3)
+        router.process.signal(signal.SIGTERM)
+        await fleet.until(lambda: not_ready(router))
+        status, body, stays = await caller.ask('/desk/b', 2)
+        assert (status, body, stays) == (200, b'did /desk/b', False)
+    assert answers[0].content == EVENTS
+    with trio.fail_after(20.0):
+        assert await router.process.process.wait() == 0
+
+
+async def not_ready(router):
+    return not await router.ready()
+
+
+async def test_broken_stream_is_one_stream_to_its_caller(fleet):
+    for name in ('i-e1', 'i-e2'):
+        fleet.workers[name].plans = ['breaks_off']
+    fleet.workers['i-e2'].plans = []
+    for number in range(4):
+        chat = await forwarding_fleet.ask(fleet.routers[0], '/chat/1', number)
+        assert chat.content == EVENTS
+
+
+async def test_routers_that_all_lose_power_deny_nothing(fleet):
+    # All processes are killed right after a change, and started again. No
+    # caller is told that a route or a credential is unknown meanwhile.
+    fleet.store.put('op/config', standins.configuration(3))
+    for router in fleet.routers:
+        await router.process.kill()
+    for router in fleet.routers:
+        await router.process.start()
+    statuses = set()
+
+    async def all_answer():
+        for router in fleet.routers:
+            try:
+                answer = await forwarding_fleet.ask(router, '/desk/look/1', 9)
+            except forwarding_fleet.httpx.TransportError:
+                return False
+            statuses.add(answer.status_code)
+            if answer.status_code != 200:
+                return False
+        return True
+
+    await fleet.until(all_answer)
+    assert statuses <= {200, 503}
+
+
+async def test_signal_to_reload_ends_nothing(fleet):
+    router = fleet.routers[0]
+    router.process.signal(signal.SIGHUP)
+    await trio.sleep(0.2)
+    assert router.process.running
+    answer = await forwarding_fleet.ask(router, '/desk/send', 3)
+    assert answer.status_code == 200
+
+
+async def test_lines_tell_what_became_of_a_request(fleet):
+    router = fleet.routers[0]
+    fleet.workers['i-d1'].plans = ['resets']
+    answer = await forwarding_fleet.ask(router, '/desk/send', 42)
+    assert answer.status_code == 504
+    await trio.sleep(0.2)
+    lines = [
+        json.loads(line) for line in router.process.log.read_text().splitlines()
+    ]
+    found = [line for line in lines if line.get('request') == 'r42']
+    kinds = [line['message_type'].split(':')[1] for line in found]
+    assert kinds == ['attempt_failed', 'request_ended']
+    assert found[0]['kind'] == 'UpstreamLost'
+    assert found[0]['upstream'] == 'i-d1'
+    assert found[1]['outcome'] == 'unknown'
+
+
+async def test_settings_that_cannot_be_used_are_named(fleet, tmp_path):
+    router = fleet.routers[0]
+    await router.process.kill()
+    fleet.write_settings(router, repeat_share='many')
+    await router.process.start()
+    with trio.fail_after(20.0):
+        assert await router.process.process.wait() != 0
+    assert 'forwarding.repeat_share' in router.process.log.read_text()
