--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import trio
-
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import interfaces
@@ -13,11 +11,14 @@
 from lavenderbend.protocol import hop_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lavenderbend.coordination.forwarding import cached_prompts
     from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import directory as directories
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
+    from lavenderbend.coordination.forwarding import silence as silence_module
     from lavenderbend.state import forwarding
     from lavenderbend.state import settings as settings_module
 
@@ -50,6 +51,7 @@
         loads: loads_module.Loads,
         cached: cached_prompts.CachedPrompts,
         crashes: crashes_module.Crashes,
+        silence: silence_module.SilenceWatch,
         headers: settings_module.ForwardHeaders,
     ) -> None:
         self.exchanges = exchanges
@@ -58,6 +60,7 @@
         self.loads = loads
         self.cached = cached
         self.crashes = crashes
+        self.silence = silence
         self.headers = headers
         self.signature = headers.signature.encode()
         self.not_run = headers.not_run.encode()
@@ -82,7 +85,7 @@
         ticket: tickets.Ticket,
         upstream: forwarding.Upstream,
         answer: interfaces.CallerAnswer,
-        may_repeat: bool,
+        may_repeat: Callable[[], bool],
     ) -> None:
         """Sends a request to an upstream and its answer to the caller.
 
@@ -90,8 +93,8 @@
             ticket: The request.
             upstream: Where it goes.
             answer: The caller's answer.
-            may_repeat: Whether another upstream may follow, so that this
-                one is not waited for to the end.
+            may_repeat: Returns whether another upstream may follow, so that
+                this one is not waited for to the end.
 
         Raises:
             UpstreamUnreachable: Nothing was sent.
@@ -102,7 +105,9 @@
         try:
             exchange = await self.open(ticket, upstream)
             try:
-                await self.run(ticket, upstream, exchange, answer, may_repeat)
+                await self.watched(
+                    ticket, upstream, exchange, answer, may_repeat
+                )
             finally:
                 exchange.close()
         except errors.UpstreamLost:
@@ -115,6 +120,29 @@
         finally:
             self.loads.end(upstream.instance)
 
+    async def watched(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        exchange: interfaces.Exchange,
+        answer: interfaces.CallerAnswer,
+        may_repeat: Callable[[], bool],
+    ) -> None:
+        """Runs the exchange until the upstream is found silent.
+
+        Raises:
+            UpstreamError: The caller has no whole answer yet.
+        """
+        limit = self.first_byte_seconds(ticket)
+        waiting = self.silence.begin(upstream, limit, may_repeat)
+        try:
+            with waiting.scope:
+                await self.run(ticket, upstream, exchange, answer, waiting)
+        finally:
+            self.silence.end(waiting)
+        if waiting.scope.cancelled_caught:
+            raise errors.UpstreamStalled('no byte in time')
+
     async def open(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> interfaces.Exchange:
@@ -137,7 +165,7 @@
         upstream: forwarding.Upstream,
         exchange: interfaces.Exchange,
         answer: interfaces.CallerAnswer,
-        may_repeat: bool,
+        waiting: silence_module.Waiting,
     ) -> None:
         """Runs the exchange.
 
@@ -149,25 +177,41 @@
         # from the first byte on only the upstream can say that it did not
         # run: a caller that is told so sends the request again
         ticket.may_have_run = True
-        wait = self.first_byte_seconds(ticket) if may_repeat else None
-        with time_limit(wait):
-            head = await exchange.send(self.request(ticket, upstream))
+        head = await exchange.send(self.request(ticket, upstream))
+        self.silence.note_bytes(waiting)
         self.note_head(upstream, head)
         if self.says_not_run(head):
             ticket.may_have_run = earlier
             await self.refused(upstream, exchange, head)
         self.check_answer(head)
         if ticket.rule.then.streaming and head.status < 300:
-            await self.relay(ticket, exchange, head, answer, may_repeat, wait)
+            await self.relay(ticket, exchange, head, answer, waiting)
             self.note_success(ticket, upstream)
             return
+        await self.whole(ticket, upstream, exchange, head, answer, waiting)
+
+    async def whole(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        exchange: interfaces.Exchange,
+        head: interfaces.AnswerHead,
+        answer: interfaces.CallerAnswer,
+        waiting: silence_module.Waiting,
+    ) -> None:
+        """Passes an answer on that is read whole first.
+
+        Raises:
+            UpstreamError: It is a failure that another upstream may make
+                good, or broke off.
+        """
         body = await read_whole(exchange)
         failed = head.status >= SERVER_ERROR
         if failed:
             self.health.note_failure(upstream.instance)
         else:
             self.note_success(ticket, upstream)
-        if failed and may_repeat:
+        if failed and waiting.may_repeat():
             ticket.fallback = tickets.WholeAnswer(head, body)
             raise errors.UpstreamError(f'answered {head.status}')
         if answer.started:
@@ -292,29 +336,23 @@
         exchange: interfaces.Exchange,
         head: interfaces.AnswerHead,
         answer: interfaces.CallerAnswer,
-        may_repeat: bool,
-        first: float | None,
+        waiting: silence_module.Waiting,
     ) -> None:
         """Passes a stream on, event by event.
 
         Raises:
-            UpstreamBroke: It broke off, or fell silent though another
-                upstream can go on.
+            UpstreamBroke: It broke off.
         """
         cutter = ticket.cutter
         cutter.restart()
-        gaps = SILENT_GAPS * ticket.rule.then.max_gap
-        silent = max(gaps, MIN_SILENT_SECONDS) if may_repeat else None
-        wait = first
-        while True:
-            with time_limit(wait):
-                data = await exchange.read()
-            if data is None:
-                break
+        while (data := await exchange.read()) is not None:
+            self.silence.note_bytes(waiting)
             whole = cutter.feed(data)
             if not whole:
                 continue
-            wait = silent
+            waiting.flowing = True
+            gaps = SILENT_GAPS * ticket.rule.then.max_gap
+            waiting.limit = max(gaps, MIN_SILENT_SECONDS)
             if not answer.started:
                 await answer.start(head.status, head.headers)
             await answer.send(whole)
@@ -335,26 +373,3 @@
     while (data := await exchange.read()) is not None:
         parts.append(data)
     return b''.join(parts)
-
-
-class time_limit:  # noqa: N801 - used like a function
-    """Ends what takes longer, as an upstream that stopped answering.
-
-    Raises:
-        UpstreamStalled: It took longer.
-    """
-
-    def __init__(self, seconds: float | None) -> None:
-        deadline = float('inf')
-        if seconds is not None:
-            deadline = trio.current_time() + seconds
-        self.scope = trio.CancelScope(deadline=deadline)
-
-    def __enter__(self) -> None:
-        self.scope.__enter__()
-
-    def __exit__(self, *details: object) -> bool:
-        handled = self.scope.__exit__(*details)
-        if self.scope.cancelled_caught:
-            raise errors.UpstreamStalled('no byte in time')
-        return handled
--- a/lavenderbend/coordination/forwarding/budget.py
+++ b/lavenderbend/coordination/forwarding/budget.py
@@ -102,12 +102,16 @@
         extra = self.settings.extra / size
         return USED_PART * (self.settings.share * requests + extra)
 
+    def available(self, service: str) -> bool:
+        """Returns whether a repeat could be taken."""
+        window = self.window(self.repeats, service)
+        return window.count() + 1 <= self.allowed(service)
+
     def try_take(self, service: str) -> bool:
         """Takes a repeat if the budget allows it."""
-        window = self.window(self.repeats, service)
-        if window.count() + 1 > self.allowed(service):
+        if not self.available(service):
             DENIED.inc({'service': service})
             return False
-        window.add()
+        self.window(self.repeats, service).add()
         REPEATS.inc({'service': service})
         return True
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -13,6 +13,8 @@
 from lavenderbend.observe import metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lavenderbend.coordination.forwarding import budget as budget_module
     from lavenderbend.coordination.forwarding import choice as choice_module
     from lavenderbend.coordination.forwarding import interfaces
@@ -145,7 +147,7 @@
             upstream = self.next_upstream(ticket)
             try:
                 await self.attempts.attempt(
-                    ticket, upstream, answer, self.may_repeat(ticket, 1)
+                    ticket, upstream, answer, self.repeat_check(ticket)
                 )
                 return
             except errors.UpstreamUnreachable:
@@ -184,20 +186,21 @@
         )
         return choice.upstream
 
-    def may_repeat(self, ticket: tickets.Ticket, sends: int) -> bool:
-        """Returns whether a request may be sent on after an attempt fails.
+    def repeat_check(self, ticket: tickets.Ticket) -> Callable[[], bool]:
+        """Returns what tells whether an attempt may be followed by another."""
 
-        Args:
-            ticket: The request.
-            sends: Sends in progress, not counted in the ticket yet.
-        """
-        return ticket.rule.then.repeatable and ticket.sends_left > sends
+        def check() -> bool:
+            if not ticket.rule.then.repeatable or ticket.sends_left <= 0:
+                return False
+            return self.budget.available(ticket.service)
+
+        return check
 
     def go_on(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> bool:
         """Returns whether another upstream is tried."""
-        if ticket.may_have_run and not self.may_repeat(ticket, 0):
+        if ticket.may_have_run and not ticket.rule.then.repeatable:
             return False
         if answer.started and not ticket.rule.then.resumable:
             return False
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -11,6 +11,7 @@
 from lavenderbend.observe import metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterable
 
@@ -23,6 +24,8 @@
 FAILED_SHARE_TO_AVOID = 0.3
 FIRST_AVOID_SECONDS = 1.0
 MAX_AVOID_SECONDS = 4.0
+# what another router found holds until its next messages
+TOLD_AVOID_SECONDS = 0.7
 # a full upstream has room again after a request or two
 FULL_SECONDS = 0.15
 
@@ -41,6 +44,8 @@
         successes: Successes, fading.
         at: Router clock of both.
         avoid_until: Router clock until which others are preferred.
+        suspect_until: Router clock until which it is taken for dead or out
+            of reach.
         rounds: How often it was avoided without a success between.
     """
 
@@ -48,6 +53,7 @@
     successes: float = 0.0
     at: float = 0.0
     avoid_until: float = 0.0
+    suspect_until: float = 0.0
     rounds: int = 0
 
     def fade(self) -> None:
@@ -60,10 +66,16 @@
 
 
 class Health:
-    """Avoids upstreams that fail requests while they say they are well."""
+    """Avoids upstreams that fail requests while they say they are well.
+
+    Attributes:
+        records: By instance.
+        on_suspect: Called when an upstream is found dead or out of reach.
+    """
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
+        self.on_suspect: Callable[[], None] = lambda: None
 
     def record(self, instance: str) -> Record:
         """Returns the record of an upstream."""
@@ -79,6 +91,7 @@
         record.fade()
         record.successes += 1.0
         record.rounds = 0
+        record.suspect_until = 0.0
 
     def note_failure(self, instance: str) -> None:
         """Notes an answer that failed or broke off."""
@@ -93,7 +106,45 @@
 
     def note_unreachable(self, instance: str) -> None:
         """Notes that no connection was to be had."""
-        self.avoid(instance, self.record(instance), 'unreachable')
+        self.suspect(instance, 'unreachable')
+
+    def note_silent(self, instance: str) -> None:
+        """Notes that nothing came from it though bytes were due."""
+        self.suspect(instance, 'silent')
+
+    def note_suspected(self, instance: str) -> None:
+        """Notes that another router takes it for dead or out of reach."""
+        record = self.record(instance)
+        now = trio.current_time()
+        record.suspect_until = max(
+            record.suspect_until, now + TOLD_AVOID_SECONDS
+        )
+        record.avoid_until = max(record.avoid_until, record.suspect_until)
+
+    def suspect(self, instance: str, cause: str) -> None:
+        """Takes an upstream for dead or out of reach."""
+        record = self.record(instance)
+        known = record.suspect_until > trio.current_time()
+        self.avoid(instance, record, cause)
+        record.suspect_until = record.avoid_until
+        if not known:
+            self.on_suspect()
+
+    def is_suspected(self, instance: str) -> bool:
+        """Returns whether it is taken for dead or out of reach."""
+        record = self.records.get(instance)
+        if record is None:
+            return False
+        return record.suspect_until > trio.current_time()
+
+    def suspects(self) -> list[str]:
+        """Returns those that this router found dead or out of reach."""
+        now = trio.current_time()
+        return [
+            instance
+            for instance, record in self.records.items()
+            if record.suspect_until > now and record.rounds
+        ]
 
     def note_full(self, instance: str) -> None:
         """Notes a refusal for want of room."""
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -13,6 +13,7 @@
 from lavenderbend.protocol import messages_forwarding
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     import random
 
@@ -94,8 +95,9 @@
         zone: Its availability zone.
         members: Other routers by host.
         seeds: Hosts that are asked until somebody is known.
-        send: Sends a message to a host.
-        fetch: Returns the snapshot of the router at a host.
+        link: Carries messages to other routers.
+        suspects: Returns upstreams that this router found dead.
+        on_suspected: Called with one that another router found dead.
     """
 
     def __init__(
@@ -127,6 +129,8 @@
         followed.on_proof.append(self.tell_proof)
         link.receiver = self.on_message
         self.crashes: crashes_module.Crashes | None = None
+        self.suspects: Callable[[], list[str]] = list
+        self.on_suspected: Callable[[str], None] = lambda instance: None
 
     def fleet_size(self) -> int:
         """Returns how many routers were alive lately, this one included."""
@@ -223,6 +227,7 @@
             loads=self.own_loads(),
             # a host that is new to this router has yet to learn of others
             members=[] if known and self.rng.random() < 0.9 else self.told(),
+            suspects=self.suspects(),
         )
 
     def told(self) -> list[str]:
@@ -269,6 +274,8 @@
         for host in state.members:
             self.learn(host)
         self.note_loads(state)
+        for instance in state.suspects:
+            self.on_suspected(instance)
         self.note_freshness(state)
         if new:
             self.send(state.host)
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -20,6 +20,7 @@
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.observe import logs
 from lavenderbend.platform import store
@@ -99,6 +100,10 @@
             self.exchanges.accepts, self.peers.tell_crash
         )
         self.peers.crashes = self.crashes
+        self.silence = silence.SilenceWatch(self.health)
+        self.health.on_suspect = self.peers.tell_proof
+        self.peers.suspects = self.health.suspects
+        self.peers.on_suspected = self.note_suspected
         self.budget = budget.RepeatBudget(
             repeat_settings(settings),
             self.known_fleet_size,
@@ -123,6 +128,7 @@
                 self.loads,
                 cached_prompts.CachedPrompts(self.directory, self.health),
                 self.crashes,
+                self.silence,
                 settings.headers,
             ),
             self.budget,
@@ -139,6 +145,14 @@
             self.forwarding.readiness_path, self.ready
         )
 
+    def note_suspected(self, instance: str) -> None:
+        """Avoids an upstream that another router found dead.
+
+        Not one that this router has just heard: the other may be cut off.
+        """
+        if not self.silence.heard_within(instance, silence.DARK_SECONDS):
+            self.health.note_suspected(instance)
+
     def known_fleet_size(self) -> int:
         """Returns how many routers there are, 0 if none was ever heard."""
         size = self.peers.fleet_size()
@@ -202,6 +216,7 @@
             nursery.start_soon(self.snapshots.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.crashes.run)
+            nursery.start_soon(self.silence.run)
             nursery.start_soon(self.tidy)
             await nursery.start(
                 self.readiness.serve, *address(listen.readiness)
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -30,6 +30,7 @@
         loads: Requests that it has on each upstream of that snapshot, a
             byte each, in the order of their instances.
         members: Hosts of routers that it knows.
+        suspects: Upstreams that it found dead or out of reach.
     """
 
     name: str
@@ -46,6 +47,7 @@
     digest: int
     loads: bytes
     members: list[str] = attrs.field(factory=list)
+    suspects: list[str] = attrs.field(factory=list)
 
 
 @peer.message(101)
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -20,6 +20,7 @@
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.state import configuration
 from lavenderbend.state import forwarding
@@ -250,6 +251,7 @@
         self.exchanges = exchanges
         self.notices = []
         self.crashes = crashes.Crashes(exchanges.accepts, self.notices.append)
+        self.silence = silence.SilenceWatch(self.health)
         self.budget = budget.RepeatBudget(
             budget.RepeatSettings(0.2, 50.0, 10.0), lambda: fleet
         )
@@ -273,6 +275,7 @@
                 self.loads,
                 cached_prompts.CachedPrompts(self.directory, self.health),
                 self.crashes,
+                self.silence,
                 HEADERS,
             ),
             self.budget,
@@ -282,11 +285,15 @@
     async def ask(self, **fields):
         """Returns the caller's answer and the error, if there was one."""
         answer = Answer()
-        try:
-            await self.forwarder.forward(request(**fields), answer)
-        except errors.RequestError as exc:
-            return answer, exc
-        return answer, None
+        error = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.silence.run)
+            try:
+                await self.forwarder.forward(request(**fields), answer)
+            except errors.RequestError as exc:
+                error = exc
+            nursery.cancel_scope.cancel()
+        return answer, error
 
 
 def request(path='/chat/1', body=b'{}', key=KEY, method=b'POST', **headers):
