--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 import signal
 
 import pytest
 import trio
 
+from lavenderbend.cmd import trace
 from tests import platform_standins as standins
 from tests.integration import forwarding_fleet
 
@@ -148,21 +148,73 @@
     assert answer.status_code == 200
 
 
-async def test_lines_tell_what_became_of_a_request(fleet):
+async def traced(fleet, router, request):
+    """Returns the lines of a request once it has ended, by event."""
+    log = str(router.process.log)
+    lines = []
+
+    async def ended():
+        lines[:] = trace.lines_of(request, log)
+        return any(trace.event_of(line) == 'request_ended' for line in lines)
+
+    await fleet.until(ended)
+    return {trace.event_of(line): line for line in lines}
+
+
+async def test_cause_of_an_unknown_outcome_is_in_the_lines(fleet):
     router = fleet.routers[0]
     fleet.workers['i-d1'].plans = ['resets']
     answer = await forwarding_fleet.ask(router, '/desk/send', 42)
     assert answer.status_code == 504
-    await trio.sleep(0.2)
-    lines = [
-        json.loads(line) for line in router.process.log.read_text().splitlines()
-    ]
-    found = [line for line in lines if line.get('request') == 'r42']
-    kinds = [line['message_type'].split(':')[1] for line in found]
-    assert kinds == ['attempt_failed', 'request_ended']
-    assert found[0]['kind'] == 'UpstreamLost'
-    assert found[0]['upstream'] == 'i-d1'
-    assert found[1]['outcome'] == 'unknown'
+    lines = await traced(fleet, router, 'r42')
+    assert lines['request_ended']['outcome'] == 'unknown'
+    assert lines['request_ended']['sent_to'] == ['i-d1']
+    assert lines['attempt_failed']['kind'] == 'UpstreamLost'
+    assert lines['attempt_failed']['upstream'] == 'i-d1'
+
+
+async def test_cause_of_a_refusal_is_in_the_lines(fleet):
+    # The store falls silent for all routers; past the bound of revocations
+    # requests are refused as not run.
+    fleet.store.fault = 'silent'
+    router = fleet.routers[0]
+    numbers = iter(range(100, 10_000))
+    refused = []
+
+    async def is_refused():
+        number = next(numbers)
+        answer = await forwarding_fleet.ask(router, '/desk/send', number)
+        if answer.status_code == 503:
+            refused.append((number, answer))
+        return bool(refused)
+
+    await fleet.until(is_refused)
+    number, answer = refused[0]
+    assert float(answer.headers['retry-after']) > 0
+    assert answer.json()['outcome'] == 'not-run'
+    lines = await traced(fleet, router, f'r{number}')
+    assert lines['request_ended']['outcome'] == 'configuration-stale'
+    assert lines['request_ended']['age'] > 4.0
+    assert lines['request_ended']['peers'] == 3
+    assert lines['store_lost']['cause'].startswith('TooSlowError')
+    assert len(fleet.workers['i-d1'].ran) == number - 100
+
+
+async def test_cause_of_a_late_stream_is_in_the_lines(fleet):
+    # An engine falls silent within a stream; the other one goes on.
+    first, second = fleet.workers['i-e1'], fleet.workers['i-e2']
+    router = fleet.routers[0]
+    # whichever of them is asked first has the fault
+    shared = ['falls_silent']
+    first.plans = second.plans = shared
+    answer = await forwarding_fleet.ask(router, '/chat/1', 7)
+    assert answer.content == EVENTS
+    lines = await traced(fleet, router, 'r7')
+    sent_to = lines['request_ended']['sent_to']
+    assert sorted(sent_to) == ['i-e1', 'i-e2']
+    assert lines['attempt_failed']['upstream'] == sent_to[0]
+    assert lines['attempt_failed']['kind'] == 'UpstreamStalled'
+    assert lines['attempt_failed']['last_event'] == 2
 
 
 async def test_settings_that_cannot_be_used_are_named(fleet, tmp_path):
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -291,6 +291,11 @@
         await stream.send_all(protocol.send(h11.Data(data=b'id: 3\nda')))
         stream.socket.close()
 
+    async def falls_silent(self, asked, stream, protocol):
+        self.ran.append(asked)
+        await self.events_from(asked, stream, protocol, 2)
+        await trio.sleep_forever()
+
     async def full(self, asked, stream, protocol):
         headers = [*self.headers(asked)[:1], ('lavenderbend-not-executed', '1')]
         await stream.send_all(encode(protocol, 503, headers, b''))
