--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -32,7 +32,7 @@
 FAR_FAN_OUT = 3
 PROOF_FAN_OUT = 8
 # in fleets too large for one router to tell all, those told tell others
-PASS_ON_FAN_OUT = 2
+PASS_ON_FAN_OUT = 3
 PASS_ON_SECONDS = 0.3
 # hosts that do not answer are asked this often, and forgotten after that
 KNOCK_SECONDS = 1.0
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -26,6 +26,9 @@
 # read serves all; the window grows with the fleet up to this part
 JITTER_PART = 0.45
 JITTER_SECONDS_EACH = 0.03
+# few routers draw a short time: drawn evenly, a tenth of a large fleet would
+# read before the first one's proof has reached it
+JITTER_EXPONENT = 1 / 3
 # an entry that lapsed while the store was away is back within two seconds
 REGISTER_SECONDS = 2.2
 # a proof older than this means that the store was away
@@ -165,7 +168,7 @@
         """Draws how long after the others this router reads next."""
         most = JITTER_PART * self.settings.apply_seconds
         window = min(most, JITTER_SECONDS_EACH * self.peer_count())
-        self.jitter = self.rng.uniform(0.0, window)
+        self.jitter = window * self.rng.random() ** JITTER_EXPONENT
 
     async def read(self) -> None:
         """Reads the store once."""
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -319,8 +319,12 @@
 
     Attributes:
         cut: Pairs of hosts between which nothing passes.
+        delay: Seconds that a message takes; the nursery delivers it.
     """
 
+    delay = 0.0
+    nursery = None
+
     def __init__(self, host, routers, cut):
         self.host = host
         self.routers = routers
@@ -336,9 +340,15 @@
         link = self.routers[host].link
         if link.held is not None:
             link.held.append(message)
+        elif self.delay:
+            self.nursery.start_soon(self.deliver, link, message)
         else:
             link.receiver(message)
 
+    async def deliver(self, link, message):
+        await trio.sleep(self.delay)
+        link.receiver(message)
+
     def release(self):
         held, self.held = self.held, None
         for message in held:
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -203,3 +203,21 @@
     for _ in range(50):
         state = fleet.routers[HOSTS[0]].peers.state_for(HOSTS[1])
         assert len(peer.encode(state)) < 400
+
+
+async def test_reads_of_a_large_fleet_grow_little(nursery, autojump_clock):
+    # Each call of the store is paid for. A message takes a moment from one
+    # router to the next; sixty routers that each drew an even time would
+    # read a dozen times before the first one's proof had reached them.
+    hosts = [f'10.1.0.{number}' for number in range(60)]
+    fleet = Fleet(nursery, hosts)
+    for node in fleet.routers.values():
+        node.peers.seeds = hosts[:2]
+        node.link.delay = 0.02
+        node.link.nursery = nursery
+    await trio.sleep(20.0)
+    assert all(n.peers.fleet_size() > 50 for n in fleet.routers.values())
+    before = fleet.reads()
+    await trio.sleep(20.0)
+    reads = fleet.reads() - before
+    assert reads < 20 * 4
