--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -111,11 +111,11 @@
             finally:
                 exchange.close()
         except errors.UpstreamLost:
-            self.health.note_failure(upstream.instance)
+            self.note_failure(ticket, upstream)
             self.crashes.note_lost(ticket, upstream)
             raise
         except errors.UpstreamBroke:
-            self.health.note_failure(upstream.instance)
+            self.note_failure(ticket, upstream)
             raise
         finally:
             self.loads.end(upstream.instance)
@@ -208,7 +208,7 @@
         body = await read_whole(exchange)
         failed = head.status >= SERVER_ERROR
         if failed:
-            self.health.note_failure(upstream.instance)
+            self.note_failure(ticket, upstream)
         else:
             self.note_success(ticket, upstream)
         if failed and waiting.may_repeat():
@@ -218,6 +218,13 @@
             raise errors.UpstreamBroke(f'answered {head.status} to a resume')
         await answer.whole(head.status, head.headers, body)
 
+    def note_failure(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> None:
+        """Notes that a request did not run to a good end."""
+        others = [one.instance for one in self.directory.of(ticket.service)]
+        self.health.note_failure(upstream.instance, others)
+
     def note_success(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> None:
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -93,17 +93,39 @@
         record.rounds = 0
         record.suspect_until = 0.0
 
-    def note_failure(self, instance: str) -> None:
-        """Notes an answer that failed or broke off."""
+    def note_failure(self, instance: str, others: Iterable[str] = ()) -> None:
+        """Notes an answer that failed or broke off.
+
+        Where all upstreams of a service fail alike, avoiding one after the
+        other helps no request and loses the cached prompts of each.
+
+        Args:
+            instance: The upstream.
+            others: All upstreams of its service.
+        """
         record = self.record(instance)
         record.fade()
         record.failures += 1.0
-        seen = record.failures + record.successes
         if record.failures < FAILURES_TO_AVOID:
             return
-        if record.failures / seen >= FAILED_SHARE_TO_AVOID:
+        usual = self.failed_share(one for one in others if one != instance)
+        if self.failed_share([instance]) - usual >= FAILED_SHARE_TO_AVOID:
             self.avoid(instance, record, 'failures')
 
+    def failed_share(self, instances: Iterable[str]) -> float:
+        """Returns the share of failures in what upstreams answered lately."""
+        failures = 0.0
+        seen = 0.0
+        for instance in instances:
+            record = self.records.get(instance)
+            if record is None:
+                continue
+            record.fade()
+            failures += record.failures
+            seen += record.failures + record.successes
+        # a single answer of others says little of what is usual
+        return failures / seen if seen >= 1.0 else 0.0
+
     def note_unreachable(self, instance: str) -> None:
         """Notes that no connection was to be had."""
         self.suspect(instance, 'unreachable')
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -18,6 +18,7 @@
     import random
 
     from lavenderbend.coordination.forwarding import crashes as crashes_module
+    from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import snapshots
@@ -96,7 +97,6 @@
         members: Other routers by host.
         seeds: Hosts that are asked until somebody is known.
         link: Carries messages to other routers.
-        suspects: Returns upstreams that this router found dead.
         on_suspected: Called with one that another router found dead.
     """
 
@@ -108,6 +108,7 @@
         seeds: Iterable[str],
         followed: snapshots.Snapshots,
         loads: loads_module.Loads,
+        health: health_module.Health,
         link: interfaces.DatagramLink,
         rng: random.Random,
     ) -> None:
@@ -117,6 +118,7 @@
         self.seeds = [seed for seed in seeds if seed != host]
         self.followed = followed
         self.loads = loads
+        self.health = health
         self.link = link
         self.rng = rng
         self.incarnation = rng.getrandbits(48)
@@ -129,7 +131,6 @@
         followed.on_proof.append(self.tell_proof)
         link.receiver = self.on_message
         self.crashes: crashes_module.Crashes | None = None
-        self.suspects: Callable[[], list[str]] = list
         self.on_suspected: Callable[[str], None] = lambda instance: None
 
     def fleet_size(self) -> int:
@@ -227,7 +228,7 @@
             loads=self.own_loads(),
             # a host that is new to this router has yet to learn of others
             members=[] if known and self.rng.random() < 0.9 else self.told(),
-            suspects=self.suspects(),
+            suspects=self.health.suspects(),
         )
 
     def told(self) -> list[str]:
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -88,6 +88,7 @@
             [address(text)[0] for text in self.forwarding.peers],
             self.snapshots,
             self.loads,
+            self.health,
             self.link,
             self.rng,
         )
@@ -102,7 +103,6 @@
         self.peers.crashes = self.crashes
         self.silence = silence.SilenceWatch(self.health)
         self.health.on_suspect = self.peers.tell_proof
-        self.peers.suspects = self.health.suspects
         self.peers.on_suspected = self.note_suspected
         self.budget = budget.RepeatBudget(
             repeat_settings(settings),
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -374,6 +374,7 @@
             self.clock,
         )
         self.loads = loads.Loads()
+        self.health = health.Health()
         self.link = Network(host, routers, cut)
         self.peers = peers.Peers(
             f'router-{host}',
@@ -382,6 +383,7 @@
             seeds,
             self.snapshots,
             self.loads,
+            self.health,
             self.link,
             random.Random(host),
         )
--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -276,6 +276,26 @@
     assert spans[0] < spans[1] < spans[2]
 
 
+async def test_upstreams_that_all_fail_alike_are_all_used(autojump_clock):
+    # All engines of a service answer half of their requests with 500. To
+    # avoid one after the other moves each chat to where nothing of its
+    # prompt is cached, and it fails there as often.
+    known = health.Health()
+    names = ['e1', 'e2', 'e3']
+    found = [fakes.upstream(name) for name in names]
+    for number in range(60):
+        for name in names:
+            if number % 2:
+                known.note_failure(name, names)
+            else:
+                known.note_success(name)
+        await trio.sleep(0.1)
+        assert known.split(found) == (found, [])
+    for _ in range(6):
+        known.note_failure('e1', names)
+    assert [one.instance for one in known.split(found)[1]] == ['e1']
+
+
 async def test_few_failures_among_many_successes_are_borne(autojump_clock):
     # one request in seven fails by itself, whatever upstream runs it
     known = health.Health()
