--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -291,7 +291,7 @@
                 known.note_success(name)
         await trio.sleep(0.1)
         assert known.split(found) == (found, [])
-    for _ in range(6):
+    for _ in range(100):
         known.note_failure('e1', names)
     assert [one.instance for one in known.split(found)[1]] == ['e1']
 
