--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -89,8 +89,9 @@
         for router in self.routers:
             await self.until(router.ready)
 
-    def write_settings(self, router, **changes) -> None:
+    def write_settings(self, router, store_port=0, **changes) -> None:
         host = router.host
+        store_port = store_port or self.store.port
         forwarding = {
             'listen': {
                 'callers': f'{host}:{router.callers}',
@@ -108,7 +109,7 @@
             'availability_zone': 'sala-a',
             'key_value': {
                 'adapter': 'platform',
-                'endpoints': [f'http://{standins.HOST}:{self.store.port}'],
+                'endpoints': [f'http://{standins.HOST}:{store_port}'],
                 'timeout_seconds': '1s',
             },
             'stop': {
@@ -152,17 +153,22 @@
 async def ask(router, path, number=1, method='POST', key=standins.KEY):
     """Returns the answer to one request on a connection of its own."""
     async with httpx.AsyncClient(timeout=10.0) as client:
-        return await client.request(
-            method,
-            router.url + path,
-            headers={
-                'host': 'a.example',
-                'authorization': f'Bearer {key}',
-                'lavenderbend-request-id': f'r{number}',
-                'lavenderbend-deadline-ms': '5000',
-            },
-            content=b'{}' if method == 'POST' else None,
-        )
+        return await ask_by(client, router, path, number, method, key)
+
+
+async def ask_by(client, router, path, number, method, key):
+    """Returns the answer to one request of a client."""
+    return await client.request(
+        method,
+        router.url + path,
+        headers={
+            'host': 'a.example',
+            'authorization': f'Bearer {key}',
+            'lavenderbend-request-id': f'r{number}',
+            'lavenderbend-deadline-ms': '5000',
+        },
+        content=b'{}' if method == 'POST' else None,
+    )
 
 
 class KeptCaller:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -233,6 +233,11 @@
         self.events = 5
         self.gap = 0.0
         self.ran = []
+        self.ran_at = []
+
+    def note_run(self, asked):
+        self.ran.append(asked)
+        self.ran_at.append(trio.current_time())
 
     def entry(self, state='ready'):
         return {
@@ -264,7 +269,7 @@
         if asked.headers['lavenderbend-expect-instance'] != self.instance:
             await stream.send_all(encode(protocol, 421, [], b''))
             return
-        self.ran.append(asked)
+        self.note_run(asked)
         if self.service == 'engines':
             await self.events_from(asked, stream, protocol, self.events)
             return
@@ -286,13 +291,13 @@
             await stream.send_all(protocol.send(h11.EndOfMessage()))
 
     async def breaks_off(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         await self.events_from(asked, stream, protocol, 2)
         await stream.send_all(protocol.send(h11.Data(data=b'id: 3\nda')))
         stream.socket.close()
 
     async def falls_silent(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         await self.events_from(asked, stream, protocol, 2)
         await trio.sleep_forever()
 
@@ -301,21 +306,21 @@
         await stream.send_all(encode(protocol, 503, headers, b''))
 
     async def resets(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         stream.socket.close()
 
     async def hangs(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         await trio.sleep_forever()
 
     async def twice(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         data = encode(protocol, 200, self.headers(asked), b'did it')
         await stream.send_all(data + data)
 
     async def late_second(self, asked, stream, protocol):
         """Answers; a second answer comes where the next one is due."""
-        self.ran.append(asked)
+        self.note_run(asked)
         data = encode(protocol, 200, self.headers(asked), b'the first')
         await stream.send_all(data)
         self.late = data
@@ -326,13 +331,13 @@
         await self.well(asked, stream, protocol)
 
     async def unframed(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         lines = [f'{k}: {v}' for k, v in self.headers(asked)]
         head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', ''])
         await stream.send_all(head.encode() + b'whole to the end')
         stream.socket.close()
 
     async def no_http(self, asked, stream, protocol):
-        self.ran.append(asked)
+        self.note_run(asked)
         await stream.send_all(b'\x00\x01 garbage\r\n\r\n')
         stream.socket.close()
