--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -31,8 +31,9 @@
 JITTER_EXPONENT = 1 / 3
 # an entry that lapsed while the store was away is back within two seconds
 REGISTER_SECONDS = 2.2
-# a proof older than this means that the store was away
-AWAY_SECONDS = 1.5
+# a proof older than the longest pause between reads, and this, means that the
+# store was away
+AWAY_SECONDS = 0.5
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
 # a credential is refused this long before its revocation must be in force
@@ -117,6 +118,16 @@
         """Seconds since `current` is known to have been the newest."""
         return self.clock() - self.proved_at
 
+    @property
+    def away_seconds(self) -> float:
+        """Age from which the store must have been away.
+
+        Under it an entry that is missing is gone: its upstream has left
+        without a word, and gets nothing new.
+        """
+        longest = (READ_PART + JITTER_PART) * self.settings.apply_seconds
+        return longest + AWAY_SECONDS
+
     @property
     def table(self) -> forwarding.ForwardingTable | None:
         """The configuration in force, None if there is none."""
@@ -266,7 +277,7 @@
             for name, (upstream, until) in self.kept.items()
             if until > now and name not in snapshot.upstreams
         }
-        if self.current is None or self.age < AWAY_SECONDS:
+        if self.current is None or self.age < self.away_seconds:
             return
         for name, upstream in self.current.upstreams.items():
             if name not in snapshot.upstreams:
--- a/tests/test_coordination/test_forwarding_snapshots.py
+++ b/tests/test_coordination/test_forwarding_snapshots.py
@@ -164,6 +164,25 @@
     assert found.of('chat') == []
 
 
+async def test_upstream_that_leaves_without_a_word_is_no_lapsed_one(
+    nursery, autojump_clock, source, clock
+):
+    # In a large fleet a router may not have heard for two seconds that
+    # nothing has changed. An entry that goes in that time is not kept for
+    # another two: its upstream gets nothing new after three.
+    followed = snapshots.Snapshots(
+        source, snapshots.FollowSettings(3.0, 5.0), random.Random(1), clock
+    )
+    followed.peer_count = lambda: 85
+    found = directory.Directory(followed)
+    await followed.read()
+    source.put(fakes.snapshot(2, fakes.table(1)))
+    followed.jitter = snapshots.JITTER_PART * 3.0
+    nursery.start_soon(followed.run)
+    await trio.sleep(2.5)
+    assert found.of('chat') == []
+
+
 async def test_leaving_upstream_gets_nothing_new(
     nursery, autojump_clock, source, followed
 ):
