--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -45,6 +45,9 @@
 ALIVE_SECONDS = 20.0
 # a datagram may be lost; a notice is sent only once, so in two copies
 CRASH_COPIES = 2
+# while upstreams come and go ten times a second, each change would be fetched
+# by each router; this part of a version's time takes several at once
+FETCH_GAP_PART = 0.1
 MAX_MEMBERS_TOLD = 12
 MAX_LOAD = 255
 
@@ -378,6 +381,9 @@
             host, proved_at = self.pending
             self.pending = None
             await self.fetch(host, proved_at)
+            await trio.sleep(
+                FETCH_GAP_PART * self.followed.settings.apply_seconds
+            )
 
     async def fetch(self, host: str, proved_at: float) -> None:
         """Fetches a snapshot; the store is read if this fails."""
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -193,6 +193,29 @@
     assert node.crashes.records[7].instances == {'e1', 'e2'}
 
 
+async def test_many_changes_are_fetched_together(fleet, autojump_clock):
+    # Upstreams come and go twenty times a second. Fetching each change would
+    # cost each router of a large fleet most of its time.
+    node = fleet.routers[HOSTS[3]]
+    fleet.isolate_from_store(HOSTS[3])
+    await trio.sleep(1.0)
+    fetched = []
+    fetch = node.link.fetch
+
+    async def counted(host, known):
+        fetched.append(trio.current_time())
+        return await fetch(host, known)
+
+    node.link.fetch = counted
+    for number in range(100):
+        one = fakes.upstream(f'x{number}')
+        fleet.put(fakes.snapshot(number + 2, fakes.table(1), one))
+        await trio.sleep(0.05)
+    assert 3 <= len(fetched) <= 26
+    await trio.sleep(1.5)
+    assert list(node.snapshots.current.upstreams) == ['x99']
+
+
 async def test_bytes_of_a_message_are_bounded_by_the_fleet(
     fleet, autojump_clock
 ):
