--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -4,11 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
-from lavenderbend import errors
-from lavenderbend.observe import logs
+from lavenderbend.coordination.forwarding import members as members_module
+from lavenderbend.coordination.forwarding import shared_freshness
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
 
@@ -38,16 +37,8 @@
 # hosts that do not answer are asked this often, and forgotten after that
 KNOCK_SECONDS = 1.0
 KNOCK_FAN_OUT = 8
-FORGET_SECONDS = 60.0
-# in a fleet of a hundred a router hears each other one every twelve seconds;
-# one that fell silent counts on for the parts of the fleet's budget, which
-# errs to the safe side
-ALIVE_SECONDS = 20.0
 # a datagram may be lost; a notice is sent only once, so in two copies
 CRASH_COPIES = 2
-# while upstreams come and go ten times a second, each change would be fetched
-# by each router; this part of a version's time takes several at once
-FETCH_GAP_PART = 0.1
 MAX_MEMBERS_TOLD = 12
 MAX_LOAD = 255
 
@@ -60,47 +51,19 @@
 )
 
 
-@attrs.define
-class Member:
-    """Another router.
-
-    Attributes:
-        host: Its IP number.
-        name: Its name, empty until it was heard.
-        zone: Its availability zone.
-        incarnation: Of its process.
-        heard_at: Router clock of its last message, of when its host became
-            known if there was none.
-        sent_at: Its own clock of that message, None if there was none.
-        heard_by: Suspension clock of that message's arrival.
-        leaving: Whether it is stopping.
-    """
-
-    host: str
-    heard_at: float
-    name: str = ''
-    zone: str = ''
-    incarnation: int = 0
-    sent_at: float | None = None
-    heard_by: float = 0.0
-    leaving: bool = False
-
-
 class Peers:
     """Exchanges messages with other routers.
 
-    A message says how old its sender's proof of freshness is. That alone
-    proves nothing: the message may have waited while the receiver was
-    suspended. Each message also echoes the clock of the last message that
-    its sender had from the receiver; what the sender knew when it made the
-    message is then at most as old as that echo, by the receiver's own clock.
+    Messages may be lost: each says all that there is to say. How often a
+    router sends does not grow with the fleet; what it sends to few of many
+    is told on by them.
 
     Attributes:
         name: This router.
         host: Its IP number.
         zone: Its availability zone.
-        members: Other routers by host.
-        seeds: Hosts that are asked until somebody is known.
+        members: Other routers.
+        freshness: Takes over what they know of the store.
         link: Carries messages to other routers.
         on_suspected: Called with one that another router found dead.
     """
@@ -120,17 +83,17 @@
         self.name = name
         self.host = host
         self.zone = zone
-        self.seeds = [seed for seed in seeds if seed != host]
         self.followed = followed
         self.loads = loads
         self.health = health
         self.link = link
         self.rng = rng
         self.incarnation = rng.getrandbits(48)
-        self.members: dict[str, Member] = {}
+        self.members = members_module.Members(host, seeds, followed.clock)
+        self.freshness = shared_freshness.SharedFreshness(
+            self.incarnation, followed, link
+        )
         self.leaving = False
-        self.fetching: trio.Event | None = None
-        self.pending: tuple[str, float] | None = None
         self.order: tuple[int, list[str]] = (0, [])
         followed.peer_count = self.fleet_size
         followed.on_proof.append(self.tell_proof)
@@ -140,21 +103,12 @@
 
     def fleet_size(self) -> int:
         """Returns how many routers were alive lately, this one included."""
-        return 1 + len(self.alive())
-
-    def alive(self) -> list[Member]:
-        """Returns the members that were heard lately."""
-        oldest = trio.current_time() - ALIVE_SECONDS
-        return [
-            member
-            for member in self.members.values()
-            if member.name and member.heard_at >= oldest
-        ]
+        return 1 + len(self.members.alive())
 
     async def run(self) -> None:
         """Sends messages at their times, and fetches what peers have."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.fetch_wanted)
+            nursery.start_soon(self.freshness.run)
             tick = 0
             while True:
                 self.tick(tick)
@@ -163,7 +117,7 @@
 
     def tick(self, tick: int) -> None:
         """Sends what is due at a tick."""
-        alive = self.alive()
+        alive = self.members.alive()
         near = [member for member in alive if member.zone == self.zone]
         self.tell(self.some(near, NEAR_FAN_OUT))
         if tick % FAR_TICKS:
@@ -171,19 +125,13 @@
         far = [member for member in alive if member.zone != self.zone]
         self.tell(self.some(far, FAR_FAN_OUT))
         if tick % round(KNOCK_SECONDS / NEAR_SECONDS / FAR_TICKS + 1) == 0:
-            self.knock(alive)
+            self.knock()
         PEERS.set({}, len(alive))
 
-    def knock(self, alive: list[Member]) -> None:
+    def knock(self) -> None:
         """Asks hosts that are not known to be alive."""
-        now = trio.current_time()
-        for host, member in list(self.members.items()):
-            if now - member.heard_at > FORGET_SECONDS:
-                del self.members[host]
-        heard = {member.host for member in alive}
-        hosts = [*self.seeds, *self.members]
-        silent = sorted({host for host in hosts if host not in heard})
-        for host in self.some(silent, KNOCK_FAN_OUT):
+        self.members.forget_old()
+        for host in self.some(self.members.silent_hosts(), KNOCK_FAN_OUT):
             self.send(host)
 
     def some(self, found: list, count: int) -> list:
@@ -192,19 +140,19 @@
             return found
         return self.rng.sample(found, count)
 
-    def tell(self, members: Iterable[Member]) -> None:
+    def tell(self, members: Iterable[members_module.Member]) -> None:
         """Sends this router's state to members."""
         for member in members:
             self.send(member.host)
 
     def tell_proof(self) -> None:
         """Tells others that the store was read just now."""
-        self.tell(self.some(self.alive(), PROOF_FAN_OUT))
+        self.tell(self.some(self.members.alive(), PROOF_FAN_OUT))
 
     def leave(self) -> None:
         """Tells others that this router stops."""
         self.leaving = True
-        self.tell(self.some(self.alive(), PROOF_FAN_OUT))
+        self.tell(self.some(self.members.alive(), PROOF_FAN_OUT))
 
     def send(self, host: str) -> None:
         """Sends this router's state to a host."""
@@ -238,7 +186,7 @@
 
     def told(self) -> list[str]:
         """Returns hosts that other routers are told of."""
-        hosts = [member.host for member in self.alive()]
+        hosts = [member.host for member in self.members.alive()]
         return self.some(hosts, MAX_MEMBERS_TOLD)
 
     def instances(self, snapshot: forwarding.Snapshot) -> list[str]:
@@ -267,7 +215,7 @@
 
     def tell_crash(self, notice: messages_forwarding.CrashNotice) -> None:
         """Tells all routers of a request that upstreams died of."""
-        for member in self.alive():
+        for member in self.members.alive():
             for _ in range(CRASH_COPIES):
                 self.link.send(member.host, notice)
 
@@ -276,49 +224,20 @@
         if state.name == self.name:
             return
         DATAGRAMS.inc({'direction': 'in'})
-        new = self.note_member(state)
+        new = self.members.note(state)
         for host in state.members:
-            self.learn(host)
+            self.members.learn(host)
         self.note_loads(state)
         for instance in state.suspects:
             self.on_suspected(instance)
-        self.note_freshness(state)
+        gained = self.freshness.note(state)
+        if gained > PASS_ON_SECONDS and self.fleet_size() > PROOF_FAN_OUT:
+            self.tell(self.some(self.members.alive(), PASS_ON_FAN_OUT))
         if new:
             self.send(state.host)
             for notice in self.crashes.notices():
                 self.link.send(state.host, notice)
 
-    def note_member(self, state: messages_forwarding.RouterState) -> bool:
-        """Notes that a router is alive; returns whether it is new."""
-        member = self.members.get(state.host)
-        now = trio.current_time()
-        if member is None:
-            member = Member(state.host, now)
-            self.members[state.host] = member
-        new = member.incarnation != state.incarnation
-        if not new and member.sent_at > state.sent_at:
-            return False
-        if new or member.leaving != state.leaving:
-            logs.change(
-                'peer_left' if state.leaving else 'peer_heard',
-                peer=state.name,
-                host=state.host,
-                peers=len(self.alive()),
-            )
-        member.name = state.name
-        member.zone = state.zone
-        member.incarnation = state.incarnation
-        member.sent_at = state.sent_at
-        member.heard_at = now
-        member.heard_by = self.followed.clock()
-        member.leaving = state.leaving
-        return new
-
-    def learn(self, host: str) -> None:
-        """Notes a host that another router knows."""
-        if host != self.host and host not in self.members:
-            self.members[host] = Member(host, trio.current_time())
-
     def note_loads(self, state: messages_forwarding.RouterState) -> None:
         """Notes what another router has on the upstreams."""
         current = self.followed.current
@@ -332,67 +251,3 @@
             if count
         }
         self.loads.note_peer(state.name, counts)
-
-    def note_freshness(self, state: messages_forwarding.RouterState) -> None:
-        """Takes over a proof of freshness, or the snapshot that it is of."""
-        if state.proof_age is None:
-            return
-        current = self.followed.current
-        proved_at = self.proved_at(state)
-        if current is None or state.digest != current.digest:
-            newer = current is None or state.revision > current.revision
-            if newer:
-                self.pending = (state.host, proved_at)
-                if self.fetching is not None:
-                    self.fetching.set()
-            return
-        gained = proved_at - self.followed.proved_at
-        if gained <= 0:
-            return
-        if state.revision > current.revision:
-            self.followed.current = attrs.evolve(
-                current, revision=state.revision
-            )
-        self.followed.prove(proved_at)
-        if gained > PASS_ON_SECONDS and self.fleet_size() > PROOF_FAN_OUT:
-            self.tell(self.some(self.alive(), PASS_ON_FAN_OUT))
-
-    def proved_at(self, state: messages_forwarding.RouterState) -> float:
-        """Returns the moment, by this router's clock, of a peer's proof.
-
-        The peer made its message after it heard the message that it echoes,
-        `echo_held` seconds after; its proof was `proof_age` old then. Taking
-        the echoed message's way as instant errs to the old side.
-        """
-        if state.echo_at is None:
-            return float('-inf')
-        if state.echo_incarnation != self.incarnation:
-            # the echo is of this VM's clock before it lost power
-            return float('-inf')
-        proved_at = state.echo_at + state.echo_held - state.proof_age
-        return min(proved_at, self.followed.clock())
-
-    async def fetch_wanted(self) -> None:
-        """Fetches newer snapshots from the routers that told of them."""
-        while True:
-            self.fetching = trio.Event()
-            if self.pending is None:
-                await self.fetching.wait()
-            host, proved_at = self.pending
-            self.pending = None
-            await self.fetch(host, proved_at)
-            await trio.sleep(
-                FETCH_GAP_PART * self.followed.settings.apply_seconds
-            )
-
-    async def fetch(self, host: str, proved_at: float) -> None:
-        """Fetches a snapshot; the store is read if this fails."""
-        try:
-            current = self.followed.current
-            known = None if current is None else current.raw
-            raw = await self.link.fetch(host, known)
-            snapshot = self.followed.source.decode(raw)
-        except (errors.PeerError, errors.CodecError) as exc:
-            logs.change('peer_snapshot_failed', host=host, cause=str(exc))
-            return
-        self.followed.accept(snapshot, proved_at)
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/shared_freshness.py
@@ -0,0 +1,125 @@
+"""Freshness and snapshots that forwarding routers have from each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.observe import logs
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import snapshots
+    from lavenderbend.protocol import messages_forwarding
+
+# while upstreams come and go ten times a second, each change would be fetched
+# by each router; this part of a version's time takes several at once
+FETCH_GAP_PART = 0.1
+NEVER = float('-inf')
+
+
+@attrs.frozen
+class Offer:
+    """A newer snapshot that another router has.
+
+    Attributes:
+        host: That router.
+        proved_at: Moment at which it was the newest, by this router's clock.
+    """
+
+    host: str
+    proved_at: float
+
+
+class SharedFreshness:
+    """Takes over what other routers know of the store.
+
+    A message says how old its sender's proof of freshness is. That alone
+    proves nothing: the message may have waited while the receiver was
+    suspended. Each message also echoes the clock of the last message that
+    its sender had from the receiver; what the sender knew when it made the
+    message is then at most as old as that echo, by the receiver's own clock.
+
+    Attributes:
+        incarnation: Of this router's process.
+        followed: What this router knows of the store.
+        link: Fetches snapshots.
+        offer: The latest newer snapshot that was told of.
+    """
+
+    def __init__(
+        self,
+        incarnation: int,
+        followed: snapshots.Snapshots,
+        link: interfaces.DatagramLink,
+    ) -> None:
+        self.incarnation = incarnation
+        self.followed = followed
+        self.link = link
+        self.offer: Offer | None = None
+        self.offered = trio.Event()
+
+    def note(self, state: messages_forwarding.RouterState) -> float:
+        """Takes over a proof, or notes the snapshot that it is of.
+
+        Returns:
+            Seconds by which this router is fresher than before.
+        """
+        if state.proof_age is None:
+            return 0.0
+        current = self.followed.current
+        proved_at = self.proved_at(state)
+        if current is None or state.digest != current.digest:
+            if current is None or state.revision > current.revision:
+                self.offer = Offer(state.host, proved_at)
+                self.offered.set()
+            return 0.0
+        gained = proved_at - self.followed.proved_at
+        if gained <= 0:
+            return 0.0
+        if state.revision > current.revision:
+            self.followed.current = attrs.evolve(
+                current, revision=state.revision
+            )
+        self.followed.prove(proved_at)
+        return gained
+
+    def proved_at(self, state: messages_forwarding.RouterState) -> float:
+        """Returns the moment, by this router's clock, of a peer's proof.
+
+        The peer made its message after it heard the message that it echoes,
+        `echo_held` seconds after; its proof was `proof_age` old then. Taking
+        the echoed message's way as instant errs to the old side.
+        """
+        if state.echo_at is None:
+            return NEVER
+        if state.echo_incarnation != self.incarnation:
+            # the echo is of this VM's clock before it lost power
+            return NEVER
+        proved_at = state.echo_at + state.echo_held - state.proof_age
+        return min(proved_at, self.followed.clock())
+
+    async def run(self) -> None:
+        """Fetches newer snapshots from the routers that told of them."""
+        while True:
+            await self.offered.wait()
+            self.offered = trio.Event()
+            await self.fetch(self.offer)
+            await trio.sleep(
+                FETCH_GAP_PART * self.followed.settings.apply_seconds
+            )
+
+    async def fetch(self, offer: Offer) -> None:
+        """Fetches a snapshot; the store is read if this fails."""
+        current = self.followed.current
+        known = None if current is None else current.raw
+        try:
+            raw = await self.link.fetch(offer.host, known)
+            snapshot = self.followed.source.decode(raw)
+        except (errors.PeerError, errors.CodecError) as exc:
+            logs.change('peer_snapshot_failed', host=offer.host, cause=str(exc))
+            return
+        self.followed.accept(snapshot, offer.proved_at)
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -191,7 +191,9 @@
         if forwarding is None:
             logs.change('settings_refused', faults=['forwarding is missing'])
             return
-        self.peers.seeds = [address(text)[0] for text in forwarding.peers]
+        self.peers.members.seeds = [
+            address(text)[0] for text in forwarding.peers
+        ]
         self.snapshots.settings = follow_settings(forwarding)
         self.budget.settings = repeat_settings(forwarding)
         self.forwarder.chooser.load_factor = forwarding.load_factor
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -130,8 +130,8 @@
     # of its earlier life, which now lies far ahead.
     node = fleet.routers[HOSTS[0]]
     state = fleet.routers[HOSTS[1]].peers.state_for(HOSTS[0])
-    node.peers.incarnation += 1
-    assert node.peers.proved_at(state) == float('-inf')
+    node.peers.freshness.incarnation += 1
+    assert node.peers.freshness.proved_at(state) == float('-inf')
 
 
 async def test_proof_is_never_ahead_of_the_own_clock(fleet, autojump_clock):
@@ -143,7 +143,7 @@
         'z',
         False,
         0.0,
-        node.peers.incarnation,
+        node.peers.freshness.incarnation,
         node.clock() + 100.0,
         0.0,
         0.0,
@@ -151,7 +151,7 @@
         1,
         b'',
     )
-    assert node.peers.proved_at(state) <= node.clock()
+    assert node.peers.freshness.proved_at(state) <= node.clock()
 
 
 async def test_loads_of_peers_are_known(fleet, autojump_clock):
@@ -222,7 +222,7 @@
     from lavenderbend.protocol import peer
 
     for number in range(200):
-        fleet.routers[HOSTS[0]].peers.learn(f'10.9.0.{number}')
+        fleet.routers[HOSTS[0]].peers.members.learn(f'10.9.0.{number}')
     for _ in range(50):
         state = fleet.routers[HOSTS[0]].peers.state_for(HOSTS[1])
         assert len(peer.encode(state)) < 400
@@ -235,7 +235,7 @@
     hosts = [f'10.1.0.{number}' for number in range(60)]
     fleet = Fleet(nursery, hosts)
     for node in fleet.routers.values():
-        node.peers.seeds = hosts[:2]
+        node.peers.members.seeds = hosts[:2]
         node.link.delay = 0.02
         node.link.nursery = nursery
     await trio.sleep(20.0)
