--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -20,7 +20,7 @@
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import silence as silence_module
     from lavenderbend.state import forwarding
-    from lavenderbend.state import settings as settings_module
+    from lavenderbend.state import forwarding_settings
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -52,7 +52,7 @@
         cached: cached_prompts.CachedPrompts,
         crashes: crashes_module.Crashes,
         silence: silence_module.SilenceWatch,
-        headers: settings_module.ForwardHeaders,
+        headers: forwarding_settings.ForwardHeaders,
     ) -> None:
         self.exchanges = exchanges
         self.directory = found
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -17,7 +17,7 @@
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.state import forwarding
-    from lavenderbend.state import settings as settings_module
+    from lavenderbend.state import forwarding_settings
 
 SCHEME = 'bearer '
 LAST_EVENT_ID = 'last-event-id'
@@ -49,7 +49,7 @@
     def __init__(
         self,
         followed: snapshots.Snapshots,
-        headers: settings_module.ForwardHeaders,
+        headers: forwarding_settings.ForwardHeaders,
         apply_seconds: float,
     ) -> None:
         self.followed = followed
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -32,6 +32,7 @@
 from lavenderbend.transport import upstream_exchanges
 
 if TYPE_CHECKING:
+    from lavenderbend.state import forwarding_settings
     from lavenderbend.state import settings as settings_module
 
 # idle connections to upstreams that would not be used again are closed
@@ -269,7 +270,7 @@
 
 
 def follow_settings(
-    forwarding: settings_module.ForwardingSettings,
+    forwarding: forwarding_settings.ForwardingSettings,
 ) -> snapshots.FollowSettings:
     """Returns how the store is followed."""
     # one read brings both the configuration and who leaves
@@ -278,7 +279,7 @@
 
 
 def repeat_settings(
-    forwarding: settings_module.ForwardingSettings,
+    forwarding: forwarding_settings.ForwardingSettings,
 ) -> budget.RepeatSettings:
     """Returns what the fleet may repeat."""
     return budget.RepeatSettings(
--- a/lavenderbend/transport/http_calls.py
+++ b/lavenderbend/transport/http_calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import socket
 
 import attrs
 import h11
@@ -93,14 +92,8 @@
         if self.stream is not None and not self.stream.socket.is_readable():
             return self.stream
         self.close()
-        connection = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            socket_options.prepare(connection)
-            await connection.connect((self.host, self.port))
-        except BaseException:
-            connection.close()
-            raise
-        self.stream = trio.SocketStream(connection)
+        self.stream = await socket_options.connect(self.host, self.port)
+        socket_options.prepare(self.stream.socket)
         self.protocol = h11.Connection(h11.CLIENT)
         return self.stream
 
--- a/lavenderbend/transport/upstream_connections.py
+++ b/lavenderbend/transport/upstream_connections.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from lavenderbend import errors
+from lavenderbend.transport import socket_options
 from lavenderbend.transport import stall_watch
 
 if TYPE_CHECKING:
@@ -120,17 +120,11 @@
     Raises:
         UpstreamUnreachable: There is none to be had.
     """
-    family = socket.AF_INET6 if ':' in vm.host else socket.AF_INET
-    connecting = trio.socket.socket(family, socket.SOCK_STREAM)
     try:
         with trio.fail_after(CONNECT_SECONDS):
-            await connecting.connect((vm.host, vm.port))
+            stream = await socket_options.connect(vm.host, vm.port)
     except (OSError, trio.TooSlowError) as exc:
-        connecting.close()
         raise errors.UpstreamUnreachable(
             f'no connection: {type(exc).__name__}'
         ) from exc
-    except BaseException:
-        connecting.close()
-        raise
-    return UpstreamConnection(trio.SocketStream(connecting))
+    return UpstreamConnection(stream)
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import socket
 from typing import TYPE_CHECKING
 
 import h11
@@ -152,20 +151,16 @@
     Raises:
         UpstreamUnreachable: There is none to be had.
     """
-    connection = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    vm = upstream.vm
     try:
-        socket_options.prepare(connection)
         with trio.fail_after(CONNECT_SECONDS):
-            await connection.connect((upstream.vm.host, upstream.vm.port))
+            stream = await socket_options.connect(vm.host, vm.port)
     except (OSError, trio.TooSlowError) as exc:
-        connection.close()
         raise errors.UpstreamUnreachable(
             f'no connection: {type(exc).__name__}'
         ) from exc
-    except BaseException:
-        connection.close()
-        raise
-    return KeptConnection(trio.SocketStream(connection))
+    socket_options.prepare(stream.socket)
+    return KeptConnection(stream)
 
 
 class UpstreamExchange(interfaces.Exchange):
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -24,10 +24,12 @@
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.state import configuration
 from lavenderbend.state import forwarding
-from lavenderbend.state import settings
+from lavenderbend.state import forwarding_settings
 from lavenderbend.state import upstreams
 
-HEADERS = settings.ForwardHeaders(copy_from='x-copy-from', reserved=('x-hold',))
+HEADERS = forwarding_settings.ForwardHeaders(
+    copy_from='x-copy-from', reserved=('x-hold',)
+)
 ZONE = 'sala-a'
 KEY = 'llave-1'
 
