--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -5,19 +5,17 @@
 from typing import TYPE_CHECKING
 
 from lavenderbend import errors
-from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import tickets
-from lavenderbend.protocol import hop_headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lavenderbend.coordination.forwarding import cached_prompts
     from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import directory as directories
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
+    from lavenderbend.coordination.forwarding import outgoing
     from lavenderbend.coordination.forwarding import silence as silence_module
     from lavenderbend.state import forwarding
     from lavenderbend.state import forwarding_settings
@@ -32,7 +30,6 @@
 # pauses of this many of the longest wanted ones are no slow upstream's
 SILENT_GAPS = 4.0
 MIN_SILENT_SECONDS = 0.8
-LAST_EVENT_ID = b'last-event-id'
 
 
 class Attempts:
@@ -40,7 +37,7 @@
 
     Attributes:
         exchanges: Connections to upstreams.
-        headers: Names of the headers.
+        requests: Makes what is sent to them.
     """
 
     def __init__(
@@ -49,7 +46,7 @@
         found: directories.Directory,
         health: health_module.Health,
         loads: loads_module.Loads,
-        cached: cached_prompts.CachedPrompts,
+        requests: outgoing.OutgoingRequests,
         crashes: crashes_module.Crashes,
         silence: silence_module.SilenceWatch,
         headers: forwarding_settings.ForwardHeaders,
@@ -58,27 +55,12 @@
         self.directory = found
         self.health = health
         self.loads = loads
-        self.cached = cached
+        self.requests = requests
         self.crashes = crashes
         self.silence = silence
-        self.headers = headers
         self.signature = headers.signature.encode()
         self.not_run = headers.not_run.encode()
         self.load = headers.load.encode()
-        self.dropped = frozenset(
-            name.encode()
-            for name in (
-                'authorization',
-                'content-length',
-                'expect',
-                headers.customer,
-                headers.deadline,
-                headers.instance,
-                headers.rank,
-                headers.copy_from,
-                *headers.reserved,
-            )
-        )
 
     async def attempt(
         self,
@@ -177,7 +159,7 @@
         # from the first byte on only the upstream can say that it did not
         # run: a caller that is told so sends the request again
         ticket.may_have_run = True
-        head = await exchange.send(self.request(ticket, upstream))
+        head = await exchange.send(self.requests.make(ticket, upstream))
         self.silence.note_bytes(waiting)
         self.note_head(upstream, head)
         if self.says_not_run(head):
@@ -232,55 +214,6 @@
         self.health.note_success(upstream.instance)
         self.crashes.note_success(ticket)
 
-    def request(
-        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
-    ) -> interfaces.UpstreamRequest:
-        """Returns what is sent to the upstream."""
-        request = ticket.request
-        headers = [
-            item
-            for item in hop_headers.end_to_end(request.headers)
-            if item[0] not in self.dropped
-        ]
-        names = self.headers
-        source = self.copy_source(ticket, upstream)
-        if source is not None:
-            headers.append((names.copy_from.encode(), source))
-        left = max(1, int(ticket.left * 1000))
-        headers.append((names.deadline.encode(), b'%d' % left))
-        headers.append((names.instance.encode(), upstream.instance.encode()))
-        headers.append((names.rank.encode(), b'%d' % ticket.rank))
-        if ticket.customer:
-            headers.append((names.customer.encode(), ticket.customer.encode()))
-        if request.body or request.method not in (b'GET', b'HEAD'):
-            headers.append((b'content-length', b'%d' % len(request.body)))
-        if ticket.cutter.last is not None:
-            headers = [item for item in headers if item[0] != LAST_EVENT_ID]
-            headers.append((LAST_EVENT_ID, b'%d' % ticket.cutter.last))
-        return interfaces.UpstreamRequest(
-            id=ticket.id.encode('latin-1'),
-            id_header=names.request_id.encode(),
-            method=request.method,
-            target=request.target,
-            headers=tuple(headers),
-            body=request.body,
-        )
-
-    def copy_source(
-        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
-    ) -> bytes | None:
-        """Returns the address from which cached prompt parts are copied."""
-        if not ticket.need.parts or not self.headers.copy_from:
-            return None
-        key = choice.placing_key(ticket.need.parts)
-        source = self.cached.source(
-            ticket.service, key, ticket.need.parts, upstream
-        )
-        self.cached.note_sent(key, upstream.instance)
-        if source is None:
-            return None
-        return f'{source.vm.host}:{source.vm.port}'.encode()
-
     def note_head(
         self, upstream: forwarding.Upstream, head: interfaces.AnswerHead
     ) -> None:
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -0,0 +1,102 @@
+"""What is sent to an upstream in place of what a caller sent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lavenderbend.coordination.forwarding import choice
+from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.protocol import hop_headers
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination.forwarding import cached_prompts
+    from lavenderbend.coordination.forwarding import tickets
+    from lavenderbend.state import forwarding
+    from lavenderbend.state import forwarding_settings
+
+LAST_EVENT_ID = b'last-event-id'
+
+
+class OutgoingRequests:
+    """Makes requests to upstreams.
+
+    Headers that only the router may set are dropped from what callers sent:
+    a caller could else take another customer's name, a higher rank, or
+    memory that is held for others.
+
+    Attributes:
+        cached: Knows where prompts are cached.
+        headers: Names of the headers.
+        dropped: Headers of callers that are not passed on.
+    """
+
+    def __init__(
+        self,
+        cached: cached_prompts.CachedPrompts,
+        headers: forwarding_settings.ForwardHeaders,
+    ) -> None:
+        self.cached = cached
+        self.headers = headers
+        self.dropped = frozenset(
+            name.encode()
+            for name in (
+                'authorization',
+                'content-length',
+                'expect',
+                headers.customer,
+                headers.deadline,
+                headers.instance,
+                headers.rank,
+                headers.copy_from,
+                *headers.reserved,
+            )
+        )
+
+    def make(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> interfaces.UpstreamRequest:
+        """Returns what is sent to the upstream."""
+        request = ticket.request
+        headers = [
+            item
+            for item in hop_headers.end_to_end(request.headers)
+            if item[0] not in self.dropped
+        ]
+        names = self.headers
+        source = self.copy_source(ticket, upstream)
+        if source is not None:
+            headers.append((names.copy_from.encode(), source))
+        left = max(1, int(ticket.left * 1000))
+        headers.append((names.deadline.encode(), b'%d' % left))
+        headers.append((names.instance.encode(), upstream.instance.encode()))
+        headers.append((names.rank.encode(), b'%d' % ticket.rank))
+        if ticket.customer:
+            headers.append((names.customer.encode(), ticket.customer.encode()))
+        if request.body or request.method not in (b'GET', b'HEAD'):
+            headers.append((b'content-length', b'%d' % len(request.body)))
+        if ticket.cutter.last is not None:
+            headers = [item for item in headers if item[0] != LAST_EVENT_ID]
+            headers.append((LAST_EVENT_ID, b'%d' % ticket.cutter.last))
+        return interfaces.UpstreamRequest(
+            id=ticket.id.encode('latin-1'),
+            id_header=names.request_id.encode(),
+            method=request.method,
+            target=request.target,
+            headers=tuple(headers),
+            body=request.body,
+        )
+
+    def copy_source(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> bytes | None:
+        """Returns the address from which cached prompt parts are copied."""
+        if not ticket.need.parts or not self.headers.copy_from:
+            return None
+        key = choice.placing_key(ticket.need.parts)
+        source = self.cached.source(
+            ticket.service, key, ticket.need.parts, upstream
+        )
+        self.cached.note_sent(key, upstream.instance)
+        if source is None:
+            return None
+        return f'{source.vm.host}:{source.vm.port}'.encode()
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import socket
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,7 @@
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
-from lavenderbend.protocol import problems
+from lavenderbend.transport import caller_answers
 from lavenderbend.transport import socket_options
 
 if TYPE_CHECKING:
@@ -34,11 +33,6 @@
 FAREWELL_SECONDS = 1.0
 REQUEST_TIMEOUT = 408
 HEADERS_TOO_LARGE = 431
-CONNECTION_ERRORS = (
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    OSError,
-)
 
 REFUSED_CONNECTIONS = metrics.counter(
     'lavenderbend_caller_connections_refused_total',
@@ -106,7 +100,7 @@
         self.connections.add(connection)
         try:
             await connection.run()
-        except CONNECTION_ERRORS:
+        except caller_answers.CONNECTION_ERRORS:
             pass
         except Exception as exc:
             # a fault of this program in one request must not end the
@@ -272,14 +266,16 @@
 
     async def answer(self, request: interfaces.CallerRequest) -> None:
         """Has the request answered, and stops when the caller leaves."""
-        answer = ConnectionAnswer(self)
+        answer = caller_answers.ConnectionAnswer(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch_caller, answer, nursery.cancel_scope)
             await self.handle(request, answer)
             nursery.cancel_scope.cancel()
 
     async def handle(
-        self, request: interfaces.CallerRequest, answer: ConnectionAnswer
+        self,
+        request: interfaces.CallerRequest,
+        answer: caller_answers.ConnectionAnswer,
     ) -> None:
         """Has the request answered, or says why it is not.
 
@@ -292,10 +288,10 @@
             return
         except errors.RequestError as exc:
             if not answer.started:
-                await send_problem(answer, exc, '')
+                await caller_answers.send_problem(answer, exc, '')
 
     async def watch_caller(
-        self, answer: ConnectionAnswer, scope: trio.CancelScope
+        self, answer: caller_answers.ConnectionAnswer, scope: trio.CancelScope
     ) -> None:
         """Cancels the request when its caller closes the connection.
 
@@ -319,9 +315,9 @@
         )
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        answer = ConnectionAnswer(self)
+        answer = caller_answers.ConnectionAnswer(self)
         with trio.move_on_after(FAREWELL_SECONDS):
-            await send_problem(answer, error, '', close=True)
+            await caller_answers.send_problem(answer, error, '', close=True)
             await self.stream.send_eof()
             # closing over unread bytes would reset the connection before
             # the caller has read why
@@ -329,66 +325,6 @@
                 pass
 
 
-class ConnectionAnswer(interfaces.CallerAnswer):
-    """The answer to one request on a connection."""
-
-    def __init__(self, connection: CallerConnection) -> None:
-        self.connection = connection
-
-    def closing(self) -> bool:
-        """Whether the connection closes after this answer."""
-        return self.connection.server.stopping
-
-    async def write(self, *events: h11.Event) -> None:
-        """Sends events in one write."""
-        protocol = self.connection.protocol
-        data = b''.join(protocol.send(event) or b'' for event in events)
-        try:
-            await self.connection.stream.send_all(data)
-        except CONNECTION_ERRORS as exc:
-            self.gone = True
-            raise errors.CallerGone(type(exc).__name__) from exc
-
-    def head(self, status: int, headers: interfaces.Headers) -> h11.Response:
-        """Returns the head as an event."""
-        if self.closing():
-            headers = (*headers, (b'connection', b'close'))
-        return h11.Response(status_code=status, headers=list(headers))
-
-    async def whole(
-        self, status: int, headers: interfaces.Headers, body: bytes
-    ) -> None:
-        """Sends an answer of known length."""
-        self.started = True
-        headers = without_length(headers)
-        length = (b'content-length', b'%d' % len(body))
-        await self.write(
-            self.head(status, (*headers, length)),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        )
-        self.finished = True
-
-    async def start(self, status: int, headers: interfaces.Headers) -> None:
-        """Sends the head of a streamed answer."""
-        self.started = True
-        await self.write(self.head(status, without_length(headers)))
-
-    async def send(self, data: bytes) -> None:
-        """Sends a part of a streamed answer."""
-        await self.write(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        """Ends a streamed answer as complete."""
-        await self.write(h11.EndOfMessage())
-        self.finished = True
-
-
-def without_length(headers: interfaces.Headers) -> interfaces.Headers:
-    """Returns the headers without a length, which is stated anew."""
-    return tuple(item for item in headers if item[0] != b'content-length')
-
-
 def check_head(head: h11.Request, limits: forwarding.CallerLimits) -> None:
     """Refuses a head that is too large or can be read in two ways.
 
@@ -425,24 +361,3 @@
     error = errors.RequestInvalid(f'{what} did not arrive in time')
     error.status = REQUEST_TIMEOUT
     return error
-
-
-async def send_problem(
-    answer: interfaces.CallerAnswer,
-    error: errors.RequestError,
-    request_id: str,
-    close: bool = False,
-) -> None:
-    """Sends an error of the router as problem details."""
-    headers = [
-        (b'content-type', problems.CONTENT_TYPE.encode()),
-    ]
-    if error.retry_after is not None:
-        # a fraction: callers with a second left come back within it
-        seconds = math.ceil(error.retry_after * 1000) / 1000
-        headers.append((b'retry-after', b'%g' % seconds))
-    if close:
-        headers.append((b'connection', b'close'))
-    await answer.whole(
-        error.status, tuple(headers), problems.to_body(error, request_id)
-    )
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -19,6 +19,7 @@
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import loads
+from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
@@ -271,7 +272,10 @@
                 self.directory,
                 self.health,
                 self.loads,
-                cached_prompts.CachedPrompts(self.directory, self.health),
+                outgoing.OutgoingRequests(
+                    cached_prompts.CachedPrompts(self.directory, self.health),
+                    HEADERS,
+                ),
                 self.crashes,
                 self.silence,
                 HEADERS,
