--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -40,7 +40,6 @@
 # a datagram may be lost; a notice is sent only once, so in two copies
 CRASH_COPIES = 2
 MAX_MEMBERS_TOLD = 12
-MAX_LOAD = 255
 
 DATAGRAMS = metrics.counter(
     'lavenderbend_forward_peer_messages_total',
@@ -195,16 +194,17 @@
             self.order = (snapshot.digest, sorted(snapshot.upstreams))
         return self.order[1]
 
-    def own_loads(self) -> bytes:
-        """Returns this router's requests on each upstream."""
+    def own_loads(self) -> list[int]:
+        """Returns this router's requests on upstreams, as in its messages."""
         current = self.followed.current
         if current is None:
-            return b''
-        own = self.loads.own
-        return bytes(
-            min(own.get(instance, 0), MAX_LOAD)
-            for instance in self.instances(current)
-        )
+            return []
+        pairs: list[int] = []
+        for place, instance in enumerate(self.instances(current)):
+            count = self.loads.own.get(instance, 0)
+            if count:
+                pairs += (place, count)
+        return pairs
 
     def on_message(self, message: peer.Message) -> None:
         """Takes in a message of another router."""
@@ -243,11 +243,11 @@
         current = self.followed.current
         if current is None or state.digest != current.digest:
             return
+        instances = self.instances(current)
+        places = state.loads[::2]
         counts = {
-            instance: count
-            for instance, count in zip(
-                self.instances(current), state.loads, strict=False
-            )
-            if count
+            instances[place]: count
+            for place, count in zip(places, state.loads[1::2], strict=False)
+            if place < len(instances)
         }
         self.loads.note_peer(state.name, counts)
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -27,8 +27,9 @@
             has none.
         revision: Revision of its snapshot.
         digest: Digest of its snapshot.
-        loads: Requests that it has on each upstream of that snapshot, a
-            byte each, in the order of their instances.
+        loads: Pairs of numbers: the place of an upstream among the
+            instances of that snapshot in their order, and the requests that
+            this router has there. Most upstreams of a large site have none.
         members: Hosts of routers that it knows.
         suspects: Upstreams that it found dead or out of reach.
     """
@@ -45,7 +46,7 @@
     proof_age: float | None
     revision: int
     digest: int
-    loads: bytes
+    loads: list[int]
     members: list[str] = attrs.field(factory=list)
     suspects: list[str] = attrs.field(factory=list)
 
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -149,7 +149,7 @@
         0.0,
         1,
         1,
-        b'',
+        [],
     )
     assert node.peers.freshness.proved_at(state) <= node.clock()
 
