Take no new connections after the balancer's time in a stop

Ruled out: a wrong grace (all cut streams had begun 6.8 s after the signal). The test failed before.

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -57,6 +57,7 @@
         max_connections: Connections beyond this are closed at once.
         stopping: Whether answers tell callers to close their connections.
         connections: Those open now.
+        accepting: Cancelled to take no new connections.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.max_connections = max_connections
         self.stopping = False
         self.closing_idle = False
+        self.accepting = trio.CancelScope()
         self.connections: set[CallerConnection] = set()
         self.empty = trio.Event()
 
@@ -84,11 +86,14 @@
             port, host=host, backlog=BACKLOG
         )
         bound = listeners[0].socket.getsockname()[1]
-        await trio.serve_listeners(
-            self.serve_connection,
-            listeners,
-            task_status=StartedWith(task_status, bound),
-        )
+        async with trio.open_nursery() as nursery:
+            with self.accepting:
+                await trio.serve_listeners(
+                    self.serve_connection,
+                    listeners,
+                    handler_nursery=nursery,
+                    task_status=StartedWith(task_status, bound),
+                )
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serves one connection."""
@@ -118,8 +123,14 @@
         self.stopping = True
 
     def close_idle(self) -> None:
-        """Closes each connection as soon as no request is on it."""
+        """Takes no new connections, and closes those without a request.
+
+        The balancer sends callers to a router that stops if too few others
+        are left. What would be taken late in the stop could not end before
+        it; a caller that is refused goes on to another router.
+        """
         self.closing_idle = True
+        self.accepting.cancel()
         for connection in self.connections:
             connection.idle_scope.cancel()
 
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from lavenderbend import errors
 from lavenderbend.state import forwarding
@@ -190,6 +191,25 @@
         await router.server.wait_empty()
 
 
+async def test_stop_takes_no_new_connection_in_the_end(router):
+    # All routers of a zone stop at once, so that the balancer still sends
+    # callers here. A request that came seven seconds after the signal was
+    # taken, and cut off by the end of the stop a second later; refused, its
+    # caller goes to another router at once.
+    stream = await connect(router)
+    await stream.send_all(GET)
+    await stream.receive_some()
+    router.server.begin_stop()
+    assert (await talk(router, GET)).startswith(b'HTTP/1.1 200')
+    router.server.close_idle()
+    await trio.testing.wait_all_tasks_blocked()
+    with pytest.raises(OSError, match='connect'):
+        await connect(router)
+    assert await read_all(stream) == b''
+    with trio.fail_after(1.0):
+        await router.server.wait_empty()
+
+
 async def test_too_many_connections_are_closed(router):
     streams = [await connect(router) for _ in range(10)]
     await trio.sleep(0.05)
