--- a/lavenderbend/state/rule_sets.py
+++ b/lavenderbend/state/rule_sets.py
@@ -18,6 +18,8 @@
 
 CREDENTIAL = re.compile(r'[0-9a-f]{8,64}\$[0-9a-f]{64}')
 CREDENTIAL_FORM = 'salt$sha256(salt + credential), both in lower-case hex'
+# the only adapter whose store holds routes and upstreams to forward by
+FORWARDING_ADAPTER = 'platform'
 METHODS = ('DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
 
 
@@ -154,6 +156,8 @@
     if item.tracing.otlp_endpoint is not None:
         path = ('tracing', 'otlp_endpoint')
         found.extend(url_problems(path, item.tracing.otlp_endpoint))
+    if item.forwarding is not None:
+        found.extend(forwarding_problems(item))
     credential = item.operators.credential
     if credential and not CREDENTIAL.fullmatch(credential):
         path = ('operators', 'credential')
@@ -161,6 +165,36 @@
     return found
 
 
+def forwarding_problems(item: settings.RouterSettings) -> Iterator[Problem]:
+    """Yields the problems of a router that forwards any HTTP request."""
+    if item.key_value.adapter != FORWARDING_ADAPTER:
+        yield Problem(
+            ('key_value', 'adapter'),
+            f'{item.key_value.adapter!r} with forwarding',
+            FORWARDING_ADAPTER,
+        )
+    listen = item.forwarding.listen
+    for name in ('callers', 'readiness', 'peers'):
+        path = ('forwarding', 'listen', name)
+        yield from host_port_problems(path, getattr(listen, name))
+    for index, text in enumerate(item.forwarding.peers):
+        yield from host_port_problems(('forwarding', 'peers', index), text)
+
+
+def host_port_problems(
+    path: tuple[str | int, ...], text: str
+) -> Iterator[Problem]:
+    """Yields the problem of a text that is no IP number with a port."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+        in_range = 0 < int(port) <= settings.MAX_PORT
+    except ValueError:
+        in_range = False
+    if not in_range:
+        yield Problem(path, f'address {text!r}', 'IP:PORT')
+
+
 def url_problems(path: tuple[str | int, ...], url: str) -> Iterator[Problem]:
     """Yields the problem of an address that is no HTTP URL."""
     if not re.fullmatch(r'https?://[^\s/]+(/\S*)?', url):
--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -217,11 +217,28 @@
     assert lines['attempt_failed']['last_event'] == 2
 
 
-async def test_settings_that_cannot_be_used_are_named(fleet, tmp_path):
-    router = fleet.routers[0]
-    await router.process.kill()
-    fleet.write_settings(router, repeat_share='many')
+@pytest.mark.parametrize(
+    ('changes', 'key'),
+    [
+        ({'repeat_share': 'many'}, 'forwarding.repeat_share'),
+        ({'peers': ['10.0.0.1']}, 'forwarding.peers[0]'),
+        (
+            {
+                'listen': {
+                    'callers': 'x:1',
+                    'readiness': '',
+                    'peers': '1.2.3.4:',
+                }
+            },
+            'forwarding.listen.readiness',
+        ),
+    ],
+)
+async def test_settings_that_cannot_be_used_are_named(tmp_path, changes, key):
+    subject = forwarding_fleet.ForwardingFleet(tmp_path)
+    router = subject.routers[0]
+    subject.write_settings(router, **changes)
     await router.process.start()
     with trio.fail_after(20.0):
         assert await router.process.process.wait() != 0
-    assert 'forwarding.repeat_share' in router.process.log.read_text()
+    assert key in router.process.log.read_text()
