--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -31,6 +31,10 @@
 # times that a chat comes back while its prompt stays cached
 RETURNS = 4
 
+# of its slots; a service answers slower as it fills, and a request between
+# zones takes under two milliseconds more
+BUSY_PART = 0.5
+
 PROMPT_CACHED = 'prompt cached'
 LEAST_LOADED = 'least loaded'
 OVER_BOUND = 'all over bound'
@@ -237,7 +241,7 @@
             busy = load / max(1, one.slots)
             far = self.far(one) and busy < 1.0
             return (
-                busy >= 0.5,
+                busy >= BUSY_PART,
                 far,
                 busy,
                 hashing.hash64(tie_break, one.instance),
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -86,7 +86,9 @@
             await self.require_fresh(self.apply_seconds, request)
             table = self.followed.table
         if table is None:
-            raise errors.NoConfiguration('no configuration was read yet', 0.3)
+            raise errors.NoConfiguration(
+                'no configuration was read yet', WAIT_FRESH_SECONDS
+            )
         self.compile(table)
         rule = self.compiled.find(self.facts(request))
         if rule is None:
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -40,6 +40,8 @@
 # a datagram may be lost; a notice is sent only once, so in two copies
 CRASH_COPIES = 2
 MAX_MEMBERS_TOLD = 12
+# of the messages to routers that are known; members change seldom
+MEMBERS_TOLD_SHARE = 0.1
 
 DATAGRAMS = metrics.counter(
     'lavenderbend_forward_peer_messages_total',
@@ -179,10 +181,14 @@
             digest=0 if current is None else current.digest,
             loads=self.own_loads(),
             # a host that is new to this router has yet to learn of others
-            members=[] if known and self.rng.random() < 0.9 else self.told(),
+            members=[] if known and not self.tells_members() else self.told(),
             suspects=self.health.suspects(),
         )
 
+    def tells_members(self) -> bool:
+        """Returns whether a router that is known is told of others."""
+        return self.rng.random() < MEMBERS_TOLD_SHARE
+
     def told(self) -> list[str]:
         """Returns hosts that other routers are told of."""
         hosts = [member.host for member in self.members.alive()]
