--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,35 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import pytest
 import trio
 
 SCHEDULER_SEED = 1
+KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+
+
+def known_red():
+    """Returns the tests of known open faults, with their lines."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.partition(' | ')[0]: line for line in lines if line}
+
+
+def pytest_report_header():
+    return [f'known red, not run: {line}' for line in known_red().values()]
+
+
+def pytest_collection_modifyitems(config, items):
+    # a real fault that is open stays listed and printed; CI passes over
+    # just the tests that are named
+    listed = known_red()
+    left_out = [item for item in items if item.nodeid in listed]
+    if left_out:
+        config.hook.pytest_deselected(items=left_out)
+        items[:] = [item for item in items if item.nodeid not in listed]
 
 
 @pytest.fixture(autouse=True)
