--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -26,7 +26,7 @@
 ALWAYS_ALLOWED = 3
 
 # an event of a stream on the wire for each token: its text, its framing and
-# its packet's headers, measured on streams of four tokens an event
+# its packet's headers; estimated as 150 bytes for an event of four tokens
 BYTES_OF_A_TOKEN = 40
 # times that a chat comes back while its prompt stays cached
 RETURNS = 4
