Let operators read decisions, explanations and state of forwarding routers

Their decisions were in log lines only: decisions, explain and status had nothing to ask. A router whose settings have an operators' credential now serves them on the operators' address, read-only; a call that would change rules is told where they are kept. Without a credential nothing is kept or loaded. Each attempt is a typed record (why, what was passed over, first byte, result) in place of a string, in the log line too.

--- a/lavenderbend/coordination/explain.py
+++ b/lavenderbend/coordination/explain.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from lavenderbend.coordination import membership as membership_module
     from lavenderbend.state import configuration
+    from lavenderbend.state import forwarding
     from lavenderbend.state import requests
 
 NO_RULE = 'no rule matches: the caller gets 404'
@@ -81,7 +82,7 @@
     revision: int
     steps: tuple[RuleStep, ...]
     rule: str = ''
-    then: configuration.Then | None = None
+    then: configuration.Then | forwarding.Forward | None = None
     allowed_load: int | None = None
     candidates: tuple[CandidateStep, ...] = ()
     verdict: str = ''
--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import trio
+
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import tickets
@@ -160,6 +162,8 @@
         # run: a caller that is told so sends the request again
         ticket.may_have_run = True
         head = await exchange.send(self.requests.make(ticket, upstream))
+        record = ticket.placed[-1]
+        record.first_byte = trio.current_time() - record.started
         self.silence.note_bytes(waiting)
         self.note_head(upstream, head)
         if self.says_not_run(head):
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -7,11 +7,13 @@
 
 import attrs
 
+from lavenderbend.state import decisions
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from lavenderbend.coordination.forwarding import directory
@@ -39,6 +41,10 @@
 LEAST_LOADED = 'least loaded'
 OVER_BOUND = 'all over bound'
 AVOIDED = 'all avoided'
+# why an upstream is passed over
+OVER_ITS_BOUND = 'over bound'
+HAD_IT = 'had the request'
+FAILED_LATELY = 'failed lately'
 
 
 @attrs.frozen
@@ -110,6 +116,17 @@
     return int(output) if output.strip().isdigit() else 0
 
 
+def need_of(
+    prompt_parts: str | None, token_usage: str | None, body_bytes: int
+) -> Need:
+    """Returns what a request asks, by the values of its headers."""
+    return Need(
+        parse_parts(prompt_parts),
+        body_bytes,
+        parse_output_tokens(token_usage),
+    )
+
+
 @attrs.frozen
 class Choice:
     """What was decided.
@@ -119,12 +136,21 @@
         reason: Why this one.
         load: Requests that it holds, as far as known.
         allowed: The bound on that.
+        passed_over: Upstreams that were not taken, and why.
     """
 
     upstream: forwarding.Upstream | None
     reason: str = ''
     load: int = 0
     allowed: int = 0
+    passed_over: tuple[decisions.PassedOver, ...] = ()
+
+
+def passed_over(
+    found: Iterable[forwarding.Upstream], reason: str
+) -> tuple[decisions.PassedOver, ...]:
+    """Returns upstreams that are not taken for one reason."""
+    return tuple(decisions.PassedOver(one.instance, reason) for one in found)
 
 
 class Chooser:
@@ -177,6 +203,29 @@
         bound = self.allowed(found)
         unused = [one for one in found if one.instance not in used]
         well, avoided = self.health.split(unused or found)
+        choice = self.choose_among(
+            service, need, well, avoided, tie_break, bound
+        )
+        passed = choice.passed_over
+        if well and avoided:
+            passed += passed_over(avoided, FAILED_LATELY)
+        if used and unused:
+            had = [one for one in found if one.instance in used]
+            passed += passed_over(had, HAD_IT)
+        if passed is choice.passed_over:
+            return choice
+        return attrs.evolve(choice, passed_over=passed)
+
+    def choose_among(
+        self,
+        service: str,
+        need: Need,
+        well: Sequence[forwarding.Upstream],
+        avoided: Sequence[forwarding.Upstream],
+        tie_break: str,
+        bound: int,
+    ) -> Choice:
+        """Returns the choice among upstreams that are well, if any is."""
         if not well:
             return self.least_loaded(avoided, tie_break, bound, AVOIDED)
         if need.parts:
@@ -215,10 +264,11 @@
         ordered = sorted(
             found, key=lambda one: (near and self.far(one), rank[one.instance])
         )
-        for upstream in ordered:
+        for place, upstream in enumerate(ordered):
             load = self.loads.load(upstream.instance)
             if load < bound:
-                return Choice(upstream, PROMPT_CACHED, load, bound)
+                full = passed_over(ordered[:place], OVER_ITS_BOUND)
+                return Choice(upstream, PROMPT_CACHED, load, bound, full)
         return self.least_loaded(found, key, bound, OVER_BOUND)
 
     def far(self, upstream: forwarding.Upstream) -> bool:
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import trio
@@ -44,6 +45,8 @@
         compiled: The rules of the version in force.
         customers: Customers by credential, of that version.
         version: That version.
+        hits: How often each rule was the first match, by name.
+        unmatched: How many requests no rule matched.
     """
 
     def __init__(
@@ -58,6 +61,8 @@
         self.version = -1
         self.compiled = rules_module.CompiledRules(())
         self.customers: dict[str, forwarding.ForwardCustomer] = {}
+        self.hits: collections.Counter[str] = collections.Counter()
+        self.unmatched = 0
 
     async def admit(self, request: interfaces.CallerRequest) -> tickets.Ticket:
         """Returns the ticket of a request.
@@ -92,7 +97,9 @@
         self.compile(table)
         rule = self.compiled.find(self.facts(request))
         if rule is None:
+            self.unmatched += 1
             raise errors.NoRuleMatched('no rule matches')
+        self.hits[rule.name] += 1
         customer = None
         if table.customers and not rule.then.public:
             customer = await self.customer(request)
@@ -203,12 +210,10 @@
             customer='' if customer is None else customer.name,
             rank=rank,
             deadline=self.caller_deadline(request, then.timeout),
-            need=choice.Need(
-                choice.parse_parts(request.header(self.headers.prompt_parts)),
+            need=choice.need_of(
+                request.header(self.headers.prompt_parts),
+                request.header(self.headers.token_usage),
                 len(request.body),
-                choice.parse_output_tokens(
-                    request.header(self.headers.token_usage)
-                ),
             ),
             cutter=events.EventCutter(int(last) if last.isdigit() else None),
         )
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/explain.py
@@ -0,0 +1,176 @@
+"""What would happen to a request that is forwarded, sending nothing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend.coordination import explain as explanations
+from lavenderbend.coordination import rules as rules_module
+from lavenderbend.coordination.forwarding import choice as choice_module
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from lavenderbend.coordination.forwarding import entry as entry_module
+    from lavenderbend.state import forwarding
+
+NO_TABLE = 'no configuration was read yet: the caller gets 503'
+STALE = 'the configuration was not confirmed lately: the caller gets 503'
+NO_CREDENTIAL = 'the customer has no credential: the caller gets 401'
+LEAVING = 'leaving'
+
+
+@attrs.frozen
+class Asked:
+    """The request in question.
+
+    Attributes:
+        customer: Name of the customer, empty for none.
+        method: HTTP method.
+        path: Path, with the query if there is one.
+        headers: Names in lower case.
+        body_bytes: Size of its body.
+    """
+
+    customer: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body_bytes: int = 0
+
+
+class Explainer:
+    """Explains what this router would decide now.
+
+    Attributes:
+        entry: Finds rule and customer.
+        chooser: Finds upstreams.
+    """
+
+    def __init__(
+        self,
+        entry: entry_module.Entry,
+        chooser: choice_module.Chooser,
+    ) -> None:
+        self.entry = entry
+        self.chooser = chooser
+
+    def explain(self, asked: Asked) -> explanations.Explanation:
+        """Returns what would be decided for a request."""
+        table = self.entry.followed.table
+        if table is None:
+            return explanations.Explanation(0, (), verdict=NO_TABLE)
+        self.entry.compile(table)
+        steps, rule = self.match(asked)
+        base = explanations.Explanation(table.version, tuple(steps))
+        if rule is None:
+            return attrs.evolve(base, verdict=explanations.NO_RULE)
+        base = attrs.evolve(base, rule=rule.name, then=rule.then)
+        refusal = self.refusal(table, rule, asked.customer)
+        if refusal:
+            return attrs.evolve(base, verdict=refusal)
+        return self.explain_upstreams(base, rule.then, asked)
+
+    def match(
+        self, asked: Asked
+    ) -> tuple[list[explanations.RuleStep], forwarding.ForwardRule | None]:
+        """Returns the rules that are looked at, and the one that matches."""
+        facts = rules_module.Facts(
+            customer='',
+            method=asked.method.upper(),
+            path=asked.path.partition('?')[0],
+            headers=asked.headers,
+        )
+        steps = []
+        for compiled in self.entry.compiled.rules:
+            failed = compiled.failed(facts)
+            steps.append(explanations.RuleStep(compiled.rule.name, failed))
+            if not failed:
+                return steps, compiled.rule
+        return steps, None
+
+    def refusal(
+        self,
+        table: forwarding.ForwardingTable,
+        rule: forwarding.ForwardRule,
+        customer: str,
+    ) -> str:
+        """Returns why the customer would be refused, empty if not."""
+        if not table.customers or rule.then.public:
+            return ''
+        if not self.entry.followed.may_serve_credentials():
+            return STALE
+        named = [one for one in table.customers if one.name == customer]
+        if not any(one.credentials for one in named):
+            return NO_CREDENTIAL
+        return ''
+
+    def explain_upstreams(
+        self,
+        base: explanations.Explanation,
+        then: forwarding.Forward,
+        asked: Asked,
+    ) -> explanations.Explanation:
+        """Returns the explanation with the upstreams of the service."""
+        # a request without an id of its own stands for all: the pool with
+        # the greatest weight is the one that most of them go to
+        service = max(then.pools, key=lambda share: share.weight).pool
+        need = choice_module.need_of(
+            asked.headers.get(self.entry.headers.prompt_parts),
+            asked.headers.get(self.entry.headers.token_usage),
+            asked.body_bytes,
+        )
+        choice = self.chooser.choose(service, need, (), asked.path)
+        candidates = self.candidates(service, choice)
+        if choice.upstream is None:
+            return attrs.evolve(
+                base,
+                candidates=candidates,
+                verdict=explanations.NO_UPSTREAM,
+            )
+        return attrs.evolve(
+            base,
+            allowed_load=choice.allowed,
+            candidates=candidates,
+            verdict=f'{choice.upstream.instance} {explanations.TAKEN}: '
+            f'{choice.reason}',
+        )
+
+    def candidates(
+        self, service: str, choice: choice_module.Choice
+    ) -> tuple[explanations.CandidateStep, ...]:
+        """Returns a line for each upstream of a service."""
+        current = self.entry.followed.current
+        passed = {one.upstream: one.reason for one in choice.passed_over}
+        usable = {one.instance for one in self.chooser.directory.of(service)}
+        steps = []
+        for upstream in current.upstreams.values():
+            if upstream.vm.service != service:
+                continue
+            verdict = passed.get(upstream.instance, explanations.LATER)
+            if upstream.instance not in usable:
+                verdict = LEAVING
+            if upstream == choice.upstream:
+                verdict = f'{explanations.TAKEN}: {choice.reason}'
+            steps.append(self.step(upstream, verdict))
+        return tuple(steps)
+
+    def step(
+        self, upstream: forwarding.Upstream, verdict: str
+    ) -> explanations.CandidateStep:
+        """Returns the line of one upstream."""
+        loads = self.chooser.loads
+        report = loads.reports.get(upstream.instance)
+        age = None
+        if report is not None:
+            age = round(trio.current_time() - report.at, 3)
+        return explanations.CandidateStep(
+            upstream.instance,
+            upstream.vm.availability_zone,
+            loads.load(upstream.instance),
+            age,
+            verdict,
+        )
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -9,11 +9,14 @@
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import attempts as attempts_module
 from lavenderbend.coordination.forwarding import entry as entry_module
+from lavenderbend.coordination.forwarding import records
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.state import decisions as decisions_module
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from lavenderbend.coordination.forwarding import budget as budget_module
     from lavenderbend.coordination.forwarding import choice as choice_module
@@ -44,6 +47,8 @@
         chooser: Finds upstreams.
         attempts: Sends to one upstream.
         budget: Allows repeats.
+        decisions: Keeps what was decided for operators to read back, None
+            where no operators' interface is served.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         self.chooser = chooser
         self.attempts = attempts
         self.budget = budget
+        self.decisions: decisions_module.DecisionStore | None = None
 
     async def forward(
         self,
@@ -74,7 +80,7 @@
         try:
             ticket = await self.entry.admit(request)
             await self.until_deadline(ticket, answer)
-            outcome = 'answered'
+            outcome = records.ANSWERED
         except errors.RequestError as exc:
             outcome = exc.kind
             detail = exc.detail
@@ -94,18 +100,21 @@
         if answer.gone:
             outcome = errors.CallerGone.kind
         seconds = trio.current_time() - request.arrived
+        request_id = request.header(self.entry.headers.request_id) or ''
+        placed = [] if ticket is None else ticket.placed
         rule = '' if ticket is None else ticket.rule.name
         ENDED.inc({'rule': rule, 'outcome': outcome})
         DURATION.observe({}, seconds)
         logs.request_ended(
-            outcome == 'answered',
-            request=request.header(self.entry.headers.request_id),
+            outcome == records.ANSWERED,
+            request=request_id,
             rule=rule,
             version=self.entry.version,
             age=round(self.entry.followed.age, 3),
             customer='' if ticket is None else ticket.customer,
             service='' if ticket is None else ticket.service,
-            placed=[] if ticket is None else ticket.placed,
+            placed=[f'{one.upstream} {one.reason}' for one in placed],
+            passed_over=passed_over_texts(placed),
             sent_to=[] if ticket is None else ticket.used,
             unreachable=[] if ticket is None else ticket.unreachable,
             outcome=outcome,
@@ -116,6 +125,17 @@
             began=answer.started,
             seconds=round(seconds, 4),
         )
+        if self.decisions is not None:
+            self.decisions.add(
+                records.decision(
+                    request,
+                    request_id,
+                    ticket,
+                    self.entry.version,
+                    outcome,
+                    detail,
+                )
+            )
 
     async def until_deadline(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
@@ -145,14 +165,18 @@
         self.budget.note_request(ticket.service)
         while True:
             upstream = self.next_upstream(ticket)
+            record = ticket.placed[-1]
             try:
                 await self.attempts.attempt(
                     ticket, upstream, answer, self.repeat_check(ticket)
                 )
+                record.result = records.COMPLETE
                 return
-            except errors.UpstreamUnreachable:
+            except errors.UpstreamUnreachable as exc:
+                record.result = type(exc).__name__
                 ticket.unreachable.append(upstream.instance)
             except errors.UpstreamError as exc:
+                record.result = type(exc).__name__
                 logs.change(
                     'attempt_failed',
                     request=ticket.id,
@@ -162,6 +186,8 @@
                     may_have_run=ticket.may_have_run,
                     last_event=ticket.cutter.last,
                 )
+            finally:
+                record.finished = trio.current_time() - record.started
             if not self.go_on(ticket, answer):
                 await self.give_up(ticket, answer)
                 return
@@ -181,8 +207,12 @@
                 entry_module.come_back_seconds(ticket.left),
             )
         ticket.placed.append(
-            f'{choice.upstream.instance} {choice.reason} '
-            f'{choice.load}/{choice.allowed}'
+            decisions_module.Attempt(
+                choice.upstream.instance,
+                reason=f'{choice.reason} {choice.load}/{choice.allowed}',
+                passed_over=choice.passed_over,
+                started=trio.current_time(),
+            )
         )
         return choice.upstream
 
@@ -228,3 +258,12 @@
             'no upstream took the request',
             entry_module.come_back_seconds(ticket.left),
         )
+
+
+def passed_over_texts(placed: Iterable[decisions_module.Attempt]) -> list[str]:
+    """Returns which upstreams were not taken, and why, for the log."""
+    return [
+        f'{one.upstream} {one.reason}'
+        for attempt in placed
+        for one in attempt.passed_over
+    ]
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -208,6 +208,15 @@
                 well.append(upstream)
         return well, avoided
 
+    def standing(self, instance: str) -> str:
+        """Returns whether an upstream is avoided, in words."""
+        record = self.records.get(instance)
+        now = trio.current_time()
+        if record is None or record.avoid_until <= now:
+            return 'candidate'
+        cause = 'out of reach' if record.suspect_until > now else 'failed'
+        return f'avoided for {record.avoid_until - now:.1f} s: {cause}'
+
     def retain(self, instances: Collection[str]) -> None:
         """Forgets upstreams that are no more."""
         for name in [one for one in self.records if one not in instances]:
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.state import decisions
     from lavenderbend.state import forwarding
 
 
@@ -43,8 +44,8 @@
         need: What it asks of its upstream.
         cutter: Where the stream stands.
         used: Instances that it was sent to.
-        placed: For each upstream that was chosen: why, and its load against
-            the bound.
+        placed: The upstreams that were chosen: why, what was passed over,
+            and what became of each attempt.
         unreachable: Instances that no connection was to be had to.
         may_have_run: Whether an upstream may have begun to run it.
         fingerprint: What it has in common with its repetitions, None until
@@ -63,7 +64,7 @@
     need: choice.Need = attrs.field(factory=choice.Need)
     cutter: events.EventCutter = attrs.field(factory=events.EventCutter)
     used: list[str] = attrs.field(factory=list)
-    placed: list[str] = attrs.field(factory=list)
+    placed: list[decisions.Attempt] = attrs.field(factory=list)
     unreachable: list[str] = attrs.field(factory=list)
     may_have_run: bool = False
     fingerprint: int | None = None
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -26,6 +26,7 @@
 from lavenderbend.observe import logs
 from lavenderbend.platform import store
 from lavenderbend.protocol import documents_yaml
+from lavenderbend.state import decisions
 from lavenderbend.state import forwarding as forwarding_state
 from lavenderbend.transport import caller_connections
 from lavenderbend.transport import peer_datagrams
@@ -35,6 +36,7 @@
 if TYPE_CHECKING:
     from lavenderbend.state import forwarding_settings
     from lavenderbend.state import settings as settings_module
+    from lavenderbend.transport import forwarding_operators
 
 # idle connections to upstreams that would not be used again are closed
 SWEEP_SECONDS = 1.0
@@ -52,6 +54,7 @@
         forwarder: The request path.
         callers: The callers' server.
         readiness: The balancer's server.
+        operators: The operators' server, None without a credential.
         stopping: Set to begin a graceful stop.
     """
 
@@ -64,6 +67,7 @@
         self.make_knowledge()
         self.make_path()
         self.make_servers()
+        self.operators = self.make_operators()
 
     def make_knowledge(self) -> None:
         """Makes what knows the configuration, upstreams and their loads."""
@@ -150,6 +154,30 @@
             self.forwarding.readiness_path, self.ready
         )
 
+    def make_operators(
+        self,
+    ) -> forwarding_operators.ForwardingOperators | None:
+        """Returns the operators' interface, None without a credential.
+
+        Without a credential nobody could call it, and the decisions that it
+        shows would be kept for nothing.
+        """
+        settings = self.settings
+        if not settings.operators.credential:
+            return None
+        # its libraries take 20 MB that other routers do without
+        from lavenderbend.transport import forwarding_operators
+
+        kept = decisions.DecisionStore(settings.decisions.capacity)
+        self.forwarder.decisions = kept
+        return forwarding_operators.ForwardingOperators(
+            settings,
+            self.forwarder.entry,
+            self.forwarder.chooser,
+            self.peers.members,
+            kept,
+        )
+
     def note_suspected(self, instance: str) -> None:
         """Avoids an upstream that another router found dead.
 
@@ -229,6 +257,11 @@
                 self.readiness.serve, *address(listen.readiness)
             )
             await nursery.start(self.callers.serve, *address(listen.callers))
+            if self.operators is not None:
+                operators = self.settings.operators
+                await nursery.start(
+                    self.operators.serve, operators.host, operators.port
+                )
             logs.change(
                 'router_started',
                 router=self.settings.id,
--- /dev/null
+++ b/lavenderbend/transport/forwarding_operators.py
@@ -0,0 +1,186 @@
+"""The operators' interface of a forwarding router: it reads, never changes."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+import quart
+
+import lavenderbend
+from lavenderbend.coordination.forwarding import explain as explain_module
+from lavenderbend.observe import metrics
+from lavenderbend.state import upstreams as upstreams_module
+from lavenderbend.transport import operator_decisions
+from lavenderbend.transport import operator_interface
+from lavenderbend.transport import operator_routes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from lavenderbend.coordination.forwarding import choice as choice_module
+    from lavenderbend.coordination.forwarding import entry as entry_module
+    from lavenderbend.coordination.forwarding import members as members_module
+    from lavenderbend.state import decisions as decisions_module
+    from lavenderbend.state import forwarding
+    from lavenderbend.state import settings as settings_module
+
+ROUTES = operator_routes.FORWARDING_ROUTES
+WHEN_CUT_OFF = 'requests with a credential are refused'
+RULES_ELSEWHERE = (
+    "this router forwards by the configuration in the platform's store: "
+    'change it there; `status` and `explain` show what is in force'
+)
+
+
+class ForwardingOperators(operator_interface.OperatorInterface):
+    """What operators and their tools see of one forwarding router.
+
+    Attributes:
+        entry: Rules and customers in force.
+        chooser: Finds upstreams.
+        members: Other routers.
+        decisions: The latest decisions.
+        explainer: Says what would be decided.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.RouterSettings,
+        entry: entry_module.Entry,
+        chooser: choice_module.Chooser,
+        members: members_module.Members,
+        decisions: decisions_module.DecisionStore,
+    ) -> None:
+        self.entry = entry
+        self.chooser = chooser
+        self.members = members
+        self.decisions = decisions
+        self.explainer = explain_module.Explainer(entry, chooser)
+        super().__init__(settings.id, settings, ROUTES)
+
+
+@operator_routes.route('GET', '/v1/status', ROUTES)
+async def status(app: ForwardingOperators) -> quart.Response:
+    """Routers, upstreams with their load, rules with hit counts."""
+    return operator_routes.as_json(status_json(app))
+
+
+@operator_routes.route('GET', '/metrics', ROUTES)
+async def exposition(app: ForwardingOperators) -> quart.Response:
+    """All metrics in the Prometheus text format."""
+    return quart.Response(
+        metrics.render(), content_type='text/plain; version=0.0.4'
+    )
+
+
+@operator_routes.route('POST', '/v1/explain', ROUTES)
+async def explained(app: ForwardingOperators) -> quart.Response:
+    """What would be decided for a request; nothing is sent."""
+    body = await quart.request.get_data()
+    question = operator_decisions.read_question(body)
+    headers = {name.lower(): text for name, text in question.headers.items()}
+    found = app.explainer.explain(
+        explain_module.Asked(
+            question.customer, question.method, question.path, headers
+        )
+    )
+    return operator_routes.as_json(attrs.asdict(found, recurse=True))
+
+
+@operator_routes.route('GET', '/v1/rules', ROUTES)
+@operator_routes.route('GET', '/v1/rules/history', ROUTES)
+@operator_routes.route('POST', '/v1/rules/apply', ROUTES)
+@operator_routes.route('POST', '/v1/rules/diff', ROUTES)
+async def rules_elsewhere(app: ForwardingOperators) -> quart.Response:
+    """Says where the configuration is kept."""
+    return operator_routes.problem(409, 'rules-elsewhere', RULES_ELSEWHERE)
+
+
+def status_json(app: ForwardingOperators) -> dict[str, Any]:
+    """Returns what this router knows of the fleet."""
+    followed = app.entry.followed
+    table = followed.table
+    stale = not followed.may_serve_credentials()
+    return {
+        'router': app.name,
+        'availability_zone': app.settings.availability_zone,
+        'version': lavenderbend.__version__,
+        'revision': None if table is None else {'number': table.version},
+        'cut_off_seconds': followed.age if stale else None,
+        'when_cut_off': WHEN_CUT_OFF,
+        'routers': list(routers(app)),
+        'pools': [] if table is None else list(pools(app, table)),
+        'rules': [] if table is None else list(rule_hits(app, table)),
+        'unmatched': app.entry.unmatched,
+        'decisions': len(app.decisions.entries),
+    }
+
+
+def routers(app: ForwardingOperators) -> Iterator[dict[str, Any]]:
+    """Yields the known routers and their state."""
+    alive = {member.host for member in app.members.alive()}
+    for member in app.members.by_host.values():
+        state = 'alive' if member.host in alive else 'silent'
+        yield {
+            'id': member.name or member.host,
+            'availability_zone': member.zone,
+            'state': 'leaving' if member.leaving else state,
+            # routers tell each other the store's revision, not the version
+            'revision': None,
+        }
+
+
+def pools(
+    app: ForwardingOperators, table: forwarding.ForwardingTable
+) -> Iterator[dict[str, Any]]:
+    """Yields each pool with its upstreams and their load."""
+    found = app.entry.followed.current.upstreams.values()
+    for pool in table.pools:
+        members = [
+            upstream_json(app, one)
+            for one in found
+            if one.vm.service == pool.name
+        ]
+        loads = [one['load'] for one in members if one['takes_new_work']]
+        mean = sum(loads) / len(loads) if loads else None
+        yield {
+            'name': pool.name,
+            'mean_load': mean,
+            'skew': max(loads) / mean if mean else None,
+            'upstreams': members,
+        }
+
+
+def upstream_json(
+    app: ForwardingOperators, upstream: forwarding.Upstream
+) -> dict[str, Any]:
+    """Returns an upstream with its load."""
+    step = app.explainer.step(upstream, '')
+    standing = app.chooser.health.standing(upstream.instance)
+    live = upstream.vm.state is upstreams_module.VmState.LIVE
+    return {
+        'id': upstream.instance,
+        'address': f'{upstream.vm.host}:{upstream.vm.port}',
+        'availability_zone': upstream.vm.availability_zone,
+        'takes_new_work': live,
+        'standing': standing if live else explain_module.LEAVING,
+        'load': step.load,
+        'report_age': step.report_age,
+    }
+
+
+def rule_hits(
+    app: ForwardingOperators, table: forwarding.ForwardingTable
+) -> Iterator[dict[str, Any]]:
+    """Yields the rules in order with how often each was the first match."""
+    for rule in table.rules:
+        shares = [f'{one.pool} {one.weight:g}' for one in rule.then.pools]
+        yield {
+            'name': rule.name,
+            'pool': ', '.join(shares),
+            'priority': str(rule.then.rank),
+            'idempotent': rule.then.idempotent,
+            'hits': app.entry.hits[rule.name],
+        }
--- a/lavenderbend/transport/operator_decisions.py
+++ b/lavenderbend/transport/operator_decisions.py
@@ -27,8 +27,13 @@
     from collections.abc import Iterator
 
     from lavenderbend.state import decisions
+    from lavenderbend.transport import forwarding_operators
     from lavenderbend.transport import operators
 
+    KeepsDecisions = (
+        operators.OperatorApp | forwarding_operators.ForwardingOperators
+    )
+
 DEFAULT_LIMIT = 100
 MAX_LIMIT = 10_000
 STREAM_POLL_SECONDS = 0.25
@@ -98,8 +103,11 @@
     return attrs.asdict(decision)
 
 
+@operator_routes.route(
+    'GET', '/v1/decisions', operator_routes.FORWARDING_ROUTES
+)
 @operator_routes.route('GET', '/v1/decisions')
-async def recent(app: operators.OperatorApp) -> quart.Response:
+async def recent(app: KeepsDecisions) -> quart.Response:
     """The latest decisions, newest first, or a live stream of them."""
     wanted = read_filter()
     accepts = quart.request.accept_mimetypes
@@ -153,8 +161,11 @@
         yield decision
 
 
+@operator_routes.route(
+    'GET', '/v1/decisions/<decision_id>', operator_routes.FORWARDING_ROUTES
+)
 @operator_routes.route('GET', '/v1/decisions/<decision_id>')
-async def one(app: operators.OperatorApp, decision_id: str) -> quart.Response:
+async def one(app: KeepsDecisions, decision_id: str) -> quart.Response:
     """One decision by its id."""
     decision = app.decisions.get(decision_id)
     if decision is None:
--- a/lavenderbend/transport/operator_routes.py
+++ b/lavenderbend/transport/operator_routes.py
@@ -1,4 +1,4 @@
-"""The routes of the operators' interface; modules of views fill them."""
+"""The routes of the operators' interfaces; modules of views fill them."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     Attributes:
         method: HTTP method.
         path: Path in the form of quart.
-        view: Gets the `OperatorApp` and the parts of the path.
+        view: Gets the interface and the parts of the path.
     """
 
     method: str
@@ -42,13 +42,24 @@
 
 
 ROUTES: registry.Registry[Route] = registry.Registry('route')
+FORWARDING_ROUTES: registry.Registry[Route] = registry.Registry(
+    'route of forwarding routers'
+)
 
 
-def route(method: str, path: str) -> Callable[[View], View]:
-    """Returns a decorator that registers a view under method and path."""
+def route(
+    method: str, path: str, routes: registry.Registry[Route] = ROUTES
+) -> Callable[[View], View]:
+    """Returns a decorator that registers a view under method and path.
+
+    Args:
+        method: HTTP method.
+        path: Path in the form of quart.
+        routes: The interface that the view belongs to.
+    """
 
     def decorate(view: View) -> View:
-        ROUTES.register(f'{path} {method}')(Route(method, path, view))
+        routes.register(f'{path} {method}')(Route(method, path, view))
         return view
 
     return decorate
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -164,6 +164,9 @@
     then: Exception | None
 
 
+LOST_ANSWER = errors.UpstreamLost('reset')
+
+
 def not_run(status=503):
     return reply(status, (b'',), **{'x-signature': '', 'x-not-run': '1'})
 
--- a/tests/test_observe/test_observe_metrics.py
+++ b/tests/test_observe/test_observe_metrics.py
@@ -8,7 +8,7 @@
 
 import lavenderbend
 from lavenderbend.observe import metrics
-from lavenderbend.transport import operators
+from lavenderbend.transport import operator_interface
 
 NAME = re.compile(r'lavenderbend_[a-z0-9_]+')
 UNITS = ('_seconds', '_bytes', '_ratio')
@@ -38,6 +38,6 @@
 
 
 def test_exposition_is_text():
-    operators.CALLS.inc({'status': '200'})
+    operator_interface.CALLS.inc({'status': '200'})
 
     assert b'lavenderbend_operator_calls_total{' in metrics.render()
