Trace forwarded requests, a span for each attempt

Spans existed only on the path with permits. A forwarding router whose settings name a collector makes one span a request and one an attempt, and names the attempt as parent to the upstream; without a collector the tracing libraries are not loaded and the caller's trace is passed on as it came.

--- a/lavenderbend/cmd/router.py
+++ b/lavenderbend/cmd/router.py
@@ -29,6 +29,10 @@
     # it loads a third of what the other kind of router does
     from lavenderbend.daemon import forwarding
 
+    if settings.tracing.otlp_endpoint is not None:
+        from lavenderbend.observe import tracing
+
+        tracing.set_up(settings.id, settings.tracing.otlp_endpoint)
     logs.write_unblocked(sys.stdout.fileno())
     trio.run(forwarding.run_router, settings, path)
     return exit_codes.ExitCode.OK
--- a/lavenderbend/coordination/dispatch/attempts.py
+++ b/lavenderbend/coordination/dispatch/attempts.py
@@ -10,7 +10,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.dispatch import bodies
-from lavenderbend.coordination.dispatch import spans
+from lavenderbend.observe import spans
 from lavenderbend.protocol import openai
 from lavenderbend.state import decisions
 from lavenderbend.state import upstreams
--- a/lavenderbend/coordination/dispatch/dispatcher.py
+++ b/lavenderbend/coordination/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
 from lavenderbend.coordination.dispatch import parts as parts_module
 from lavenderbend.coordination.dispatch import records
 from lavenderbend.coordination.dispatch import rule_limits
-from lavenderbend.coordination.dispatch import spans
+from lavenderbend.observe import spans
 from lavenderbend.protocol import openai
 from lavenderbend.state import claims as claims_state
 from lavenderbend.state import hashing
--- a/lavenderbend/coordination/dispatch/exchange.py
+++ b/lavenderbend/coordination/dispatch/exchange.py
@@ -17,7 +17,7 @@
     from collections.abc import Awaitable
 
     from lavenderbend.coordination.dispatch import parts as parts_module
-    from lavenderbend.coordination.dispatch import spans
+    from lavenderbend.observe import spans
     from lavenderbend.state import configuration
     from lavenderbend.state import decisions
     from lavenderbend.state import requests
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 
     from lavenderbend.coordination.forwarding import budget as budget_module
     from lavenderbend.coordination.forwarding import choice as choice_module
+    from lavenderbend.coordination.forwarding import hops
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import tickets
     from lavenderbend.state import forwarding
@@ -49,6 +50,7 @@
         budget: Allows repeats.
         decisions: Keeps what was decided for operators to read back, None
             where no operators' interface is served.
+        tracer: Makes spans, None where no collector is named.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self.attempts = attempts
         self.budget = budget
         self.decisions: decisions_module.DecisionStore | None = None
+        self.tracer: hops.Tracer | None = None
 
     async def forward(
         self,
@@ -75,10 +78,14 @@
             RequestError: It has no answer from an upstream.
         """
         ticket = None
+        hop = None
         outcome = 'cancelled'
         detail = ''
+        if self.tracer is not None:
+            hop = self.tracer.begin_request(request)
         try:
             ticket = await self.entry.admit(request)
+            ticket.hop = hop
             await self.until_deadline(ticket, answer)
             outcome = records.ANSWERED
         except errors.RequestError as exc:
@@ -87,6 +94,9 @@
             raise
         finally:
             self.note_end(request, ticket, answer, outcome, detail)
+            if hop is not None:
+                error = '' if outcome == records.ANSWERED else outcome
+                self.tracer.end_request(hop, ticket, error)
 
     def note_end(
         self,
@@ -166,6 +176,8 @@
         while True:
             upstream = self.next_upstream(ticket)
             record = ticket.placed[-1]
+            if ticket.hop is not None:
+                ticket.attempt_hop = self.tracer.begin_attempt(ticket, upstream)
             try:
                 await self.attempts.attempt(
                     ticket, upstream, answer, self.repeat_check(ticket)
@@ -188,6 +200,8 @@
                 )
             finally:
                 record.finished = trio.current_time() - record.started
+                if ticket.attempt_hop is not None:
+                    ticket.attempt_hop.end(failed_result(record))
             if not self.go_on(ticket, answer):
                 await self.give_up(ticket, answer)
                 return
@@ -260,6 +274,11 @@
         )
 
 
+def failed_result(record: decisions_module.Attempt) -> str:
+    """Returns how an attempt failed, empty if it did not."""
+    return '' if record.result == records.COMPLETE else record.result
+
+
 def passed_over_texts(placed: Iterable[decisions_module.Attempt]) -> list[str]:
     """Returns which upstreams were not taken, and why, for the log."""
     return [
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/hops.py
@@ -0,0 +1,55 @@
+"""Spans of forwarded requests, where the settings name a collector."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from opentelemetry import trace
+
+from lavenderbend.observe import spans
+
+if TYPE_CHECKING:
+    from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import tickets
+    from lavenderbend.state import forwarding
+
+
+class Tracer:
+    """Makes a span for a request, and one below it for each attempt.
+
+    This module loads the tracing libraries, some 5 MB: routers whose
+    settings name no collector have no tracer.
+    """
+
+    def begin_request(self, request: interfaces.CallerRequest) -> spans.Hop:
+        """Returns the span of a request, below its caller's own if any."""
+        headers = {
+            name: value
+            for name in spans.TRACE_HEADERS
+            if (value := request.header(name)) is not None
+        }
+        return spans.Hop('forward', headers, trace.SpanKind.SERVER)
+
+    def begin_attempt(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> spans.Hop:
+        """Returns the span of one attempt."""
+        hop = spans.Hop('attempt', ticket.hop.headers, trace.SpanKind.CLIENT)
+        hop.note('upstream', upstream.instance)
+        return hop
+
+    def end_request(
+        self, hop: spans.Hop, ticket: tickets.Ticket | None, outcome: str
+    ) -> None:
+        """Ends the span of a request.
+
+        Args:
+            hop: The span.
+            ticket: What was decided, None if it was refused at the entry.
+            outcome: Kind of the error, empty if it was answered.
+        """
+        if ticket is not None:
+            hop.note('request.id', ticket.id)
+            hop.note('rule', ticket.rule.name)
+            hop.note('service', ticket.service)
+        hop.end(outcome)
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from lavenderbend.coordination.forwarding import cached_prompts
     from lavenderbend.coordination.forwarding import tickets
+    from lavenderbend.observe import spans
     from lavenderbend.state import forwarding
     from lavenderbend.state import forwarding_settings
 
@@ -74,6 +75,8 @@
             headers.append((names.customer.encode(), ticket.customer.encode()))
         if request.body or request.method not in (b'GET', b'HEAD'):
             headers.append((b'content-length', b'%d' % len(request.body)))
+        if ticket.attempt_hop is not None:
+            headers = traced(headers, ticket.attempt_hop)
         if ticket.cutter.last is not None:
             headers = [item for item in headers if item[0] != LAST_EVENT_ID]
             headers.append((LAST_EVENT_ID, b'%d' % ticket.cutter.last))
@@ -100,3 +103,11 @@
         if source is None:
             return None
         return f'{source.vm.host}:{source.vm.port}'.encode()
+
+
+def traced(
+    headers: list[tuple[bytes, bytes]], hop: spans.Hop
+) -> list[tuple[bytes, bytes]]:
+    """Returns headers that name a span as the parent of the next hop."""
+    own = {name.encode(): value.encode() for name, value in hop.headers.items()}
+    return [item for item in headers if item[0] not in own] + [*own.items()]
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.observe import spans
     from lavenderbend.state import decisions
     from lavenderbend.state import forwarding
 
@@ -50,6 +51,8 @@
         may_have_run: Whether an upstream may have begun to run it.
         fingerprint: What it has in common with its repetitions, None until
             it is asked for.
+        hop: The span of the request, None where nothing is traced.
+        attempt_hop: The span of the latest attempt, below it.
         fallback: A failure answered by an upstream, to be passed on if no
             other upstream does better.
     """
@@ -68,6 +71,8 @@
     unreachable: list[str] = attrs.field(factory=list)
     may_have_run: bool = False
     fingerprint: int | None = None
+    hop: spans.Hop | None = None
+    attempt_hop: spans.Hop | None = None
     fallback: WholeAnswer | None = None
 
     @property
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -68,6 +68,11 @@
         self.make_path()
         self.make_servers()
         self.operators = self.make_operators()
+        if settings.tracing.otlp_endpoint is not None:
+            # its libraries are loaded only where spans go somewhere
+            from lavenderbend.coordination.forwarding import hops
+
+            self.forwarder.tracer = hops.Tracer()
 
     def make_knowledge(self) -> None:
         """Makes what knows the configuration, upstreams and their loads."""
--- a/lavenderbend/transport/answer_bodies.py
+++ b/lavenderbend/transport/answer_bodies.py
@@ -15,7 +15,7 @@
     from types import TracebackType
 
     from lavenderbend.coordination import dispatch
-    from lavenderbend.coordination.dispatch import spans
+    from lavenderbend.observe import spans
 
 
 class BrokenOff(errors.LavenderbendError):
--- a/lavenderbend/transport/callers.py
+++ b/lavenderbend/transport/callers.py
@@ -14,9 +14,9 @@
 from werkzeug import exceptions
 
 from lavenderbend import errors
-from lavenderbend.coordination.dispatch import spans
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.observe import spans
 from lavenderbend.protocol import chat_keys
 from lavenderbend.protocol import http_limits
 from lavenderbend.protocol import openai
--- a/tests/test_coordination/test_dispatch_limits.py
+++ b/tests/test_coordination/test_dispatch_limits.py
@@ -11,7 +11,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.dispatch import rule_limits
-from lavenderbend.coordination.dispatch import spans
+from lavenderbend.observe import spans
 from lavenderbend.state import configuration
 from tests import path_fakes
 
