Write a line when a request is admitted and each time it is sent

A request that a killed router had in hand left no line at all: its only one came at its end. Admission and each sending now have lines, sampled for ordinary requests at the same rate as before, always for repeats and failures. A store answer that is no page, or has more pages than are read, is a typed error; it ended the router's task before, or passed a part of the store for all of it.

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -86,6 +86,7 @@
         try:
             ticket = await self.entry.admit(request)
             ticket.hop = hop
+            self.note_admitted(ticket)
             await self.until_deadline(ticket, answer)
             outcome = records.ANSWERED
         except errors.RequestError as exc:
@@ -98,6 +99,23 @@
                 error = '' if outcome == records.ANSWERED else outcome
                 self.tracer.end_request(hop, ticket, error)
 
+    def note_admitted(self, ticket: tickets.Ticket) -> None:
+        """Writes what the entry decided, if the request has such lines."""
+        ticket.logged = logs.sample_request()
+        if not ticket.logged:
+            return
+        logs.change(
+            'request_admitted',
+            request=ticket.id,
+            rule=ticket.rule.name,
+            version=self.entry.version,
+            age=round(self.entry.followed.age, 3),
+            customer=ticket.customer,
+            service=ticket.service,
+            rank=ticket.rank,
+            seconds_left=round(ticket.left, 3),
+        )
+
     def note_end(
         self,
         request: interfaces.CallerRequest,
@@ -115,8 +133,9 @@
         rule = '' if ticket is None else ticket.rule.name
         ENDED.inc({'rule': rule, 'outcome': outcome})
         DURATION.observe({}, seconds)
+        ordinary = outcome == records.ANSWERED and len(placed) == 1
         logs.request_ended(
-            outcome == records.ANSWERED,
+            ordinary and not ticket.logged,
             request=request_id,
             rule=rule,
             version=self.entry.version,
@@ -173,39 +192,43 @@
         """
         self.attempts.crashes.check(ticket)
         self.budget.note_request(ticket.service)
-        while True:
-            upstream = self.next_upstream(ticket)
-            record = ticket.placed[-1]
-            if ticket.hop is not None:
-                ticket.attempt_hop = self.tracer.begin_attempt(ticket, upstream)
-            try:
-                await self.attempts.attempt(
-                    ticket, upstream, answer, self.repeat_check(ticket)
-                )
-                record.result = records.COMPLETE
-                return
-            except errors.UpstreamUnreachable as exc:
-                record.result = type(exc).__name__
-                ticket.unreachable.append(upstream.instance)
-            except errors.UpstreamError as exc:
-                record.result = type(exc).__name__
-                logs.change(
-                    'attempt_failed',
-                    request=ticket.id,
-                    upstream=upstream.instance,
-                    kind=type(exc).__name__,
-                    cause=str(exc),
-                    may_have_run=ticket.may_have_run,
-                    last_event=ticket.cutter.last,
-                )
-            finally:
-                record.finished = trio.current_time() - record.started
-                if ticket.attempt_hop is not None:
-                    ticket.attempt_hop.end(failed_result(record))
+        while not await self.try_next(ticket, answer):
             if not self.go_on(ticket, answer):
                 await self.give_up(ticket, answer)
                 return
 
+    async def try_next(
+        self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
+    ) -> bool:
+        """Sends a request to the upstream that comes next.
+
+        Returns:
+            Whether it has answered.
+
+        Raises:
+            NoUpstream: The service has none.
+        """
+        upstream = self.next_upstream(ticket)
+        record = ticket.placed[-1]
+        if ticket.hop is not None:
+            ticket.attempt_hop = self.tracer.begin_attempt(ticket, upstream)
+        try:
+            await self.attempts.attempt(
+                ticket, upstream, answer, self.repeat_check(ticket)
+            )
+            record.result = records.COMPLETE
+        except errors.UpstreamUnreachable as exc:
+            record.result = type(exc).__name__
+            ticket.unreachable.append(upstream.instance)
+        except errors.UpstreamError as exc:
+            record.result = type(exc).__name__
+            note_failed(ticket, upstream, exc)
+        finally:
+            record.finished = trio.current_time() - record.started
+            if ticket.attempt_hop is not None:
+                ticket.attempt_hop.end(failed_result(record))
+        return record.result == records.COMPLETE
+
     def next_upstream(self, ticket: tickets.Ticket) -> forwarding.Upstream:
         """Returns the upstream that comes next.
 
@@ -220,14 +243,14 @@
                 f'no upstream of {ticket.service!r} is known',
                 entry_module.come_back_seconds(ticket.left),
             )
-        ticket.placed.append(
-            decisions_module.Attempt(
-                choice.upstream.instance,
-                reason=f'{choice.reason} {choice.load}/{choice.allowed}',
-                passed_over=choice.passed_over,
-                started=trio.current_time(),
-            )
+        record = decisions_module.Attempt(
+            choice.upstream.instance,
+            reason=f'{choice.reason} {choice.load}/{choice.allowed}',
+            passed_over=choice.passed_over,
+            started=trio.current_time(),
         )
+        ticket.placed.append(record)
+        note_sent(ticket, record)
         return choice.upstream
 
     def repeat_check(self, ticket: tickets.Ticket) -> Callable[[], bool]:
@@ -274,6 +297,43 @@
         )
 
 
+def note_sent(ticket: tickets.Ticket, record: decisions_module.Attempt) -> None:
+    """Writes where a request is sent now, and why there.
+
+    A repeat always has its line: it spends what the fleet may repeat.
+    """
+    number = len(ticket.placed)
+    if not ticket.logged and number == 1:
+        return
+    logs.change(
+        'request_sent',
+        request=ticket.id,
+        attempt=number,
+        upstream=record.upstream,
+        why=record.reason,
+        passed_over=passed_over_texts([record]),
+        after_event=ticket.cutter.last,
+        seconds_left=round(ticket.left, 3),
+    )
+
+
+def note_failed(
+    ticket: tickets.Ticket,
+    upstream: forwarding.Upstream,
+    cause: errors.UpstreamError,
+) -> None:
+    """Writes that an upstream that had a request did not answer it whole."""
+    logs.change(
+        'attempt_failed',
+        request=ticket.id,
+        upstream=upstream.instance,
+        kind=type(cause).__name__,
+        cause=str(cause),
+        may_have_run=ticket.may_have_run,
+        last_event=ticket.cutter.last,
+    )
+
+
 def failed_result(record: decisions_module.Attempt) -> str:
     """Returns how an attempt failed, empty if it did not."""
     return '' if record.result == records.COMPLETE else record.result
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -51,6 +51,7 @@
         may_have_run: Whether an upstream may have begun to run it.
         fingerprint: What it has in common with its repetitions, None until
             it is asked for.
+        logged: Whether lines are written on it even if it ends well.
         hop: The span of the request, None where nothing is traced.
         attempt_hop: The span of the latest attempt, below it.
         fallback: A failure answered by an upstream, to be passed on if no
@@ -71,6 +72,7 @@
     unreachable: list[str] = attrs.field(factory=list)
     may_have_run: bool = False
     fingerprint: int | None = None
+    logged: bool = False
     hop: spans.Hop | None = None
     attempt_hop: spans.Hop | None = None
     fallback: WholeAnswer | None = None
--- a/lavenderbend/observe/logs.py
+++ b/lavenderbend/observe/logs.py
@@ -37,15 +37,22 @@
     change(event, kind=type(exc).__name__, trace=trace[-MAX_TRACE:])
 
 
-def request_ended(ordinary: bool, **fields: Any) -> None:
+def sample_request() -> bool:
+    """Returns whether a request's lines are written even if it ends well.
+
+    Over a rate they are not, so that failures keep their room.
+    """
+    return ORDINARY.try_take()
+
+
+def request_ended(left_out: bool, **fields: Any) -> None:
     """Writes the line of a request that has ended.
 
     Args:
-        ordinary: Whether it ended well; over a rate such lines are left
-            out and counted, so that failures keep their room.
+        left_out: Whether it is only counted.
         **fields: Inputs of the decision and the outcome.
     """
-    if ordinary and not ORDINARY.try_take():
+    if left_out:
         SAMPLED_OUT.inc({})
         return
     eliot.log_message(message_type='lavenderbend:request_ended', **fields)
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib import parse
 
+import attrs
 import orjson
 
 from lavenderbend import errors
@@ -22,6 +23,40 @@
 OK = 200
 
 
+@attrs.frozen
+class Page:
+    """A part of the store.
+
+    Attributes:
+        revision: The store's revision at the call.
+        items: By key; at least one if there are more.
+        has_more: Whether keys follow behind the last of these.
+    """
+
+    revision: int
+    items: dict[str, forwarding.RawItem]
+    has_more: bool
+
+
+def decode_page(value: dict[str, Any]) -> Page:
+    """Returns an answer of the store, decoded.
+
+    Raises:
+        ValueError: A value is no base64, or more keys follow behind none.
+        KeyError: A field is missing.
+        TypeError: A field is of another type.
+    """
+    items = {
+        item['key']: forwarding.RawItem(
+            int(item['rev']), base64.b64decode(item['value'])
+        )
+        for item in value['items']
+    }
+    if value['hasMore'] and not items:
+        raise ValueError('more keys behind an empty page')
+    return Page(int(value['storeRevision']), items, value['hasMore'])
+
+
 class PlatformStore(interfaces.SnapshotSource):
     """Reads the platform's store.
 
@@ -56,16 +91,16 @@
             page = await self.page(after)
             # pages are no snapshot: what the first one holds is known to be
             # the newest only as of the first call
-            revision = page['storeRevision'] if revision is None else revision
-            for item in page['items']:
-                value = base64.b64decode(item['value'])
-                items[item['key']] = forwarding.RawItem(item['rev'], value)
-            if not page['hasMore']:
-                break
-            after = page['items'][-1]['key']
-        return forwarding.RawSnapshot(revision, items)
-
-    async def page(self, after: str) -> dict[str, Any]:
+            revision = page.revision if revision is None else revision
+            items.update(page.items)
+            if not page.has_more:
+                return forwarding.RawSnapshot(revision, items)
+            after = next(reversed(page.items))
+        # a part of the store would pass for all of it: upstreams on the
+        # pages that were not read would be taken for gone
+        raise errors.KeyValueUnavailable(f'more than {MAX_PAGES} pages')
+
+    async def page(self, after: str) -> Page:
         """Reads the keys after one.
 
         Raises:
@@ -78,9 +113,10 @@
         if answer.status != OK:
             raise errors.KeyValueUnavailable(f'status {answer.status}')
         try:
-            return orjson.loads(answer.body)
-        except orjson.JSONDecodeError as exc:
-            raise errors.KeyValueUnavailable(f'no JSON: {exc}') from exc
+            return decode_page(orjson.loads(answer.body))
+        except (ValueError, KeyError, TypeError) as exc:
+            kind = type(exc).__name__
+            raise errors.KeyValueUnavailable(f'no page: {kind} {exc}') from exc
 
     def decode(self, raw: forwarding.RawSnapshot) -> forwarding.Snapshot:
         """Returns what a read returned, decoded.
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -114,7 +114,8 @@
 
     Attributes:
         items: Value and revision by key.
-        fault: How it misbehaves: '', 'busy', 'many', 'reset', 'silent'.
+        fault: How it misbehaves: '', 'busy', 'many', 'reset', 'silent',
+            'torn' (an answer that is no page).
         page: Items of one page at most.
     """
 
@@ -140,7 +141,9 @@
             stream.socket.close()
             return
         status, value = 200, self.range(asked.target)
-        if self.fault:
+        if self.fault == 'torn':
+            value['items'][-1].pop('rev')
+        elif self.fault:
             status, value = {'busy': 503, 'many': 429}[self.fault], {}
         body = json.dumps(value).encode()
         headers = [('content-type', 'application/json')]
--- /dev/null
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -0,0 +1,117 @@
+"""The lines that a forwarding router writes on each request."""
+
+from __future__ import annotations
+
+import eliot
+import pytest
+
+from lavenderbend.observe import log_writer
+from lavenderbend.observe import logs
+from tests import forwarding_fakes as fakes
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    budget = log_writer.LineBudget(1000.0, 1000.0)
+    monkeypatch.setattr(logs, 'ORDINARY', budget)
+    found = []
+    eliot.add_destinations(found.append)
+    yield found
+    eliot.remove_destination(found.append)
+
+
+def router(steps, rule):
+    exchanges = fakes.Exchanges(e1=(), e2=())
+    exchanges.steps = {'e1': steps, 'e2': steps}
+    found = [fakes.upstream('e1'), fakes.upstream('e2')]
+    content = fakes.snapshot(1, fakes.table(1, (rule,)), *found)
+    return fakes.Router(content, exchanges)
+
+
+def events(lines):
+    return [
+        line['message_type'].removeprefix('lavenderbend:')
+        for line in lines
+        if line.get('request') == 'r1'
+    ]
+
+
+def named(lines, event):
+    return [
+        line
+        for line in lines
+        if line['message_type'] == f'lavenderbend:{event}'
+    ]
+
+
+async def test_each_decision_on_a_request_is_a_line(autojump_clock, lines):
+    rule = fakes.rule(idempotent=True, attempts=2)
+    subject = router([fakes.LOST_ANSWER, fakes.reply()], rule)
+    await subject.ask()
+    assert events(lines) == [
+        'request_admitted',
+        'request_sent',
+        'attempt_failed',
+        'request_sent',
+        'request_ended',
+    ]
+    (admitted,) = named(lines, 'request_admitted')
+    assert (admitted['rule'], admitted['customer']) == ('chat', 'corte')
+    assert (admitted['version'], admitted['rank']) == (1, 1)
+    assert admitted['age'] < 1.0
+    first, second = named(lines, 'request_sent')
+    assert second['upstream'] != first['upstream']
+    assert second['passed_over'] == [f'{first["upstream"]} had the request']
+    assert second['attempt'] == 2
+
+
+async def test_process_that_dies_has_said_where_a_request_went(
+    autojump_clock, lines
+):
+    # A router is killed while an upstream works on a request: the line at
+    # the end is never written. The caller's question, whether it may have
+    # run, is answered by the line of its sending.
+    rule = fakes.rule()
+    subject = router([fakes.reply(delay=4.0)], rule)
+    async with fakes.trio.open_nursery() as nursery:
+        nursery.start_soon(subject.ask)
+        await fakes.trio.sleep(1.0)
+        assert events(lines) == ['request_admitted', 'request_sent']
+        nursery.cancel_scope.cancel()
+
+
+async def test_failed_request_has_its_lines_over_the_rate(
+    autojump_clock, lines
+):
+    # A flood of ordinary requests uses up the lines of a second. One that
+    # fails among them still has all that its cause is found by.
+    logs.ORDINARY.rate = logs.ORDINARY.tokens = 0.0
+    rule = fakes.rule(idempotent=True, attempts=2)
+    subject = router([fakes.LOST_ANSWER], rule)
+    await subject.ask()
+    assert events(lines) == [
+        'attempt_failed',
+        'request_sent',
+        'attempt_failed',
+        'request_ended',
+    ]
+    (ended,) = named(lines, 'request_ended')
+    assert len(ended['placed']) == 2
+    assert ended['outcome'] == 'unknown'
+
+
+async def test_ordinary_request_over_the_rate_is_only_counted(
+    autojump_clock, lines
+):
+    logs.ORDINARY.rate = logs.ORDINARY.tokens = 0.0
+    subject = router([fakes.reply()], fakes.rule())
+    await subject.ask()
+    assert events(lines) == []
+
+
+async def test_refused_request_says_why(autojump_clock, lines):
+    subject = router([fakes.reply()], fakes.rule())
+    await subject.ask(key='wrong')
+    assert events(lines) == ['request_ended']
+    (ended,) = named(lines, 'request_ended')
+    assert ended['outcome'] == 'not-authenticated'
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -83,6 +83,16 @@
     assert sorted(snapshot.upstreams) == ['i-1', 'i-2']
 
 
+async def test_store_of_too_many_pages_is_not_read_in_part(store, client):
+    # Upstreams on the pages that were not read would pass for gone: their
+    # service would get no requests, and nothing would say why.
+    store.page = 1
+    for number in range(platform_store.MAX_PAGES):
+        store.put(f'servers/more-{number}', standins.Worker('m', 'x').entry())
+    with pytest.raises(errors.KeyValueUnavailable, match='pages'):
+        await client.read()
+
+
 async def test_equal_contents_have_equal_digests(store, client):
     first = client.decode(await client.read())
     store.revision += 5
@@ -92,7 +102,7 @@
     assert client.decode(await client.read()).digest != first.digest
 
 
-@pytest.mark.parametrize('fault', ['busy', 'many', 'reset', 'silent'])
+@pytest.mark.parametrize('fault', ['busy', 'many', 'reset', 'silent', 'torn'])
 async def test_store_that_fails_is_a_typed_error_and_regained(
     store, client, fault
 ):
