--- a/bench/agreed/at_most_once.py
+++ b/bench/agreed/at_most_once.py
@@ -10,7 +10,7 @@
 
 from bench.agreed import fleets
 from lavenderbend import errors
-from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination.claims import claims as claims_module
 from lavenderbend.standin import key_value
 from lavenderbend.state import claims
 
--- a/bench/agreed/claim_rate.py
+++ b/bench/agreed/claim_rate.py
@@ -9,8 +9,8 @@
 
 from bench.agreed import fleets
 from lavenderbend import errors
-from lavenderbend.coordination import claim_waiting
-from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination.claims import claims as claims_module
+from lavenderbend.coordination.claims import waiting as claim_waiting
 from lavenderbend.standin import key_value
 
 ONE_WAY_SECONDS = 0.0015
--- a/bench/agreed/engines.py
+++ b/bench/agreed/engines.py
@@ -8,7 +8,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import orders as orders_module
+from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.state import orders
 
 if TYPE_CHECKING:
--- a/bench/agreed/fleets.py
+++ b/bench/agreed/fleets.py
@@ -9,8 +9,8 @@
 import trio
 import trio.testing
 
-from lavenderbend.coordination import claims as claims_module
 from lavenderbend.coordination import interfaces
+from lavenderbend.coordination.claims import claims as claims_module
 from tests.test_coordination import agreed_fakes as fakes
 
 if TYPE_CHECKING:
--- a/bench/agreed/operators.py
+++ b/bench/agreed/operators.py
@@ -10,8 +10,10 @@
 
 from bench.agreed import fleets
 from lavenderbend import errors
-from lavenderbend.coordination import configuration_follower
-from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
+from lavenderbend.coordination.configuration import log as configuration_log
 from lavenderbend.standin import key_value
 from lavenderbend.state import configuration
 from tests.test_coordination import agreed_fakes as fakes
--- a/bench/agreed/order_rolls.py
+++ b/bench/agreed/order_rolls.py
@@ -11,7 +11,7 @@
 from bench.agreed import engines as engines_module
 from bench.agreed import fleets
 from lavenderbend.coordination import interfaces
-from lavenderbend.coordination import orders as orders_module
+from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.standin import key_value
 from lavenderbend.standin import weight_store
 from lavenderbend.state import configuration
--- a/bench/agreed/outage_spread.py
+++ b/bench/agreed/outage_spread.py
@@ -8,7 +8,9 @@
 import trio
 
 from bench.agreed import fleets
-from lavenderbend.coordination import configuration_follower
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
 from lavenderbend.standin import key_value
 from tests.test_coordination import agreed_fakes as fakes
 
--- a/bench/agreed/spread.py
+++ b/bench/agreed/spread.py
@@ -9,9 +9,11 @@
 import trio
 
 from bench.agreed import fleets
-from lavenderbend.coordination import configuration_follower
-from lavenderbend.coordination import configuration_log
 from lavenderbend.coordination import interfaces
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
+from lavenderbend.coordination.configuration import log as configuration_log
 from lavenderbend.protocol import etcd
 from lavenderbend.standin import key_value
 from lavenderbend.standin import key_value_http
--- a/bench/capacity/parts.py
+++ b/bench/capacity/parts.py
@@ -9,8 +9,8 @@
 import attrs
 
 from bench import rules_cost
-from lavenderbend.coordination import rules
 from lavenderbend.coordination.admission import groups
+from lavenderbend.coordination.rules import rules
 from lavenderbend.state import decisions
 
 RECORDS = 5000
--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -20,8 +20,8 @@
 from lavenderbend import errors
 from lavenderbend.coordination import admission
 from lavenderbend.coordination import cache_transfer
-from lavenderbend.coordination import quarantine
 from lavenderbend.coordination.admission import groups
+from lavenderbend.coordination.quarantine import quarantine
 from lavenderbend.state import configuration
 
 if TYPE_CHECKING:
--- a/bench/relay/router.py
+++ b/bench/relay/router.py
@@ -11,7 +11,7 @@
 from bench.relay import stub
 from lavenderbend.coordination import dispatch
 from lavenderbend.coordination import interfaces
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import rules
 from lavenderbend.protocol import http_limits
 from lavenderbend.state import configuration
 from lavenderbend.state import decisions
--- a/lavenderbend/cmd/rules_check.py
+++ b/lavenderbend/cmd/rules_check.py
@@ -7,7 +7,7 @@
 
 from lavenderbend.cmd import base
 from lavenderbend.cmd import exit_codes
-from lavenderbend.coordination import rule_checks
+from lavenderbend.coordination.rules import checks as rule_checks
 from lavenderbend.protocol import documents_yaml
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/lavenderbend/coordination/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests run at most once."""
--- a/lavenderbend/coordination/claims.py
+++ b/lavenderbend/coordination/claims/claims.py
@@ -11,10 +11,10 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import claim_inquiries
-from lavenderbend.coordination import claim_outcomes
-from lavenderbend.coordination import claim_shards
-from lavenderbend.coordination import claim_waiting
+from lavenderbend.coordination.claims import inquiries as claim_inquiries
+from lavenderbend.coordination.claims import outcomes as claim_outcomes
+from lavenderbend.coordination.claims import shards as claim_shards
+from lavenderbend.coordination.claims import waiting as claim_waiting
 from lavenderbend.observe import logs
 from lavenderbend.protocol import messages_agreed as messages
 from lavenderbend.state import claims
--- a/lavenderbend/coordination/claim_shards.py
+++ b/lavenderbend/coordination/claims/shards.py
@@ -9,8 +9,8 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import claim_waiting
 from lavenderbend.coordination import log
+from lavenderbend.coordination.claims import waiting as claim_waiting
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import records_claims
--- a/lavenderbend/coordination/configuration_contact.py
+++ b/lavenderbend/coordination/configuration/contact.py
@@ -10,7 +10,9 @@
 from lavenderbend.observe import metrics
 
 if TYPE_CHECKING:
-    from lavenderbend.coordination import configuration_chain
+    from lavenderbend.coordination.configuration import (
+        chain as configuration_chain,
+    )
 
 STALE = metrics.gauge(
     'lavenderbend_configuration_stale_seconds',
--- a/lavenderbend/coordination/configuration_follower.py
+++ b/lavenderbend/coordination/configuration/follower.py
@@ -7,11 +7,15 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import configuration_chain
-from lavenderbend.coordination import configuration_contact
-from lavenderbend.coordination import configuration_log
-from lavenderbend.coordination import configuration_service
 from lavenderbend.coordination import interfaces
+from lavenderbend.coordination.configuration import chain as configuration_chain
+from lavenderbend.coordination.configuration import (
+    contact as configuration_contact,
+)
+from lavenderbend.coordination.configuration import log as configuration_log
+from lavenderbend.coordination.configuration import (
+    service as configuration_service,
+)
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_agreed as messages
--- a/lavenderbend/coordination/configuration_log.py
+++ b/lavenderbend/coordination/configuration/log.py
@@ -10,8 +10,8 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import configuration_chain
 from lavenderbend.coordination import log
+from lavenderbend.coordination.configuration import chain as configuration_chain
 from lavenderbend.protocol import records_configuration as records
 from lavenderbend.state import documents
 from lavenderbend.state import rule_sets
--- a/lavenderbend/coordination/configuration_service.py
+++ b/lavenderbend/coordination/configuration/service.py
@@ -15,9 +15,11 @@
 if TYPE_CHECKING:
     import random
 
-    from lavenderbend.coordination import configuration_contact
-    from lavenderbend.coordination import configuration_log
     from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination.configuration import (
+        contact as configuration_contact,
+    )
+    from lavenderbend.coordination.configuration import log as configuration_log
 
 # routers that watch the service; the others hear from peers, so that the
 # calls to the service stay the same however large the fleet is
--- a/lavenderbend/coordination/dispatch/records.py
+++ b/lavenderbend/coordination/dispatch/records.py
@@ -8,7 +8,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import rules
 from lavenderbend.observe import metrics
 from lavenderbend.state import decisions
 
--- a/lavenderbend/coordination/explain.py
+++ b/lavenderbend/coordination/explain.py
@@ -8,7 +8,7 @@
 import trio
 
 from lavenderbend.coordination import placement
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import rules
 from lavenderbend.state import hashing
 from lavenderbend.state import upstreams
 
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -8,10 +8,10 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import rules as rules_module
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import events
 from lavenderbend.coordination.forwarding import tickets
+from lavenderbend.coordination.rules import rules as rules_module
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
--- a/lavenderbend/coordination/forwarding/explain.py
+++ b/lavenderbend/coordination/forwarding/explain.py
@@ -8,8 +8,8 @@
 import trio
 
 from lavenderbend.coordination import explain as explanations
-from lavenderbend.coordination import rules as rules_module
 from lavenderbend.coordination.forwarding import choice as choice_module
+from lavenderbend.coordination.rules import rules as rules_module
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/lavenderbend/coordination/forwarding/records.py
+++ b/lavenderbend/coordination/forwarding/records.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from lavenderbend.coordination import rules as rules_module
 from lavenderbend.coordination.forwarding import choice
+from lavenderbend.coordination.rules import rules as rules_module
 from lavenderbend.state import decisions
 from lavenderbend.state import hashing
 
--- a/lavenderbend/coordination/membership/fleet.py
+++ b/lavenderbend/coordination/membership/fleet.py
@@ -8,9 +8,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import ejection
 from lavenderbend.coordination import interfaces
-from lavenderbend.coordination import upstream_health
 from lavenderbend.coordination.membership import answers
 from lavenderbend.coordination.membership import candidates
 from lavenderbend.coordination.membership import list_reader
@@ -22,6 +20,8 @@
 from lavenderbend.coordination.membership import settings as settings_lib
 from lavenderbend.coordination.membership import spread
 from lavenderbend.coordination.membership import updates
+from lavenderbend.coordination.upstream_health import ejection
+from lavenderbend.coordination.upstream_health import health as upstream_health
 from lavenderbend.observe import logs
 from lavenderbend.protocol import messages_membership as messages
 from lavenderbend.state import upstreams
--- a/lavenderbend/coordination/membership/news.py
+++ b/lavenderbend/coordination/membership/news.py
@@ -8,9 +8,9 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import upstream_health
 from lavenderbend.coordination.membership import listing
 from lavenderbend.coordination.membership import routers
+from lavenderbend.coordination.upstream_health import health as upstream_health
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_membership as messages
--- a/lavenderbend/coordination/membership/settings.py
+++ b/lavenderbend/coordination/membership/settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavenderbend.coordination import ejection
+from lavenderbend.coordination.upstream_health import ejection
 
 
 @attrs.frozen
--- /dev/null
+++ b/lavenderbend/coordination/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Engines are brought to the models that operators want."""
--- a/lavenderbend/coordination/order_calls.py
+++ b/lavenderbend/coordination/orders/calls.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable
 
     from lavenderbend.coordination import leases
-    from lavenderbend.coordination import orders as orders_module
+    from lavenderbend.coordination.orders import orders as orders_module
     from lavenderbend.state import orders
     from lavenderbend.state import upstreams
 
--- a/lavenderbend/coordination/pool_orders.py
+++ b/lavenderbend/coordination/orders/pools.py
@@ -8,15 +8,15 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import order_calls
+from lavenderbend.coordination.orders import calls as order_calls
 from lavenderbend.observe import logs
 from lavenderbend.state import configuration
 from lavenderbend.state import orders
 
 if TYPE_CHECKING:
     from lavenderbend.coordination import leases
-    from lavenderbend.coordination import order_memory
-    from lavenderbend.coordination import orders as orders_module
+    from lavenderbend.coordination.orders import memory as order_memory
+    from lavenderbend.coordination.orders import orders as orders_module
     from lavenderbend.state import upstreams
 
 
--- /dev/null
+++ b/lavenderbend/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the engines that run them."""
--- a/lavenderbend/coordination/quarantine.py
+++ b/lavenderbend/coordination/quarantine/quarantine.py
@@ -12,7 +12,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import quarantine_records
+from lavenderbend.coordination.quarantine import records as quarantine_records
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_decisions
--- /dev/null
+++ b/lavenderbend/coordination/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' when-then rules: matched, checked, compared."""
--- a/lavenderbend/coordination/rule_differences.py
+++ b/lavenderbend/coordination/rules/differences.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import rules
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/lavenderbend/coordination/upstream_health/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams are left out for how they answer."""
--- a/lavenderbend/daemon/adapters.py
+++ b/lavenderbend/daemon/adapters.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from lavenderbend.coordination import admission as admission_module
-from lavenderbend.coordination import claim_waiting
-from lavenderbend.coordination import claims as claims_module
 from lavenderbend.coordination import dispatch
 from lavenderbend.coordination import membership as membership_module
-from lavenderbend.coordination import orders as orders_module
 from lavenderbend.coordination import retries
+from lavenderbend.coordination.claims import claims as claims_module
+from lavenderbend.coordination.claims import waiting as claim_waiting
+from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.protocol import http_limits
 from lavenderbend.state import settings as settings_module
 from lavenderbend.transport import key_value_etcd  # noqa: F401 - registers
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -10,14 +10,16 @@
 
 from lavenderbend.coordination import admission as admission_module
 from lavenderbend.coordination import call_budget
-from lavenderbend.coordination import claims as claims_module
-from lavenderbend.coordination import configuration_follower
 from lavenderbend.coordination import dispatch
 from lavenderbend.coordination import limits as limits_module
 from lavenderbend.coordination import membership as membership_module
-from lavenderbend.coordination import orders as orders_module
-from lavenderbend.coordination import quarantine as quarantine_module
-from lavenderbend.coordination import rules as rules_module
+from lavenderbend.coordination.claims import claims as claims_module
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
+from lavenderbend.coordination.orders import orders as orders_module
+from lavenderbend.coordination.quarantine import quarantine as quarantine_module
+from lavenderbend.coordination.rules import rules as rules_module
 from lavenderbend.daemon import adapters
 from lavenderbend.observe import logs
 from lavenderbend.protocol import http_limits
--- a/lavenderbend/transport/operator_rules.py
+++ b/lavenderbend/transport/operator_rules.py
@@ -11,15 +11,15 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import rule_checks
-from lavenderbend.coordination import rule_differences
+from lavenderbend.coordination.rules import checks as rule_checks
+from lavenderbend.coordination.rules import differences as rule_differences
 from lavenderbend.observe import logs
 from lavenderbend.protocol import documents_yaml
 from lavenderbend.state import configuration
 from lavenderbend.transport import operator_routes
 
 if TYPE_CHECKING:
-    from lavenderbend.coordination import configuration_log
+    from lavenderbend.coordination.configuration import log as configuration_log
     from lavenderbend.transport import operators
 
 DEFAULT_HISTORY = 20
--- a/lavenderbend/transport/operators.py
+++ b/lavenderbend/transport/operators.py
@@ -12,13 +12,15 @@
 from lavenderbend.transport import status_page
 
 if TYPE_CHECKING:
-    from lavenderbend.coordination import configuration_follower
-    from lavenderbend.coordination import (
-        configuration_log as configuration_log_module,
-    )
     from lavenderbend.coordination import interfaces
     from lavenderbend.coordination import membership as membership_module
-    from lavenderbend.coordination import rules as rules_module
+    from lavenderbend.coordination.configuration import (
+        follower as configuration_follower,
+    )
+    from lavenderbend.coordination.configuration import (
+        log as configuration_log_module,
+    )
+    from lavenderbend.coordination.rules import rules as rules_module
     from lavenderbend.state import decisions as decisions_module
     from lavenderbend.state import settings as settings_module
 
--- a/lavenderbend/transport/orders_http.py
+++ b/lavenderbend/transport/orders_http.py
@@ -10,7 +10,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import orders as orders_module
+from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.state import orders
 
 if TYPE_CHECKING:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -7,9 +7,9 @@
 import attrs
 
 from lavenderbend import errors
-from lavenderbend.coordination import configuration_log
 from lavenderbend.coordination import interfaces
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.configuration import log as configuration_log
+from lavenderbend.coordination.rules import rules
 from lavenderbend.protocol import documents_yaml
 from lavenderbend.state import configuration
 from lavenderbend.state import decisions
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -17,7 +17,7 @@
 from lavenderbend.coordination import dispatch
 from lavenderbend.coordination import interfaces
 from lavenderbend.coordination import retries
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import rules
 from lavenderbend.protocol import http_limits
 from lavenderbend.standin import engine as engine_app
 from lavenderbend.standin import plain_service
--- a/tests/test_coordination/test_agreed_bounds.py
+++ b/tests/test_coordination/test_agreed_bounds.py
@@ -12,12 +12,14 @@
 from bench.agreed import operators
 from bench.agreed import outage_spread
 from bench.agreed import spread
-from lavenderbend.coordination import claim_inquiries
-from lavenderbend.coordination import claim_shards
-from lavenderbend.coordination import configuration_chain
-from lavenderbend.coordination import configuration_follower
-from lavenderbend.coordination import configuration_log
 from lavenderbend.coordination import log
+from lavenderbend.coordination.claims import inquiries as claim_inquiries
+from lavenderbend.coordination.claims import shards as claim_shards
+from lavenderbend.coordination.configuration import chain as configuration_chain
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
+from lavenderbend.coordination.configuration import log as configuration_log
 
 
 def check(lines):
--- a/tests/test_coordination/test_agreed_claims.py
+++ b/tests/test_coordination/test_agreed_claims.py
@@ -6,7 +6,7 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import claims as claims_module
+from lavenderbend.coordination.claims import claims as claims_module
 from lavenderbend.state import claims
 from tests.test_coordination import agreed_fakes as fakes
 
--- a/tests/test_coordination/test_agreed_configuration.py
+++ b/tests/test_coordination/test_agreed_configuration.py
@@ -6,8 +6,10 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination import configuration_follower
-from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
+from lavenderbend.coordination.configuration import log as configuration_log
 from lavenderbend.state import configuration
 from lavenderbend.state import documents
 from lavenderbend.state import settings
--- a/tests/test_coordination/test_agreed_orders.py
+++ b/tests/test_coordination/test_agreed_orders.py
@@ -10,7 +10,7 @@
 from bench.agreed import measures
 from bench.agreed import order_rolls
 from bench.decisions import views as decision_views
-from lavenderbend.coordination import orders as orders_module
+from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.standin import weight_store
 from lavenderbend.state import configuration
 from lavenderbend.state import orders
--- a/tests/test_coordination/test_agreed_sockets.py
+++ b/tests/test_coordination/test_agreed_sockets.py
@@ -10,9 +10,9 @@
 
 from bench.agreed import order_rolls
 from lavenderbend import errors
-from lavenderbend.coordination import claims as claims_module
-from lavenderbend.coordination import configuration_log
-from lavenderbend.coordination import orders as orders_module
+from lavenderbend.coordination.claims import claims as claims_module
+from lavenderbend.coordination.configuration import log as configuration_log
+from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.standin import engine as engine_server
 from lavenderbend.standin import engine_core
 from lavenderbend.standin import key_value
--- a/tests/test_coordination/test_agreed_stateful.py
+++ b/tests/test_coordination/test_agreed_stateful.py
@@ -12,11 +12,13 @@
 
 from bench.agreed import fleets
 from lavenderbend import errors
-from lavenderbend.coordination import claim_shards
-from lavenderbend.coordination import claims as claims_module
-from lavenderbend.coordination import configuration_follower
-from lavenderbend.coordination import configuration_log
 from lavenderbend.coordination import log
+from lavenderbend.coordination.claims import claims as claims_module
+from lavenderbend.coordination.claims import shards as claim_shards
+from lavenderbend.coordination.configuration import (
+    follower as configuration_follower,
+)
+from lavenderbend.coordination.configuration import log as configuration_log
 from lavenderbend.state import claims
 from tests.test_coordination import agreed_fakes as fakes
 
--- a/tests/test_coordination/test_ejection.py
+++ b/tests/test_coordination/test_ejection.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from lavenderbend.coordination import ejection
+from lavenderbend.coordination.upstream_health import ejection
 
 
 @pytest.fixture
--- a/tests/test_coordination/test_explain.py
+++ b/tests/test_coordination/test_explain.py
@@ -4,7 +4,7 @@
 import pytest
 
 from lavenderbend.coordination import explain
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import rules
 from lavenderbend.protocol import documents_yaml
 from lavenderbend.state import configuration
 from lavenderbend.state import requests
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -8,8 +8,8 @@
 from bench.decisions import workload
 from bench.decisions import world
 from lavenderbend import errors
-from lavenderbend.coordination import quarantine
-from lavenderbend.coordination import quarantine_records
+from lavenderbend.coordination.quarantine import quarantine
+from lavenderbend.coordination.quarantine import records as quarantine_records
 from tests import fakes
 
 POISON = 0xBAD
--- a/tests/test_coordination/test_rules.py
+++ b/tests/test_coordination/test_rules.py
@@ -9,9 +9,9 @@
 import pytest
 
 from lavenderbend import errors
-from lavenderbend.coordination import rule_checks
-from lavenderbend.coordination import rule_differences
-from lavenderbend.coordination import rules
+from lavenderbend.coordination.rules import checks as rule_checks
+from lavenderbend.coordination.rules import differences as rule_differences
+from lavenderbend.coordination.rules import rules
 from lavenderbend.protocol import documents_yaml
 from lavenderbend.state import configuration
 from lavenderbend.state import decisions
--- a/tests/test_daemon/test_daemon_adapters.py
+++ b/tests/test_daemon/test_daemon_adapters.py
@@ -5,9 +5,9 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import admission
-from lavenderbend.coordination import claims
 from lavenderbend.coordination import dispatch
-from lavenderbend.coordination import orders
+from lavenderbend.coordination.claims import claims
+from lavenderbend.coordination.orders import orders
 from lavenderbend.daemon import adapters
 from lavenderbend.daemon import router
 from lavenderbend.protocol import documents_yaml
--- a/tests/test_transport/test_operators_race.py
+++ b/tests/test_transport/test_operators_race.py
@@ -12,7 +12,7 @@
 from pytest_bdd import when
 import trio
 
-from lavenderbend.coordination import configuration_log
+from lavenderbend.coordination.configuration import log as configuration_log
 from lavenderbend.standin import key_value
 from tests import operator_fakes
 
