--- a/bench/relay/__main__.py
+++ b/bench/relay/__main__.py
@@ -32,7 +32,8 @@
 HELD_STREAMS = 2000
 # the router and the bare relay by the router's own client, which count; both
 # by httpx, for comparison, with --httpx
-KINDS = ('bare', 'router')
+# a forwarding router, with the lines of all requests, and with none
+KINDS = ('bare', 'router', 'forwarding', 'forwarding-quiet')
 HTTPX_KINDS = ('bare-httpx', 'router-httpx')
 TICKS = os.sysconf('SC_CLK_TCK')
 KIB = 1024
@@ -40,6 +41,11 @@
 # goals of the project; the bounds stand a little above what was measured
 WHOLE_GOAL = 1.5
 CHUNK_GOAL = 1.2
+# a forwarding router does without the libraries of the bare relay: both of
+# its costs are below that one's
+FORWARDING_GOAL = 1.0
+# lines on a request (three of them) beside the same path without any
+LINES_GOAL = 1.3
 HELD_GOAL_KIB = 64.0
 
 
@@ -186,6 +192,12 @@
         for kind, costs in found.items():
             figures[f'{kind}_us'] = round(median(costs[name]).cpu_us, 1)
         figures['ratio'] = ratio(found['router'][name], found['bare'][name])
+        figures['ratio_forwarding'] = ratio(
+            found['forwarding'][name], found['bare'][name]
+        )
+        figures['ratio_lines'] = ratio(
+            found['forwarding'][name], found['forwarding-quiet'][name]
+        )
         if 'bare-httpx' in found:
             figures['ratio_httpx'] = ratio(
                 found['router-httpx'][name], found['bare-httpx'][name]
@@ -219,6 +231,11 @@
         failed.append('a request costs too much')
     if result['chunk']['ratio'] > CHUNK_GOAL:
         failed.append('a chunk costs too much')
+    for name in ('request', 'chunk'):
+        if result[name]['ratio_forwarding'] > FORWARDING_GOAL:
+            failed.append(f'a forwarded {name} costs too much')
+    if result['request']['ratio_lines'] > LINES_GOAL:
+        failed.append('the lines on a forwarded request cost too much')
     if result['held_kib']['router'] > HELD_GOAL_KIB:
         failed.append('a held stream takes too much memory')
     for line in failed:
--- a/bench/relay/child.py
+++ b/bench/relay/child.py
@@ -10,6 +10,7 @@
 import trio
 
 from bench.relay import bare
+from bench.relay import forwarding
 from bench.relay import router
 from bench.relay import stub
 from lavenderbend.transport import upstream_clients
@@ -28,6 +29,10 @@
         'router': functools.partial(
             router.serve, upstream_port, service_port, upstream_clients.DEFAULT
         ),
+        'forwarding': functools.partial(forwarding.serve, upstream_port, True),
+        'forwarding-quiet': functools.partial(
+            forwarding.serve, upstream_port, False
+        ),
         'router-httpx': functools.partial(router.serve, upstream_port, 'httpx'),
     }[kind]
     async with trio.open_nursery() as nursery:
--- a/bench/relay/client.py
+++ b/bench/relay/client.py
@@ -22,6 +22,7 @@
     head = (
         f'POST /v1/chat/completions HTTP/1.1\r\nhost: bench\r\n'
         f'authorization: Bearer {router.CREDENTIAL}\r\n'
+        f'x-request-id: bench\r\n'
         f'content-type: application/json\r\n'
         f'content-length: {len(body)}\r\n\r\n'
     )
