--- a/docs/reference/generate.py
+++ b/docs/reference/generate.py
@@ -32,6 +32,8 @@
     from collections.abc import Iterator
     from typing import Any
 
+    from lavenderbend import registry
+
 HERE = pathlib.Path(__file__).parent
 NOTE = '.. written by docs/reference/generate.py; change the code, not this\n\n'
 UNITS = {
@@ -308,19 +310,27 @@
     return {name: escape(text) for name, text in found.items()}
 
 
-def interface_page() -> str:
-    """Returns the page of the operators' interface."""
+def routes_table(routes: registry.Registry[operator_routes.Route]) -> str:
+    """Returns the routes of one interface."""
     rows = []
-    for key in operator_routes.ROUTES:
-        entry = operator_routes.ROUTES.get(key)
+    for key in routes:
+        entry = routes.get(key)
         rows.append((entry.method, f'``{entry.path}``', escape(entry.doc)))
+    return list_table(('Method', 'Path', 'What it gives'), rows)
+
+
+def interface_page() -> str:
+    """Returns the page of the operators' interface."""
     return (
         f'{NOTE}{heading("Interface for operators")}\n'
         'Each call needs ``Authorization: Bearer`` with the credential of '
         '``operators.credential``;\nbrowsers send it as the password of Basic '
         'authentication, which counts for reading only.\nErrors are problem '
         'details (RFC 9457).\n\n'
-        + list_table(('Method', 'Path', 'What it gives'), rows)
+        + routes_table(operator_routes.ROUTES)
+        + f'\n{heading("Of forwarding routers", "-")}\n'
+        'Read only: the platform keeps the configuration.\n\n'
+        + routes_table(operator_routes.FORWARDING_ROUTES)
     )
 
 
--- a/lavenderbend/cmd/decision_text.py
+++ b/lavenderbend/cmd/decision_text.py
@@ -72,9 +72,12 @@
         lines.append(
             f'           passed over {passed["upstream"]}: {passed["reason"]}'
         )
+    if attempt['permit']:
+        lines.append(
+            f'           permit {attempt["permit"]} from {attempt["owner"]} '
+            f'after {milliseconds(attempt["waited"])}'
+        )
     lines += [
-        f'           permit {attempt["permit"]} from {attempt["owner"]} '
-        f'after {milliseconds(attempt["waited"])}',
         f'           first byte after '
         f'{milliseconds(attempt["first_byte"])}, '
         f'{attempt["result"] or "in progress"} after '
--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -14,8 +14,17 @@
 from tests.integration import ports
 from tests.integration import processes
 
-HOSTS = ('127.0.0.2', '127.0.0.3', '127.0.0.4')
+ROUTERS = 3
+FIRST_HOST = 2
 WAIT_SECONDS = 20.0
+# as the platform's balancer asks: once a second, out after two misses
+ASK_SECONDS = 1.0
+MISSES = 2
+
+
+def host_of(number) -> str:
+    """Returns the loopback address of a router."""
+    return f'127.0.0.{FIRST_HOST + number}'
 
 
 @attrs.define
@@ -47,9 +56,9 @@
 
 
 class ForwardingFleet:
-    """Three routers, two engines and a plain service."""
+    """Routers behind a balancer, two engines and a plain service."""
 
-    def __init__(self, folder) -> None:
+    def __init__(self, folder, routers=ROUTERS) -> None:
         self.folder = folder
         self.store = standins.Store()
         self.workers = {
@@ -61,7 +70,8 @@
             )
         }
         self.peer_port = ports.PORTS.take()
-        self.routers = [self.make(host) for host in HOSTS]
+        self.routers = [self.make(host_of(n)) for n in range(routers)]
+        self.balancer = Balancer(self.routers)
 
     def make(self, host) -> Router:
         callers, readiness = ports.PORTS.take(), ports.PORTS.take()
@@ -99,7 +109,7 @@
                 'peers': f'{host}:{self.peer_port}',
             },
             'readiness_path': '/lavenderbend/ready',
-            'peers': [f'{HOSTS[0]}:1'],
+            'peers': [f'{host_of(0)}:1'],
             'revocation_seconds': '5s',
             'headers': headers(),
             **changes,
@@ -134,6 +144,38 @@
             await router.process.end()
 
 
+class Balancer:
+    """Sends callers to routers that are ready, as the platform's does.
+
+    Attributes:
+        misses: Questions in a row without a good answer, by host.
+    """
+
+    def __init__(self, routers) -> None:
+        self.routers = routers
+        self.misses = dict.fromkeys((one.host for one in routers), 0)
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for router in self.routers:
+                nursery.start_soon(self.ask, router)
+
+    async def ask(self, router) -> None:
+        while True:
+            if await router.ready():
+                self.misses[router.host] = 0
+            else:
+                self.misses[router.host] += 1
+            await trio.sleep(ASK_SECONDS)
+
+    def pick(self, rng) -> Router:
+        """Returns a router; all are used if under half are in rotation."""
+        well = [one for one in self.routers if self.misses[one.host] < MISSES]
+        if len(well) * 2 < len(self.routers):
+            well = self.routers
+        return rng.choice(well)
+
+
 def headers() -> dict:
     name = 'lavenderbend-{}'.format
     return {
--- a/tests/integration/forwarding_soak.py
+++ b/tests/integration/forwarding_soak.py
@@ -66,8 +66,8 @@
 class World(forwarding_fleet.ForwardingFleet):
     """A fleet whose links to the store and the workers can be disturbed."""
 
-    def __init__(self, folder, seed) -> None:
-        super().__init__(folder)
+    def __init__(self, folder, seed, routers=forwarding_fleet.ROUTERS) -> None:
+        super().__init__(folder, routers)
         self.rng = random.Random(seed)
         self.told: list[Told] = []
         self.faults: list[str] = []
@@ -124,7 +124,7 @@
 
     async def call_by(self, client) -> None:
         while True:
-            router = self.rng.choice(self.routers)
+            router = self.balancer.pick(self.rng)
             kind, path, method = self.rng.choice(
                 (
                     ('chat', '/chat/1', 'POST'),
@@ -374,12 +374,15 @@
     world.register(name)
 
 
-async def soak(folder, seed, seconds) -> World:
+async def soak(
+    folder, seed, seconds, routers=forwarding_fleet.ROUTERS
+) -> World:
     """Returns the world after a soak."""
-    world = World(folder, seed)
+    world = World(folder, seed, routers)
     async with trio.open_nursery() as nursery:
         try:
             await world.start(nursery)
+            nursery.start_soon(world.balancer.run)
             async with trio.open_nursery() as callers:
                 for _ in range(CALLERS):
                     callers.start_soon(world.call)
@@ -399,11 +402,12 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--count', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--routers', type=int, default=forwarding_fleet.ROUTERS)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        world = trio.run(soak, folder, seed, options.seconds)
+        world = trio.run(soak, folder, seed, options.seconds, options.routers)
         told = collections.Counter((one.kind, one.status) for one in world.told)
         failed += bool(world.violations)
         print(f'seed {seed}: {len(world.told)} requests, {dict(told)}')
