--- a/bench/agreed/at_most_once.py
+++ b/bench/agreed/at_most_once.py
@@ -11,7 +11,6 @@
 from bench.agreed import fleets
 from lavenderbend import errors
 from lavenderbend.coordination.claims import claims as claims_module
-from lavenderbend.standin import key_value
 from lavenderbend.state import claims
 
 ROUTERS = 7
@@ -92,18 +91,7 @@
         self.requests = requests
         self.rate = rate
         self.rng = random.Random(seed)
-        self.store = key_value.MemoryStore(
-            random.Random(seed + 1),
-            key_value.Faults(
-                latency=0.001,
-                jitter=0.001,
-                lost_answers=0.02,
-                lost_requests=0.01,
-                late_writes=0.5,
-                late_by=3.0,
-            ),
-            record=True,
-        )
+        self.store = fleets.faulty_store(seed + 1, 0.02, 0.01, record=True)
         policy = claims_module.ClaimPolicy(shards=4)
         self.fleet = fleets.Fleet(self.store, self.rng, policy, make)
         self.runs: collections.Counter[str] = collections.Counter()
--- a/bench/agreed/fleets.py
+++ b/bench/agreed/fleets.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
 
 import attrs
 import trio
@@ -11,10 +10,30 @@
 
 from lavenderbend.coordination import interfaces
 from lavenderbend.coordination.claims import claims as claims_module
+from lavenderbend.standin import key_value
 from tests.test_coordination import agreed_fakes as fakes
 
-if TYPE_CHECKING:
-    from lavenderbend.standin import key_value
+
+def faulty_store(
+    seed: int, lost_answers: float, lost_requests: float, record: bool = False
+) -> key_value.MemoryStore:
+    """Returns a key-value service that loses answers, requests, and is late.
+
+    Args:
+        seed: Of its faults.
+        lost_answers: Share of the answers that are lost.
+        lost_requests: Share of the requests that are lost.
+        record: Whether it records what it did.
+    """
+    faults = key_value.Faults(
+        latency=0.001,
+        jitter=0.001,
+        lost_answers=lost_answers,
+        lost_requests=lost_requests,
+        late_writes=0.5,
+        late_by=3.0,
+    )
+    return key_value.MemoryStore(random.Random(seed), faults, record=record)
 
 
 class Pause:
--- a/bench/agreed/operators.py
+++ b/bench/agreed/operators.py
@@ -14,7 +14,6 @@
     follower as configuration_follower,
 )
 from lavenderbend.coordination.configuration import log as configuration_log
-from lavenderbend.standin import key_value
 from lavenderbend.state import configuration
 from tests.test_coordination import agreed_fakes as fakes
 
@@ -59,17 +58,7 @@
         self.changes = changes
         self.follower_class = follower_class
         self.rng = random.Random(seed)
-        self.store = key_value.MemoryStore(
-            random.Random(seed + 1),
-            key_value.Faults(
-                latency=0.001,
-                jitter=0.001,
-                lost_answers=0.03,
-                lost_requests=0.02,
-                late_writes=0.5,
-                late_by=3.0,
-            ),
-        )
+        self.store = fleets.faulty_store(seed + 1, 0.03, 0.02)
         self.network = fakes.Network(seed)
         self.followers: dict[str, tuple] = {}
         self.views: list[fakes.Membership] = []
--- a/bench/decisions/store.py
+++ b/bench/decisions/store.py
@@ -7,6 +7,7 @@
 import trio
 
 from lavenderbend.coordination import interfaces
+from lavenderbend.state import key_values
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -21,7 +22,7 @@
     """
 
     def __init__(self) -> None:
-        self.items: dict[str, interfaces.KeyValue] = {}
+        self.items: dict[str, key_values.KeyValue] = {}
         self.revision = 0
         self.leases = 0
         self.calls = 0
@@ -45,7 +46,7 @@
         if key in self.items:
             return False
         self.revision += 1
-        self.items[key] = interfaces.KeyValue(
+        self.items[key] = key_values.KeyValue(
             key, value, self.revision, self.revision, lease
         )
         self.changed.set()
--- a/lavenderbend/coordination/configuration/service.py
+++ b/lavenderbend/coordination/configuration/service.py
@@ -20,6 +20,7 @@
         contact as configuration_contact,
     )
     from lavenderbend.coordination.configuration import log as configuration_log
+    from lavenderbend.state import key_values
 
 # routers that watch the service; the others hear from peers, so that the
 # calls to the service stay the same however large the fleet is
@@ -111,7 +112,7 @@
                     if not change.deleted and not self.take(change.item):
                         return
 
-    def take(self, item: interfaces.KeyValue) -> bool:
+    def take(self, item: key_values.KeyValue) -> bool:
         """Takes an entry seen by the watch; false if some are missing."""
         number = self.log.log.number(item.key)
         if number <= self.log.chain.number:
--- a/lavenderbend/coordination/interfaces.py
+++ b/lavenderbend/coordination/interfaces.py
@@ -19,31 +19,13 @@
     from lavenderbend.protocol import peer
     from lavenderbend.state import configuration
     from lavenderbend.state import decisions
+    from lavenderbend.state import key_values
     from lavenderbend.state import requests
     from lavenderbend.state import upstreams
 
     Handler = Callable[[str, peer.Message], Awaitable[peer.Message | None]]
 
 
-@attrs.frozen
-class KeyValue:
-    """A key with its value and revisions.
-
-    Attributes:
-        key: The key.
-        value: The value.
-        create_revision: Store revision of its creation.
-        mod_revision: Store revision of its last change.
-        lease: Lease id, 0 for none.
-    """
-
-    key: str
-    value: bytes
-    create_revision: int
-    mod_revision: int
-    lease: int = 0
-
-
 @attrs.frozen
 class Range:
     """The answer to a read.
@@ -54,7 +36,7 @@
     """
 
     revision: int
-    items: tuple[KeyValue, ...]
+    items: tuple[key_values.KeyValue, ...]
 
 
 @attrs.frozen
@@ -66,7 +48,7 @@
         deleted: Whether the key was deleted.
     """
 
-    item: KeyValue
+    item: key_values.KeyValue
     deleted: bool = False
 
 
--- a/lavenderbend/protocol/etcd.py
+++ b/lavenderbend/protocol/etcd.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lavenderbend import errors
+from lavenderbend.state import key_values
 
 RANGE = '/v3/kv/range'
 TXN = '/v3/kv/txn'
@@ -24,25 +25,6 @@
 CODE_UNAVAILABLE = 14
 
 
-@attrs.frozen
-class WireItem:
-    """A key as the gateway shows it.
-
-    Attributes:
-        key: The key.
-        value: The value.
-        create_revision: Store revision of its creation.
-        mod_revision: Store revision of its last change.
-        lease: Lease id, 0 for none.
-    """
-
-    key: str
-    value: bytes
-    create_revision: int
-    mod_revision: int
-    lease: int
-
-
 @attrs.frozen
 class Compare:
     """A condition of a transaction.
@@ -95,9 +77,9 @@
     return number(body.get('header', {}).get('revision'))
 
 
-def item_from_wire(body: dict[str, Any]) -> WireItem:
+def item_from_wire(body: dict[str, Any]) -> key_values.KeyValue:
     """Returns a key from its JSON form."""
-    return WireItem(
+    return key_values.KeyValue(
         key=from_base64(body.get('key', '')).decode(),
         value=from_base64(body.get('value', '')),
         create_revision=number(body.get('create_revision')),
--- a/lavenderbend/standin/key_value_data.py
+++ b/lavenderbend/standin/key_value_data.py
@@ -10,6 +10,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
+from lavenderbend.state import key_values
 
 EVENTS_KEPT = 100_000
 
@@ -45,7 +46,7 @@
 
     def __init__(self) -> None:
         self.revision = 1
-        self.items: dict[str, interfaces.KeyValue] = {}
+        self.items: dict[str, key_values.KeyValue] = {}
         self.order: list[str] = []
         self.events: collections.deque[interfaces.Change] = collections.deque(
             maxlen=EVENTS_KEPT
@@ -70,7 +71,7 @@
         self.revision += 1
         old = self.items.get(key)
         created = old.create_revision if old else self.revision
-        item = interfaces.KeyValue(key, value, created, self.revision, lease)
+        item = key_values.KeyValue(key, value, created, self.revision, lease)
         if old is None:
             bisect.insort(self.order, key)
         elif old.lease in self.leases:
@@ -96,7 +97,7 @@
                 self.order.remove(name)
             if item.lease in self.leases:
                 self.leases[item.lease].keys.discard(name)
-            gone = interfaces.KeyValue(name, b'', 0, self.revision)
+            gone = key_values.KeyValue(name, b'', 0, self.revision)
             self.publish(interfaces.Change(gone, deleted=True))
         return len(names)
 
--- /dev/null
+++ b/lavenderbend/transport/answer_heads.py
@@ -0,0 +1,33 @@
+"""Waits for the head of an upstream's answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+async def next_head(
+    protocol: h11.Connection, receive: Callable[[], Awaitable[None]]
+) -> h11.Response:
+    """Returns the head of the next answer, informational ones passed over.
+
+    Args:
+        protocol: The connection's state.
+        receive: Reads what comes next into it.
+
+    Raises:
+        RemoteProtocolError: The upstream closed before its answer.
+    """
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            await receive()
+        elif isinstance(event, h11.Response):
+            return event
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError('closed before its answer')
--- a/lavenderbend/transport/key_value_etcd.py
+++ b/lavenderbend/transport/key_value_etcd.py
@@ -89,9 +89,7 @@
         if limit:
             body['limit'] = str(limit)
         answer = await self.call_again('range', etcd.RANGE, body)
-        items = tuple(
-            to_item(etcd.item_from_wire(item)) for item in answer.get('kvs', ())
-        )
+        items = tuple(map(etcd.item_from_wire, answer.get('kvs', ())))
         return interfaces.Range(etcd.revision_of(answer), items)
 
     async def create(
@@ -271,17 +269,6 @@
     return errors.KeyValueUncertain(f'{kind}: {text}')
 
 
-def to_item(item: etcd.WireItem) -> interfaces.KeyValue:
-    """Returns a key in the form that decisions use."""
-    return interfaces.KeyValue(
-        item.key,
-        item.value,
-        item.create_revision,
-        item.mod_revision,
-        item.lease,
-    )
-
-
 def watch_changes(line: str) -> tuple[interfaces.Change, ...]:
     """Returns the changes in one line of a watch.
 
@@ -298,7 +285,7 @@
         raise errors.KeyValueUnavailable('watch: ended by the service')
     return tuple(
         interfaces.Change(
-            to_item(etcd.item_from_wire(event['kv'])),
+            etcd.item_from_wire(event['kv']),
             deleted=event.get('type') == 'DELETE',
         )
         for event in result.get('events', ())
--- a/lavenderbend/transport/upstream_connections.py
+++ b/lavenderbend/transport/upstream_connections.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.transport import answer_heads
 from lavenderbend.transport import socket_options
 from lavenderbend.transport import stall_watch
 
@@ -67,14 +68,7 @@
 
     async def read_head(self) -> h11.Response:
         """Returns the head of the answer."""
-        while True:
-            event = self.protocol.next_event()
-            if event is h11.NEED_DATA:
-                await self.receive()
-            elif isinstance(event, h11.Response):
-                return event
-            elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError('closed before its answer')
+        return await answer_heads.next_head(self.protocol, self.receive)
 
     def read_ready(self, parts: list[bytes]) -> bool:
         """Adds the data that is already here; returns whether it ended."""
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -13,6 +13,7 @@
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import hop_headers
+from lavenderbend.transport import answer_heads
 from lavenderbend.transport import socket_options
 
 if TYPE_CHECKING:
@@ -271,7 +272,9 @@
         """
         for _ in range(MAX_STRAYS):
             try:
-                response = await self.next_response()
+                response = await answer_heads.next_head(
+                    self.protocol, self.receive
+                )
                 found = interfaces.header(
                     response.headers, self.request.id_header
                 )
@@ -304,17 +307,6 @@
                 idle = int(seconds) - IDLE_MARGIN_SECONDS
                 self.connection.idle_seconds = max(0.0, idle)
 
-    async def next_response(self) -> h11.Response:
-        """Returns the head of the next answer."""
-        while True:
-            event = self.protocol.next_event()
-            if event is h11.NEED_DATA:
-                await self.receive()
-            elif isinstance(event, h11.Response):
-                return event
-            elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError('closed before its answer')
-
     async def skip_answer(self) -> None:
         """Reads an answer to its end and begins anew with what follows."""
         while True:
--- a/tests/test_coordination/test_agreed_log_interleavings.py
+++ b/tests/test_coordination/test_agreed_log_interleavings.py
@@ -10,6 +10,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination import interfaces
 from lavenderbend.coordination import log
+from lavenderbend.state import key_values
 
 PREFIX = 'l/'
 # what may happen to one call to the service
@@ -37,7 +38,7 @@
     def read(self, key):
         found = []
         if key in self.items:
-            found = [interfaces.KeyValue(key, self.items[key], 1, 1)]
+            found = [key_values.KeyValue(key, self.items[key], 1, 1)]
         return interfaces.Range(1, tuple(found))
 
     def delete(self, key, end):
