--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -98,6 +98,11 @@
     request_bytes: int = 0
     output_tokens: int = 0
 
+    @property
+    def chat(self) -> str:
+        """What requests of the chat share, empty without a prompt."""
+        return placing_key(self.parts) if self.parts else ''
+
     @property
     def shared_tokens(self) -> int:
         """Tokens that later requests of the chat find cached."""
@@ -230,7 +235,7 @@
             return self.least_loaded(avoided, tie_break, bound, AVOIDED)
         if need.parts:
             near = self.stays_near(service, need)
-            return self.by_prompt(well, placing_key(need.parts), bound, near)
+            return self.by_prompt(well, need.chat, bound, near)
         return self.least_loaded(well, tie_break, bound, LEAST_LOADED)
 
     def allowed(self, found: Sequence[forwarding.Upstream]) -> int:
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -112,6 +112,7 @@
             age=round(self.entry.followed.age, 3),
             customer=ticket.customer,
             service=ticket.service,
+            chat=ticket.need.chat,
             rank=ticket.rank,
             seconds_left=round(ticket.left, 3),
         )
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.protocol import hop_headers
 
@@ -95,7 +94,7 @@
         """Returns the address from which cached prompt parts are copied."""
         if not ticket.need.parts or not self.headers.copy_from:
             return None
-        key = choice.placing_key(ticket.need.parts)
+        key = ticket.need.chat
         source = self.cached.source(
             ticket.service, key, ticket.need.parts, upstream
         )
--- a/lavenderbend/coordination/forwarding/records.py
+++ b/lavenderbend/coordination/forwarding/records.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.rules import rules as rules_module
 from lavenderbend.state import decisions
 from lavenderbend.state import hashing
@@ -75,6 +74,5 @@
     record.priority = str(ticket.rank)
     record.attempts = ticket.placed
     if ticket.need.parts:
-        key = choice.placing_key(ticket.need.parts)
-        record.chat = f'{hashing.hash64(key):016x}'
+        record.chat = f'{hashing.hash64(ticket.need.chat):016x}'
     return record
