Follow a large store by its changes, between routers and from the platform

Now a store over 32 KiB is read by one call that returns its revision alone, and by a watch for what changed since; the changes count if there is one for each revision up to the proved one, else all is read. Between routers, keys that are gone are told in place of all that remain, and a digest that does not fit brings the whole. Peers' loads are kept as sums.

--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -240,7 +240,7 @@
 
     def allowed(self, found: Sequence[forwarding.Upstream]) -> int:
         """Returns the bound on requests at one upstream."""
-        total = sum(self.loads.load(one.instance) for one in found) + 1
+        total = self.loads.total({one.instance for one in found}) + 1
         mean = total / len(found)
         factor = 1.0 + BOUND_PART * (self.load_factor - 1.0)
         return max(ALWAYS_ALLOWED, math.ceil(mean * factor) + 1)
--- a/lavenderbend/coordination/forwarding/shared_freshness.py
+++ b/lavenderbend/coordination/forwarding/shared_freshness.py
@@ -14,6 +14,7 @@
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.protocol import messages_forwarding
+    from lavenderbend.state import forwarding
 
 # while upstreams come and go ten times a second, each change would be fetched
 # by each router; this part of a version's time takes several at once
@@ -117,9 +118,26 @@
         current = self.followed.current
         known = None if current is None else current.raw
         try:
-            raw = await self.link.fetch(offer.host, known)
+            raw = await self.fetch_raw(offer.host, known)
             snapshot = self.followed.source.decode(raw)
         except (errors.PeerError, errors.CodecError) as exc:
             logs.change('peer_snapshot_failed', host=offer.host, cause=str(exc))
             return
         self.followed.accept(snapshot, offer.proved_at)
+
+    async def fetch_raw(
+        self, host: str, known: forwarding.RawSnapshot | None
+    ) -> forwarding.RawSnapshot:
+        """Returns another router's snapshot, whole if changes do not fit.
+
+        Raises:
+            PeerError: It did not answer.
+            CodecError: It has no whole snapshot either.
+        """
+        try:
+            return await self.link.fetch(host, known)
+        except errors.CodecError as exc:
+            if known is None:
+                raise
+            logs.change('peer_changes_unfit', host=host, cause=str(exc))
+        return await self.link.fetch(host, None)
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -9,6 +9,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import removals
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 
@@ -86,6 +87,7 @@
             known to have been the newest.
         kept: Upstreams missing from `current` that may only have lapsed
             while the store was away, and until when they are kept.
+        removals: What is gone, for routers that know an earlier snapshot.
         peer_count: Returns how many routers share what they read.
         on_change: Called with each new snapshot.
         on_proof: Called when this router has read the store itself.
@@ -105,6 +107,7 @@
         self.current: forwarding.Snapshot | None = None
         self.proved_at = NEVER
         self.kept: dict[str, tuple[forwarding.Upstream, float]] = {}
+        self.removals = removals.Removals()
         self.peer_count: Callable[[], int] = lambda: 1
         self.on_change: list[Callable[[forwarding.Snapshot], None]] = []
         self.on_proof: list[Callable[[], None]] = []
@@ -247,6 +250,7 @@
         current = self.current
         if current is not None and snapshot.revision < current.revision:
             return
+        self.removals.note(current and current.raw, snapshot.raw)
         if current is None or snapshot.digest != current.digest:
             self.keep_lapsed(snapshot)
             self.current = snapshot
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -87,7 +87,10 @@
         )
         host, port = address(self.forwarding.listen.peers)
         self.link = peer_datagrams.PeerDatagrams(
-            host, port, lambda: self.snapshots.current
+            host,
+            port,
+            lambda: self.snapshots.current,
+            self.snapshots.removals.after,
         )
         self.directory = directory.Directory(self.snapshots)
         self.health = health.Health()
--- a/lavenderbend/platform/documents.py
+++ b/lavenderbend/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import functools
 from typing import Any
 from typing import TYPE_CHECKING
@@ -42,6 +43,92 @@
     value: forwarding.ForwardingTable | forwarding.Upstream
 
 
+@attrs.frozen
+class Page:
+    """A part of the store.
+
+    Attributes:
+        revision: The store's revision at the call.
+        items: By key; at least one if there are more.
+        has_more: Whether keys follow behind the last of these.
+    """
+
+    revision: int
+    items: dict[str, forwarding.RawItem]
+    has_more: bool
+
+
+def decode_page(value: dict[str, Any]) -> Page:
+    """Returns an answer of the store, decoded.
+
+    Raises:
+        ValueError: A value is no base64, or more keys follow behind none.
+        KeyError: A field is missing.
+        TypeError: A field is of another type.
+    """
+    items = {item['key']: decode_item(item) for item in value['items']}
+    if value['hasMore'] and not items:
+        raise ValueError('more keys behind an empty page')
+    return Page(int(value['storeRevision']), items, value['hasMore'])
+
+
+@attrs.frozen
+class Changes:
+    """What a watch told, in order.
+
+    Attributes:
+        since: Revision after which it begins.
+        entries: Revision, key and the item as it was written, None if it
+            was removed.
+    """
+
+    since: int
+    entries: tuple[tuple[int, str, forwarding.RawItem | None], ...]
+
+    def complete_to(self, revision: int) -> bool:
+        """Returns whether there is a change for each revision up to one."""
+        told = {at for at, _, _ in self.entries}
+        return told.issuperset(range(self.since + 1, revision + 1))
+
+    def applied_to(
+        self, known: forwarding.RawSnapshot, revision: int
+    ) -> forwarding.RawSnapshot:
+        """Returns what the store held at a revision that they lead to.
+
+        Later changes are left out: there may be others between them.
+        """
+        last = {key: item for at, key, item in self.entries if at <= revision}
+        changed = {key: item for key, item in last.items() if item is not None}
+        removed = [key for key, item in last.items() if item is None]
+        return known.with_changes(revision, changed, removed)
+
+
+def decode_changes(since: int, value: dict[str, Any]) -> Changes:
+    """Returns the changes in an answer of the store.
+
+    Raises:
+        ValueError: A value is no base64.
+        KeyError: A field is missing.
+        TypeError: A field is of another type.
+    """
+    return Changes(since, tuple(decode_change(one) for one in value['events']))
+
+
+def decode_change(
+    value: dict[str, Any],
+) -> tuple[int, str, forwarding.RawItem | None]:
+    """Returns one change; raises as `decode_changes` does."""
+    item = None if value.get('deleted') else decode_item(value)
+    return int(value['rev']), value['key'], item
+
+
+def decode_item(value: dict[str, Any]) -> forwarding.RawItem:
+    """Returns one item; raises as `decode_changes` does."""
+    return forwarding.RawItem(
+        int(value['rev']), base64.b64decode(value['value'])
+    )
+
+
 def decode_items(
     raw: forwarding.RawSnapshot, before: Mapping[str, Decoded]
 ) -> dict[str, Decoded]:
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import base64
+import functools
 from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
 from urllib import parse
 
-import attrs
 import orjson
 
 from lavenderbend import errors
@@ -15,49 +16,27 @@
 from lavenderbend.state import forwarding
 from lavenderbend.transport import http_calls
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar('T')
+
 RANGE = '/lavenderbend/kv-range'
+WATCH = '/lavenderbend/kv-watch'
 # the operator's configuration and the entries of upstreams are the only keys;
 # one call reads both
 ALL_KEYS = ''
+# no key begins so: an answer with the revision alone
+NO_KEYS = 'none/'
 MAX_PAGES = 20
-# a configuration under this is read along: a second call costs more than the
-# 70 ms for which it holds a link of 5 Mbit/s
-SMALL_REST_BYTES = 32 * 1024
+# a store under this is read whole: a second call costs more than the 70 ms for
+# which it holds a link of 5 Mbit/s
+SMALL_STORE_BYTES = 32 * 1024
+# a watch answers at once if there are changes; one that hears nothing is not
+# waited for
+WATCH_MILLISECONDS = 20
 OK = 200
-
-
-@attrs.frozen
-class Page:
-    """A part of the store.
-
-    Attributes:
-        revision: The store's revision at the call.
-        items: By key; at least one if there are more.
-        has_more: Whether keys follow behind the last of these.
-    """
-
-    revision: int
-    items: dict[str, forwarding.RawItem]
-    has_more: bool
-
-
-def decode_page(value: dict[str, Any]) -> Page:
-    """Returns an answer of the store, decoded.
-
-    Raises:
-        ValueError: A value is no base64, or more keys follow behind none.
-        KeyError: A field is missing.
-        TypeError: A field is of another type.
-    """
-    items = {
-        item['key']: forwarding.RawItem(
-            int(item['rev']), base64.b64decode(item['value'])
-        )
-        for item in value['items']
-    }
-    if value['hasMore'] and not items:
-        raise ValueError('more keys behind an empty page')
-    return Page(int(value['storeRevision']), items, value['hasMore'])
+GONE = 410
 
 
 class PlatformStore(interfaces.SnapshotSource):
@@ -92,11 +71,13 @@
     async def read_again(
         self, known: forwarding.RawSnapshot
     ) -> forwarding.RawSnapshot:
-        """Reads the entries of upstreams, and all keys if others may differ.
+        """Reads what changed, and all keys if that cannot be told.
 
-        A configuration of some hundred routes, read by one router after the
-        other, holds a link of 10 Mbit/s for a tenth of a second each time;
-        streams wait behind it, and their events come too late.
+        Thousands of entries, or a configuration of some hundred routes, hold
+        a link of 10 Mbit/s for a tenth of a second and more; streams wait
+        behind them. A call that returns no item tells the revision, and a
+        watch the changes up to it. A watch may hear nothing for a while:
+        what it tells counts if it has a change for each revision.
 
         Args:
             known: What the store held at its revision.
@@ -104,18 +85,34 @@
         Raises:
             KeyValueError: The store did not answer.
         """
-        rest = {
-            key: item
-            for key, item in known.items.items()
-            if not key.startswith(documents.UPSTREAM_PREFIX)
-        }
-        size = sum(len(item.value) for item in rest.values())
-        if size < SMALL_REST_BYTES:
+        size = sum(len(item.value) for item in known.items.values())
+        if size < SMALL_STORE_BYTES:
             return await self.read()
-        part = await self.read_range(documents.UPSTREAM_PREFIX)
-        if not part.shows_all_since(known.revision):
+        newest = await self.page(NO_KEYS, '')
+        if newest.revision == known.revision:
+            return known
+        changes = await self.changes_since(known.revision)
+        if changes is None or not changes.complete_to(newest.revision):
             return await self.read()
-        return attrs.evolve(part, items={**rest, **part.items})
+        return changes.applied_to(known, newest.revision)
+
+    async def changes_since(self, revision: int) -> documents.Changes | None:
+        """Returns what changed after a revision, None if it is too long ago.
+
+        Raises:
+            KeyValueError: The store did not answer, or refused.
+        """
+        query = {
+            'pathPrefix': ALL_KEYS,
+            'after': str(revision),
+            'waitMs': str(WATCH_MILLISECONDS),
+        }
+        answer = await self.calls.get(f'{WATCH}?{parse.urlencode(query)}')
+        if answer.status == GONE:
+            return None
+        return self.decoded_answer(
+            answer, functools.partial(documents.decode_changes, revision)
+        )
 
     async def read_range(self, prefix: str) -> forwarding.RawSnapshot:
         """Reads the keys that begin so, page by page.
@@ -139,7 +136,7 @@
         # pages that were not read would be taken for gone
         raise errors.KeyValueUnavailable(f'more than {MAX_PAGES} pages')
 
-    async def page(self, prefix: str, after: str) -> Page:
+    async def page(self, prefix: str, after: str) -> documents.Page:
         """Reads the keys that begin so, after one.
 
         Raises:
@@ -149,13 +146,24 @@
         if after:
             query['after'] = after
         answer = await self.calls.get(f'{RANGE}?{parse.urlencode(query)}')
+        return self.decoded_answer(answer, documents.decode_page)
+
+    def decoded_answer(
+        self, answer: http_calls.CallAnswer, decoder: Callable[[Any], T]
+    ) -> T:
+        """Returns what an answer holds.
+
+        Raises:
+            KeyValueUnavailable: The store refused, or answered nothing that
+                can be read.
+        """
         if answer.status != OK:
             raise errors.KeyValueUnavailable(f'status {answer.status}')
         try:
-            return decode_page(orjson.loads(answer.body))
+            return decoder(orjson.loads(answer.body))
         except (ValueError, KeyError, TypeError) as exc:
-            kind = type(exc).__name__
-            raise errors.KeyValueUnavailable(f'no page: {kind} {exc}') from exc
+            cause = f'unreadable: {type(exc).__name__} {exc}'
+            raise errors.KeyValueUnavailable(cause) from exc
 
     def decode(self, raw: forwarding.RawSnapshot) -> forwarding.Snapshot:
         """Returns what a read returned, decoded.
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -58,14 +58,19 @@
 
     Attributes:
         revision: Revision of the store.
-        keys: All keys that the store held.
         changed: Key, revision and value of each item that changed since the
             revision that was asked for.
+        keys: All keys that the store held; None if `removed` says it all.
+        removed: Keys that are gone since that revision.
+        digest: Digest of the whole snapshot, by which the receiver knows
+            that the changes fit what it has.
     """
 
     revision: int
-    keys: list[str]
     changed: list[list[str | int | bytes]]
+    keys: list[str] | None
+    removed: list[str]
+    digest: int
 
 
 @peer.message(103)
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping  # noqa: TC003 - attrs reads it
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -10,6 +11,9 @@
 from lavenderbend.state import hashing
 from lavenderbend.state import upstreams  # noqa: TC001 - attrs reads it
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 @attrs.frozen
 class PoolShare:
@@ -171,6 +175,11 @@
     value: bytes
 
 
+def item_digest(key: str, item: RawItem) -> int:
+    """Returns the part of one item in the digest of a snapshot."""
+    return hashing.hash64(f'{key} {item.revision}')
+
+
 @attrs.frozen
 class RawSnapshot:
     """What the store held at one revision.
@@ -178,28 +187,45 @@
     Attributes:
         revision: The store's revision.
         items: By key.
+        digest: Equal for equal contents, whatever the revision. Parts of
+            items are joined so that a change costs as much as what changed:
+            of thousands of entries a few change each second.
     """
 
     revision: int
     items: Mapping[str, RawItem]
-
-    @property
-    def digest(self) -> int:
-        """Equal for equal contents, whatever the revision."""
-        versions = sorted(
-            f'{key} {item.revision}' for key, item in self.items.items()
-        )
-        return hashing.hash64(*versions)
-
-    def shows_all_since(self, revision: int) -> bool:
-        """Returns whether every change since a revision is an item's last.
-
-        Each change of the store has a revision of its own. One that no item
-        here bears was a removal, an older change of an item that changed
-        again, or a change of a key that was not read.
+    digest: int = attrs.field()
+
+    @digest.default
+    def digest_of_all(self) -> int:
+        """Returns the digest of all items."""
+        digest = 0
+        for key, item in self.items.items():
+            digest ^= item_digest(key, item)
+        return digest
+
+    def with_changes(
+        self,
+        revision: int,
+        changed: Mapping[str, RawItem],
+        removed: Iterable[str],
+    ) -> RawSnapshot:
+        """Returns what the store held at a later revision.
+
+        Args:
+            revision: That revision.
+            changed: The items that are new or changed.
+            removed: Keys that are no more, if they ever were.
         """
-        shown = {item.revision for item in self.items.values()}
-        return shown.issuperset(range(revision + 1, self.revision + 1))
+        items = dict(self.items)
+        digest = self.digest
+        for key in (*removed, *changed):
+            if key in items:
+                digest ^= item_digest(key, items.pop(key))
+        for key, item in changed.items():
+            items[key] = item
+            digest ^= item_digest(key, item)
+        return RawSnapshot(revision, items, digest)
 
 
 @attrs.frozen
--- a/lavenderbend/transport/peer_datagrams.py
+++ b/lavenderbend/transport/peer_datagrams.py
@@ -34,6 +34,8 @@
         host: IP number to bind.
         port: Port of both; the same on all routers.
         snapshot: Returns the snapshot in force.
+        removed_since: Returns the keys that are gone since a revision, None
+            if that is not known.
     """
 
     def __init__(
@@ -41,10 +43,14 @@
         host: str,
         port: int,
         snapshot: Callable[[], forwarding.Snapshot | None],
+        removed_since: Callable[[int], list[str] | None] = lambda revision: (
+            None
+        ),
     ) -> None:
         self.host = host
         self.port = port
         self.snapshot = snapshot
+        self.removed_since = removed_since
         self.receiver = ignore
         self.socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
@@ -91,7 +97,10 @@
                 if current is not None and isinstance(
                     wanted, messages_forwarding.SnapshotWanted
                 ):
-                    content = changes_of(current.raw, wanted.known_revision)
+                    since = wanted.known_revision
+                    content = changes_of(
+                        current.raw, since, self.removed_since(since)
+                    )
                     await stream.send_all(framed(content))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # the router went away; it asks again or reads the store
@@ -164,16 +173,25 @@
 
 
 def changes_of(
-    raw: forwarding.RawSnapshot, since: int
+    raw: forwarding.RawSnapshot,
+    since: int,
+    removed: list[str] | None = None,
 ) -> messages_forwarding.SnapshotContent:
-    """Returns a snapshot without what has not changed since a revision."""
+    """Returns a snapshot without what has not changed since a revision.
+
+    Args:
+        raw: The snapshot.
+        since: Revision that the receiver knows, 0 for none.
+        removed: Keys that are gone since, None if that is not known.
+    """
     changed: list[list[str | int | bytes]] = [
         [key, item.revision, item.value]
         for key, item in raw.items.items()
         if item.revision > since
     ]
+    keys = list(raw.items) if removed is None else None
     return messages_forwarding.SnapshotContent(
-        raw.revision, list(raw.items), changed
+        raw.revision, changed, keys, removed or [], raw.digest
     )
 
 
@@ -184,14 +202,19 @@
     """Returns the snapshot that changes make of the one that is known.
 
     Raises:
-        CodecError: An item is missing; both are of different stores.
+        CodecError: They do not make the one that was sent: an item is
+            missing, or one should be gone.
     """
-    items = {} if known is None else dict(known.items)
-    for key, revision, value in content.changed:
-        items[key] = forwarding.RawItem(revision, value)
-    try:
-        return forwarding.RawSnapshot(
-            content.revision, {key: items[key] for key in content.keys}
-        )
-    except KeyError as exc:
-        raise errors.CodecError(f'the snapshot lacks {exc}') from exc
+    if known is None:
+        known = forwarding.RawSnapshot(0, {})
+    removed = content.removed
+    if content.keys is not None:
+        removed = known.items.keys() - set(content.keys)
+    changed = {
+        key: forwarding.RawItem(revision, value)
+        for key, revision, value in content.changed
+    }
+    raw = known.with_changes(content.revision, changed, removed)
+    if raw.digest != content.digest:
+        raise errors.CodecError('changes that do not fit what is known')
+    return raw
