--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -8,6 +8,7 @@
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from lavenderbend.coordination.forwarding import choice
@@ -67,20 +68,32 @@
         before = self.sent.get(key)
         if before == chosen.instance:
             return None
-        names = [] if before is None else [before]
-        names.extend(
-            hashing.rendezvous(key, members)
-            for members in self.directory.former(service)
-        )
-        live = [one.instance for one in self.directory.of(service)]
-        names.append(hashing.rendezvous(key, live))
-        names.append(hashing.rendezvous(parts[0].id, live))
-        for name in names:
+        for name in self.likely(service, key, before, parts[0].id):
             upstream = self.usable(name, chosen)
             if upstream is not None:
                 return upstream
         return None
 
+    def likely(
+        self, service: str, key: str, before: str | None, first_part: str
+    ) -> Iterator[str | None]:
+        """Yields names of upstreams that may have a prompt, likely ones first.
+
+        Args:
+            service: The service.
+            key: What places the chat.
+            before: Where this router sent it last, None if it never did.
+            first_part: What many chats begin with.
+        """
+        yield before
+        live = frozenset(one.instance for one in self.directory.of(service))
+        sets = [*self.directory.former(service), live]
+        # one order serves all sets: each has most upstreams of the others
+        order = hashing.rendezvous_order(key, frozenset().union(*sets))
+        for members in sets:
+            yield next((name for name in order if name in members), None)
+        yield hashing.rendezvous(first_part, live)
+
     def usable(
         self, name: str | None, chosen: forwarding.Upstream
     ) -> forwarding.Upstream | None:
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -264,11 +264,10 @@
         near: bool,
     ) -> Choice:
         """Returns the first upstream of the key's order that has room."""
-        order = hashing.rendezvous_order(key, [one.instance for one in found])
-        rank = {instance: index for index, instance in enumerate(order)}
-        ordered = sorted(
-            found, key=lambda one: (near and self.far(one), rank[one.instance])
-        )
+        by_name = {one.instance: one for one in found}
+        ordered = [by_name[n] for n in hashing.rendezvous_order(key, by_name)]
+        if near:
+            ordered.sort(key=self.far)
         for place, upstream in enumerate(ordered):
             load = self.loads.load(upstream.instance)
             if load < bound:
--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -31,7 +31,7 @@
     """
 
     until: float
-    instances: tuple[str, ...]
+    instances: frozenset[str]
 
 
 class Directory:
@@ -65,15 +65,15 @@
         self, service: str, before: list[forwarding.Upstream]
     ) -> None:
         """Remembers the upstreams that a service had before a change."""
-        old = tuple(one.instance for one in before)
+        old = frozenset(one.instance for one in before)
         new = {one.instance for one in self.by_service.get(service, [])}
-        if set(old) == new:
+        if old == new:
             return
         changes = self.changes.setdefault(service, [])
         changes.append(Former(trio.current_time(), old))
         del changes[:-MAX_FORMER]
 
-    def former(self, service: str) -> list[tuple[str, ...]]:
+    def former(self, service: str) -> list[frozenset[str]]:
         """Returns the upstreams that a service had lately, latest first."""
         oldest = trio.current_time() - FORMER_SECONDS
         return [
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -70,11 +70,13 @@
 
     Attributes:
         records: By instance.
+        quiet_from: Router clock from which on nobody is avoided.
         on_suspect: Called when an upstream is found dead or out of reach.
     """
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
+        self.quiet_from = 0.0
         self.on_suspect: Callable[[], None] = lambda: None
 
     def record(self, instance: str) -> Record:
@@ -141,7 +143,12 @@
         record.suspect_until = max(
             record.suspect_until, now + TOLD_AVOID_SECONDS
         )
-        record.avoid_until = max(record.avoid_until, record.suspect_until)
+        self.hold_back(record, record.suspect_until)
+
+    def hold_back(self, record: Record, until: float) -> None:
+        """Prefers others to an upstream until a moment, at least."""
+        record.avoid_until = max(record.avoid_until, until)
+        self.quiet_from = max(self.quiet_from, until)
 
     def suspect(self, instance: str, cause: str) -> None:
         """Takes an upstream for dead or out of reach."""
@@ -171,8 +178,7 @@
     def note_full(self, instance: str) -> None:
         """Notes a refusal for want of room."""
         record = self.record(instance)
-        until = trio.current_time() + FULL_SECONDS
-        record.avoid_until = max(record.avoid_until, until)
+        self.hold_back(record, trio.current_time() + FULL_SECONDS)
         AVOIDED.inc({'cause': 'full'})
 
     def avoid(self, instance: str, record: Record, cause: str) -> None:
@@ -181,7 +187,7 @@
         if record.avoid_until > now:
             return
         seconds = FIRST_AVOID_SECONDS * 2.0 ** min(record.rounds, 4)
-        record.avoid_until = now + min(seconds, MAX_AVOID_SECONDS)
+        self.hold_back(record, now + min(seconds, MAX_AVOID_SECONDS))
         record.rounds += 1
         AVOIDED.inc({'cause': cause})
         logs.change(
@@ -198,6 +204,9 @@
     ) -> tuple[list[forwarding.Upstream], list[forwarding.Upstream]]:
         """Returns the upstreams that are well, and those to be avoided."""
         now = trio.current_time()
+        if now >= self.quiet_from:
+            # most of the time; thousands of upstreams need no look each
+            return list(found), []
         well: list[forwarding.Upstream] = []
         avoided: list[forwarding.Upstream] = []
         for upstream in found:
--- a/lavenderbend/state/hashing.py
+++ b/lavenderbend/state/hashing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from typing import TYPE_CHECKING
 
@@ -9,32 +10,47 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
 MAX_HASH = 2**64
+# names of upstreams and chats that are hashed again and again
+MAX_FRAMED = 32_768
 
 
 def hash64(*parts: str | bytes) -> int:
     """Returns a 64-bit hash of the parts, told apart by their lengths."""
-    state = xxhash.xxh3_64()
-    for part in parts:
-        data = part.encode() if isinstance(part, str) else part
-        state.update(len(data).to_bytes(4, 'big'))
-        state.update(data)
-    return state.intdigest()
+    return xxhash.xxh3_64_intdigest(b''.join(map(framed, parts)))
+
+
+@functools.lru_cache(maxsize=MAX_FRAMED)
+def framed(part: str | bytes) -> bytes:
+    """Returns a part behind its length."""
+    data = part.encode() if isinstance(part, str) else part
+    return len(data).to_bytes(4, 'big') + data
+
+
+def scores(
+    key: str | bytes, members: Iterable[str]
+) -> Iterator[tuple[int, str]]:
+    """Yields the members with what orders them, the first the least.
+
+    A score is the `hash64` of key and member; made at once it takes a third
+    of the time, 0.4 us, which 3,000 upstreams make felt.
+    """
+    head = framed(key)
+    for member in members:
+        yield -xxhash.xxh3_64_intdigest(head + framed(member)), member
 
 
 def rendezvous_order(key: str | bytes, members: Iterable[str]) -> list[str]:
     """Returns the members by falling rendezvous score for the key."""
-    return sorted(members, key=lambda member: (-hash64(key, member), member))
+    return [member for _, member in sorted(scores(key, members))]
 
 
 def rendezvous(key: str | bytes, members: Iterable[str]) -> str | None:
     """Returns the member with the highest score, None if there is none."""
-    return min(
-        members,
-        key=lambda member: (-hash64(key, member), member),
-        default=None,
-    )
+    best = min(scores(key, members), default=None)
+    return None if best is None else best[1]
 
 
 def weighted_score(key: str | bytes, member: str, weight: float) -> float:
