--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -29,9 +29,9 @@
 # no key begins so: an answer with the revision alone
 NO_KEYS = 'none/'
 MAX_PAGES = 20
-# a store under this is read whole: a second call costs more than the 70 ms for
-# which it holds a link of 5 Mbit/s
-SMALL_STORE_BYTES = 32 * 1024
+# a store under this is read whole: a second call costs more than the 80 ms for
+# which it holds a link of 10 Mbit/s
+SMALL_STORE_BYTES = 64 * 1024
 # a watch answers at once if there are changes; one that hears nothing is not
 # waited for
 WATCH_MILLISECONDS = 20
