Start a process under test once when faults overlap

Four of sixteen soaks of forwarding routers left a router process behind, found in the process list: kill all and stop overlapped, and both started the same router. Its first process kept the ports and was nobody's. Ended by their ids.

--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -32,8 +32,19 @@
         self.arguments = arguments
         self.log = log
         self.process: trio.Process | None = None
+        self.starting = trio.Lock()
 
     async def start(self) -> None:
+        """Starts the process, unless it runs.
+
+        Faults overlap: of two that start it again the second would lose
+        hold of the first one's process, which then went on for ever.
+        """
+        async with self.starting:
+            if not self.running:
+                await self.open()
+
+    async def open(self) -> None:
         with self.log.open('ab') as log:
             self.process = await trio.lowlevel.open_process(
                 [sys.executable, '-m', 'lavenderbend', *self.arguments],
