Mend the fake of the test of starts that overlap

Its fake process could not be ended, so that the test failed also with the guard; it now fails without the guard (two processes, one ended) and passes with it.

--- a/tests/integration/test_integration_processes.py
+++ b/tests/integration/test_integration_processes.py
@@ -19,7 +19,8 @@
     def send_signal(self, number):
         self.ended = True
 
-    terminate = send_signal
+    def terminate(self):
+        self.ended = True
 
     async def wait(self):
         await trio.lowlevel.checkpoint()
