Decide how much of the store is read in the product, not in the adapter

The adapter keeps the calls: read all, the revision alone, a watch's changes. Whether changes count as proof is for the product (coordination/forwarding/ store_reads).

--- a/bench/relay/forwarding.py
+++ b/bench/relay/forwarding.py
@@ -46,6 +46,14 @@
         await trio.sleep_forever()
         raise AssertionError
 
+    async def newest_revision(self) -> int:
+        """Is not called."""
+        raise AssertionError
+
+    async def changes_since(self, revision: int) -> forwarding.Changes | None:
+        """Is not called."""
+        raise AssertionError
+
     def decode(self, raw: forwarding.RawSnapshot) -> forwarding.Snapshot:
         """Is not called."""
         raise AssertionError
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -161,24 +161,29 @@
 
     @abc.abstractmethod
     async def read(self) -> forwarding.RawSnapshot:
-        """Reads the store; what it returns is not older than the call.
+        """Reads the whole store; what it returns is not older than the call.
 
         Raises:
             KeyValueError: The store did not answer.
         """
 
-    async def read_again(
-        self, known: forwarding.RawSnapshot
-    ) -> forwarding.RawSnapshot:
-        """Reads the store, less of it if the rest is known not to have changed.
+    @abc.abstractmethod
+    async def newest_revision(self) -> int:
+        """Returns the store's revision; it is not older than the call.
 
-        Args:
-            known: What the store held at its revision.
+        Raises:
+            KeyValueError: The store did not answer.
+        """
+
+    @abc.abstractmethod
+    async def changes_since(self, revision: int) -> forwarding.Changes | None:
+        """Returns changes after a revision, None if they are forgotten.
+
+        Some may be missing: the store may be slow to tell of them.
 
         Raises:
             KeyValueError: The store did not answer.
         """
-        return await self.read()
 
     @abc.abstractmethod
     def decode(self, raw: forwarding.RawSnapshot) -> forwarding.Snapshot:
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -10,6 +10,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import removals
+from lavenderbend.coordination.forwarding import store_reads
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 
@@ -217,7 +218,7 @@
             return await self.source.read()
         # a peer may have shown that nothing changed up to a later revision
         known = attrs.evolve(current.raw, revision=current.revision)
-        return await self.source.read_again(known)
+        return await store_reads.read_again(self.source, known)
 
     def decoded(self, raw: forwarding.RawSnapshot) -> forwarding.Snapshot:
         """Returns a snapshot; the one in force if nothing has changed."""
--- a/lavenderbend/platform/documents.py
+++ b/lavenderbend/platform/documents.py
@@ -72,38 +72,7 @@
     return Page(int(value['storeRevision']), items, value['hasMore'])
 
 
-@attrs.frozen
-class Changes:
-    """What a watch told, in order.
-
-    Attributes:
-        since: Revision after which it begins.
-        entries: Revision, key and the item as it was written, None if it
-            was removed.
-    """
-
-    since: int
-    entries: tuple[tuple[int, str, forwarding.RawItem | None], ...]
-
-    def complete_to(self, revision: int) -> bool:
-        """Returns whether there is a change for each revision up to one."""
-        told = {at for at, _, _ in self.entries}
-        return told.issuperset(range(self.since + 1, revision + 1))
-
-    def applied_to(
-        self, known: forwarding.RawSnapshot, revision: int
-    ) -> forwarding.RawSnapshot:
-        """Returns what the store held at a revision that they lead to.
-
-        Later changes are left out: there may be others between them.
-        """
-        last = {key: item for at, key, item in self.entries if at <= revision}
-        changed = {key: item for key, item in last.items() if item is not None}
-        removed = [key for key, item in last.items() if item is None]
-        return known.with_changes(revision, changed, removed)
-
-
-def decode_changes(since: int, value: dict[str, Any]) -> Changes:
+def decode_changes(since: int, value: dict[str, Any]) -> forwarding.Changes:
     """Returns the changes in an answer of the store.
 
     Raises:
@@ -111,15 +80,14 @@
         KeyError: A field is missing.
         TypeError: A field is of another type.
     """
-    return Changes(since, tuple(decode_change(one) for one in value['events']))
+    entries = tuple(decode_change(one) for one in value['events'])
+    return forwarding.Changes(since, entries)
 
 
-def decode_change(
-    value: dict[str, Any],
-) -> tuple[int, str, forwarding.RawItem | None]:
+def decode_change(value: dict[str, Any]) -> forwarding.Change:
     """Returns one change; raises as `decode_changes` does."""
     item = None if value.get('deleted') else decode_item(value)
-    return int(value['rev']), value['key'], item
+    return forwarding.Change(int(value['rev']), value['key'], item)
 
 
 def decode_item(value: dict[str, Any]) -> forwarding.RawItem:
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -29,9 +29,6 @@
 # no key begins so: an answer with the revision alone
 NO_KEYS = 'none/'
 MAX_PAGES = 20
-# a store under this is read whole: a second call costs more than the 80 ms for
-# which it holds a link of 10 Mbit/s
-SMALL_STORE_BYTES = 64 * 1024
 # a watch answers at once if there are changes; one that hears nothing is not
 # waited for
 WATCH_MILLISECONDS = 20
@@ -68,36 +65,17 @@
         """
         return await self.read_range(ALL_KEYS)
 
-    async def read_again(
-        self, known: forwarding.RawSnapshot
-    ) -> forwarding.RawSnapshot:
-        """Reads what changed, and all keys if that cannot be told.
-
-        Thousands of entries, or a configuration of some hundred routes, hold
-        a link of 10 Mbit/s for a tenth of a second and more; streams wait
-        behind them. A call that returns no item tells the revision, and a
-        watch the changes up to it. A watch may hear nothing for a while:
-        what it tells counts if it has a change for each revision.
-
-        Args:
-            known: What the store held at its revision.
+    async def newest_revision(self) -> int:
+        """Returns the store's revision, by a call that returns no item.
 
         Raises:
-            KeyValueError: The store did not answer.
+            KeyValueError: The store did not answer, or refused.
         """
-        size = sum(len(item.value) for item in known.items.values())
-        if size < SMALL_STORE_BYTES:
-            return await self.read()
-        newest = await self.page(NO_KEYS, '')
-        if newest.revision == known.revision:
-            return known
-        changes = await self.changes_since(known.revision)
-        if changes is None or not changes.complete_to(newest.revision):
-            return await self.read()
-        return changes.applied_to(known, newest.revision)
-
-    async def changes_since(self, revision: int) -> documents.Changes | None:
-        """Returns what changed after a revision, None if it is too long ago.
+        page = await self.page(NO_KEYS, '')
+        return page.revision
+
+    async def changes_since(self, revision: int) -> forwarding.Changes | None:
+        """Returns what a watch tells at once, None if it is too long ago.
 
         Raises:
             KeyValueError: The store did not answer, or refused.
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -228,6 +228,53 @@
         return RawSnapshot(revision, items, digest)
 
 
+@attrs.frozen
+class Change:
+    """A change of one key of the store.
+
+    Attributes:
+        revision: The store's revision that it made.
+        key: The key.
+        item: What was written, None if the key was removed.
+    """
+
+    revision: int
+    key: str
+    item: RawItem | None
+
+
+@attrs.frozen
+class Changes:
+    """Changes of the store after a revision, as far as they were heard.
+
+    Attributes:
+        since: That revision.
+        entries: In the order of their revisions.
+    """
+
+    since: int
+    entries: tuple[Change, ...]
+
+    def complete_to(self, revision: int) -> bool:
+        """Returns whether there is a change for each revision up to one."""
+        heard = {change.revision for change in self.entries}
+        return heard.issuperset(range(self.since + 1, revision + 1))
+
+    def applied_to(self, known: RawSnapshot, revision: int) -> RawSnapshot:
+        """Returns what the store held at a revision that they lead to.
+
+        Later changes are left out: there may be others between them.
+        """
+        last = {
+            change.key: change.item
+            for change in self.entries
+            if change.revision <= revision
+        }
+        changed = {key: item for key, item in last.items() if item is not None}
+        removed = [key for key, item in last.items() if item is None]
+        return known.with_changes(revision, changed, removed)
+
+
 @attrs.frozen
 class Snapshot:
     """Configuration and upstreams as of one revision of the store.
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -97,6 +97,12 @@
         self.known[self.content.digest] = self.content
         return self.content.raw
 
+    async def newest_revision(self):
+        return (await self.read()).revision
+
+    async def changes_since(self, revision):
+        return None
+
     def decode(self, raw):
         if raw.digest not in self.known:
             raise errors.CodecError('unknown content')
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -9,6 +9,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import store_reads
 from lavenderbend.platform import documents
 from lavenderbend.platform import store as platform_store
 from lavenderbend.state import upstreams
@@ -98,7 +99,7 @@
     known = await client.read()
     change()
     store.asked.clear()
-    raw = await client.read_again(known)
+    raw = await store_reads.read_again(client, known)
     calls = [asked.target for asked in store.asked]
     whole = await client.read()
     assert (raw, raw.digest) == (whole, whole.digest)
@@ -187,7 +188,7 @@
 async def test_small_configuration_is_read_in_one_call(store, client):
     known = await client.read()
     store.asked.clear()
-    await client.read_again(known)
+    await store_reads.read_again(client, known)
     assert len(store.asked) == 1
 
 
