Ask a forwarding router as a process for its decisions; measured sizes in comments

The wiring of the operators' interface had no test as a process: status, decisions and explain now ask one by the command line. Resident set after imports: 35.8 MB, with the operators' interface 51.1 MB, with tracing's API 36.2 MB; comments said 20 and 5 MB more.

--- a/lavenderbend/coordination/forwarding/hops.py
+++ b/lavenderbend/coordination/forwarding/hops.py
@@ -17,8 +17,8 @@
 class Tracer:
     """Makes a span for a request, and one below it for each attempt.
 
-    This module loads the tracing libraries, some 5 MB: routers whose
-    settings name no collector have no tracer.
+    Routers whose settings name no collector have no tracer, and load no
+    tracing library.
     """
 
     def begin_request(self, request: interfaces.CallerRequest) -> spans.Hop:
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -173,7 +173,8 @@
         settings = self.settings
         if not settings.operators.credential:
             return None
-        # its libraries take 20 MB that other routers do without
+        # its libraries take 15 MB of resident set, measured at their import,
+        # that other routers do without
         from lavenderbend.transport import forwarding_operators
 
         kept = decisions.DecisionStore(settings.decisions.capacity)
--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -102,7 +102,9 @@
         for router in self.routers:
             await self.until(router.ready)
 
-    def write_settings(self, router, store_port=0, **changes) -> None:
+    def write_settings(
+        self, router, store_port=0, operators=None, **changes
+    ) -> None:
         host = router.host
         store_port = store_port or self.store.port
         forwarding = {
@@ -130,6 +132,7 @@
                 'stream_seconds': '8s',
             },
             'forwarding': forwarding,
+            **({'operators': operators} if operators else {}),
         }
         path = self.folder / f'{host}.yaml'
         path.write_text(yaml.safe_dump(document))
--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import io
 import signal
 
 import pytest
 import trio
 
+from lavenderbend.cmd import base
+from lavenderbend.cmd import main
 from lavenderbend.cmd import trace
+from tests import operator_fakes
 from tests import platform_standins as standins
 from tests.integration import forwarding_fleet
+from tests.integration import ports
 
 EVENTS = b''.join(
     b'id: %d\ndata: x%d\n\n' % (number, number) for number in range(1, 6)
@@ -242,3 +247,40 @@
     with trio.fail_after(20.0):
         assert await router.process.process.wait() != 0
     assert key in router.process.log.read_text()
+
+
+async def test_operators_ask_a_router_process(fleet, monkeypatch):
+    # An operator follows up one request at the router that had it: what is
+    # in force there, what was decided, and what would be decided now.
+    router = fleet.routers[0]
+    port = ports.PORTS.take()
+    await router.process.kill()
+    told = {
+        'credential': operator_fakes.SALTED,
+        'host': router.host,
+        'port': port,
+    }
+    fleet.write_settings(router, operators=told)
+    await router.process.start()
+    await fleet.until(router.ready)
+    await forwarding_fleet.ask(router, '/desk/send', 9)
+    monkeypatch.setenv('LAVENDERBEND_CREDENTIAL', operator_fakes.SECRET)
+
+    async def shown(*arguments):
+        out = io.StringIO()
+        url = f'http://{router.host}:{port}'
+        code = await trio.to_thread.run_sync(
+            main.run, [*arguments, '--router', url], base.Output(out=out)
+        )
+        assert code == 0
+        return out.getvalue()
+
+    assert 'pool desk' in await shown('status')
+    decision = await shown('decisions', 'r9')
+    assert 'i-d1: least loaded' in decision
+    assert 'complete after' in decision
+    explanation = await shown(
+        *('explain', '--customer', 'corte', '--path', '/desk/send'),
+        *('--header', 'host:a.example'),
+    )
+    assert 'i-d1 would be taken' in explanation
