Cancel reads of a silent upstream only; never a write to the caller

Cause: the silence watch cancelled a scope around the whole exchange. Bytes that arrived in the turn of the cancellation were returned by the read, and the write of the head (or of an event that was already counted) was cancelled in its place: the next upstream's events followed without a head ("a bad status line") or with one event missing. A write that a slow caller blocked was cut the same way, and its time counted as the upstream's silence.

Three more ways into the same state, each shown by a test that failed before: an answer whose last write the deadline cancelled left its connection in use (the protocol counts it as sent); a 500 answered to a resume was kept and passed on whole within the stream; events before a contradiction in the same bytes were counted though not passed on, so that a resume left them out.

Ruled out: bytes of an earlier request on a kept connection (ids are checked, tests stand).

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -112,7 +112,7 @@
         answer: interfaces.CallerAnswer,
         may_repeat: Callable[[], bool],
     ) -> None:
-        """Runs the exchange until the upstream is found silent.
+        """Runs the exchange while the upstream's silence is watched.
 
         Raises:
             UpstreamError: The caller has no whole answer yet.
@@ -120,12 +120,9 @@
         limit = self.first_byte_seconds(ticket)
         waiting = self.silence.begin(upstream, limit, may_repeat)
         try:
-            with waiting.scope:
-                await self.run(ticket, upstream, exchange, answer, waiting)
+            await self.run(ticket, upstream, exchange, answer, waiting)
         finally:
             self.silence.end(waiting)
-        if waiting.scope.cancelled_caught:
-            raise errors.UpstreamStalled('no byte in time')
 
     async def open(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
@@ -161,14 +158,15 @@
         # from the first byte on only the upstream can say that it did not
         # run: a caller that is told so sends the request again
         ticket.may_have_run = True
-        head = await exchange.send(self.requests.make(ticket, upstream))
+        outgoing_request = self.requests.make(ticket, upstream)
+        head = await waiting.read(lambda: exchange.send(outgoing_request))
         record = ticket.placed[-1]
         record.first_byte = trio.current_time() - record.started
         self.silence.note_bytes(waiting)
         self.note_head(upstream, head)
         if self.says_not_run(head):
             ticket.may_have_run = earlier
-            await self.refused(upstream, exchange, head)
+            await self.refused(upstream, exchange, head, waiting)
         self.check_answer(head)
         if ticket.rule.then.streaming and head.status < 300:
             await self.relay(ticket, exchange, head, answer, waiting)
@@ -191,17 +189,19 @@
             UpstreamError: It is a failure that another upstream may make
                 good, or broke off.
         """
-        body = await read_whole(exchange)
+        body = await read_whole(exchange, waiting)
         failed = head.status >= SERVER_ERROR
         if failed:
             self.note_failure(ticket, upstream)
         else:
             self.note_success(ticket, upstream)
+        if answer.started:
+            # a stream that is resumed has its head; a second one within it
+            # would reach the caller as bytes of no answer
+            raise errors.UpstreamBroke(f'answered {head.status} to a resume')
         if failed and waiting.may_repeat():
             ticket.fallback = tickets.WholeAnswer(head, body)
             raise errors.UpstreamError(f'answered {head.status}')
-        if answer.started:
-            raise errors.UpstreamBroke(f'answered {head.status} to a resume')
         await answer.whole(head.status, head.headers, body)
 
     def note_failure(
@@ -239,6 +239,7 @@
         upstream: forwarding.Upstream,
         exchange: interfaces.Exchange,
         head: interfaces.AnswerHead,
+        waiting: silence_module.Waiting,
     ) -> None:
         """Notes why the upstream refused.
 
@@ -250,7 +251,7 @@
         else:
             self.health.note_full(upstream.instance)
         try:
-            await read_whole(exchange)
+            await read_whole(exchange, waiting)
         except errors.UpstreamBroke as exc:
             raise errors.UpstreamRefused(f'{head.status}, then {exc}') from exc
         raise errors.UpstreamRefused(f'answered {head.status}, not run')
@@ -289,7 +290,7 @@
         """
         cutter = ticket.cutter
         cutter.restart()
-        while (data := await exchange.read()) is not None:
+        while (data := await waiting.read(exchange.read)) is not None:
             self.silence.note_bytes(waiting)
             whole = cutter.feed(data)
             if not whole:
@@ -307,13 +308,15 @@
         await answer.finish()
 
 
-async def read_whole(exchange: interfaces.Exchange) -> bytes:
+async def read_whole(
+    exchange: interfaces.Exchange, waiting: silence_module.Waiting
+) -> bytes:
     """Returns the whole body of an answer.
 
     Raises:
         UpstreamBroke: The answer broke off.
     """
     parts = []
-    while (data := await exchange.read()) is not None:
+    while (data := await waiting.read(exchange.read)) is not None:
         parts.append(data)
     return b''.join(parts)
--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -56,6 +56,9 @@
         Raises:
             AnswerContradicts: An event is missing or comes twice.
         """
+        # what contradicts is not passed on: a resume must not skip the events
+        # before it in the same bytes
+        last = self.last
         for line in whole.split(b'\n'):
             if not line.startswith(ID_FIELD):
                 continue
@@ -63,8 +66,9 @@
             if not value.isdigit():
                 continue
             number = int(value)
-            if self.last is not None and number != self.last + 1:
+            if last is not None and number != last + 1:
                 raise errors.AnswerContradicts(
-                    f'event {number} after event {self.last}'
+                    f'event {number} after event {last}'
                 )
-            self.last = number
+            last = number
+        self.last = last
--- a/lavenderbend/coordination/forwarding/silence.py
+++ b/lavenderbend/coordination/forwarding/silence.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import attrs
 import trio
 
+from lavenderbend import errors
+
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.state import forwarding
 
+T = TypeVar('T')
+
 CHECK_SECONDS = 0.1
 # events of all streams of an engine follow each other within some tens of
 # milliseconds; none from any of them for so long is no slow engine's
@@ -29,9 +35,11 @@
         instance: The upstream.
         limit: Seconds after which it is not waited for any longer.
         may_repeat: Returns whether another upstream may go on, now.
-        scope: Cancelled to end the wait.
-        since: Router clock of the last bytes, or of the sending.
+        scope: Cancelled to end the wait for what comes next.
+        since: Router clock of the last bytes, of the sending, or of the
+            moment from which bytes are waited for again.
         flowing: Whether a stream has begun, so that bytes are due.
+        reading: Whether the upstream is waited for, and not the caller.
     """
 
     instance: str
@@ -40,6 +48,27 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     since: float = attrs.field(factory=trio.current_time)
     flowing: bool = False
+    reading: bool = True
+
+    async def read(self, operation: Callable[[], Awaitable[T]]) -> T:
+        """Returns what one operation on the upstream returns.
+
+        Only this can be given up. A write to the caller that were cancelled
+        would leave the answer half written: what has been read and counted
+        would be missing, and the next upstream's bytes would follow the gap.
+
+        Raises:
+            UpstreamStalled: It was given up; nothing that was read is lost.
+        """
+        self.since = trio.current_time()
+        self.scope = trio.CancelScope()
+        self.reading = True
+        try:
+            with self.scope:
+                return await operation()
+        finally:
+            self.reading = False
+        raise errors.UpstreamStalled('no byte in time')
 
 
 class SilenceWatch:
@@ -103,6 +132,8 @@
         for instance in dark:
             self.health.note_silent(instance)
         for waiting in list(self.waits):
+            if not waiting.reading:
+                continue
             silent = now - waiting.since
             suspected = silent > DARK_SECONDS and (
                 waiting.instance in dark
@@ -113,7 +144,9 @@
 
     def dark(self, now: float) -> set[str]:
         """Returns the upstreams that stream to requests and are silent."""
-        flowing = {one.instance for one in self.waits if one.flowing}
+        flowing = {
+            one.instance for one in self.waits if one.flowing and one.reading
+        }
         return {
             instance
             for instance in flowing
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -188,7 +188,8 @@
                 return
             if request is None:
                 return
-            await self.answer(request)
+            if not await self.answer(request):
+                return
             if self.protocol.our_state is not h11.DONE:
                 return
             if self.protocol.their_state is not h11.DONE:
@@ -275,13 +276,21 @@
         data = await self.stream.receive_some(RECEIVE_BYTES)
         self.protocol.receive_data(data)
 
-    async def answer(self, request: interfaces.CallerRequest) -> None:
-        """Has the request answered, and stops when the caller leaves."""
+    async def answer(self, request: interfaces.CallerRequest) -> bool:
+        """Has the request answered, and stops when the caller leaves.
+
+        Returns:
+            Whether all of the answer was written. A deadline may cancel the
+            last write half done, when the protocol already counts it as
+            sent: what followed on this connection would be read as the rest
+            of this answer.
+        """
         answer = caller_answers.ConnectionAnswer(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch_caller, answer, nursery.cancel_scope)
             await self.handle(request, answer)
             nursery.cancel_scope.cancel()
+        return answer.finished
 
     async def handle(
         self,
--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from lavenderbend import errors
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import silence
 from tests import forwarding_fakes as fakes
@@ -114,3 +115,132 @@
     answer, error = await router.ask()
     assert answer.body == event(1) + event(2)
     assert trio.current_time() - began < 0.8
+
+
+class SocketAnswer(fakes.Answer):
+    """Writes as a socket does: the caller has nothing before the write ends.
+
+    Attributes:
+        seconds: How long a write takes; a slow caller's takes long.
+    """
+
+    seconds = 0.0
+
+    async def start(self, status, headers):
+        self.started = True
+        await trio.sleep(self.seconds)
+        self.heads += 1
+        self.status = status
+
+    async def send(self, data):
+        await trio.sleep(self.seconds)
+        self.body += data
+
+    async def finish(self):
+        await trio.sleep(self.seconds)
+        self.finished = True
+
+
+class BytesAtTheLimit(fakes.Exchange):
+    """Bytes that arrive in the very turn in which the wait is given up."""
+
+    router = None
+    late_part = 0
+
+    async def read(self):
+        data = await super().read()
+        if self.instance == 'e1' and len(self.parts) == self.late_part:
+            self.router.silence.check(trio.current_time() + 60.0)
+        return data
+
+
+def resumable_router(exchanges):
+    rules = (fakes.rule(streaming=True, resumable=True, attempts=2),)
+    content = fakes.snapshot(
+        1, fakes.table(1, rules), fakes.upstream('e1'), fakes.upstream('e2')
+    )
+    return fakes.Router(content, exchanges)
+
+
+class LateExchanges(fakes.Exchanges):
+    async def open(self, one, repeatable):
+        found = await super().open(one, repeatable)
+        return BytesAtTheLimit(self, found.instance, found.step)
+
+
+@pytest.mark.parametrize('late_part', [0, 1, 2])
+async def test_wait_given_up_as_bytes_arrive_loses_no_byte(
+    late_part, autojump_clock, monkeypatch
+):
+    # A caller got a bad status line, or a stream with an event missing. The
+    # first event came in the turn in which its wait was given up: the read
+    # returned it, and the write of the head to the caller was cancelled in
+    # its place. The next engine's events followed without a head.
+    exchanges = LateExchanges(e1=(), e2=())
+    parts = (event(1), event(2), event(3))
+    steps = [fakes.reply(body=parts), fakes.reply(body=(event(2), event(3)))]
+    exchanges.steps = {'e1': steps, 'e2': steps}
+    router = resumable_router(exchanges)
+    monkeypatch.setattr(BytesAtTheLimit, 'router', router)
+    monkeypatch.setattr(BytesAtTheLimit, 'late_part', late_part)
+    answer = SocketAnswer()
+    await router.forwarder.forward(fakes.request(), answer)
+    assert (answer.heads, answer.status) == (1, 200)
+    assert answer.body == event(1) + event(2) + event(3)
+    assert answer.finished
+
+
+async def test_slow_caller_is_not_its_upstreams_silence(
+    nursery, autojump_clock
+):
+    # The caller takes each part of its answer only after seconds. The
+    # upstream is not read meanwhile; it was blamed for the silence, and the
+    # write was cut off half done.
+    exchanges = fakes.Exchanges(e1=(), e2=())
+    steps = [fakes.reply(body=(event(1), event(2)))]
+    exchanges.steps = {'e1': steps, 'e2': steps}
+    router = resumable_router(exchanges)
+    nursery.start_soon(router.silence.run)
+    answer = SocketAnswer()
+    answer.seconds = 1.2
+    await router.forwarder.forward(fakes.request(x_deadline_ms='60000'), answer)
+    assert answer.body == event(1) + event(2)
+    assert len(exchanges.sent) == 1
+    assert not router.health.suspects()
+
+
+async def test_failure_answered_to_a_resume_is_no_second_head(autojump_clock):
+    # A stream has begun when its engine dies. The engine that is to go on
+    # answers 500, and so does the third: its answer was kept to be passed on
+    # whole, in the midst of the stream.
+    exchanges = fakes.Exchanges(e1=(), e2=(), e3=())
+    shared = [
+        fakes.reply(body=(event(1),), then=fakes.LOST_ANSWER),
+        fakes.reply(500),
+    ]
+    exchanges.steps = {'e1': shared, 'e2': shared, 'e3': shared}
+    rules = (fakes.rule(streaming=True, resumable=True, attempts=3),)
+    found = [fakes.upstream(name) for name in ('e1', 'e2', 'e3')]
+    router = fakes.Router(
+        fakes.snapshot(1, fakes.table(1, rules), *found), exchanges
+    )
+    answer, error = await router.ask()
+    assert answer.heads == 1
+    assert answer.body == event(1)
+    assert not answer.finished
+    assert isinstance(error, errors.OutcomeUnknown)
+
+
+async def test_events_that_contradict_move_no_resume_ahead(autojump_clock):
+    # A garbled stream jumps from event 2 to event 9 within one read. Event 2
+    # is not passed on; a resume behind it would leave it out.
+    exchanges = fakes.Exchanges(e1=(), e2=())
+    shared = [
+        fakes.reply(body=(event(1), event(2) + event(9))),
+        fakes.reply(body=(event(2), event(3))),
+    ]
+    exchanges.steps = {'e1': shared, 'e2': shared}
+    router = resumable_router(exchanges)
+    answer, error = await router.ask()
+    assert error is None
+    assert answer.body == event(1) + event(2) + event(3)
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -46,6 +46,22 @@
         await answer.send(b'half')
         raise errors.OutcomeUnknown('broke off')
 
+    async def cut(self, request, answer):
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await answer.whole(200, (), b'never written')
+        self.step = self.echo
+        raise errors.OutcomeUnknown('no answer before the deadline')
+
+    async def cut_end(self, request, answer):
+        await answer.start(200, ())
+        await answer.send(b'all of it')
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await answer.finish()
+        self.step = self.echo
+        raise errors.OutcomeUnknown('no answer before the deadline')
+
     async def fault(self, request, answer):
         raise KeyError('a mistake of ours')
 
@@ -216,3 +232,15 @@
     assert b'HTTP' not in await talk(router, GET)
     for stream in streams:
         await stream.aclose()
+
+
+@pytest.mark.parametrize('step', ['cut', 'cut_end'])
+async def test_answer_cut_in_its_last_write_ends_the_connection(router, step):
+    # The deadline comes while the last bytes of an answer are written. The
+    # protocol counts them as sent; the next answer on the connection would
+    # be read as the rest of this one.
+    router.step = getattr(router, step)
+    heard = await talk(router, GET + GET)
+    assert len(router.requests) == 1
+    assert b'x-a' not in heard
+    assert not heard.endswith(b'0\r\n\r\n')
