Tell starts of an upstream apart, and leave out entries that name none

An upstream may start again under its id; what was believed of its earlier start (load, health, cached chats, kept connections, deaths of a request, peers' loads and suspicions) was taken for the later one's. The adapter names each start; a listed id never counts as lapsed.

An entry of another writer that could not be read stopped the whole store from being followed (shown by the property test on the code before). It is left out, counted and written once a change.

--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -68,7 +68,7 @@
             headers.append((names.copy_from.encode(), source))
         left = max(1, int(ticket.left * 1000))
         headers.append((names.deadline.encode(), b'%d' % left))
-        headers.append((names.instance.encode(), upstream.instance.encode()))
+        headers.append((names.instance.encode(), upstream.vm.id.encode()))
         headers.append((names.rank.encode(), b'%d' % ticket.rank))
         if ticket.customer:
             headers.append((names.customer.encode(), ticket.customer.encode()))
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -290,14 +290,17 @@
         would refuse everything until they are back.
         """
         now = self.clock()
+        # an id that is listed with a later start has not lapsed: its earlier
+        # start is gone
+        listed = {upstream.vm.id for upstream in snapshot.upstreams.values()}
         self.kept = {
-            name: (upstream, until)
-            for name, (upstream, until) in self.kept.items()
-            if until > now and name not in snapshot.upstreams
+            instance: (upstream, until)
+            for instance, (upstream, until) in self.kept.items()
+            if until > now and upstream.vm.id not in listed
         }
         if self.current is None or self.age < self.away_seconds:
             return
-        for name, upstream in self.current.upstreams.items():
-            if name not in snapshot.upstreams:
-                self.kept[name] = (upstream, now + REGISTER_SECONDS)
-                logs.change('upstream_lapsed', upstream=name)
+        for instance, upstream in self.current.upstreams.items():
+            if upstream.vm.id not in listed:
+                self.kept[instance] = (upstream, now + REGISTER_SECONDS)
+                logs.change('upstream_lapsed', upstream=instance)
--- a/lavenderbend/platform/documents.py
+++ b/lavenderbend/platform/documents.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import base64
-import functools
+import ipaddress
+import re
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,8 @@
 import orjson
 
 from lavenderbend import errors
+from lavenderbend.observe import logs
+from lavenderbend.observe import metrics
 from lavenderbend.state import configuration
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
@@ -23,12 +26,34 @@
 UPSTREAM_PREFIX = 'servers/'
 IDEMPOTENT = 'idempotent'
 STREAMING = 'streaming'
-DRAINING = 'draining'
+STATES = {
+    'ready': upstreams.VmState.LIVE,
+    'draining': upstreams.VmState.LEAVING,
+}
+# what an entry of an upstream holds, beside what this program does not read
+UPSTREAM_FIELDS = {
+    'service': str,
+    'address': str,
+    'zone': str,
+    'version': str,
+    'slots': int,
+    'state': str,
+    'coldLeftMs': (int, float),
+    'seqNo': int,
+}
+# an id goes into a header: with a line end in it, it would end that header
+UPSTREAM_ID = re.compile(r'[!-~]{1,200}')
+MAX_PORT = 65535
 # upstreams take a request without a rank as one of this
 DEFAULT_RANK = 5
 DEFAULT_TARGET_MILLISECONDS = 1000
 DEFAULT_GAP_MILLISECONDS = 250
 
+UNREADABLE = metrics.counter(
+    'lavenderbend_platform_unreadable_entries_total',
+    'Changes of entries that name no upstream to use.',
+)
+
 
 @attrs.frozen
 class Decoded:
@@ -36,11 +61,11 @@
 
     Attributes:
         revision: Revision of its last change.
-        value: The table or the upstream.
+        value: The table or the upstream, None if it names none.
     """
 
     revision: int
-    value: forwarding.ForwardingTable | forwarding.Upstream
+    value: forwarding.ForwardingTable | forwarding.Upstream | None
 
 
 @attrs.frozen
@@ -91,10 +116,16 @@
 
 
 def decode_item(value: dict[str, Any]) -> forwarding.RawItem:
-    """Returns one item; raises as `decode_changes` does."""
-    return forwarding.RawItem(
-        int(value['rev']), base64.b64decode(value['value'])
-    )
+    """Returns one item; raises as `decode_changes` does.
+
+    A value that is no base64 counts as empty, which no reader of values
+    takes for sound: it must not cost the other items of its page.
+    """
+    try:
+        content = base64.b64decode(value['value'])
+    except (ValueError, TypeError):
+        content = b''
+    return forwarding.RawItem(int(value['rev']), content)
 
 
 def decode_items(
@@ -106,7 +137,7 @@
     upstreams come and go far more often than it changes.
 
     Raises:
-        CodecError: An item cannot be read; its key is named.
+        CodecError: The configuration cannot be read.
     """
     found: dict[str, Decoded] = {}
     for key, item in raw.items.items():
@@ -117,22 +148,36 @@
             value = parsed(key, item.value, decode_table)
             found[key] = Decoded(item.revision, value)
         elif key.startswith(UPSTREAM_PREFIX):
-            instance = key[len(UPSTREAM_PREFIX) :]
-            decoder = functools.partial(upstream, instance)
-            value = parsed(key, item.value, decoder)
-            found[key] = Decoded(item.revision, value)
+            found[key] = Decoded(item.revision, usable_upstream(key, item))
     return found
 
 
+def usable_upstream(
+    key: str, item: forwarding.RawItem
+) -> forwarding.Upstream | None:
+    """Returns the upstream of an entry, None if it names none to use.
+
+    Any program may write entries. One that cannot be read must not stop the
+    others from being followed: all routers would keep an old configuration.
+    """
+    name = key[len(UPSTREAM_PREFIX) :]
+    try:
+        return parsed(key, item.value, lambda value: upstream(name, value))
+    except errors.CodecError as exc:
+        UNREADABLE.inc({})
+        logs.change('entry_unreadable', revision=item.revision, cause=str(exc))
+        return None
+
+
 def snapshot(
     raw: forwarding.RawSnapshot, decoded: Mapping[str, Decoded]
 ) -> forwarding.Snapshot:
     """Returns the snapshot that decoded items make."""
     table = decoded.get(CONFIGURATION_KEY)
     found = {
-        key[len(UPSTREAM_PREFIX) :]: item.value
+        item.value.instance: item.value
         for key, item in decoded.items()
-        if key.startswith(UPSTREAM_PREFIX)
+        if key.startswith(UPSTREAM_PREFIX) and item.value is not None
     }
     return forwarding.Snapshot(
         raw.revision, raw.digest, table and table.value, found, raw
@@ -153,20 +198,62 @@
         raise errors.CodecError(f'{key}: field {exc}') from exc
 
 
-def upstream(instance: str, value: dict[str, Any]) -> forwarding.Upstream:
-    """Returns the upstream of an entry."""
+def upstream(name: str, value: dict[str, Any]) -> forwarding.Upstream:
+    """Returns the upstream of an entry.
+
+    Raises:
+        ValueError: A field has a value that names no upstream.
+        KeyError: A field is missing.
+        TypeError: A field is of another type.
+    """
+    for field, kinds in UPSTREAM_FIELDS.items():
+        check_type(field, value[field], kinds)
+    if not UPSTREAM_ID.fullmatch(name):
+        raise ValueError('the id cannot go into a header')
     host, _, port = value['address'].rpartition(':')
-    leaving = value['state'] == DRAINING
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError('address: no port')
+    if value['slots'] < 1:
+        raise ValueError('slots: none')
+    state = STATES.get(value['state'])
+    if state is None:
+        raise ValueError('state: unknown')
     vm = upstreams.Vm(
-        id=instance,
+        id=name,
         host=host,
         port=int(port),
         availability_zone=value['zone'],
         service=value['service'],
         kind=upstreams.UpstreamKind.SERVICE,
-        state=upstreams.VmState.LEAVING if leaving else upstreams.VmState.LIVE,
+        state=state,
     )
-    return forwarding.Upstream(instance, vm, int(value.get('slots', 1)))
+    return forwarding.Upstream(start_of(name, value), vm, value['slots'])
+
+
+def start_of(name: str, value: dict[str, Any]) -> str:
+    """Returns what tells a start of an upstream from its other starts.
+
+    An id may be taken again by a later start, which holds nothing of what
+    the earlier one had cached, run or reported.
+    """
+    born = value.get('born')
+    if born is None:
+        return name
+    check_type('born', born, int)
+    return f'{name}/{born}'
+
+
+def check_type(
+    field: str, value: object, kinds: type | tuple[type, ...]
+) -> None:
+    """Checks the type of a field; true and false are no numbers.
+
+    Raises:
+        TypeError: It is of another type.
+    """
+    if isinstance(value, bool) or not isinstance(value, kinds):
+        raise TypeError(f'{field}: {type(value).__name__}')
 
 
 def decode_table(value: dict[str, Any]) -> forwarding.ForwardingTable:
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -152,8 +152,10 @@
     """One process of a service, as the platform's store lists it.
 
     Attributes:
-        instance: Id of this incarnation, unique for ever.
-        vm: Its address, zone, service and whether it is leaving.
+        instance: Names this start of the process, unique for ever: what is
+            believed of an earlier start under the same id does not hold for
+            a later one.
+        vm: Its id, address, zone, service and whether it is leaving.
         slots: Requests that it runs at once.
     """
 
--- a/tests/test_coordination/test_forwarding_path.py
+++ b/tests/test_coordination/test_forwarding_path.py
@@ -7,6 +7,7 @@
 import trio.lowlevel
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import choice as choice_module
 from lavenderbend.state import forwarding
 from tests import forwarding_fakes as fakes
 
@@ -434,3 +435,26 @@
     for number in range(400):
         await the_router.ask(x_request_id=f'r{number}')
     assert 20 <= exchanges.names().count('o1') <= 65
+
+
+async def test_later_start_is_named_by_its_id_and_judged_anew(autojump_clock):
+    # An engine that died comes back under its id. It is asked for by that
+    # id, while the suspicion and the load of its earlier start stay behind.
+    first = fakes.upstream('e1', start='/1')
+    exchanges = fakes.Exchanges(**{'e1/2': [fakes.reply()]})
+    the_router = fakes.Router(
+        fakes.snapshot(1, fakes.table(1, IDEMPOTENT), first), exchanges
+    )
+    the_router.health.note_unreachable('e1/1')
+    the_router.loads.begin('e1/1')
+    later = fakes.upstream('e1', start='/2')
+    the_router.snapshots.accept(
+        fakes.snapshot(2, fakes.table(1, IDEMPOTENT), later),
+        the_router.clock(),
+    )
+    choice = the_router.chooser.choose('chat', choice_module.Need(), (), 't')
+    assert (choice.load, choice.reason) == (0, choice_module.LEAST_LOADED)
+    _, error = await the_router.ask()
+    assert error is None
+    ((_, sent),) = exchanges.sent
+    assert dict(sent.headers)[b'x-expect-instance'] == b'e1'
--- a/tests/test_coordination/test_forwarding_snapshots.py
+++ b/tests/test_coordination/test_forwarding_snapshots.py
@@ -211,3 +211,21 @@
     source.error = None
     await trio.sleep(1.0)
     assert found.of('chat') == []
+
+
+async def test_earlier_start_of_an_upstream_is_not_kept_as_lapsed(
+    nursery, autojump_clock, source, followed
+):
+    # An upstream dies while the store is down and starts again under its id.
+    # Its earlier start was kept as one that had only lapsed, and requests
+    # were sent to it for two seconds.
+    found = directory.Directory(followed)
+    nursery.start_soon(followed.run)
+    await trio.sleep(1.0)
+    source.error = errors.KeyValueUnavailable('down')
+    await trio.sleep(4.0)
+    later = fakes.upstream('e1', start='/2')
+    source.put(fakes.snapshot(2, fakes.table(1), later))
+    source.error = None
+    await trio.sleep(1.0)
+    assert [one.instance for one in found.of('chat')] == ['e1/2']
--- /dev/null
+++ b/tests/test_platform/test_platform_entries.py
@@ -0,0 +1,181 @@
+"""Entries of upstreams in the platform's store, sound and not."""
+
+from __future__ import annotations
+
+import base64
+
+from hypothesis import given
+from hypothesis import strategies as st
+import orjson
+import pytest
+
+from lavenderbend.observe import logs
+from lavenderbend.platform import documents
+from lavenderbend.state import forwarding
+from lavenderbend.state import upstreams
+
+ENTRY = {
+    'service': 'chat',
+    'address': '10.0.0.1:8080',
+    'zone': 'sala-a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'coldLeftMs': 0,
+    'seqNo': 4,
+    'born': 1_796_256_000_000,
+}
+SOUND = orjson.dumps({**ENTRY, 'address': '10.0.0.2:8080'})
+
+
+def decode(*values, before=None):
+    """Returns the snapshot of entries s0, s1, ... and what was decoded."""
+    items = {
+        f'servers/s{number}': forwarding.RawItem(number + 1, value)
+        for number, value in enumerate(values)
+    }
+    raw = forwarding.RawSnapshot(9, items)
+    decoded = documents.decode_items(raw, before or {})
+    return documents.snapshot(raw, decoded), decoded
+
+
+def names(snapshot):
+    return sorted(one.vm.id for one in snapshot.upstreams.values())
+
+
+def test_sound_entry_is_an_upstream():
+    snapshot, _ = decode(orjson.dumps({**ENTRY, 'more': [1]}))
+    (found,) = snapshot.upstreams.values()
+    assert (found.vm.id, found.vm.host, found.vm.port, found.slots) == (
+        's0',
+        '10.0.0.1',
+        8080,
+        64,
+    )
+    assert found.vm.state is upstreams.VmState.LIVE
+
+
+def test_later_start_under_the_same_id_is_another_upstream():
+    # An engine dies and starts again under its id within two reads. Its load,
+    # health and cached chats were taken for the new process's.
+    before, _ = decode(orjson.dumps(ENTRY))
+    later, _ = decode(orjson.dumps({**ENTRY, 'born': ENTRY['born'] + 9}))
+    same, _ = decode(orjson.dumps({**ENTRY, 'seqNo': 5}))
+    assert before.upstreams.keys() == same.upstreams.keys()
+    assert before.upstreams.keys().isdisjoint(later.upstreams)
+    assert names(before) == names(later) == ['s0']
+
+
+@pytest.mark.parametrize('field', sorted(set(ENTRY) - {'born'}))
+def test_entry_without_a_field_names_no_upstream(field):
+    broken = {name: ENTRY[name] for name in ENTRY if name != field}
+    snapshot, _ = decode(orjson.dumps(broken), SOUND)
+    assert names(snapshot) == ['s1']
+
+
+@pytest.mark.parametrize('field', sorted(ENTRY))
+@pytest.mark.parametrize('value', [True, [], {}, [1], None, 'x', '', -1.5, '7'])
+def test_field_of_another_type_names_no_upstream(field, value):
+    if isinstance(ENTRY[field], str) and isinstance(value, str):
+        value = 3
+    if field in ('coldLeftMs', 'born') and value in (-1.5, None):
+        value = 'x'
+    snapshot, _ = decode(orjson.dumps({**ENTRY, field: value}), SOUND)
+    assert names(snapshot) == ['s1']
+
+
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('state', 'READY'),
+        ('state', 'warming'),
+        ('address', '10.0.0.1'),
+        ('address', '10.0.0.1:70000'),
+        ('address', '10.0.0.1:-1'),
+        ('address', 'host:80'),
+        ('address', '10.0.0.1:80\r\nx: y'),
+        ('slots', 0),
+        ('slots', -4),
+    ],
+)
+def test_value_that_means_nothing_names_no_upstream(field, value):
+    snapshot, _ = decode(orjson.dumps({**ENTRY, field: value}), SOUND)
+    assert names(snapshot) == ['s1']
+
+
+@pytest.mark.parametrize('name', ['', 'a\r\nx-rank: 0', 'ñ', 'a b', 'x' * 300])
+def test_id_that_cannot_go_into_a_header_names_no_upstream(name):
+    items = {
+        f'servers/{name}': forwarding.RawItem(1, SOUND),
+        'servers/s1': forwarding.RawItem(2, SOUND),
+    }
+    raw = forwarding.RawSnapshot(9, items)
+    snapshot = documents.snapshot(raw, documents.decode_items(raw, {}))
+    assert names(snapshot) == ['s1']
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**60), 2**60) | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+# sound entries with some fields replaced or taken away, and anything else
+mutated = st.tuples(
+    st.dictionaries(st.sampled_from(sorted(ENTRY)), json_values),
+    st.sets(st.sampled_from(sorted(ENTRY))),
+).map(
+    lambda drawn: orjson.dumps(
+        {
+            name: value
+            for name, value in {**ENTRY, **drawn[0]}.items()
+            if name not in drawn[1]
+        }
+    )
+)
+anything = st.binary() | json_values.map(orjson.dumps) | mutated
+
+
+@given(st.lists(anything, max_size=4))
+def test_no_entry_of_another_writer_stops_the_others(values):
+    # One entry that could not be read stopped the whole store from being
+    # followed: every router kept its old configuration and upstreams.
+    snapshot, _ = decode(*values, SOUND)
+    assert f's{len(values)}' in names(snapshot)
+    for upstream in snapshot.upstreams.values():
+        assert isinstance(upstream.slots, int)
+        assert upstream.vm.state in (
+            upstreams.VmState.LIVE,
+            upstreams.VmState.LEAVING,
+        )
+
+
+@pytest.mark.parametrize('value', [5, None, 'abc', '*'])
+def test_value_that_is_no_base64_costs_no_other_item(value):
+    page = documents.decode_page(
+        {
+            'items': [
+                {'key': 'servers/s0', 'rev': 1, 'value': value},
+                {
+                    'key': 'servers/s1',
+                    'rev': 2,
+                    'value': base64.b64encode(SOUND).decode(),
+                },
+            ],
+            'hasMore': False,
+            'storeRevision': 3,
+        }
+    )
+    raw = forwarding.RawSnapshot(page.revision, page.items)
+    snapshot = documents.snapshot(raw, documents.decode_items(raw, {}))
+    assert names(snapshot) == ['s1']
+
+
+def test_unreadable_entry_is_told_once_for_each_change(monkeypatch):
+    told = []
+    monkeypatch.setattr(
+        logs, 'change', lambda kind, **fields: told.append((kind, fields))
+    )
+    _, decoded = decode(b'{', SOUND)
+    _, decoded = decode(b'{', SOUND, before=decoded)
+    assert [kind for kind, _ in told] == ['entry_unreadable']
+    assert 'servers/s0' in told[0][1]['cause']
