--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -11,7 +11,6 @@
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Sequence
@@ -19,6 +18,7 @@
     from lavenderbend.coordination.forwarding import directory
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
+    from lavenderbend.coordination.forwarding import returns as returns_module
     from lavenderbend.state import forwarding
 
 # what other routers send before their next message is not seen: the bound
@@ -30,14 +30,13 @@
 # an event of a stream on the wire for each token: its text, its framing and
 # its packet's headers; estimated as 150 bytes for an event of four tokens
 BYTES_OF_A_TOKEN = 40
-# times that a chat comes back while its prompt stays cached
-RETURNS = 4
-
+KILOBYTE = 1000
 # of its slots; a service answers slower as it fills, and a request between
 # zones takes under two milliseconds more
 BUSY_PART = 0.5
 
 PROMPT_CACHED = 'prompt cached'
+PROMPT_CACHED_NEAR = 'prompt cached in zone'
 LEAST_LOADED = 'least loaded'
 OVER_BOUND = 'all over bound'
 AVOIDED = 'all avoided'
@@ -92,11 +91,13 @@
         parts: Parts of its prompt, empty if it has none.
         request_bytes: Size of its body.
         output_tokens: Tokens that it may generate, 0 if unknown.
+        kind: Name of its rule: requests of one rule are alike.
     """
 
     parts: tuple[PromptPart, ...] = ()
     request_bytes: int = 0
     output_tokens: int = 0
+    kind: str = ''
 
     @property
     def chat(self) -> str:
@@ -122,13 +123,17 @@
 
 
 def need_of(
-    prompt_parts: str | None, token_usage: str | None, body_bytes: int
+    prompt_parts: str | None,
+    token_usage: str | None,
+    body_bytes: int,
+    kind: str,
 ) -> Need:
     """Returns what a request asks, by the values of its headers."""
     return Need(
         parse_parts(prompt_parts),
         body_bytes,
         parse_output_tokens(token_usage),
+        kind,
     )
 
 
@@ -164,9 +169,9 @@
     Attributes:
         availability_zone: This router's zone.
         load_factor: No upstream is loaded above this multiple of the mean.
-        zone_byte_cost: Bytes of copied cache that cost as much as one byte
-            between zones; 0 if zones do not matter.
-        token_bytes: Returns the bytes of cache of a token of a service.
+        zone_kilobyte_tokens: Tokens of a prompt read again that cost as much
+            as a kilobyte between zones; 0 if zones do not matter.
+        returns: Estimates how often chats come back.
     """
 
     def __init__(
@@ -176,16 +181,16 @@
         health: health_module.Health,
         loads: loads_module.Loads,
         load_factor: float,
-        zone_byte_cost: float,
-        token_bytes: Callable[[str], int],
+        zone_kilobyte_tokens: float,
+        returns: returns_module.ChatReturns,
     ) -> None:
         self.availability_zone = availability_zone
         self.directory = found
         self.health = health
         self.loads = loads
         self.load_factor = load_factor
-        self.zone_byte_cost = zone_byte_cost
-        self.token_bytes = token_bytes
+        self.zone_kilobyte_tokens = zone_kilobyte_tokens
+        self.returns = returns
 
     def choose(
         self,
@@ -234,7 +239,7 @@
         if not well:
             return self.least_loaded(avoided, tie_break, bound, AVOIDED)
         if need.parts:
-            near = self.stays_near(service, need)
+            near = self.stays_near(need)
             return self.by_prompt(well, need.chat, bound, near)
         return self.least_loaded(well, tie_break, bound, LEAST_LOADED)
 
@@ -245,16 +250,19 @@
         factor = 1.0 + BOUND_PART * (self.load_factor - 1.0)
         return max(ALWAYS_ALLOWED, math.ceil(mean * factor) + 1)
 
-    def stays_near(self, service: str, need: Need) -> bool:
+    def stays_near(self, need: Need) -> bool:
         """Returns whether a chat is better served within each zone.
 
-        A chat whose callers are in all zones is cached in each of them, or
-        in one to which the others send their requests. Long answers to
-        short prompts make the bytes between zones dearer than the copies.
+        A chat whose callers are in all zones is read and cached in each of
+        them, or in one to which the others send their requests. The former
+        pays for a chat that comes back often, with long answers to a short
+        prompt. For a dossier of 10,000 tokens that comes back once or twice
+        it costs four reads in place of one: on a fleet of four zones half of
+        all prompt tokens were parts read again.
         """
-        copied = need.shared_tokens * self.token_bytes(service)
-        sent = need.traffic_bytes * RETURNS
-        return sent * self.zone_byte_cost > copied
+        saved_kilobytes = need.traffic_bytes / KILOBYTE
+        saved = self.returns.expected(need.kind) * saved_kilobytes
+        return saved * self.zone_kilobyte_tokens > need.shared_tokens
 
     def by_prompt(
         self,
@@ -272,12 +280,13 @@
             load = self.loads.load(upstream.instance)
             if load < bound:
                 full = passed_over(ordered[:place], OVER_ITS_BOUND)
-                return Choice(upstream, PROMPT_CACHED, load, bound, full)
+                reason = PROMPT_CACHED_NEAR if near else PROMPT_CACHED
+                return Choice(upstream, reason, load, bound, full)
         return self.least_loaded(found, key, bound, OVER_BOUND)
 
     def far(self, upstream: forwarding.Upstream) -> bool:
         """Returns whether the upstream stands in another zone, if it counts."""
-        if not self.zone_byte_cost:
+        if not self.zone_kilobyte_tokens:
             return False
         return upstream.vm.availability_zone != self.availability_zone
 
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -214,6 +214,7 @@
                 request.header(self.headers.prompt_parts),
                 request.header(self.headers.token_usage),
                 len(request.body),
+                rule.name,
             ),
             cutter=events.EventCutter(int(last) if last.isdigit() else None),
         )
--- a/lavenderbend/coordination/forwarding/explain.py
+++ b/lavenderbend/coordination/forwarding/explain.py
@@ -122,6 +122,7 @@
             asked.headers.get(self.entry.headers.prompt_parts),
             asked.headers.get(self.entry.headers.token_usage),
             asked.body_bytes,
+            base.rule,
         )
         choice = self.chooser.choose(service, need, (), asked.path)
         candidates = self.candidates(service, choice)
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -21,6 +21,7 @@
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import returns
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.observe import logs
@@ -42,7 +43,7 @@
 SWEEP_SECONDS = 1.0
 # what is left of the time for a stop when the last requests are cut
 STOP_MARGIN_SECONDS = 0.3
-NEEDS_RESTART = ('listen', 'readiness_path', 'headers', 'zone_byte_cost')
+NEEDS_RESTART = ('listen', 'readiness_path', 'headers', 'zone_kilobyte_tokens')
 
 
 class ForwardingDaemon:
@@ -132,8 +133,8 @@
                 self.health,
                 self.loads,
                 settings.load_factor,
-                settings.zone_byte_cost,
-                self.token_bytes,
+                settings.zone_kilobyte_tokens,
+                returns.ChatReturns(self.peers.zone_size),
             ),
             attempts.Attempts(
                 self.exchanges,
@@ -200,15 +201,6 @@
         size = self.peers.fleet_size()
         return size if size > 1 else 0
 
-    def token_bytes(self, service: str) -> int:
-        """Returns the bytes of cache of a token of a service."""
-        table = self.snapshots.table
-        pools = () if table is None else table.pools
-        for pool in pools:
-            if pool.name == service:
-                return pool.token_bytes
-        return 0
-
     def caller_limits(self) -> forwarding_state.CallerLimits:
         """Returns the limits of callers that are in force."""
         table = self.snapshots.table
--- a/lavenderbend/platform/documents.py
+++ b/lavenderbend/platform/documents.py
@@ -312,7 +312,6 @@
     return forwarding.ForwardPool(
         name=service['name'],
         max_connections=service.get('maxConns', 100),
-        token_bytes=int((service.get('engine') or {}).get('tokenKvBytes', 0)),
     )
 
 
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -102,13 +102,10 @@
         name: The service.
         max_connections: Connections that one upstream accepts from the
             whole fleet.
-        token_bytes: Cache that an upstream keeps for a token of a prompt, 0
-            if it keeps none.
     """
 
     name: str
     max_connections: int = 100
-    token_bytes: int = 0
 
 
 @attrs.frozen
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -77,8 +77,9 @@
         repeat_extra: Repeats allowed beside them.
         repeat_window_seconds: The time over which both are counted.
         load_factor: No upstream is loaded above this multiple of the mean.
-        zone_byte_cost: Bytes of cache copied between upstreams that cost as
-            much as one byte sent to another zone; 0 if zones do not matter.
+        zone_kilobyte_tokens: Tokens of a prompt that an upstream reads again
+            that cost as much as a kilobyte sent to another zone; 0 if zones
+            do not matter.
     """
 
     listen: ForwardListen
@@ -100,4 +101,4 @@
         10.0, 0.1, 3600.0
     )
     load_factor: float = setting_fields.bounded(2.0, 1.0, 100.0)
-    zone_byte_cost: float = setting_fields.bounded(4000.0, 0.0, 1e9)
+    zone_kilobyte_tokens: float = setting_fields.bounded(20.0, 0.0, 1e6)
