--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -18,7 +18,6 @@
     from lavenderbend.coordination.forwarding import directory
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
-    from lavenderbend.coordination.forwarding import returns as returns_module
     from lavenderbend.state import forwarding
 
 # what other routers send before their next message is not seen: the bound
@@ -36,7 +35,6 @@
 BUSY_PART = 0.5
 
 PROMPT_CACHED = 'prompt cached'
-PROMPT_CACHED_NEAR = 'prompt cached in zone'
 LEAST_LOADED = 'least loaded'
 OVER_BOUND = 'all over bound'
 AVOIDED = 'all avoided'
@@ -89,53 +87,15 @@
 
     Attributes:
         parts: Parts of its prompt, empty if it has none.
-        request_bytes: Size of its body.
-        output_tokens: Tokens that it may generate, 0 if unknown.
-        kind: Name of its rule: requests of one rule are alike.
     """
 
     parts: tuple[PromptPart, ...] = ()
-    request_bytes: int = 0
-    output_tokens: int = 0
-    kind: str = ''
 
     @property
     def chat(self) -> str:
         """What requests of the chat share, empty without a prompt."""
         return placing_key(self.parts) if self.parts else ''
 
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens that later requests of the chat find cached."""
-        parts = self.parts if len(self.parts) < 3 else self.parts[:-1]
-        return sum(part.tokens for part in parts)
-
-    @property
-    def traffic_bytes(self) -> int:
-        """Bytes between the router and the upstream."""
-        return self.request_bytes + BYTES_OF_A_TOKEN * self.output_tokens
-
-
-def parse_output_tokens(text: str | None) -> int:
-    """Returns the second number of `PROMPT,OUTPUT`, 0 if it is no such."""
-    _, _, output = (text or '').partition(',')
-    return int(output) if output.strip().isdigit() else 0
-
-
-def need_of(
-    prompt_parts: str | None,
-    token_usage: str | None,
-    body_bytes: int,
-    kind: str,
-) -> Need:
-    """Returns what a request asks, by the values of its headers."""
-    return Need(
-        parse_parts(prompt_parts),
-        body_bytes,
-        parse_output_tokens(token_usage),
-        kind,
-    )
-
 
 @attrs.frozen
 class Choice:
@@ -169,9 +129,6 @@
     Attributes:
         availability_zone: This router's zone.
         load_factor: No upstream is loaded above this multiple of the mean.
-        zone_kilobyte_tokens: Tokens of a prompt read again that cost as much
-            as a kilobyte between zones; 0 if zones do not matter.
-        returns: Estimates how often chats come back.
     """
 
     def __init__(
@@ -181,16 +138,12 @@
         health: health_module.Health,
         loads: loads_module.Loads,
         load_factor: float,
-        zone_kilobyte_tokens: float,
-        returns: returns_module.ChatReturns,
     ) -> None:
         self.availability_zone = availability_zone
         self.directory = found
         self.health = health
         self.loads = loads
         self.load_factor = load_factor
-        self.zone_kilobyte_tokens = zone_kilobyte_tokens
-        self.returns = returns
 
     def choose(
         self,
@@ -239,8 +192,7 @@
         if not well:
             return self.least_loaded(avoided, tie_break, bound, AVOIDED)
         if need.parts:
-            near = self.stays_near(need)
-            return self.by_prompt(well, need.chat, bound, near)
+            return self.by_prompt(well, need.chat, bound)
         return self.least_loaded(well, tie_break, bound, LEAST_LOADED)
 
     def allowed(self, found: Sequence[forwarding.Upstream]) -> int:
@@ -250,44 +202,30 @@
         factor = 1.0 + BOUND_PART * (self.load_factor - 1.0)
         return max(ALWAYS_ALLOWED, math.ceil(mean * factor) + 1)
 
-    def stays_near(self, need: Need) -> bool:
-        """Returns whether a chat is better served within each zone.
-
-        A chat whose callers are in all zones is read and cached in each of
-        them, or in one to which the others send their requests. The former
-        pays for a chat that comes back often, with long answers to a short
-        prompt. For a dossier of 10,000 tokens that comes back once or twice
-        it costs four reads in place of one: on a fleet of four zones half of
-        all prompt tokens were parts read again.
-        """
-        saved_kilobytes = need.traffic_bytes / KILOBYTE
-        saved = self.returns.expected(need.kind) * saved_kilobytes
-        return saved * self.zone_kilobyte_tokens > need.shared_tokens
-
     def by_prompt(
         self,
         found: Sequence[forwarding.Upstream],
         key: str,
         bound: int,
-        near: bool,
     ) -> Choice:
-        """Returns the first upstream of the key's order that has room."""
+        """Returns the first upstream of the key's order that has room.
+
+        The order is the same in all zones. Read and cached in each of four
+        zones, half of all prompt tokens were parts read again; with one
+        place for each chat it is 6 in 100, while the bytes between zones
+        that this saved earned nothing on any of three customers.
+        """
         by_name = {one.instance: one for one in found}
         ordered = [by_name[n] for n in hashing.rendezvous_order(key, by_name)]
-        if near:
-            ordered.sort(key=self.far)
         for place, upstream in enumerate(ordered):
             load = self.loads.load(upstream.instance)
             if load < bound:
                 full = passed_over(ordered[:place], OVER_ITS_BOUND)
-                reason = PROMPT_CACHED_NEAR if near else PROMPT_CACHED
-                return Choice(upstream, reason, load, bound, full)
+                return Choice(upstream, PROMPT_CACHED, load, bound, full)
         return self.least_loaded(found, key, bound, OVER_BOUND)
 
     def far(self, upstream: forwarding.Upstream) -> bool:
-        """Returns whether the upstream stands in another zone, if it counts."""
-        if not self.zone_kilobyte_tokens:
-            return False
+        """Returns whether the upstream stands in another zone."""
         return upstream.vm.availability_zone != self.availability_zone
 
     def least_loaded(
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -210,11 +210,8 @@
             customer='' if customer is None else customer.name,
             rank=rank,
             deadline=self.caller_deadline(request, then.timeout),
-            need=choice.need_of(
-                request.header(self.headers.prompt_parts),
-                request.header(self.headers.token_usage),
-                len(request.body),
-                rule.name,
+            need=choice.Need(
+                choice.parse_parts(request.header(self.headers.prompt_parts))
             ),
             cutter=events.EventCutter(int(last) if last.isdigit() else None),
         )
--- a/lavenderbend/coordination/forwarding/explain.py
+++ b/lavenderbend/coordination/forwarding/explain.py
@@ -118,11 +118,10 @@
         # a request without an id of its own stands for all: the pool with
         # the greatest weight is the one that most of them go to
         service = max(then.pools, key=lambda share: share.weight).pool
-        need = choice_module.need_of(
-            asked.headers.get(self.entry.headers.prompt_parts),
-            asked.headers.get(self.entry.headers.token_usage),
-            asked.body_bytes,
-            base.rule,
+        need = choice_module.Need(
+            choice_module.parse_parts(
+                asked.headers.get(self.entry.headers.prompt_parts)
+            )
         )
         choice = self.chooser.choose(service, need, (), asked.path)
         candidates = self.candidates(service, choice)
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -193,7 +193,6 @@
         """
         self.attempts.crashes.check(ticket)
         self.budget.note_request(ticket.service)
-        self.chooser.returns.note(ticket.need)
         while not await self.try_next(ticket, answer):
             if not self.go_on(ticket, answer):
                 await self.give_up(ticket, answer)
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -106,11 +106,6 @@
         """Returns how many routers were alive lately, this one included."""
         return 1 + len(self.members.alive())
 
-    def zone_size(self) -> int:
-        """Returns how many routers of this zone were alive lately."""
-        alive = self.members.alive()
-        return 1 + sum(member.zone == self.zone for member in alive)
-
     async def run(self) -> None:
         """Sends messages at their times, and fetches what peers have."""
         async with trio.open_nursery() as nursery:
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -21,7 +21,6 @@
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
-from lavenderbend.coordination.forwarding import returns
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.observe import logs
@@ -43,7 +42,7 @@
 SWEEP_SECONDS = 1.0
 # what is left of the time for a stop when the last requests are cut
 STOP_MARGIN_SECONDS = 0.3
-NEEDS_RESTART = ('listen', 'readiness_path', 'headers', 'zone_kilobyte_tokens')
+NEEDS_RESTART = ('listen', 'readiness_path', 'headers')
 
 
 class ForwardingDaemon:
@@ -133,8 +132,6 @@
                 self.health,
                 self.loads,
                 settings.load_factor,
-                settings.zone_kilobyte_tokens,
-                returns.ChatReturns(self.peers.zone_size),
             ),
             attempts.Attempts(
                 self.exchanges,
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -77,9 +77,6 @@
         repeat_extra: Repeats allowed beside them.
         repeat_window_seconds: The time over which both are counted.
         load_factor: No upstream is loaded above this multiple of the mean.
-        zone_kilobyte_tokens: Tokens of a prompt that an upstream reads again
-            that cost as much as a kilobyte sent to another zone; 0 if zones
-            do not matter.
     """
 
     listen: ForwardListen
@@ -101,4 +98,3 @@
         10.0, 0.1, 3600.0
     )
     load_factor: float = setting_fields.bounded(2.0, 1.0, 100.0)
-    zone_kilobyte_tokens: float = setting_fields.bounded(20.0, 0.0, 1e6)
