Copy cached prompts also from upstreams that fail requests but live

An upstream that garbles answers or is full for a moment was taken for useless as a source of copies, and its chats were read anew where they moved to. Only one that is dead or out of reach is passed over now. The line of an ended request says from where a prompt was to be copied and why there, and a counter says how often by cause.

--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -5,6 +5,9 @@
 import collections
 from typing import TYPE_CHECKING
 
+import attrs
+
+from lavenderbend.observe import metrics
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
@@ -19,6 +22,30 @@
 # chats whose last upstream this router remembers
 MAX_SENT = 20_000
 
+# why an upstream may have a prompt
+SENT_THERE = 'sent there before'
+FORMER_PLACE = 'its place before a change'
+FIRST_PLACE = 'its first place'
+FIRST_PART = 'has the first part'
+
+COPIES = metrics.counter(
+    'lavenderbend_forward_prompt_copies_total',
+    'Copies of cached prompts that were asked for, by why there.',
+)
+
+
+@attrs.frozen
+class Source:
+    """An upstream from which a prompt may be copied.
+
+    Attributes:
+        upstream: The upstream.
+        why: Why it may have the prompt.
+    """
+
+    upstream: forwarding.Upstream
+    why: str
+
 
 class CachedPrompts:
     """Names an upstream from which cached prompt parts can be copied.
@@ -53,7 +80,7 @@
         key: str,
         parts: Sequence[choice.PromptPart],
         chosen: forwarding.Upstream,
-    ) -> forwarding.Upstream | None:
+    ) -> Source | None:
         """Returns an upstream that may have more of a prompt than the chosen.
 
         Args:
@@ -68,16 +95,17 @@
         before = self.sent.get(key)
         if before == chosen.instance:
             return None
-        for name in self.likely(service, key, before, parts[0].id):
+        for name, why in self.likely(service, key, before, parts[0].id):
             upstream = self.usable(name, chosen)
             if upstream is not None:
-                return upstream
+                COPIES.inc({'why': why})
+                return Source(upstream, why)
         return None
 
     def likely(
         self, service: str, key: str, before: str | None, first_part: str
-    ) -> Iterator[str | None]:
-        """Yields names of upstreams that may have a prompt, likely ones first.
+    ) -> Iterator[tuple[str | None, str]]:
+        """Yields upstreams that may have a prompt and why, likely ones first.
 
         Args:
             service: The service.
@@ -85,14 +113,15 @@
             before: Where this router sent it last, None if it never did.
             first_part: What many chats begin with.
         """
-        yield before
+        yield before, SENT_THERE
         live = frozenset(one.instance for one in self.directory.of(service))
         sets = [*self.directory.former(service), live]
         # one order serves all sets: each has most upstreams of the others
         order = hashing.rendezvous_order(key, frozenset().union(*sets))
         for members in sets:
-            yield next((name for name in order if name in members), None)
-        yield hashing.rendezvous(first_part, live)
+            why = FIRST_PLACE if members is live else FORMER_PLACE
+            yield next((name for name in order if name in members), None), why
+        yield hashing.rendezvous(first_part, live), FIRST_PART
 
     def usable(
         self, name: str | None, chosen: forwarding.Upstream
@@ -100,8 +129,8 @@
         """Returns the upstream of a name if it can be copied from."""
         if name is None or name == chosen.instance:
             return None
-        upstream = self.directory.known(name)
-        if upstream is None:
+        # one that fails requests, or is full, still hands out what it has
+        # cached; of one that is dead the copy would only be waited for
+        if self.health.is_suspected(name):
             return None
-        well, _ = self.health.split([upstream])
-        return upstream if well else None
+        return self.directory.known(name)
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -145,6 +145,7 @@
             service='' if ticket is None else ticket.service,
             placed=[f'{one.upstream} {one.reason}' for one in placed],
             passed_over=passed_over_texts(placed),
+            copied_from=[one.copied_from for one in placed if one.copied_from],
             sent_to=[] if ticket is None else ticket.used,
             unreachable=[] if ticket is None else ticket.unreachable,
             outcome=outcome,
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -101,7 +101,10 @@
         self.cached.note_sent(key, upstream.instance)
         if source is None:
             return None
-        return f'{source.vm.host}:{source.vm.port}'.encode()
+        found = source.upstream
+        record = ticket.placed[-1]
+        record.copied_from = f'{found.instance}: {source.why}'
+        return f'{found.vm.host}:{found.vm.port}'.encode()
 
 
 def traced(
--- a/lavenderbend/state/decisions.py
+++ b/lavenderbend/state/decisions.py
@@ -41,6 +41,8 @@
         first_byte: Seconds from `started` to the answer's first byte.
         finished: Seconds from `started` to the end.
         result: `complete`, or the name of the error type.
+        copied_from: Upstream from which cached prompt parts were to be
+            copied, and why it may have them; empty for none.
     """
 
     upstream: str
@@ -53,6 +55,7 @@
     first_byte: float | None = None
     finished: float | None = None
     result: str = ''
+    copied_from: str = ''
 
 
 @attrs.define
--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -153,7 +153,7 @@
         moved += 1
         parts = need(chat).parts
         source = world.cached.source('chat', f'chat-{chat}', parts, now)
-        assert source.instance == instance
+        assert source.upstream.instance == instance
         world.cached.note_sent(f'chat-{chat}', now.instance)
         again = world.cached.source('chat', f'chat-{chat}', parts, now)
         assert again is None
@@ -169,13 +169,32 @@
     world.set(*found.values())
     now = chosen(world, 7).upstream
     source = world.cached.source('chat', 'chat-7', need(7).parts, now)
-    assert source is None or source.instance != before
+    assert source is None or source.upstream.instance != before
     world.set(*found.values(), fakes.upstream(before, leaving=True))
     source = world.cached.source('chat', 'chat-7', need(7).parts, now)
-    assert source.instance == gone.instance
+    assert source.upstream.instance == gone.instance
     world.health.note_unreachable(before)
     source = world.cached.source('chat', 'chat-7', need(7).parts, now)
-    assert source is None or source.instance != before
+    assert source is None or source.upstream.instance != before
+
+
+async def test_upstream_that_fails_requests_still_hands_out_its_cache(
+    world, autojump_clock
+):
+    # An engine garbles its answers and is avoided for a second. Its chats
+    # move, and each was read anew though the engine has them cached.
+    before = chosen(world, 7).upstream.instance
+    others = [f'e{n}' for n in range(6)]
+    for _ in range(4):
+        world.health.note_failure(before, others)
+    now = chosen(world, 7).upstream
+    assert now.instance != before
+    source = world.cached.source('chat', 'chat-7', need(7).parts, now)
+    assert source.upstream.instance == before
+    assert source.why == cached_prompts.FIRST_PLACE
+    world.health.note_silent(before)
+    source = world.cached.source('chat', 'chat-7', need(7).parts, now)
+    assert source is None or source.upstream.instance != before
 
 
 async def test_report_of_an_upstream_counts_with_what_was_sent_since(
