--- /dev/null
+++ b/tests/test_transport/test_answer_path_fuzz.py
@@ -0,0 +1,297 @@
+"""The whole answer path over sockets, with upstreams that misbehave at random.
+
+What a caller reads is compared byte for byte with what its own request was to
+be answered.
+"""
+
+from __future__ import annotations
+
+import functools
+import random
+
+import h11
+import pytest
+import trio
+
+from lavenderbend.coordination.forwarding import attempts
+from lavenderbend.coordination.forwarding import budget
+from lavenderbend.coordination.forwarding import silence
+from lavenderbend.state import forwarding
+from lavenderbend.state import upstreams
+from lavenderbend.transport import caller_connections
+from lavenderbend.transport import upstream_exchanges
+from tests import forwarding_fakes as fakes
+
+HOST = '127.0.0.1'
+EVENTS = 6
+REQUESTS = 40
+CALLERS = 4
+LIMITS = forwarding.CallerLimits(header_seconds=2.0, idle_seconds=5.0)
+
+
+def event(name, number):
+    return b'id: %d\ndata: %s-%d\n\n' % (number, name, number)
+
+
+def stream_body(name, last=0):
+    return b''.join(event(name, n) for n in range(last + 1, EVENTS + 1))
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def head(name, status=b'200 OK', signed=True, more=b''):
+    lines = [b'HTTP/1.1 ' + status, b'x-request-id: ' + name]
+    if signed:
+        lines.append(b'x-signature: sig-' + name)
+    return b'\r\n'.join(lines) + b'\r\n' + more + b'\r\n'
+
+
+class FaultyUpstream:
+    """Answers each request in one of many ways, drawn from a seed."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.seen = []
+
+    async def serve(self, stream):
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                name, last = await self.read(stream, protocol)
+                if name is None:
+                    return
+                self.seen.append(name)
+                if not await self.answer(stream, name, last):
+                    return
+                protocol = h11.Connection(h11.SERVER)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        except h11.RemoteProtocolError:
+            return
+        finally:
+            stream.socket.close()
+
+    async def read(self, stream, protocol):
+        asked = None
+        while True:
+            found = protocol.next_event()
+            if found is h11.NEED_DATA:
+                protocol.receive_data(await stream.receive_some(65536))
+            elif isinstance(found, h11.Request):
+                asked = dict(found.headers)
+            elif isinstance(found, h11.EndOfMessage):
+                last = int(asked.get(b'last-event-id', b'0'))
+                return asked[b'x-request-id'], last
+            elif isinstance(found, h11.ConnectionClosed):
+                return None, 0
+
+    async def answer(self, stream, name, last):
+        """Returns whether the connection goes on."""
+        whole = stream_body(name, last)
+        chunked = head(name, more=b'transfer-encoding: chunked\r\n')
+        length = b'content-length: %d\r\n' % len(whole)
+        fine = chunked + chunk(whole) + b'0\r\n\r\n'
+        other = b'older-%d' % self.rng.randrange(9)
+        stale = head(other, more=b'content-length: 5\r\n') + b'stale'
+        cut = self.rng.randrange(len(fine))
+        some = self.rng.randrange(len(whole) + 1)
+        ways = {
+            'fine': (fine, True),
+            'split': (fine[:cut], fine[cut:], True),
+            'stall': (fine[:cut], 0.15, fine[cut:], True),
+            'edge': (fine[:cut], 0.05, fine[cut:], True),
+            'events': (chunked, *self.slowly(whole), b'0\r\n\r\n', True),
+            'sized': (head(name, more=length) + whole, True),
+            'unframed': (head(name) + whole, False),
+            'twice': (fine + fine, True),
+            'late': (fine, 0.02, fine, True),
+            'stale': (stale + fine, True),
+            'broken': (fine[:cut], False),
+            'short': (head(name, more=length) + whole[:some], False),
+            'long': (head(name, more=length) + whole + b'more', True),
+            'framing': (chunked + b'zz\r\n' + whole, False),
+            'garbage': (b'\x00\xff garbage\r\n\r\n', False),
+            'unsigned': (head(name, signed=False, more=length) + whole, True),
+            'encoded': (
+                head(name, more=length + b'content-encoding: br\r\n') + whole,
+                True,
+            ),
+            'failed': (
+                head(name, b'500 Oops', more=b'content-length: 4\r\n')
+                + b'oops',
+                True,
+            ),
+            'refused': (
+                head(
+                    name,
+                    b'503 Full',
+                    signed=False,
+                    more=b'x-not-run: 1\r\ncontent-length: 4\r\n',
+                )
+                + b'full',
+                True,
+            ),
+            # its first number is the upstream's to choose; a gap is not
+            'skipped': (
+                chunked
+                + chunk(event(name, last + 1) + event(name, last + 3))
+                + b'0\r\n\r\n',
+                True,
+            ),
+            'again': (
+                chunked
+                + chunk(event(name, last + 1) * 2 + whole)
+                + b'0\r\n\r\n',
+                True,
+            ),
+            'closed': (False,),
+        }
+        *steps, goes_on = ways[self.rng.choice(sorted(ways))]
+        for step in steps:
+            if isinstance(step, float):
+                await trio.sleep(step)
+            else:
+                await stream.send_all(step)
+        return goes_on
+
+    def slowly(self, whole):
+        for part in whole.split(b'\n\n')[:-1]:
+            yield chunk(part + b'\n\n')
+            yield self.rng.choice([0.0, 0.01, 0.05])
+
+
+class Caller:
+    """Asks one request after the other, on kept connections."""
+
+    def __init__(self, port, number):
+        self.port = port
+        self.number = number
+        self.complete = 0
+
+    async def run(self):
+        stream = None
+        for count in range(REQUESTS):
+            name = b'q%d-%d' % (self.number, count)
+            if stream is None:
+                stream = await trio.open_tcp_stream(HOST, self.port)
+            if not await self.ask(stream, name):
+                stream.socket.close()
+                stream = None
+        if stream is not None:
+            stream.socket.close()
+
+    async def ask(self, stream, name):
+        """Returns whether the connection may be used again."""
+        # bytes that belong to no request must not lie here
+        assert not stream.socket.is_readable() or not await self.rest(stream)
+        protocol = h11.Connection(h11.CLIENT)
+        asked = h11.Request(
+            method='POST',
+            target=b'/chat/' + name,
+            headers=[
+                ('host', 'a.example'),
+                ('x-request-id', name),
+                ('x-deadline-ms', '900'),
+                ('authorization', f'Bearer {fakes.KEY}'),
+                ('content-length', '2'),
+            ],
+        )
+        data = protocol.send(asked) + protocol.send(h11.Data(data=b'{}'))
+        data += protocol.send(h11.EndOfMessage())
+        status, body, complete = None, b'', False
+        try:
+            await stream.send_all(data)
+            while not complete:
+                found = protocol.next_event()
+                if found is h11.NEED_DATA:
+                    protocol.receive_data(await stream.receive_some(65536))
+                elif isinstance(found, h11.Response):
+                    status = found.status_code
+                    headers = dict(found.headers)
+                elif isinstance(found, h11.Data):
+                    body += bytes(found.data)
+                elif isinstance(found, h11.EndOfMessage):
+                    complete = True
+                elif isinstance(found, h11.ConnectionClosed):
+                    break
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except h11.RemoteProtocolError as exc:
+            # an answer that broke off; anything else is no answer at all
+            assert 'peer closed connection' in str(exc), (name, exc, body)
+        self.check(name, status, body, complete)
+        if status == 200:
+            assert headers[b'x-signature'] == b'sig-' + name
+            assert headers[b'x-request-id'] == name
+        rest, _ = protocol.trailing_data
+        assert rest == b''
+        return complete and protocol.their_state is h11.DONE
+
+    def check(self, name, status, body, complete):
+        if status == 200:
+            expected = stream_body(name)
+            assert expected.startswith(body), (name, body)
+            assert not complete or body == expected
+            self.complete += complete
+        elif complete:
+            # a failure of the upstream's own, or the router's problem
+            assert body == b'oops' or b'"outcome"' in body, (status, body)
+
+    async def rest(self, stream):
+        try:
+            return await stream.receive_some(65536)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return b''
+
+
+@pytest.mark.parametrize('seed', range(8))
+async def test_caller_reads_its_own_answer_or_sees_that_it_is_none(
+    seed, nursery, monkeypatch
+):
+    # Upstreams double, cut, delay, misframe and mix up their answers, and
+    # fall silent so that waits are given up while bytes arrive. Whatever a
+    # caller reads as complete must be the whole answer to its own request.
+    monkeypatch.setattr(attempts, 'MIN_FIRST_BYTE_SECONDS', 0.05)
+    monkeypatch.setattr(attempts, 'MIN_SILENT_SECONDS', 0.05)
+    monkeypatch.setattr(silence, 'CHECK_SECONDS', 0.005)
+    monkeypatch.setattr(silence, 'DARK_SECONDS', 0.04)
+    rng = random.Random(seed)
+    found = []
+    for name in ('e1', 'e2', 'e3'):
+        serve = functools.partial(
+            trio.serve_tcp, FaultyUpstream(rng).serve, 0, host=HOST
+        )
+        (listener,) = await nursery.start(serve)
+        port = listener.socket.getsockname()[1]
+        vm = upstreams.Vm(
+            name, HOST, port, 'z', 'chat', upstreams.UpstreamKind.SERVICE
+        )
+        found.append(forwarding.Upstream(name, vm, 8))
+    rules = (
+        fakes.rule(
+            streaming=True,
+            resumable=True,
+            attempts=3,
+            target=0.02,
+            max_gap=0.01,
+        ),
+    )
+    content = fakes.snapshot(1, fakes.table(1, rules), *found)
+    exchanges = upstream_exchanges.UpstreamExchanges()
+    router = fakes.Router(content, exchanges)
+    router.budget.settings = budget.RepeatSettings(10.0, 1000.0, 10.0)
+    nursery.start_soon(router.silence.run)
+    server = caller_connections.CallerServer(
+        router.forwarder.forward, lambda: LIMITS, 100
+    )
+    port = await nursery.start(functools.partial(server.serve, HOST, 0))
+    callers = [Caller(port, number) for number in range(CALLERS)]
+    with trio.fail_after(60.0):
+        async with trio.open_nursery() as asking:
+            for caller in callers:
+                asking.start_soon(caller.run)
+    exchanges.close()
+    # the checks saw answers, however busy the machine is
+    assert sum(caller.complete for caller in callers) > CALLERS
