Listen for callers before the router's libraries are loaded

A router takes 0.4 to 0.9 s from its start to its listener (0.3 of it imports); callers that come meanwhile are refused, everywhere, and have one retry. A bound socket holds them instead.

The time that a caller may have waited is taken off what upstreams are told.

--- a/lavenderbend/__main__.py
+++ b/lavenderbend/__main__.py
@@ -4,11 +4,15 @@
 
 import sys
 
-from lavenderbend.cmd import main as command_line
+from lavenderbend.transport import early_listener
 
 
 def main() -> None:
     """Runs the command of the process's arguments and exits."""
+    early_listener.open_named()
+    # loaded only now: callers can connect while it takes its time
+    from lavenderbend.cmd import main as command_line
+
     sys.exit(int(command_line.run(sys.argv[1:])))
 
 
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -13,6 +13,7 @@
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.transport import caller_answers
+from lavenderbend.transport import early_listener
 from lavenderbend.transport import socket_options
 
 if TYPE_CHECKING:
@@ -27,6 +28,8 @@
 
 RECEIVE_BYTES = 64 * 1024
 BACKLOG = 1024
+# connections that waited for the router to start are accepted within this
+EARLY_SECONDS = 0.05
 # a body that stops arriving holds its connection no longer than this
 BODY_SECONDS = 10.0
 # time for a caller to take the answer that says why its connection closes
@@ -58,6 +61,9 @@
         stopping: Whether answers tell callers to close their connections.
         connections: Those open now.
         accepting: Cancelled to take no new connections.
+        waiting_since: Router clock from which callers may have waited for
+            this router to start.
+        early_until: Router clock until which such callers are accepted.
     """
 
     def __init__(
@@ -74,6 +80,8 @@
         self.accepting = trio.CancelScope()
         self.connections: set[CallerConnection] = set()
         self.empty = trio.Event()
+        self.waiting_since = 0.0
+        self.early_until = 0.0
 
     async def serve(
         self,
@@ -82,9 +90,7 @@
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves until cancelled; starts with the bound port."""
-        listeners = await trio.open_tcp_listeners(
-            port, host=host, backlog=BACKLOG
-        )
+        listeners = await self.open_listeners(host, port)
         bound = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as nursery:
             with self.accepting:
@@ -95,6 +101,21 @@
                     task_status=StartedWith(task_status, bound),
                 )
 
+    async def open_listeners(
+        self, host: str, port: int
+    ) -> list[trio.SocketListener]:
+        """Returns what to accept from, opened at the process's start or now."""
+        early = early_listener.take(host, port)
+        if early is None:
+            return await trio.open_tcp_listeners(
+                port, host=host, backlog=BACKLOG
+            )
+        now = trio.current_time()
+        self.waiting_since = now - early.waited_seconds
+        self.early_until = now + EARLY_SECONDS
+        listening = trio.socket.from_stdlib_socket(early.socket)
+        return [trio.SocketListener(listening)]
+
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serves one connection."""
         if len(self.connections) >= self.max_connections:
@@ -161,12 +182,17 @@
         stream: The TCP stream.
         protocol: HTTP/1.1 state.
         idle_scope: Cancelled to end the wait for a next request.
+        waiting_since: Router clock from which its first request may have
+            waited unread, None if it has not.
     """
 
     def __init__(self, server: CallerServer, stream: trio.SocketStream) -> None:
         self.server = server
         self.stream = stream
         self.idle_scope = trio.CancelScope()
+        self.waiting_since: float | None = None
+        if trio.current_time() < server.early_until:
+            self.waiting_since = server.waiting_since
         limits = server.limits()
         self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -217,7 +243,7 @@
         Raises:
             RequestError: It is over a limit, or took too long.
         """
-        arrived = trio.current_time()
+        arrived = self.arrival()
         limits = self.server.limits()
         with trio.move_on_after(limits.header_seconds) as scope:
             head = await self.read_head()
@@ -235,6 +261,18 @@
             bytes(head.method), bytes(head.target), headers, body, arrived
         )
 
+    def arrival(self) -> float:
+        """Returns the router clock at which a request came, at the earliest.
+
+        The time that a caller gives for its request runs while it waits for
+        a router that starts; an upstream must not be told more.
+        """
+        if self.waiting_since is None:
+            return trio.current_time()
+        arrived = self.waiting_since
+        self.waiting_since = None
+        return arrived
+
     async def read_head(self) -> h11.Request | None:
         """Returns the head of a request, None if the caller closed."""
         while True:
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import socket
 
 import pytest
 import trio
@@ -11,6 +12,7 @@
 from lavenderbend import errors
 from lavenderbend.state import forwarding
 from lavenderbend.transport import caller_connections
+from lavenderbend.transport import early_listener
 
 HOST = '127.0.0.1'
 GET = b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'
@@ -244,3 +246,65 @@
     assert len(router.requests) == 1
     assert b'x-a' not in heard
     assert not heard.endswith(b'0\r\n\r\n')
+
+
+@pytest.fixture
+def free_address():
+    with socket.socket() as found:
+        found.bind((HOST, 0))
+        return f'{HOST}:{found.getsockname()[1]}'
+
+
+async def test_caller_that_comes_while_the_router_starts_is_served(
+    nursery, monkeypatch, free_address
+):
+    # All VMs lost power. A caller came while its router loaded its libraries
+    # and was refused, with no other router to go to.
+    monkeypatch.setenv(early_listener.ADDRESS_VARIABLE, free_address)
+    early_listener.open_named()
+    port = int(free_address.rpartition(':')[2])
+    stream = await trio.open_tcp_stream(HOST, port)
+    await stream.send_all(GET)
+    await trio.sleep(0.1)
+    router = Router()
+    server = caller_connections.CallerServer(router.handle, lambda: LIMITS, 10)
+    began = trio.current_time()
+    await nursery.start(functools.partial(server.serve, HOST, port))
+    with trio.fail_after(5.0):
+        heard = await stream.receive_some()
+    assert heard.startswith(b'HTTP/1.1 200')
+    # the time that it waited is the caller's own, and is not given away
+    assert router.requests[0].arrived < began - 0.09
+    await stream.send_all(GET)
+    with trio.fail_after(5.0):
+        await stream.receive_some()
+    assert router.requests[1].arrived >= began
+
+
+async def test_early_listener_of_another_address_is_closed(
+    monkeypatch, free_address
+):
+    monkeypatch.setenv(early_listener.ADDRESS_VARIABLE, free_address)
+    early_listener.open_named()
+    assert early_listener.take(HOST, 1) is None
+    with pytest.raises(OSError, match='connect'):
+        await trio.open_tcp_stream(HOST, int(free_address.rpartition(':')[2]))
+
+
+@pytest.mark.parametrize('address', ['8080', ':8080', 'a:b', '127.0.0.1:'])
+def test_early_address_that_is_none_ends_the_process(address, monkeypatch):
+    monkeypatch.setenv(early_listener.ADDRESS_VARIABLE, address)
+    with pytest.raises(SystemExit, match='HOST:PORT'):
+        early_listener.open_named()
+
+
+def test_early_address_that_is_taken_is_told_and_left_to_the_server(
+    monkeypatch, free_address, capsys
+):
+    monkeypatch.setenv(early_listener.ADDRESS_VARIABLE, free_address)
+    early_listener.open_named()
+    early_listener.open_named()
+    assert free_address in capsys.readouterr().err
+    port = int(free_address.rpartition(':')[2])
+    early_listener.take(HOST, port).socket.close()
+    assert early_listener.take(HOST, port) is None
