--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -88,11 +88,12 @@
         self.loads.begin(upstream.instance)
         try:
             exchange = await self.open(ticket, upstream)
+            limit = self.first_byte_seconds(ticket)
+            waiting = self.silence.begin(upstream, limit, may_repeat)
             try:
-                await self.watched(
-                    ticket, upstream, exchange, answer, may_repeat
-                )
+                await self.run(ticket, upstream, exchange, answer, waiting)
             finally:
+                self.silence.end(waiting)
                 exchange.close()
         except errors.UpstreamLost:
             self.note_failure(ticket, upstream)
@@ -104,26 +105,6 @@
         finally:
             self.loads.end(upstream.instance)
 
-    async def watched(
-        self,
-        ticket: tickets.Ticket,
-        upstream: forwarding.Upstream,
-        exchange: interfaces.Exchange,
-        answer: interfaces.CallerAnswer,
-        may_repeat: Callable[[], bool],
-    ) -> None:
-        """Runs the exchange while the upstream's silence is watched.
-
-        Raises:
-            UpstreamError: The caller has no whole answer yet.
-        """
-        limit = self.first_byte_seconds(ticket)
-        waiting = self.silence.begin(upstream, limit, may_repeat)
-        try:
-            await self.run(ticket, upstream, exchange, answer, waiting)
-        finally:
-            self.silence.end(waiting)
-
     async def open(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> interfaces.Exchange:
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -166,9 +166,7 @@
         bound = self.allowed(found)
         unused = [one for one in found if one.instance not in used]
         well, avoided = self.health.split(unused or found)
-        choice = self.choose_among(
-            service, need, well, avoided, tie_break, bound
-        )
+        choice = self.choose_among(need, well, avoided, tie_break, bound)
         passed = choice.passed_over
         if well and avoided:
             passed += passed_over(avoided, FAILED_LATELY)
@@ -181,7 +179,6 @@
 
     def choose_among(
         self,
-        service: str,
         need: Need,
         well: Sequence[forwarding.Upstream],
         avoided: Sequence[forwarding.Upstream],
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -15,8 +15,6 @@
         request_id: Id of a request; upstreams echo it.
         deadline: Milliseconds that the caller waits.
         prompt_parts: Parts of the prompt as `ID:TOKENS`, by commas.
-        token_usage: Tokens of the prompt and, after a comma, those that may
-            be generated.
         customer: Told to upstreams: the customer of the credential.
         rank: Told to upstreams: urgency, 0 is the most urgent.
         instance: Told to upstreams: the instance that is meant; any other
@@ -32,7 +30,6 @@
     request_id: str = 'x-request-id'
     deadline: str = 'x-deadline-ms'
     prompt_parts: str = 'x-prompt-parts'
-    token_usage: str = 'x-token-usage'
     customer: str = 'x-customer'
     rank: str = 'x-rank'
     instance: str = 'x-expect-instance'
