Look for a spilled chat's prompt at its first place before former ones

Cause: a chat whose place is full or fails went elsewhere with a copy asked from where its place had been in an earlier set of upstreams. While upstreams register one by one at the start, those sets name upstreams that never had the chat; they count for half a minute.

The test failed before.

--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -95,7 +95,7 @@
         before = self.sent.get(key)
         if before == chosen.instance:
             return None
-        for name, why in self.likely(service, key, before, parts[0].id):
+        for name, why in self.likely(service, key, chosen, parts[0].id):
             upstream = self.usable(name, chosen)
             if upstream is not None:
                 COPIES.inc({'why': why})
@@ -103,24 +103,33 @@
         return None
 
     def likely(
-        self, service: str, key: str, before: str | None, first_part: str
+        self,
+        service: str,
+        key: str,
+        chosen: forwarding.Upstream,
+        first_part: str,
     ) -> Iterator[tuple[str | None, str]]:
         """Yields upstreams that may have a prompt and why, likely ones first.
 
         Args:
             service: The service.
             key: What places the chat.
-            before: Where this router sent it last, None if it never did.
+            chosen: Where it goes.
             first_part: What many chats begin with.
         """
-        yield before, SENT_THERE
+        yield self.sent.get(key), SENT_THERE
         live = frozenset(one.instance for one in self.directory.of(service))
-        sets = [*self.directory.former(service), live]
+        sets = self.directory.former(service)
         # one order serves all sets: each has most upstreams of the others
-        order = hashing.rendezvous_order(key, frozenset().union(*sets))
+        order = hashing.rendezvous_order(key, live.union(*sets))
+        first_place = first_of(order, live)
+        if first_place != chosen.instance:
+            # its place is full or fails: the chat has hardly been anywhere
+            # else. Sets of upstreams that there were before, such as those
+            # of the start of all, would name one that never had it.
+            yield first_place, FIRST_PLACE
         for members in sets:
-            why = FIRST_PLACE if members is live else FORMER_PLACE
-            yield next((name for name in order if name in members), None), why
+            yield first_of(order, members), FORMER_PLACE
         yield hashing.rendezvous(first_part, live), FIRST_PART
 
     def usable(
@@ -134,3 +143,8 @@
         if self.health.is_suspected(name):
             return None
         return self.directory.known(name)
+
+
+def first_of(order: Sequence[str], members: frozenset[str]) -> str | None:
+    """Returns the first of an order that is a member, None if there is none."""
+    return next((name for name in order if name in members), None)
--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -178,6 +178,28 @@
     assert source is None or source.upstream.instance != before
 
 
+async def test_chat_over_the_bound_is_copied_from_its_first_place(
+    world, autojump_clock
+):
+    # Upstreams registered one after the other before the first caller came.
+    # A chat whose place was full looked for its prompt where its place would
+    # have been among the first of them, and was read anew.
+    found = list(world.followed.current.upstreams.values())
+    for count in range(1, len(found) + 1):
+        world.set(*found[:count])
+    for chat in range(50):
+        first = chosen(world, chat).upstream.instance
+        for _ in range(20):
+            world.loads.begin(first)
+        now = chosen(world, chat).upstream
+        assert now.instance != first
+        parts = need(chat).parts
+        source = world.cached.source('chat', f'chat-{chat}', parts, now)
+        assert source.upstream.instance == first
+        for _ in range(20):
+            world.loads.end(first)
+
+
 async def test_upstream_that_fails_requests_still_hands_out_its_cache(
     world, autojump_clock
 ):
