--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -26,10 +26,6 @@
 # requests that any upstream may hold whatever the mean
 ALWAYS_ALLOWED = 3
 
-# an event of a stream on the wire for each token: its text, its framing and
-# its packet's headers; estimated as 150 bytes for an event of four tokens
-BYTES_OF_A_TOKEN = 40
-KILOBYTE = 1000
 # of its slots; a service answers slower as it fills, and a request between
 # zones takes under two milliseconds more
 BUSY_PART = 0.5
--- a/lavenderbend/platform/documents.py
+++ b/lavenderbend/platform/documents.py
@@ -41,8 +41,9 @@
     'coldLeftMs': (int, float),
     'seqNo': int,
 }
-# an id goes into a header: with a line end in it, it would end that header
-UPSTREAM_ID = re.compile(r'[!-~]{1,200}')
+# an id goes into a header, which a line end in it would end; a slash parts it
+# from its start, and an id with one could pass for another upstream's start
+UPSTREAM_ID = re.compile(r'[!-.0-~]{1,200}')
 MAX_PORT = 65535
 # upstreams take a request without a rank as one of this
 DEFAULT_RANK = 5
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -170,6 +170,20 @@
     assert names(snapshot) == ['s1']
 
 
+def test_id_of_another_writer_passes_for_no_start():
+    # an entry under ID/START took the place of the start of that name
+    items = {
+        'servers/s0': forwarding.RawItem(1, orjson.dumps(ENTRY)),
+        f'servers/s0/{ENTRY["born"]}': forwarding.RawItem(
+            2, orjson.dumps({**ENTRY, 'address': '10.9.9.9:1', 'born': None})
+        ),
+    }
+    raw = forwarding.RawSnapshot(9, items)
+    snapshot = documents.snapshot(raw, documents.decode_items(raw, {}))
+    (found,) = snapshot.upstreams.values()
+    assert found.vm.host == '10.0.0.1'
+
+
 def test_unreadable_entry_is_told_once_for_each_change(monkeypatch):
     told = []
     monkeypatch.setattr(
