--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import signal
 import subprocess
 import sys
@@ -23,7 +24,11 @@
 
 
 class Process:
-    """One process of the product, ended by its own id alone."""
+    """One process of the product, ended by its own id alone.
+
+    Attributes:
+        variables: What its environment has beside the test's own.
+    """
 
     def __init__(
         self, name: str, arguments: list[str], log: pathlib.Path
@@ -31,6 +36,7 @@
         self.name = name
         self.arguments = arguments
         self.log = log
+        self.variables: dict[str, str] = {}
         self.process: trio.Process | None = None
         self.starting = trio.Lock()
 
@@ -51,6 +57,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                env={**os.environ, **self.variables},
             )
 
     @property
--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -11,6 +11,7 @@
 from lavenderbend.cmd import base
 from lavenderbend.cmd import main
 from lavenderbend.cmd import trace
+from lavenderbend.transport import early_listener
 from tests import operator_fakes
 from tests import platform_standins as standins
 from tests.integration import forwarding_fleet
@@ -65,6 +66,32 @@
         assert old.status_code == 404
 
 
+async def test_caller_that_comes_as_a_router_starts_is_answered(fleet):
+    # The router is killed and starts again. The first connection that its
+    # port takes may come before its libraries are loaded; its request is
+    # answered as any other, and so is the next one on it.
+    router = fleet.routers[0]
+    address = f'{router.host}:{router.callers}'
+    router.process.variables = {early_listener.ADDRESS_VARIABLE: address}
+    await router.process.end()
+    await router.process.start()
+    with trio.fail_after(forwarding_fleet.WAIT_SECONDS):
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(router.host, router.callers)
+                break
+            except OSError:
+                await trio.sleep(0.005)
+        caller = forwarding_fleet.KeptCaller(stream)
+        status, number = 503, 0
+        while status == 503:
+            # not run, until the router has read the store
+            number += 1
+            status, body, stays = await caller.ask('/desk/send', number)
+        assert (status, body, stays) == (200, b'did /desk/send', True)
+    await fleet.until(router.ready)
+
+
 async def test_stop_cuts_off_no_request(fleet):
     # A router is stopped while it passes a stream on, and a caller goes on
     # using its connection until it is told to close it. Both get all of
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -115,3 +115,22 @@
     assert events(lines) == ['request_ended']
     (ended,) = named(lines, 'request_ended')
     assert ended['outcome'] == 'not-authenticated'
+
+
+async def test_line_says_from_where_a_prompt_was_to_be_copied(
+    autojump_clock, lines
+):
+    # First events come late on a chat that came back. Whether its prompt was
+    # read anew, or copied and from where, is in the line of the request.
+    subject = router([fakes.reply()], fakes.rule())
+    parts = {'x_prompt_parts': 'sys:100,chat:9000,own:10'}
+    await subject.ask(**parts)
+    (ended,) = named(lines, 'request_ended')
+    assert ended['copied_from'] == []
+    (first,) = ended['sent_to']
+    for _ in range(9):
+        subject.loads.begin(first)
+    await subject.ask(**parts)
+    _, ended = named(lines, 'request_ended')
+    assert ended['sent_to'] != [first]
+    assert ended['copied_from'] == [f'{first}: sent there before']
