--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -128,7 +128,7 @@
     (ended,) = named(lines, 'request_ended')
     assert ended['copied_from'] == []
     (first,) = ended['sent_to']
-    for _ in range(9):
+    for _ in range(40):
         subject.loads.begin(first)
     await subject.ask(**parts)
     _, ended = named(lines, 'request_ended')
