--- a/lavenderbend/__main__.py
+++ b/lavenderbend/__main__.py
@@ -6,10 +6,13 @@
 
 from lavenderbend.transport import early_listener
 
+ROUTER_COMMAND = 'router'
+
 
 def main() -> None:
     """Runs the command of the process's arguments and exits."""
-    early_listener.open_named()
+    if sys.argv[1:2] == [ROUTER_COMMAND]:
+        early_listener.open_named()
     # loaded only now: callers can connect while it takes its time
     from lavenderbend.cmd import main as command_line
 
