--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -107,9 +107,13 @@
     async def chat():
         answers.append(await forwarding_fleet.ask(router, '/chat/1', 7))
 
+    async def streams():
+        ran = [*fleet.workers['i-e1'].ran, *fleet.workers['i-e2'].ran]
+        return bool(ran)
+
     async with trio.open_nursery() as nursery:
         nursery.start_soon(chat)
-        await trio.sleep(0.3)
+        await fleet.until(streams)
         router.process.signal(signal.SIGTERM)
         await fleet.until(lambda: not_ready(router))
         status, body, stays = await caller.ask('/desk/b', 2)
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -10,10 +10,18 @@
 from tests import forwarding_fakes as fakes
 
 
+def ignore(message):
+    """Takes lines that no test looks at."""
+
+
 @pytest.fixture
 def lines(monkeypatch):
     budget = log_writer.LineBudget(1000.0, 1000.0)
     monkeypatch.setattr(logs, 'ORDINARY', budget)
+    # what was logged while there was no destination yet, by other tests in
+    # this process, goes to the first one: not to the test's own
+    eliot.add_destinations(ignore)
+    eliot.remove_destination(ignore)
     found = []
     eliot.add_destinations(found.append)
     yield found
