Say of each attempt who ended it, why, and how far the caller's answer had come

Cause: the hypotheses on the missing event could not be told apart from lines: attempt_failed named a kind, but not which limit a silent upstream had passed, what was read and what was written, nor whether a write to the caller was under way; an attempt that was cancelled had no line at all. Before: one line for ends by an error, with the last event read.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -7,6 +7,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import attempt_ends
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import tickets
 
@@ -92,6 +93,9 @@
             waiting = self.silence.begin(upstream, limit, may_repeat)
             try:
                 await self.run(ticket, upstream, exchange, answer, waiting)
+            except BaseException as exc:
+                attempt_ends.note(ticket, upstream, answer, waiting, exc)
+                raise
             finally:
                 self.silence.end(waiting)
                 exchange.close()
@@ -282,6 +286,7 @@
             if not answer.started:
                 await answer.start(head.status, head.headers)
             await answer.send(whole)
+            cutter.note_written()
         if not answer.started:
             await answer.start(head.status, head.headers)
         if cutter.rest:
--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -18,14 +18,22 @@
     last one. The bytes are not changed.
 
     Attributes:
-        last: Number of the last whole event, None before the first.
+        last: Number of the last whole event that was read, None before the
+            first.
+        written: Number of the last event that was written to the caller,
+            None before the first.
         rest: Bytes of an event that is not complete.
     """
 
     def __init__(self, last: int | None = None) -> None:
         self.last = last
+        self.written = last
         self.rest = b''
 
+    def note_written(self) -> None:
+        """Notes that the caller has all events that were read."""
+        self.written = self.last
+
     def restart(self) -> None:
         """Drops the unfinished event of a stream that broke off."""
         self.rest = b''
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -224,7 +224,6 @@
             ticket.unreachable.append(upstream.instance)
         except errors.UpstreamError as exc:
             record.result = type(exc).__name__
-            note_failed(ticket, upstream, exc)
         finally:
             record.finished = trio.current_time() - record.started
             if ticket.attempt_hop is not None:
@@ -319,23 +318,6 @@
     )
 
 
-def note_failed(
-    ticket: tickets.Ticket,
-    upstream: forwarding.Upstream,
-    cause: errors.UpstreamError,
-) -> None:
-    """Writes that an upstream that had a request did not answer it whole."""
-    logs.change(
-        'attempt_failed',
-        request=ticket.id,
-        upstream=upstream.instance,
-        kind=type(cause).__name__,
-        cause=str(cause),
-        may_have_run=ticket.may_have_run,
-        last_event=ticket.cutter.last,
-    )
-
-
 def failed_result(record: decisions_module.Attempt) -> str:
     """Returns how an attempt failed, empty if it did not."""
     return '' if record.result == records.COMPLETE else record.result
--- a/lavenderbend/coordination/forwarding/silence.py
+++ b/lavenderbend/coordination/forwarding/silence.py
@@ -26,6 +26,11 @@
 # this router itself stood still for longer than a check takes
 LATE_SECONDS = 0.3
 
+# why a wait was given up
+NO_BYTE = 'no byte in time'
+ALL_SILENT = 'silent to all its streams'
+SUSPECTED = 'taken for dead or out of reach'
+
 
 @attrs.define(eq=False)
 class Waiting:
@@ -40,6 +45,7 @@
             moment from which bytes are waited for again.
         flowing: Whether a stream has begun, so that bytes are due.
         reading: Whether the upstream is waited for, and not the caller.
+        given_up: Why it was not waited for any longer, empty if it was.
     """
 
     instance: str
@@ -49,6 +55,7 @@
     since: float = attrs.field(factory=trio.current_time)
     flowing: bool = False
     reading: bool = True
+    given_up: str = ''
 
     async def read(self, operation: Callable[[], Awaitable[T]]) -> T:
         """Returns what one operation on the upstream returns.
@@ -63,12 +70,17 @@
         self.since = trio.current_time()
         self.scope = trio.CancelScope()
         self.reading = True
-        try:
-            with self.scope:
-                return await operation()
-        finally:
+        with self.scope:
+            result = await operation()
+            self.since = trio.current_time()
             self.reading = False
-        raise errors.UpstreamStalled('no byte in time')
+            return result
+        raise errors.UpstreamStalled(self.given_up)
+
+    def give_up(self, reason: str) -> None:
+        """Ends the wait for the upstream."""
+        self.given_up = reason
+        self.scope.cancel()
 
 
 class SilenceWatch:
@@ -134,13 +146,21 @@
         for waiting in list(self.waits):
             if not waiting.reading:
                 continue
-            silent = now - waiting.since
-            suspected = silent > DARK_SECONDS and (
-                waiting.instance in dark
-                or self.health.is_suspected(waiting.instance)
-            )
-            if (suspected or silent > waiting.limit) and waiting.may_repeat():
-                waiting.scope.cancel()
+            reason = self.reason(waiting, now - waiting.since, dark)
+            if reason and waiting.may_repeat():
+                waiting.give_up(reason)
+
+    def reason(self, waiting: Waiting, silent: float, dark: set[str]) -> str:
+        """Returns why a wait is of no use any more, empty if it is."""
+        if silent > waiting.limit:
+            return NO_BYTE
+        if silent <= DARK_SECONDS:
+            return ''
+        if waiting.instance in dark:
+            return ALL_SILENT
+        if self.health.is_suspected(waiting.instance):
+            return SUSPECTED
+        return ''
 
     def dark(self, now: float) -> set[str]:
         """Returns the upstreams that stream to requests and are silent."""
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -17,6 +17,14 @@
     UNKNOWN = 'unknown'
 
 
+class EndedBy(enum.Enum):
+    """Who ended an attempt at an upstream."""
+
+    UPSTREAM = 'upstream'
+    ROUTER = 'router'
+    CALLER = 'caller'
+
+
 class LavenderbendError(Exception):
     """Base of every error of this package.
 
@@ -77,9 +85,14 @@
 
 
 class UpstreamError(LavenderbendError):
-    """An upstream did not answer as it should."""
+    """An upstream did not answer as it should.
+
+    Attributes:
+        ended_by: Who ended the attempt.
+    """
 
     category = 'upstream error'
+    ended_by = EndedBy.UPSTREAM
 
 
 class UpstreamUnreachable(UpstreamError):
@@ -93,10 +106,14 @@
 class UpstreamBroke(UpstreamError):
     """The connection or the answer broke after the request was sent."""
 
+    ended_by = EndedBy.ROUTER
+
 
 class UpstreamLost(UpstreamBroke):
     """The connection was lost; the upstream may have crashed."""
 
+    ended_by = EndedBy.UPSTREAM
+
 
 class UpstreamStalled(UpstreamBroke):
     """No byte came within the time allowed."""
@@ -105,10 +122,14 @@
 class AnswerMismatch(UpstreamError):
     """The answer carries the id of another request."""
 
+    ended_by = EndedBy.ROUTER
+
 
 class AnswerContradicts(UpstreamError):
     """A further attempt answers something else than the caller has."""
 
+    ended_by = EndedBy.ROUTER
+
 
 class RequestError(LavenderbendError):
     """A request that ends without its whole answer.
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import eliot
 import pytest
 
+from lavenderbend import errors
+from lavenderbend.coordination.forwarding import attempt_ends
+from lavenderbend.coordination.forwarding import silence
 from lavenderbend.observe import log_writer
 from lavenderbend.observe import logs
 from tests import forwarding_fakes as fakes
@@ -142,3 +147,84 @@
     _, ended = named(lines, 'request_ended')
     assert ended['sent_to'] != [first]
     assert ended['copied_from'] == [f'{first}: sent there before']
+
+
+def event(number):
+    return b'id: %d\ndata: x%d\n\n' % (number, number)
+
+
+class WritingAnswer(fakes.Answer):
+    """The caller has a part of its answer only once its write has ended."""
+
+    seconds = 0.0
+
+    async def send(self, data):
+        await fakes.trio.sleep(self.seconds)
+        self.body += data
+
+
+async def ended_attempt(lines, subject, answer=None, **fields):
+    """Returns the line of a request's first attempt, which failed."""
+    answer = answer or WritingAnswer()
+    async with fakes.trio.open_nursery() as nursery:
+        nursery.start_soon(subject.silence.run)
+        with contextlib.suppress(errors.RequestError):
+            await subject.forwarder.forward(fakes.request(**fields), answer)
+        nursery.cancel_scope.cancel()
+    return named(lines, 'attempt_failed')[0]
+
+
+STREAM = fakes.rule(streaming=True, resumable=True, attempts=2)
+WHO_ENDED = {
+    'broken off': (
+        fakes.reply(body=(event(1),), then=fakes.LOST_ANSWER),
+        ('UpstreamLost', 'upstream', 'upstream', 'reset'),
+    ),
+    'silent': (
+        fakes.reply(body=(event(1), 30.0)),
+        ('UpstreamStalled', 'router', 'upstream', silence.ALL_SILENT),
+    ),
+    'contradicts': (
+        fakes.reply(body=(event(1), event(9))),
+        ('AnswerContradicts', 'router', 'caller', 'event 9 after event 1'),
+    ),
+}
+
+
+@pytest.mark.parametrize('way', sorted(WHO_ENDED))
+async def test_end_of_an_attempt_says_who_ended_it(way, autojump_clock, lines):
+    # A caller complains of a gap in its stream. Whether the upstream broke
+    # off, or the router gave it up and for what, tells causes apart that
+    # look alike to the caller and to the upstream.
+    step, (kind, by, waited_for, cause) = WHO_ENDED[way]
+    rest = fakes.reply(body=(event(2),))
+    line = await ended_attempt(lines, router([step, rest], STREAM))
+    assert (line['kind'], line['ended_by']) == (kind, by)
+    assert (line['waited_for'], line['cause']) == (waited_for, cause)
+    assert (line['last_event'], line['written_event']) == (1, 1)
+
+
+async def test_end_within_a_write_says_what_the_caller_lacks(
+    autojump_clock, lines
+):
+    # The deadline comes while a slow caller takes the second event: it was
+    # read, and the caller has only the first.
+    answer = WritingAnswer()
+    answer.seconds = 0.3
+    subject = router([fakes.reply(body=(event(1), event(2)))], STREAM)
+    line = await ended_attempt(lines, subject, answer, x_deadline_ms='500')
+    assert (line['kind'], line['ended_by']) == ('Cancelled', 'router')
+    assert line['cause'] == attempt_ends.DEADLINE
+    assert (line['last_event'], line['written_event']) == (2, 1)
+    assert line['waited_for'] == 'caller'
+    assert line['waited'] == pytest.approx(0.2, abs=0.01)
+
+
+async def test_unfinished_event_of_a_broken_stream_is_counted(
+    autojump_clock, lines
+):
+    torn = fakes.reply(body=(event(1) + b'id: 2\nda',), then=fakes.LOST_ANSWER)
+    rest = fakes.reply(body=(event(2),))
+    line = await ended_attempt(lines, router([torn, rest], STREAM))
+    assert line['unfinished_bytes'] == len(b'id: 2\nda')
+    assert line['written_event'] == 1
