Move the number of a resume with the write, and write nothing behind a cut one

Cause: the number behind which a stream goes on moved when events were read; a write that was cut left it ahead of what the caller had. The answer itself took further bytes behind a cut write. Both held only as long as nothing ended an attempt between the read and the end of the write, which no code enforced. Mend: the number moves when the write has ended; an answer in which a write was cut takes nothing more, and no further upstream is asked for it.

A stream without a length that closes within an event has broken off: it goes on elsewhere, or ends its caller's connection.

Ruled out: checking numbers at the caller's side only (a gap of one write within one chunk is not seen there); breaking off framed answers whose last event lacks its blank line (the upstream says by its framing that they are whole: a test).

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -287,6 +287,10 @@
                 await answer.start(head.status, head.headers)
             await answer.send(whole)
             cutter.note_written()
+        if cutter.rest and not head.framed:
+            # only its connection's close ends this stream: within an event
+            # it broke off, and its caller would take it for complete
+            raise errors.UpstreamLost('closed within an event')
         if not answer.started:
             await answer.start(head.status, head.headers)
         if cutter.rest:
--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -17,6 +17,10 @@
     whole number of events, so that another upstream can go on behind the
     last one. The bytes are not changed.
 
+    A resume goes on behind `written`, never behind `last`: what was read may
+    end there, if its write is cut. Were it counted as passed on before, the
+    caller would get a complete answer with an event missing.
+
     Attributes:
         last: Number of the last whole event that was read, None before the
             first.
@@ -35,7 +39,8 @@
         self.written = self.last
 
     def restart(self) -> None:
-        """Drops the unfinished event of a stream that broke off."""
+        """Prepares for a stream that goes on behind what was written."""
+        self.last = self.written
         self.rest = b''
 
     def feed(self, data: bytes) -> bytes:
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -268,6 +268,9 @@
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> bool:
         """Returns whether another upstream is tried."""
+        if answer.mid_write:
+            # the caller may have a part of it: nothing can follow
+            return False
         if ticket.may_have_run and not ticket.rule.then.repeatable:
             return False
         if answer.started and not ticket.rule.then.resumable:
@@ -313,7 +316,7 @@
         upstream=record.upstream,
         why=record.reason,
         passed_over=passed_over_texts([record]),
-        after_event=ticket.cutter.last,
+        after_event=ticket.cutter.written,
         seconds_left=round(ticket.left, 3),
     )
 
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -54,11 +54,14 @@
     Attributes:
         started: Whether the caller has been sent a part of it.
         finished: Whether the caller has all of it.
+        mid_write: Whether a write has begun and not ended. If it was cut, how
+            much of it the caller has is not known, and nothing may follow.
         gone: Whether the caller closed its connection before that.
     """
 
     started = False
     finished = False
+    mid_write = False
     gone = False
 
     @abc.abstractmethod
@@ -106,10 +109,13 @@
     Attributes:
         status: HTTP status.
         headers: Without those that concern only one connection.
+        framed: Whether the body's own framing says where it ends. Else it
+            ends with the connection, and one that broke off looks the same.
     """
 
     status: int
     headers: Headers
+    framed: bool = True
 
 
 class Exchange(abc.ABC):
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -76,9 +76,10 @@
             headers.append((b'content-length', b'%d' % len(request.body)))
         if ticket.attempt_hop is not None:
             headers = traced(headers, ticket.attempt_hop)
-        if ticket.cutter.last is not None:
+        written = ticket.cutter.written
+        if written is not None:
             headers = [item for item in headers if item[0] != LAST_EVENT_ID]
-            headers.append((LAST_EVENT_ID, b'%d' % ticket.cutter.last))
+            headers.append((LAST_EVENT_ID, b'%d' % written))
         return interfaces.UpstreamRequest(
             id=ticket.id.encode('latin-1'),
             id_header=names.request_id.encode(),
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -402,6 +402,12 @@
         self.highest = highest
 
 
+class AnswerInterrupted(LavenderbendError):
+    """A write to a caller would follow one that was cut half done."""
+
+    category = 'answer interrupted'
+
+
 class CallerGone(RequestError):
     """The caller went away before its answer was whole."""
 
--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -33,14 +33,25 @@
         return self.connection.server.stopping
 
     async def write(self, *events: h11.Event) -> None:
-        """Sends events in one write."""
+        """Sends events in one write.
+
+        Raises:
+            AnswerInterrupted: The write before was cut.
+            CallerGone: The caller has closed.
+        """
+        if self.mid_write:
+            # the caller would read these bytes as the rest of those that were
+            # cut: a gap in its answer, or no answer in the protocol
+            raise errors.AnswerInterrupted('the write before was cut')
         protocol = self.connection.protocol
         data = b''.join(protocol.send(event) or b'' for event in events)
+        self.mid_write = True
         try:
             await self.connection.stream.send_all(data)
         except CONNECTION_ERRORS as exc:
             self.gone = True
             raise errors.CallerGone(type(exc).__name__) from exc
+        self.mid_write = False
 
     def head(self, status: int, headers: interfaces.Headers) -> h11.Response:
         """Returns the head as an event."""
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -33,6 +33,7 @@
 # bodies under this fit the smallest windows of a connection at once
 SMALL_BODY_BYTES = 1024
 MAX_STRAYS = 4
+FRAMING = (b'content-length', b'transfer-encoding')
 NOT_OURS = 'the answer carries the id of another request'
 
 CONNECTIONS = metrics.counter(
@@ -292,8 +293,9 @@
         """Returns the head, and notes what it says of the connection."""
         headers = tuple((bytes(k), bytes(v)) for k, v in response.headers)
         self.note_keep_alive(headers)
+        framed = any(name in FRAMING for name, _ in headers)
         return interfaces.AnswerHead(
-            response.status_code, hop_headers.end_to_end(headers)
+            response.status_code, hop_headers.end_to_end(headers), framed
         )
 
     def note_keep_alive(self, headers: interfaces.Headers) -> None:
