--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -283,6 +283,33 @@
         assert cutter.last == 2
 
 
+def test_events_that_were_not_written_are_asked_for_again():
+    # Two events were read; the write of the second was cut. The upstream that
+    # goes on must begin with it, and its numbers are checked from there.
+    cutter = events.EventCutter()
+    cutter.feed(b'id: 1\ndata: a\n\n')
+    cutter.note_written()
+    cutter.feed(b'id: 2\ndata: b\n\nid: 3\nda')
+    assert cutter.written == 1
+    cutter.restart()
+    with pytest.raises(errors.AnswerContradicts):
+        cutter.feed(b'id: 3\ndata: c\n\n')
+    assert cutter.feed(b'id: 2\ndata: b\n\n')
+
+
+async def test_upstream_is_asked_to_go_on_behind_what_was_written():
+    one = fakes.upstream('e1')
+    content = fakes.snapshot(1, fakes.table(), one)
+    router = fakes.Router(content, fakes.Exchanges(e1=[fakes.reply()]))
+    ticket = await router.entry.admit(fakes.request(last_event_id='7'))
+    ticket.cutter.feed(b'id: 8\ndata: b\n\n')
+    made = router.forwarder.attempts.requests.make(ticket, one)
+    assert dict(made.headers)[b'last-event-id'] == b'7'
+    ticket.cutter.note_written()
+    made = router.forwarder.attempts.requests.make(ticket, one)
+    assert dict(made.headers)[b'last-event-id'] == b'8'
+
+
 @pytest.mark.parametrize('number', [1, 2, 4])
 def test_event_out_of_order_is_refused(number):
     cutter = events.EventCutter(2)
