Failing test: a stream whose events lose their numbers is begun again elsewhere

Found while the places were looked at that go on with a stream: what a caller has is known by the number of the last event alone.

--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -200,6 +200,14 @@
     )
 
 
+CHUNKED = b'transfer-encoding: chunked\r\n'
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
 async def ask_over_sockets(nursery, answers):
     """Returns what a caller reads, and what its upstreams were asked."""
     upstream = Upstream(answers)
@@ -262,3 +270,25 @@
     )
     assert asked == [0]
     assert (body, complete) == (whole, True)
+
+
+async def test_stream_without_numbers_is_not_begun_again(nursery):
+    # An upstream numbers only its first event and breaks off later. Another
+    # one can't be told where to go on: what it would send again from there,
+    # the caller would read twice.
+    torn = head(CHUNKED) + chunk(event(1)) + chunk(b'data: more\n\n')
+    again = head(CHUNKED) + chunk(b'data: more\n\n') + LAST_CHUNK
+    body, complete, asked = await ask_over_sockets(nursery, {0: torn, 1: again})
+    assert asked == [0]
+    assert (body, complete) == (event(1) + b'data: more\n\n', False)
+
+
+async def test_comment_without_a_number_hinders_no_resume(nursery):
+    torn = head(CHUNKED) + chunk(event(1)) + chunk(b': still here\n\n')
+    rest = head(CHUNKED) + chunk(events(2)) + LAST_CHUNK
+    body, complete, asked = await ask_over_sockets(nursery, {0: torn, 1: rest})
+    assert asked == [0, 1]
+    assert (body, complete) == (
+        event(1) + b': still here\n\n' + events(2),
+        True,
+    )
