Go on with a stream only behind a number that says all the caller has

Cause: the last number was taken for the place of the stream also if events with data and without a number had followed it, or none had one. A second upstream was asked to go on behind it and sent them again. Mend: such a stream ends with its upstream; it is not given up as silent either, since nobody can go on with it. Comments have no data and hinder nothing.

--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -6,6 +6,7 @@
 
 END = b'\n\n'
 ID_FIELD = b'id:'
+DATA_FIELD = b'data:'
 # an event that never ends would be held whole
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -26,12 +27,15 @@
             first.
         written: Number of the last event that was written to the caller,
             None before the first.
+        numbered: Whether all events that were read had numbers. Without
+            them no upstream can be told where to go on.
         rest: Bytes of an event that is not complete.
     """
 
     def __init__(self, last: int | None = None) -> None:
         self.last = last
         self.written = last
+        self.numbered = True
         self.rest = b''
 
     def note_written(self) -> None:
@@ -72,16 +76,30 @@
         # what contradicts is not passed on: a resume must not skip the events
         # before it in the same bytes
         last = self.last
+        found = has_data = False
         for line in whole.split(b'\n'):
-            if not line.startswith(ID_FIELD):
+            if line.startswith(DATA_FIELD):
+                has_data = True
+            elif not line:
+                # a comment has no data: it may come twice
+                if has_data and not found:
+                    self.numbered = False
+                found = has_data = False
+            number = number_of(line)
+            if number is None:
                 continue
-            value = line[len(ID_FIELD) :].strip()
-            if not value.isdigit():
-                continue
-            number = int(value)
             if last is not None and number != last + 1:
                 raise errors.AnswerContradicts(
                     f'event {number} after event {last}'
                 )
             last = number
+            found = True
         self.last = last
+
+
+def number_of(line: bytes) -> int | None:
+    """Returns the number that a line gives its event, None if it is none."""
+    if not line.startswith(ID_FIELD):
+        return None
+    value = line[len(ID_FIELD) :].strip()
+    return int(value) if value.isdigit() else None
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -216,7 +216,7 @@
             ticket.attempt_hop = self.tracer.begin_attempt(ticket, upstream)
         try:
             await self.attempts.attempt(
-                ticket, upstream, answer, self.repeat_check(ticket)
+                ticket, upstream, answer, self.repeat_check(ticket, answer)
             )
             record.result = records.COMPLETE
         except errors.UpstreamUnreachable as exc:
@@ -254,12 +254,17 @@
         note_sent(ticket, record)
         return choice.upstream
 
-    def repeat_check(self, ticket: tickets.Ticket) -> Callable[[], bool]:
+    def repeat_check(
+        self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
+    ) -> Callable[[], bool]:
         """Returns what tells whether an attempt may be followed by another."""
 
         def check() -> bool:
             if not ticket.rule.then.repeatable or ticket.sends_left <= 0:
                 return False
+            if answer.started and not self.may_resume(ticket):
+                # nobody could go on: what is silent may still come
+                return False
             return self.budget.available(ticket.service)
 
         return check
@@ -273,7 +278,7 @@
             return False
         if ticket.may_have_run and not ticket.rule.then.repeatable:
             return False
-        if answer.started and not ticket.rule.then.resumable:
+        if answer.started and not self.may_resume(ticket):
             return False
         if not ticket.used:
             return len(ticket.unreachable) < MAX_UNREACHABLE
@@ -281,6 +286,10 @@
             return False
         return self.budget.try_take(ticket.service)
 
+    def may_resume(self, ticket: tickets.Ticket) -> bool:
+        """Returns whether another upstream can go on with a stream."""
+        return ticket.rule.then.resumable and ticket.cutter.numbered
+
     async def give_up(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> None:
--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -117,6 +117,19 @@
     assert trio.current_time() - began < 0.8
 
 
+async def test_stream_that_nobody_can_go_on_with_is_waited_for(autojump_clock):
+    # The engine numbers no event and pauses. Given up, the stream would end
+    # there: no other engine can be told where to go on.
+    exchanges = fakes.Exchanges(e1=(), e2=())
+    steps = [fakes.reply(body=(b'data: a\n\n', 2.0, b'data: b\n\n'))]
+    exchanges.steps = {'e1': steps, 'e2': steps}
+    router = resumable_router(exchanges)
+    answer, error = await router.ask()
+    assert error is None
+    assert answer.body == b'data: a\n\ndata: b\n\n'
+    assert len(exchanges.sent) == 1
+
+
 class SocketAnswer(fakes.Answer):
     """Writes as a socket does: the caller has nothing before the write ends.
 
