Callers' connections: server, requests and connection in a module each

The reader gets stream, protocol and limits and knows no server.

When a request came stays with the connection, which alone knows of a wait before the router started. Ruled out: reading as plain functions of the connection, which would need the whole of it for three of its parts; another name for CallerConnection, which caller_answers writes to.

--- a/bench/relay/forwarding.py
+++ b/bench/relay/forwarding.py
@@ -28,7 +28,7 @@
 from lavenderbend.state import forwarding
 from lavenderbend.state import forwarding_settings
 from lavenderbend.state import upstreams
-from lavenderbend.transport import caller_connections
+from lavenderbend.transport import caller_server
 from lavenderbend.transport import upstream_exchanges
 
 SERVICE = 'engines'
@@ -150,7 +150,7 @@
     path = make_forwarder(followed)
     content = snapshot(upstream_port)
     followed.accept(content, followed.clock())
-    server = caller_connections.CallerServer(
+    server = caller_server.CallerServer(
         path.forward, lambda: content.table.limits, MAX_CONNECTIONS
     )
     async with trio.open_nursery() as nursery:
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -28,7 +28,7 @@
 from lavenderbend.protocol import documents_yaml
 from lavenderbend.state import decisions
 from lavenderbend.state import forwarding as forwarding_state
-from lavenderbend.transport import caller_connections
+from lavenderbend.transport import caller_server
 from lavenderbend.transport import peer_datagrams
 from lavenderbend.transport import readiness
 from lavenderbend.transport import upstream_exchanges
@@ -151,7 +151,7 @@
 
     def make_servers(self) -> None:
         """Makes what callers and the balancer speak to."""
-        self.callers = caller_connections.CallerServer(
+        self.callers = caller_server.CallerServer(
             self.forwarder.forward,
             self.caller_limits,
             self.settings.callers.max_connections,
--- a/tests/test_transport/test_answer_path_fuzz.py
+++ b/tests/test_transport/test_answer_path_fuzz.py
@@ -18,7 +18,7 @@
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
-from lavenderbend.transport import caller_connections
+from lavenderbend.transport import caller_server
 from lavenderbend.transport import upstream_exchanges
 from tests import forwarding_fakes as fakes
 
@@ -283,7 +283,7 @@
     router = fakes.Router(content, exchanges)
     router.budget.settings = budget.RepeatSettings(10.0, 1000.0, 10.0)
     nursery.start_soon(router.silence.run)
-    server = caller_connections.CallerServer(
+    server = caller_server.CallerServer(
         router.forwarder.forward, lambda: LIMITS, 100
     )
     port = await nursery.start(functools.partial(server.serve, HOST, 0))
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -11,7 +11,7 @@
 
 from lavenderbend import errors
 from lavenderbend.state import forwarding
-from lavenderbend.transport import caller_connections
+from lavenderbend.transport import caller_server
 from lavenderbend.transport import early_listener
 
 HOST = '127.0.0.1'
@@ -74,7 +74,7 @@
 @pytest.fixture
 async def router(nursery):
     router = Router()
-    router.server = caller_connections.CallerServer(
+    router.server = caller_server.CallerServer(
         router.handle, lambda: LIMITS, 10
     )
     router.port = await nursery.start(
@@ -267,7 +267,7 @@
     await stream.send_all(GET)
     await trio.sleep(0.1)
     router = Router()
-    server = caller_connections.CallerServer(router.handle, lambda: LIMITS, 10)
+    server = caller_server.CallerServer(router.handle, lambda: LIMITS, 10)
     began = trio.current_time()
     await nursery.start(functools.partial(server.serve, HOST, port))
     with trio.fail_after(5.0):
