Platform: one module for each thing that lies in its store

The functions moved as they are; only the calls between them name a module.

Ruled out: the name documents for what remains, which state/documents and protocol/documents_yaml use for something else.

--- /dev/null
+++ b/lavenderbend/platform/configuration_document.py
@@ -0,0 +1,93 @@
+"""The operator's configuration, as it lies in the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lavenderbend.state import configuration
+from lavenderbend.state import forwarding
+
+IDEMPOTENT = 'idempotent'
+STREAMING = 'streaming'
+# upstreams take a request without a rank as one of this
+DEFAULT_RANK = 5
+DEFAULT_TARGET_MILLISECONDS = 1000
+DEFAULT_GAP_MILLISECONDS = 250
+
+
+def decode_table(value: dict[str, Any]) -> forwarding.ForwardingTable:
+    """Returns the configuration: the longest prefix becomes the first rule."""
+    routes = sorted(value['routes'], key=lambda one: -len(one['pathPrefix']))
+    return forwarding.ForwardingTable(
+        version=value['version'],
+        rules=tuple(rule(one) for one in routes),
+        pools=tuple(pool(one) for one in value['services']),
+        customers=tuple(customer(one) for one in value.get('tenants') or ()),
+        limits=limits(value['limits']),
+    )
+
+
+def rule(route: dict[str, Any]) -> forwarding.ForwardRule:
+    """Returns the rule of a route."""
+    when = configuration.When(
+        path=(route['pathPrefix'] + '*',),
+        header={'host': route['host'].lower()},
+    )
+    return forwarding.ForwardRule(route['name'], when, forward(route))
+
+
+def forward(route: dict[str, Any]) -> forwarding.Forward:
+    """Returns how a route forwards."""
+    target = route.get('targetLatencyMs') or DEFAULT_TARGET_MILLISECONDS
+    gap = route.get('targetGapMs') or DEFAULT_GAP_MILLISECONDS
+    return forwarding.Forward(
+        pools=shares(route),
+        timeout=route['timeoutMs'] / 1000,
+        attempts=route.get('maxAttempts') or 1,
+        # the kind alone says what may be repeated
+        idempotent=route['kind'] == IDEMPOTENT,
+        streaming=route['kind'] == STREAMING,
+        resumable=bool(route.get('resumable')),
+        public=bool(route.get('public')),
+        target=target / 1000,
+        max_gap=gap / 1000,
+        rank=route.get('priority', DEFAULT_RANK),
+    )
+
+
+def shares(route: dict[str, Any]) -> tuple[forwarding.PoolShare, ...]:
+    """Returns the services of a route with their weights."""
+    split = route.get('trafficSplit')
+    if not split:
+        return (forwarding.PoolShare(route['service'], 1.0),)
+    return tuple(
+        forwarding.PoolShare(part['service'], float(part['weight']))
+        for part in split
+    )
+
+
+def pool(service: dict[str, Any]) -> forwarding.ForwardPool:
+    """Returns the pool of a service."""
+    return forwarding.ForwardPool(
+        name=service['name'],
+        max_connections=service.get('maxConns', 100),
+    )
+
+
+def customer(tenant: dict[str, Any]) -> forwarding.ForwardCustomer:
+    """Returns the customer of a tenant."""
+    return forwarding.ForwardCustomer(
+        name=tenant['name'],
+        credentials=tuple(tenant['apiKeys']),
+        rank=tenant.get('priority'),
+    )
+
+
+def limits(value: dict[str, Any]) -> forwarding.CallerLimits:
+    """Returns the limits of callers."""
+    return forwarding.CallerLimits(
+        header_bytes=value['maxHeaderBytes'],
+        body_bytes=value['maxBodyBytes'],
+        header_seconds=value['headerTimeoutMs'] / 1000,
+        idle_seconds=value['idleTimeoutMs'] / 1000,
+    )
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -12,7 +12,8 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
-from lavenderbend.platform import documents
+from lavenderbend.platform import snapshot_decoding
+from lavenderbend.platform import store_answers
 from lavenderbend.state import forwarding
 from lavenderbend.transport import http_calls
 
@@ -55,7 +56,7 @@
         self.calls = http_calls.HttpCaller(
             url.hostname or '', url.port or 80, timeout_seconds
         )
-        self.decoded: dict[str, documents.Decoded] = {}
+        self.decoded: dict[str, snapshot_decoding.Decoded] = {}
 
     async def read(self) -> forwarding.RawSnapshot:
         """Reads all keys.
@@ -89,7 +90,7 @@
         if answer.status == GONE:
             return None
         return self.decoded_answer(
-            answer, functools.partial(documents.decode_changes, revision)
+            answer, functools.partial(store_answers.decode_changes, revision)
         )
 
     async def read_range(self, prefix: str) -> forwarding.RawSnapshot:
@@ -114,7 +115,7 @@
         # pages that were not read would be taken for gone
         raise errors.KeyValueUnavailable(f'more than {MAX_PAGES} pages')
 
-    async def page(self, prefix: str, after: str) -> documents.Page:
+    async def page(self, prefix: str, after: str) -> store_answers.Page:
         """Reads the keys that begin so, after one.
 
         Raises:
@@ -124,7 +125,7 @@
         if after:
             query['after'] = after
         answer = await self.calls.get(f'{RANGE}?{parse.urlencode(query)}')
-        return self.decoded_answer(answer, documents.decode_page)
+        return self.decoded_answer(answer, store_answers.decode_page)
 
     def decoded_answer(
         self, answer: http_calls.CallAnswer, decoder: Callable[[Any], T]
@@ -149,5 +150,5 @@
         Raises:
             CodecError: It cannot be read; the field is named.
         """
-        self.decoded = documents.decode_items(raw, self.decoded)
-        return documents.snapshot(raw, self.decoded)
+        self.decoded = snapshot_decoding.decode_items(raw, self.decoded)
+        return snapshot_decoding.snapshot(raw, self.decoded)
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -10,7 +10,8 @@
 import pytest
 
 from lavenderbend.observe import logs
-from lavenderbend.platform import documents
+from lavenderbend.platform import snapshot_decoding
+from lavenderbend.platform import store_answers
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 
@@ -35,8 +36,8 @@
         for number, value in enumerate(values)
     }
     raw = forwarding.RawSnapshot(9, items)
-    decoded = documents.decode_items(raw, before or {})
-    return documents.snapshot(raw, decoded), decoded
+    decoded = snapshot_decoding.decode_items(raw, before or {})
+    return snapshot_decoding.snapshot(raw, decoded), decoded
 
 
 def names(snapshot):
@@ -110,7 +111,9 @@
         'servers/s1': forwarding.RawItem(2, SOUND),
     }
     raw = forwarding.RawSnapshot(9, items)
-    snapshot = documents.snapshot(raw, documents.decode_items(raw, {}))
+    snapshot = snapshot_decoding.snapshot(
+        raw, snapshot_decoding.decode_items(raw, {})
+    )
     assert names(snapshot) == ['s1']
 
 
@@ -151,7 +154,7 @@
 
 @pytest.mark.parametrize('value', [5, None, 'abc', '*'])
 def test_value_that_is_no_base64_costs_no_other_item(value):
-    page = documents.decode_page(
+    page = store_answers.decode_page(
         {
             'items': [
                 {'key': 'servers/s0', 'rev': 1, 'value': value},
@@ -166,7 +169,9 @@
         }
     )
     raw = forwarding.RawSnapshot(page.revision, page.items)
-    snapshot = documents.snapshot(raw, documents.decode_items(raw, {}))
+    snapshot = snapshot_decoding.snapshot(
+        raw, snapshot_decoding.decode_items(raw, {})
+    )
     assert names(snapshot) == ['s1']
 
 
@@ -179,7 +184,9 @@
         ),
     }
     raw = forwarding.RawSnapshot(9, items)
-    snapshot = documents.snapshot(raw, documents.decode_items(raw, {}))
+    snapshot = snapshot_decoding.snapshot(
+        raw, snapshot_decoding.decode_items(raw, {})
+    )
     (found,) = snapshot.upstreams.values()
     assert found.vm.host == '10.0.0.1'
 
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -10,8 +10,8 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import store_reads
-from lavenderbend.platform import documents
 from lavenderbend.platform import store as platform_store
+from lavenderbend.platform import store_answers
 from lavenderbend.state import upstreams
 from tests import platform_standins as standins
 
@@ -170,7 +170,7 @@
     known = await client.read()
     store.put('servers/i-1', standins.Worker('i-1', 'x').entry())
     proved = store.revision
-    changes = documents.decode_changes(
+    changes = store_answers.decode_changes(
         known.revision,
         {
             'events': [
