Store answers: their docstrings name the error that is raised

A value that is no base64 raises nothing: decode_item takes it for empty, so that it costs no other item (test_value_that_is_no_base64_costs_no_other_item). What raises ValueError is a revision that is no number.

--- a/lavenderbend/platform/store_answers.py
+++ b/lavenderbend/platform/store_answers.py
@@ -29,7 +29,7 @@
     """Returns an answer of the store, decoded.
 
     Raises:
-        ValueError: A value is no base64, or more keys follow behind none.
+        ValueError: A revision is no number, or more keys follow behind none.
         KeyError: A field is missing.
         TypeError: A field is of another type.
     """
@@ -43,7 +43,7 @@
     """Returns the changes in an answer of the store.
 
     Raises:
-        ValueError: A value is no base64.
+        ValueError: A revision is no number.
         KeyError: A field is missing.
         TypeError: A field is of another type.
     """
