Tests of agreed state: a router's parts are started in one place

Three fleets (claims, configuration, the stateful one) held the same eight lines that run a link and a part under a scope of their own. start_parts in agreed_fakes does it. Ruled out: one fleet class for the three; they differ in what a router is made of, which is what their tests are about.

tests/test_coordination/test_agreed*: 80 passed.

--- a/tests/test_coordination/agreed_fakes.py
+++ b/tests/test_coordination/agreed_fakes.py
@@ -126,6 +126,20 @@
         await self.changed.wait()
 
 
+def start_parts(nursery, *parts) -> trio.CancelScope:
+    """Starts the parts of a router; the scope that is returned ends them."""
+    scope = trio.CancelScope()
+
+    async def run():
+        with scope:
+            async with trio.open_nursery() as inner:
+                for part in parts:
+                    inner.start_soon(part.run)
+
+    nursery.start_soon(run)
+    return scope
+
+
 def service(seed: int = 1, **faults) -> key_value.MemoryStore:
     """Returns a store with 1 to 2 ms one way."""
     values = {'latency': 0.001, 'jitter': 0.001, **faults}
--- a/tests/test_coordination/test_agreed_claims.py
+++ b/tests/test_coordination/test_agreed_claims.py
@@ -41,15 +41,7 @@
         )
         self.routers[name] = router
         self.network.down.discard(name)
-        scope = self.scopes[name] = trio.CancelScope()
-
-        async def run():
-            with scope:
-                async with trio.open_nursery() as inner:
-                    inner.start_soon(link.run)
-                    inner.start_soon(router.run)
-
-        self.nursery.start_soon(run)
+        self.scopes[name] = fakes.start_parts(self.nursery, link, router)
 
     def kill(self, name, noticed=True):
         self.scopes[name].cancel()
--- a/tests/test_coordination/test_agreed_configuration.py
+++ b/tests/test_coordination/test_agreed_configuration.py
@@ -42,15 +42,7 @@
             name, self.store, link, self.membership, rng, **options
         )
         self.followers[name] = follower
-        scope = self.scopes[name] = trio.CancelScope()
-
-        async def run():
-            with scope:
-                async with trio.open_nursery() as inner:
-                    inner.start_soon(link.run)
-                    inner.start_soon(follower.run)
-
-        self.nursery.start_soon(run)
+        self.scopes[name] = fakes.start_parts(self.nursery, link, follower)
         return follower
 
     async def all_beyond(self, number, seconds):
--- a/tests/test_coordination/test_agreed_stateful.py
+++ b/tests/test_coordination/test_agreed_stateful.py
@@ -264,15 +264,7 @@
         )
         self.followers[name] = follower
         self.newest[name] = 0
-        scope = self.scopes[name] = trio.CancelScope()
-
-        async def run():
-            with scope:
-                async with trio.open_nursery() as inner:
-                    inner.start_soon(link.run)
-                    inner.start_soon(follower.run)
-
-        self.nursery.start_soon(run)
+        self.scopes[name] = fakes.start_parts(self.nursery, link, follower)
 
     def look(self):
         for name, follower in self.followers.items():
