Connecting to an upstream stands once

The two clients of upstreams over h11 (the chat router's and the forwarding router's) held the same lines that bound the time of a connect and turn its failure into UpstreamUnreachable. socket_options.connect_upstream serves both. Ruled out for the httpx client, whose library connects by itself.

--- a/lavenderbend/transport/socket_options.py
+++ b/lavenderbend/transport/socket_options.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import socket
+from typing import TYPE_CHECKING
 
 import trio
 
+from lavenderbend import errors
+
+if TYPE_CHECKING:
+    from lavenderbend.state import upstreams
+
 # a peer whose VM lost power, or whose path is cut, answers nothing: without
 # these a connection to it would stay open, and its request hang, for minutes
 USER_TIMEOUT_MILLISECONDS = 2000
@@ -30,6 +36,23 @@
     return trio.SocketStream(connection)
 
 
+async def connect_upstream(
+    vm: upstreams.Vm, seconds: float
+) -> trio.SocketStream:
+    """Opens a connection to an upstream within some seconds.
+
+    Raises:
+        UpstreamUnreachable: There is none to be had.
+    """
+    try:
+        with trio.fail_after(seconds):
+            return await connect(vm.host, vm.port)
+    except (OSError, trio.TooSlowError) as exc:
+        raise errors.UpstreamUnreachable(
+            f'no connection: {type(exc).__name__}'
+        ) from exc
+
+
 def prepare(connection: trio.socket.SocketType) -> None:
     """Sets a connection to send at once and to notice a silent peer."""
     tcp = socket.IPPROTO_TCP
--- a/lavenderbend/transport/upstream_connections.py
+++ b/lavenderbend/transport/upstream_connections.py
@@ -114,11 +114,5 @@
     Raises:
         UpstreamUnreachable: There is none to be had.
     """
-    try:
-        with trio.fail_after(CONNECT_SECONDS):
-            stream = await socket_options.connect(vm.host, vm.port)
-    except (OSError, trio.TooSlowError) as exc:
-        raise errors.UpstreamUnreachable(
-            f'no connection: {type(exc).__name__}'
-        ) from exc
+    stream = await socket_options.connect_upstream(vm, CONNECT_SECONDS)
     return UpstreamConnection(stream)
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -152,14 +152,7 @@
     Raises:
         UpstreamUnreachable: There is none to be had.
     """
-    vm = upstream.vm
-    try:
-        with trio.fail_after(CONNECT_SECONDS):
-            stream = await socket_options.connect(vm.host, vm.port)
-    except (OSError, trio.TooSlowError) as exc:
-        raise errors.UpstreamUnreachable(
-            f'no connection: {type(exc).__name__}'
-        ) from exc
+    stream = await socket_options.connect_upstream(upstream.vm, CONNECT_SECONDS)
     socket_options.prepare(stream.socket)
     return KeptConnection(stream)
 
