Exchanges with upstreams: the kept connection has a module of its own

The margin that is taken off a stated idle time is now taken off beside the limit that it moves (note_idle_limit).

A test that shortens ONCE_IDLE_SECONDS failed after the move, since it set the name in the old module; it sets it in the new one and checks the same.

Ruled out: moving the pool (UpstreamExchanges) too; it makes exchanges and they go back to it, so each module would have to import the other.

--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -14,22 +14,12 @@
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import hop_headers
 from lavenderbend.transport import answer_heads
-from lavenderbend.transport import socket_options
+from lavenderbend.transport import kept_connections
 
 if TYPE_CHECKING:
     from lavenderbend.state import forwarding
 
 RECEIVE_BYTES = 64 * 1024
-# the first packet of a connection is lost or dropped now and then, and sent
-# again after a second; another upstream answers sooner
-CONNECT_SECONDS = 0.5
-# an upstream closes idle connections after the time it states, and its close
-# needs a moment to arrive
-IDLE_MARGIN_SECONDS = 1.0
-UNSTATED_IDLE_SECONDS = 4.0
-# a request that may run only once is lost if its connection is closed as it
-# is sent; a connection that was used just now is hardly being closed
-ONCE_IDLE_SECONDS = 1.5
 # bodies under this fit the smallest windows of a connection at once
 SMALL_BODY_BYTES = 1024
 MAX_STRAYS = 4
@@ -52,40 +42,6 @@
 )
 
 
-class KeptConnection:
-    """One connection to an upstream, used by one request at a time.
-
-    Attributes:
-        stream: The TCP stream.
-        idle_since: Router clock at which its last answer ended.
-        idle_seconds: Time for which the upstream keeps it open idle.
-        leftover: Bytes that came after the last answer.
-    """
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.idle_since = trio.current_time()
-        self.idle_seconds = UNSTATED_IDLE_SECONDS
-        self.leftover = b''
-
-    def reusable(self, repeatable: bool) -> bool:
-        """Returns whether an idle connection may take a request.
-
-        Bytes on an idle connection are its end, or a late second answer:
-        neither may meet the next request.
-        """
-        limit = self.idle_seconds
-        if not repeatable:
-            limit = min(limit, ONCE_IDLE_SECONDS)
-        if trio.current_time() - self.idle_since > limit:
-            return False
-        return not self.leftover and not self.stream.socket.is_readable()
-
-    def close(self) -> None:
-        """Closes the connection at once."""
-        self.stream.socket.close()
-
-
 class UpstreamExchanges(interfaces.Exchanges):
     """Kept connections by instance of the upstream.
 
@@ -94,7 +50,9 @@
     """
 
     def __init__(self) -> None:
-        self.idle: dict[str, collections.deque[KeptConnection]] = {}
+        self.idle: dict[
+            str, collections.deque[kept_connections.KeptConnection]
+        ] = {}
 
     async def open(
         self, upstream: forwarding.Upstream, repeatable: bool
@@ -110,20 +68,22 @@
             if connection.reusable(repeatable):
                 return UpstreamExchange(self, upstream.instance, connection)
             connection.close()
-        connection = await connect(upstream)
+        connection = await kept_connections.connect(upstream)
         CONNECTIONS.inc({'service': upstream.vm.service})
         return UpstreamExchange(self, upstream.instance, connection)
 
     async def accepts(self, upstream: forwarding.Upstream) -> bool:
         """Returns whether the upstream accepts a connection now."""
         try:
-            connection = await connect(upstream)
+            connection = await kept_connections.connect(upstream)
         except errors.UpstreamUnreachable:
             return False
         self.keep(upstream.instance, connection)
         return True
 
-    def keep(self, instance: str, connection: KeptConnection) -> None:
+    def keep(
+        self, instance: str, connection: kept_connections.KeptConnection
+    ) -> None:
         """Keeps a connection for the next request."""
         connection.idle_since = trio.current_time()
         kept = self.idle.setdefault(instance, collections.deque())
@@ -146,17 +106,6 @@
         self.retain(set())
 
 
-async def connect(upstream: forwarding.Upstream) -> KeptConnection:
-    """Opens a connection.
-
-    Raises:
-        UpstreamUnreachable: There is none to be had.
-    """
-    stream = await socket_options.connect_upstream(upstream.vm, CONNECT_SECONDS)
-    socket_options.prepare(stream.socket)
-    return KeptConnection(stream)
-
-
 class UpstreamExchange(interfaces.Exchange):
     """One request on one connection.
 
@@ -175,7 +124,7 @@
         self,
         exchanges: UpstreamExchanges,
         instance: str,
-        connection: KeptConnection,
+        connection: kept_connections.KeptConnection,
     ) -> None:
         self.exchanges = exchanges
         self.instance = instance
@@ -297,8 +246,7 @@
         for part in value.split(b','):
             name, _, seconds = part.strip().partition(b'=')
             if name == b'timeout' and seconds.isdigit():
-                idle = int(seconds) - IDLE_MARGIN_SECONDS
-                self.connection.idle_seconds = max(0.0, idle)
+                self.connection.note_idle_limit(int(seconds))
 
     async def skip_answer(self) -> None:
         """Reads an answer to its end and begins anew with what follows."""
--- a/tests/test_transport/test_upstream_exchanges.py
+++ b/tests/test_transport/test_upstream_exchanges.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
+from lavenderbend.transport import kept_connections
 from lavenderbend.transport import upstream_exchanges
 from tests import platform_standins as standins
 
@@ -116,7 +117,7 @@
 async def test_request_that_may_run_once_avoids_idle_connections(
     worker, exchanges, monkeypatch
 ):
-    monkeypatch.setattr(upstream_exchanges, 'ONCE_IDLE_SECONDS', 0.01)
+    monkeypatch.setattr(kept_connections, 'ONCE_IDLE_SECONDS', 0.01)
     await fetch(exchanges, worker)
     await trio.sleep(0.05)
     await fetch(exchanges, worker, b'r2', repeatable=False)
