Kept connections: an attribute that nothing set is gone

KeptConnection.leftover was empty from its making on: an exchange with bytes behind its answer closes the connection instead of keeping it (UpstreamExchange.close). The check of it decided nothing.

--- a/lavenderbend/transport/kept_connections.py
+++ b/lavenderbend/transport/kept_connections.py
@@ -30,14 +30,12 @@
         stream: The TCP stream.
         idle_since: Router clock at which its last answer ended.
         idle_seconds: Time for which the upstream keeps it open idle.
-        leftover: Bytes that came after the last answer.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.idle_since = trio.current_time()
         self.idle_seconds = UNSTATED_IDLE_SECONDS
-        self.leftover = b''
 
     def reusable(self, repeatable: bool) -> bool:
         """Returns whether an idle connection may take a request.
@@ -50,7 +48,7 @@
             limit = min(limit, ONCE_IDLE_SECONDS)
         if trio.current_time() - self.idle_since > limit:
             return False
-        return not self.leftover and not self.stream.socket.is_readable()
+        return not self.stream.socket.is_readable()
 
     def note_idle_limit(self, seconds: int) -> None:
         """Notes how long the upstream says that it keeps it open idle."""
