--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -16,8 +16,8 @@
 RECEIVE_BYTES = 64 * 1024
 # a body that stops arriving holds its connection no longer than this
 BODY_SECONDS = 10.0
-REQUEST_TIMEOUT = 408
-HEADERS_TOO_LARGE = 431
+REQUEST_TIMEOUT_STATUS = 408
+HEADERS_TOO_LARGE_STATUS = 431
 
 
 class RequestReader:
@@ -122,7 +122,7 @@
         error = errors.RequestTooLarge(
             f'the headers are over {limits.header_bytes} bytes'
         )
-        error.status = HEADERS_TOO_LARGE
+        error.status = HEADERS_TOO_LARGE_STATUS
         raise error
     names = {bytes(name) for name, _ in head.headers}
     if b'content-length' in names and b'transfer-encoding' in names:
@@ -132,7 +132,7 @@
 def unreadable(cause: h11.RemoteProtocolError) -> errors.RequestError:
     """Returns the error for a request that is not HTTP/1.1."""
     error = errors.RequestInvalid(str(cause))
-    if cause.error_status_hint == HEADERS_TOO_LARGE:
+    if cause.error_status_hint == HEADERS_TOO_LARGE_STATUS:
         error = errors.RequestTooLarge(str(cause))
     error.status = cause.error_status_hint
     return error
@@ -141,5 +141,5 @@
 def too_slow(what: str) -> errors.RequestError:
     """Returns the error for a request that did not arrive in time."""
     error = errors.RequestInvalid(f'{what} did not arrive in time')
-    error.status = REQUEST_TIMEOUT
+    error.status = REQUEST_TIMEOUT_STATUS
     return error
