--- a/lavenderbend/coordination/interfaces.py
+++ b/lavenderbend/coordination/interfaces.py
@@ -1,6 +1,6 @@
 """What decisions need from the outside, as small abstract classes.
 
-Transport implements these over sockets; benches and tests over memory.
+Transport implements these over sockets, tests over memory.
 """
 
 from __future__ import annotations
