Reference pages: attributes of classes and of enums are read alike

Two functions took the same section of a docstring apart and differed in the letters of a name and in who escapes the text. One serves both. The pages are generated without a difference (test_cmd_reference).

--- a/docs/reference/generate.py
+++ b/docs/reference/generate.py
@@ -76,13 +76,13 @@
 
 
 def attribute_docs(cls: type) -> dict[str, str]:
-    """Returns the texts of the `Attributes:` section of a class."""
+    """Returns the texts of the `Attributes:` section of a class or enum."""
     doc = cls.__doc__ or ''
     _, _, section = doc.partition('Attributes:')
     found: dict[str, str] = {}
     name = ''
     for line in section.splitlines():
-        match = re.fullmatch(r' {8}([a-z_]+): (.*)', line)
+        match = re.fullmatch(r' {8}([A-Za-z_]+): (.*)', line)
         if match:
             name = match[1]
             found[name] = match[2]
@@ -275,9 +275,13 @@
 
 def exit_codes_page() -> str:
     """Returns the page of the commands and their exit codes."""
-    docs = attribute_docs_of_enum(exit_codes.ExitCode)
+    docs = attribute_docs(exit_codes.ExitCode)
     rows = [
-        (str(int(code)), code.name.lower().replace('_', ' '), docs[code.name])
+        (
+            str(int(code)),
+            code.name.lower().replace('_', ' '),
+            escape(docs[code.name]),
+        )
         for code in exit_codes.ExitCode
     ]
     parts = [
@@ -295,21 +299,6 @@
     return ''.join(parts)
 
 
-def attribute_docs_of_enum(cls: type[enum.Enum]) -> dict[str, str]:
-    """Returns the texts of the members of an enum."""
-    section = (cls.__doc__ or '').partition('Attributes:')[2]
-    found: dict[str, str] = {}
-    name = ''
-    for line in section.splitlines():
-        match = re.fullmatch(r' {8}([A-Z_]+): (.*)', line)
-        if match:
-            name = match[1]
-            found[name] = match[2]
-        elif name and line.strip():
-            found[name] += ' ' + line.strip()
-    return {name: escape(text) for name, text in found.items()}
-
-
 def routes_table(routes: registry.Registry[operator_routes.Route]) -> str:
     """Returns the routes of one interface."""
     rows = []
