--- a/tests/test_coordination/test_forwarding_snapshots.py
+++ b/tests/test_coordination/test_forwarding_snapshots.py
@@ -35,6 +35,15 @@
     )
 
 
+async def put_while_away(source, content):
+    """Has the store away for four seconds, and changed when it is back."""
+    source.error = errors.KeyValueUnavailable('down')
+    await trio.sleep(4.0)
+    source.put(content)
+    source.error = None
+    await trio.sleep(1.0)
+
+
 async def test_version_is_in_force_well_within_its_time(
     nursery, autojump_clock, source, followed
 ):
@@ -143,11 +152,7 @@
     found = directory.Directory(followed)
     nursery.start_soon(followed.run)
     await trio.sleep(1.0)
-    source.error = errors.KeyValueUnavailable('down')
-    await trio.sleep(4.0)
-    source.put(fakes.snapshot(2, fakes.table(1)))
-    source.error = None
-    await trio.sleep(1.0)
+    await put_while_away(source, fakes.snapshot(2, fakes.table(1)))
     assert [one.instance for one in found.of('chat')] == ['e1']
     await trio.sleep(2.5)
     assert found.of('chat') == []
@@ -205,11 +210,7 @@
     source.put(fakes.snapshot(1, fakes.table(1), leaving))
     nursery.start_soon(followed.run)
     await trio.sleep(1.0)
-    source.error = errors.KeyValueUnavailable('down')
-    await trio.sleep(4.0)
-    source.put(fakes.snapshot(2, fakes.table(1)))
-    source.error = None
-    await trio.sleep(1.0)
+    await put_while_away(source, fakes.snapshot(2, fakes.table(1)))
     assert found.of('chat') == []
 
 
@@ -222,10 +223,6 @@
     found = directory.Directory(followed)
     nursery.start_soon(followed.run)
     await trio.sleep(1.0)
-    source.error = errors.KeyValueUnavailable('down')
-    await trio.sleep(4.0)
     later = fakes.upstream('e1', start='/2')
-    source.put(fakes.snapshot(2, fakes.table(1), later))
-    source.error = None
-    await trio.sleep(1.0)
+    await put_while_away(source, fakes.snapshot(2, fakes.table(1), later))
     assert [one.instance for one in found.of('chat')] == ['e1/2']
