--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -35,7 +35,11 @@
         f'servers/s{number}': forwarding.RawItem(number + 1, value)
         for number, value in enumerate(values)
     }
-    raw = forwarding.RawSnapshot(9, items)
+    return decode_raw(forwarding.RawSnapshot(9, items), before)
+
+
+def decode_raw(raw, before=None):
+    """Returns the snapshot of a read and what was decoded."""
     decoded = snapshot_decoding.decode_items(raw, before or {})
     return snapshot_decoding.snapshot(raw, decoded), decoded
 
@@ -111,9 +115,7 @@
         'servers/s1': forwarding.RawItem(2, SOUND),
     }
     raw = forwarding.RawSnapshot(9, items)
-    snapshot = snapshot_decoding.snapshot(
-        raw, snapshot_decoding.decode_items(raw, {})
-    )
+    snapshot, _ = decode_raw(raw)
     assert names(snapshot) == ['s1']
 
 
@@ -169,9 +171,7 @@
         }
     )
     raw = forwarding.RawSnapshot(page.revision, page.items)
-    snapshot = snapshot_decoding.snapshot(
-        raw, snapshot_decoding.decode_items(raw, {})
-    )
+    snapshot, _ = decode_raw(raw)
     assert names(snapshot) == ['s1']
 
 
@@ -184,9 +184,7 @@
         ),
     }
     raw = forwarding.RawSnapshot(9, items)
-    snapshot = snapshot_decoding.snapshot(
-        raw, snapshot_decoding.decode_items(raw, {})
-    )
+    snapshot, _ = decode_raw(raw)
     (found,) = snapshot.upstreams.values()
     assert found.vm.host == '10.0.0.1'
 
