Peer links: a connection counts its own misses, bounds in a module

Ruled out: the queue of a peer with its refusals (why_not) moved to Outbox; it asks for the link's state in half of its six checks.

--- a/lavenderbend/transport/links.py
+++ b/lavenderbend/transport/links.py
@@ -7,7 +7,6 @@
 import random
 from typing import TYPE_CHECKING
 
-import attrs
 import msgpack
 import trio
 
@@ -20,6 +19,7 @@
 from lavenderbend.protocol import peer
 from lavenderbend.transport import peer_calls
 from lavenderbend.transport import peer_handlers
+from lavenderbend.transport import peer_limits
 from lavenderbend.transport import peer_openings
 from lavenderbend.transport import peer_wires
 from lavenderbend.transport import tls as peer_tls
@@ -37,38 +37,6 @@
 )
 
 
-@attrs.frozen
-class LinkLimits:
-    """Bounds of a peer link.
-
-    Attributes:
-        dial_timeout: Seconds to connect and to exchange hellos.
-        outbox_bytes: What may wait for one peer.
-        batch_bytes: What goes into one batch.
-        handlers: Requests of one peer that may be in progress.
-        misses: Timed-out requests in a row, without a sign of the peer,
-            after which its connection is closed.
-        silence: Seconds without a sign that it takes besides, so that a
-            short pause of the peer loses no request.
-        retry_delay: Seconds between a failed dial and the next.
-        handshakes: Connections of peers that may be opening at once.
-        idle: Seconds without a message after which a connection closes.
-        age: Seconds after which a connection is replaced by a new one,
-            made with the certificates of that time.
-    """
-
-    dial_timeout: float = 2.0
-    outbox_bytes: int = 8 * 1024 * 1024
-    batch_bytes: int = 256 * 1024
-    handlers: int = 4096
-    misses: int = 3
-    silence: float = 3.0
-    retry_delay: float = 0.1
-    handshakes: int = 512
-    idle: float = 300.0
-    age: float = 3600.0
-
-
 class BatchLink(interfaces.PeerLink):
     """What is common to the links; variants give the wires.
 
@@ -88,7 +56,7 @@
         host: str,
         port: int,
         tls: peer_tls.PeerTls | None = None,
-        limits: LinkLimits | None = None,
+        limits: peer_limits.LinkLimits | None = None,
         allow_plain: bool = False,
     ) -> None:
         """Makes a link that serves nothing until `run`.
@@ -101,7 +69,7 @@
         self.host = host
         self.port = port
         self.tls = tls
-        self.limits = limits or LinkLimits()
+        self.limits = limits or peer_limits.LinkLimits()
         # only tells processes apart that follow each other under one id
         self.instance = random.SystemRandom().getrandbits(53)
         self.started = trio.Event()
@@ -161,7 +129,8 @@
         if call.error is not None:
             raise call.error
         if call.answer is None:
-            self.note_miss(box, began)
+            if box.connection is not None:
+                box.connection.note_miss(began)
             raise errors.PeerUnreachable(
                 f'{peer_id} gave no answer in {timeout:g} s'
             )
@@ -247,32 +216,6 @@
         self.count_dropped('bad handshake')
         logs.change('peer_refused', router=self.name, error=str(exc))
 
-    def note_miss(self, box: peer_wires.Outbox, began: float) -> None:
-        """Counts a request without an answer; closes silent connections.
-
-        A half-open connection (the peer's VM is gone, or a firewall drops
-        its packets) shows as requests that time out while nothing arrives.
-        Without this the kernel would keep it for many minutes and every
-        request to a replaced peer would wait out its timeout. The guard
-        holds because anything received since the request began resets it,
-        so a slow handler on a working connection is never cut off.
-        """
-        connection = box.connection
-        if connection is None:
-            return
-        if connection.last_received >= began:
-            connection.misses = 0
-            return
-        connection.misses += 1
-        silence = trio.current_time() - connection.last_received
-        if connection.misses < self.limits.misses or (
-            silence < self.limits.silence
-        ):
-            return
-        self.count_dropped('silent')
-        logs.change('peer_silent', router=self.name, peer=box.peer_id)
-        connection.abort()
-
     # connections
 
     async def run(self) -> None:
--- a/lavenderbend/transport/peer_connections.py
+++ b/lavenderbend/transport/peer_connections.py
@@ -228,6 +228,31 @@
             return
         await box.filled.wait()
 
+    def note_miss(self, began: float) -> None:
+        """Counts a request without an answer; a silent connection ends.
+
+        A half-open connection (the peer's VM is gone, or a firewall drops
+        its packets) shows as requests that time out while nothing arrives.
+        Without this the kernel would keep it for many minutes and every
+        request to a replaced peer would wait out its timeout. The guard
+        holds because anything received since the request began resets it,
+        so a slow handler on a working connection is never cut off.
+
+        Args:
+            began: Router clock at which the request was queued.
+        """
+        if self.last_received >= began:
+            self.misses = 0
+            return
+        self.misses += 1
+        limits = self.link.limits
+        silence = trio.current_time() - self.last_received
+        if self.misses < limits.misses or silence < limits.silence:
+            return
+        self.link.count_dropped('silent')
+        logs.change('peer_silent', router=self.link.name, peer=self.peer_id)
+        self.abort()
+
     def retire(self) -> None:
         """Ends the connection after what is being sent, by goodbyes."""
         self.retiring.set()
--- a/tests/test_transport/test_peer_links.py
+++ b/tests/test_transport/test_peer_links.py
@@ -7,9 +7,9 @@
 from lavenderbend import errors
 from lavenderbend.protocol import messages_membership as messages
 from lavenderbend.protocol import peer
-from lavenderbend.transport import links
 from lavenderbend.transport import peer_frames
 from lavenderbend.transport import peer_grpc
+from lavenderbend.transport import peer_limits
 
 
 async def answer_ping(peer_id, item):
@@ -277,7 +277,7 @@
     # a firewall begins to drop the packets of an open connection, so that
     # nothing comes any more and no error either. After some timeouts the
     # connection is closed and the next request dials a new one.
-    limits = links.LinkLimits(misses=2, silence=0.1, dial_timeout=0.2)
+    limits = peer_limits.LinkLimits(misses=2, silence=0.1, dial_timeout=0.2)
     first = await make(nursery, 'r1', limits)
 
     async def silent(stream):
@@ -305,7 +305,7 @@
 
 
 async def test_full_outbox_refuses_and_counts(nursery):
-    limits = links.LinkLimits(outbox_bytes=1000)
+    limits = peer_limits.LinkLimits(outbox_bytes=1000)
     first = await make(nursery, 'r1', limits)
     second = await make(nursery, 'r2')
     introduce(first, second)
--- a/tests/test_transport/test_tls.py
+++ b/tests/test_transport/test_tls.py
@@ -9,6 +9,7 @@
 from lavenderbend.transport import links
 from lavenderbend.transport import peer_frames
 from lavenderbend.transport import peer_grpc  # noqa: F401 (registers)
+from lavenderbend.transport import peer_limits
 from lavenderbend.transport import tls
 
 
@@ -189,7 +190,7 @@
 
 
 async def test_peer_that_stalls_in_the_handshake_is_dropped(nursery, files):
-    limits = links.LinkLimits(dial_timeout=0.1)
+    limits = peer_limits.LinkLimits(dial_timeout=0.1)
     link = peer_frames.FramesLink(
         'r1', '127.0.0.1', 0, files.issue('r1'), limits
     )
@@ -207,7 +208,7 @@
 async def test_idle_handshakes_are_bounded(nursery, files):
     # somebody opens connections to the peer port and says nothing on them.
     # Each would hold memory until its handshake times out.
-    limits = links.LinkLimits(handshakes=3, dial_timeout=60.0)
+    limits = peer_limits.LinkLimits(handshakes=3, dial_timeout=60.0)
     link = peer_frames.FramesLink(
         'r1', '127.0.0.1', 0, files.issue('r1'), limits
     )
