--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -8,6 +8,7 @@
 
 from lavenderbend.coordination.forwarding import members as members_module
 from lavenderbend.coordination.forwarding import shared_freshness
+from lavenderbend.coordination.forwarding import shared_loads
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
 
@@ -22,7 +23,6 @@
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.protocol import peer
-    from lavenderbend.state import forwarding
 
 # loads change within a tenth of a second or two; bytes between zones are dear
 NEAR_SECONDS = 0.15
@@ -65,6 +65,7 @@
         zone: Its availability zone.
         members: Other routers.
         freshness: Takes over what they know of the store.
+        loads: Takes over what they have on the upstreams.
         link: Carries messages to other routers.
         on_suspected: Called with one that another router found dead.
     """
@@ -85,7 +86,7 @@
         self.host = host
         self.zone = zone
         self.followed = followed
-        self.loads = loads
+        self.loads = shared_loads.SharedLoads(followed, loads)
         self.health = health
         self.link = link
         self.rng = rng
@@ -95,7 +96,6 @@
             self.incarnation, followed, link
         )
         self.leaving = False
-        self.order: tuple[int, list[str]] = (0, [])
         followed.peer_count = self.fleet_size
         followed.on_proof.append(self.tell_proof)
         link.receiver = self.on_message
@@ -179,7 +179,7 @@
             proof_age=None if current is None else self.followed.age,
             revision=0 if current is None else current.revision,
             digest=0 if current is None else current.digest,
-            loads=self.own_loads(),
+            loads=self.loads.told(),
             # a host that is new to this router has yet to learn of others
             members=[] if known and not self.tells_members() else self.told(),
             suspects=self.health.suspects(),
@@ -194,24 +194,6 @@
         hosts = [member.host for member in self.members.alive()]
         return self.some(hosts, MAX_MEMBERS_TOLD)
 
-    def instances(self, snapshot: forwarding.Snapshot) -> list[str]:
-        """Returns the instances of a snapshot in their order."""
-        if self.order[0] != snapshot.digest:
-            self.order = (snapshot.digest, sorted(snapshot.upstreams))
-        return self.order[1]
-
-    def own_loads(self) -> list[int]:
-        """Returns this router's requests on upstreams, as in its messages."""
-        current = self.followed.current
-        if current is None:
-            return []
-        pairs: list[int] = []
-        for place, instance in enumerate(self.instances(current)):
-            count = self.loads.own.get(instance, 0)
-            if count:
-                pairs += (place, count)
-        return pairs
-
     def on_message(self, message: peer.Message) -> None:
         """Takes in a message of another router."""
         if isinstance(message, messages_forwarding.RouterState):
@@ -233,7 +215,7 @@
         new = self.members.note(state)
         for host in state.members:
             self.members.learn(host)
-        self.note_loads(state)
+        self.loads.note(state)
         for instance in state.suspects:
             self.on_suspected(instance)
         gained = self.freshness.note(state)
@@ -243,17 +225,3 @@
             self.send(state.host)
             for notice in self.crashes.notices():
                 self.link.send(state.host, notice)
-
-    def note_loads(self, state: messages_forwarding.RouterState) -> None:
-        """Notes what another router has on the upstreams."""
-        current = self.followed.current
-        if current is None or state.digest != current.digest:
-            return
-        instances = self.instances(current)
-        places = state.loads[::2]
-        counts = {
-            instances[place]: count
-            for place, count in zip(places, state.loads[1::2], strict=False)
-            if place < len(instances)
-        }
-        self.loads.note_peer(state.name, counts)
