Key-value service by etcd: its answers are read in a module of their own

key_value_etcd (292 lines) made calls, chose endpoints and also said which answer is which error.

Ruled out: protocol/etcd, which writes and reads the wire's fields and knows no HTTP answer and no error of the service. tests of both clients and test_agreed_sockets: 16 passed.

--- a/lavenderbend/transport/key_value_etcd.py
+++ b/lavenderbend/transport/key_value_etcd.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import json
 import math
 import ssl
 from typing import Any
@@ -17,6 +16,7 @@
 from lavenderbend.coordination import interfaces
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import etcd
+from lavenderbend.transport import etcd_answers
 from lavenderbend.transport import key_values
 
 if TYPE_CHECKING:
@@ -27,7 +27,6 @@
 BACKOFF_SECONDS = 0.05
 MAX_CONNECTIONS = 32
 HTTP_OK = 200
-HTTP_TOO_MANY = 429
 KEEPALIVE_SECONDS = 20.0
 # a watch of an idle key says nothing; a dead connection is found by reading
 # once in a while all the same
@@ -161,7 +160,7 @@
         try:
             async with self.watch_stream({'create_request': create}) as lines:
                 async for line in lines:
-                    changes = watch_changes(line)
+                    changes = etcd_answers.watch_changes(line)
                     if changes:
                         yield changes
         except (httpx.HTTPError, httpx.StreamError) as exc:
@@ -222,9 +221,9 @@
             raise errors.KeyValueUncertain(f'{kind}: {exc!r}') from exc
         if response.status_code != HTTP_OK:
             count(self.calls, kind, 'refused')
-            raise refusal(kind, response)
+            raise etcd_answers.refusal(kind, response)
         count(self.calls, kind, 'ok')
-        return json_body(kind, response.content)
+        return etcd_answers.json_body(kind, response.content)
 
     def choose_next(self) -> None:
         """Turns to the next endpoint after a failure."""
@@ -235,58 +234,3 @@
     """Counts a call."""
     calls[kind] += 1
     CALLS.inc({'kind': kind, 'result': result})
-
-
-def json_body(kind: str, content: bytes) -> dict[str, Any]:
-    """Returns the answer's body.
-
-    Raises:
-        KeyValueUncertain: It cannot be read, so nobody knows what was done.
-    """
-    try:
-        # the first line only: keepalive answers are a stream
-        body = json.loads(content.split(b'\n', 1)[0] or b'{}')
-    except ValueError as exc:
-        raise errors.KeyValueUncertain(f'{kind}: {exc}') from exc
-    if not isinstance(body, dict):
-        raise errors.KeyValueUncertain(f'{kind}: the answer is no object')
-    return body
-
-
-def refusal(kind: str, response: httpx.Response) -> errors.KeyValueError:
-    """Returns the error for an answer that is no success."""
-    text = response.text[:200]
-    try:
-        code = int(response.json().get('code', 0))
-    except (ValueError, AttributeError, TypeError):
-        code = 0
-    # these are sent before the call is proposed to the service's members;
-    # any other, such as a timeout inside the service, may have taken effect
-    if response.status_code == HTTP_TOO_MANY:
-        return errors.KeyValueUnavailable(f'{kind}: {text}')
-    if code in (etcd.CODE_RESOURCE_EXHAUSTED, etcd.CODE_NOT_FOUND):
-        return errors.KeyValueUnavailable(f'{kind}: {text}')
-    return errors.KeyValueUncertain(f'{kind}: {text}')
-
-
-def watch_changes(line: str) -> tuple[interfaces.Change, ...]:
-    """Returns the changes in one line of a watch.
-
-    Raises:
-        KeyValueUnavailable: The watch was ended by the service.
-    """
-    if not line.strip():
-        return ()
-    try:
-        result = json.loads(line).get('result', {})
-    except (ValueError, AttributeError) as exc:
-        raise errors.KeyValueUnavailable(f'watch: {exc}') from exc
-    if result.get('canceled'):
-        raise errors.KeyValueUnavailable('watch: ended by the service')
-    return tuple(
-        interfaces.Change(
-            etcd.item_from_wire(event['kv']),
-            deleted=event.get('type') == 'DELETE',
-        )
-        for event in result.get('events', ())
-    )
