Quarantine: the deaths and which request caused one have a module

Ruled out: splitting off the notices too; what waits to be sent is filled by every finding, and the split would only pass these sets around. Tests of quarantine, dispatch, the decision bench and the daemon: 121 passed.

--- a/lavenderbend/coordination/quarantine/quarantine.py
+++ b/lavenderbend/coordination/quarantine/quarantine.py
@@ -8,10 +8,10 @@
 import random
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.quarantine import deaths
 from lavenderbend.coordination.quarantine import records as quarantine_records
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
@@ -22,10 +22,6 @@
     from lavenderbend.protocol import peer
 
 QUARANTINE_SECONDS = 900
-SUSPECT_SECONDS = 600.0
-# further upstreams that died within this time without the request speak for
-# a fault of the machines, such as a rack, and one more crash is asked for
-OTHER_CRASHES_SECONDS = 30.0
 TELL_SECONDS = 0.3
 NOTICE_DELAY_SECONDS = 0.02
 RESEND_SECONDS = 1.0
@@ -34,7 +30,6 @@
 # one that ran longer is less suspect than one that was just sent; the same
 # as `AdmissionSettings.probation`
 PROBATION_SECONDS = 1.0
-CRASHES_TO_QUARANTINE = 2
 
 CRASHES = metrics.counter(
     'lavenderbend_request_crashes_total',
@@ -48,19 +43,6 @@
 )
 
 
-@attrs.frozen
-class Crash:
-    """The death of one process of an upstream.
-
-    Attributes:
-        upstream: Short id of the upstream.
-        instance: Short id of its instance.
-    """
-
-    upstream: int
-    instance: int
-
-
 class Quarantine:
     """Finds requests that crash upstreams and refuses them.
 
@@ -71,9 +53,7 @@
 
     Attributes:
         records: The findings in the key-value service.
-        crashes: Fingerprints on each upstream that died, and whether each
-            had only just been sent there.
-        suspects: Deaths that each suspect was there at.
+        deaths: Deaths of upstreams, and the requests that were there.
         until: Until when each fingerprint is quarantined.
     """
 
@@ -98,14 +78,12 @@
             QUARANTINE_SECONDS,
             prefix,
         )
-        self.crashes: dict[Crash, dict[int, bool]] = {}
-        self.crashed_at: dict[Crash, float] = {}
-        self.suspects: dict[int, set[Crash]] = {}
+        self.deaths = deaths.Deaths()
         self.until: dict[int, float] = {}
-        self.unsent: dict[Crash, dict[int, bool]] = collections.defaultdict(
-            dict
+        self.unsent: dict[deaths.Crash, dict[int, bool]] = (
+            collections.defaultdict(dict)
         )
-        self.unsettled: list[Crash] = []
+        self.unsettled: list[deaths.Crash] = []
         self.cleared: set[int] = set()
         self.found: set[int] = set()
         self.wake = trio.Event()
@@ -135,18 +113,18 @@
 
     def suspect(self, fingerprint: int) -> bool:
         """Returns whether an upstream died while it ran the request."""
-        return fingerprint in self.suspects
+        return fingerprint in self.deaths.suspects
 
     def may_retry(self, fingerprint: int) -> bool:
         """Returns whether a further attempt may be made."""
         if self.until.get(fingerprint, 0.0) > trio.current_time():
             return False
-        crashes = self.suspects.get(fingerprint, ())
-        return len(crashes) < CRASHES_TO_QUARANTINE
+        crashes = self.deaths.suspects.get(fingerprint, ())
+        return len(crashes) < deaths.CRASHES_TO_QUARANTINE
 
     def survived(self, fingerprint: int) -> None:
         """Notes that an upstream ran the request to its end."""
-        if self.suspects.pop(fingerprint, None) is None:
+        if not self.deaths.clear(fingerprint):
             return
         self.cleared.add(fingerprint)
         self.wake.set()
@@ -169,7 +147,7 @@
             ran: Seconds since the request was sent there.
         """
         short_id = messages_decisions.short_id
-        crash = Crash(short_id(upstream), short_id(instance))
+        crash = deaths.Crash(short_id(upstream), short_id(instance))
         CRASHES.inc({'upstream': upstream})
         fresh = ran < PROBATION_SECONDS
         self.unsent[crash][fingerprint] = fresh
@@ -197,81 +175,34 @@
         with contextlib.suppress(errors.PeerError):
             await self.link.request(router, item, TELL_SECONDS)
 
-    def note(self, crash: Crash, fingerprints: dict[int, bool]) -> None:
+    def note(self, crash: deaths.Crash, fingerprints: dict[int, bool]) -> None:
         """Adds requests to those that were there at a death."""
-        now = trio.current_time()
-        if crash not in self.crashed_at:
-            self.crashed_at[crash] = now
+        if self.deaths.note(crash, fingerprints):
             self.unsettled.append(crash)
             self.died.set()
-        self.crashes.setdefault(crash, {}).update(fingerprints)
-        for fingerprint in fingerprints:
-            self.suspects.setdefault(fingerprint, set()).add(crash)
         for fingerprint, fresh in fingerprints.items():
             if fresh:
                 self.judge(fingerprint, crash)
 
-    def judge(self, fingerprint: int, crash: Crash) -> None:
+    def judge(self, fingerprint: int, crash: deaths.Crash) -> None:
         """Quarantines a request if it is the cause of a death."""
-        if self.guilty(fingerprint, crash):
+        if fingerprint in self.until:
+            return
+        if self.deaths.is_cause(fingerprint, crash):
             self.quarantine(fingerprint, QUARANTINE_SECONDS)
             self.found.add(fingerprint)
             self.records.keep(fingerprint)
 
-    def guilty(self, fingerprint: int, crash: Crash) -> bool:
-        """Returns whether a request is the cause of a death.
-
-        It must have been on enough upstreams that died, and no other of
-        those that were there may be as suspect. One that had only just been
-        sent there is more suspect than those that had run for a while, and
-        admission sends suspects one at a time.
-        """
-        if fingerprint in self.until:
-            return False
-        if self.deaths(fingerprint) < self.needed(fingerprint):
-            return False
-        present = self.crashes[crash]
-        only_fresh = present.get(fingerprint, False)
-        return not any(
-            other != fingerprint
-            and (fresh or not only_fresh)
-            and self.deaths(other) >= CRASHES_TO_QUARANTINE
-            for other, fresh in present.items()
-        )
-
     def settle(self) -> None:
         """Judges deaths of which all routers have told by now."""
         now = trio.current_time()
         for crash in list(self.unsettled):
-            if self.crashed_at.get(crash, 0.0) > now - SETTLE_SECONDS:
+            if self.deaths.told_at.get(crash, 0.0) > now - SETTLE_SECONDS:
                 continue
             self.unsettled.remove(crash)
-            for fingerprint in sorted(self.crashes.get(crash, {})):
+            for fingerprint in sorted(self.deaths.present.get(crash, {})):
                 self.judge(fingerprint, crash)
 
-    def deaths(self, fingerprint: int) -> int:
-        """Returns how many upstreams died with the request on them."""
-        crashes = self.suspects.get(fingerprint, ())
-        return len({crash.upstream for crash in crashes})
-
-    def needed(self, fingerprint: int) -> int:
-        """Returns how many deaths it takes.
-
-        Upstreams that die without the request at the same time speak for a
-        fault of the machines: a rack that goes takes an innocent request
-        with it twice.
-        """
-        since = trio.current_time() - OTHER_CRASHES_SECONDS
-        # by upstream, not by death: whoever got no byte of its answer does
-        # not know the instance, and tells of the same death by another name
-        mine = {crash.upstream for crash in self.suspects.get(fingerprint, ())}
-        others = {
-            crash.upstream
-            for crash, at in self.crashed_at.items()
-            if at > since and crash.upstream not in mine
-        }
-        return CRASHES_TO_QUARANTINE + bool(others)
-
     def quarantine(self, fingerprint: int, seconds: float) -> None:
         """Refuses a request from now on."""
         if fingerprint not in self.until:
@@ -283,7 +214,7 @@
     async def on_crash(self, router: str, item: peer.Message) -> None:
         """Notes what another router had on an upstream that died."""
         assert isinstance(item, messages_decisions.CrashSeen)
-        crash = Crash(item.upstream, item.instance)
+        crash = deaths.Crash(item.upstream, item.instance)
         fresh = set(item.fresh)
         self.note(crash, {one: one in fresh for one in item.fingerprints})
 
@@ -296,7 +227,7 @@
         """Clears requests that an upstream ran to their end."""
         assert isinstance(item, messages_decisions.SuspectCleared)
         for fingerprint in item.fingerprints:
-            self.suspects.pop(fingerprint, None)
+            self.deaths.clear(fingerprint)
 
     async def run(self) -> None:
         """Sends findings to the other routers and keeps them."""
@@ -316,7 +247,7 @@
             self.wake = trio.Event()
             await trio.sleep(NOTICE_DELAY_SECONDS)
             self.send_notices()
-            self.expire()
+            self.deaths.expire()
 
     async def run_settle(self) -> None:
         """Judges deaths once all routers have told of them.
@@ -364,16 +295,3 @@
         """Takes over a finding from the key-value service."""
         if fingerprint not in self.until:
             self.quarantine(fingerprint, QUARANTINE_SECONDS)
-
-    def expire(self) -> None:
-        """Forgets deaths and suspects after a time."""
-        since = trio.current_time() - SUSPECT_SECONDS
-        for crash, at in list(self.crashed_at.items()):
-            if at > since:
-                continue
-            del self.crashed_at[crash]
-            for fingerprint in self.crashes.pop(crash):
-                crashes = self.suspects.get(fingerprint, set())
-                crashes.discard(crash)
-                if not crashes:
-                    self.suspects.pop(fingerprint, None)
