Test: a caller that leaves as its answer begins keeps its permit

The dispatcher marks its part as done when it returns the answer; the body closes it, but only once quart has entered it. Quart sends the head before that, and hypercorn takes its lock for the head, which is a checkpoint: a caller that left in the same turn has the request cancelled there. Nothing closes the answer, so the permit stays taken, the request stays counted as in progress, and the upstream's connection stays open.

--- a/tests/test_transport/test_callers.py
+++ b/tests/test_transport/test_callers.py
@@ -167,6 +167,58 @@
     assert path.last_decision().error == 'CallerGone'
 
 
+async def test_caller_that_leaves_as_its_answer_begins_gives_the_permit_back(
+    monkeypatch,
+):
+    # A caller closes its connection in the same turn of the event loop in
+    # which its answer begins. The dispatcher had handed the answer over, and
+    # the body, which closes it, was not entered: the cancellation came with
+    # the head. The permit stayed taken, and the engine went on, for ever.
+    async with path_fakes.running() as path:
+        begun = trio.Event()
+        dispatch = path.dispatcher.dispatch
+
+        async def dispatch_as_the_caller_leaves(request):
+            answer = await dispatch(request)
+            begun.set()
+            # the rest of the turn: the cancellation is there, and not seen
+            with trio.CancelScope(shield=True) as scope:
+                while not cancelled_behind(scope):  # noqa: ASYNC110
+                    await trio.sleep(0.001)
+            return answer
+
+        monkeypatch.setattr(
+            path.dispatcher, 'dispatch', dispatch_as_the_caller_leaves
+        )
+        stream = await trio.open_tcp_stream(path_fakes.HOST, path.port)
+        await stream.send_all(chat_request(stream=True, max_tokens=2000))
+        await begun.wait()
+        await stream.aclose()
+        with trio.move_on_after(10):
+            await path.admission.all_released()
+    assert path.admission.results == ['CallerGone']
+    assert path.dispatcher.in_progress == 0
+
+
+def cancelled_behind(scope):
+    """Returns whether a task is cancelled but for a shield."""
+    scope.shield = False
+    cancelled = trio.current_effective_deadline() == float('-inf')
+    scope.shield = True
+    return cancelled
+
+
+def chat_request(**fields):
+    """Returns the bytes of a chat request."""
+    body = orjson.dumps(path_fakes.chat_body(**fields))
+    head = (
+        f'POST {path_fakes.CHAT_PATH} HTTP/1.1\r\nhost: x\r\n'
+        f'authorization: Bearer {path_fakes.CREDENTIAL}\r\n'
+        f'content-length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
 JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
