An answer is closed also if its body was never entered

Cause: only the body closed the answer, and quart enters the body after it has sent the head. A request cancelled at the head left its answer to nobody. The request itself now closes the answer that it was handed, however it ends; a second close does nothing.

--- a/lavenderbend/transport/answer_bodies.py
+++ b/lavenderbend/transport/answer_bodies.py
@@ -51,8 +51,12 @@
         exc_value: BaseException | None,
         tb: TracebackType | None,
     ) -> None:
+        await self.close('' if exc_type is None else exc_type.__name__)
+
+    async def close(self, error: str) -> None:
+        """Closes the answer; a second call does nothing."""
         await self.answer.close()
-        self.hop.end('' if exc_type is None else exc_type.__name__)
+        self.hop.end(error)
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
--- a/lavenderbend/transport/callers.py
+++ b/lavenderbend/transport/callers.py
@@ -33,6 +33,8 @@
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
 IDEMPOTENCY_KEY = 'idempotency-key'
+# key in the ASGI scope of a request: the body that relays its answer
+ANSWER_BODY = 'lavenderbend.answer_body'
 
 # headers of the connection, the credential, and those that the router sets
 # itself, which a caller must not be able to forge
@@ -148,6 +150,13 @@
             # makes hypercorn close the connection, and the caller sees that
             # the answer is not whole
             pass
+        finally:
+            # quart enters the body after it has sent the head. Cancelled
+            # there, as its caller left, a request would keep its permit and
+            # its upstream would work on for nobody
+            body = scope.get(ANSWER_BODY)
+            if body is not None:
+                await body.close(errors.CallerGone.__name__)
 
     def begin_stop(self) -> None:
         """Fails readiness and asks callers to close their connections."""
@@ -249,6 +258,7 @@
     ) -> quart.Response:
         """Returns the response that relays an answer."""
         body = answer_bodies.AnswerBody(answer, request_id, hop)
+        quart.request.scope[ANSWER_BODY] = body
         response = quart.Response(body, status=answer.status)
         # without this quart would end the response after its own timeout
         response.timeout = None
