Test: a connection that the stall watch closed is used as if it were whole

Two tests, both fail on the code as it is with ValueError: file descriptor cannot be a negative integer. Trio lets other tasks run between a read and its return, and the waiter still says that the connection waits. A watch that looks in that turn closes the socket. If the bytes were the last, the closed connection is kept, and the next request to that upstream fails as a fault of the router; if not, the next wait for bytes fails so, and the answer is not taken up elsewhere.

--- a/tests/test_transport/test_upstream_http.py
+++ b/tests/test_transport/test_upstream_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import re
 
 import hypothesis
@@ -225,6 +226,76 @@
     assert await with_script(script, step, limits=SHORT) == set()
 
 
+class ClosedAtRead:
+    """A stream whose connection is given up as some bytes are read.
+
+    Attributes:
+        stream: The stream.
+        watch: The watch that gives the connection up.
+        reads: Reads that go by before.
+    """
+
+    def __init__(self, stream, watch, reads):
+        self.stream = stream
+        self.socket = stream.socket
+        self.watch = watch
+        self.reads = reads
+
+    async def send_all(self, data):
+        await self.stream.send_all(data)
+
+    async def receive_some(self, max_bytes):
+        data = await self.stream.receive_some(max_bytes)
+        # trio lets other tasks run between the read and the return of it
+        self.reads -= 1
+        if self.reads < 0:
+            self.watch.check(math.inf)
+        return data
+
+
+async def fetch_closed_at_read(client, port, reads):
+    """Fetches while the stall watch ends the wait in the turn of a read."""
+    answer = await client.open(vm_at(port), make_request(), {}, 30.0)
+    # as the reader of a streamed chat sets it
+    answer.wait_to_read = lambda: 0.0
+    connection = answer.connection
+    connection.stream = ClosedAtRead(connection.stream, client.watch, reads)
+    try:
+        return b''.join([part async for part in answer.chunks()])
+    finally:
+        await answer.close()
+
+
+async def test_connection_that_was_given_up_is_not_used_again():
+    # The last bytes of an answer come in the same turn of the event loop in
+    # which the stall watch closes its connection. The answer is whole, so
+    # its connection was kept: the next caller's request was sent on a closed
+    # socket, and the caller was told of a fault of the router.
+    script = Script([WHOLE[:-2], WHOLE[-2:]], [WHOLE])
+
+    async def step(client, port):
+        first = await fetch_closed_at_read(client, port, 0)
+        return first, await fetch(client, port)
+
+    assert await with_script(script, step) == (b'done', b'done')
+    assert script.connections == 2
+
+
+async def test_answer_given_up_in_the_turn_of_a_read_is_a_stall():
+    # Some bytes of an answer come in the same turn in which the stall watch
+    # closes its connection, and more are to follow. The next read met a
+    # closed socket; that was no error of an upstream, so that the answer
+    # was not taken up elsewhere but ended as a fault of the router.
+    script = Script([WHOLE[:-2], WHOLE[-2:-1]])
+
+    async def step(client, port):
+        with pytest.raises(errors.UpstreamStalled):
+            await fetch_closed_at_read(client, port, 0)
+        return client.watch.waiters
+
+    assert await with_script(script, step) == set()
+
+
 async def test_script_takes_a_request_that_comes_in_two_parts_for_one():
     # httpx writes the head and the body of a request apart. On a busy
     # machine the script read them apart too, took the body for a second
