A connection that the stall watch closed carries nothing more

Cause: whether a connection can be used again was read from its answer alone. The watch closes a connection in the turn in which its last bytes come; the answer is whole all the same. Such a connection is no longer kept, and a further read of it is the stall that it is, so that the answer is taken up elsewhere.

--- a/lavenderbend/transport/upstream_connections.py
+++ b/lavenderbend/transport/upstream_connections.py
@@ -56,6 +56,9 @@
     ) -> None:
         """Reads what has come into the protocol, waiting if need be."""
         waiter = self.waiter
+        if waiter.expired:
+            # closed in the turn in which the bytes before came
+            raise trio.ClosedResourceError('closed by the stall watch')
         waiter.since = trio.current_time()
         if wait_to_read is not None:
             await trio.lowlevel.wait_readable(self.stream.socket)
--- a/lavenderbend/transport/upstream_http.py
+++ b/lavenderbend/transport/upstream_http.py
@@ -202,7 +202,10 @@
         """Keeps a connection for the next request, or closes it."""
         self.watch.remove(connection.waiter)
         idle = self.idle[address]
-        if whole and len(idle) < KEPT_CONNECTIONS:
+        # the watch may have closed it as the last bytes came: a whole answer
+        # does not show that its connection can carry another
+        usable = whole and not connection.waiter.expired
+        if usable and len(idle) < KEPT_CONNECTIONS:
             try:
                 connection.protocol.start_next_cycle()
             except h11.LocalProtocolError:
