Test: a failed order noted during a save is not told to the next controller

Fails on the code as it is: {} in place of one failure. A save ends by comparing what the service holds with what it wrote, and then takes all for saved, also what was noted while it ran.

--- a/tests/test_coordination/test_agreed_orders.py
+++ b/tests/test_coordination/test_agreed_orders.py
@@ -10,6 +10,8 @@
 from bench.agreed import measures
 from bench.agreed import order_rolls
 from bench.decisions import views as decision_views
+from lavenderbend import errors
+from lavenderbend.coordination.orders import memory as order_memory
 from lavenderbend.coordination.orders import orders as orders_module
 from lavenderbend.standin import weight_store
 from lavenderbend.state import configuration
@@ -321,3 +323,34 @@
             candidates.append(name)
 
     assert candidates
+
+
+async def test_failure_noted_during_a_save_reaches_the_next_controller(
+    monkeypatch, autojump_clock
+):
+    # A controller writes that a target is good. While it reads back what it
+    # wrote, an order of a bad version fails, and the write of that is
+    # refused. The read then showed what the first write said, and all was
+    # taken for saved: the next controller tried the bad version again.
+    store = fakes.service(jitter=0.0)
+    memory = order_memory.OrderMemory(store, '/memory')
+
+    async def refuse(*args):
+        raise errors.KeyValueUnavailable('over the rate')
+
+    memory.note_good(OLD)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(memory.save)
+        # the write has ended, the read back is on its way
+        await trio.sleep(0.003)
+        assert store.calls['read'] == store.calls['create'] == 1
+        memory.note_failure(NEW)
+        with monkeypatch.context() as patch:
+            patch.setattr(store, 'create', refuse)
+            patch.setattr(store, 'replace', refuse)
+            await memory.save()
+    await memory.save()
+    successor = order_memory.OrderMemory(store, '/memory')
+    await successor.load()
+    assert successor.good == {'m': OLD}
+    assert successor.failures == {'m': order_memory.Failures(NEW, 1)}
