A save of the orders' memory covers only what was noted before it

Cause: one flag said whether anything was unsaved, and a save cleared it at its end. Changes are counted now; a save marks as saved what stood when it encoded its value, and one save runs at a time, so that the second does not write from the revision before the first.

--- a/lavenderbend/coordination/orders/memory.py
+++ b/lavenderbend/coordination/orders/memory.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
 from lavenderbend import errors
 from lavenderbend.state import orders
@@ -39,6 +40,9 @@
         good: Target that a whole roll ended with, by model.
         bad: Targets whose roll was stopped, by model.
         failures: The latest target that failed and how often, by model.
+        changes: Counts what was noted.
+        saved: Up to which of the changes the service is known to hold.
+        saving: Held by the save that is in progress.
     """
 
     def __init__(self, store: interfaces.KeyValueStore, key: str) -> None:
@@ -48,7 +52,9 @@
         self.bad: dict[str, orders.Target] = {}
         self.failures: dict[str, Failures] = {}
         self.revision = 0
-        self.unsaved = False
+        self.changes = 0
+        self.saved = 0
+        self.saving = trio.Lock()
 
     async def load(self) -> None:
         """Reads what earlier controllers left.
@@ -59,6 +65,7 @@
         found = await self.store.read(self.key)
         self.revision = 0
         self.good, self.bad, self.failures = {}, {}, {}
+        self.saved = self.changes
         if not found.items:
             return
         self.revision = found.items[0].mod_revision
@@ -74,13 +81,13 @@
         """Notes a target that all its engines serve."""
         if self.good.get(target.model) != target:
             self.good[target.model] = target
-            self.unsaved = True
+            self.changes += 1
 
     def note_bad(self, target: orders.Target) -> None:
         """Notes a target that engines failed to serve."""
         if self.bad.get(target.model) != target:
             self.bad[target.model] = target
-            self.unsaved = True
+            self.changes += 1
 
     def note_failure(self, target: orders.Target) -> int:
         """Counts an order that failed; returns how many have.
@@ -93,38 +100,55 @@
         if known is not None and known.target == target:
             count += known.count
         self.failures[target.model] = Failures(target, count)
-        self.unsaved = True
+        self.changes += 1
         return count
 
     def forget_bad(self, model: str, wanted: orders.Target) -> None:
         """Forgets a bad target once something else is wanted."""
         if model in self.bad and self.bad[model] != wanted:
             del self.bad[model]
-            self.unsaved = True
+            self.changes += 1
 
     async def save(self) -> None:
         """Writes what has changed; a failure leaves it for the next time."""
-        if not self.unsaved:
-            return
-        value = json.dumps(
+        async with self.saving:
+            if self.saved == self.changes:
+                return
+            # what is noted from here on is not part of this save
+            changes = self.changes
+            value = self.encode()
+            try:
+                written = await self.write(value)
+            except errors.KeyValueError:
+                return
+            if written:
+                self.saved = changes
+
+    def encode(self) -> bytes:
+        """Returns what is known, as it stands in the service."""
+        return json.dumps(
             {
                 'good': plain(self.good),
                 'bad': plain(self.bad),
                 'failures': plain(self.failures),
             }
         ).encode()
-        try:
-            if self.revision:
-                await self.store.replace(self.key, value, self.revision)
-            else:
-                await self.store.create(self.key, value)
-            # read back: the answer may have been lost, or another
-            # controller may have written since
-            found = await self.store.read(self.key)
-        except errors.KeyValueError:
-            return
+
+    async def write(self, value: bytes) -> bool:
+        """Writes a value; returns whether it stands in the service.
+
+        Raises:
+            KeyValueError: The service does not answer.
+        """
+        if self.revision:
+            await self.store.replace(self.key, value, self.revision)
+        else:
+            await self.store.create(self.key, value)
+        # read back: the answer may have been lost, or another controller
+        # may have written since
+        found = await self.store.read(self.key)
         self.revision = found.items[0].mod_revision if found.items else 0
-        self.unsaved = not found.items or found.items[0].value != value
+        return bool(found.items) and found.items[0].value == value
 
 
 def targets(value: dict[str, dict]) -> dict[str, orders.Target]:
