What was read is marked by the reading that showed it

Cause, claims: a flag said that the log was to be read again, and the end of any reading cleared it, also of one that began before the flag was set; and a claim was answered from the table however old that was. The flag is taken back as a reading begins, and set again if it breaks off. A claim that finds its key in use waits for the reading that began after it came. Cause, configuration: the store revision was noted for each page. Only the last page shows all up to its revision.

--- a/lavenderbend/coordination/claims/shards.py
+++ b/lavenderbend/coordination/claims/shards.py
@@ -53,6 +53,8 @@
         down_since: When the service stopped answering, None if it answers.
         failures: Calls to it that failed in a row.
         stale: Whether others may have written since.
+        begun: Readings of the log that have begun.
+        shown: The latest of them that the table shows.
         used_at: When somebody last asked.
         loads: Seconds that each reading of the log took.
     """
@@ -85,6 +87,8 @@
         self.down_since: float | None = None
         self.failures = 0
         self.stale = True
+        self.begun = 0
+        self.shown = 0
         self.used_at = 0.0
         self.loads: list[float] = []
 
@@ -98,14 +102,19 @@
         """
         self.used_at = trio.current_time()
         known = self.table.state(line.key, line.token, line.digest)
+        reading = 0
         if known is claims.ClaimState.REUSED:
-            # the claim with the other body may have been released since
+            # the claim with the other body may have been released since;
+            # what is on its way now may not show that
             self.stale = True
+            reading = self.begun + 1
         elif known is not claims.ClaimState.ABSENT:
             # also while the service is down: a copy of a request that ran
             # must not hear 'not run' where it is known that it ran
             return known
-        waiting = claim_waiting.Waiting(line, deadline, trio.current_time())
+        waiting = claim_waiting.Waiting(
+            line, deadline, trio.current_time(), reading
+        )
         self.queue.claims.append(waiting)
         self.work.set()
         with trio.move_on_at(deadline):
@@ -163,7 +172,7 @@
             try:
                 if self.stale or self.down_since is not None:
                     await self.catch_up()
-                self.queue.answer(self.table)
+                self.queue.answer(self.table, self.shown)
                 if self.queue.due():
                     await self.commit()
                 self.up()
@@ -191,6 +200,20 @@
     async def catch_up(self) -> None:
         """Reads what stands in the log beyond the table."""
         began = trio.current_time()
+        # who asks for a reading from here on is not served by this one
+        self.stale = False
+        self.begun += 1
+        try:
+            await self.read_on()
+        except BaseException:
+            self.stale = True
+            raise
+        self.shown = self.begun
+        self.loads.append(trio.current_time() - began)
+        del self.loads[:-100]
+
+    async def read_on(self) -> None:
+        """Takes the entries beyond the table, page by page."""
         if self.next == 0:
             await self.check_layout()
         while True:
@@ -204,9 +227,6 @@
             if page.last:
                 break
         self.next = max(self.next, 1)
-        self.stale = False
-        self.loads.append(trio.current_time() - began)
-        del self.loads[:-100]
 
     async def check_layout(self) -> None:
         """Makes sure that every router spreads the claims alike.
@@ -259,7 +279,7 @@
             # ours is written again behind it
             BATCHES.inc({'result': 'taken'})
             self.stale = True
-        self.queue.answer(self.table)
+        self.queue.answer(self.table, self.shown)
 
     async def settled(self, number: int, value: bytes) -> log.Entry:
         """Appends until it is known what stands at the number.
--- a/lavenderbend/coordination/claims/waiting.py
+++ b/lavenderbend/coordination/claims/waiting.py
@@ -39,6 +39,8 @@
         line: The claim.
         deadline: When its asker stops waiting.
         since: When it came.
+        reading: Number of the reading of the log without which its key
+            cannot be called in use, 0 for none.
         failures: Calls to the service that began since and failed.
         batched: Whether it is part of a batch that may have been written.
         state: Where it stands, None while undecided.
@@ -48,6 +50,7 @@
     line: claims.ClaimLine
     deadline: float
     since: float
+    reading: int = 0
     failures: int = 0
     batched: bool = False
     state: claims.ClaimState | None = None
@@ -115,8 +118,13 @@
             found.append(waiting)
         return found
 
-    def answer(self, table: claims.ClaimTable) -> None:
-        """Answers the claims that the table decides."""
+    def answer(self, table: claims.ClaimTable, shown: int) -> None:
+        """Answers the claims that the table decides.
+
+        Args:
+            table: The table.
+            shown: The latest reading of the log that it shows.
+        """
         now = trio.current_time()
         left = []
         for waiting in self.claims:
@@ -125,7 +133,7 @@
             if (line.key, line.token) in table.released:
                 # its asker has given up; it must not be committed again
                 waiting.decide(claims.ClaimState.UNAVAILABLE)
-            elif state is not claims.ClaimState.ABSENT:
+            elif decides(state, waiting, shown):
                 waiting.decide(state)
             elif waiting.deadline > now:
                 left.append(waiting)
@@ -161,3 +169,15 @@
                     else claims.ClaimState.REFUSED
                 )
         self.claims = [w for w in self.claims if w.state is None]
+
+
+def decides(state: claims.ClaimState, waiting: Waiting, shown: int) -> bool:
+    """Returns whether a state of the table answers a claim.
+
+    The claim with the other body may have been released by another router,
+    which a table read before this claim came does not show: the caller would
+    be told for good that a key is in use that is free.
+    """
+    if state is claims.ClaimState.REUSED:
+        return waiting.reading <= shown
+    return state is not claims.ClaimState.ABSENT
--- a/lavenderbend/coordination/configuration/log.py
+++ b/lavenderbend/coordination/configuration/log.py
@@ -202,8 +202,9 @@
                 continue
             for entry in page.entries:
                 self.chain.take(entry.number, entry.value)
-            self.revision = page.revision
             if page.last:
+                # that of an earlier page is ahead of what was read
+                self.revision = page.revision
                 return
 
     async def read_snapshot(self) -> None:
