Test: places lost on the way to an owner's standby never go again

A place counts as told to the standby when the notice of it is queued; a notice may be dropped, and the place is not sent again until it changes.

--- a/tests/test_coordination/test_admission_faults.py
+++ b/tests/test_coordination/test_admission_faults.py
@@ -5,6 +5,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import placement
+from lavenderbend.coordination.admission import groups
 from lavenderbend.state import configuration
 from tests import fakes
 
@@ -73,6 +74,41 @@
     assert same == 40
 
 
+async def test_places_that_were_lost_on_the_way_to_the_standby_go_again(
+    nursery, autojump_clock
+):
+    # The connection of an owner to its standby is down for three seconds,
+    # in which chats get their places. The copies of these counted as told
+    # when they were queued and were never sent again: the owner died later,
+    # and the contexts of these chats were computed anew elsewhere.
+    fleet = fakes.Fleet(nursery, routers=4, engines=5)
+    owner = fleet.owner()
+    group = fleet.admissions[owner].directory.groups()[0]
+    standby = groups.standby(group, fleet.names, owner)
+    entries = [name for name in fleet.names if name != standby]
+    fleet.network.cut(owner, standby)
+    before = {}
+    for number in range(1, 41):
+        entry = fleet.admissions[entries[number % len(entries)]]
+        permit = await entry.acquire(fleet.ask(number))
+        before[number] = permit.upstream.id
+        entry.release(permit, 'complete')
+    await trio.sleep(3)
+    fleet.network.mend(owner, standby)
+    await trio.sleep(5)
+    lose(fleet, owner)
+    await trio.sleep(1)
+    assert fleet.owner() == standby
+    entry = fleet.admissions[standby]
+    same = 0
+    for number in range(1, 41):
+        permit = await entry.acquire(fleet.ask(number))
+        same += permit.upstream.id == before[number]
+        entry.release(permit, 'complete')
+
+    assert same == 40
+
+
 async def test_lost_release_does_not_leak_load(nursery, autojump_clock):
     # the connection to the owner breaks while a release is on the way: the
     # engine would look loaded for ever
