Tests: what is left of an earlier attempt when a request is given up

Three tests that fail: a held 500 sent as a second answer within a stream (heads 2, wanted 1); 'no upstream is known', which says not run, for a request that may have run; a held 500 dropped when the service has become empty.

--- /dev/null
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -0,0 +1,90 @@
+"""Requests whose earlier step ended half done, over fakes."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination.forwarding import budget
+from tests import forwarding_fakes as fakes
+
+LOST = errors.UpstreamLost('reset')
+NAMES = ('e1', 'e2', 'e3', 'e4')
+SERVICE = 'chat'
+# the used part of it is one repeat
+ONE_REPEAT = budget.RepeatSettings(0.0, 1.0 / budget.USED_PART, 10.0)
+
+
+def upstream(name):
+    """Returns an upstream with an address of its own."""
+    found = fakes.upstream(name)
+    port = 1000 + NAMES.index(name)
+    return attrs.evolve(found, vm=attrs.evolve(found.vm, port=port))
+
+
+def router(rule, *steps, names=NAMES):
+    """Returns a router whose upstreams do the steps, whoever is asked."""
+    shared = list(steps)
+    exchanges = fakes.Exchanges(**dict.fromkeys(names, ()))
+    exchanges.steps = dict.fromkeys(names, shared)
+    found = [upstream(name) for name in names]
+    content = fakes.snapshot(1, fakes.table(1, (rule,)), *found)
+    return fakes.Router(content, exchanges)
+
+
+def next_choice(the_router, *used):
+    need = the_router.entry.ticket(
+        fakes.request(), the_router.snapshots.table.rules[0], None
+    ).need
+    return the_router.chooser.choose(SERVICE, need, used, 'r1').upstream
+
+
+async def test_failure_that_is_held_never_follows_a_stream(autojump_clock):
+    # An upstream answers 500, which is held. The next one starts a stream and
+    # breaks off, and no attempt is left. The held answer would be a second
+    # one within the caller's stream.
+    rule = fakes.rule(streaming=True, resumable=True, attempts=2)
+    broken = fakes.reply(200, (b'id: 1\ndata: x\n\n',), then=LOST)
+    the_router = router(rule, fakes.reply(500, (b'bad',)), broken)
+    answer, error = await the_router.ask()
+    assert len(the_router.exchanges.sent) == 2
+    assert (answer.heads, answer.finished) == (1, False)
+    assert answer.body == b'id: 1\ndata: x\n\n'
+    assert isinstance(error, errors.OutcomeUnknown)
+
+
+async def ask_while_service_empties(the_router):
+    """Returns what a caller gets whose service loses all its upstreams."""
+
+    async def empty():
+        await trio.sleep(0.1)
+        table = the_router.snapshots.table
+        the_router.snapshots.accept(fakes.snapshot(2, table), 1.0)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(empty)
+        return await the_router.ask()
+
+
+async def test_request_that_may_have_run_is_not_called_not_run(
+    autojump_clock,
+):
+    # The only upstream breaks off within its answer and leaves the store. A
+    # repeat is allowed, and nobody is left for it. The caller was told that
+    # its request had not run.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, fakes.reply(delay=0.2, then=LOST))
+    answer, error = await ask_while_service_empties(the_router)
+    assert not answer.started
+    assert isinstance(error, errors.OutcomeUnknown)
+
+
+async def test_failure_is_passed_on_when_nobody_is_left(autojump_clock):
+    # An upstream answers 500, which is held for a repeat. Meanwhile the
+    # service has lost its upstreams. The caller gets what it was answered.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, fakes.reply(500, (b'bad',), delay=0.2))
+    answer, error = await ask_while_service_empties(the_router)
+    assert error is None
+    assert (answer.status, answer.body) == (500, b'bad')
