A request that is given up gets what its attempts left it

Cause: giving up looked at the held failure alone, and an empty service was told by another way that looked at nothing. A held 500 went out as a second answer behind the head of a stream (on a real connection h11 refuses it: the fault is counted and the outcome is lost as 'cancelled'); a request that may have run was called not run, and a held 500 was dropped. Now there is one end for both, and it looks at what has begun, what is held and what may have run.

Ruled out: a check in the caller's answer; it would not tell the outcome.

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -194,23 +194,20 @@
         """
         self.attempts.crashes.check(ticket)
         self.budget.note_request(ticket.service)
-        while not await self.try_next(ticket, answer):
-            if not self.go_on(ticket, answer):
-                await self.give_up(ticket, answer)
+        while (upstream := self.next_upstream(ticket)) is not None:
+            if await self.try_upstream(ticket, upstream, answer):
                 return
+            if not self.go_on(ticket, answer):
+                break
+        await self.give_up(ticket, answer)
 
-    async def try_next(
-        self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
+    async def try_upstream(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        answer: interfaces.CallerAnswer,
     ) -> bool:
-        """Sends a request to the upstream that comes next.
-
-        Returns:
-            Whether it has answered.
-
-        Raises:
-            NoUpstream: The service has none.
-        """
-        upstream = self.next_upstream(ticket)
+        """Sends a request to an upstream; returns whether it has answered."""
         record = ticket.placed[-1]
         if ticket.hop is not None:
             ticket.attempt_hop = self.tracer.begin_attempt(ticket, upstream)
@@ -231,20 +228,15 @@
                 ticket.attempt_hop.end(failed_result(record))
         return record.result == records.COMPLETE
 
-    def next_upstream(self, ticket: tickets.Ticket) -> forwarding.Upstream:
-        """Returns the upstream that comes next.
-
-        Raises:
-            NoUpstream: The service has none.
-        """
+    def next_upstream(
+        self, ticket: tickets.Ticket
+    ) -> forwarding.Upstream | None:
+        """Returns the upstream that comes next, None if there is none."""
         choice = self.chooser.choose(
             ticket.service, ticket.need, ticket.tried, ticket.id
         )
         if choice.upstream is None:
-            raise errors.NoUpstream(
-                f'no upstream of {ticket.service!r} is known',
-                entry_module.come_back_seconds(ticket.left),
-            )
+            return None
         record = decisions_module.Attempt(
             choice.upstream.instance,
             reason=f'{choice.reason} {choice.load}/{choice.allowed}',
@@ -284,18 +276,23 @@
     ) -> None:
         """Answers a request that no further upstream is tried for.
 
+        What earlier attempts left decides: a stream that has begun takes no
+        second answer, and what may have run is not called not run.
+
         Raises:
             RequestError: No upstream answered.
         """
-        if ticket.fallback is not None:
+        if ticket.fallback is not None and not answer.started:
             held = ticket.fallback
             await answer.whole(held.head.status, held.head.headers, held.body)
             return
         if ticket.may_have_run:
             raise errors.OutcomeUnknown('the upstream broke off')
+        cause = f'no upstream of {ticket.service!r} is known'
+        if ticket.placed:
+            cause = 'no upstream took the request'
         raise errors.NoUpstream(
-            'no upstream took the request',
-            entry_module.come_back_seconds(ticket.left),
+            cause, entry_module.come_back_seconds(ticket.left)
         )
 
 
