Tests: a repeat is spent or promised though nothing is sent for it

Two tests that fail: the one repeat is counted for an upstream that accepts no connection, and the caller gets no answer; two waits are given up for one repeat, and one of the requests is left with nothing.

--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -88,3 +88,52 @@
     answer, error = await ask_while_service_empties(the_router)
     assert error is None
     assert (answer.status, answer.body) == (500, b'bad')
+
+
+async def test_repeat_that_was_not_sent_is_not_spent(autojump_clock):
+    # An upstream breaks off, the next accepts no connection, a third one
+    # would answer. One repeat is allowed. It was counted for the second, to
+    # which nothing was sent, and the caller got no answer.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, LOST, fakes.reply())
+    the_router.budget.settings = ONE_REPEAT
+    first = next_choice(the_router).instance
+    second = next_choice(the_router, first).instance
+    the_router.exchanges.dead.add(second)
+    answer, error = await the_router.ask()
+    assert error is None
+    assert answer.status == 200
+    assert len(the_router.exchanges.sent) == 2
+
+
+async def test_connections_for_a_repeat_are_bounded(autojump_clock):
+    # After the first break no upstream accepts a connection: each try costs
+    # time that the caller waits.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, LOST)
+    first = next_choice(the_router).instance
+    the_router.exchanges.dead |= set(NAMES) - {first}
+    _, error = await the_router.ask()
+    assert isinstance(error, errors.OutcomeUnknown)
+    assert len(the_router.exchanges.sent) <= 2
+
+
+async def test_wait_is_given_up_only_if_its_repeat_is_held(autojump_clock):
+    # Two requests wait for slow upstreams beyond the limit, and one repeat is
+    # allowed. Both waits were given up for it: one request was sent again,
+    # the other lost its upstream, which would have answered, and got nothing.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    slow = fakes.reply(delay=2.5)
+    the_router = router(rule, slow, slow, fakes.reply())
+    the_router.budget.settings = ONE_REPEAT
+    results = []
+
+    async def ask():
+        results.append(await the_router.ask())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        nursery.start_soon(ask)
+    assert [error for _, error in results] == [None, None]
+    assert [answer.status for answer, _ in results] == [200, 200]
+    assert len(the_router.exchanges.sent) == 3
