A repeat belongs to its request from the moment it is allowed

Cause: 'another upstream may follow' only looked at the budget, and what was looked at was taken later, or not had: two waits given up for one repeat left one request with nothing though its upstream would have answered. And each turn to a next upstream took a repeat, also behind one that accepted no connection and was sent nothing. A request now counts what was taken for it; it may send while it has sent no more than that. Where the wait ends by itself in the same moment, its repeat stays taken: the fleet repeats less, never more.

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -248,15 +248,32 @@
         return choice.upstream
 
     def repeat_check(self, ticket: tickets.Ticket) -> Callable[[], bool]:
-        """Returns what tells whether an attempt may be followed by another."""
+        """Returns what tells whether an attempt may be followed by another.
+
+        What it allows is taken at once: of several requests that give their
+        upstreams up in the same moment, each must find its repeat.
+        """
 
         def check() -> bool:
-            if not ticket.rule.then.repeatable or ticket.sends_left <= 0:
+            if not ticket.rule.then.repeatable:
+                return False
+            if ticket.may_send:
+                return True
+            if not self.budget.available(ticket.service):
                 return False
-            return self.budget.available(ticket.service)
+            return self.take_repeat(ticket)
 
         return check
 
+    def take_repeat(self, ticket: tickets.Ticket) -> bool:
+        """Takes a repeat for a request, if it may have one."""
+        if ticket.sends_left <= 0:
+            return False
+        if not self.budget.try_take(ticket.service):
+            return False
+        ticket.repeats += 1
+        return True
+
     def go_on(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> bool:
@@ -265,11 +282,9 @@
             return False
         if answer.started and not ticket.rule.then.resumable:
             return False
-        if not ticket.used:
+        if ticket.may_send:
             return len(ticket.unreachable) < MAX_UNREACHABLE
-        if ticket.sends_left <= 0:
-            return False
-        return self.budget.try_take(ticket.service)
+        return self.take_repeat(ticket)
 
     async def give_up(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -48,6 +48,7 @@
         placed: The upstreams that were chosen: why, what was passed over,
             and what became of each attempt.
         unreachable: Instances that no connection was to be had to.
+        repeats: Repeats that were taken for it, sent or not.
         may_have_run: Whether an upstream may have begun to run it.
         fingerprint: What it has in common with its repetitions, None until
             it is asked for.
@@ -70,6 +71,7 @@
     used: list[str] = attrs.field(factory=list)
     placed: list[decisions.Attempt] = attrs.field(factory=list)
     unreachable: list[str] = attrs.field(factory=list)
+    repeats: int = 0
     may_have_run: bool = False
     fingerprint: int | None = None
     logged: bool = False
@@ -87,6 +89,15 @@
         """Upstreams that it may still be sent to."""
         return self.rule.then.attempts - len(self.used)
 
+    @property
+    def may_send(self) -> bool:
+        """Whether it may be sent without another repeat.
+
+        A repeat is spent when it is sent: an upstream that accepts no
+        connection costs none.
+        """
+        return len(self.used) <= self.repeats
+
     @property
     def tried(self) -> list[str]:
         """Instances that are of no use to it any more."""
