--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -137,3 +137,25 @@
     assert [error for _, error in results] == [None, None]
     assert [answer.status for answer, _ in results] == [200, 200]
     assert len(the_router.exchanges.sent) == 3
+
+
+async def test_prompt_is_not_copied_from_who_refused_it(autojump_clock):
+    # A chat is cached at its place, which is held back for a moment. The
+    # next upstream refuses the request as not run, a third one takes it. The
+    # refusal was noted as the chat's latest place: the third was told to
+    # copy the prompt from an upstream that never had it.
+    rule = fakes.rule(idempotent=True, attempts=3)
+    the_router = router(
+        rule, fakes.reply(), fakes.not_run(), fakes.reply(), fakes.reply()
+    )
+    parts = 'base:100,chat-1:900,own:50'
+    await the_router.ask(x_prompt_parts=parts)
+    place = the_router.exchanges.names()[0]
+    health = the_router.health
+    health.hold_back(health.record(place), trio.current_time() + 1.0)
+    answer, _ = await the_router.ask(x_prompt_parts=parts)
+    assert answer.status == 200
+    assert len(the_router.exchanges.sent) == 3
+    _, sent = the_router.exchanges.sent[-1]
+    address = b'127.0.0.1:%d' % upstream(place).vm.port
+    assert dict(sent.headers).get(b'x-copy-from') == address
