A chat's place is noted when an upstream has taken its request

Cause: 'sent there before' was noted as the request was made. An upstream that answered 'not run', or broke off before its answer, stood as the place of the chat; the next one was told to copy from it, and read the whole prompt anew. It is noted once the head of its own answer has come.

Ruled out: taking the note back on a refusal; each other end before the answer would need the same.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -149,6 +149,7 @@
             ticket.may_have_run = earlier
             await self.refused(upstream, exchange, head, waiting)
         self.check_answer(head)
+        self.requests.note_taken(ticket, upstream)
         if ticket.rule.then.streaming and head.status < 300:
             await self.relay(ticket, exchange, head, answer, waiting)
             self.note_success(ticket, upstream)
--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -57,7 +57,8 @@
     router need not have seen the chat before.
 
     Attributes:
-        sent: Where this router sent each chat last, the latest last.
+        sent: Which upstream took each chat from this router last, the latest
+            last.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
         self.sent: collections.OrderedDict[str, str] = collections.OrderedDict()
 
     def note_sent(self, key: str, instance: str) -> None:
-        """Notes that a chat is now at an upstream."""
+        """Notes that a chat is now at an upstream, which took it."""
         self.sent[key] = instance
         self.sent.move_to_end(key)
         if len(self.sent) > MAX_SENT:
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -88,17 +88,26 @@
             body=request.body,
         )
 
+    def note_taken(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> None:
+        """Notes that an upstream has read the prompt, by its own answer.
+
+        One that refused the request, or broke off before, has not: the next
+        upstream would ask it for a copy, and read the whole prompt anew.
+        """
+        if ticket.need.parts and self.headers.copy_from:
+            self.cached.note_sent(ticket.need.chat, upstream.instance)
+
     def copy_source(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> bytes | None:
         """Returns the address from which cached prompt parts are copied."""
         if not ticket.need.parts or not self.headers.copy_from:
             return None
-        key = ticket.need.chat
         source = self.cached.source(
-            ticket.service, key, ticket.need.parts, upstream
+            ticket.service, ticket.need.chat, ticket.need.parts, upstream
         )
-        self.cached.note_sent(key, upstream.instance)
         if source is None:
             return None
         found = source.upstream
