--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -159,3 +159,27 @@
     _, sent = the_router.exchanges.sent[-1]
     address = b'127.0.0.1:%d' % upstream(place).vm.port
     assert dict(sent.headers).get(b'x-copy-from') == address
+
+
+async def test_success_clears_a_death_that_is_still_examined(
+    nursery, autojump_clock
+):
+    # Two upstreams lose power at once; each had the same harmless request,
+    # which then succeeds at others. That both died is known a moment after
+    # these successes. The deaths were noted as if nothing had succeeded
+    # since, and the request was refused for two minutes.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, LOST, LOST, fakes.reply())
+    exchanges = the_router.exchanges
+    nursery.start_soon(the_router.crashes.run)
+    await trio.lowlevel.checkpoint()
+    async with trio.open_nursery() as callers:
+        callers.start_soon(the_router.ask)
+        callers.start_soon(the_router.ask)
+    died = set(exchanges.names()[:2])
+    assert len(died) == 2
+    assert len(exchanges.sent) == 4
+    exchanges.dead |= died
+    await trio.sleep(0.2)
+    answer, error = await the_router.ask()
+    assert (answer.status, error) == (200, None)
