A success clears deaths that are still being examined

Cause: whether an upstream died is known 50 ms to half a second after its connection was lost, and the record was made then, over a success that had come meanwhile and cleared nothing. Two VMs that lost power with the same harmless request made it one that upstreams die of, refused for 120 s. A loss is now kept while it is examined, and a success marks it as cleared.

Ruled out: noting the death at the loss and taking it back; a mere reset would count until then.

--- a/lavenderbend/coordination/forwarding/crashes.py
+++ b/lavenderbend/coordination/forwarding/crashes.py
@@ -65,6 +65,21 @@
     at: float
 
 
+@attrs.define(eq=False)
+class Loss:
+    """A connection that was lost while it had a request.
+
+    Attributes:
+        mark: Fingerprint of the request.
+        upstream: The upstream.
+        cleared: Whether the request has run to a good end since.
+    """
+
+    mark: int
+    upstream: forwarding.Upstream
+    cleared: bool = False
+
+
 class Crashes:
     """Finds requests that upstreams die of, and refuses them.
 
@@ -74,6 +89,8 @@
 
     Attributes:
         records: By fingerprint.
+        losses: Lost connections of which it is not known yet whether their
+            upstreams died.
         tell: Tells other routers.
         alive: Returns whether an upstream accepts connections.
     """
@@ -86,6 +103,7 @@
         self.alive = alive
         self.tell = tell
         self.records: dict[int, Record] = {}
+        self.losses: set[Loss] = set()
         self.lost: trio.MemorySendChannel | None = None
 
     def check(self, ticket: tickets.Ticket) -> None:
@@ -117,13 +135,16 @@
 
     def note_success(self, ticket: tickets.Ticket) -> None:
         """Clears a request that ran to a good end."""
-        if not self.records:
+        if not self.records and not self.losses:
             return
-        found = self.records.pop(self.fingerprint(ticket), None)
+        mark = self.fingerprint(ticket)
+        for loss in self.losses:
+            # its record comes after this success, and must not outlive it
+            if loss.mark == mark:
+                loss.cleared = True
+        found = self.records.pop(mark, None)
         if found is not None:
-            self.tell(
-                messages_forwarding.CrashNotice(ticket.fingerprint, [], True)
-            )
+            self.tell(messages_forwarding.CrashNotice(mark, [], True))
 
     def note_lost(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
@@ -131,28 +152,35 @@
         """Notes that a connection was lost while it had a request."""
         if self.lost is None:
             return
+        loss = Loss(self.fingerprint(ticket), upstream)
         try:
-            self.lost.send_nowait((self.fingerprint(ticket), upstream))
+            self.lost.send_nowait(loss)
         except trio.WouldBlock:
             logs.change('crash_not_examined', upstream=upstream.instance)
+            return
+        self.losses.add(loss)
 
     async def run(self) -> None:
         """Examines lost connections."""
         self.lost, received = trio.open_memory_channel(MAX_RECORDS)
         async with trio.open_nursery() as nursery:
-            async for mark, upstream in received:
-                nursery.start_soon(self.examine, mark, upstream)
+            async for loss in received:
+                nursery.start_soon(self.examine, loss)
 
-    async def examine(self, mark: int, upstream: forwarding.Upstream) -> None:
+    async def examine(self, loss: Loss) -> None:
         """Finds out whether an upstream died, or a connection was reset."""
-        await trio.sleep(CONFIRM_SECONDS)
-        if await self.alive(upstream):
-            return
+        try:
+            await trio.sleep(CONFIRM_SECONDS)
+            if await self.alive(loss.upstream):
+                return
+        finally:
+            self.losses.discard(loss)
         DEATHS.inc({})
-        self.note_death(mark, [upstream.instance])
-        self.tell(
-            messages_forwarding.CrashNotice(mark, [upstream.instance], False)
-        )
+        if loss.cleared:
+            return
+        died = [loss.upstream.instance]
+        self.note_death(loss.mark, died)
+        self.tell(messages_forwarding.CrashNotice(loss.mark, died, False))
 
     def note_death(self, mark: int, instances: list[str]) -> None:
         """Notes that upstreams died while they had a request."""
