Tests: a version is marked as compiled before it is

They fail: after a version whose credentials cannot be used, requests are served by the credentials of the one before, under the number of the new one; and such credentials pass the decoding of the configuration (4 forms).

--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import budget
+from lavenderbend.state import forwarding
 from tests import forwarding_fakes as fakes
 
 LOST = errors.UpstreamLost('reset')
@@ -183,3 +185,22 @@
     await trio.sleep(0.2)
     answer, error = await the_router.ask()
     assert (answer.status, error) == (200, None)
+
+
+async def test_version_that_cannot_be_compiled_is_not_in_force(
+    autojump_clock,
+):
+    # A version comes whose credentials cannot be used. It was marked as
+    # compiled first: the next request was served by the credentials of the
+    # version before, though they may have been taken away.
+    rule = fakes.rule()
+    the_router = router(rule, fakes.reply())
+    entry = the_router.entry
+    await entry.admit(fakes.request())
+    broken = (forwarding.ForwardCustomer('corte', (['k'],)),)
+    table = fakes.table(2, (rule,), broken)
+    the_router.snapshots.accept(fakes.snapshot(2, table, upstream('e1')), 1.0)
+    for _ in range(2):
+        with pytest.raises(TypeError):
+            await entry.admit(fakes.request())
+    assert entry.version == 1
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -245,3 +245,17 @@
         for match in PLATFORM_WORDS.finditer(path.read_text())
     ]
     assert found == []
+
+
+@pytest.mark.parametrize('credentials', ['llave-1', [['llave-1']], [1], {}])
+async def test_credentials_that_are_no_texts_are_named(
+    store, client, credentials
+):
+    # An operator writes a credential in another form. The version came into
+    # force, and each request met a fault; a single text was taken apart, so
+    # that each of its letters was a credential.
+    tenants = [{'name': 'corte', 'apiKeys': credentials}]
+    store.put('op/config', standins.configuration(tenants=tenants))
+    raw = await client.read()
+    with pytest.raises(errors.CodecError, match='apiKeys'):
+        client.decode(raw)
