--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -79,7 +79,8 @@
             upstream: Where it goes.
             answer: The caller's answer.
             may_repeat: Returns whether another upstream may follow, so that
-                this one is not waited for to the end.
+                this one is not waited for to the end; what it allows counts
+                against what may be repeated.
 
         Raises:
             UpstreamUnreachable: Nothing was sent.
@@ -153,6 +154,7 @@
             ticket.may_have_run = earlier
             await self.refused(upstream, exchange, head, waiting)
         self.check_answer(head)
+        self.requests.note_taken(ticket, upstream)
         if ticket.rule.then.streaming and head.status < 300:
             await self.relay(ticket, exchange, head, answer, waiting)
             self.note_success(ticket, upstream)
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -194,23 +194,20 @@
         """
         self.attempts.crashes.check(ticket)
         self.budget.note_request(ticket.service)
-        while not await self.try_next(ticket, answer):
-            if not self.go_on(ticket, answer):
-                await self.give_up(ticket, answer)
+        while (upstream := self.next_upstream(ticket)) is not None:
+            if await self.try_upstream(ticket, upstream, answer):
                 return
+            if not self.go_on(ticket, answer):
+                break
+        await self.give_up(ticket, answer)
 
-    async def try_next(
-        self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
+    async def try_upstream(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        answer: interfaces.CallerAnswer,
     ) -> bool:
-        """Sends a request to the upstream that comes next.
-
-        Returns:
-            Whether it has answered.
-
-        Raises:
-            NoUpstream: The service has none.
-        """
-        upstream = self.next_upstream(ticket)
+        """Sends a request to an upstream; returns whether it has answered."""
         record = ticket.placed[-1]
         if ticket.hop is not None:
             ticket.attempt_hop = self.tracer.begin_attempt(ticket, upstream)
@@ -230,20 +227,15 @@
                 ticket.attempt_hop.end(failed_result(record))
         return record.result == records.COMPLETE
 
-    def next_upstream(self, ticket: tickets.Ticket) -> forwarding.Upstream:
-        """Returns the upstream that comes next.
-
-        Raises:
-            NoUpstream: The service has none.
-        """
+    def next_upstream(
+        self, ticket: tickets.Ticket
+    ) -> forwarding.Upstream | None:
+        """Returns the upstream that comes next, None if there is none."""
         choice = self.chooser.choose(
             ticket.service, ticket.need, ticket.tried, ticket.id
         )
         if choice.upstream is None:
-            raise errors.NoUpstream(
-                f'no upstream of {ticket.service!r} is known',
-                entry_module.come_back_seconds(ticket.left),
-            )
+            return None
         record = decisions_module.Attempt(
             choice.upstream.instance,
             reason=f'{choice.reason} {choice.load}/{choice.allowed}',
@@ -257,18 +249,35 @@
     def repeat_check(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> Callable[[], bool]:
-        """Returns what tells whether an attempt may be followed by another."""
+        """Returns what tells whether an attempt may be followed by another.
+
+        What it allows is taken at once: of several requests that give their
+        upstreams up in the same moment, each must find its repeat.
+        """
 
         def check() -> bool:
-            if not ticket.rule.then.repeatable or ticket.sends_left <= 0:
+            if not ticket.rule.then.repeatable:
                 return False
             if answer.started and not self.may_resume(ticket):
                 # nobody could go on: what is silent may still come
                 return False
-            return self.budget.available(ticket.service)
+            if ticket.may_send:
+                return True
+            if not self.budget.available(ticket.service):
+                return False
+            return self.take_repeat(ticket)
 
         return check
 
+    def take_repeat(self, ticket: tickets.Ticket) -> bool:
+        """Takes a repeat for a request, if it may have one."""
+        if ticket.sends_left <= 0:
+            return False
+        if not self.budget.try_take(ticket.service):
+            return False
+        ticket.repeats += 1
+        return True
+
     def go_on(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> bool:
@@ -280,11 +289,9 @@
             return False
         if answer.started and not self.may_resume(ticket):
             return False
-        if not ticket.used:
+        if ticket.may_send:
             return len(ticket.unreachable) < MAX_UNREACHABLE
-        if ticket.sends_left <= 0:
-            return False
-        return self.budget.try_take(ticket.service)
+        return self.take_repeat(ticket)
 
     def may_resume(self, ticket: tickets.Ticket) -> bool:
         """Returns whether another upstream can go on with a stream."""
@@ -295,18 +302,23 @@
     ) -> None:
         """Answers a request that no further upstream is tried for.
 
+        What earlier attempts left decides: a stream that has begun takes no
+        second answer, and what may have run is not called not run.
+
         Raises:
             RequestError: No upstream answered.
         """
-        if ticket.fallback is not None:
+        if ticket.fallback is not None and not answer.started:
             held = ticket.fallback
             await answer.whole(held.head.status, held.head.headers, held.body)
             return
         if ticket.may_have_run:
             raise errors.OutcomeUnknown('the upstream broke off')
+        cause = f'no upstream of {ticket.service!r} is known'
+        if ticket.placed:
+            cause = 'no upstream took the request'
         raise errors.NoUpstream(
-            'no upstream took the request',
-            entry_module.come_back_seconds(ticket.left),
+            cause, entry_module.come_back_seconds(ticket.left)
         )
 
 
--- /dev/null
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -0,0 +1,206 @@
+"""Requests whose earlier step ended half done, over fakes."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+import trio
+
+from lavenderbend import errors
+from lavenderbend.coordination.forwarding import budget
+from lavenderbend.state import forwarding
+from tests import forwarding_fakes as fakes
+
+LOST = errors.UpstreamLost('reset')
+NAMES = ('e1', 'e2', 'e3', 'e4')
+SERVICE = 'chat'
+# the used part of it is one repeat
+ONE_REPEAT = budget.RepeatSettings(0.0, 1.0 / budget.USED_PART, 10.0)
+
+
+def upstream(name):
+    """Returns an upstream with an address of its own."""
+    found = fakes.upstream(name)
+    port = 1000 + NAMES.index(name)
+    return attrs.evolve(found, vm=attrs.evolve(found.vm, port=port))
+
+
+def router(rule, *steps, names=NAMES):
+    """Returns a router whose upstreams do the steps, whoever is asked."""
+    shared = list(steps)
+    exchanges = fakes.Exchanges(**dict.fromkeys(names, ()))
+    exchanges.steps = dict.fromkeys(names, shared)
+    found = [upstream(name) for name in names]
+    content = fakes.snapshot(1, fakes.table(1, (rule,)), *found)
+    return fakes.Router(content, exchanges)
+
+
+def next_choice(the_router, *used):
+    need = the_router.entry.ticket(
+        fakes.request(), the_router.snapshots.table.rules[0], None
+    ).need
+    return the_router.chooser.choose(SERVICE, need, used, 'r1').upstream
+
+
+async def test_failure_that_is_held_never_follows_a_stream(autojump_clock):
+    # An upstream answers 500, which is held. The next one starts a stream and
+    # breaks off, and no attempt is left. The held answer would be a second
+    # one within the caller's stream.
+    rule = fakes.rule(streaming=True, resumable=True, attempts=2)
+    broken = fakes.reply(200, (b'id: 1\ndata: x\n\n',), then=LOST)
+    the_router = router(rule, fakes.reply(500, (b'bad',)), broken)
+    answer, error = await the_router.ask()
+    assert len(the_router.exchanges.sent) == 2
+    assert (answer.heads, answer.finished) == (1, False)
+    assert answer.body == b'id: 1\ndata: x\n\n'
+    assert isinstance(error, errors.OutcomeUnknown)
+
+
+async def ask_while_service_empties(the_router):
+    """Returns what a caller gets whose service loses all its upstreams."""
+
+    async def empty():
+        await trio.sleep(0.1)
+        table = the_router.snapshots.table
+        the_router.snapshots.accept(fakes.snapshot(2, table), 1.0)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(empty)
+        return await the_router.ask()
+
+
+async def test_request_that_may_have_run_is_not_called_not_run(
+    autojump_clock,
+):
+    # The only upstream breaks off within its answer and leaves the store. A
+    # repeat is allowed, and nobody is left for it. The caller was told that
+    # its request had not run.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, fakes.reply(delay=0.2, then=LOST))
+    answer, error = await ask_while_service_empties(the_router)
+    assert not answer.started
+    assert isinstance(error, errors.OutcomeUnknown)
+
+
+async def test_failure_is_passed_on_when_nobody_is_left(autojump_clock):
+    # An upstream answers 500, which is held for a repeat. Meanwhile the
+    # service has lost its upstreams. The caller gets what it was answered.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, fakes.reply(500, (b'bad',), delay=0.2))
+    answer, error = await ask_while_service_empties(the_router)
+    assert error is None
+    assert (answer.status, answer.body) == (500, b'bad')
+
+
+async def test_repeat_that_was_not_sent_is_not_spent(autojump_clock):
+    # An upstream breaks off, the next accepts no connection, a third one
+    # would answer. One repeat is allowed. It was counted for the second, to
+    # which nothing was sent, and the caller got no answer.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, LOST, fakes.reply())
+    the_router.budget.settings = ONE_REPEAT
+    first = next_choice(the_router).instance
+    second = next_choice(the_router, first).instance
+    the_router.exchanges.dead.add(second)
+    answer, error = await the_router.ask()
+    assert error is None
+    assert answer.status == 200
+    assert len(the_router.exchanges.sent) == 2
+
+
+async def test_connections_for_a_repeat_are_bounded(autojump_clock):
+    # After the first break no upstream accepts a connection: each try costs
+    # time that the caller waits.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, LOST)
+    first = next_choice(the_router).instance
+    the_router.exchanges.dead |= set(NAMES) - {first}
+    _, error = await the_router.ask()
+    assert isinstance(error, errors.OutcomeUnknown)
+    assert len(the_router.exchanges.sent) <= 2
+
+
+async def test_wait_is_given_up_only_if_its_repeat_is_held(autojump_clock):
+    # Two requests wait for slow upstreams beyond the limit, and one repeat is
+    # allowed. Both waits were given up for it: one request was sent again,
+    # the other lost its upstream, which would have answered, and got nothing.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    slow = fakes.reply(delay=2.5)
+    the_router = router(rule, slow, slow, fakes.reply())
+    the_router.budget.settings = ONE_REPEAT
+    results = []
+
+    async def ask():
+        results.append(await the_router.ask())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        nursery.start_soon(ask)
+    assert [error for _, error in results] == [None, None]
+    assert [answer.status for answer, _ in results] == [200, 200]
+    assert len(the_router.exchanges.sent) == 3
+
+
+async def test_prompt_is_not_copied_from_who_refused_it(autojump_clock):
+    # A chat is cached at its place, which is held back for a moment. The
+    # next upstream refuses the request as not run, a third one takes it. The
+    # refusal was noted as the chat's latest place: the third was told to
+    # copy the prompt from an upstream that never had it.
+    rule = fakes.rule(idempotent=True, attempts=3)
+    the_router = router(
+        rule, fakes.reply(), fakes.not_run(), fakes.reply(), fakes.reply()
+    )
+    parts = 'base:100,chat-1:900,own:50'
+    await the_router.ask(x_prompt_parts=parts)
+    place = the_router.exchanges.names()[0]
+    health = the_router.health
+    health.hold_back(health.record(place), trio.current_time() + 1.0)
+    answer, _ = await the_router.ask(x_prompt_parts=parts)
+    assert answer.status == 200
+    assert len(the_router.exchanges.sent) == 3
+    _, sent = the_router.exchanges.sent[-1]
+    address = b'127.0.0.1:%d' % upstream(place).vm.port
+    assert dict(sent.headers).get(b'x-copy-from') == address
+
+
+async def test_success_clears_a_death_that_is_still_examined(
+    nursery, autojump_clock
+):
+    # Two upstreams lose power at once; each had the same harmless request,
+    # which then succeeds at others. That both died is known a moment after
+    # these successes. The deaths were noted as if nothing had succeeded
+    # since, and the request was refused for two minutes.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, LOST, LOST, fakes.reply())
+    exchanges = the_router.exchanges
+    nursery.start_soon(the_router.crashes.run)
+    await trio.lowlevel.checkpoint()
+    async with trio.open_nursery() as callers:
+        callers.start_soon(the_router.ask)
+        callers.start_soon(the_router.ask)
+    died = set(exchanges.names()[:2])
+    assert len(died) == 2
+    assert len(exchanges.sent) == 4
+    exchanges.dead |= died
+    await trio.sleep(0.2)
+    answer, error = await the_router.ask()
+    assert (answer.status, error) == (200, None)
+
+
+async def test_version_that_cannot_be_compiled_is_not_in_force(
+    autojump_clock,
+):
+    # A version comes whose credentials cannot be used. It was marked as
+    # compiled first: the next request was served by the credentials of the
+    # version before, though they may have been taken away.
+    rule = fakes.rule()
+    the_router = router(rule, fakes.reply())
+    entry = the_router.entry
+    await entry.admit(fakes.request())
+    broken = (forwarding.ForwardCustomer('corte', (['k'],)),)
+    table = fakes.table(2, (rule,), broken)
+    the_router.snapshots.accept(fakes.snapshot(2, table, upstream('e1')), 1.0)
+    for _ in range(2):
+        with pytest.raises(TypeError):
+            await entry.admit(fakes.request())
+    assert entry.version == 1
--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -12,7 +12,7 @@
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 from lavenderbend.transport import caller_answers
-from lavenderbend.transport import caller_connections
+from lavenderbend.transport import caller_server
 from lavenderbend.transport import upstream_exchanges
 from tests import forwarding_fakes as fakes
 
@@ -222,7 +222,7 @@
         found.append(forwarding.Upstream(name, vm, 8))
     content = fakes.snapshot(1, fakes.table(1, (RULE,)), *found)
     router = fakes.Router(content, upstream_exchanges.UpstreamExchanges())
-    server = caller_connections.CallerServer(
+    server = caller_server.CallerServer(
         router.forwarder.forward, lambda: LIMITS, 100
     )
     port = await nursery.start(functools.partial(server.serve, HOST, 0))
