A version counts as compiled once all of it is

Cause: the number was set first, and rules and credentials one after the other; a fault between left credentials of the version before in force under the new number, for good. They are made first and set together. Credentials that are no list of texts are refused where the configuration is decoded, with the field's name; the version before then stays in force as long as its freshness allows, as with other unreadable fields.

--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -109,13 +109,17 @@
         """Prepares the rules and credentials of a version, once."""
         if table.version == self.version:
             return
-        self.version = table.version
-        self.compiled = rules_module.CompiledRules(table.rules)
-        self.customers = {
+        compiled = rules_module.CompiledRules(table.rules)
+        customers = {
             credential: customer
             for customer in table.customers
             for credential in customer.credentials
         }
+        # all or nothing: a fault on the way must not leave credentials of the
+        # version before under the number of this one
+        self.compiled = compiled
+        self.customers = customers
+        self.version = table.version
 
     def facts(self, request: interfaces.CallerRequest) -> rules_module.Facts:
         """Returns what rules look at."""
--- a/lavenderbend/platform/documents.py
+++ b/lavenderbend/platform/documents.py
@@ -317,10 +317,19 @@
 
 
 def customer(tenant: dict[str, Any]) -> forwarding.ForwardCustomer:
-    """Returns the customer of a tenant."""
+    """Returns the customer of a tenant.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: The credentials are no list of texts.
+    """
+    credentials = tenant['apiKeys']
+    check_type('apiKeys', credentials, list)
+    for credential in credentials:
+        check_type('apiKeys', credential, str)
     return forwarding.ForwardCustomer(
         name=tenant['name'],
-        credentials=tuple(tenant['apiKeys']),
+        credentials=tuple(credentials),
         rank=tenant.get('priority'),
     )
 
