--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -8,6 +8,8 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import budget
+from lavenderbend.coordination.forwarding import shared_freshness
+from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import forwarding
 from tests import forwarding_fakes as fakes
 
@@ -204,3 +206,46 @@
         with pytest.raises(TypeError):
             await entry.admit(fakes.request())
     assert entry.version == 1
+
+
+class OldSnapshots(fakes.Network):
+    """A link over which a router hands out an older snapshot than it told."""
+
+    def __init__(self, content):
+        super().__init__('10.0.0.1', {}, set())
+        self.content = content
+
+    async def fetch(self, host, known):
+        await trio.lowlevel.checkpoint()
+        return self.content.raw
+
+
+async def test_proof_of_one_snapshot_is_none_of_an_older_one(autojump_clock):
+    # A router tells that revision 12 was the newest just now. Before its
+    # snapshot is fetched it starts anew, and hands out revision 11 that it
+    # has of another router. The proof was taken over with it: a credential
+    # that revision 12 takes away would be served as confirmed.
+    the_router = router(fakes.rule(), fakes.reply())
+    followed = the_router.snapshots
+    await trio.sleep(10.0)
+    old = fakes.snapshot(11, fakes.table(11), upstream('e1'))
+    the_router.source.known[old.digest] = old
+    shared = shared_freshness.SharedFreshness(5, followed, OldSnapshots(old))
+    state = messages_forwarding.RouterState(
+        name='router-2',
+        incarnation=6,
+        host='10.0.0.2',
+        zone=fakes.ZONE,
+        leaving=False,
+        sent_at=1.0,
+        echo_incarnation=5,
+        echo_at=followed.clock(),
+        echo_held=0.0,
+        proof_age=0.0,
+        revision=12,
+        digest=12,
+        loads=[],
+    )
+    assert shared.note(state) == 0.0
+    await shared.fetch(shared.offer)
+    assert followed.age >= 10.0
