A proof from another router holds for what it was told of

Ruled out: the revision alone; a router's revision moves on where nothing has changed, and what it hands out keeps the revision of its read. Test: failed before (age 0 s), passes now; tests/test_coordination passes.

--- a/lavenderbend/coordination/forwarding/shared_freshness.py
+++ b/lavenderbend/coordination/forwarding/shared_freshness.py
@@ -28,12 +28,27 @@
 
     Attributes:
         host: That router.
+        revision: Revision at which it told of it.
+        digest: Digest of that snapshot.
         proved_at: Moment at which it was the newest, by this router's clock.
     """
 
     host: str
+    revision: int
+    digest: int
     proved_at: float
 
+    def proof_of(self, snapshot: forwarding.Snapshot) -> float:
+        """Returns the moment at which a fetched snapshot was the newest.
+
+        What is fetched may be older than what was told of: that router may
+        have started anew between. Its proof is none of an older one.
+        """
+        same = snapshot.digest == self.digest
+        if same or snapshot.revision >= self.revision:
+            return self.proved_at
+        return NEVER
+
 
 class SharedFreshness:
     """Takes over what other routers know of the store.
@@ -75,7 +90,9 @@
         proved_at = self.proved_at(state)
         if current is None or state.digest != current.digest:
             if current is None or state.revision > current.revision:
-                self.offer = Offer(state.host, proved_at)
+                self.offer = Offer(
+                    state.host, state.revision, state.digest, proved_at
+                )
                 self.offered.set()
             return 0.0
         gained = proved_at - self.followed.proved_at
@@ -123,7 +140,7 @@
         except (errors.PeerError, errors.CodecError) as exc:
             logs.change('peer_snapshot_failed', host=offer.host, cause=str(exc))
             return
-        self.followed.accept(snapshot, offer.proved_at)
+        self.followed.accept(snapshot, offer.proof_of(snapshot))
 
     async def fetch_raw(
         self, host: str, known: forwarding.RawSnapshot | None
