No call to the store takes what came behind an earlier answer

Cause: a kept connection was looked at for unread bytes, not for bytes that came with the last answer and lay read in its HTTP state. The next call took a second copy for its own answer: an old state of the store, proved as new. Such a connection is closed, and the call made on a new one.

Test: failed before, passes now; tests/test_platform passes.

--- a/lavenderbend/transport/http_calls.py
+++ b/lavenderbend/transport/http_calls.py
@@ -89,7 +89,7 @@
 
     async def connected(self) -> trio.SocketStream:
         """Returns the connection, opened if need be."""
-        if self.stream is not None and not self.stream.socket.is_readable():
+        if self.reusable():
             return self.stream
         self.close()
         self.stream = await socket_options.connect(self.host, self.port)
@@ -97,6 +97,16 @@
         self.protocol = h11.Connection(h11.CLIENT)
         return self.stream
 
+    def reusable(self) -> bool:
+        """Returns whether the kept connection may take a call.
+
+        Bytes behind the last answer, read or not, are its end or a second
+        answer: taken for the next call's, an old state would pass for new.
+        """
+        if self.stream is None or self.protocol.trailing_data[0]:
+            return False
+        return not self.stream.socket.is_readable()
+
     async def read_answer(self, stream: trio.SocketStream) -> CallAnswer:
         """Reads one answer."""
         status = 0
