--- a/lavenderbend/platform/configuration_document.py
+++ b/lavenderbend/platform/configuration_document.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from lavenderbend.platform import field_types
 from lavenderbend.state import configuration
 from lavenderbend.state import forwarding
 
@@ -75,10 +76,19 @@
 
 
 def customer(tenant: dict[str, Any]) -> forwarding.ForwardCustomer:
-    """Returns the customer of a tenant."""
+    """Returns the customer of a tenant.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: The credentials are no list of texts.
+    """
+    credentials = tenant['apiKeys']
+    field_types.check_type('apiKeys', credentials, list)
+    for credential in credentials:
+        field_types.check_type('apiKeys', credential, str)
     return forwarding.ForwardCustomer(
         name=tenant['name'],
-        credentials=tuple(tenant['apiKeys']),
+        credentials=tuple(credentials),
         rank=tenant.get('priority'),
     )
 
--- a/lavenderbend/platform/upstream_entries.py
+++ b/lavenderbend/platform/upstream_entries.py
@@ -6,6 +6,7 @@
 import re
 from typing import Any
 
+from lavenderbend.platform import field_types
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 
@@ -39,7 +40,7 @@
         TypeError: A field is of another type.
     """
     for field, kinds in UPSTREAM_FIELDS.items():
-        check_type(field, value[field], kinds)
+        field_types.check_type(field, value[field], kinds)
     if not UPSTREAM_ID.fullmatch(name):
         raise ValueError('the id cannot go into a header')
     host, _, port = value['address'].rpartition(':')
@@ -72,17 +73,5 @@
     born = value.get('born')
     if born is None:
         return name
-    check_type('born', born, int)
+    field_types.check_type('born', born, int)
     return f'{name}/{born}'
-
-
-def check_type(
-    field: str, value: object, kinds: type | tuple[type, ...]
-) -> None:
-    """Checks the type of a field; true and false are no numbers.
-
-    Raises:
-        TypeError: It is of another type.
-    """
-    if isinstance(value, bool) or not isinstance(value, kinds):
-        raise TypeError(f'{field}: {type(value).__name__}')
