A reload takes over apply_seconds whole

Cause: the entry kept the figure of the start, while the store was followed by the new one and the line named nothing that needs a new start.

--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -226,6 +226,7 @@
             address(text)[0] for text in forwarding.peers
         ]
         self.snapshots.settings = follow_settings(forwarding)
+        self.forwarder.entry.apply_seconds = forwarding.apply_seconds
         self.budget.settings = repeat_settings(forwarding)
         self.forwarder.chooser.load_factor = forwarding.load_factor
         restart = [
