Test: a second finding of the quarantine is not learned from its record

Fails on the code as it is. A router that missed the notices takes the record of a finding for known, because of an earlier finding whose time has ended.

--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -194,6 +194,33 @@
     assert len(routers.store.items) == 1
 
 
+async def test_second_finding_is_learned_after_the_first_has_ended(
+    routers, autojump_clock
+):
+    # A request was quarantined, and the time of that ended. It kills two
+    # more engines; the third router misses the notices and reads the record
+    # of the finding. It took the finding for known, from the first one, and
+    # let the request through to a further engine.
+    first, second, third = routers.all
+    await first.crashed(POISON, 'engine-0', 'a', 1, 0.1)
+    await second.crashed(POISON, 'engine-1', 'b', 1, 0.1)
+    await trio.sleep(quarantine.QUARANTINE_SECONDS + 5.0)
+    # the service's lease of the record has ended too
+    routers.store.items.clear()
+    for name in routers.names[:2]:
+        routers.network.cut(name, routers.names[2])
+    for one in (first, second):
+        one.check(POISON)
+    await first.crashed(POISON, 'engine-2', 'c', 1, 0.1)
+    await second.crashed(POISON, 'engine-3', 'd', 1, 0.1)
+    await trio.sleep(1)
+
+    with pytest.raises(errors.RequestQuarantined):
+        first.check(POISON)
+    with pytest.raises(errors.RequestQuarantined):
+        third.check(POISON)
+
+
 async def test_watches_spread_out_while_the_store_is_down(
     nursery, autojump_clock
 ):
