A finding whose time has ended hides no later one

Cause: a fingerprint counted as known for as long as it stood in the table, also after its time. A record is taken over now unless a finding holds.

--- a/lavenderbend/coordination/quarantine/quarantine.py
+++ b/lavenderbend/coordination/quarantine/quarantine.py
@@ -362,7 +362,8 @@
 
     def learn(self, fingerprint: int) -> None:
         """Takes over a finding from the key-value service."""
-        if fingerprint not in self.until:
+        # an earlier finding whose time has ended says nothing of this one
+        if self.until.get(fingerprint, 0.0) <= trio.current_time():
             self.quarantine(fingerprint, QUARANTINE_SECONDS)
 
     def expire(self) -> None:
