Type what a change of the store holds, keep suspicion apart from full, count a failure once

Causes: a change that is no object raised AttributeError, which the reader of the store does not catch; the hold of a full upstream and the one of a dead one were one number, and the shorter one stood; a 5xx to a resume was noted where it was read and again as a broken answer.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -185,7 +185,7 @@
         if answer.started:
             # a stream that is resumed has its head; a second one within it
             # would reach the caller as bytes of no answer
-            raise errors.UpstreamBroke(f'answered {head.status} to a resume')
+            raise errors.UpstreamError(f'answered {head.status} to a resume')
         if failed and waiting.may_repeat():
             ticket.fallback = tickets.WholeAnswer(head, body)
             raise errors.UpstreamError(f'answered {head.status}')
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -43,9 +43,11 @@
         failures: Failures, fading.
         successes: Successes, fading.
         at: Router clock of both.
-        avoid_until: Router clock until which others are preferred.
+        avoid_until: Router clock until which others are preferred for what
+            its answers showed.
         suspect_until: Router clock until which it is taken for dead or out
             of reach.
+        full_until: Router clock until which it is taken for full.
         rounds: How often it was avoided without a success between.
     """
 
@@ -54,8 +56,14 @@
     at: float = 0.0
     avoid_until: float = 0.0
     suspect_until: float = 0.0
+    full_until: float = 0.0
     rounds: int = 0
 
+    @property
+    def held_until(self) -> float:
+        """Router clock until which others are preferred, for any cause."""
+        return max(self.avoid_until, self.full_until)
+
     def fade(self) -> None:
         """Lets what was seen count less the longer ago it was."""
         now = trio.current_time()
@@ -178,7 +186,10 @@
     def note_full(self, instance: str) -> None:
         """Notes a refusal for want of room."""
         record = self.record(instance)
-        self.hold_back(record, trio.current_time() + FULL_SECONDS)
+        # apart from what it is avoided for: one that is found dead meanwhile
+        # is avoided for its whole time
+        record.full_until = trio.current_time() + FULL_SECONDS
+        self.quiet_from = max(self.quiet_from, record.full_until)
         AVOIDED.inc({'cause': 'full'})
 
     def avoid(self, instance: str, record: Record, cause: str) -> None:
@@ -211,7 +222,7 @@
         avoided: list[forwarding.Upstream] = []
         for upstream in found:
             record = self.records.get(upstream.instance)
-            if record is not None and record.avoid_until > now:
+            if record is not None and record.held_until > now:
                 avoided.append(upstream)
             else:
                 well.append(upstream)
@@ -221,10 +232,12 @@
         """Returns whether an upstream is avoided, in words."""
         record = self.records.get(instance)
         now = trio.current_time()
-        if record is None or record.avoid_until <= now:
+        if record is None or record.held_until <= now:
             return 'candidate'
-        cause = 'out of reach' if record.suspect_until > now else 'failed'
-        return f'avoided for {record.avoid_until - now:.1f} s: {cause}'
+        cause = 'failed' if record.avoid_until > now else 'full'
+        if record.suspect_until > now:
+            cause = 'out of reach'
+        return f'avoided for {record.held_until - now:.1f} s: {cause}'
 
     def retain(self, instances: Collection[str]) -> None:
         """Forgets upstreams that are no more."""
--- a/lavenderbend/platform/store_answers.py
+++ b/lavenderbend/platform/store_answers.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lavenderbend.platform import field_types
 from lavenderbend.state import forwarding
 
 
@@ -47,12 +48,15 @@
         KeyError: A field is missing.
         TypeError: A field is of another type.
     """
-    entries = tuple(decode_change(one) for one in value['events'])
+    events = value['events']
+    field_types.check_type('events', events, list)
+    entries = tuple(decode_change(one) for one in events)
     return forwarding.Changes(since, entries)
 
 
 def decode_change(value: dict[str, Any]) -> forwarding.Change:
     """Returns one change; raises as `decode_changes` does."""
+    field_types.check_type('event', value, dict)
     item = None if value.get('deleted') else decode_item(value)
     return forwarding.Change(int(value['rev']), value['key'], item)
 
