Name the upstream that broke off as the one that ended an attempt

Cause: a caller that had left in the same moment (its connection was reset with the upstream's) stood for the end of an attempt that its upstream had ended. Before: the test failed. After: it passes with the 11 others of the lines.

--- a/lavenderbend/coordination/forwarding/attempt_ends.py
+++ b/lavenderbend/coordination/forwarding/attempt_ends.py
@@ -64,10 +64,10 @@
     answer: interfaces.CallerAnswer, cause: BaseException
 ) -> errors.EndedBy:
     """Returns who ended the attempt."""
-    if answer.gone:
-        return errors.EndedBy.CALLER
     if isinstance(cause, errors.UpstreamError):
         return cause.ended_by
+    if answer.gone:
+        return errors.EndedBy.CALLER
     return errors.EndedBy.ROUTER
 
 
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -228,3 +228,14 @@
     line = await ended_attempt(lines, router([torn, rest], STREAM))
     assert line['unfinished_bytes'] == len(b'id: 2\nda')
     assert line['written_event'] == 1
+
+
+async def test_upstream_that_broke_off_is_named_though_its_caller_left(
+    autojump_clock, lines
+):
+    # connections of both are reset in the same moment
+    answer = WritingAnswer()
+    answer.gone = True
+    torn = fakes.reply(body=(event(1),), then=fakes.LOST_ANSWER)
+    line = await ended_attempt(lines, router([torn], STREAM), answer)
+    assert line['ended_by'] == 'upstream'
