--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -124,7 +124,11 @@
 
 
 class Answer(interfaces.CallerAnswer):
-    """Keeps what a caller gets."""
+    """Keeps what a caller gets, a write that was cut left out.
+
+    A write is cut before the caller has any of it, as one of a socket whose
+    buffer is full.
+    """
 
     def __init__(self):
         self.status = None
@@ -133,24 +137,30 @@
         self.heads = 0
 
     async def whole(self, status, headers, body):
-        self.started = self.finished = True
+        self.started = True
+        await self.write()
+        self.finished = True
         self.heads += 1
         self.status, self.headers, self.body = status, headers, body
-        await trio.lowlevel.checkpoint()
 
     async def start(self, status, headers):
         self.started = True
+        await self.write()
         self.heads += 1
         self.status, self.headers = status, headers
-        await trio.lowlevel.checkpoint()
 
     async def send(self, data):
+        await self.write()
         self.body += data
-        await trio.lowlevel.checkpoint()
 
     async def finish(self):
+        await self.write()
         self.finished = True
+
+    async def write(self):
+        self.mid_write = True
         await trio.lowlevel.checkpoint()
+        self.mid_write = False
 
 
 def reply(status=200, body=(b'done',), delay=0.0, then=None, **headers):
--- a/tests/test_coordination/test_forwarding_give_up.py
+++ b/tests/test_coordination/test_forwarding_give_up.py
@@ -56,14 +56,6 @@
         return PausingExchange(self, one.instance, fakes.reply())
 
 
-class SocketAnswer(fakes.Answer):
-    """The caller has what a write brought, unless it is cut before."""
-
-    async def send(self, data):
-        await trio.lowlevel.checkpoint()
-        self.body += data
-
-
 async def ask(schedule, pause):
     """Returns a caller's answer, and to how many upstreams it was sent."""
     trio._core._run._r.seed(schedule)
@@ -72,7 +64,7 @@
     found = [fakes.upstream('e1'), fakes.upstream('e2')]
     content = fakes.snapshot(1, fakes.table(1, (RULE,)), *found)
     router = fakes.Router(content, exchanges)
-    answer = SocketAnswer()
+    answer = fakes.Answer()
     async with trio.open_nursery() as nursery:
         exchanges.nursery = nursery
         nursery.start_soon(router.silence.run)
