Soak of forwarding routers: callers keep what came of a broken stream, resume and read slowly

The soak could not see the incident of the missing event: callers read at once, never came back with Last-Event-Id, and of an answer that broke off (httpx.TransportError) they threw the part that came away. Streams had five events without a pause.

Half of the callers are now h11 on plain sockets with a small receive buffer. They keep what comes, stop reading, leave within a stream, and resume at another router; what came must be a prefix of the stream, byte for byte. The engines pause, fall silent, break off, answer without a length, and contradict their numbers within one write. A link that lost bytes is reset: TCP loses none in the midst of a connection.

--- a/tests/integration/forwarding_soak.py
+++ b/tests/integration/forwarding_soak.py
@@ -15,10 +15,29 @@
 
 from lavenderbend import registry
 from tests import platform_standins as standins
+from tests import stream_standins
 from tests.integration import forwarding_fleet
 from tests.integration import proxy as proxies
+from tests.integration import stream_callers
 
 CALLERS = 8
+# so many of them keep what came of their streams, and resume
+STREAM_CALLERS = 4
+MOST_RESUMES = 4
+RESUME_SECONDS = 0.3
+TROUBLED_SHARE = 0.4
+# shorter than what a router takes for a stand-still of its own
+STALL_SECONDS = (0.05, 0.25)
+GAP_SECONDS = 0.02
+# with the smaller one the routers run out of repeats
+REPEAT_SHARES = (0.1, 0.5)
+RESUMED_STATUSES = (200, 401, 408, 421, 429, 503, 504)
+ROUTES = [
+    standins.route('chat', '/chat/', 'engines', 'streaming', resumable=True),
+    standins.route('draft', '/draft/', 'engines', 'streaming'),
+    standins.route('desk', '/desk/', 'desk', 'non_idempotent', maxAttempts=1),
+    standins.route('look', '/desk/look/', 'desk', 'idempotent'),
+]
 REQUEST_SECONDS = 8.0
 QUIET_SECONDS = 0.5
 SETTLE_SECONDS = 4.0
@@ -46,12 +65,16 @@
 
     Attributes:
         id: The request.
-        kind: `chat`, `desk` or `look`.
+        kind: `chat`, `draft`, `desk` or `look`.
         key: The credential.
         sent: Clock of its first byte.
         status: The HTTP status, 0 if the connection broke.
         body: What came of the body.
         signed: Whether the answer has an upstream's signature.
+        ended: How the answer ended.
+        after: The last event that its caller had before, 0 for none.
+        router: The host that it was sent to.
+        until: Clock of the end of its answer.
     """
 
     id: str
@@ -61,6 +84,22 @@
     status: int
     body: bytes = b''
     signed: bool = False
+    ended: str = stream_callers.COMPLETE
+    after: int = 0
+    router: str = ''
+    until: float = 0.0
+
+    @property
+    def path(self) -> str:
+        """Its target; a resume's id is that of the request and a count."""
+        kind = {'look': 'desk/look/1', 'desk': 'desk/send'}.get(
+            self.kind, f'{self.kind}/1'
+        )
+        return f'/{kind}/{self.id[1:].partition(".")[0]}'
+
+    @property
+    def streamed(self) -> bool:
+        return self.kind in ('chat', 'draft')
 
 
 class World(forwarding_fleet.ForwardingFleet):
@@ -68,9 +107,11 @@
 
     def __init__(self, folder, seed, routers=forwarding_fleet.ROUTERS) -> None:
         super().__init__(folder, routers)
+        self.seed = seed
         self.rng = random.Random(seed)
         self.told: list[Told] = []
         self.faults: list[str] = []
+        self.played: list[tuple[str, float, float]] = []
         self.violations: list[str] = []
         self.revoked: dict[str, float] = {}
         self.returned: list[tuple[str, float]] = []
@@ -81,11 +122,24 @@
         self.store_links = {}
         self.worker_links = {}
         self.count = 0
+        self.workers = {
+            name: self.stream_worker(worker)
+            if worker.service == 'engines'
+            else worker
+            for name, worker in self.workers.items()
+        }
+
+    def stream_worker(self, worker):
+        engine = stream_standins.StreamWorker(
+            worker.instance, worker.service, self.seed
+        )
+        engine.troubled = TROUBLED_SHARE
+        return engine
 
     async def start(self, nursery) -> None:
         await nursery.start(self.store.serve)
         for name, worker in self.workers.items():
-            worker.gap = 0.03
+            worker.gap = GAP_SECONDS
             await nursery.start(worker.serve)
             link = proxies.FaultProxy(standins.HOST, worker.port)
             await nursery.start(link.run)
@@ -96,7 +150,10 @@
             link = proxies.FaultProxy(standins.HOST, self.store.port)
             await nursery.start(link.run)
             self.store_links[router.host] = link
-            self.write_settings(router, store_port=link.port)
+            share = REPEAT_SHARES[self.seed % len(REPEAT_SHARES)]
+            self.write_settings(
+                router, store_port=link.port, repeat_share=share
+            )
             await router.process.start()
         for router in self.routers:
             await self.until(router.ready)
@@ -109,7 +166,9 @@
 
     def publish(self) -> None:
         tenants = [{'name': 'corte', 'apiKeys': self.keys, 'priority': 1}]
-        value = standins.configuration(self.version, tenants=tenants)
+        value = standins.configuration(
+            self.version, tenants=tenants, routes=ROUTES
+        )
         self.store.put('op/config', value)
         self.version += self.rng.randint(1, 3)
 
@@ -125,30 +184,24 @@
     async def call_by(self, client) -> None:
         while True:
             router = self.balancer.pick(self.rng)
-            kind, path, method = self.rng.choice(
-                (
-                    ('chat', '/chat/1', 'POST'),
-                    ('desk', '/desk/send', 'POST'),
-                    ('look', '/desk/look/1', 'GET'),
-                )
-            )
+            kind = self.rng.choice(('chat', 'desk', 'look'))
             self.count += 1
             number = self.count
             known = [*self.keys, *self.revoked]
             key = self.rng.choice(known)
             sent = trio.current_time()
-            told = Told(f'r{number}', kind, key, sent, 0)
+            told = Told(f'r{number}', kind, key, sent, 0, router=router.host)
             with trio.move_on_after(REQUEST_SECONDS):
-                told = await self.told_of(
-                    client, told, router, f'{path}/{number}', method
-                )
-            self.told.append(told)
+                told = await self.told_of(client, told, router)
+            until = trio.current_time()
+            self.told.append(attrs.evolve(told, until=until))
             await trio.sleep(self.rng.uniform(0.0, 0.1))
 
-    async def told_of(self, client, told, router, path, method) -> Told:
+    async def told_of(self, client, told, router) -> Told:
+        method = 'GET' if told.kind == 'look' else 'POST'
         try:
             answer = await forwarding_fleet.ask_by(
-                client, router, path, told.id[1:], method, told.key
+                client, router, told.path, told.id[1:], method, told.key
             )
         except forwarding_fleet.httpx.TransportError:
             return told
@@ -160,6 +213,99 @@
             signed=signature in answer.headers,
         )
 
+    async def call_streams(self, number) -> None:
+        """Reads one stream after the other, each to its end."""
+        rng = random.Random(f'{self.seed} caller {number}')
+        caller = stream_callers.StreamCaller(rng)
+        while True:
+            await self.whole_stream(caller, rng)
+            await trio.sleep(rng.uniform(0.0, 0.1))
+
+    async def whole_stream(self, caller, rng) -> None:
+        """Reads a stream, and resumes it elsewhere if it may be."""
+        kind = rng.choice(('chat', 'chat', 'draft'))
+        key = rng.choice(self.keys)
+        self.count += 1
+        request = f'r{self.count}'
+        after = 0
+        router = None
+        for number in range(1 + MOST_RESUMES):
+            router = self.other_router(router, rng)
+            told = Told(
+                f'{request}.{number}',
+                kind,
+                key,
+                trio.current_time(),
+                0,
+                after=after,
+                router=router.host,
+            )
+            told = await self.streamed(caller, told, router)
+            self.told.append(told)
+            if told.status == 200:
+                after = stream_callers.last_event(told.body, after)
+                if told.ended == stream_callers.COMPLETE:
+                    return
+            if kind == 'draft':
+                return
+            await trio.sleep(rng.uniform(0.0, RESUME_SECONDS))
+
+    async def streamed(self, caller, told, router) -> Told:
+        part = stream_callers.Part()
+        names = forwarding_fleet.headers()
+        headers = [
+            ('authorization', f'Bearer {told.key}'),
+            (names['request_id'], told.id),
+            (names['deadline'], '5000'),
+        ]
+        if told.after:
+            headers.append(('last-event-id', str(told.after)))
+        with trio.move_on_after(REQUEST_SECONDS):
+            await caller.ask(router, told.path, headers, part, told.after)
+        return attrs.evolve(
+            told,
+            status=part.status,
+            body=part.body,
+            signed=part.signed,
+            ended=part.ended,
+            until=trio.current_time(),
+        )
+
+    def other_router(self, last, rng):
+        """Returns a router other than the last, if one is in rotation."""
+        for _ in range(len(self.routers)):
+            router = self.balancer.pick(rng)
+            if router is not last:
+                break
+        return router
+
+    async def play_one(self, name) -> None:
+        begin = trio.current_time()
+        try:
+            await FAULTS.get(name)(self)
+        finally:
+            self.played.append((name, begin, trio.current_time()))
+
+    def in_play(self, told: Told) -> str:
+        """Returns the faults that were played during a request."""
+        return ', '.join(
+            f'{name} {begin - told.sent:+.2f}..{end - told.sent:+.2f} s'
+            for name, begin, end in self.played
+            if begin <= told.until and end >= told.sent
+        )
+
+    def done_for(self, told: Told) -> str:
+        """Returns what engines did with a request."""
+        return ', '.join(
+            f'{text} {at - told.sent:+.2f} s'
+            for at, text in sorted(
+                one
+                for worker in self.workers.values()
+                if isinstance(worker, stream_standins.StreamWorker)
+                for one in worker.did.get(told.id, [])
+            )
+        )
+
     async def play(self, seconds) -> None:
         """Plays faults, every second time two at once."""
         names = list(FAULTS)
@@ -169,7 +315,7 @@
             self.faults.append('+'.join(chosen))
             async with trio.open_nursery() as nursery:
                 for name in chosen:
-                    nursery.start_soon(FAULTS.get(name), self)
+                    nursery.start_soon(self.play_one, name)
             await trio.sleep(QUIET_SECONDS)
 
     def runs(self) -> dict[str, list]:
@@ -190,12 +336,24 @@
             self.check_left(name, at)
 
     def check_told(self, told: Told, ran: list) -> None:
-        found = self.violations
+        found = []
+        self.find(told, ran, found)
+        context = (
+            f' ({told.status}, {told.ended}, from {told.router}, after event '
+            f'{told.after}, in {told.until - told.sent:.2f} s; engines: '
+            f'{self.done_for(told)}; faults: {self.in_play(told)})'
+        )
+        self.violations.extend(text + context for text in found)
+
+    def find(self, told: Told, ran: list, found: list[str]) -> None:
+        """Adds what is wrong with what a caller was told."""
         if told.kind == 'desk' and len(ran) > 1:
             found.append(f'{told.id} ran {len(ran)} times')
         if told.status in NOT_RUN and told.kind == 'desk' and ran:
             found.append(f'{told.id} was told {told.status} and ran')
-        if told.status == 200 and not (told.signed and self.whole(told)):
+        if told.streamed:
+            self.find_streamed(told, found)
+        elif told.status == 200 and not (told.signed and self.whole(told)):
             found.append(f'{told.id} got {told.body!r} as a success')
         revoked = self.revoked.get(told.key)
         if revoked is None or told.sent < revoked + REVOCATION_SECONDS:
@@ -204,13 +362,41 @@
             late = told.sent - revoked
             found.append(f'{told.id} ran {late:.2f} s after its revocation')
 
+    def find_streamed(self, told: Told, found: list[str]) -> None:
+        """Adds what is wrong with a stream, also with one that broke off."""
+        if told.after and told.status not in (0, *RESUMED_STATUSES):
+            found.append(f'{told.id} resumed and was told {told.status}')
+        if told.status != 200:
+            if told.ended == stream_callers.MALFORMED:
+                found.append(f'{told.id} got an answer that is no HTTP')
+            return
+        fault = stream_callers.fault_in(
+            told.path, told.after, told.body, told.ended
+        )
+        if fault and not self.looks_complete(told):
+            found.append(f'{told.id} got {fault}')
+        if not told.signed:
+            found.append(f'{told.id} got no signature')
+
+    def looks_complete(self, told: Told) -> bool:
+        """Returns whether a link cut an answer without a length.
+
+        No router can tell one that is cut between two events from a
+        complete one.
+        """
+        done = self.done_for(told)
+        return (
+            'worker link' in self.in_play(told)
+            and any(plan in done for plan in stream_standins.UNFRAMED)
+            and told.ended == stream_callers.COMPLETE
+            and told.body.endswith(b'\n\n')
+            and not stream_callers.fault_in(
+                told.path, told.after, told.body, stream_callers.BROKEN
+            )
+        )
+
     def whole(self, told: Told) -> bool:
         """Returns whether a body is the whole answer to its request."""
-        if told.kind == 'chat':
-            return told.body == b''.join(
-                b'id: %d\ndata: x%d\n\n' % (number, number)
-                for number in range(1, 6)
-            )
         if told.body in (b'did it', b'the first', b'whole to the end'):
             return True
         return told.body.endswith(f'/{told.id[1:]}'.encode())
@@ -271,6 +457,19 @@
     world.disturb()
 
 
+@FAULTS.register('stalls')
+async def stalls(world):
+    # what its timers and its sockets have waiting meets in one turn
+    router = pick(world)
+    world.disturb()
+    for _ in range(8):
+        router.process.pause()
+        await trio.sleep(world.rng.uniform(*STALL_SECONDS))
+        router.process.resume()
+        await trio.sleep(world.rng.uniform(*STALL_SECONDS))
+    world.disturb()
+
+
 @FAULTS.register('stop')
 async def stop(world):
     router = pick(world)
@@ -335,13 +534,18 @@
         await link.reset()
     await trio.sleep(world.rng.uniform(0.2, 3.0))
     link.heal()
+    if choice in ('silent', 'one way'):
+        # TCP loses no bytes in the midst of a connection that goes on
+        await link.reset()
 
 
 @FAULTS.register('worker answers')
 async def worker_answers(world):
     for worker in world.workers.values():
         plans = (
-            PLANS if worker.service == 'desk' else (*PLANS[:3], 'breaks_off')
+            PLANS
+            if worker.service == 'desk'
+            else (*PLANS[:3], *stream_standins.PLANS)
         )
         worker.plans.extend(world.rng.choices(plans, k=3))
     await trio.sleep(1.0)
@@ -384,8 +588,11 @@
             await world.start(nursery)
             nursery.start_soon(world.balancer.run)
             async with trio.open_nursery() as callers:
-                for _ in range(CALLERS):
-                    callers.start_soon(world.call)
+                for number in range(CALLERS):
+                    if number < STREAM_CALLERS:
+                        callers.start_soon(world.call_streams, number)
+                    else:
+                        callers.start_soon(world.call)
                 await world.play(seconds)
                 await trio.sleep(SETTLE_SECONDS)
                 callers.cancel_scope.cancel()
@@ -397,6 +604,20 @@
     return world
 
 
+def streams(world) -> collections.Counter:
+    """Returns how streams ended, and how many were resumed."""
+    counts = collections.Counter()
+    for told in world.told:
+        if told.streamed and told.status == 200:
+            counts[told.ended] += 1
+            counts['resumed'] += bool(told.after)
+    for worker in world.workers.values():
+        if isinstance(worker, stream_standins.StreamWorker):
+            for did in worker.did.values():
+                counts['sent to a further engine'] += len(did) - 1
+    return counts
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
@@ -412,6 +633,7 @@
         failed += bool(world.violations)
         print(f'seed {seed}: {len(world.told)} requests, {dict(told)}')
         print(f'  faults: {", ".join(world.faults)}')
+        print(f'  streams: {dict(streams(world))}')
         for violation in world.violations:
             print(f'  VIOLATION {violation} (logs in {folder})')
         sys.stdout.flush()
--- a/tests/integration/test_integration_forwarding_soak.py
+++ b/tests/integration/test_integration_forwarding_soak.py
@@ -6,9 +6,13 @@
 import trio
 
 from tests import platform_standins as standins
+from tests import stream_standins
 from tests.integration import forwarding_soak
+from tests.integration import stream_callers
 
 KEY = 'llave-1'
+CHAT = '/chat/1/1'
+OTHER_CHAT = '/chat/1/5'
 
 
 # each seed that ever failed stands here with a line on its cause
@@ -67,7 +71,8 @@
         told(200, b'did /desk/send/2'),
         told(200, b''),
         told(200, signed=False),
-        told(200, b'id: 1\ndata: x1\n\n', 'chat'),
+        told(200, stream_standins.event(CHAT, 1), 'chat'),
+        told(200, stream_standins.body_of(OTHER_CHAT), 'chat'),
     ],
 )
 def test_answer_of_another_request_or_part_of_one_is_found(world, answer):
@@ -115,3 +120,126 @@
 
 async def always_ready(asked, stream, protocol):
     await stream.send_all(standins.encode(protocol, 200, [], b''))
+
+
+def events(*numbers, path=CHAT):
+    return b''.join(stream_standins.event(path, one) for one in numbers)
+
+
+def part(body, ended=stream_callers.BROKEN, after=0, status=200):
+    return forwarding_soak.Told(
+        *('r1.0', 'chat', KEY, 10.0, status, body, True, ended, after),
+        until=11.0,
+    )
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        part(b''),
+        part(events(1, 2, 3) + events(4)[:7]),
+        part(events(5, 6), stream_callers.LEFT, after=4),
+        part(stream_standins.body_of(CHAT), stream_callers.COMPLETE),
+        part(stream_standins.body_of(CHAT, 9), stream_callers.COMPLETE, 9),
+        part(b'', after=3, status=503),
+    ],
+)
+def test_part_of_a_stream_that_is_right_passes(world, answer):
+    world.told = [answer]
+    world.check()
+    assert world.violations == []
+
+
+@pytest.mark.parametrize('ended', [stream_callers.BROKEN, stream_callers.LEFT])
+@pytest.mark.parametrize(
+    ('body', 'after', 'due'),
+    [
+        (events(1, 2, 4), 0, 3),
+        (events(1, 2, 2), 0, 3),
+        (events(1, 2) + events(3)[:7] + events(3), 0, 3),
+        (events(1) + events(2, path=OTHER_CHAT), 0, 2),
+        (events(1, 2), 4, 5),
+        (events(6), 4, 5),
+        (events(17, 18), 16, 18),
+    ],
+)
+def test_gap_in_what_came_of_a_broken_stream_is_found(
+    world, body, after, due, ended
+):
+    # An engine breaks off, and events are lost or sent twice where the next
+    # one goes on; then that stream breaks as well. Its caller resumes behind
+    # the last event, and never has the lost ones.
+    world.told = [part(body, ended, after)]
+    world.check()
+    assert len(world.violations) == 1
+    assert f'event {due} is due' in world.violations[0]
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        part(events(1, 2)[:-3], stream_callers.COMPLETE),
+        part(events(1, 2), stream_callers.COMPLETE),
+        part(events(1, 2), stream_callers.MALFORMED),
+        part(b'', stream_callers.MALFORMED, status=0),
+        part(b'', after=3, status=404),
+    ],
+)
+def test_false_end_of_a_stream_is_found(world, answer):
+    world.told = [answer]
+    world.check()
+    assert len(world.violations) == 1
+
+
+def test_violation_says_what_was_done_and_played(world):
+    world.told = [part(events(1, 3))]
+    world.workers['i-e1'].did['r1.0'] = [(10.0, 'i-e1 skips after 0')]
+    world.played = [('kill', 9.0, 11.0), ('store', 1.0, 2.0)]
+    world.check()
+    assert 'i-e1 skips after 0' in world.violations[0]
+    assert 'kill' in world.violations[0]
+    assert 'store' not in world.violations[0]
+
+
+@pytest.mark.parametrize(
+    ('body', 'found'),
+    [(events(1, 2), False), (events(1, 2)[:-3], True), (events(1, 3), True)],
+)
+def test_link_that_cuts_between_events_is_no_router_s_fault(world, body, found):
+    # An engine answers without a length, and the link to it is reset between
+    # two events: to any router that is how such an answer ends.
+    world.told = [part(body, stream_callers.COMPLETE)]
+    world.workers['i-e1'].did['r1.0'] = [(10.0, 'i-e1 unframed after 0')]
+    world.played = [('worker link', 9.0, 11.0)]
+    world.check()
+    assert bool(world.violations) == found
+    world.violations.clear()
+    world.played = []
+    world.check()
+    assert world.violations
+
+
+async def test_callers_resume_at_another_router(tmp_path):
+    world = forwarding_soak.World(tmp_path, 1, routers=2)
+    async with trio.open_nursery() as nursery:
+        try:
+            for name in ('i-e1', 'i-e2'):
+                world.workers[name].troubled = 0.0
+            await world.start(nursery)
+            nursery.start_soon(world.call_streams, 1)
+            await world.until(lambda: has_resumed(world))
+        finally:
+            with trio.CancelScope(shield=True):
+                await world.end()
+        nursery.cancel_scope.cancel()
+    world.check()
+    assert world.violations == []
+    parts = {told.id: told for told in world.told}
+    resumed = next(told for told in world.told if told.after)
+    left = parts[f'{resumed.id.partition(".")[0]}.0']
+    assert left.ended == stream_callers.LEFT
+    assert left.router != resumed.router
+
+
+async def has_resumed(world):
+    return any(told.after and told.status == 200 for told in world.told)
