--- a/tests/integration/forwarding_soak.py
+++ b/tests/integration/forwarding_soak.py
@@ -366,6 +366,8 @@
         """Adds what is wrong with a stream, also with one that broke off."""
         if told.after and told.status not in (0, *RESUMED_STATUSES):
             found.append(f'{told.id} resumed and was told {told.status}')
+        if told.status == 401 and told.key not in self.revoked:
+            found.append(f'{told.id} was told 401 with a valid credential')
         if told.status != 200:
             if told.ended == stream_callers.MALFORMED:
                 found.append(f'{told.id} got an answer that is no HTTP')
@@ -611,10 +613,8 @@
         if told.streamed and told.status == 200:
             counts[told.ended] += 1
             counts['resumed'] += bool(told.after)
-    for worker in world.workers.values():
-        if isinstance(worker, stream_standins.StreamWorker):
-            for did in worker.did.values():
-                counts['sent to a further engine'] += len(did) - 1
+            further = world.done_for(told).count(' after ') - 1
+            counts['went on at a further engine'] += further
     return counts
 
 
--- a/tests/integration/stream_callers.py
+++ b/tests/integration/stream_callers.py
@@ -53,11 +53,12 @@
 
 def fault_in(path: str, after: int, body: bytes, ended: str) -> str:
     """Returns what is wrong with the events of an answer, empty if nothing."""
-    if ended == MALFORMED:
-        return 'the answer is no HTTP'
     due = stream_standins.body_of(path, after)
     if not due.startswith(body):
         return f'{differing(path, after, body)}, {ended}'
+    if ended == MALFORMED:
+        last = last_event(body, after)
+        return f'no HTTP behind event {last}'
     if ended == COMPLETE and body != due:
         last, most = last_event(body, after), stream_standins.length_of(path)
         rest = len(body.rpartition(b'\n\n')[2])
--- a/tests/integration/test_integration_forwarding_soak.py
+++ b/tests/integration/test_integration_forwarding_soak.py
@@ -183,6 +183,7 @@
         part(events(1, 2), stream_callers.MALFORMED),
         part(b'', stream_callers.MALFORMED, status=0),
         part(b'', after=3, status=404),
+        part(b'', status=401),
     ],
 )
 def test_false_end_of_a_stream_is_found(world, answer):
@@ -226,7 +227,8 @@
             for name in ('i-e1', 'i-e2'):
                 world.workers[name].troubled = 0.0
             await world.start(nursery)
-            nursery.start_soon(world.call_streams, 1)
+            for number in range(forwarding_soak.STREAM_CALLERS):
+                nursery.start_soon(world.call_streams, number)
             await world.until(lambda: has_resumed(world))
         finally:
             with trio.CancelScope(shield=True):
