--- a/tests/integration/forwarding_soak.py
+++ b/tests/integration/forwarding_soak.py
@@ -29,6 +29,7 @@
 TROUBLED_SHARE = 0.4
 # shorter than what a router takes for a stand-still of its own
 STALL_SECONDS = (0.05, 0.25)
+RUN_SECONDS = (0.0, 0.1)
 GAP_SECONDS = 0.02
 # with the smaller one the routers run out of repeats
 REPEAT_SHARES = (0.1, 0.5)
@@ -142,6 +143,7 @@
         self.keys = [f'llave-{number}' for number in range(1, 9)]
         self.store_links = {}
         self.worker_links = {}
+        self.held: set[str] = set()
         self.count = 0
         self.workers = {
             name: self.stream_worker(worker)
@@ -300,6 +302,22 @@
                 break
         return router
 
+    async def stall(self) -> None:
+        """Stops routers for moments, as a busy machine does.
+
+        What a router's timers and its sockets have waiting then meets in one
+        turn of its event loop.
+        """
+        rng = random.Random(f'{self.seed} stalls')
+        while True:
+            router = rng.choice(self.routers)
+            if router.host not in self.held:
+                router.process.pause()
+            await trio.sleep(rng.uniform(*STALL_SECONDS))
+            if router.host not in self.held:
+                router.process.resume()
+            await trio.sleep(rng.uniform(*RUN_SECONDS))
+
     async def play_one(self, name) -> None:
         begin = trio.current_time()
         try:
@@ -488,25 +506,14 @@
     # the clock that counts suspension goes on under SIGSTOP
     router = pick(world)
     world.disturb()
+    world.held.add(router.host)
     router.process.pause()
     await trio.sleep(world.rng.uniform(0.5, 6.0))
+    world.held.discard(router.host)
     router.process.resume()
     world.disturb()
 
 
-@FAULTS.register('stalls')
-async def stalls(world):
-    # what its timers and its sockets have waiting meets in one turn
-    router = pick(world)
-    world.disturb()
-    for _ in range(8):
-        router.process.pause()
-        await trio.sleep(world.rng.uniform(*STALL_SECONDS))
-        router.process.resume()
-        await trio.sleep(world.rng.uniform(*STALL_SECONDS))
-    world.disturb()
-
-
 @FAULTS.register('stop')
 async def stop(world):
     router = pick(world)
@@ -623,6 +630,7 @@
         try:
             await world.start(nursery)
             nursery.start_soon(world.balancer.run)
+            nursery.start_soon(world.stall)
             async with trio.open_nursery() as callers:
                 for number in range(CALLERS):
                     if number < STREAM_CALLERS:
