--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -36,12 +36,14 @@
         process: The process.
         callers: Port for callers.
         readiness: Port for the balancer.
+        answered: The process that was ready last.
     """
 
     host: str
     process: processes.Process
     callers: int
     readiness: int
+    answered: trio.Process | None = None
 
     @property
     def url(self) -> str:
@@ -51,10 +53,13 @@
         """Returns whether this process, and no other at its port, is ready."""
         if not self.process.running:
             return False
+        process = self.process.process
         async with httpx.AsyncClient(timeout=1.0) as client:
             url = f'http://{self.host}:{self.readiness}/lavenderbend/ready'
             with contextlib.suppress(httpx.HTTPError):
-                return (await client.get(url)).status_code == 200
+                if (await client.get(url)).status_code == 200:
+                    self.answered = process
+                    return True
         return False
 
 
@@ -174,12 +179,16 @@
                 self.misses[router.host] += 1
             await trio.sleep(ASK_SECONDS)
 
-    def pick(self, rng) -> Router:
-        """Returns a router; all are used if under half are in rotation."""
+    def pick(self, rng, last=None) -> Router:
+        """Returns a router; all are used if under half are in rotation.
+
+        One other than the last is taken if there is one.
+        """
         well = [one for one in self.routers if self.misses[one.host] < MISSES]
         if len(well) * 2 < len(self.routers):
             well = self.routers
-        return rng.choice(well)
+        others = [one for one in well if one is not last]
+        return rng.choice(others or well)
 
 
 def headers() -> dict:
