--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -315,3 +315,44 @@
         *('--header', 'host:a.example'),
     )
     assert 'i-d1 would be taken' in explanation
+
+
+async def listening_early(fleet, router):
+    """Starts a router anew; returns once it listens, before it has started."""
+    address = f'{router.host}:{router.callers}'
+    router.process.variables = {early_listener.ADDRESS_VARIABLE: address}
+    await router.process.end()
+    await router.process.start()
+    with trio.fail_after(forwarding_fleet.WAIT_SECONDS):
+        while True:
+            try:
+                return await trio.open_tcp_stream(router.host, router.callers)
+            except OSError:
+                await trio.sleep(0.001)
+
+
+async def test_reload_while_a_router_starts_does_not_end_it(fleet):
+    # The settings file changes as a router starts, and its process is told
+    # by SIGHUP while it still loads its libraries. It ended by the signal,
+    # with the callers whose connections waited for it.
+    router = fleet.routers[0]
+    stream = await listening_early(fleet, router)
+    router.process.signal(signal.SIGHUP)
+    await fleet.until(router.ready)
+    caller = forwarding_fleet.KeptCaller(stream)
+    assert (await caller.ask('/desk/send', 1))[:2] == (200, b'did /desk/send')
+    assert 'settings_reloaded' in router.process.log.read_text()
+
+
+async def test_stop_while_a_router_starts_cuts_off_no_caller(fleet):
+    # A router is stopped as it starts. A caller whose connection waits is
+    # told that its request has not run, or is served; it is not cut off.
+    router = fleet.routers[0]
+    stream = await listening_early(fleet, router)
+    router.process.signal(signal.SIGTERM)
+    caller = forwarding_fleet.KeptCaller(stream)
+    status, _, stays = await caller.ask('/desk/send', 1)
+    assert status in (200, 503)
+    assert not stays
+    with trio.fail_after(forwarding_fleet.WAIT_SECONDS):
+        assert await router.process.process.wait() == 0
