Keep signals that come while a router starts until it can act on them

Cause: handlers are installed 0.3 to 0.6 s after the process has begun to listen; until then SIGHUP and SIGTERM end it, and cut off the callers whose connections wait. They are noted from the first line of the program on, and done once the router handles signals. Left: the interpreter's own start, some 30 ms.

--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -29,6 +29,7 @@
 from lavenderbend.state import decisions
 from lavenderbend.state import forwarding as forwarding_state
 from lavenderbend.transport import caller_server
+from lavenderbend.transport import early_signals
 from lavenderbend.transport import peer_datagrams
 from lavenderbend.transport import readiness
 from lavenderbend.transport import upstream_exchanges
@@ -335,11 +336,18 @@
     """Begins a graceful stop, or reads the settings again, at a signal."""
     watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*watched) as received:
+        for number in early_signals.take(watched):
+            handle_signal(daemon, path, number)
         async for number in received:
-            if number == signal.SIGHUP:
-                reload_settings(daemon, path)
-            else:
-                daemon.stop()
+            handle_signal(daemon, path, number)
+
+
+def handle_signal(daemon: ForwardingDaemon, path: str, number: int) -> None:
+    """Does what a signal asks for."""
+    if number == signal.SIGHUP:
+        reload_settings(daemon, path)
+    else:
+        daemon.stop()
 
 
 def reload_settings(daemon: ForwardingDaemon, path: str) -> None:
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -26,6 +26,7 @@
 from lavenderbend.state import decisions as decisions_module
 from lavenderbend.state import upstreams
 from lavenderbend.transport import callers
+from lavenderbend.transport import early_signals
 from lavenderbend.transport import operators
 from lavenderbend.transport import orders_http
 from lavenderbend.transport import serving
@@ -359,6 +360,8 @@
 async def stop_on_signal(daemon: RouterDaemon) -> None:
     """Begins a graceful stop at the first signal."""
     with trio.open_signal_receiver(*STOP_SIGNALS) as received:
+        if early_signals.take(STOP_SIGNALS):
+            daemon.stop()
         async for _ in received:
             daemon.stop()
 
