--- a/lavenderbend/coordination/forwarding/attempt_ends.py
+++ b/lavenderbend/coordination/forwarding/attempt_ends.py
@@ -41,7 +41,7 @@
     # a nursery on the way may have wrapped a cancellation
     cancelled = not isinstance(cause, Exception)
     kind = CANCELLED if cancelled else type(cause).__name__
-    unwritten = cutter.last != cutter.written
+    unwritten = answer.mid_write or cutter.read != cutter.written
     ENDS.inc({'by': by.value, 'kind': kind, 'unwritten': str(int(unwritten))})
     logs.change(
         'attempt_failed',
@@ -52,10 +52,10 @@
         ended_by=by.value,
         may_have_run=ticket.may_have_run,
         began=answer.started,
-        last_event=cutter.last,
-        written_event=cutter.written,
+        last_event=cutter.read.number,
+        written_event=cutter.written.number,
         unfinished_bytes=len(cutter.rest),
-        waited_for='upstream' if waiting.reading else 'caller',
+        waited_for=waited_for(answer, waiting),
         waited=round(trio.current_time() - waiting.since, 4),
     )
 
@@ -71,6 +71,15 @@
     return errors.EndedBy.ROUTER
 
 
+def waited_for(
+    answer: interfaces.CallerAnswer, waiting: silence.Waiting
+) -> str:
+    """Returns who was waited for, empty if it was nobody."""
+    if answer.mid_write:
+        return 'caller'
+    return 'upstream' if waiting.reading else ''
+
+
 def cancel_cause(
     ticket: tickets.Ticket, answer: interfaces.CallerAnswer
 ) -> str:
--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -16,6 +16,7 @@
 
     from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import directory as directories
+    from lavenderbend.coordination.forwarding import events
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import outgoing
@@ -23,6 +24,7 @@
     from lavenderbend.state import forwarding
     from lavenderbend.state import forwarding_settings
 
+EVENT_STREAM = b'text/event-stream'
 MISDIRECTED = 421
 SERVER_ERROR = 500
 # an upstream that is only slow answers within this many targets; one that
@@ -140,6 +142,7 @@
             UpstreamError: The caller has no whole answer yet.
         """
         ticket.used.append(upstream.instance)
+        ticket.cutter.restart()
         earlier = ticket.may_have_run
         # from the first byte on only the upstream can say that it did not
         # run: a caller that is told so sends the request again
@@ -256,6 +259,23 @@
         if interfaces.header(head.headers, b'content-encoding') is not None:
             raise errors.UpstreamBroke('an encoded body that nobody asked for')
 
+    def check_end(
+        self, head: interfaces.AnswerHead, cutter: events.EventCutter
+    ) -> None:
+        """Checks the end of a stream whose last event lacks its blank line.
+
+        Raises:
+            UpstreamLost: It broke off. Only the close of its connection ends
+                this stream: within an event its caller would take what broke
+                off for complete.
+            AnswerContradicts: The event does not go on behind the last one.
+        """
+        kind = interfaces.header(head.headers, b'content-type') or b''
+        of_events = cutter.begun or kind.startswith(EVENT_STREAM)
+        if of_events and not head.framed:
+            raise errors.UpstreamLost('closed within an event')
+        cutter.check_rest()
+
     def first_byte_seconds(self, ticket: tickets.Ticket) -> float:
         """Returns how long an upstream may take to begin its answer."""
         wanted = FIRST_BYTE_TARGETS * ticket.rule.then.target
@@ -276,7 +296,6 @@
             UpstreamBroke: It broke off.
         """
         cutter = ticket.cutter
-        cutter.restart()
         while (data := await waiting.read(exchange.read)) is not None:
             self.silence.note_bytes(waiting)
             whole = cutter.feed(data)
@@ -289,10 +308,8 @@
                 await answer.start(head.status, head.headers)
             await answer.send(whole)
             cutter.note_written()
-        if cutter.rest and not head.framed:
-            # only its connection's close ends this stream: within an event
-            # it broke off, and its caller would take it for complete
-            raise errors.UpstreamLost('closed within an event')
+        if cutter.rest:
+            self.check_end(head, cutter)
         if not answer.started:
             await answer.start(head.status, head.headers)
         if cutter.rest:
--- a/lavenderbend/coordination/forwarding/crashes.py
+++ b/lavenderbend/coordination/forwarding/crashes.py
@@ -138,13 +138,16 @@
         if not self.records and not self.losses:
             return
         mark = self.fingerprint(ticket)
+        if self.clear(mark):
+            self.tell(messages_forwarding.CrashNotice(mark, [], True))
+
+    def clear(self, mark: int) -> bool:
+        """Forgets the deaths of a fingerprint; returns whether any counted."""
         for loss in self.losses:
             # its record comes after this success, and must not outlive it
             if loss.mark == mark:
                 loss.cleared = True
-        found = self.records.pop(mark, None)
-        if found is not None:
-            self.tell(messages_forwarding.CrashNotice(mark, [], True))
+        return self.records.pop(mark, None) is not None
 
     def note_lost(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
@@ -207,7 +210,7 @@
     def on_notice(self, notice: messages_forwarding.CrashNotice) -> None:
         """Takes in what another router tells."""
         if notice.cleared:
-            self.records.pop(notice.fingerprint, None)
+            self.clear(notice.fingerprint)
             return
         self.note_death(notice.fingerprint, list(notice.instances))
 
--- a/lavenderbend/coordination/forwarding/entry.py
+++ b/lavenderbend/coordination/forwarding/entry.py
@@ -217,7 +217,9 @@
             need=choice.Need(
                 choice.parse_parts(request.header(self.headers.prompt_parts))
             ),
-            cutter=events.EventCutter(int(last) if last.isdigit() else None),
+            cutter=events.EventCutter(
+                events.parse_number(last.encode('latin-1'))
+            ),
         )
 
 
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -27,6 +27,8 @@
 
 # upstreams that no connection is to be had to cost half a second each
 MAX_UNREACHABLE = 4
+# for which a repeat may be held before it is sent: two connects that time out
+HOLD_SECONDS = 1.0
 
 SECONDS_BUCKETS = (0.025, 0.05, 0.1, 0.125, 0.25, 0.5, 0.6, 1.0, 2.0, 5.0, 15.0)
 ENDED = metrics.counter(
@@ -151,7 +153,7 @@
             outcome=outcome,
             detail=detail,
             may_have_run=ticket is not None and ticket.may_have_run,
-            last_event=None if ticket is None else ticket.cutter.last,
+            last_event=None if ticket is None else ticket.cutter.read.number,
             peers=self.budget.fleet_size(),
             began=answer.started,
             seconds=round(seconds, 4),
@@ -261,6 +263,9 @@
             if answer.started and not self.may_resume(ticket):
                 # nobody could go on: what is silent may still come
                 return False
+            if not self.chooser.directory.of(ticket.service):
+                return False
+            self.drop_lapsed(ticket)
             if ticket.may_send:
                 return True
             if not self.budget.available(ticket.service):
@@ -276,12 +281,25 @@
         if not self.budget.try_take(ticket.service):
             return False
         ticket.repeats += 1
+        ticket.repeat_at = trio.current_time()
         return True
 
+    def drop_lapsed(self, ticket: tickets.Ticket) -> None:
+        """Forgets a repeat that was taken and not sent for a while.
+
+        Its wait ended by itself. Sent when its upstream fails much later, it
+        would come on top of all that the fleet may repeat by then.
+        """
+        held = ticket.used and ticket.may_send
+        if held and trio.current_time() - ticket.repeat_at > HOLD_SECONDS:
+            ticket.repeats -= 1
+
     def go_on(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> bool:
         """Returns whether another upstream is tried."""
+        if answer.gone:
+            return False
         if answer.mid_write:
             # the caller may have a part of it: nothing can follow
             return False
@@ -289,13 +307,14 @@
             return False
         if answer.started and not self.may_resume(ticket):
             return False
+        self.drop_lapsed(ticket)
         if ticket.may_send:
             return len(ticket.unreachable) < MAX_UNREACHABLE
         return self.take_repeat(ticket)
 
     def may_resume(self, ticket: tickets.Ticket) -> bool:
         """Returns whether another upstream can go on with a stream."""
-        return ticket.rule.then.resumable and ticket.cutter.numbered
+        return ticket.rule.then.resumable and ticket.cutter.written.numbered
 
     async def give_up(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
@@ -337,7 +356,7 @@
         upstream=record.upstream,
         why=record.reason,
         passed_over=passed_over_texts([record]),
-        after_event=ticket.cutter.written,
+        after_event=ticket.cutter.written.number,
         seconds_left=round(ticket.left, 3),
     )
 
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -76,7 +76,7 @@
             headers.append((b'content-length', b'%d' % len(request.body)))
         if ticket.attempt_hop is not None:
             headers = traced(headers, ticket.attempt_hop)
-        written = ticket.cutter.written
+        written = ticket.cutter.written.number
         if written is not None:
             headers = [item for item in headers if item[0] != LAST_EVENT_ID]
             headers.append((LAST_EVENT_ID, b'%d' % written))
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -49,6 +49,7 @@
             and what became of each attempt.
         unreachable: Instances that no connection was to be had to.
         repeats: Repeats that were taken for it, sent or not.
+        repeat_at: Router clock at which the last of them was taken.
         may_have_run: Whether an upstream may have begun to run it.
         fingerprint: What it has in common with its repetitions, None until
             it is asked for.
@@ -72,6 +73,7 @@
     placed: list[decisions.Attempt] = attrs.field(factory=list)
     unreachable: list[str] = attrs.field(factory=list)
     repeats: int = 0
+    repeat_at: float = 0.0
     may_have_run: bool = False
     fingerprint: int | None = None
     logged: bool = False
--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from lavenderbend.transport import caller_connections
 
+HEAD = b'HEAD'
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -25,8 +26,19 @@
 class ConnectionAnswer(interfaces.CallerAnswer):
     """The answer to one request on a connection."""
 
-    def __init__(self, connection: caller_connections.CallerConnection) -> None:
+    def __init__(
+        self,
+        connection: caller_connections.CallerConnection,
+        method: bytes = b'',
+    ) -> None:
+        """Makes an answer.
+
+        Args:
+            connection: Where it is written.
+            method: Of the request, empty for one that could not be read.
+        """
         self.connection = connection
+        self.method = method
 
     def closing(self) -> bool:
         """Whether the connection closes after this answer."""
@@ -68,7 +80,8 @@
         length = (b'content-length', b'%d' % len(body))
         await self.write(
             self.head(status, (*headers, length)),
-            h11.Data(data=body),
+            # the answer to HEAD states a length and has no body
+            h11.Data(data=b'' if self.method == HEAD else body),
             h11.EndOfMessage(),
         )
         self.finished = True
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 import h11
@@ -19,6 +20,9 @@
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.transport import caller_server
 
+HTTP_1_0 = b'1.0'
+# on, and no time to send what is left
+RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 # time for a caller to take the answer that says why its connection closes
 FAREWELL_SECONDS = 1.0
 
@@ -126,13 +130,26 @@
             sent: what followed on this connection would be read as the rest
             of this answer.
         """
-        answer = caller_answers.ConnectionAnswer(self)
+        answer = caller_answers.ConnectionAnswer(self, request.method)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch_caller, answer, nursery.cancel_scope)
             await self.handle(request, answer)
             nursery.cancel_scope.cancel()
+        if answer.started and not answer.finished:
+            self.break_off()
         return answer.finished
 
+    def break_off(self) -> None:
+        """Has a caller of HTTP/1.0 see that its answer is not whole.
+
+        Its answer ends with the connection: closed in the usual way, a part
+        would pass for the whole. Others lack the last chunk, or bytes.
+        """
+        if self.protocol.their_http_version == HTTP_1_0:
+            self.stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+            )
+
     async def handle(
         self,
         request: interfaces.CallerRequest,
@@ -141,7 +158,7 @@
         """Has the request answered, or says why it is not.
 
         An answer that has begun and cannot be completed ends with its
-        connection: without its last chunk it cannot pass for complete.
+        connection; see `break_off`.
         """
         try:
             await self.server.handler(request, answer)
--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 import trio
+import trio.testing
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import budget
@@ -275,3 +276,101 @@
     await the_router.ask()
     second = the_router.exchanges.names()[1]
     assert the_router.health.record(second).failures == pytest.approx(1.0)
+
+
+async def test_event_that_nobody_got_hinders_no_resume(autojump_clock):
+    # An upstream sends an event without a number and contradicts itself in
+    # the same bytes: nothing of them is passed on. The next one is sound and
+    # breaks off; a third can go on behind it.
+    rule = fakes.rule(streaming=True, resumable=True, attempts=3)
+    the_router = router(
+        rule,
+        fakes.reply(body=(event(1), b'data: q\n\n' + event(9))),
+        fakes.reply(body=(event(2),), then=LOST),
+        fakes.reply(body=(event(3),)),
+        names=NAMES[:3],
+    )
+    answer, error = await the_router.ask()
+    assert error is None
+    assert answer.body == event(1) + event(2) + event(3)
+
+
+def event(number):
+    return b'id: %d\ndata: x%d\n\n' % (number, number)
+
+
+async def test_second_of_two_events_without_a_number_is_seen(autojump_clock):
+    # both come in one read; the number of the first is none of the second
+    rule = fakes.rule(streaming=True, resumable=True, attempts=2)
+    both = event(1) + b'data: q\n\n'
+    the_router = router(rule, fakes.reply(body=(both,), then=LOST))
+    answer, error = await the_router.ask()
+    assert isinstance(error, errors.OutcomeUnknown)
+    assert answer.body == both
+    assert len(the_router.exchanges.sent) == 1
+
+
+@pytest.mark.parametrize('value', ['\u00b2', '9' * 5000])
+async def test_last_event_of_a_caller_that_is_no_number(value, autojump_clock):
+    rule = fakes.rule(streaming=True, resumable=True)
+    the_router = router(rule, fakes.reply(body=(event(1),)))
+    answer, error = await the_router.ask(last_event_id=value)
+    assert (answer.body, error) == (event(1), None)
+
+
+async def test_wait_is_kept_if_nobody_is_left_to_follow(autojump_clock):
+    # The only upstream leaves the store while it works on a request. Given
+    # up, the request would have nobody; its answer comes 2.5 s later.
+    rule = fakes.rule(idempotent=True, attempts=2)
+    the_router = router(rule, fakes.reply(delay=2.5), names=('e1',))
+
+    async def leave():
+        await trio.sleep(0.1)
+        table = the_router.snapshots.table
+        the_router.snapshots.accept(fakes.snapshot(2, table), 1.0)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leave)
+        answer, error = await the_router.ask()
+    assert (answer.status, error) == (200, None)
+
+
+async def test_repeat_that_was_held_for_long_is_taken_anew(autojump_clock):
+    # A wait was allowed a repeat and ended by itself. Its upstream fails 11 s
+    # later, as the fleet has just repeated all that it may in 10 s.
+    rule = fakes.rule(streaming=True, resumable=True, attempts=2)
+    the_router = router(rule, fakes.reply())
+    the_router.budget.settings = ONE_REPEAT
+    ticket = await the_router.entry.admit(fakes.request())
+    ticket.used.append('e1')
+    answer = fakes.Answer()
+    assert the_router.forwarder.repeat_check(ticket, answer)()
+    await trio.sleep(11.0)
+    assert the_router.budget.try_take(SERVICE)
+    assert not the_router.forwarder.go_on(ticket, answer)
+
+
+async def test_success_told_by_another_router_clears_an_examined_death(
+    nursery, autojump_clock
+):
+    rule = fakes.rule(idempotent=True, attempts=1)
+    the_router = router(rule, LOST)
+    nursery.start_soon(the_router.crashes.run)
+    await trio.testing.wait_all_tasks_blocked()
+    await the_router.ask()
+    (loss,) = the_router.crashes.losses
+    the_router.exchanges.dead |= set(NAMES)
+    cleared = messages_forwarding.CrashNotice(loss.mark, [], True)
+    the_router.crashes.on_notice(cleared)
+    await trio.sleep(1.0)
+    assert the_router.crashes.records == {}
+
+
+async def test_request_whose_caller_left_goes_nowhere_else(autojump_clock):
+    rule = fakes.rule(streaming=True, resumable=True, attempts=2)
+    the_router = router(rule, LOST, fakes.reply(body=(event(1),)))
+    answer = fakes.Answer()
+    answer.gone = True
+    with pytest.raises(errors.OutcomeUnknown):
+        await the_router.forwarder.forward(fakes.request(), answer)
+    assert len(the_router.exchanges.sent) == 1
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -159,7 +159,9 @@
     seconds = 0.0
 
     async def send(self, data):
+        self.mid_write = True
         await fakes.trio.sleep(self.seconds)
+        self.mid_write = False
         self.body += data
 
 
@@ -186,7 +188,7 @@
     ),
     'contradicts': (
         fakes.reply(body=(event(1), event(9))),
-        ('AnswerContradicts', 'router', 'caller', 'event 9 after event 1'),
+        ('AnswerContradicts', 'router', '', 'event 9 after event 1'),
     ),
 }
 
@@ -239,3 +241,23 @@
     torn = fakes.reply(body=(event(1),), then=fakes.LOST_ANSWER)
     line = await ended_attempt(lines, router([torn], STREAM), answer)
     assert line['ended_by'] == 'upstream'
+
+
+async def test_failure_that_is_held_says_that_nobody_was_waited_for(
+    autojump_clock, lines
+):
+    rule = fakes.rule(idempotent=True, attempts=2)
+    line = await ended_attempt(
+        lines, router([fakes.reply(500), fakes.reply()], rule)
+    )
+    assert (line['ended_by'], line['waited_for']) == ('upstream', '')
+
+
+async def test_line_of_a_later_attempt_has_its_own_unfinished_bytes(
+    autojump_clock, lines
+):
+    torn = fakes.reply(body=(event(1), b'id: 2'), then=fakes.LOST_ANSWER)
+    rule = fakes.rule(streaming=True, resumable=True, attempts=3)
+    await ended_attempt(lines, router([torn, fakes.LOST_ANSWER], rule))
+    failed = named(lines, 'attempt_failed')
+    assert [line['unfinished_bytes'] for line in failed[:2]] == [5, 0]
--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -280,7 +280,7 @@
         assert whole.startswith(got)
         assert not got or got.endswith(b'\n\n')
         assert got + cutter.feed(whole[cut:]) == whole
-        assert cutter.last == 2
+        assert cutter.read.number == 2
 
 
 def test_events_that_were_not_written_are_asked_for_again():
@@ -290,7 +290,7 @@
     cutter.feed(b'id: 1\ndata: a\n\n')
     cutter.note_written()
     cutter.feed(b'id: 2\ndata: b\n\nid: 3\nda')
-    assert cutter.written == 1
+    assert cutter.written.number == 1
     cutter.restart()
     with pytest.raises(errors.AnswerContradicts):
         cutter.feed(b'id: 3\ndata: c\n\n')
--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -45,6 +45,16 @@
     assert watch.health.is_suspected('e1')
 
 
+async def test_caller_that_is_waited_for_is_no_silence(watch, autojump_clock):
+    # the router does not read the upstream while a write to the caller waits
+    waiting = begin(watch, limit=0.5)
+    waiting.flowing = True
+    waiting.reading = False
+    await trio.sleep(3.0)
+    assert not waiting.scope.cancel_called
+    assert not watch.health.is_suspected('e1')
+
+
 async def test_slow_first_token_is_no_silence(watch, autojump_clock):
     # The engine reads a long prompt; its other streams go on.
     stream = begin(watch)
--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import functools
 
 import h11
+import pytest
 import trio
 
 from lavenderbend import errors
@@ -149,7 +151,7 @@
     answer = caller_answers.ConnectionAnswer(SlowConnection())
     with contextlib.suppress(errors.RequestError, h11.LocalProtocolError):
         await router.forwarder.forward(fakes.request(), answer)
-    return answer
+    return answer, len(router.exchanges.sent)
 
 
 async def test_attempt_cut_at_any_step_leaves_no_gap(autojump_clock):
@@ -160,13 +162,19 @@
     # not have. Whatever ends an attempt, and wherever: what the caller reads
     # goes on without a gap, or breaks off.
     wrong = {}
+    ends = collections.Counter()
     for steps in range(STEPS):
-        answer = await answer_with_a_cut(steps)
+        answer, sends = await answer_with_a_cut(steps)
         body, complete = read_answer(answer.connection.stream.taken)
         gap = not events().startswith(body)
         if gap or (complete and body != events()):
             wrong[steps] = (body, complete)
+        ends[sends, complete] += 1
     assert wrong == {}
+    # some cuts broke the answer off, some had it go on, some came too late
+    assert ends[1, False]
+    assert ends[2, True]
+    assert ends[1, True]
 
 
 class Upstream:
@@ -210,6 +218,14 @@
 
 async def ask_over_sockets(nursery, answers):
     """Returns what a caller reads, and what its upstreams were asked."""
+    data, asked = await bytes_over_sockets(nursery, answers)
+    return *read_answer(data), asked
+
+
+async def bytes_over_sockets(
+    nursery, answers, first_line=b'GET /chat/1 HTTP/1.1'
+):
+    """Returns what a caller is sent, and what its upstreams were asked."""
     upstream = Upstream(answers)
     found = []
     for name in ('e1', 'e2'):
@@ -228,15 +244,15 @@
     port = await nursery.start(functools.partial(server.serve, HOST, 0))
     stream = await trio.open_tcp_stream(HOST, port)
     await stream.send_all(
-        b'POST /chat/1 HTTP/1.1\r\nhost: a.example\r\nx-request-id: r1\r\n'
+        first_line + b'\r\nhost: a.example\r\nx-request-id: r1\r\n'
         b'x-deadline-ms: 4000\r\nauthorization: Bearer llave-1\r\n'
-        b'connection: close\r\ncontent-length: 2\r\n\r\n{}'
+        b'connection: close\r\n\r\n'
     )
     data = b''
     with trio.fail_after(8.0):
         while part := await stream.receive_some(65536):
             data += part
-    return *read_answer(data), upstream.asked
+    return data, upstream.asked
 
 
 async def test_stream_without_length_that_ends_within_an_event_goes_on(nursery):
@@ -292,3 +308,113 @@
         event(1) + b': still here\n\n' + events(2),
         True,
     )
+
+
+NUMBERLESS = b''.join(b'data: x%d\n\n' % number for number in range(1, 5))
+BEGUN_ANEW = {
+    'all without numbers': NUMBERLESS,
+    'first without a number': b'data: x3\n\n' + events(3),
+    'from the first': events(),
+    'last one jumps and lacks its blank line': event(4)[:-1],
+}
+
+
+@pytest.mark.parametrize('way', sorted(BEGUN_ANEW))
+async def test_upstream_that_does_not_go_on_is_not_passed_on(way, nursery):
+    # A caller read events twice, or a gap, in an answer that looked complete.
+    # The upstream that was to go on behind event 2 began anew or left one
+    # out, and gave the event no number, or the last one no blank line.
+    torn = head(CHUNKED) + chunk(events(1, 2))
+    again = BEGUN_ANEW[way]
+    length = b'content-length: %d\r\n' % len(again)
+    body, complete, asked = await ask_over_sockets(
+        nursery, {0: torn, 2: head(length) + again}
+    )
+    assert asked == [0, 2]
+    assert (body, complete) == (events(1, 2), False)
+
+
+def crlf(data):
+    return data.replace(b'\n', b'\r\n')
+
+
+async def test_events_with_other_line_ends_go_on_elsewhere(nursery):
+    # such a stream reached its caller only at its end, and went on nowhere
+    torn = head(CHUNKED) + chunk(crlf(events(1, 3)))
+    rest = head(CHUNKED) + chunk(crlf(event(4))) + LAST_CHUNK
+    found = await ask_over_sockets(nursery, {0: torn, 3: rest})
+    assert found == (crlf(events()), True, [0, 3])
+
+
+async def test_gap_between_events_with_other_line_ends_is_seen(nursery):
+    gap = crlf(event(1) + event(2) + event(4))
+    body, _, asked = await ask_over_sockets(
+        nursery, {0: head(CHUNKED) + chunk(gap) + LAST_CHUNK}
+    )
+    assert asked == [0, 0]
+    assert b'id:' not in body
+
+
+WHOLE_WITHOUT_LENGTH = {
+    'events': events(),
+    'events with other line ends': crlf(events()),
+    'no events': b'{"answer": 1}\n',
+}
+
+
+@pytest.mark.parametrize('what', sorted(WHOLE_WITHOUT_LENGTH))
+async def test_whole_answer_without_length_is_passed_on(what, nursery):
+    whole = WHOLE_WITHOUT_LENGTH[what]
+    found = await ask_over_sockets(nursery, {0: head() + whole})
+    assert found == (whole, True, [0])
+
+
+async def test_chunked_answer_without_its_last_blank_line_is_whole(nursery):
+    whole = events()[:-1]
+    answer = head(CHUNKED) + chunk(whole) + LAST_CHUNK
+    found = await ask_over_sockets(nursery, {0: answer})
+    assert found == (whole, True, [0])
+
+
+async def test_first_event_that_is_cut_is_not_the_whole_answer(nursery):
+    kind = b'content-type: text/event-stream\r\n'
+    body, complete, asked = await ask_over_sockets(
+        nursery, {0: head(kind) + event(1)[:-3]}
+    )
+    assert (body, complete) != (event(1)[:-3], True)
+    assert asked == [0, 0]
+
+
+@pytest.mark.parametrize('text', [b'9' * 5000, b'9' * 20])
+async def test_number_that_is_too_long_is_none(text, nursery):
+    # the number cost the request, or all lines on it
+    stream = b'id: %s\ndata: x\n\n' % text
+    answer = head(CHUNKED) + chunk(stream) + LAST_CHUNK
+    found = await ask_over_sockets(nursery, {0: answer})
+    assert found == (stream, True, [0])
+
+
+async def test_caller_of_an_older_protocol_sees_that_its_stream_broke(nursery):
+    # To a caller of HTTP/1.0 an answer ends with its connection: closed in
+    # the usual way, a part of a stream passed for the whole.
+    torn = head(CHUNKED) + chunk(events(1, 2))
+    with pytest.raises(trio.BrokenResourceError):
+        await bytes_over_sockets(
+            nursery, {0: torn, 2: head(CHUNKED)}, b'GET /chat/1 HTTP/1.0'
+        )
+
+
+async def test_head_request_that_is_refused_has_an_answer(nursery):
+    data, _ = await bytes_over_sockets(nursery, {}, b'HEAD /nothing HTTP/1.1')
+    assert data.startswith(b'HTTP/1.1 404')
+    assert data.endswith(b'\r\n\r\n')
+
+
+async def test_nothing_is_written_behind_a_write_that_was_cut(autojump_clock):
+    answer = caller_answers.ConnectionAnswer(SlowConnection())
+    await answer.start(200, ())
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        await answer.send(event(1))
+    with pytest.raises(errors.AnswerInterrupted):
+        await answer.send(event(2))
