Ask a router that was taken for dead in error to list its permits

An owner frees the permits of an entry that leaves its view. If the entry lives and never saw another owner, it listed what it holds only after two heartbeats that differed (2 to 4 s); till then the owner gave its room to others. It is now asked as soon as it is heard again or is back in the view.

--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -32,7 +32,12 @@
 
 
 class OwnedGroup:
-    """Permits, places and waiting requests of one group."""
+    """Permits, places and waiting requests of one group.
+
+    Attributes:
+        freed: Entries whose permits were freed because they left the view,
+            and that were not asked since to list what they hold.
+    """
 
     def __init__(
         self,
@@ -45,6 +50,7 @@
     ) -> None:
         self.group = group
         self.entries = entries.Entries(membership, settings.heard)
+        self.freed: set[str] = set()
         self.loads = loads.GroupLoads(
             group, directory, membership, settings, self.entries, pool_sums
         )
@@ -60,10 +66,22 @@
             self.loads, self.places, cache_client, settings.transfer
         )
 
-    def hear(self, entry: str) -> None:
-        """Notes a sign that an entry takes this router for the owner."""
+    def hear(self, entry: str) -> bool:
+        """Notes a sign that an entry takes this router for the owner.
+
+        Returns whether the entry should list its permits: it was taken for
+        dead and is not. What it holds still loads the engines, and it would
+        list that only when its heartbeats have differed, seconds later.
+        """
         if self.entries.hear(entry):
             self.places.fresh.clear()
+        return self.take_freed(entry)
+
+    def take_freed(self, entry: str) -> bool:
+        """Returns whether an entry's permits were freed, once."""
+        freed = entry in self.freed
+        self.freed.discard(entry)
+        return freed
 
     def submit(self, waiter: waiter_.Waiter) -> None:
         """Grants, refuses, queues or sends on a new request."""
@@ -146,14 +164,15 @@
 
     def check_digest(self, entry: str, count: int, digest: int) -> bool:
         """Returns whether an entry should list its permits."""
-        self.hear(entry)
+        freed = self.hear(entry)
         equal = self.table.digest(entry) == (count, digest)
-        return self.entries.compare(entry, equal)
+        return self.entries.compare(entry, equal) or freed
 
     def drop_entry(self, entry: str) -> None:
         """Frees all permits of an entry that is gone."""
         for number in list(self.table.numbers.get(entry, ())):
             self.release(entry, number)
+            self.freed.add(entry)
         for waiter in list(self.room.waiting.values()):
             if waiter.entry == entry:
                 self.room.forget(waiter)
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -79,13 +79,24 @@
             self.created.set()
         return self.owned[group]
 
+    def hear(self, group: owned.OwnedGroup, entry: str) -> None:
+        """Notes a sign of an entry, and asks what it holds if need be."""
+        if group.hear(entry):
+            self.ask_list(group, entry)
+
+    def ask_list(self, group: owned.OwnedGroup, entry: str) -> None:
+        """Asks an entry to list its permits of a group."""
+        name = group.group
+        item = messages_decisions.PermitResync(name.pool, name.index)
+        self.link.notify(entry, item)
+
     async def on_request(
         self, entry: str, item: peer.Message
     ) -> peer.Message | None:
         """Answers a permit request."""
         assert isinstance(item, messages_decisions.PermitRequest)
         group = self.group(item.pool, item.group)
-        group.hear(entry)
+        self.hear(group, entry)
         live = group.table.get(entry, item.number)
         if live is not None:
             # asked again because the first answer was lost: another permit
@@ -105,7 +116,7 @@
         """Answers how a waiting request stands."""
         assert isinstance(item, messages_decisions.PermitPoll)
         group = self.group(item.pool, item.group)
-        group.hear(entry)
+        self.hear(group, entry)
         live = group.table.get(entry, item.number)
         if live is not None:
             return self.answer(placement.Choice(live.upstream))
@@ -173,9 +184,7 @@
         for pool, index, count, digest in rows:
             group = self.group(pool, index)
             if group.check_digest(entry, count, digest):
-                self.link.notify(
-                    entry, messages_decisions.PermitResync(pool, index)
-                )
+                self.ask_list(group, entry)
 
     async def on_places(self, router: str, item: peer.Message) -> None:
         """Notes the places that another owner copied here."""
@@ -221,13 +230,16 @@
                     group.look_after()
 
     async def run_views(self) -> None:
-        """Frees the permits of entries that have left."""
+        """Frees the permits of entries that left, asks those that came back."""
         while True:
             await self.membership.wait_changed()
             live = set(self.membership.region_routers())
             for group in list(self.owned.values()):
                 for entry in sorted(set(group.table.numbers) - live):
                     group.drop_entry(entry)
+                for entry in sorted(group.freed & live):
+                    group.take_freed(entry)
+                    self.ask_list(group, entry)
                 with UNCONFIGURED:
                     group.room.dispatch()
 
