Show runs, permits and routers' lines around a bound violation

test_bound_holds_while_routers_disagree told one line when it failed. It now prints what engines ran, what permits routers held (their decisions) and what routers logged, 1.5 s before to 0.5 s after, on one clock. The check is as it was.

--- a/tests/integration/checkers.py
+++ b/tests/integration/checkers.py
@@ -46,10 +46,12 @@
     Attributes:
         rule: Name of the checker.
         what: The facts.
+        at: When it happened, on the test's clock; 0 if that is not known.
     """
 
     rule: str
     what: str
+    at: float = 0.0
 
 
 def whole_answers(calls: Iterable[callers.Call]) -> list[Violation]:
@@ -171,7 +173,11 @@
         limit = max(floor, math.ceil(bound * mean)) + slack
         if loads[run.upstream] > limit:
             found.append(
-                Violation('bounded-load', f'{run}: {dict(loads)} > {limit}')
+                Violation(
+                    'bounded-load',
+                    f'{run}: {dict(loads)} > {limit}',
+                    run.started,
+                )
             )
     return found
 
--- a/tests/integration/test_integration_upstreams.py
+++ b/tests/integration/test_integration_upstreams.py
@@ -7,7 +7,9 @@
 from tests.integration import callers
 from tests.integration import checkers
 from tests.integration import documents
+from tests.integration import evidence
 from tests.integration import fleet
+from tests.integration import permits
 from tests.integration import proxy
 from tests.integration import traffic
 
@@ -109,10 +111,12 @@
                 router.peer_proxy.heal()
             load.stop()
         runs = await subject.runs()
+        held = await permits.read(subject)
 
     engines = [engine.id for engine in subject.engines]
+    logs = [router.process.log for router in subject.routers]
     # two requests of slack: one for the disagreement, one for messages and
     # clocks of real processes; the decision bench measures the exact bound
     found = checkers.bounded_load(runs, engines, 1.5, 2, slack=2)
-    assert found == []
+    assert found == [], evidence.around(found, engines, runs, held, logs)
     assert checkers.whole_answers(load.caller.calls) == []
