Judge the bound by the permits that routers held, not by late starts

test_bound_holds_while_routers_disagree judged each start on an engine by the mean of the moment. Traced failures (load average 20 to 30): an engine's process stands still for 0.3 to 1.7 s, then starts requests that were admitted when the mean was higher, while the others have ended theirs. One stands as a recorded test: permits of 1756 to 856 ms before, three starts at once, five of six; the permits kept the bound. Ruled out: clocks of the engines (error at most 13 ms in 301 readings beside load, CLOCK_ERROR is 50).

--- a/tests/integration/checkers.py
+++ b/tests/integration/checkers.py
@@ -182,6 +182,29 @@
     return found
 
 
+def unpermitted(
+    runs: Iterable[Run], permits: Iterable[Run], engines: Sequence[str]
+) -> list[Violation]:
+    """Each run of an engine lies within a permit for it.
+
+    So the load of an engine is at most the permits for it, whose number
+    `bounded_load` bounds.
+    """
+    held = collections.defaultdict(list)
+    for permit in permits:
+        held[permit.request_id, permit.upstream].append(permit)
+    return [
+        Violation('unpermitted', f'{run}', run.started)
+        for run in runs
+        if run.upstream in engines
+        and not any(
+            permit.started <= run.started + CLOCK_ERROR
+            and run.ended <= permit.ended + CLOCK_ERROR
+            for permit in held[run.request_id, run.upstream]
+        )
+    ]
+
+
 def never_back(seen: Iterable[tuple[str, int]]) -> list[Violation]:
     """The revision that callers see of a router never goes back."""
     newest: dict[str, int] = {}
--- a/tests/integration/test_integration_checkers.py
+++ b/tests/integration/test_integration_checkers.py
@@ -132,6 +132,75 @@
     assert checkers.bounded_load(runs, ENGINES, 1.5, 2, slack=2)
 
 
+# permits that routers held around five grants for one engine, in
+# milliseconds before its process, which stood still for 1.6 s, went on
+STOOD_STILL = {
+    'e0': ((-1792, -1721), (-1549, -1482), (-1019, -794)),
+    'e1': (
+        (-1857, -1602), (-1842, -1681), (-1799, -1663), (-1781, -1663),
+        (-1565, -1412), (-1542, -1324), (-1041, -815), (-923, -780),
+    ),
+    'e2': (
+        (-1819, -1687), (-1805, -1663), (-1780, -1598), (-1756, 22),
+        (-1674, 49), (-1534, 97), (-1516, 60), (-856, 196),
+    ),
+    'e3': (
+        (-1810, -1748), (-1792, -1632), (-1713, -1518), (-1702, -1603),
+        (-1551, -1503), (-905, -793), (-177, 1),
+    ),
+    'e4': ((-1815, -1568), (-1781, -1716), (-1579, -1353), (-69, 100)),
+}  # fmt: skip
+LATE = 2  # seconds; all of it is after the clock's zero
+
+
+def intervals_of(times):
+    return [
+        checkers.Run(
+            name, f'{name}-{start}', '', LATE + start / 1000, LATE + end / 1000
+        )
+        for name, intervals in times.items()
+        for start, end in intervals
+    ]
+
+
+def test_late_start_on_an_engine_that_stood_still_is_no_overload():
+    # An engine's process stands still on a busy machine. Five requests wait
+    # at it, admitted while others had their share; when it goes on, three
+    # start at once and the others have ended. By the starts the engine is
+    # at five of six, which nobody decided: the permits kept the bound.
+    permits = intervals_of(STOOD_STILL)
+    # a run ends before its permit is back
+    runs = [attrs.evolve(one, ended=one.ended - 0.002) for one in permits]
+    for place, one in enumerate(runs):
+        if one.upstream == 'e2' and LATE - 1.6 < one.started < LATE < one.ended:
+            runs[place] = attrs.evolve(one, started=LATE)
+
+    assert checkers.bounded_load(runs, ENGINES, 1.5, 2, slack=2)
+    assert checkers.bounded_load(permits, ENGINES, 1.5, 2, slack=2) == []
+    assert checkers.unpermitted(runs, permits, ENGINES) == []
+
+
+def test_permits_above_the_bound_are_found():
+    # the same five, while the other engines have less than they had
+    permits = intervals_of({**STOOD_STILL, 'e1': (), 'e3': ()})
+
+    assert checkers.bounded_load(permits, ENGINES, 1.5, 2, slack=2)
+
+
+def test_run_that_no_permit_covers_is_found():
+    permits = intervals_of({'e0': ((0, 100),)})
+    wrong = (
+        attrs.evolve(permits[0], upstream='e1'),
+        attrs.evolve(permits[0], request_id='other'),
+        attrs.evolve(permits[0], started=LATE - 0.2),
+        attrs.evolve(permits[0], ended=LATE + 0.3),
+    )
+
+    assert checkers.unpermitted(permits, permits, ENGINES) == []
+    for run in wrong:
+        assert len(checkers.unpermitted([run], permits, ENGINES)) == 1
+
+
 def test_revision_that_goes_back_is_found():
     seen = [('a', 1), ('a', 2), ('b', 1), ('a', 1)]
 
