Read an upstream's clock from the quickest of some answers

One run in 30 beside load (average 45) took the clock of an engine 60 to 70 ms wrong, above CLOCK_ERROR: 52 of its runs seemed to start before their permits. The error is at most half of the time that the answer took; it is read again, up to ten times, until that is below CLOCK_ERROR.

--- a/tests/integration/fleet.py
+++ b/tests/integration/fleet.py
@@ -25,6 +25,7 @@
 
 OPERATOR_SECRET = 'fleet-operator'
 HOST = '127.0.0.1'
+CLOCK_READS = 10
 
 
 @attrs.frozen
@@ -306,18 +307,31 @@
         )
 
     async def read_runs(self, upstream: Upstream) -> None:
-        """Reads what an upstream recorded, on the clock of the test."""
-        before = trio.current_time()
-        with contextlib.suppress(httpx.HTTPError):
-            answer = await self.client.get(
-                f'http://{HOST}:{upstream.port}/standin/runs'
-            )
+        """Reads what an upstream recorded, on the clock of the test.
+
+        Its clock is known to half the time that the answer took: on a busy
+        machine the quickest of some answers is taken.
+        """
+        quickest = math.inf
+        for _ in range(CLOCK_READS):
+            before = trio.current_time()
+            try:
+                answer = await self.client.get(
+                    f'http://{HOST}:{upstream.port}/standin/runs'
+                )
+            except httpx.HTTPError:
+                return
+            after = trio.current_time()
+            if after - before >= quickest:
+                continue
+            quickest = after - before
             document = json.loads(answer.content)
-            middle = (before + trio.current_time()) / 2
-            ahead = document['now'] - middle
+            ahead = document['now'] - (before + after) / 2
             upstream.last_runs = [
                 read_run(upstream.id, line, ahead) for line in document['runs']
             ]
+            if quickest < checkers.CLOCK_ERROR:
+                return
 
     async def runs(self, *upstreams: Upstream) -> list[checkers.Run]:
         """Returns the runs of some upstreams, of all if none is named.
