An innocent request that was at both deaths waits for other routers' notices

Cause: a request that was on two upstreams when they died may not be sent a third time. Its own router decided that as the second one died, 20 ms before the notice of the router through which the request that both died of had come. The innocent caller got an error. Which request is the cause follows from the notices of all routers; a request at two deaths now waits half a second for them, and deaths at which a quarantined request was do not count against it.

Ruled out: that the two are placed together by mistake. Suspects are sent out apart; the poison came again through a router that had not heard of the first death.

Not changed: a request at two deaths that no other request explains is still not sent again.

--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -346,6 +346,9 @@
             1,
             trio.current_time() - sent,
         )
+        await self.quarantines[router].wait_notices(
+            fingerprint_of(outcome.arrival)
+        )
 
     async def attempt(
         self, router: str, outcome: Outcome, avoid: tuple[str, ...]
--- a/lavenderbend/coordination/dispatch/parts.py
+++ b/lavenderbend/coordination/dispatch/parts.py
@@ -63,6 +63,9 @@
     ) -> None:
         """Notes that an upstream died while it ran the request."""
 
+    async def wait_notices(self, fingerprint: int) -> None:
+        """Waits until `may_retry` knows what other routers had there."""
+
 
 @attrs.frozen
 class DispatchSettings:
--- a/lavenderbend/coordination/dispatch/resume.py
+++ b/lavenderbend/coordination/dispatch/resume.py
@@ -46,6 +46,7 @@
             run.parts.in_progress(upstream.id),
             lost_at - attempt.record.started,
         )
+        await quarantine.wait_notices(run.fingerprint)
 
 
 async def crashed(
--- a/lavenderbend/coordination/quarantine/quarantine.py
+++ b/lavenderbend/coordination/quarantine/quarantine.py
@@ -120,7 +120,12 @@
         if self.until.get(fingerprint, 0.0) > trio.current_time():
             return False
         crashes = self.deaths.suspects.get(fingerprint, ())
-        return len(crashes) < deaths.CRASHES_TO_QUARANTINE
+        unexplained = [one for one in crashes if not self.explained(one)]
+        return len(unexplained) < deaths.CRASHES_TO_QUARANTINE
+
+    def explained(self, crash: deaths.Crash) -> bool:
+        """Returns whether a quarantined request was there at a death."""
+        return any(one in self.until for one in self.deaths.present[crash])
 
     def survived(self, fingerprint: int) -> None:
         """Notes that an upstream ran the request to its end."""
@@ -157,6 +162,16 @@
         if not known and fingerprint in self.until:
             await self.tell_at_once(fingerprint)
 
+    async def wait_notices(self, fingerprint: int) -> None:
+        """Waits for what other routers had on the upstreams that died.
+
+        One of them may know the request that is the cause. Ended before its
+        notice has come, an innocent request that was there at both deaths
+        fails its caller.
+        """
+        if fingerprint not in self.until and not self.may_retry(fingerprint):
+            await trio.sleep(SETTLE_SECONDS)
+
     async def tell_at_once(self, fingerprint: int) -> None:
         """Tells all routers of a finding before the caller hears of it.
 
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -200,6 +200,9 @@
     def survived(self, fingerprint: int) -> None:
         self.crashes.clear()
 
+    async def wait_notices(self, fingerprint: int) -> None:
+        pass
+
     async def crashed(
         self,
         fingerprint: int,
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 import trio
 
@@ -123,6 +124,38 @@
     one.check(POISON)
 
 
+async def test_innocent_that_was_at_both_deaths_is_run_again(
+    routers, autojump_clock
+):
+    # A request was on an engine that a poisonous one killed, and is run
+    # again on the engine that the poison kills next, through another router.
+    # Its own router has not heard of the poison yet: it took the request for
+    # one that engines die of, and its caller got an error.
+    one, other, _ = routers.all
+    await one.crashed(7, 'engine-0', 'a', 2, 5.0)
+    await other.crashed(POISON, 'engine-0', 'a', 2, 0.1)
+    await trio.sleep(1)
+    await one.crashed(7, 'engine-1', 'b', 2, 5.0)
+    await other.crashed(POISON, 'engine-1', 'b', 2, 0.1)
+    await one.wait_notices(7)
+
+    assert one.may_retry(7)
+    assert not other.may_retry(POISON)
+
+
+@pytest.mark.parametrize('seed', [3, 4, 6, 8])
+def test_poison_costs_no_innocent_caller_its_answer(seed):
+    # the story above with real admission, a request that kills its engine
+    # and 20 others a second; in these draws one of them is at both deaths
+    setup = cases.poison(cases.Length(45.0, 5.0, ()))[0]
+
+    record = world.run(attrs.evolve(setup.case, seed=seed), list(setup.events))
+
+    refused = [one for one in record.outcomes if one.error]
+    assert record.poisoned == 2
+    assert all(one.arrival.poison for one in refused)
+
+
 async def test_hundred_innocents_on_a_dying_engine_stay_free(
     routers, autojump_clock
 ):
