--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -302,8 +302,8 @@
         while True:
             await trio.sleep(COPY_SECONDS)
             routers = self.membership.region_routers()
-            for group in list(self.owned.values()):
-                standby = groups.standby(group.group, routers, self.name)
-                item = group.copies.next(standby)
-                if item is not None:
-                    self.link.notify(standby, item)
+            # one standby that does not answer must not hold up the others
+            async with trio.open_nursery() as nursery:
+                for group in list(self.owned.values()):
+                    standby = groups.standby(group.group, routers, self.name)
+                    nursery.start_soon(group.copies.send, self.link, standby)
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -181,7 +181,7 @@
 @peer.message(59)
 @attrs.frozen
 class PlacesCopy(peer.Message):
-    """Notice of where chats are, to the standby of a group's owner.
+    """Where chats are, to the standby of a group's owner; asks for an answer.
 
     Attributes:
         pool: Short id of the pool.
--- a/lavenderbend/state/placements.py
+++ b/lavenderbend/state/placements.py
@@ -91,13 +91,17 @@
         """Marks all chats as unknown to the standby, the latest first."""
         self.unsent = dict.fromkeys(reversed(self.chats))
 
-    def take_unsent(self, count: int) -> list[tuple[int, Place]]:
+    def next_unsent(self, count: int) -> list[tuple[int, Place]]:
         """Returns up to so many chats that the standby lacks."""
-        chats = list(itertools.islice(self.unsent, count))
-        for chat in chats:
-            del self.unsent[chat]
+        chats = itertools.islice(self.unsent, count)
         return [(chat, self.chats[chat][0]) for chat in chats]
 
+    def note_sent(self, rows: list[tuple[int, Place]]) -> None:
+        """Notes what the standby has; a chat that moved since is lacking."""
+        for chat, place in rows:
+            if self.chats.get(chat, (None,))[0] == place:
+                self.unsent.pop(chat, None)
+
     def __len__(self) -> int:
         return len(self.chats)
 
--- a/tests/test_coordination/test_placement.py
+++ b/tests/test_coordination/test_placement.py
@@ -85,7 +85,7 @@
 
     assert len(table) == 3
     assert table.get(0) == ()
-    assert len(table.take_unsent(10)) == 3
+    assert len(table.next_unsent(10)) == 3
 
 
 def test_copy_does_not_replace_a_newer_place():
