--- /dev/null
+++ b/bench/fleet/__main__.py
@@ -0,0 +1,80 @@
+"""What the routers of a large fleet believe, on the virtual clock.
+
+Usage:
+  bench.fleet [--sizes=LIST] [--zones=N] [--loss=SHARE] [--engines=N]
+              [--only=NAME]... [--json=FILE]
+
+Options:
+  --sizes=LIST   Fleets to measure [default: 30,200].
+  --zones=N      Availability zones [default: 5].
+  --loss=SHARE   Share of datagrams that are lost [default: 0.02].
+  --engines=N    Upstreams; 0 for one for each three routers [default: 0].
+  --only=NAME    Only this scenario, and the start before it.
+  --json=FILE    Writes the figures there.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import sys
+from typing import Any
+
+import docopt
+import trio
+import trio.testing
+
+from bench.fleet import measures
+from bench.fleet import world
+
+ORDER = (
+    'start',
+    'steady',
+    'version',
+    'crash notice',
+    'suspicion',
+    'loads',
+    'one-way cut',
+    'half killed',
+    'all killed',
+)
+
+
+async def measure(
+    size: int, zones: int, loss: float, engines: int, names: list[str]
+) -> dict[str, Any]:
+    """Returns the figures of one fleet by scenario."""
+    figures: dict[str, Any] = {}
+    async with trio.open_nursery() as nursery:
+        fleet = world.make(nursery, size, zones, engines or size // 3, loss)
+        for name in ORDER:
+            if name != 'start' and names and name not in names:
+                continue
+            figures[name] = await measures.SCENARIOS.get(name)(fleet)
+            print(size, name, figures[name], flush=True)
+        nursery.cancel_scope.cancel()
+    return figures
+
+
+def main() -> int:
+    """Runs the scenarios; returns the exit code."""
+    arguments = docopt.docopt(__doc__)
+    table = {}
+    for size in arguments['--sizes'].split(','):
+        table[size] = trio.run(
+            measure,
+            int(size),
+            int(arguments['--zones']),
+            float(arguments['--loss']),
+            int(arguments['--engines']),
+            arguments['--only'],
+            clock=trio.testing.MockClock(autojump_threshold=0),
+        )
+    if arguments['--json']:
+        text = json.dumps(table, indent=1) + '\n'
+        pathlib.Path(arguments['--json']).write_text(text)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/lavenderbend/coordination/forwarding/budget.py
+++ b/lavenderbend/coordination/forwarding/budget.py
@@ -16,8 +16,6 @@
 # of what is allowed; the rest covers requests that were counted here and
 # that others count in another window
 USED_PART = 0.8
-# the extra repeats of a fleet whose size is not known yet are shared by this
-UNKNOWN_FLEET = 16
 
 DENIED = metrics.counter(
     'lavenderbend_forward_repeats_denied_total',
@@ -67,19 +65,20 @@
     """This router's part of the fleet's repeats.
 
     Each router repeats a share of its own requests, and its even part of
-    the extra: together they cannot pass what the fleet is allowed, however
+    the extra. Until it knows by how many the extra is divided it has no part
+    of it: together they must not pass what the fleet is allowed, however
     little they hear of each other.
 
     Attributes:
         settings: What the fleet may repeat.
-        fleet_size: Returns how many routers there are, 0 for unknown.
+        parts: Returns by how many the extra is divided, 0 for unknown.
     """
 
     def __init__(
-        self, settings: RepeatSettings, fleet_size: Callable[[], int]
+        self, settings: RepeatSettings, parts: Callable[[], int]
     ) -> None:
         self.settings = settings
-        self.fleet_size = fleet_size
+        self.parts = parts
         self.requests: dict[str, Window] = {}
         self.repeats: dict[str, Window] = {}
 
@@ -98,8 +97,8 @@
     def allowed(self, service: str) -> float:
         """Returns how many repeats a window may hold."""
         requests = self.window(self.requests, service).count()
-        size = self.fleet_size() or UNKNOWN_FLEET
-        extra = self.settings.extra / size
+        parts = self.parts()
+        extra = self.settings.extra / parts if parts else 0.0
         return USED_PART * (self.settings.share * requests + extra)
 
     def available(self, service: str) -> bool:
--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -6,17 +6,20 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
 from lavenderbend.observe import metrics
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from lavenderbend.coordination.forwarding import choice
     from lavenderbend.coordination.forwarding import directory
     from lavenderbend.coordination.forwarding import health as health_module
+    from lavenderbend.coordination.forwarding import shared_prompts
     from lavenderbend.state import forwarding
 
 # chats whose last upstream this router remembers
@@ -26,7 +29,7 @@
 SENT_THERE = 'sent there before'
 FORMER_PLACE = 'its place before a change'
 FIRST_PLACE = 'its first place'
-FIRST_PART = 'has the first part'
+FIRST_PART = 'holds the first part'
 
 COPIES = metrics.counter(
     'lavenderbend_forward_prompt_copies_total',
@@ -57,19 +60,32 @@
     router need not have seen the chat before.
 
     Attributes:
+        shared: Knows who holds what many chats begin with.
+        instances: Upstreams by short id.
+        first_at: Router clock of the first request of each service.
         sent: Which upstream took each chat from this router last, the latest
             last.
     """
 
     def __init__(
-        self, found: directory.Directory, health: health_module.Health
+        self,
+        found: directory.Directory,
+        health: health_module.Health,
+        shared: shared_prompts.SharedPrompts,
+        instances: Mapping[int, str],
     ) -> None:
         self.directory = found
         self.health = health
+        self.shared = shared
+        self.instances = instances
+        self.first_at: dict[str, float] = {}
         self.sent: collections.OrderedDict[str, str] = collections.OrderedDict()
 
-    def note_sent(self, key: str, instance: str) -> None:
+    def note_sent(
+        self, key: str, parts: Sequence[choice.PromptPart], instance: str
+    ) -> None:
         """Notes that a chat is now at an upstream, which took it."""
+        self.shared.note(parts, instance)
         self.sent[key] = instance
         self.sent.move_to_end(key)
         if len(self.sent) > MAX_SENT:
@@ -93,22 +109,36 @@
         Returns:
             The upstream, None if the chosen one has it all, or nobody has.
         """
+        self.first_at.setdefault(service, trio.current_time())
         before = self.sent.get(key)
         if before == chosen.instance:
             return None
-        for name, why in self.likely(service, key, chosen, parts[0].id):
+        for name, why in self.likely(service, key, chosen):
             upstream = self.usable(name, chosen)
             if upstream is not None:
                 COPIES.inc({'why': why})
                 return Source(upstream, why)
-        return None
+        return self.first_part_source(parts, chosen)
 
-    def likely(
+    def first_part_source(
         self,
-        service: str,
-        key: str,
+        parts: Sequence[choice.PromptPart],
         chosen: forwarding.Upstream,
-        first_part: str,
+    ) -> Source | None:
+        """Returns an upstream that holds what many chats begin with."""
+
+        def usable(short: int) -> bool:
+            return self.usable(self.instances.get(short), chosen) is not None
+
+        short = self.shared.find(parts, usable)
+        if short is None:
+            return None
+        COPIES.inc({'why': FIRST_PART})
+        upstream = self.directory.known(self.instances[short])
+        return Source(upstream, FIRST_PART)
+
+    def likely(
+        self, service: str, key: str, chosen: forwarding.Upstream
     ) -> Iterator[tuple[str | None, str]]:
         """Yields upstreams that may have a prompt and why, likely ones first.
 
@@ -116,11 +146,10 @@
             service: The service.
             key: What places the chat.
             chosen: Where it goes.
-            first_part: What many chats begin with.
         """
         yield self.sent.get(key), SENT_THERE
         live = frozenset(one.instance for one in self.directory.of(service))
-        sets = self.directory.former(service)
+        sets = self.directory.former(service, self.first_at[service])
         # one order serves all sets: each has most upstreams of the others
         order = hashing.rendezvous_order(key, live.union(*sets))
         first_place = first_of(order, live)
@@ -131,7 +160,6 @@
             yield first_place, FIRST_PLACE
         for members in sets:
             yield first_of(order, members), FORMER_PLACE
-        yield hashing.rendezvous(first_part, live), FIRST_PART
 
     def usable(
         self, name: str | None, chosen: forwarding.Upstream
--- a/lavenderbend/coordination/forwarding/crashes.py
+++ b/lavenderbend/coordination/forwarding/crashes.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import facts as facts_module
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
-from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
@@ -28,8 +29,11 @@
 # a process that died refuses connections by then; one whose connection was
 # only reset accepts them
 CONFIRM_SECONDS = 0.05
-MAX_RECORDS = 1000
+MAX_LOSSES = 1000
 COME_BACK_SECONDS = 30.0
+# kinds of facts that routers tell each other
+DEATH = 'death'
+CLEARED = 'cleared'
 
 DEATHS = metrics.counter(
     'lavenderbend_forward_upstream_deaths_total',
@@ -52,17 +56,19 @@
     )
 
 
-@attrs.define
-class Record:
-    """What is known of one fingerprint.
+@facts_module.KINDS.register(DEATH)
+class Death(facts_module.Kind):
+    """A request that an upstream died of; the source is the upstream."""
 
-    Attributes:
-        instances: Upstreams that died with it.
-        at: Router clock of the latest death.
-    """
+    most_seconds = REMEMBER_SECONDS
+    cleared_by = CLEARED
+
+
+@facts_module.KINDS.register(CLEARED)
+class Cleared(facts_module.Kind):
+    """A request that ran to a good end."""
 
-    instances: set[str]
-    at: float
+    most_seconds = REMEMBER_SECONDS
 
 
 @attrs.define(eq=False)
@@ -88,40 +94,42 @@
     good end does not crash upstreams, and many callers may send the same.
 
     Attributes:
-        records: By fingerprint.
+        facts: What this router and others found.
         losses: Lost connections of which it is not known yet whether their
             upstreams died.
-        tell: Tells other routers.
         alive: Returns whether an upstream accepts connections.
     """
 
     def __init__(
         self,
         alive: Callable[[forwarding.Upstream], object],
-        tell: Callable[[messages_forwarding.CrashNotice], None],
+        facts: facts_module.Facts,
     ) -> None:
         self.alive = alive
-        self.tell = tell
-        self.records: dict[int, Record] = {}
+        self.facts = facts
         self.losses: set[Loss] = set()
+        self.successes = itertools.count()
         self.lost: trio.MemorySendChannel | None = None
 
+    def deaths(self, mark: int) -> list[str]:
+        """Returns the upstreams that died of a request."""
+        found = self.facts.of(DEATH, subject_of(mark))
+        return sorted(one.source for one in found)
+
     def check(self, ticket: tickets.Ticket) -> None:
         """Refuses a request that upstreams died of.
 
         Raises:
             RequestQuarantined: It is one.
         """
-        if not self.records:
-            return
-        record = self.records.get(self.fingerprint(ticket))
-        if record is None or len(record.instances) < DEATHS_TO_STOP:
+        if not self.facts.has(DEATH):
             return
-        if trio.current_time() - record.at > REMEMBER_SECONDS:
+        deaths = self.deaths(self.fingerprint(ticket))
+        if len(deaths) < DEATHS_TO_STOP:
             return
         STOPPED.inc({})
         error = errors.RequestQuarantined(
-            f'{len(record.instances)} upstreams died of this request',
+            f'{len(deaths)} upstreams died of this request',
             COME_BACK_SECONDS,
         )
         error.status = errors.NoUpstream.status
@@ -135,19 +143,39 @@
 
     def note_success(self, ticket: tickets.Ticket) -> None:
         """Clears a request that ran to a good end."""
-        if not self.records and not self.losses:
+        if not self.facts.has(DEATH) and not self.losses:
             return
         mark = self.fingerprint(ticket)
-        if self.clear(mark):
-            self.tell(messages_forwarding.CrashNotice(mark, [], True))
+        self.clear_losses(mark)
+        if self.deaths(mark):
+            # a fact of its own: a death between two successes is cleared by
+            # the second one
+            source = f'{self.facts.origin} {next(self.successes)}'
+            self.facts.add(CLEARED, subject_of(mark), source, REMEMBER_SECONDS)
+
+    def clear_losses(self, mark: int) -> None:
+        """Forgets lost connections of a request that has run since.
 
-    def clear(self, mark: int) -> bool:
-        """Forgets the deaths of a fingerprint; returns whether any counted."""
+        Their deaths are noted after this success, and must not outlive it.
+        """
         for loss in self.losses:
-            # its record comes after this success, and must not outlive it
             if loss.mark == mark:
                 loss.cleared = True
-        return self.records.pop(mark, None) is not None
+
+    def learn(self, fact: facts_module.Fact) -> None:
+        """Takes in what this or another router has found."""
+        mark = int(fact.subject, 16)
+        if fact.kind == CLEARED:
+            self.clear_losses(mark)
+            return
+        deaths = self.deaths(mark)
+        if len(deaths) == DEATHS_TO_STOP:
+            logs.change(
+                'request_stopped',
+                fingerprint=fact.subject,
+                upstreams=deaths,
+                age=round(trio.current_time() - fact.at, 3),
+            )
 
     def note_lost(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
@@ -165,7 +193,7 @@
 
     async def run(self) -> None:
         """Examines lost connections."""
-        self.lost, received = trio.open_memory_channel(MAX_RECORDS)
+        self.lost, received = trio.open_memory_channel(MAX_LOSSES)
         async with trio.open_nursery() as nursery:
             async for loss in received:
                 nursery.start_soon(self.examine, loss)
@@ -181,45 +209,15 @@
         DEATHS.inc({})
         if loss.cleared:
             return
-        died = [loss.upstream.instance]
-        self.note_death(loss.mark, died)
-        self.tell(messages_forwarding.CrashNotice(loss.mark, died, False))
-
-    def note_death(self, mark: int, instances: list[str]) -> None:
-        """Notes that upstreams died while they had a request."""
-        record = self.records.get(mark)
-        if record is None:
-            self.forget_old()
-            record = self.records[mark] = Record(set(), 0.0)
-        record.instances.update(instances)
-        record.at = trio.current_time()
+        subject = subject_of(loss.mark)
         logs.change(
             'request_at_death',
-            fingerprint=f'{mark:016x}',
-            upstreams=sorted(record.instances),
-            stopped=len(record.instances) >= DEATHS_TO_STOP,
+            fingerprint=subject,
+            upstream=loss.upstream.instance,
         )
+        self.facts.add(DEATH, subject, loss.upstream.instance, REMEMBER_SECONDS)
 
-    def forget_old(self) -> None:
-        """Forgets what is too old, and the oldest if it is too much."""
-        oldest = trio.current_time() - REMEMBER_SECONDS
-        for mark, record in list(self.records.items()):
-            if record.at < oldest or len(self.records) >= MAX_RECORDS:
-                del self.records[mark]
-
-    def on_notice(self, notice: messages_forwarding.CrashNotice) -> None:
-        """Takes in what another router tells."""
-        if notice.cleared:
-            self.clear(notice.fingerprint)
-            return
-        self.note_death(notice.fingerprint, list(notice.instances))
-
-    def notices(self) -> list[messages_forwarding.CrashNotice]:
-        """Returns what a router that is new has to know."""
-        self.forget_old()
-        return [
-            messages_forwarding.CrashNotice(
-                mark, sorted(record.instances), False
-            )
-            for mark, record in self.records.items()
-        ]
+
+def subject_of(mark: int) -> str:
+    """Returns how a fingerprint is written."""
+    return f'{mark:016x}'
--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -73,9 +73,15 @@
         changes.append(Former(trio.current_time(), old))
         del changes[:-MAX_FORMER]
 
-    def former(self, service: str) -> list[frozenset[str]]:
-        """Returns the upstreams that a service had lately, latest first."""
-        oldest = trio.current_time() - FORMER_SECONDS
+    def former(self, service: str, since: float) -> list[frozenset[str]]:
+        """Returns the upstreams that a service had lately, latest first.
+
+        Args:
+            service: The service.
+            since: Router clock of its first request. Upstreams that came one
+                after the other before it hold nothing yet.
+        """
+        oldest = max(trio.current_time() - FORMER_SECONDS, since)
         return [
             change.instances
             for change in reversed(self.changes.get(service, []))
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -53,6 +53,7 @@
         decisions: Keeps what was decided for operators to read back, None
             where no operators' interface is served.
         tracer: Makes spans, None where no collector is named.
+        fleet_size: Returns how many routers are known, for the lines.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.budget = budget
         self.decisions: decisions_module.DecisionStore | None = None
         self.tracer: hops.Tracer | None = None
+        self.fleet_size: Callable[[], int] = lambda: 1
 
     async def forward(
         self,
@@ -154,7 +156,8 @@
             detail=detail,
             may_have_run=ticket is not None and ticket.may_have_run,
             last_event=None if ticket is None else ticket.cutter.read.number,
-            peers=self.budget.fleet_size(),
+            peers=self.fleet_size(),
+            budget_parts=self.budget.parts(),
             began=answer.started,
             seconds=round(seconds, 4),
         )
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -24,8 +24,6 @@
 FAILED_SHARE_TO_AVOID = 0.3
 FIRST_AVOID_SECONDS = 1.0
 MAX_AVOID_SECONDS = 4.0
-# what another router found holds until its next messages
-TOLD_AVOID_SECONDS = 0.7
 # a full upstream has room again after a request or two
 FULL_SECONDS = 0.15
 
@@ -79,13 +77,14 @@
     Attributes:
         records: By instance.
         quiet_from: Router clock from which on nobody is avoided.
-        on_suspect: Called when an upstream is found dead or out of reach.
+        on_suspect: Called when an upstream is found dead or out of reach,
+            with the seconds for which it is avoided.
     """
 
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
         self.quiet_from = 0.0
-        self.on_suspect: Callable[[], None] = lambda: None
+        self.on_suspect: Callable[[str, float], None] = ignore
 
     def record(self, instance: str) -> Record:
         """Returns the record of an upstream."""
@@ -144,13 +143,11 @@
         """Notes that nothing came from it though bytes were due."""
         self.suspect(instance, 'silent')
 
-    def note_suspected(self, instance: str) -> None:
-        """Notes that another router takes it for dead or out of reach."""
+    def note_suspected(self, instance: str, seconds: float) -> None:
+        """Notes that other routers take it for dead or out of reach."""
         record = self.record(instance)
         now = trio.current_time()
-        record.suspect_until = max(
-            record.suspect_until, now + TOLD_AVOID_SECONDS
-        )
+        record.suspect_until = max(record.suspect_until, now + seconds)
         self.hold_back(record, record.suspect_until)
 
     def hold_back(self, record: Record, until: float) -> None:
@@ -165,7 +162,8 @@
         self.avoid(instance, record, cause)
         record.suspect_until = record.avoid_until
         if not known:
-            self.on_suspect()
+            seconds = record.suspect_until - trio.current_time()
+            self.on_suspect(instance, seconds)
 
     def is_suspected(self, instance: str) -> bool:
         """Returns whether it is taken for dead or out of reach."""
@@ -174,15 +172,6 @@
             return False
         return record.suspect_until > trio.current_time()
 
-    def suspects(self) -> list[str]:
-        """Returns those that this router found dead or out of reach."""
-        now = trio.current_time()
-        return [
-            instance
-            for instance, record in self.records.items()
-            if record.suspect_until > now and record.rounds
-        ]
-
     def note_full(self, instance: str) -> None:
         """Notes a refusal for want of room."""
         record = self.record(instance)
@@ -243,3 +232,7 @@
         """Forgets upstreams that are no more."""
         for name in [one for one in self.records if one not in instances]:
             del self.records[name]
+
+
+def ignore(instance: str, seconds: float) -> None:
+    """Tells nobody."""
--- a/lavenderbend/coordination/forwarding/loads.py
+++ b/lavenderbend/coordination/forwarding/loads.py
@@ -13,7 +13,7 @@
     from collections.abc import Mapping
 
 # an upstream's own figure is worth less than what routers count after this
-REPORT_SECONDS = 1.0
+REPORT_SECONDS = 2.0
 # a peer that was not heard for so long may have ended its requests
 PEER_SECONDS = 3.0
 
@@ -24,7 +24,7 @@
 
     Attributes:
         load: Requests that it ran or had waiting.
-        at: Router clock of its arrival.
+        at: Router clock at which it arrived, here or at another router.
         change: Requests that this router began less those it ended since.
     """
 
@@ -33,6 +33,21 @@
     change: int = 0
 
 
+@attrs.frozen
+class Step:
+    """A request of this router that began or ended.
+
+    Attributes:
+        instance: Its upstream.
+        at: Router clock.
+        by: 1 for a beginning, -1 for an end.
+    """
+
+    instance: str
+    at: float
+    by: int
+
+
 @attrs.frozen
 class PeerLoads:
     """What a peer holds at upstreams.
@@ -57,7 +72,9 @@
         peers: Requests of other routers, by their names, the latest heard
             last.
         told: Sum of what `peers` hold, by instance.
-        reports: Reports of the last second, the latest last.
+        reports: Reports of the last moments, the latest last.
+        oldest: Router clock before which a report counts no more.
+        steps: Own requests that began or ended since then.
     """
 
     def __init__(self) -> None:
@@ -65,20 +82,29 @@
         self.peers: dict[str, PeerLoads] = {}
         self.told: collections.Counter[str] = collections.Counter()
         self.reports: dict[str, Report] = {}
+        self.oldest = float('-inf')
+        self.steps: collections.deque[Step] = collections.deque()
 
     def begin(self, instance: str) -> None:
         """Counts a request that is sent."""
         self.own[instance] += 1
-        if instance in self.reports:
-            self.reports[instance].change += 1
+        self.note_step(instance, 1)
 
     def end(self, instance: str) -> None:
         """Counts a request that has ended."""
         self.own[instance] -= 1
         if not self.own[instance]:
             del self.own[instance]
+        self.note_step(instance, -1)
+
+    def note_step(self, instance: str, by: int) -> None:
+        """Notes a request that began or ended."""
+        now = trio.current_time()
+        self.steps.append(Step(instance, now, by))
+        while self.steps[0].at < now - REPORT_SECONDS:
+            self.steps.popleft()
         if instance in self.reports:
-            self.reports[instance].change -= 1
+            self.reports[instance].change += by
 
     def note_report(self, instance: str, value: bytes) -> None:
         """Notes what an upstream said: running, waiting, slots."""
@@ -89,6 +115,26 @@
         self.reports.pop(instance, None)
         self.reports[instance] = Report(load, trio.current_time())
 
+    def note_told(self, instance: str, load: int, age: float) -> None:
+        """Notes what an upstream said to another router.
+
+        Args:
+            instance: The upstream.
+            load: What it said.
+            age: Seconds since then.
+        """
+        at = trio.current_time() - age
+        known = self.reports.get(instance)
+        if age > REPORT_SECONDS or (known is not None and known.at >= at):
+            return
+        change = sum(
+            one.by
+            for one in self.steps
+            if one.instance == instance and one.at > at
+        )
+        self.reports.pop(instance, None)
+        self.reports[instance] = Report(load, at, change)
+
     def note_peer(self, name: str, counts: Mapping[str, int]) -> None:
         """Notes what a peer holds."""
         self.forget_peer(name)
@@ -113,9 +159,11 @@
             if now - oldest.at < PEER_SECONDS:
                 break
             self.forget_peer(name)
+        self.oldest = now - REPORT_SECONDS
         while self.reports:
+            # those that others told came late: an old one may lie behind
             instance, report = next(iter(self.reports.items()))
-            if now - report.at <= REPORT_SECONDS:
+            if report.at > self.oldest:
                 break
             del self.reports[instance]
 
@@ -128,7 +176,7 @@
         """Returns it by what is kept."""
         counted = self.own.get(instance, 0) + self.told.get(instance, 0)
         report = self.reports.get(instance)
-        if report is None:
+        if report is None or report.at <= self.oldest:
             return counted
         return max(counted, report.load + report.change)
 
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -98,7 +98,9 @@
         upstream would ask it for a copy, and read the whole prompt anew.
         """
         if ticket.need.parts and self.headers.copy_from:
-            self.cached.note_sent(ticket.need.chat, upstream.instance)
+            self.cached.note_sent(
+                ticket.need.chat, ticket.need.parts, upstream.instance
+            )
 
     def copy_source(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
--- a/lavenderbend/coordination/forwarding/shared_freshness.py
+++ b/lavenderbend/coordination/forwarding/shared_freshness.py
@@ -11,6 +11,8 @@
 from lavenderbend.observe import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.protocol import messages_forwarding
@@ -19,6 +21,10 @@
 # while upstreams come and go ten times a second, each change would be fetched
 # by each router; this part of a version's time takes several at once
 FETCH_GAP_PART = 0.1
+# one router of a zone fetches from another zone and tells its neighbours; the
+# others give it this time, for each router of the zone
+FAR_WAIT_SECONDS_EACH = 0.01
+MAX_FAR_WAIT_SECONDS = 0.3
 NEVER = float('-inf')
 
 
@@ -28,16 +34,23 @@
 
     Attributes:
         host: That router.
+        near: Whether it is in this router's zone.
         revision: Revision at which it told of it.
         digest: Digest of that snapshot.
         proved_at: Moment at which it was the newest, by this router's clock.
     """
 
     host: str
+    near: bool
     revision: int
     digest: int
     proved_at: float
 
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """What makes one offer better than another."""
+        return self.revision, self.near
+
     def proof_of(self, snapshot: forwarding.Snapshot) -> float:
         """Returns the moment at which a fetched snapshot was the newest.
 
@@ -63,7 +76,12 @@
         incarnation: Of this router's process.
         followed: What this router knows of the store.
         link: Fetches snapshots.
+        zone: This router's availability zone.
+        zone_size: Returns how many routers it has.
+        fetched: Called when a snapshot has come from another router.
         offer: The latest newer snapshot that was told of.
+        offered: Set when there is one.
+        near_offered: Set when a neighbour has it.
     """
 
     def __init__(
@@ -71,12 +89,17 @@
         incarnation: int,
         followed: snapshots.Snapshots,
         link: interfaces.DatagramLink,
+        zone: str = '',
     ) -> None:
         self.incarnation = incarnation
         self.followed = followed
         self.link = link
+        self.zone = zone
+        self.zone_size: Callable[[], int] = lambda: 1
+        self.fetched: Callable[[], None] = lambda: None
         self.offer: Offer | None = None
         self.offered = trio.Event()
+        self.near_offered = trio.Event()
 
     def note(self, state: messages_forwarding.RouterState) -> float:
         """Takes over a proof, or notes the snapshot that it is of.
@@ -90,10 +113,7 @@
         proved_at = self.proved_at(state)
         if current is None or state.digest != current.digest:
             if current is None or state.revision > current.revision:
-                self.offer = Offer(
-                    state.host, state.revision, state.digest, proved_at
-                )
-                self.offered.set()
+                self.note_offer(state, proved_at)
             return 0.0
         gained = proved_at - self.followed.proved_at
         if gained <= 0:
@@ -105,6 +125,24 @@
         self.followed.prove(proved_at)
         return gained
 
+    def note_offer(
+        self, state: messages_forwarding.RouterState, proved_at: float
+    ) -> None:
+        """Notes a newer snapshot, unless a better one is to be fetched."""
+        offer = Offer(
+            state.host,
+            state.zone == self.zone,
+            state.revision,
+            state.digest,
+            proved_at,
+        )
+        if self.offered.is_set() and self.offer.rank > offer.rank:
+            return
+        self.offer = offer
+        self.offered.set()
+        if offer.near:
+            self.near_offered.set()
+
     def proved_at(self, state: messages_forwarding.RouterState) -> float:
         """Returns the moment, by this router's clock, of a peer's proof.
 
@@ -124,12 +162,28 @@
         """Fetches newer snapshots from the routers that told of them."""
         while True:
             await self.offered.wait()
+            await self.wait_near()
+            offer = self.offer
             self.offered = trio.Event()
-            await self.fetch(self.offer)
+            self.near_offered = trio.Event()
+            await self.fetch(offer)
             await trio.sleep(
                 FETCH_GAP_PART * self.followed.settings.apply_seconds
             )
 
+    async def wait_near(self) -> None:
+        """Waits a moment for a neighbour that has the snapshot.
+
+        A configuration that each router of a zone fetched from another zone
+        would pass between zones as often as there are routers.
+        """
+        if self.offer.near:
+            return
+        most = FAR_WAIT_SECONDS_EACH * (self.zone_size() - 1)
+        most = min(most, MAX_FAR_WAIT_SECONDS)
+        with trio.move_on_after(most * self.followed.rng.random()):
+            await self.near_offered.wait()
+
     async def fetch(self, offer: Offer) -> None:
         """Fetches a snapshot; the store is read if this fails."""
         current = self.followed.current
@@ -141,6 +195,7 @@
             logs.change('peer_snapshot_failed', host=offer.host, cause=str(exc))
             return
         self.followed.accept(snapshot, offer.proof_of(snapshot))
+        self.fetched()
 
     async def fetch_raw(
         self, host: str, known: forwarding.RawSnapshot | None
--- a/lavenderbend/coordination/forwarding/shared_loads.py
+++ b/lavenderbend/coordination/forwarding/shared_loads.py
@@ -1,26 +1,42 @@
-"""Requests on upstreams, as routers tell each other of them."""
+"""Loads of upstreams, as routers tell each other of them."""
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
+import trio
+
+from lavenderbend.protocol import packed_rows
+from lavenderbend.state import hashing
+
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.protocol import messages_forwarding
-    from lavenderbend.state import forwarding
+
+# in one message: 6 and 5 bytes each
+MAX_NEAR_REPORTS = 32
+MAX_FAR_REPORTS = 64
+MAX_REQUESTS = 20
+# a report that is older is of little use when it arrives
+TOLD_SECONDS = 1.5
 
 
 class SharedLoads:
-    """Tells of this router's loads, and takes over those of others.
+    """Tells of loads that this router knows, and takes over those of others.
 
-    A message names an upstream by its place among the instances of a
-    snapshot in their order; it says which snapshot by its digest.
+    An upstream says its load with each answer. Each router has few answers,
+    but all together many: told on, the latest report of each upstream
+    reaches all routers within a second.
 
     Attributes:
         followed: The snapshot in force.
         loads: Requests on upstreams.
-        order: Digest of a snapshot, and its instances in their order.
+        short: Short ids by instance, of the upstreams in force.
+        instances: Instances by short id.
     """
 
     def __init__(
@@ -28,36 +44,58 @@
     ) -> None:
         self.followed = followed
         self.loads = loads
-        self.order: tuple[int, list[str]] = (0, [])
-
-    def instances(self, snapshot: forwarding.Snapshot) -> list[str]:
-        """Returns the instances of a snapshot in their order."""
-        if self.order[0] != snapshot.digest:
-            self.order = (snapshot.digest, sorted(snapshot.upstreams))
-        return self.order[1]
-
-    def told(self) -> list[int]:
-        """Returns this router's loads: pairs of a place and a count."""
-        current = self.followed.current
-        if current is None:
-            return []
-        pairs: list[int] = []
-        for place, instance in enumerate(self.instances(current)):
-            count = self.loads.own.get(instance, 0)
-            if count:
-                pairs += (place, count)
-        return pairs
+        self.short: dict[str, int] = {}
+        self.instances: dict[int, str] = {}
+        followed.on_change.append(self.note_upstreams)
+
+    def note_upstreams(self, snapshot: object) -> None:
+        """Takes over the upstreams of a new snapshot."""
+        upstreams = self.followed.current.upstreams
+        gone = [one for one in self.short if one not in upstreams]
+        for instance in gone:
+            self.instances.pop(self.short.pop(instance), None)
+        for instance in upstreams:
+            if instance not in self.short:
+                self.short[instance] = short = hashing.short_id(instance)
+                self.instances[short] = instance
+
+    def told_reports(self, far: bool) -> bytes:
+        """Returns the latest reports, packed.
+
+        Args:
+            far: Whether they go to another zone, which hears seldom of this.
+        """
+        most = MAX_FAR_REPORTS if far else MAX_NEAR_REPORTS
+        return packed_rows.pack_reports(
+            itertools.islice(self.latest_reports(), most)
+        )
+
+    def latest_reports(self) -> Iterator[tuple[int, int, float]]:
+        """Yields short ids, loads and ages of reports, the latest first."""
+        now = trio.current_time()
+        for instance, report in reversed(self.loads.reports.items()):
+            age = now - report.at
+            if age <= TOLD_SECONDS and instance in self.short:
+                yield self.short[instance], report.load, age
+
+    def told_requests(self) -> bytes:
+        """Returns this router's own requests, packed."""
+        rows = (
+            (self.short[instance], count)
+            for instance, count in self.loads.own.items()
+            if instance in self.short
+        )
+        return packed_rows.pack_counts(itertools.islice(rows, MAX_REQUESTS))
 
     def note(self, state: messages_forwarding.RouterState) -> None:
-        """Notes what another router has on the upstreams."""
-        current = self.followed.current
-        if current is None or state.digest != current.digest:
-            return
-        instances = self.instances(current)
-        places = state.loads[::2]
+        """Notes what another router knows."""
+        for short, load, age in packed_rows.unpack_reports(state.reports):
+            instance = self.instances.get(short)
+            if instance is not None:
+                self.loads.note_told(instance, load, age)
         counts = {
-            instances[place]: count
-            for place, count in zip(places, state.loads[1::2], strict=False)
-            if place < len(instances)
+            self.instances[short]: count
+            for short, count in packed_rows.unpack_counts(state.requests)
+            if short in self.instances
         }
         self.loads.note_peer(state.name, counts)
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -9,6 +9,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import reading_turns
 from lavenderbend.coordination.forwarding import removals
 from lavenderbend.coordination.forwarding import store_reads
 from lavenderbend.observe import logs
@@ -23,14 +24,10 @@
 
 # a version must be in force on all routers within `apply_seconds`: a read may
 # be due, fail once and be made again within it
-READ_PART = 0.3
-# routers that share what they read fire at different moments, so that one
-# read serves all; the window grows with the fleet up to this part
-JITTER_PART = 0.45
-JITTER_SECONDS_EACH = 0.03
-# few routers draw a short time: drawn evenly, a tenth of a large fleet would
-# read before the first one's proof has reached it
-JITTER_EXPONENT = 1 / 3
+READ_PART = 0.4
+# routers that share what they read take turns, so that one read serves all;
+# each has had its turn after this part
+TURNS_PART = 0.35
 # an entry that lapsed while the store was away is back within two seconds
 REGISTER_SECONDS = 2.2
 # a proof older than the longest pause between reads, and this, means that the
@@ -38,6 +35,10 @@
 AWAY_SECONDS = 0.5
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
+# while the store is away a few routers try it often and the others seldom: a
+# hundred a second would only find out sooner what one tells all
+FEW_READERS = 8
+MANY_RETRY_SECONDS = 6.0
 # a credential is refused this long before its revocation must be in force
 REVOCATION_MARGIN_SECONDS = 0.4
 NEVER = float('-inf')
@@ -89,7 +90,8 @@
         kept: Upstreams missing from `current` that may only have lapsed
             while the store was away, and until when they are kept.
         removals: What is gone, for routers that know an earlier snapshot.
-        peer_count: Returns how many routers share what they read.
+        reading_place: Returns this router's place in the order in which
+            routers read, 0 for the first.
         on_change: Called with each new snapshot.
         on_proof: Called when this router has read the store itself.
     """
@@ -109,13 +111,14 @@
         self.proved_at = NEVER
         self.kept: dict[str, tuple[forwarding.Upstream, float]] = {}
         self.removals = removals.Removals()
-        self.peer_count: Callable[[], int] = lambda: 1
+        self.reading_place: Callable[[], int] = lambda: 0
         self.on_change: list[Callable[[forwarding.Snapshot], None]] = []
         self.on_proof: list[Callable[[], None]] = []
         self.wanted = trio.Event()
         self.proved = trio.Event()
         self.failures = 0
-        self.jitter = 0.0
+        self.retry_at = NEVER
+        self.turn_seconds = 0.0
 
     @property
     def age(self) -> float:
@@ -129,7 +132,7 @@
         Under it an entry that is missing is gone: its upstream has left
         without a word, and gets nothing new.
         """
-        longest = (READ_PART + JITTER_PART) * self.settings.apply_seconds
+        longest = (READ_PART + TURNS_PART) * self.settings.apply_seconds
         return longest + AWAY_SECONDS
 
     @property
@@ -154,6 +157,9 @@
         Returns:
             Whether it is.
         """
+        if self.failures and self.retry_at > self.clock() + within:
+            # nothing is known to come: the caller hears of it now
+            return self.age < seconds
         with trio.move_on_after(within):
             while self.age >= seconds:
                 self.wanted.set()
@@ -165,25 +171,39 @@
         while True:
             delay = self.due() - self.clock()
             if delay > 0:
-                with trio.move_on_after(delay):
-                    await self.wanted.wait()
+                await self.wait_wanted(delay)
                 if not self.wanted.is_set():
                     continue
             self.wanted = trio.Event()
             await self.read()
 
+    async def wait_wanted(self, seconds: float) -> None:
+        """Waits so long, or until a request needs to know now.
+
+        After a read that failed no request is a reason for another one: a
+        store that is away would get as many calls as callers send requests.
+        """
+        with trio.move_on_after(seconds):
+            if self.failures:
+                self.wanted = trio.Event()
+                await self.proved.wait()
+            else:
+                await self.wanted.wait()
+
     def due(self) -> float:
         """Returns the moment of the next read, by the suspension clock."""
-        if self.failures:
-            return self.retry_at
         interval = READ_PART * self.settings.apply_seconds
-        return self.proved_at + interval + self.jitter
-
-    def draw_jitter(self) -> None:
-        """Draws how long after the others this router reads next."""
-        most = JITTER_PART * self.settings.apply_seconds
-        window = min(most, JITTER_SECONDS_EACH * self.peer_count())
-        self.jitter = window * self.rng.random() ** JITTER_EXPONENT
+        turn = self.proved_at + interval + self.turn_seconds
+        # another router reaches a store that turned this one away
+        return max(turn, self.retry_at) if self.failures else turn
+
+    def draw_turn(self) -> None:
+        """Notes how long this router lets others read before it."""
+        self.turn_seconds = reading_turns.wait_seconds(
+            self.reading_place(),
+            TURNS_PART * self.settings.apply_seconds,
+            self.rng.random(),
+        )
 
     async def read(self) -> None:
         """Reads the store once."""
@@ -239,6 +259,8 @@
         self.failures += 1
         delay = FIRST_RETRY_SECONDS * 2.0 ** min(self.failures - 1, 4)
         delay = min(delay, MAX_RETRY_SECONDS)
+        if self.reading_place() >= FEW_READERS:
+            delay = MANY_RETRY_SECONDS
         self.retry_at = self.clock() + self.rng.uniform(0.5, 1.0) * delay
 
     def accept(self, snapshot: forwarding.Snapshot, proved_at: float) -> None:
@@ -265,7 +287,7 @@
         if proved_at <= self.proved_at:
             return
         self.proved_at = proved_at
-        self.draw_jitter()
+        self.draw_turn()
         self.proved.set()
         self.proved = trio.Event()
 
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -23,6 +23,7 @@
 from lavenderbend.coordination.forwarding import peers
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
+from lavenderbend.coordination.forwarding import suspicions
 from lavenderbend.observe import logs
 from lavenderbend.platform import store
 from lavenderbend.protocol import documents_yaml
@@ -103,7 +104,6 @@
             [address(text)[0] for text in self.forwarding.peers],
             self.snapshots,
             self.loads,
-            self.health,
             self.link,
             self.rng,
         )
@@ -112,16 +112,20 @@
         """Makes what requests go through."""
         settings = self.forwarding
         self.exchanges = upstream_exchanges.UpstreamExchanges()
-        self.crashes = crashes.Crashes(
-            self.exchanges.accepts, self.peers.tell_crash
-        )
-        self.peers.crashes = self.crashes
+        self.crashes = crashes.Crashes(self.exchanges.accepts, self.peers.facts)
         self.silence = silence.SilenceWatch(self.health)
-        self.health.on_suspect = self.peers.tell_proof
-        self.peers.on_suspected = self.note_suspected
+        self.suspicions = suspicions.Suspicions(
+            self.peers.facts, self.peers.fleet_size
+        )
+        self.suspicions.believed = self.note_suspected
+        self.health.on_suspect = self.suspicions.tell
+        self.peers.on_learned = {
+            crashes.DEATH: self.crashes.learn,
+            crashes.CLEARED: self.crashes.learn,
+            suspicions.SUSPECTED: self.suspicions.learn,
+        }
         self.budget = budget.RepeatBudget(
-            repeat_settings(settings),
-            self.known_fleet_size,
+            repeat_settings(settings), self.peers.budget_parts
         )
         self.forwarder = forwarder.Forwarder(
             entry.Entry(
@@ -140,7 +144,12 @@
                 self.health,
                 self.loads,
                 outgoing.OutgoingRequests(
-                    cached_prompts.CachedPrompts(self.directory, self.health),
+                    cached_prompts.CachedPrompts(
+                        self.directory,
+                        self.health,
+                        self.peers.prompts,
+                        self.peers.loads.instances,
+                    ),
                     settings.headers,
                 ),
                 self.crashes,
@@ -149,6 +158,7 @@
             ),
             self.budget,
         )
+        self.forwarder.fleet_size = self.peers.fleet_size
 
     def make_servers(self) -> None:
         """Makes what callers and the balancer speak to."""
@@ -182,22 +192,17 @@
             settings,
             self.forwarder.entry,
             self.forwarder.chooser,
-            self.peers.members,
+            self.peers,
             kept,
         )
 
-    def note_suspected(self, instance: str) -> None:
-        """Avoids an upstream that another router found dead.
+    def note_suspected(self, instance: str, seconds: float) -> None:
+        """Avoids an upstream that other routers found dead.
 
-        Not one that this router has just heard: the other may be cut off.
+        Not one that this router has just heard: the others may be cut off.
         """
         if not self.silence.heard_within(instance, silence.DARK_SECONDS):
-            self.health.note_suspected(instance)
-
-    def known_fleet_size(self) -> int:
-        """Returns how many routers there are, 0 if none was ever heard."""
-        size = self.peers.fleet_size()
-        return size if size > 1 else 0
+            self.health.note_suspected(instance, seconds)
 
     def caller_limits(self) -> forwarding_state.CallerLimits:
         """Returns the limits of callers that are in force."""
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -7,10 +7,13 @@
 from lavenderbend.protocol import peer
 
 
-@peer.message(100)
+@peer.message(104)
 @attrs.frozen
 class RouterState(peer.Message):
-    """What a router tells others of itself, in one datagram.
+    """What a router tells others of itself and of what it heard.
+
+    Each message stands for itself, and fits one datagram at any size of the
+    fleet: what grows with the fleet is told in parts.
 
     Attributes:
         name: The router.
@@ -18,6 +21,7 @@
         host: IP number at which peers reach it.
         zone: Its availability zone.
         leaving: Whether it is stopping.
+        asks: Whether an answer is wanted, with what a new router needs.
         sent_at: Its suspension clock when this was made, in seconds.
         echo_incarnation: Incarnation of the receiver whose message it
             heard last.
@@ -27,11 +31,16 @@
             has none.
         revision: Revision of its snapshot.
         digest: Digest of its snapshot.
-        loads: Pairs of numbers: the place of an upstream among the
-            instances of that snapshot in their order, and the requests that
-            this router has there. Most upstreams of a large site have none.
-        members: Hosts of routers that it knows.
-        suspects: Upstreams that it found dead or out of reach.
+        bound: Most routers that it counted lately.
+        zones: Lists of a zone, the routers alive there, and the age of that
+            count in milliseconds.
+        facts: Lists of a kind, a subject, a source, an age and a duration,
+            both in milliseconds.
+        heard: Routers of its zone and when they were heard, packed.
+        reports: Upstreams and the loads that they reported, packed.
+        requests: Upstreams and this router's own requests there, packed.
+        hosts: Lists of another zone and routers there, packed.
+        prompts: Prompt parts and upstreams that hold them, packed.
     """
 
     name: str
@@ -39,6 +48,7 @@
     host: str
     zone: str
     leaving: bool
+    asks: bool
     sent_at: float
     echo_incarnation: int
     echo_at: float | None
@@ -46,9 +56,14 @@
     proof_age: float | None
     revision: int
     digest: int
-    loads: list[int]
-    members: list[str] = attrs.field(factory=list)
-    suspects: list[str] = attrs.field(factory=list)
+    bound: int = 0
+    zones: list[list[str | int]] = attrs.field(factory=list)
+    facts: list[list[str | int]] = attrs.field(factory=list)
+    heard: bytes = b''
+    reports: bytes = b''
+    requests: bytes = b''
+    hosts: list[list[str | bytes]] = attrs.field(factory=list)
+    prompts: bytes = b''
 
 
 @peer.message(101)
@@ -84,19 +99,3 @@
     """
 
     known_revision: int
-
-
-@peer.message(102)
-@attrs.frozen
-class CrashNotice(peer.Message):
-    """A request that was on upstreams when they died, or that is cleared.
-
-    Attributes:
-        fingerprint: The request.
-        instances: Upstreams that died with it.
-        cleared: Whether it has run to a good end since.
-    """
-
-    fingerprint: int
-    instances: list[str]
-    cleared: bool
--- a/lavenderbend/state/hashing.py
+++ b/lavenderbend/state/hashing.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterator
 
 MAX_HASH = 2**64
+SHORT_SHIFT = 32
 # names of upstreams and chats that are hashed again and again
 MAX_FRAMED = 32_768
 
@@ -22,6 +23,15 @@
     return xxhash.xxh3_64_intdigest(b''.join(map(framed, parts)))
 
 
+def short_id(name: str) -> int:
+    """Returns what names something in a datagram, in four bytes.
+
+    Of 6,100 names two have the same with a chance of one in 200: only for
+    what may be wrong.
+    """
+    return hash64(name) >> SHORT_SHIFT
+
+
 @functools.lru_cache(maxsize=MAX_FRAMED)
 def framed(part: str | bytes) -> bytes:
     """Returns a part behind its length."""
--- a/lavenderbend/transport/forwarding_operators.py
+++ b/lavenderbend/transport/forwarding_operators.py
@@ -21,7 +21,7 @@
 
     from lavenderbend.coordination.forwarding import choice as choice_module
     from lavenderbend.coordination.forwarding import entry as entry_module
-    from lavenderbend.coordination.forwarding import members as members_module
+    from lavenderbend.coordination.forwarding import peers as peers_module
     from lavenderbend.state import decisions as decisions_module
     from lavenderbend.state import forwarding
     from lavenderbend.state import settings as settings_module
@@ -40,7 +40,7 @@
     Attributes:
         entry: Rules and customers in force.
         chooser: Finds upstreams.
-        members: Other routers.
+        peers: Other routers.
         decisions: The latest decisions.
         explainer: Says what would be decided.
     """
@@ -50,12 +50,12 @@
         settings: settings_module.RouterSettings,
         entry: entry_module.Entry,
         chooser: choice_module.Chooser,
-        members: members_module.Members,
+        peers: peers_module.Peers,
         decisions: decisions_module.DecisionStore,
     ) -> None:
         self.entry = entry
         self.chooser = chooser
-        self.members = members
+        self.peers = peers
         self.decisions = decisions
         self.explainer = explain_module.Explainer(entry, chooser)
         super().__init__(settings.id, settings, ROUTES)
@@ -110,6 +110,7 @@
         'revision': None if table is None else {'number': table.version},
         'cut_off_seconds': followed.age if stale else None,
         'when_cut_off': WHEN_CUT_OFF,
+        'fleet': fleet(app),
         'routers': list(routers(app)),
         'pools': [] if table is None else list(pools(app, table)),
         'rules': [] if table is None else list(rule_hits(app, table)),
@@ -118,18 +119,43 @@
     }
 
 
+def fleet(app: ForwardingOperators) -> dict[str, Any]:
+    """Returns how many routers this one counts, by zone."""
+    known = app.peers.count.known()
+    return {
+        'routers': app.peers.fleet_size(),
+        'zones': {zone: one.routers for zone, one in known.items()},
+        'budget_parts': app.peers.budget_parts(),
+    }
+
+
 def routers(app: ForwardingOperators) -> Iterator[dict[str, Any]]:
-    """Yields the known routers and their state."""
-    alive = {member.host for member in app.members.alive()}
-    for member in app.members.by_host.values():
-        state = 'alive' if member.host in alive else 'silent'
-        yield {
-            'id': member.name or member.host,
-            'availability_zone': member.zone,
-            'state': 'leaving' if member.leaving else state,
-            # routers tell each other the store's revision, not the version
-            'revision': None,
-        }
+    """Yields the known routers and their state.
+
+    Those are the routers of the own zone, and of others those that were
+    heard or asked lately.
+    """
+    members = app.peers.members
+    for member in members.by_host.values():
+        state = 'alive' if members.is_alive(member) else 'silent'
+        state = 'leaving' if member.leaving else state
+        yield router_row(member.name, member.zone, state)
+    near = set(members.near.alive())
+    silent = {*members.silent_hosts()}
+    for host in sorted((near | silent) - members.by_host.keys()):
+        zone = members.zone if host in near else ''
+        yield router_row(host, zone, 'alive' if host in near else 'silent')
+
+
+def router_row(name: str, zone: str, state: str) -> dict[str, Any]:
+    """Returns one router's row."""
+    return {
+        'id': name,
+        'availability_zone': zone,
+        'state': state,
+        # routers tell each other the store's revision, not the version
+        'revision': None,
+    }
 
 
 def pools(
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -15,14 +15,18 @@
 from lavenderbend.coordination.forwarding import crashes
 from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import entry
+from lavenderbend.coordination.forwarding import facts
 from lavenderbend.coordination.forwarding import forwarder
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import shared_loads
+from lavenderbend.coordination.forwarding import shared_prompts
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
+from lavenderbend.coordination.forwarding import suspicions
 from lavenderbend.state import configuration
 from lavenderbend.state import forwarding
 from lavenderbend.state import forwarding_settings
@@ -269,13 +273,22 @@
         self.health = health.Health()
         self.loads = loads.Loads()
         self.exchanges = exchanges
-        self.notices = []
-        self.crashes = crashes.Crashes(exchanges.accepts, self.notices.append)
+        self.learned = []
+        self.crashes = crashes.Crashes(
+            exchanges.accepts, facts.Facts('10.0.0.1', self.learn)
+        )
         self.silence = silence.SilenceWatch(self.health)
         self.budget = budget.RepeatBudget(
             budget.RepeatSettings(0.2, 50.0, 10.0), lambda: fleet
         )
         self.entry = entry.Entry(self.snapshots, HEADERS, 2.0)
+        self.shared_loads = shared_loads.SharedLoads(self.snapshots, self.loads)
+        self.cached = cached_prompts.CachedPrompts(
+            self.directory,
+            self.health,
+            shared_prompts.SharedPrompts(),
+            self.shared_loads.instances,
+        )
         self.chooser = choice.Chooser(
             ZONE,
             self.directory,
@@ -292,7 +305,7 @@
                 self.health,
                 self.loads,
                 outgoing.OutgoingRequests(
-                    cached_prompts.CachedPrompts(self.directory, self.health),
+                    self.cached,
                     HEADERS,
                 ),
                 self.crashes,
@@ -303,6 +316,10 @@
         )
         self.snapshots.accept(content, self.clock())
 
+    def learn(self, fact):
+        self.learned.append(fact)
+        self.crashes.learn(fact)
+
     async def ask(self, **fields):
         """Returns the caller's answer and the error, if there was one."""
         answer = Answer()
@@ -404,12 +421,18 @@
             seeds,
             self.snapshots,
             self.loads,
-            self.health,
             self.link,
             random.Random(host),
         )
-        self.crashes = crashes.Crashes(lambda one: True, self.peers.tell_crash)
-        self.peers.crashes = self.crashes
+        self.crashes = crashes.Crashes(lambda one: True, self.peers.facts)
+        self.suspicions = suspicions.Suspicions(
+            self.peers.facts, self.peers.fleet_size
+        )
+        self.peers.on_learned = {
+            crashes.DEATH: self.crashes.learn,
+            crashes.CLEARED: self.crashes.learn,
+            suspicions.SUSPECTED: self.suspicions.learn,
+        }
         routers[host] = self
 
     def start(self, nursery):
--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -9,6 +9,8 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import budget
+from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import facts
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import shared_freshness
 from lavenderbend.protocol import messages_forwarding
@@ -239,6 +241,7 @@
         host='10.0.0.2',
         zone=fakes.ZONE,
         leaving=False,
+        asks=False,
         sent_at=1.0,
         echo_incarnation=5,
         echo_at=followed.clock(),
@@ -246,7 +249,6 @@
         proof_age=0.0,
         revision=12,
         digest=12,
-        loads=[],
     )
     assert shared.note(state) == 0.0
     await shared.fetch(shared.offer)
@@ -260,11 +262,15 @@
     # short time for which a full one is held back stood for the long one of a
     # dead one: other routers were not told, and requests went there again.
     known = health.Health()
+    told = []
+    known.on_suspect = lambda instance, seconds: told.append(
+        (instance, seconds)
+    )
     known.note_full('e1')
     known.note_unreachable('e1')
     await trio.sleep(health.FULL_SECONDS + 0.1)
     assert known.is_suspected('e1')
-    assert known.suspects() == ['e1']
+    assert told == [('e1', health.FIRST_AVOID_SECONDS)]
 
 
 async def test_failure_answered_to_a_resume_counts_once(autojump_clock):
@@ -360,10 +366,12 @@
     await the_router.ask()
     (loss,) = the_router.crashes.losses
     the_router.exchanges.dead |= set(NAMES)
-    cleared = messages_forwarding.CrashNotice(loss.mark, [], True)
-    the_router.crashes.on_notice(cleared)
+    subject = crashes.subject_of(loss.mark)
+    now = trio.current_time()
+    cleared = facts.Fact(crashes.CLEARED, subject, '10.0.0.2 0', now, 60.0)
+    the_router.crashes.facts.take(cleared)
     await trio.sleep(1.0)
-    assert the_router.crashes.records == {}
+    assert not the_router.crashes.facts.has(crashes.DEATH)
 
 
 async def test_request_whose_caller_left_goes_nowhere_else(autojump_clock):
--- a/tests/test_coordination/test_forwarding_parts.py
+++ b/tests/test_coordination/test_forwarding_parts.py
@@ -15,7 +15,10 @@
 from lavenderbend.coordination.forwarding import events
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import loads
+from lavenderbend.coordination.forwarding import shared_loads
+from lavenderbend.coordination.forwarding import shared_prompts
 from lavenderbend.coordination.forwarding import snapshots
+from lavenderbend.state import hashing
 from tests import forwarding_fakes as fakes
 
 ZONES = ('sala-a', 'sala-b', 'sala-c')
@@ -32,7 +35,11 @@
         self.directory = directory.Directory(self.followed)
         self.health = health.Health()
         self.loads = loads.Loads()
-        self.cached = cached_prompts.CachedPrompts(self.directory, self.health)
+        self.shared = shared_prompts.SharedPrompts()
+        names = shared_loads.SharedLoads(self.followed, self.loads).instances
+        self.cached = cached_prompts.CachedPrompts(
+            self.directory, self.health, self.shared, names
+        )
         self.revision = 0
 
     def set(self, *found):
@@ -154,7 +161,7 @@
         parts = need(chat).parts
         source = world.cached.source('chat', f'chat-{chat}', parts, now)
         assert source.upstream.instance == instance
-        world.cached.note_sent(f'chat-{chat}', now.instance)
+        world.cached.note_sent(f'chat-{chat}', parts, now.instance)
         again = world.cached.source('chat', f'chat-{chat}', parts, now)
         assert again is None
     assert 5 <= moved <= 30
@@ -200,6 +207,58 @@
             world.loads.end(first)
 
 
+async def test_first_part_of_a_new_chat_is_copied_from_who_holds_it(
+    world, autojump_clock
+):
+    # A day begins: chats are new, and many begin with the same long text. It
+    # was looked for at one upstream worked out from its name, which had read
+    # it no sooner than the others: each of sixty upstreams read it anew.
+    first = chosen(world, 1).upstream
+    assert world.cached.source('chat', 'chat-1', need(1).parts, first) is None
+    world.cached.note_sent('chat-1', need(1).parts, first.instance)
+    others = [c for c in range(40) if chosen(world, c).upstream != first]
+    assert others
+    for chat in others:
+        now = chosen(world, chat).upstream
+        source = world.cached.source(
+            'chat', f'chat-{chat}', need(chat).parts, now
+        )
+        assert source.upstream == first
+        assert source.why == cached_prompts.FIRST_PART
+    world.health.note_unreachable(first.instance)
+    chat = others[0]
+    now = chosen(world, chat).upstream
+    source = world.cached.source('chat', f'chat-{chat}', need(chat).parts, now)
+    assert source is None or source.upstream != first
+
+
+async def test_holders_of_a_first_part_are_told_and_forgotten(autojump_clock):
+    parts = need(1).parts
+    one, other = shared_prompts.SharedPrompts(), shared_prompts.SharedPrompts()
+    for instance in ('e1', 'e2', 'e3', 'e4'):
+        one.note(parts, instance)
+    other.take(one.told())
+    found = other.find(parts, lambda short: True)
+    names = {hashing.short_id(name) for name in ('e1', 'e2', 'e3')}
+    assert found in names
+    assert other.find(parts, lambda short: short not in names) is None
+    await trio.sleep(shared_prompts.HOLD_SECONDS + 0.1)
+    other.tidy()
+    assert other.find(parts, lambda short: True) is None
+    assert other.told() == b''
+
+
+async def test_parts_that_begin_one_chat_each_stay_few(autojump_clock):
+    # Each chat begins with a text of its own: there is nothing to share, and
+    # its routers must not tell each other of each.
+    known = shared_prompts.SharedPrompts()
+    for chat in range(shared_prompts.MAX_PARTS + 50):
+        parts = choice.parse_parts(f'{chat:x}:100,c{chat:x}:900,f:10')
+        known.note(parts, 'e1')
+    assert len(known.holders) == shared_prompts.MAX_PARTS
+    assert len(known.told()) <= 9 * shared_prompts.MAX_TOLD
+
+
 async def test_upstream_that_fails_requests_still_hands_out_its_cache(
     world, autojump_clock
 ):
@@ -260,9 +319,12 @@
     assert repeats
 
 
-async def test_router_that_knows_no_fleet_takes_a_small_part(autojump_clock):
+async def test_router_that_knows_no_fleet_takes_no_part(autojump_clock):
     one = budget.RepeatBudget(budget.RepeatSettings(0.2, 54.0), lambda: 0)
-    assert sum(one.try_take('desk') for _ in range(100)) <= 54 / 16
+    assert not any(one.try_take('desk') for _ in range(100))
+    for _ in range(100):
+        one.note_request('desk')
+    assert sum(one.try_take('desk') for _ in range(100)) == 16
 
 
 async def test_budget_of_one_service_is_not_that_of_another(autojump_clock):
--- a/tests/test_coordination/test_forwarding_path.py
+++ b/tests/test_coordination/test_forwarding_path.py
@@ -8,6 +8,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import choice as choice_module
+from lavenderbend.coordination.forwarding import crashes
 from lavenderbend.state import forwarding
 from tests import forwarding_fakes as fakes
 
@@ -380,8 +381,9 @@
     _, error = await the_router.ask(body=b'poison')
     assert isinstance(error, errors.RequestQuarantined)
     assert error.status == 503
-    # told to the other routers: one notice for each death
-    assert [len(notice.instances) for notice in the_router.notices] == [1, 1]
+    # told to the other routers: one fact for each death
+    assert [fact.kind for fact in the_router.learned] == [crashes.DEATH] * 2
+    assert len({fact.source for fact in the_router.learned}) == 2
 
 
 async def test_neighbour_of_a_death_is_not_stopped(autojump_clock):
@@ -389,12 +391,16 @@
     # succeeded between the deaths.
     the_router = router(both(fakes.reply()), ONCE)
     ticket = await the_router.entry.admit(fakes.request())
-    mark = the_router.crashes.fingerprint(ticket)
+    subject = crashes.subject_of(the_router.crashes.fingerprint(ticket))
+    known = the_router.crashes.facts
     for name in ('gone-1', 'gone-2'):
-        the_router.crashes.note_death(mark, [name])
+        await trio.sleep(0.1)
+        known.add(crashes.DEATH, subject, name, 60.0)
         answer, error = await the_router.ask()
         assert (answer.status, error) == (200, None)
-    assert [notice.cleared for notice in the_router.notices] == [True, True]
+        assert known.of(crashes.DEATH, subject) == []
+    kinds = [fact.kind for fact in the_router.learned]
+    assert kinds == [crashes.DEATH, crashes.CLEARED] * 2
 
 
 async def test_reset_connection_is_no_death(nursery, autojump_clock):
@@ -407,7 +413,7 @@
         await the_router.ask()
         await trio.sleep(0.2)
     assert len(exchanges.sent) == 6
-    assert not the_router.crashes.records
+    assert not the_router.crashes.facts.has(crashes.DEATH)
 
 
 async def test_caller_that_leaves_ends_the_work(autojump_clock):
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -6,7 +6,9 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import crashes
 from lavenderbend.protocol import messages_forwarding
+from lavenderbend.protocol import peer
 from tests import forwarding_fakes as fakes
 
 REVOCATION = 5.0
@@ -129,7 +131,7 @@
     # A VM lost power and its clock began anew; a peer still echoes the clock
     # of its earlier life, which now lies far ahead.
     node = fleet.routers[HOSTS[0]]
-    state = fleet.routers[HOSTS[1]].peers.state_for(HOSTS[0])
+    state = fleet.routers[HOSTS[1]].peers.state(HOSTS[0])
     node.peers.freshness.incarnation += 1
     assert node.peers.freshness.proved_at(state) == float('-inf')
 
@@ -142,6 +144,7 @@
         HOSTS[1],
         'z',
         False,
+        False,
         0.0,
         node.peers.freshness.incarnation,
         node.clock() + 100.0,
@@ -149,7 +152,6 @@
         0.0,
         1,
         1,
-        [],
     )
     assert node.peers.freshness.proved_at(state) <= node.clock()
 
@@ -187,10 +189,13 @@
 async def test_new_router_learns_of_requests_that_upstreams_die_of(
     fleet, autojump_clock
 ):
-    fleet.routers[HOSTS[0]].crashes.note_death(7, ['e1', 'e2'])
+    known = fleet.routers[HOSTS[0]].peers.facts
+    for name in ('e1', 'e2'):
+        known.add(crashes.DEATH, crashes.subject_of(7), name, 60.0)
+    await trio.sleep(5.0)
     node = fleet.add('10.0.0.9')
     await trio.sleep(1.5)
-    assert node.crashes.records[7].instances == {'e1', 'e2'}
+    assert node.crashes.deaths(7) == ['e1', 'e2']
 
 
 async def test_many_changes_are_fetched_together(fleet, autojump_clock):
@@ -216,16 +221,33 @@
     assert list(node.snapshots.current.upstreams) == ['x99']
 
 
-async def test_bytes_of_a_message_are_bounded_by_the_fleet(
+async def test_message_fits_a_datagram_in_the_largest_fleet(
     fleet, autojump_clock
 ):
-    from lavenderbend.protocol import peer
-
-    for number in range(200):
-        fleet.routers[HOSTS[0]].peers.members.learn(f'10.9.0.{number}')
-    for _ in range(50):
-        state = fleet.routers[HOSTS[0]].peers.state_for(HOSTS[1])
-        assert len(peer.encode(state)) < 400
+    # A thousand routers, all in one zone or spread over twelve, 6,100
+    # upstreams that all report, and a rack that dies: a message over the
+    # size of a packet would be cut, and lost twice as often.
+    peers = fleet.routers[HOSTS[0]].peers
+    found = [fakes.upstream(f'i-{number:08x}') for number in range(6100)]
+    fleet.routers[HOSTS[0]].snapshots.accept(
+        fakes.snapshot(2, fakes.table(2), *found), trio.current_time()
+    )
+    loads = fleet.routers[HOSTS[0]].loads
+    for one in found:
+        loads.begin(one.instance)
+        loads.note_report(one.instance, b'31,95,32')
+        peers.facts.add(
+            crashes.DEATH, crashes.subject_of(2**64 - 1), one.instance, 60.0
+        )
+    for number in range(1000):
+        host = f'10.9.{number // 250}.{number % 250}'
+        peers.members.near.note(host)
+        peers.count.note(f'zone-number-{number % 12}', 1000)
+        peers.members.learn(f'zone-number-{number % 12}', host, 1.0)
+    for new in (False, True):
+        state = peers.full_state(HOSTS[1], asks=True, new=new)
+        print(len(peer.encode(state)))
+        assert len(peer.encode(state)) < 1400
 
 
 async def test_reads_of_a_large_fleet_grow_little(nursery, autojump_clock):
--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -87,26 +87,28 @@
     watch.start_anew(trio.current_time())
     watch.check(trio.current_time())
     assert not waiting.scope.cancel_called
-    assert not watch.health.suspects()
+    assert not watch.health.is_suspected('e1')
 
 
 async def test_what_another_router_found_ends_waits_too(watch, autojump_clock):
+    told = []
+    watch.health.on_suspect = lambda instance, seconds: told.append(instance)
     waiting = begin(watch)
     await trio.sleep(0.3)
-    watch.health.note_suspected('e1')
+    watch.health.note_suspected('e1', 1.0)
     await trio.sleep(0.4)
     assert waiting.scope.cancel_called
-    # told on only by who found it: else routers would keep a rumour alive
-    assert watch.health.suspects() == []
+    # told only by who found it: else routers would keep a rumour alive
+    assert told == []
 
 
 async def test_suspicion_ends_with_the_next_success(autojump_clock):
     known = health.Health()
     told = []
-    known.on_suspect = lambda: told.append(known.suspects())
+    known.on_suspect = lambda instance, seconds: told.append(instance)
     known.note_unreachable('e1')
     known.note_unreachable('e1')
-    assert told == [['e1']]
+    assert told == ['e1']
     known.note_success('e1')
     assert not known.is_suspected('e1')
 
@@ -229,7 +231,7 @@
     await router.forwarder.forward(fakes.request(x_deadline_ms='60000'), answer)
     assert answer.body == event(1) + event(2)
     assert len(exchanges.sent) == 1
-    assert not router.health.suspects()
+    assert not any(map(router.health.is_suspected, ('e1', 'e2')))
 
 
 async def test_failure_answered_to_a_resume_is_no_second_head(autojump_clock):
--- /dev/null
+++ b/tests/test_protocol/test_protocol_packed_rows.py
@@ -0,0 +1,44 @@
+"""Rows of datagrams."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from lavenderbend.protocol import packed_rows
+
+AGES = strategies.floats(0.0, 7.0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.ip_addresses(v=4).map(str),
+            AGES,
+        ),
+        max_size=20,
+    )
+)
+def test_hosts_come_back_no_younger(rows):
+    found = list(packed_rows.unpack_heard(packed_rows.pack_heard(rows)))
+    assert [host for host, _ in found] == [host for host, _ in rows]
+    for (_, before), (_, after) in zip(rows, found, strict=True):
+        assert before <= after <= before + 1.0 / packed_rows.AGES_PER_SECOND
+
+
+def test_what_is_larger_than_a_byte_is_the_largest():
+    packed = packed_rows.pack_reports([(7, 3000, 60.0)])
+    ((short, load, age),) = packed_rows.unpack_reports(packed)
+    assert (short, load) == (7, packed_rows.MAX_COUNT)
+    assert age > 7.0
+
+
+def test_age_before_now_is_none():
+    assert packed_rows.packed_age(-1.0) == 0
+
+
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_are_read(data):
+    list(packed_rows.unpack_heard(data))
+    list(packed_rows.unpack_reports(data))
+    list(packed_rows.unpack_counts(data))
--- a/tests/test_transport/test_forwarding_operators.py
+++ b/tests/test_transport/test_forwarding_operators.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import orjson
 import pytest
 
-from lavenderbend.coordination.forwarding import members
+from lavenderbend.coordination.forwarding import peers
 from lavenderbend.state import decisions
 from lavenderbend.state import forwarding
 from lavenderbend.state import settings
@@ -38,8 +40,15 @@
         self.router = fakes.Router(fakes.snapshot(1, table, *found), exchanges)
         self.kept = decisions.DecisionStore(10)
         self.router.forwarder.decisions = self.kept
-        self.members = members.Members(
-            '127.0.0.1', ['127.0.0.2'], self.router.clock
+        self.peers = peers.Peers(
+            'router-1',
+            '127.0.0.1',
+            fakes.ZONE,
+            ['127.0.0.2'],
+            self.router.snapshots,
+            self.router.loads,
+            fakes.Network('127.0.0.1', {}, set()),
+            random.Random(1),
         )
         self.operators = forwarding_operators.ForwardingOperators(
             settings.RouterSettings(
@@ -50,7 +59,7 @@
             ),
             self.router.entry,
             self.router.chooser,
-            self.members,
+            self.peers,
             self.kept,
         )
 
@@ -189,13 +198,25 @@
 
 async def test_status_lists_upstreams_and_rules(subject):
     await subject.router.ask()
-    subject.members.learn('127.0.0.3')
+    members = subject.peers.members
+    members.near.note('127.0.0.3')
+    members.learn('sala-b', '127.0.0.4', 30.0)
+    subject.peers.tick()
     subject.router.health.note_unreachable('e2')
     status, found = await subject.call('GET', '/v1/status')
     assert status == 200
     assert found['revision'] == {'number': 7}
     assert found['cut_off_seconds'] is None
-    assert [one['state'] for one in found['routers']] == ['silent']
+    assert [(one['id'], one['state']) for one in found['routers']] == [
+        ('127.0.0.2', 'silent'),
+        ('127.0.0.3', 'alive'),
+        ('127.0.0.4', 'silent'),
+    ]
+    assert found['fleet'] == {
+        'routers': 2,
+        'zones': {fakes.ZONE: 2},
+        'budget_parts': 0,
+    }
     (pool,) = found['pools']
     standing = {one['id']: one['standing'] for one in pool['upstreams']}
     assert standing['e1'] == 'candidate'
--- a/tests/test_transport/test_peer_datagrams.py
+++ b/tests/test_transport/test_peer_datagrams.py
@@ -12,7 +12,7 @@
 from lavenderbend.transport import peer_datagrams
 from tests import forwarding_fakes as fakes
 
-NOTICE = messages_forwarding.CrashNotice(7, ['i-1'], False)
+NOTICE = messages_forwarding.SnapshotWanted(7)
 
 
 class Received:
