A chat's place costs the same among thousands of upstreams; one more beside the mean

Placing: a hash for each upstream of a service, sets of all of them for each request and a look at each one's record made a choice among 6,100 upstreams take over 6 ms. Upstreams are parted in halves until 256 are left, a chat chooses a half by size at each parting (places); what is apart is looked up, not filtered; the mean is judged by a sample. One group up to 256: nothing moves on the sites there are. A line names the upstreams that stood before the chosen one, not all that are avoided.

The bound: 1.8 times the mean and one more was 4 at a mean of 1.5, where the rule allows 6. Since routers know the loads of nearly all upstreams, chats were moved for it. Now two more.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -198,7 +198,7 @@
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> None:
         """Notes that a request did not run to a good end."""
-        others = [one.instance for one in self.directory.of(ticket.service)]
+        others = self.directory.candidates(ticket.service).places.names
         self.health.note_failure(upstream.instance, others)
 
     def note_success(
--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -9,7 +9,6 @@
 import trio
 
 from lavenderbend.observe import metrics
-from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -148,18 +147,15 @@
             chosen: Where it goes.
         """
         yield self.sent.get(key), SENT_THERE
-        live = frozenset(one.instance for one in self.directory.of(service))
-        sets = self.directory.former(service, self.first_at[service])
-        # one order serves all sets: each has most upstreams of the others
-        order = hashing.rendezvous_order(key, live.union(*sets))
-        first_place = first_of(order, live)
+        first_place = self.directory.candidates(service).places.first(key)
         if first_place != chosen.instance:
             # its place is full or fails: the chat has hardly been anywhere
             # else. Sets of upstreams that there were before, such as those
             # of the start of all, would name one that never had it.
             yield first_place, FIRST_PLACE
-        for members in sets:
-            yield first_of(order, members), FORMER_PLACE
+        since = self.first_at[service]
+        for places in self.directory.former(service, since):
+            yield places.first(key), FORMER_PLACE
 
     def usable(
         self, name: str | None, chosen: forwarding.Upstream
@@ -172,8 +168,3 @@
         if self.health.is_suspected(name):
             return None
         return self.directory.known(name)
-
-
-def first_of(order: Sequence[str], members: frozenset[str]) -> str | None:
-    """Returns the first of an order that is a member, None if there is none."""
-    return next((name for name in order if name in members), None)
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set  # noqa: TC003 - attrs reads it
 import math
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from lavenderbend.coordination.forwarding import directory
@@ -23,6 +23,9 @@
 # what other routers send before their next message is not seen: the bound
 # here stays under the one that must hold by a part of what is above the mean
 BOUND_PART = 0.8
+# beside the multiple of the mean: one more request is felt by nobody where the
+# mean is one or two, and a chat that has to move is read anew
+ALWAYS_MORE = 2
 # requests that any upstream may hold whatever the mean
 ALWAYS_ALLOWED = 3
 
@@ -112,11 +115,30 @@
     passed_over: tuple[decisions.PassedOver, ...] = ()
 
 
-def passed_over(
-    found: Iterable[forwarding.Upstream], reason: str
-) -> tuple[decisions.PassedOver, ...]:
-    """Returns upstreams that are not taken for one reason."""
-    return tuple(decisions.PassedOver(one.instance, reason) for one in found)
+@attrs.frozen
+class Apart:
+    """Upstreams that a request does not go to while there are others.
+
+    Attributes:
+        used: Instances that have had it.
+        avoided: Instances that failed lately.
+        bound: Requests that the others may hold.
+    """
+
+    used: Set[str]
+    avoided: Set[str]
+    bound: int
+
+    @property
+    def names(self) -> set[str]:
+        """All of them."""
+        return {*self.used, *self.avoided}
+
+    def reason(self, name: str) -> str:
+        """Returns why an upstream is passed over, empty if it is not."""
+        if name in self.used:
+            return HAD_IT
+        return FAILED_LATELY if name in self.avoided else ''
 
 
 class Chooser:
@@ -156,50 +178,38 @@
             used: Instances that have had it already.
             tie_break: Decides between equal upstreams.
         """
-        found = self.directory.of(service)
-        if not found:
+        found = self.directory.candidates(service)
+        if not found.by_name:
             return Choice(None)
-        bound = self.allowed(found)
-        unused = [one for one in found if one.instance not in used]
-        well, avoided = self.health.split(unused or found)
-        choice = self.choose_among(need, well, avoided, tie_break, bound)
-        passed = choice.passed_over
-        if well and avoided:
-            passed += passed_over(avoided, FAILED_LATELY)
-        if used and unused:
-            had = [one for one in found if one.instance in used]
-            passed += passed_over(had, HAD_IT)
-        if passed is choice.passed_over:
-            return choice
-        return attrs.evolve(choice, passed_over=passed)
-
-    def choose_among(
-        self,
-        need: Need,
-        well: Sequence[forwarding.Upstream],
-        avoided: Sequence[forwarding.Upstream],
-        tie_break: str,
-        bound: int,
-    ) -> Choice:
-        """Returns the choice among upstreams that are well, if any is."""
-        if not well:
-            return self.least_loaded(avoided, tie_break, bound, AVOIDED)
+        known = found.by_name.keys()
+        had = known & set(used)
+        if len(had) == len(known):
+            # all have had it: one of them has it again
+            had = frozenset()
+        avoided = known & self.health.held_back()
+        apart = Apart(had, avoided, self.allowed(found.places.sample))
+        if len(apart.names) == len(known):
+            names = known - had
+            return self.least_loaded(found, names, tie_break, apart, AVOIDED)
         if need.parts:
-            return self.by_prompt(well, need.chat, bound)
-        return self.least_loaded(well, tie_break, bound, LEAST_LOADED)
+            return self.by_prompt(found, need.chat, apart)
+        names = known - apart.names
+        return self.least_loaded(found, names, tie_break, apart, LEAST_LOADED)
 
-    def allowed(self, found: Sequence[forwarding.Upstream]) -> int:
-        """Returns the bound on requests at one upstream."""
-        total = self.loads.total({one.instance for one in found}) + 1
-        mean = total / len(found)
+    def allowed(self, sample: Collection[str]) -> int:
+        """Returns the bound on requests at one upstream.
+
+        Args:
+            sample: Upstreams of the service, all if they are not many.
+        """
+        total = self.loads.total(sample) + 1
+        mean = total / len(sample)
         factor = 1.0 + BOUND_PART * (self.load_factor - 1.0)
-        return max(ALWAYS_ALLOWED, math.ceil(mean * factor) + 1)
+        bound = math.ceil(mean * factor) + ALWAYS_MORE
+        return max(ALWAYS_ALLOWED, bound)
 
     def by_prompt(
-        self,
-        found: Sequence[forwarding.Upstream],
-        key: str,
-        bound: int,
+        self, found: directory.Candidates, key: str, apart: Apart
     ) -> Choice:
         """Returns the first upstream of the key's order that has room.
 
@@ -208,14 +218,19 @@
         place for each chat it is 6 in 100, while the bytes between zones
         that this saved earned nothing on any of three customers.
         """
-        by_name = {one.instance: one for one in found}
-        ordered = [by_name[n] for n in hashing.rendezvous_order(key, by_name)]
-        for place, upstream in enumerate(ordered):
-            load = self.loads.load(upstream.instance)
-            if load < bound:
-                full = passed_over(ordered[:place], OVER_ITS_BOUND)
-                return Choice(upstream, PROMPT_CACHED, load, bound, full)
-        return self.least_loaded(found, key, bound, OVER_BOUND)
+        passed: list[decisions.PassedOver] = []
+        for name in found.places.order(key):
+            reason = apart.reason(name)
+            load = self.loads.load(name)
+            if not reason and load < apart.bound:
+                upstream = found.by_name[name]
+                return Choice(
+                    upstream, PROMPT_CACHED, load, apart.bound, tuple(passed)
+                )
+            reason = reason or OVER_ITS_BOUND
+            passed.append(decisions.PassedOver(name, reason))
+        names = found.by_name.keys() - apart.names
+        return self.least_loaded(found, names, key, apart, OVER_BOUND)
 
     def far(self, upstream: forwarding.Upstream) -> bool:
         """Returns whether the upstream stands in another zone."""
@@ -223,14 +238,15 @@
 
     def least_loaded(
         self,
-        found: Sequence[forwarding.Upstream],
+        found: directory.Candidates,
+        names: Collection[str],
         tie_break: str,
-        bound: int,
+        apart: Apart,
         reason: str,
     ) -> Choice:
         """Returns the least loaded; the own zone first while it has slots."""
 
-        def rank(one: forwarding.Upstream) -> tuple[bool, float, int]:
+        def rank(one: forwarding.Upstream) -> tuple[bool, bool, float, int]:
             load = self.loads.load(one.instance)
             busy = load / max(1, one.slots)
             far = self.far(one) and busy < 1.0
@@ -241,7 +257,10 @@
                 hashing.hash64(tie_break, one.instance),
             )
 
-        upstream = min(found, key=rank)
-        return Choice(
-            upstream, reason, self.loads.load(upstream.instance), bound
-        )
+        upstream = min((found.by_name[name] for name in names), key=rank)
+        passed = [
+            decisions.PassedOver(name, apart.reason(name))
+            for name in sorted(apart.names.difference(names))
+        ]
+        load = self.loads.load(upstream.instance)
+        return Choice(upstream, reason, load, apart.bound, tuple(passed))
--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -7,9 +7,13 @@
 import attrs
 import trio
 
+from lavenderbend.coordination.forwarding import places as places_module
 from lavenderbend.state import upstreams as upstreams_module
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.state import forwarding
 
@@ -27,17 +31,40 @@
 
     Attributes:
         until: Router clock of the change.
-        instances: Those that were not leaving.
+        places: Those that were not leaving.
     """
 
     until: float
-    instances: frozenset[str]
+    places: places_module.Places
+
+
+@attrs.frozen
+class Candidates:
+    """The upstreams of a service that may be sent requests now.
+
+    Attributes:
+        by_name: By instance.
+        places: In the order in which a chat prefers them.
+    """
+
+    by_name: Mapping[str, forwarding.Upstream]
+    places: places_module.Places
+
+
+def candidates_of(found: Iterable[forwarding.Upstream]) -> Candidates:
+    """Returns upstreams, ordered for chats."""
+    by_name = {one.instance: one for one in found}
+    return Candidates(by_name, places_module.Places(by_name))
+
+
+NOBODY = candidates_of(())
 
 
 class Directory:
     """Upstreams by service, from the newest snapshot.
 
     Attributes:
+        by_service: Upstreams that are not leaving, from the snapshot.
         changes: Upstreams before the latest changes of each service.
         misplaced: Instances at whose address another one answered.
     """
@@ -45,7 +72,7 @@
     def __init__(self, followed: snapshots.Snapshots) -> None:
         self.followed = followed
         self.misplaced: set[str] = set()
-        self.by_service: dict[str, list[forwarding.Upstream]] = {}
+        self.by_service: dict[str, Candidates] = {}
         self.changes: dict[str, list[Former]] = {}
         followed.on_change.append(self.take)
 
@@ -53,27 +80,25 @@
         """Orders the upstreams of a snapshot by service."""
         self.misplaced &= snapshot.upstreams.keys()
         before = self.by_service
-        self.by_service = {}
+        found: dict[str, list[forwarding.Upstream]] = {}
         for upstream in snapshot.upstreams.values():
-            if upstream.vm.state is not LIVE:
-                continue
-            self.by_service.setdefault(upstream.vm.service, []).append(upstream)
-        for service, found in before.items():
-            self.note_change(service, found)
-
-    def note_change(
-        self, service: str, before: list[forwarding.Upstream]
-    ) -> None:
+            if upstream.vm.state is LIVE:
+                found.setdefault(upstream.vm.service, []).append(upstream)
+        self.by_service = {
+            service: candidates_of(some) for service, some in found.items()
+        }
+        for service, candidates in before.items():
+            self.note_change(service, candidates.places)
+
+    def note_change(self, service: str, before: places_module.Places) -> None:
         """Remembers the upstreams that a service had before a change."""
-        old = frozenset(one.instance for one in before)
-        new = {one.instance for one in self.by_service.get(service, [])}
-        if old == new:
+        if before.names == self.by_service.get(service, NOBODY).places.names:
             return
         changes = self.changes.setdefault(service, [])
-        changes.append(Former(trio.current_time(), old))
+        changes.append(Former(trio.current_time(), before))
         del changes[:-MAX_FORMER]
 
-    def former(self, service: str, since: float) -> list[frozenset[str]]:
+    def former(self, service: str, since: float) -> list[places_module.Places]:
         """Returns the upstreams that a service had lately, latest first.
 
         Args:
@@ -83,7 +108,7 @@
         """
         oldest = max(trio.current_time() - FORMER_SECONDS, since)
         return [
-            change.instances
+            change.places
             for change in reversed(self.changes.get(service, []))
             if change.until >= oldest
         ]
@@ -96,15 +121,26 @@
 
     def of(self, service: str) -> list[forwarding.Upstream]:
         """Returns the upstreams of a service that are not leaving."""
-        found = self.by_service.get(service, [])
-        if self.misplaced:
-            found = [one for one in found if one.instance not in self.misplaced]
-        if not self.followed.kept:
-            return found
-        return [*found, *self.lapsed(service)]
+        return list(self.candidates(service).by_name.values())
+
+    def candidates(self, service: str) -> Candidates:
+        """Returns the same, ordered for chats."""
+        candidates = self.by_service.get(service, NOBODY)
+        lapsed = self.lapsed(service)
+        misplaced = self.misplaced & candidates.places.names
+        if not lapsed and not misplaced:
+            return candidates
+        found = [
+            one
+            for one in candidates.by_name.values()
+            if one.instance not in misplaced
+        ]
+        return candidates_of([*found, *lapsed])
 
     def lapsed(self, service: str) -> list[forwarding.Upstream]:
         """Returns upstreams whose entries may be back soon."""
+        if not self.followed.kept:
+            return []
         now = self.followed.clock()
         return [
             upstream
--- a/lavenderbend/coordination/forwarding/explain.py
+++ b/lavenderbend/coordination/forwarding/explain.py
@@ -145,7 +145,7 @@
         """Returns a line for each upstream of a service."""
         current = self.entry.followed.current
         passed = {one.upstream: one.reason for one in choice.passed_over}
-        usable = {one.instance for one in self.chooser.directory.of(service)}
+        usable = self.chooser.directory.candidates(service).by_name
         steps = []
         for upstream in current.upstreams.values():
             if upstream.vm.service != service:
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -266,7 +266,7 @@
             if answer.started and not self.may_resume(ticket):
                 # nobody could go on: what is silent may still come
                 return False
-            if not self.chooser.directory.of(ticket.service):
+            if not self.chooser.directory.candidates(ticket.service).by_name:
                 return False
             self.drop_lapsed(ticket)
             if ticket.may_send:
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -15,8 +15,6 @@
     from collections.abc import Collection
     from collections.abc import Iterable
 
-    from lavenderbend.state import forwarding
-
 # failures fade by half in this time
 HALF_LIFE_SECONDS = 3.0
 # an upstream that fails four in ten of its requests passes this within three
@@ -199,23 +197,17 @@
             seconds=round(record.avoid_until - now, 2),
         )
 
-    def split(
-        self, found: Iterable[forwarding.Upstream]
-    ) -> tuple[list[forwarding.Upstream], list[forwarding.Upstream]]:
-        """Returns the upstreams that are well, and those to be avoided."""
+    def held_back(self) -> set[str]:
+        """Returns the upstreams to which others are preferred now."""
         now = trio.current_time()
         if now >= self.quiet_from:
-            # most of the time; thousands of upstreams need no look each
-            return list(found), []
-        well: list[forwarding.Upstream] = []
-        avoided: list[forwarding.Upstream] = []
-        for upstream in found:
-            record = self.records.get(upstream.instance)
-            if record is not None and record.held_until > now:
-                avoided.append(upstream)
-            else:
-                well.append(upstream)
-        return well, avoided
+            # most of the time; thousands of records need no look each
+            return set()
+        return {
+            instance
+            for instance, record in self.records.items()
+            if record.held_until > now
+        }
 
     def standing(self, instance: str) -> str:
         """Returns whether an upstream is avoided, in words."""
--- a/lavenderbend/coordination/forwarding/loads.py
+++ b/lavenderbend/coordination/forwarding/loads.py
@@ -9,7 +9,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
 # an upstream's own figure is worth less than what routers count after this
@@ -180,8 +180,7 @@
             return counted
         return max(counted, report.load + report.change)
 
-    def total(self, instances: Container[str]) -> int:
+    def total(self, instances: Iterable[str]) -> int:
         """Returns how many requests some upstreams hold together."""
         self.forget_old()
-        busy = {*self.own, *self.told, *self.reports}
-        return sum(self.known_load(one) for one in busy if one in instances)
+        return sum(self.known_load(one) for one in instances)
