A belief that a router takes from others has its line

Cause: a router that avoids an upstream by others' word wrote nothing; its own lines did not explain why it sends where nobody else does. Now `upstream_avoided` with the cause `found by others`, once while it lasts, and counted. Failing first: test_belief_taken_from_others_is_a_line_once.

--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -24,6 +24,8 @@
 MAX_AVOID_SECONDS = 4.0
 # a full upstream has room again after a request or two
 FULL_SECONDS = 0.15
+# a cause that this router has not seen itself
+FOUND_BY_OTHERS = 'found by others'
 
 AVOIDED = metrics.counter(
     'lavenderbend_forward_avoided_total',
@@ -145,8 +147,11 @@
         """Notes that other routers take it for dead or out of reach."""
         record = self.record(instance)
         now = trio.current_time()
+        known = record.suspect_until > now
         record.suspect_until = max(record.suspect_until, now + seconds)
         self.hold_back(record, record.suspect_until)
+        if not known:
+            self.note_avoided(instance, record, FOUND_BY_OTHERS)
 
     def hold_back(self, record: Record, until: float) -> None:
         """Prefers others to an upstream until a moment, at least."""
@@ -187,6 +192,10 @@
         seconds = FIRST_AVOID_SECONDS * 2.0 ** min(record.rounds, 4)
         self.hold_back(record, now + min(seconds, MAX_AVOID_SECONDS))
         record.rounds += 1
+        self.note_avoided(instance, record, cause)
+
+    def note_avoided(self, instance: str, record: Record, cause: str) -> None:
+        """Counts and writes that an upstream is avoided from now on."""
         AVOIDED.inc({'cause': cause})
         logs.change(
             'upstream_avoided',
@@ -194,7 +203,7 @@
             cause=cause,
             failures=round(record.failures, 2),
             successes=round(record.successes, 2),
-            seconds=round(record.avoid_until - now, 2),
+            seconds=round(record.avoid_until - trio.current_time(), 2),
         )
 
     def held_back(self) -> set[str]:
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -9,6 +9,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import attempt_ends
+from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.observe import log_writer
 from lavenderbend.observe import logs
@@ -261,3 +262,15 @@
     await ended_attempt(lines, router([torn, fakes.LOST_ANSWER], rule))
     failed = named(lines, 'attempt_failed')
     assert [line['unfinished_bytes'] for line in failed[:2]] == [5, 0]
+
+
+async def test_belief_taken_from_others_is_a_line_once(autojump_clock, lines):
+    # One router of hundreds sends nothing to an engine that others use. It
+    # took their word for the engine's death; its own lines said nothing of it.
+    known = health.Health()
+    known.note_suspected('e1', 2.0)
+    known.note_suspected('e1', 2.0)
+    (line,) = named(lines, 'upstream_avoided')
+    assert line['upstream'] == 'e1'
+    assert line['cause'] == health.FOUND_BY_OTHERS
+    assert line['seconds'] == 2.0
