One router counts the requests of all on an upstream, and is asked before a prompt goes there

What routers tell each other of loads is half a second old; a long prompt is read in a quarter of one. Not asked in fleets of twelve or fewer. No answer within 20 ms: as before.

OPERATIONS: one router that believes something else.

--- a/bench/relay/forwarding.py
+++ b/bench/relay/forwarding.py
@@ -16,11 +16,14 @@
 from lavenderbend.coordination.forwarding import crashes
 from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import entry
+from lavenderbend.coordination.forwarding import facts
 from lavenderbend.coordination.forwarding import forwarder
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
+from lavenderbend.coordination.forwarding import placing
+from lavenderbend.coordination.forwarding import prompt_holders
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.observe import logs
@@ -109,16 +112,26 @@
     load = loads.Loads()
     return forwarder.Forwarder(
         entry.Entry(followed, HEADERS, router.LONG_SECONDS),
-        choice.Chooser(ZONE, known, well, load, 2.0),
+        placing.Placing(
+            choice.Chooser(ZONE, known, well, load, 2.0),
+            None,
+            {},
+            lambda: 1,
+        ),
         attempts.Attempts(
             exchanges,
             known,
             well,
             load,
             outgoing.OutgoingRequests(
-                cached_prompts.CachedPrompts(known, well), HEADERS
+                cached_prompts.CachedPrompts(
+                    known, well, prompt_holders.PromptHolders(), {}
+                ),
+                HEADERS,
+            ),
+            crashes.Crashes(
+                exchanges.accepts, facts.Facts('bench', lambda fact: None)
             ),
-            crashes.Crashes(exchanges.accepts, lambda notice: None),
             silence.SilenceWatch(well),
             HEADERS,
         ),
--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -111,6 +111,8 @@
             raise
         finally:
             self.loads.end(upstream.instance)
+            if ticket.taken is not None:
+                ticket.taken.ended()
 
     async def open(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
@@ -161,6 +163,8 @@
             await self.refused(upstream, exchange, head, waiting)
         self.check_answer(head)
         self.requests.note_taken(ticket, upstream)
+        if ticket.taken is not None:
+            ticket.taken.begun()
         if ticket.rule.then.streaming and head.status < 300:
             await self.relay(ticket, exchange, head, answer, waiting)
             self.note_success(ticket, upstream)
--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -11,6 +11,7 @@
 from lavenderbend.observe import metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterator
     from collections.abc import Mapping
     from collections.abc import Sequence
@@ -25,6 +26,7 @@
 MAX_SENT = 20_000
 
 # why an upstream may have a prompt
+HOLDS_CHAT = 'holds the chat'
 SENT_THERE = 'sent there before'
 SERVED_THERE = 'served there by another router'
 FORMER_PLACE = 'its place before a change'
@@ -110,6 +112,7 @@
         key: str,
         parts: Sequence[choice.PromptPart],
         chosen: forwarding.Upstream,
+        known: Collection[str] = (),
     ) -> Source | None:
         """Returns an upstream that may have more of a prompt than the chosen.
 
@@ -118,14 +121,21 @@
             key: What places the chat.
             parts: Parts of its prompt.
             chosen: Where it goes.
+            known: Upstreams that hold the chat, as the owner of its place
+                knows.
 
         Returns:
             The upstream, None if the chosen one has it all, or nobody has.
         """
         self.first_at.setdefault(service, trio.current_time())
         before = self.sent.get(key)
-        if before == chosen.instance:
+        if before == chosen.instance or chosen.instance in known:
             return None
+        for name in known:
+            upstream = self.usable(name, chosen)
+            if upstream is not None:
+                COPIES.inc({'why': HOLDS_CHAT})
+                return Source(upstream, HOLDS_CHAT)
         for name, why in self.likely(service, key, chosen):
             upstream = self.usable(name, chosen)
             if upstream is not None:
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -141,6 +141,41 @@
         return FAILED_LATELY if name in self.avoided else ''
 
 
+class Usable:
+    """Upstreams that a request may go to, in the order of its chat.
+
+    Attributes:
+        found: Those of the service.
+        apart: Those that it does not go to.
+        order: The others; as far as it was asked for.
+    """
+
+    def __init__(
+        self, found: directory.Candidates, apart: Apart, chat: str
+    ) -> None:
+        self.found = found
+        self.apart = apart
+        self.rest = found.places.order(chat)
+        self.order: list[str] = []
+
+    def has(self, name: str) -> bool:
+        """Returns whether an upstream is one of them."""
+        return name in self.found.by_name and not self.apart.reason(name)
+
+    def next(self, passed: Collection[str]) -> forwarding.Upstream | None:
+        """Returns the first one that is not passed by, None if none is."""
+        for name in self.order:
+            if name not in passed:
+                return self.found.by_name[name]
+        for name in self.rest:
+            if self.apart.reason(name):
+                continue
+            self.order.append(name)
+            if name not in passed:
+                return self.found.by_name[name]
+        return None
+
+
 class Chooser:
     """Chooses upstreams.
 
@@ -182,20 +217,32 @@
         if not found.by_name:
             return Choice(None)
         known = found.by_name.keys()
-        had = known & set(used)
-        if len(had) == len(known):
-            # all have had it: one of them has it again
-            had = frozenset()
-        avoided = known & self.health.held_back()
-        apart = Apart(had, avoided, self.allowed(found.places.sample))
+        apart = self.apart(found, used)
         if len(apart.names) == len(known):
-            names = known - had
+            names = known - apart.used
             return self.least_loaded(found, names, tie_break, apart, AVOIDED)
         if need.parts:
             return self.by_prompt(found, need.chat, apart)
         names = known - apart.names
         return self.least_loaded(found, names, tie_break, apart, LEAST_LOADED)
 
+    def usable(self, service: str, need: Need, used: Collection[str]) -> Usable:
+        """Returns the upstreams that a request may go to."""
+        found = self.directory.candidates(service)
+        return Usable(found, self.apart(found, used), need.chat)
+
+    def apart(
+        self, found: directory.Candidates, used: Collection[str]
+    ) -> Apart:
+        """Returns the upstreams that a request does not go to."""
+        known = found.by_name.keys()
+        had = known & set(used)
+        if len(had) == len(known):
+            # all have had it: one of them has it again
+            had = frozenset()
+        avoided = known & self.health.held_back()
+        return Apart(had, avoided, self.allowed(found.places.sample))
+
     def allowed(self, sample: Collection[str]) -> int:
         """Returns the bound on requests at one upstream.
 
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -19,9 +19,9 @@
     from collections.abc import Iterable
 
     from lavenderbend.coordination.forwarding import budget as budget_module
-    from lavenderbend.coordination.forwarding import choice as choice_module
     from lavenderbend.coordination.forwarding import hops
     from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import placing as placing_module
     from lavenderbend.coordination.forwarding import tickets
     from lavenderbend.state import forwarding
 
@@ -53,7 +53,8 @@
 
     Attributes:
         entry: Finds rule and customer.
-        chooser: Finds upstreams.
+        chooser: Knows the upstreams.
+        placing: Finds upstreams.
         attempts: Sends to one upstream.
         budget: Allows repeats.
         decisions: Keeps what was decided for operators to read back, None
@@ -65,12 +66,13 @@
     def __init__(
         self,
         entry: entry_module.Entry,
-        chooser: choice_module.Chooser,
+        placing: placing_module.Placing,
         attempts: attempts_module.Attempts,
         budget: budget_module.RepeatBudget,
     ) -> None:
         self.entry = entry
-        self.chooser = chooser
+        self.placing = placing
+        self.chooser = placing.chooser
         self.attempts = attempts
         self.budget = budget
         self.decisions: decisions_module.DecisionStore | None = None
@@ -205,7 +207,7 @@
         """
         self.attempts.crashes.check(ticket)
         self.budget.note_request(ticket.service)
-        while (upstream := self.next_upstream(ticket)) is not None:
+        while (upstream := await self.next_upstream(ticket)) is not None:
             if await self.try_upstream(ticket, upstream, answer):
                 return
             if not self.go_on(ticket, answer):
@@ -241,13 +243,11 @@
                 ticket.attempt_hop.end(failed_result(record))
         return record.result == records.COMPLETE
 
-    def next_upstream(
+    async def next_upstream(
         self, ticket: tickets.Ticket
     ) -> forwarding.Upstream | None:
         """Returns the upstream that comes next, None if there is none."""
-        choice = self.chooser.choose(
-            ticket.service, ticket.need, ticket.tried, ticket.id
-        )
+        choice = await self.placing.choose(ticket)
         if choice.upstream is None:
             return None
         record = decisions_module.Attempt(
--- a/lavenderbend/coordination/forwarding/members.py
+++ b/lavenderbend/coordination/forwarding/members.py
@@ -23,6 +23,8 @@
 FAR_ALIVE_SECONDS = 20.0
 # known of each other zone: enough that some live when half of a fleet dies
 MAX_FAR = 16
+# one that was heard so lately is alive, as far as can be known
+FAR_FRESH_SECONDS = 3.0
 # of these, the latest heard are spoken to
 FAR_CHOICE = 8
 # hosts of one zone that another router is told of
@@ -189,9 +191,11 @@
         known = self.far.get(zone)
         if not known:
             return None
-        drawn = rng.choices(self.latest(known)[:FAR_CHOICE], k=2)
+        one, other = rng.choices(self.latest(known)[:FAR_CHOICE], k=2)
+        if trio.current_time() - known[one] < FAR_FRESH_SECONDS:
+            return one
         # when many die at once, messages soon go to those that live
-        return max(drawn, key=known.__getitem__)
+        return max(one, other, key=known.__getitem__)
 
     def silent_hosts(self) -> list[str]:
         """Returns hosts that were not heard lately, seeds among them."""
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -112,7 +112,11 @@
         if not ticket.need.parts or not self.headers.copy_from:
             return None
         source = self.cached.source(
-            ticket.service, ticket.need.chat, ticket.need.parts, upstream
+            ticket.service,
+            ticket.need.chat,
+            ticket.need.parts,
+            upstream,
+            () if ticket.taken is None else ticket.taken.holders,
         )
         if source is None:
             return None
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -10,8 +10,10 @@
 from lavenderbend.coordination.forwarding import facts as facts_module
 from lavenderbend.coordination.forwarding import fleet_count
 from lavenderbend.coordination.forwarding import members as members_module
+from lavenderbend.coordination.forwarding import owners
 from lavenderbend.coordination.forwarding import prompt_holders
 from lavenderbend.coordination.forwarding import reading_turns
+from lavenderbend.coordination.forwarding import reservations
 from lavenderbend.coordination.forwarding import shared_freshness
 from lavenderbend.coordination.forwarding import shared_loads
 from lavenderbend.observe import logs
@@ -87,6 +89,9 @@
         count: How many there are.
         bound: By how many to divide what the fleet shares.
         facts: Single facts that all must know.
+        owners: Finds who owns an upstream.
+        reservations: Asks them, and answers as one of them.
+        handlers: What takes each kind of message.
         freshness: Takes over what others know of the store.
         loads: Tells of loads on the upstreams.
         prompts: Knows who holds prompts that places do not tell of.
@@ -123,6 +128,18 @@
         )
         self.freshness.zone_size = self.zone_size
         self.freshness.fetched = self.pass_on
+        self.owners = owners.Owners(host, zone, self.members, self.count, rng)
+        self.reservations = reservations.Reservations(
+            host, self.owners, link, rng
+        )
+        self.handlers: dict[type, Callable[..., None]] = {
+            messages_forwarding.RouterState: self.on_state,
+            messages_forwarding.ReservationRequest: (
+                self.reservations.on_request
+            ),
+            messages_forwarding.ReservationReply: self.reservations.on_reply,
+            messages_forwarding.ReservationNotes: self.reservations.owned.take,
+        }
         self.leaving = False
         self.started = math.inf
         self.told_size = 0
@@ -163,6 +180,7 @@
             nursery.start_soon(self.freshness.run)
             nursery.start_soon(self.run_facts)
             nursery.start_soon(self.run_upkeep)
+            nursery.start_soon(self.reservations.run)
             while True:
                 self.tick()
                 pause = YOUNG_TICK_SECONDS if self.young() else TICK_SECONDS
@@ -182,6 +200,8 @@
             self.members.forget_old()
             self.facts.tidy()
             self.prompts.tidy()
+            self.owners.tidy()
+            self.reservations.owned.tidy()
             self.note_size()
             self.knock()
             pause = YOUNG_TICK_SECONDS if self.young() else KNOCK_SECONDS
@@ -352,8 +372,9 @@
 
     def on_message(self, message: peer.Message) -> None:
         """Takes in a message of another router."""
-        if isinstance(message, messages_forwarding.RouterState):
-            self.on_state(message)
+        handler = self.handlers.get(type(message))
+        if handler is not None:
+            handler(message)
 
     def on_state(self, state: messages_forwarding.RouterState) -> None:
         """Takes in what another router tells."""
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import reservations
     from lavenderbend.observe import spans
     from lavenderbend.state import decisions
     from lavenderbend.state import forwarding
@@ -47,6 +48,8 @@
         used: Instances that it was sent to.
         placed: The upstreams that were chosen: why, what was passed over,
             and what became of each attempt.
+        taken: What the latest attempt is counted as by the owner of its
+            upstream, None if it is not.
         unreachable: Instances that no connection was to be had to.
         replaced: Instances at whose addresses other processes answered.
         repeats: Repeats that were taken for it, sent or not.
@@ -72,6 +75,7 @@
     cutter: events.EventCutter = attrs.field(factory=events.EventCutter)
     used: list[str] = attrs.field(factory=list)
     placed: list[decisions.Attempt] = attrs.field(factory=list)
+    taken: reservations.Taken | None = None
     unreachable: list[str] = attrs.field(factory=list)
     replaced: list[str] = attrs.field(factory=list)
     repeats: int = 0
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -21,6 +21,7 @@
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import placing
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.coordination.forwarding import suspicions
@@ -131,12 +132,17 @@
             entry.Entry(
                 self.snapshots, settings.headers, settings.apply_seconds
             ),
-            choice.Chooser(
-                self.settings.availability_zone,
-                self.directory,
-                self.health,
-                self.loads,
-                settings.load_factor,
+            placing.Placing(
+                choice.Chooser(
+                    self.settings.availability_zone,
+                    self.directory,
+                    self.health,
+                    self.loads,
+                    settings.load_factor,
+                ),
+                self.peers.reservations,
+                self.peers.loads.instances,
+                self.peers.fleet_size,
             ),
             attempts.Attempts(
                 self.exchanges,
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -99,3 +99,68 @@
     """
 
     known_revision: int
+
+
+@peer.message(105)
+@attrs.frozen
+class ReservationRequest(peer.Message):
+    """Asks the owner of an upstream what it holds, and counts a request there.
+
+    Attributes:
+        number: Names the reservation among those of the asking router.
+        host: IP number of the asking router.
+        upstream: Short id of the upstream.
+        zone: The upstream's availability zone.
+        chat: Short id of the chat.
+        tokens: Length of its prompt.
+        own_tokens: Length of the part that no other request has.
+        milliseconds: After which the request has ended at the latest.
+        forwarded: Whether another router has passed it on.
+    """
+
+    number: int
+    host: str
+    upstream: int
+    zone: str
+    chat: int
+    tokens: int
+    own_tokens: int
+    milliseconds: int
+    forwarded: bool = False
+
+
+@peer.message(106)
+@attrs.frozen
+class ReservationReply(peer.Message):
+    """What an owner knows of an upstream, without the reservation.
+
+    Attributes:
+        number: That of the request.
+        owner: IP number of the router that answers.
+        upstream: Short id of the upstream.
+        load: Requests that it holds.
+        unread: Tokens of their prompts that it has yet to read.
+        holders: Short ids of upstreams that hold the chat, the latest first.
+    """
+
+    number: int
+    owner: str
+    upstream: int
+    load: int
+    unread: int
+    holders: list[int]
+
+
+@peer.message(107)
+@attrs.frozen
+class ReservationNotes(peer.Message):
+    """What became of reservations.
+
+    Attributes:
+        host: IP number of the router that tells.
+        rows: Lists of a kind, the number of a reservation, and short ids of
+            its upstream, of the chat and of the upstream that holds it now.
+    """
+
+    host: str
+    rows: list[list[int]]
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -22,6 +22,7 @@
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import placing
 from lavenderbend.coordination.forwarding import prompt_holders
 from lavenderbend.coordination.forwarding import shared_loads
 from lavenderbend.coordination.forwarding import silence
@@ -296,9 +297,12 @@
             self.loads,
             2.0,
         )
+        self.placing = placing.Placing(
+            self.chooser, None, self.shared_loads.instances, lambda: 1
+        )
         self.forwarder = forwarder.Forwarder(
             self.entry,
-            self.chooser,
+            self.placing,
             attempts.Attempts(
                 exchanges,
                 self.directory,
