Notes to owners: a router that has none does not wake for them

Cause: each router woke 20 times a second to look whether there is anything to tell, with or without requests; the cost of an idle router is the fleet's.

--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -136,6 +136,7 @@
         link: Carries messages to other routers.
         waiting: Questions by number.
         notes: Rows to be told, by owner, each with the copies left.
+        noted: Set while there are any.
     """
 
     def __init__(
@@ -152,6 +153,7 @@
         self.numbers = itertools.count(rng.getrandbits(30))
         self.waiting: dict[int, Waiting] = {}
         self.notes: dict[str, collections.deque[tuple[list[int], int]]] = {}
+        self.noted = trio.Event()
 
     async def ask(
         self,
@@ -260,12 +262,17 @@
             return
         waiting = self.notes.setdefault(reservation.owner, collections.deque())
         waiting.append((row, COPIES))
+        self.noted.set()
 
     async def run(self) -> None:
         """Tells owners what became of reservations."""
         while True:
+            await self.noted.wait()
+            # what comes at nearly the same moment goes along
             await trio.sleep(FLUSH_SECONDS)
             self.flush()
+            if not self.notes:
+                self.noted = trio.Event()
 
     def flush(self) -> None:
         """Sends what is to be told now."""
