--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -101,7 +101,7 @@
     known_revision: int
 
 
-@peer.message(105)
+@peer.message(110)
 @attrs.frozen
 class ReservationRequest(peer.Message):
     """Asks the owner of an upstream what it holds, and counts a request there.
@@ -129,7 +129,7 @@
     forwarded: bool = False
 
 
-@peer.message(106)
+@peer.message(111)
 @attrs.frozen
 class ReservationReply(peer.Message):
     """What an owner knows of an upstream, without the reservation.
@@ -151,7 +151,7 @@
     holders: list[int]
 
 
-@peer.message(107)
+@peer.message(112)
 @attrs.frozen
 class ReservationNotes(peer.Message):
     """What became of reservations.
