--- a/lavenderbend/coordination/forwarding/placing.py
+++ b/lavenderbend/coordination/forwarding/placing.py
@@ -35,7 +35,7 @@
 FEW_UNREAD = 2000
 # upstreams that have room and are asked about at most, each for two
 # milliseconds
-MAX_OPEN = 5
+MAX_OPEN = 3
 # full ones go on to the next: routers that all have requests of one chat know
 # too late of each other's, and would overload whom they know to be free
 MAX_ASKED = 10
