A message between routers whose fields hold something else is passed over

Cause: the codec looked at no types. A datagram of another program, or of a router of another version, that reads as a message of ours but for its fields was taken in, failed in whoever used it, and ended the router. Failing first: six cases of test_message_with_other_fields_is_passed_over.

--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lavenderbend.protocol import message_fields as fields
 from lavenderbend.protocol import peer
 
 
@@ -43,27 +44,33 @@
         prompts: Prompt parts and upstreams that hold them, packed.
     """
 
-    name: str
-    incarnation: int
-    host: str
-    zone: str
-    leaving: bool
-    asks: bool
-    sent_at: float
-    echo_incarnation: int
-    echo_at: float | None
-    echo_held: float
-    proof_age: float | None
-    revision: int
-    digest: int
-    bound: int = 0
-    zones: list[list[str | int]] = attrs.field(factory=list)
-    facts: list[list[str | int]] = attrs.field(factory=list)
-    heard: bytes = b''
-    reports: bytes = b''
-    requests: bytes = b''
-    hosts: list[list[str | bytes]] = attrs.field(factory=list)
-    prompts: bytes = b''
+    name: str = attrs.field(validator=fields.TEXT)
+    incarnation: int = attrs.field(validator=fields.WHOLE)
+    host: str = attrs.field(validator=fields.TEXT)
+    zone: str = attrs.field(validator=fields.TEXT)
+    leaving: bool = attrs.field(validator=fields.FLAG)
+    asks: bool = attrs.field(validator=fields.FLAG)
+    sent_at: float = attrs.field(validator=fields.NUMBER)
+    echo_incarnation: int = attrs.field(validator=fields.WHOLE)
+    echo_at: float | None = attrs.field(validator=fields.MAYBE_NUMBER)
+    echo_held: float = attrs.field(validator=fields.NUMBER)
+    proof_age: float | None = attrs.field(validator=fields.MAYBE_NUMBER)
+    revision: int = attrs.field(validator=fields.WHOLE)
+    digest: int = attrs.field(validator=fields.WHOLE)
+    bound: int = attrs.field(validator=fields.WHOLE, default=0)
+    zones: list[list[str | int]] = attrs.field(
+        factory=list, validator=fields.rows_of(str, int, int)
+    )
+    facts: list[list[str | int]] = attrs.field(
+        factory=list, validator=fields.rows_of(str, str, str, int, int)
+    )
+    heard: bytes = attrs.field(validator=fields.PACKED, default=b'')
+    reports: bytes = attrs.field(validator=fields.PACKED, default=b'')
+    requests: bytes = attrs.field(validator=fields.PACKED, default=b'')
+    hosts: list[list[str | bytes]] = attrs.field(
+        factory=list, validator=fields.rows_of(str, bytes)
+    )
+    prompts: bytes = attrs.field(validator=fields.PACKED, default=b'')
 
 
 @peer.message(101)
@@ -81,11 +88,11 @@
             that the changes fit what it has.
     """
 
-    revision: int
+    revision: int = attrs.field(validator=fields.WHOLE)
     changed: list[list[str | int | bytes]]
     keys: list[str] | None
     removed: list[str]
-    digest: int
+    digest: int = attrs.field(validator=fields.WHOLE)
 
 
 @peer.message(103)
@@ -98,7 +105,7 @@
             0 for none.
     """
 
-    known_revision: int
+    known_revision: int = attrs.field(validator=fields.WHOLE)
 
 
 @peer.message(110)
@@ -118,15 +125,15 @@
         forwarded: Whether another router has passed it on.
     """
 
-    number: int
-    host: str
-    upstream: int
-    zone: str
-    chat: int
-    tokens: int
-    own_tokens: int
-    milliseconds: int
-    forwarded: bool = False
+    number: int = attrs.field(validator=fields.WHOLE)
+    host: str = attrs.field(validator=fields.TEXT)
+    upstream: int = attrs.field(validator=fields.WHOLE)
+    zone: str = attrs.field(validator=fields.TEXT)
+    chat: int = attrs.field(validator=fields.WHOLE)
+    tokens: int = attrs.field(validator=fields.WHOLE)
+    own_tokens: int = attrs.field(validator=fields.WHOLE)
+    milliseconds: int = attrs.field(validator=fields.WHOLE)
+    forwarded: bool = attrs.field(validator=fields.FLAG, default=False)
 
 
 @peer.message(111)
@@ -143,12 +150,14 @@
         holders: Short ids of upstreams that hold the chat, the latest first.
     """
 
-    number: int
-    owner: str
-    upstream: int
-    load: int
-    unread: int
-    holders: list[int]
+    number: int = attrs.field(validator=fields.WHOLE)
+    owner: str = attrs.field(validator=fields.TEXT)
+    upstream: int = attrs.field(validator=fields.WHOLE)
+    load: int = attrs.field(validator=fields.WHOLE)
+    unread: int = attrs.field(validator=fields.WHOLE)
+    holders: list[int] = attrs.field(
+        validator=attrs.validators.deep_iterable(fields.WHOLE)
+    )
 
 
 @peer.message(112)
@@ -162,5 +171,7 @@
             its upstream, of the chat and of the upstream that holds it now.
     """
 
-    host: str
-    rows: list[list[int]]
+    host: str = attrs.field(validator=fields.TEXT)
+    rows: list[list[int]] = attrs.field(
+        validator=fields.rows_of(int, int, int, int, int)
+    )
--- a/tests/test_transport/test_peer_datagrams.py
+++ b/tests/test_transport/test_peer_datagrams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgpack
 import pytest
 import trio
 import trio.testing
@@ -121,3 +122,28 @@
     await other.aclose()
     with pytest.raises(errors.CodecError):
         await peer_datagrams.read_message(stream)
+
+
+@pytest.mark.parametrize(
+    'values',
+    [
+        [112, 'h', [[1, 2]]],
+        [112, 'h', [['a', 1, 2, 3, 4]]],
+        [112, 'h', 7],
+        [110, 1, 'h', 2, 'zone', 3, 'many', 5, 6],
+        [111, 1, 'h', 2, 3, 4, ['x']],
+        [104, 'r', 1, 'h', 'z', False, False, 'now', 0, None, 0.0, None, 1, 1],
+    ],
+)
+async def test_message_with_other_fields_is_passed_over(links, values):
+    # A router of another version, or another program, sends what reads as a
+    # message of ours but for its fields. It ended the router that took it in.
+    first, second = links
+    got = Received()
+    second.receiver = got.take
+    data = msgpack.packb(values)
+    first.socket._sock.sendto(data, ('127.0.0.2', first.port))
+    first.send('127.0.0.2', NOTICE)
+    with trio.fail_after(2.0):
+        await got.first.wait()
+    assert got.messages == [NOTICE]
