Tests of owners run on the virtual clock

Cause: a clock fixture that only another fixture asks for is not used by the test's run. Twelve tests waited in real time; beside load an answer took over 20 ms, and one in some twenty runs failed (found None; the router clock in its message was the system's, 38834 s). Each test now asks for the clock itself.

--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -42,21 +42,21 @@
     return owned_loads.OwnedLoads('10.0.0.1')
 
 
-async def test_each_sees_those_before_it(owned):
+async def test_each_sees_those_before_it(owned, autojump_clock):
     first = owned.reserve(asked(1))
     assert (first.load, first.unread, first.holders) == (0, 0, [])
     second = owned.reserve(asked(2, chat=78))
     assert (second.load, second.unread) == (1, 9000)
 
 
-async def test_question_that_comes_twice_is_counted_once(owned):
+async def test_question_that_comes_twice_is_counted_once(owned, autojump_clock):
     # The answer was lost on its way, and the router asked again.
     assert owned.reserve(asked(1)).load == 0
     assert owned.reserve(asked(1)).load == 0
     assert owned.reserve(asked(2)).load == 1
 
 
-async def test_prompt_that_was_read_delays_nobody(owned):
+async def test_prompt_that_was_read_delays_nobody(owned, autojump_clock):
     owned.reserve(asked(1))
     owned.take(notes([BEGUN, 1, 5, 77, 0]))
     later = owned.reserve(asked(2))
@@ -65,7 +65,9 @@
     assert owned.reserve(asked(3)).unread == 500
 
 
-async def test_request_of_a_router_that_died_counts_until_its_deadline(owned):
+async def test_request_of_a_router_that_died_counts_until_its_deadline(
+    owned, autojump_clock
+):
     # The router that sent a request is killed: nobody says that it ended.
     owned.reserve(asked(1, milliseconds=1000))
     await trio.sleep(0.9)
@@ -74,7 +76,7 @@
     assert owned.reserve(asked(3)).load == 0
 
 
-async def test_holders_are_few_and_the_latest_first(owned):
+async def test_holders_are_few_and_the_latest_first(owned, autojump_clock):
     for holder in (5, 6, 7, 8):
         owned.take(notes([HELD, 0, 5, 77, holder]))
         await trio.sleep(0.1)
@@ -97,7 +99,7 @@
     assert trio.run(run) == 31 - len(set(ends))
 
 
-async def test_row_of_a_later_version_is_passed_over(owned):
+async def test_row_of_a_later_version_is_passed_over(owned, autojump_clock):
     owned.reserve(asked(1))
     owned.take(notes([99, 1, 5, 77, 0], [ENDED, 1, 5, 77, 0]))
     assert owned.reserve(asked(2)).load == 0
@@ -215,14 +217,18 @@
     return prompts.ticket_of(parts)
 
 
-async def test_chat_goes_to_its_place_while_that_reads_nothing(chats):
+async def test_chat_goes_to_its_place_while_that_reads_nothing(
+    chats, autojump_clock
+):
     found = await chats.placing.choose(ticket())
     places = chats.chooser.directory.candidates(world.SERVICE).places
     assert found.upstream.instance == places.first('chat-1')
     assert found.reason == choice.PROMPT_CACHED
 
 
-async def test_chat_leaves_a_place_that_reads_long_prompts(chats):
+async def test_chat_leaves_a_place_that_reads_long_prompts(
+    chats, autojump_clock
+):
     first = await chats.placing.choose(ticket())
     places = chats.chooser.directory.candidates(world.SERVICE).places
     number = 2
@@ -241,7 +247,9 @@
 @pytest.mark.parametrize(
     ('tokens', 'goes_back'), [(30_000, True), (8600, False)]
 )
-async def test_long_chat_comes_back_to_who_holds_it(chats, tokens, goes_back):
+async def test_long_chat_comes_back_to_who_holds_it(
+    chats, autojump_clock, tokens, goes_back
+):
     # A chat was served elsewhere while its place was dead. The router that
     # has its next request did not see that; the owner of the place did. A
     # long one goes where it is held; a short one is copied to its place, so
@@ -263,7 +271,9 @@
     assert again.taken.holders == [holder]
 
 
-async def test_report_over_the_bound_counts_against_a_new_owner(chats):
+async def test_report_over_the_bound_counts_against_a_new_owner(
+    chats, autojump_clock
+):
     # An owner that has just become one counts from nothing, and would send
     # requests to an upstream that is over its bound.
     places = chats.chooser.directory.candidates(world.SERVICE).places
@@ -275,7 +285,7 @@
 
 
 async def test_upstream_that_leaves_while_owners_are_asked_is_not_chosen(
-    chats, nursery
+    chats, nursery, autojump_clock
 ):
     places = chats.chooser.directory.candidates(world.SERVICE).places
     place = places.first('chat-1')
@@ -337,7 +347,9 @@
     assert figures['short_in_time'] >= IN_TIME
 
 
-async def test_full_upstreams_are_passed_by_until_one_has_room(chats):
+async def test_full_upstreams_are_passed_by_until_one_has_room(
+    chats, autojump_clock
+):
     places = chats.chooser.directory.candidates(world.SERVICE).places
     order = list(places.order('chat-1'))
     owners = chats.placing.reservations
