A chat leaves its place only when much is yet to be read there

Chats were moved for 2,000 tokens yet to be read, 0.05 s; each move is a copy, and takes memory from other chats, which are read anew.

--- a/lavenderbend/coordination/forwarding/placing.py
+++ b/lavenderbend/coordination/forwarding/placing.py
@@ -31,8 +31,9 @@
 
 # a few routers know of each other's requests soon enough
 SMALL_FLEET = 12
-# tokens that are read before a caller would notice
-FEW_UNREAD = 2000
+# tokens that an upstream has yet to read, and that leave a long prompt behind
+# them in its time: each move of a chat is a copy, and takes memory from others
+FEW_UNREAD = 5000
 # upstreams that have room and are asked about at most, each for two
 # milliseconds
 MAX_OPEN = 3
