--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -34,6 +34,8 @@
     'crash notice',
     'suspicion',
     'loads',
+    'prompts by hashes',
+    'prompts by owners',
     'one-way cut',
     'half killed',
     'all killed',
--- a/bench/fleet/measures.py
+++ b/bench/fleet/measures.py
@@ -9,6 +9,7 @@
 import trio
 
 from bench.fleet import loads as loads_lib
+from bench.fleet import prompts as prompts_lib
 from bench.fleet import world
 from lavenderbend import registry
 from lavenderbend.coordination.forwarding import crashes
@@ -28,6 +29,8 @@
 MOST_WAIT_SECONDS = 10.0
 FINGERPRINT = 7
 INSTANCES = ['i-00000001', 'i-00000002']
+# a multiple of the usual requests
+PROMPTS_RATE = 2.0
 
 
 def right(fleet: world.Fleet) -> float:
@@ -144,6 +147,18 @@
     return await loads_lib.measure(fleet)
 
 
+@SCENARIOS.register('prompts by hashes')
+async def prompts_by_hashes(fleet: world.Fleet) -> dict[str, Any]:
+    """Twice the usual prompts come while no engine holds any."""
+    return await prompts_lib.measure(fleet, False, PROMPTS_RATE)
+
+
+@SCENARIOS.register('prompts by owners')
+async def prompts_by_owners(fleet: world.Fleet) -> dict[str, Any]:
+    """The same, and the owners of upstreams are asked."""
+    return await prompts_lib.measure(fleet, True, PROMPTS_RATE)
+
+
 @SCENARIOS.register('one-way cut')
 async def one_way_cut(fleet: world.Fleet) -> dict[str, float]:
     """Nothing leaves one zone for eight seconds, though all reaches it."""
--- a/bench/fleet/prompts.py
+++ b/bench/fleet/prompts.py
@@ -32,8 +32,6 @@
 LATER_SECONDS = 4.0
 # of the engines, that start anew
 LOST_PART = 0.25
-# engines for each router
-ENGINES = 0.6
 # the chat that one in some requests is of
 HOT = 0
 
@@ -251,10 +249,6 @@
             return kind.own_tokens + COPY_PART * kind.shared_tokens
         return kind.own_tokens + kind.shared_tokens
 
-    def holders(self, chat: str) -> int:
-        """Returns how many engines hold a chat."""
-        return sum(chat in one.held for one in self.engines.values())
-
     def lose(self, part: float) -> None:
         """Has engines forget all that they hold, as if started anew."""
         names = sorted(self.engines)
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -89,8 +89,7 @@
         now = trio.current_time()
         found = self.upstreams.setdefault(asked.upstream, {})
         found.pop((asked.host, asked.number), None)
-        for key in [key for key, one in found.items() if one.until <= now]:
-            del found[key]
+        drop_ended(found, now)
         holders = self.holders(asked.chat)
         reply = messages_forwarding.ReservationReply(
             asked.number,
@@ -160,14 +159,19 @@
         """Forgets what has ended."""
         now = trio.current_time()
         for upstream, found in list(self.upstreams.items()):
-            for key in [key for key, one in found.items() if one.until <= now]:
-                del found[key]
+            drop_ended(found, now)
             if not found:
                 del self.upstreams[upstream]
         count = sum(len(found) for found in self.upstreams.values())
         RESERVATIONS.set({}, count)
 
 
+def drop_ended(found: dict[tuple[str, int], Counted], now: float) -> None:
+    """Takes out the requests whose time is over."""
+    for key in [key for key, one in found.items() if one.until <= now]:
+        del found[key]
+
+
 def unread_tokens(
     tokens: int, own_tokens: int, held_there: bool, held: bool
 ) -> int:
