--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -362,10 +362,12 @@
     Attributes:
         cut: Pairs of hosts between which nothing passes.
         delay: Seconds that a message takes; the nursery delivers it.
+        too_slow: Whether a snapshot does not come in time, while messages do.
     """
 
     delay = 0.0
     nursery = None
+    too_slow = False
 
     def __init__(self, host, routers, cut):
         self.host = host
@@ -398,7 +400,7 @@
 
     async def fetch(self, host, known):
         await trio.sleep(0.001)
-        if not self.reaches(host):
+        if self.too_slow or not self.reaches(host):
             raise errors.PeerUnreachable('cut')
         return self.routers[host].snapshots.current.raw
 
@@ -415,6 +417,7 @@
             random.Random(host),
             self.clock,
         )
+        self.directory = directory.Directory(self.snapshots)
         self.loads = loads.Loads()
         self.health = health.Health()
         self.link = Network(host, routers, cut)
