A router whose own reads are slow does not take what left for lapsed

Callers saw nothing; an upstream that had left 3 s before could still get requests for 2.2 s more, and cut them as it ended.

Cause: an entry that is missing was kept for 2.2 s where the router's own picture was older than the longest pause between reads: that age was taken for a store that was away. Reads that take too long (a configuration of many routes, a narrow link, a slow VM) make the same age while the store is well.

Now the store counts as away if nobody had an answer of it for that long: what peers prove is taken in whatever they prove it of, also where this router lacks the content. What is missing is kept until 2.2 s after the store answered again, no longer 2.2 s from the moment at which this router noticed.

--- a/lavenderbend/coordination/forwarding/shared_freshness.py
+++ b/lavenderbend/coordination/forwarding/shared_freshness.py
@@ -111,6 +111,7 @@
             return 0.0
         current = self.followed.current
         proved_at = self.proved_at(state)
+        self.followed.note_answered(proved_at)
         if current is None or state.digest != current.digest:
             if current is None or state.revision > current.revision:
                 self.note_offer(state, proved_at)
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -30,8 +30,8 @@
 TURNS_PART = 0.35
 # an entry that lapsed while the store was away is back within two seconds
 REGISTER_SECONDS = 2.2
-# a proof older than the longest pause between reads, and this, means that the
-# store was away
+# a store that answered no router for the longest pause between reads, and this,
+# was away
 AWAY_SECONDS = 0.5
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
@@ -87,6 +87,9 @@
         current: The newest snapshot, None before the first read.
         proved_at: Moment, by the suspension clock, at which `current` is
             known to have been the newest.
+        answered_at: Latest moment, by the same clock, at which the store is
+            known to have answered any router, whatever it told.
+        back_at: When it was found to answer again after it had been away.
         kept: Upstreams missing from `current` that may only have lapsed
             while the store was away, and until when they are kept.
         removals: What is gone, for routers that know an earlier snapshot.
@@ -109,6 +112,8 @@
         self.clock = clock
         self.current: forwarding.Snapshot | None = None
         self.proved_at = NEVER
+        self.answered_at = NEVER
+        self.back_at = NEVER
         self.kept: dict[str, tuple[forwarding.Upstream, float]] = {}
         self.removals = removals.Removals()
         self.reading_place: Callable[[], int] = lambda: 0
@@ -127,7 +132,7 @@
 
     @property
     def away_seconds(self) -> float:
-        """Age from which the store must have been away.
+        """Time without an answer to anybody from which the store was away.
 
         Under it an entry that is missing is gone: its upstream has left
         without a word, and gets nothing new.
@@ -223,6 +228,7 @@
         if self.failures:
             logs.change('store_regained', failures=self.failures)
         self.failures = 0
+        self.note_answered(self.clock())
         self.accept(snapshot, sent_at)
         for callback in self.on_proof:
             callback()
@@ -282,6 +288,19 @@
             self.current = snapshot
         self.prove(proved_at)
 
+    def note_answered(self, at: float) -> None:
+        """Notes that the store answered some router.
+
+        Args:
+            at: Moment by the suspension clock.
+        """
+        if at <= self.answered_at:
+            return
+        gap = at - self.answered_at
+        if self.current is not None and gap > self.away_seconds:
+            self.back_at = self.clock()
+        self.answered_at = at
+
     def prove(self, proved_at: float) -> None:
         """Notes that `current` was the newest at a moment."""
         if proved_at <= self.proved_at:
@@ -309,7 +328,8 @@
 
         While the store is away upstreams cannot renew their entries. A
         router that took a whole service for gone at the store's return
-        would refuse everything until they are back.
+        would refuse everything until they are back. That this router's own
+        picture is old shows no such thing: its reads may be slow.
         """
         now = self.clock()
         # an id that is listed with a later start has not lapsed: its earlier
@@ -320,9 +340,10 @@
             for instance, (upstream, until) in self.kept.items()
             if until > now and upstream.vm.id not in listed
         }
-        if self.current is None or self.age < self.away_seconds:
+        until = self.back_at + REGISTER_SECONDS
+        if self.current is None or until <= now:
             return
         for instance, upstream in self.current.upstreams.items():
             if upstream.vm.id not in listed:
-                self.kept[instance] = (upstream, now + REGISTER_SECONDS)
+                self.kept[instance] = (upstream, until)
                 logs.change('upstream_lapsed', upstream=instance)
