Routers tell each other which upstreams leave

Callers saw nothing; an upstream that had said 3 s before that it leaves still got requests, and may have cut them as it ended.

Cause: an upstream's word was read in one piece with the configuration. With some 1,600 routes that is hundreds of kilobytes for each version, over a narrow link or at a slow router a second and more, and the next version begins it anew; nothing asked how old the picture of the upstreams was. Other routers had it all the while, and could not tell.

Now a router that sees an upstream leave, by its word or by its entry's end, tells the others (a kind of facts: one datagram, all routers within a second). It names the revision of the store that shows it: what an entry says later counts, so that an upstream that was only cut off from the store is used again. It goes before what is kept as lapsed. Not on the platform's own lapse: a router tells only of what it does not keep as lapsed itself.

Weighed: reading upstreams apart from the configuration (one call more for each change of a large store, and a router whose link is full is not helped); no sending by an old picture (a store that is away would stop the service).

--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -67,11 +67,14 @@
         by_service: Upstreams that are not leaving, from the snapshot.
         changes: Upstreams before the latest changes of each service.
         misplaced: Instances at whose address another one answered.
+        left: Upstreams that other routers saw leave, and the revision of the
+            store that shows it. What an entry says later counts.
     """
 
     def __init__(self, followed: snapshots.Snapshots) -> None:
         self.followed = followed
         self.misplaced: set[str] = set()
+        self.left: dict[str, int] = {}
         self.by_service: dict[str, Candidates] = {}
         self.changes: dict[str, list[Former]] = {}
         followed.on_change.append(self.take)
@@ -79,10 +82,11 @@
     def take(self, snapshot: forwarding.Snapshot) -> None:
         """Orders the upstreams of a snapshot by service."""
         self.misplaced &= snapshot.upstreams.keys()
+        self.forget_left(snapshot)
         before = self.by_service
         found: dict[str, list[forwarding.Upstream]] = {}
         for upstream in snapshot.upstreams.values():
-            if upstream.vm.state is LIVE:
+            if self.stays(upstream):
                 found.setdefault(upstream.vm.service, []).append(upstream)
         self.by_service = {
             service: candidates_of(some) for service, some in found.items()
@@ -90,6 +94,54 @@
         for service, candidates in before.items():
             self.note_change(service, candidates.places)
 
+    def stays(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether nobody knows that the upstream leaves."""
+        if upstream.vm.state is not LIVE:
+            return False
+        return self.left.get(upstream.instance, -1) < upstream.revision
+
+    def note_left(self, instance: str, revision: int) -> bool:
+        """Notes that an upstream leaves, as another router saw.
+
+        Args:
+            instance: The upstream.
+            revision: Revision of the store that shows it.
+
+        Returns:
+            Whether this router took it for one that stays.
+        """
+        current = self.followed.current
+        known = current is None or current.revision >= revision
+        if known and instance not in self.followed.kept:
+            # the own snapshot shows as much, or is yet to be read
+            return False
+        self.left[instance] = max(revision, self.left.get(instance, -1))
+        return self.drop(instance)
+
+    def drop(self, instance: str) -> bool:
+        """Takes an upstream that leaves out; returns whether it was in."""
+        if instance in self.followed.kept:
+            return True
+        upstream = self.followed.current.upstreams.get(instance)
+        if upstream is None or self.stays(upstream):
+            return False
+        before = self.by_service.get(upstream.vm.service, NOBODY)
+        if instance not in before.by_name:
+            return False
+        self.by_service[upstream.vm.service] = candidates_of(
+            one for one in before.by_name.values() if one is not upstream
+        )
+        self.note_change(upstream.vm.service, before.places)
+        return True
+
+    def forget_left(self, snapshot: forwarding.Snapshot) -> None:
+        """Forgets what a snapshot shows by itself."""
+        self.left = {
+            instance: revision
+            for instance, revision in self.left.items()
+            if revision > snapshot.revision or instance in self.followed.kept
+        }
+
     def note_change(self, service: str, before: places_module.Places) -> None:
         """Remembers the upstreams that a service had before a change."""
         if before.names == self.by_service.get(service, NOBODY).places.names:
@@ -147,5 +199,5 @@
             for upstream, until in self.followed.kept.values()
             if until > now
             and upstream.vm.service == service
-            and upstream.vm.state is LIVE
+            and self.stays(upstream)
         ]
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -14,6 +14,7 @@
 from lavenderbend.coordination.forwarding import cached_prompts
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import departures
 from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import entry
 from lavenderbend.coordination.forwarding import forwarder
@@ -119,10 +120,14 @@
             self.peers.facts, self.peers.fleet_size
         )
         self.suspicions.believed = self.note_suspected
+        self.departures = departures.Departures(
+            self.snapshots, self.directory, self.peers.facts
+        )
         self.health.on_suspect = self.suspicions.tell
         self.peers.on_learned = {
             crashes.DEATH: self.crashes.learn,
             crashes.CLEARED: self.crashes.learn,
+            departures.LEFT: self.departures.learn,
             suspicions.SUSPECTED: self.suspicions.learn,
         }
         self.budget = budget.RepeatBudget(
--- a/lavenderbend/platform/snapshot_decoding.py
+++ b/lavenderbend/platform/snapshot_decoding.py
@@ -75,11 +75,12 @@
     """
     name = key[len(UPSTREAM_PREFIX) :]
     try:
-        return parsed(
+        found = parsed(
             key,
             item.value,
             lambda value: upstream_entries.upstream(name, value),
         )
+        return attrs.evolve(found, revision=item.revision)
     except errors.CodecError as exc:
         UNREADABLE.inc({})
         logs.change('entry_unreadable', revision=item.revision, cause=str(exc))
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -154,11 +154,13 @@
             a later one.
         vm: Its id, address, zone, service and whether it is leaving.
         slots: Requests that it runs at once.
+        revision: Revision of its entry's last change.
     """
 
     instance: str
     vm: upstreams.Vm
     slots: int
+    revision: int = 0
 
 
 @attrs.frozen
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -13,6 +13,7 @@
 from lavenderbend.coordination.forwarding import cached_prompts
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import departures
 from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import entry
 from lavenderbend.coordination.forwarding import facts
@@ -41,7 +42,13 @@
 
 
 def upstream(
-    name, service='chat', zone=ZONE, leaving=False, slots=64, start=''
+    name,
+    service='chat',
+    zone=ZONE,
+    leaving=False,
+    slots=64,
+    start='',
+    revision=0,
 ):
     state = upstreams.VmState.LEAVING if leaving else upstreams.VmState.LIVE
     vm = upstreams.Vm(
@@ -53,7 +60,7 @@
         upstreams.UpstreamKind.SERVICE,
         state=state,
     )
-    return forwarding.Upstream(name + start, vm, slots)
+    return forwarding.Upstream(name + start, vm, slots, revision)
 
 
 def rule(name='chat', path='/chat/*', **then):
@@ -435,9 +442,13 @@
         self.suspicions = suspicions.Suspicions(
             self.peers.facts, self.peers.fleet_size
         )
+        self.departures = departures.Departures(
+            self.snapshots, self.directory, self.peers.facts
+        )
         self.peers.on_learned = {
             crashes.DEATH: self.crashes.learn,
             crashes.CLEARED: self.crashes.learn,
+            departures.LEFT: self.departures.learn,
             suspicions.SUSPECTED: self.suspicions.learn,
         }
         routers[host] = self
--- a/tests/test_coordination/test_forwarding_leaving.py
+++ b/tests/test_coordination/test_forwarding_leaving.py
@@ -8,12 +8,14 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import departures
 from tests import forwarding_fakes as fakes
 from tests.test_coordination import test_forwarding_peers as peer_fleets
 
 HOSTS = peer_fleets.HOSTS
 # from the store's word on; the fleets here are told to apply versions within it
 LEAVE_SECONDS = 2.0
+NOW = 10.0
 
 
 @pytest.fixture
@@ -55,8 +57,10 @@
     slow(node)
     both = fakes.upstream('e1'), fakes.upstream('e2')
     await put_versions(fleet, *both, seconds=2.0)
-    e1 = [fakes.upstream('e1', leaving=True)] if says_so else []
-    await put_versions(fleet, *e1, both[1], seconds=LEAVE_SECONDS)
+    revision = fleet.content.revision + 1
+    leaving = fakes.upstream('e1', leaving=True, revision=revision)
+    left = [leaving, both[1]] if says_so else [both[1]]
+    await put_versions(fleet, *left, seconds=LEAVE_SECONDS)
     assert names(node) == ['e2']
 
 
@@ -72,3 +76,46 @@
     slow(node, False)
     await put_versions(fleet, both[1], seconds=1.0)
     assert names(node) == ['e2']
+
+
+async def test_lapsed_entry_of_an_upstream_that_left_is_not_kept(
+    autojump_clock,
+):
+    # guards against keeping as lapsed what another router saw leave
+    found = [fakes.upstream('e1'), fakes.upstream('e2')]
+    router = fakes.Router(
+        fakes.snapshot(1, fakes.table(1), *found), fakes.Exchanges()
+    )
+    await trio.sleep(10.0)
+    router.snapshots.note_answered(trio.current_time())
+    router.snapshots.accept(fakes.snapshot(3, fakes.table(1)), NOW)
+    assert names(router) == ['e1', 'e2']
+    router.directory.note_left('e1', 2)
+    assert names(router) == ['e2']
+
+
+async def test_entry_that_is_written_again_is_used_again(fleet, autojump_clock):
+    # guards against taking a partition from the store for the last word
+    for router in fleet.routers.values():
+        router.snapshots.back_at = float('-inf')
+    fleet.put(fakes.snapshot(2, fakes.table(1), fakes.upstream('e2')))
+    await trio.sleep(1.5)
+    again = fakes.upstream('e1', revision=3)
+    fleet.put(fakes.snapshot(3, fakes.table(1), again, fakes.upstream('e2')))
+    await trio.sleep(1.5)
+    assert [names(node) for node in fleet.routers.values()] == [
+        ['e1', 'e2']
+    ] * 4
+
+
+@pytest.mark.parametrize('source', ['', '-1', 'x', '9' * 5000, '²'])
+async def test_departure_without_a_revision_takes_nobody_out(
+    fleet, autojump_clock, source
+):
+    # guards against a message that ends the router or drops an upstream
+    node = fleet.routers[HOSTS[3]]
+    fleet.routers[HOSTS[0]].peers.facts.add(
+        departures.LEFT, 'e1', source, departures.MOST_SECONDS
+    )
+    await trio.sleep(1.0)
+    assert names(node) == ['e1', 'e2']
