An upstream that says in its answers that it leaves gets nothing new

Callers saw nothing; an engine that had said for ten seconds that it leaves got requests all the while, and would have cut them as it ended.

Cause: the word was looked for in the store only, and the store was away. At its return the entry, gone by then, was kept as lapsed, and the engine used for 2.2 s more.

Now the header of each answer is read (`leaving` of the settings, 1), also of refusals and failures, not of another process at the address. The router tells all others (a kind of facts), so that each need not find out by a request of its own.

Any size: one fact for each upstream that leaves, whichever router heard it.

--- a/bench/relay/forwarding.py
+++ b/bench/relay/forwarding.py
@@ -14,6 +14,7 @@
 from lavenderbend.coordination.forwarding import cached_prompts
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import departures
 from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import entry
 from lavenderbend.coordination.forwarding import facts
@@ -110,6 +111,7 @@
     exchanges = upstream_exchanges.UpstreamExchanges()
     well = health.Health()
     load = loads.Loads()
+    found = facts.Facts('bench', lambda fact: None)
     return forwarder.Forwarder(
         entry.Entry(followed, HEADERS, router.LONG_SECONDS),
         placing.Placing(
@@ -129,10 +131,9 @@
                 ),
                 HEADERS,
             ),
-            crashes.Crashes(
-                exchanges.accepts, facts.Facts('bench', lambda fact: None)
-            ),
+            crashes.Crashes(exchanges.accepts, found),
             silence.SilenceWatch(well),
+            departures.Departures(followed, known, found),
             HEADERS,
         ),
         budget.RepeatBudget(budget.RepeatSettings(), lambda: 7),
--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from lavenderbend.coordination.forwarding import crashes as crashes_module
+    from lavenderbend.coordination.forwarding import departures as departing
     from lavenderbend.coordination.forwarding import directory as directories
     from lavenderbend.coordination.forwarding import events
     from lavenderbend.coordination.forwarding import health as health_module
@@ -27,6 +28,7 @@
 EVENT_STREAM = b'text/event-stream'
 MISDIRECTED = 421
 SERVER_ERROR = 500
+SAYS_SO = b'1'
 # an upstream that is only slow answers within this many targets; one that
 # hangs would use up the time that another needs
 FIRST_BYTE_TARGETS = 3.0
@@ -54,6 +56,7 @@
         requests: outgoing.OutgoingRequests,
         crashes: crashes_module.Crashes,
         silence: silence_module.SilenceWatch,
+        departures: departing.Departures,
         headers: forwarding_settings.ForwardHeaders,
     ) -> None:
         self.exchanges = exchanges
@@ -63,9 +66,11 @@
         self.requests = requests
         self.crashes = crashes
         self.silence = silence
+        self.departures = departures
         self.signature = headers.signature.encode()
         self.not_run = headers.not_run.encode()
         self.load = headers.load.encode()
+        self.leaving = headers.leaving.encode()
 
     async def attempt(
         self,
@@ -218,10 +223,15 @@
     def note_head(
         self, upstream: forwarding.Upstream, head: interfaces.AnswerHead
     ) -> None:
-        """Notes the load that the upstream reports."""
+        """Notes what the upstream says of itself."""
+        if head.status == MISDIRECTED:
+            # another process speaks
+            return
         load = interfaces.header(head.headers, self.load)
         if load is not None:
             self.loads.note_report(upstream.instance, load)
+        if interfaces.header(head.headers, self.leaving) == SAYS_SO:
+            self.departures.note_word(upstream.instance)
 
     def says_not_run(self, head: interfaces.AnswerHead) -> bool:
         """Returns whether the upstream says that it did not run it."""
--- a/lavenderbend/coordination/forwarding/departures.py
+++ b/lavenderbend/coordination/forwarding/departures.py
@@ -1,9 +1,11 @@
-"""Upstreams that left, or say in the store that they leave, told to all."""
+"""Upstreams that leave, by the store or by their own answers, told to all."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+import trio
+
 from lavenderbend.coordination.forwarding import facts as facts_module
 from lavenderbend.observe import logs
 from lavenderbend.state import upstreams
@@ -16,6 +18,7 @@
     from lavenderbend.state import forwarding
 
 LEFT = 'left'
+LEAVING = 'leaving'
 # by then each router has a snapshot that shows it, or is cut off from all
 MOST_SECONDS = 30.0
 MAX_REVISION_DIGITS = 20
@@ -29,6 +32,13 @@
     most_seconds = MOST_SECONDS
 
 
+@facts_module.KINDS.register(LEAVING)
+class Leaving(facts_module.Kind):
+    """An upstream whose answers say that it leaves."""
+
+    most_seconds = MOST_SECONDS
+
+
 class Departures:
     """Tells other routers which upstreams leave, and heeds what they tell.
 
@@ -74,6 +84,24 @@
             return
         self.facts.add(LEFT, upstream.instance, str(revision), MOST_SECONDS)
 
+    def note_word(self, instance: str) -> None:
+        """Notes that an upstream says in an answer that it leaves."""
+        if instance in self.directory.leaving.said:
+            return
+        # one source for all routers that hear it: they tell the same fact
+        self.facts.add(LEAVING, instance, LEAVING, MOST_SECONDS)
+
+    def learn_word(self, fact: facts_module.Fact) -> None:
+        """Sends nothing more to an upstream that says it leaves."""
+        if not self.directory.note_said(fact.subject):
+            return
+        logs.change(
+            'upstream_leaving',
+            upstream=fact.subject,
+            told_after=round(trio.current_time() - fact.at, 3),
+            age=round(self.followed.age, 3),
+        )
+
     def learn(self, fact: facts_module.Fact) -> None:
         """Sends nothing more to an upstream that another router saw leave."""
         revision = revision_of(fact)
--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -7,8 +7,8 @@
 import attrs
 import trio
 
+from lavenderbend.coordination.forwarding import leaving
 from lavenderbend.coordination.forwarding import places as places_module
-from lavenderbend.state import upstreams as upstreams_module
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,9 +17,6 @@
     from lavenderbend.coordination.forwarding import snapshots
     from lavenderbend.state import forwarding
 
-LIVE = upstreams_module.VmState.LIVE
-
-
 # chats that have not come back for so long are hardly cached any more
 FORMER_SECONDS = 30.0
 MAX_FORMER = 6
@@ -67,14 +64,13 @@
         by_service: Upstreams that are not leaving, from the snapshot.
         changes: Upstreams before the latest changes of each service.
         misplaced: Instances at whose address another one answered.
-        left: Upstreams that other routers saw leave, and the revision of the
-            store that shows it. What an entry says later counts.
+        leaving: Knows who leaves beside what the snapshot shows.
     """
 
     def __init__(self, followed: snapshots.Snapshots) -> None:
         self.followed = followed
         self.misplaced: set[str] = set()
-        self.left: dict[str, int] = {}
+        self.leaving = leaving.Leaving()
         self.by_service: dict[str, Candidates] = {}
         self.changes: dict[str, list[Former]] = {}
         followed.on_change.append(self.take)
@@ -82,11 +78,11 @@
     def take(self, snapshot: forwarding.Snapshot) -> None:
         """Orders the upstreams of a snapshot by service."""
         self.misplaced &= snapshot.upstreams.keys()
-        self.forget_left(snapshot)
+        self.leaving.forget(snapshot, self.followed.kept)
         before = self.by_service
         found: dict[str, list[forwarding.Upstream]] = {}
         for upstream in snapshot.upstreams.values():
-            if self.stays(upstream):
+            if self.leaving.stays(upstream):
                 found.setdefault(upstream.vm.service, []).append(upstream)
         self.by_service = {
             service: candidates_of(some) for service, some in found.items()
@@ -94,12 +90,6 @@
         for service, candidates in before.items():
             self.note_change(service, candidates.places)
 
-    def stays(self, upstream: forwarding.Upstream) -> bool:
-        """Returns whether nobody knows that the upstream leaves."""
-        if upstream.vm.state is not LIVE:
-            return False
-        return self.left.get(upstream.instance, -1) < upstream.revision
-
     def note_left(self, instance: str, revision: int) -> bool:
         """Notes that an upstream leaves, as another router saw.
 
@@ -115,32 +105,35 @@
         if known and instance not in self.followed.kept:
             # the own snapshot shows as much, or is yet to be read
             return False
-        self.left[instance] = max(revision, self.left.get(instance, -1))
+        self.leaving.note_left(instance, revision)
+        return self.drop(instance)
+
+    def note_said(self, instance: str) -> bool:
+        """Notes that an upstream says that it leaves.
+
+        Returns:
+            Whether this router took it for one that stays.
+        """
+        if instance in self.leaving.said:
+            return False
+        self.leaving.note_said(instance)
         return self.drop(instance)
 
     def drop(self, instance: str) -> bool:
         """Takes an upstream that leaves out; returns whether it was in."""
         if instance in self.followed.kept:
             return True
-        upstream = self.followed.current.upstreams.get(instance)
-        if upstream is None or self.stays(upstream):
-            return False
-        before = self.by_service.get(upstream.vm.service, NOBODY)
-        if instance not in before.by_name:
-            return False
-        self.by_service[upstream.vm.service] = candidates_of(
-            one for one in before.by_name.values() if one is not upstream
-        )
-        self.note_change(upstream.vm.service, before.places)
-        return True
-
-    def forget_left(self, snapshot: forwarding.Snapshot) -> None:
-        """Forgets what a snapshot shows by itself."""
-        self.left = {
-            instance: revision
-            for instance, revision in self.left.items()
-            if revision > snapshot.revision or instance in self.followed.kept
-        }
+        for service, before in self.by_service.items():
+            upstream = before.by_name.get(instance)
+            if upstream is not None and not self.leaving.stays(upstream):
+                self.by_service[service] = candidates_of(
+                    one
+                    for one in before.by_name.values()
+                    if one is not upstream
+                )
+                self.note_change(service, before.places)
+                return True
+        return False
 
     def note_change(self, service: str, before: places_module.Places) -> None:
         """Remembers the upstreams that a service had before a change."""
@@ -199,5 +192,5 @@
             for upstream, until in self.followed.kept.values()
             if until > now
             and upstream.vm.service == service
-            and self.stays(upstream)
+            and self.leaving.stays(upstream)
         ]
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -128,6 +128,7 @@
             crashes.DEATH: self.crashes.learn,
             crashes.CLEARED: self.crashes.learn,
             departures.LEFT: self.departures.learn,
+            departures.LEAVING: self.departures.learn_word,
             suspicions.SUSPECTED: self.suspicions.learn,
         }
         self.budget = budget.RepeatBudget(
@@ -165,6 +166,7 @@
                 ),
                 self.crashes,
                 self.silence,
+                self.departures,
                 settings.headers,
             ),
             self.budget,
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -22,6 +22,7 @@
         signature: Set by upstreams on answers that are theirs.
         not_run: Set by upstreams on answers to requests that did not run.
         load: Set by upstreams: running, waiting and slots, by commas.
+        leaving: Set to 1 by upstreams that leave, on all their answers.
         copy_from: Told to upstreams: the address of another upstream, from
             which cached prompt parts are copied; empty if they cannot.
         reserved: Headers of callers that are never passed on.
@@ -36,6 +37,7 @@
     signature: str = 'x-signature'
     not_run: str = 'x-not-run'
     load: str = 'x-load'
+    leaving: str = 'x-leaving'
     copy_from: str = ''
     reserved: tuple[str, ...] = ()
 
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -282,8 +282,10 @@
         self.loads = loads.Loads()
         self.exchanges = exchanges
         self.learned = []
-        self.crashes = crashes.Crashes(
-            exchanges.accepts, facts.Facts('10.0.0.1', self.learn)
+        found = facts.Facts('10.0.0.1', self.learn)
+        self.crashes = crashes.Crashes(exchanges.accepts, found)
+        self.departures = departures.Departures(
+            self.snapshots, self.directory, found
         )
         self.silence = silence.SilenceWatch(self.health)
         self.budget = budget.RepeatBudget(
@@ -321,6 +323,7 @@
                 ),
                 self.crashes,
                 self.silence,
+                self.departures,
                 HEADERS,
             ),
             self.budget,
@@ -329,7 +332,10 @@
 
     def learn(self, fact):
         self.learned.append(fact)
-        self.crashes.learn(fact)
+        if fact.kind == departures.LEAVING:
+            self.departures.learn_word(fact)
+        elif fact.kind != departures.LEFT:
+            self.crashes.learn(fact)
 
     async def ask(self, **fields):
         """Returns the caller's answer and the error, if there was one."""
@@ -449,6 +455,7 @@
             crashes.DEATH: self.crashes.learn,
             crashes.CLEARED: self.crashes.learn,
             departures.LEFT: self.departures.learn,
+            departures.LEAVING: self.departures.learn_word,
             suspicions.SUSPECTED: self.suspicions.learn,
         }
         routers[host] = self
