An upstream that asks for no requests for a time gets none

A refusal with `Retry-After` was a refusal like any other: the upstream was passed by for 0.15 s, and asked again with each request that found it least loaded, or where all others had been tried. Its queue stayed full, and callers waited for refusals.

Now a 503 with `Retry-After` (seconds, fractions too, 300 s at most; a date or anything else counts as none) keeps this router's requests from it until then, also where no other upstream is left: the caller is then refused at once, as not run, and told when the first upstream takes requests again. What was placed before goes elsewhere: the check is made again when the connection is there, for those that left meanwhile too. Others may send: the word is to this router.

Size: nothing is told to others; a choice looks at the records of those that asked, and only while there are any.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -28,7 +29,9 @@
 EVENT_STREAM = b'text/event-stream'
 MISDIRECTED = 421
 SERVER_ERROR = 500
+UNAVAILABLE = 503
 SAYS_SO = b'1'
+RETRY_AFTER = b'retry-after'
 # an upstream that is only slow answers within this many targets; one that
 # hangs would use up the time that another needs
 FIRST_BYTE_TARGETS = 3.0
@@ -128,12 +131,25 @@
             UpstreamUnreachable: There is none to be had.
         """
         try:
-            return await self.exchanges.open(
+            exchange = await self.exchanges.open(
                 upstream, ticket.rule.then.repeatable
             )
         except errors.UpstreamUnreachable:
             self.health.note_unreachable(upstream.instance)
             raise
+        if self.takes(ticket.service, upstream):
+            return exchange
+        exchange.close()
+        raise errors.UpstreamWithdrawn('it takes no more requests')
+
+    def takes(self, service: str, upstream: forwarding.Upstream) -> bool:
+        """Returns whether an upstream still takes requests.
+
+        It may have left, or have asked for none, since it was chosen.
+        """
+        if self.health.wants_none(upstream.instance):
+            return False
+        return upstream.instance in self.directory.candidates(service).by_name
 
     async def run(
         self,
@@ -232,6 +248,17 @@
             self.loads.note_report(upstream.instance, load)
         if interfaces.header(head.headers, self.leaving) == SAYS_SO:
             self.departures.note_word(upstream.instance)
+        if head.status == UNAVAILABLE:
+            self.note_retry_after(upstream, head)
+
+    def note_retry_after(
+        self, upstream: forwarding.Upstream, head: interfaces.AnswerHead
+    ) -> None:
+        """Notes for how long an upstream wants no requests."""
+        value = interfaces.header(head.headers, RETRY_AFTER)
+        seconds = seconds_of(value)
+        if seconds > 0.0:
+            self.health.note_unwanted(upstream.instance, seconds)
 
     def says_not_run(self, head: interfaces.AnswerHead) -> bool:
         """Returns whether the upstream says that it did not run it."""
@@ -334,6 +361,19 @@
         await answer.finish()
 
 
+def seconds_of(value: bytes | None) -> float:
+    """Returns the seconds that a header names, 0 if it names none.
+
+    A date, which the header may hold too, is taken for none: the clocks of
+    two VMs differ by more than what upstreams ask for.
+    """
+    try:
+        seconds = float(value or 0)
+    except ValueError:
+        return 0.0
+    return seconds if 0.0 < seconds < math.inf else 0.0
+
+
 async def read_whole(
     exchange: interfaces.Exchange, waiting: silence_module.Waiting
 ) -> bytes:
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
 from lavenderbend.state import decisions
 from lavenderbend.state import hashing
@@ -37,10 +38,12 @@
 LEAST_LOADED = 'least loaded'
 OVER_BOUND = 'all over bound'
 AVOIDED = 'all avoided'
+UNWANTED = 'none wants requests'
 # why an upstream is passed over
 OVER_ITS_BOUND = 'over bound'
 HAD_IT = 'had the request'
 FAILED_LATELY = 'failed lately'
+WANTS_NONE = 'wants none'
 
 
 @attrs.frozen
@@ -106,6 +109,8 @@
         load: Requests that it holds, as far as known.
         allowed: The bound on that.
         passed_over: Upstreams that were not taken, and why.
+        wanted_in: Seconds until one of those that want no request does, 0 if
+            that is not why there is none.
     """
 
     upstream: forwarding.Upstream | None
@@ -113,6 +118,7 @@
     load: int = 0
     allowed: int = 0
     passed_over: tuple[decisions.PassedOver, ...] = ()
+    wanted_in: float = 0.0
 
 
 @attrs.frozen
@@ -123,19 +129,24 @@
         used: Instances that have had it.
         avoided: Instances that failed lately.
         bound: Requests that the others may hold.
+        unwanting: Instances that want no request; it does not go there if
+            there are no others either.
     """
 
     used: Set[str]
     avoided: Set[str]
     bound: int
+    unwanting: Set[str] = frozenset()
 
     @property
     def names(self) -> set[str]:
         """All of them."""
-        return {*self.used, *self.avoided}
+        return {*self.used, *self.avoided, *self.unwanting}
 
     def reason(self, name: str) -> str:
         """Returns why an upstream is passed over, empty if it is not."""
+        if name in self.unwanting:
+            return WANTS_NONE
         if name in self.used:
             return HAD_IT
         return FAILED_LATELY if name in self.avoided else ''
@@ -218,8 +229,10 @@
             return Choice(None)
         known = found.by_name.keys()
         apart = self.apart(found, used)
+        if len(apart.unwanting) == len(known):
+            return self.none_wanted(known)
         if len(apart.names) == len(known):
-            names = known - apart.used
+            names = known - apart.used - apart.unwanting
             return self.least_loaded(found, names, tie_break, apart, AVOIDED)
         if need.parts:
             return self.by_prompt(found, need.chat, apart)
@@ -236,12 +249,31 @@
     ) -> Apart:
         """Returns the upstreams that a request does not go to."""
         known = found.by_name.keys()
+        unwanting = known & self.health.wanting_none().keys()
         had = known & set(used)
-        if len(had) == len(known):
+        if len(had | unwanting) == len(known):
             # all have had it: one of them has it again
             had = frozenset()
         avoided = known & self.health.held_back()
-        return Apart(had, avoided, self.allowed(found.places.sample))
+        bound = self.allowed(found.places.sample)
+        return Apart(had, avoided, bound, unwanting)
+
+    def any_wants(self, service: str) -> bool:
+        """Returns whether an upstream of a service takes requests now."""
+        known = self.directory.candidates(service).by_name.keys()
+        return bool(known - self.health.wanting_none().keys())
+
+    def none_wanted(self, known: Collection[str]) -> Choice:
+        """Returns that none of some upstreams wants a request now."""
+        wanting = self.health.wanting_none()
+        soonest = min(wanting[name] for name in known)
+        passed = [decisions.PassedOver(name, WANTS_NONE) for name in known]
+        return Choice(
+            None,
+            UNWANTED,
+            passed_over=tuple(passed),
+            wanted_in=soonest - trio.current_time(),
+        )
 
     def allowed(self, sample: Collection[str]) -> int:
         """Returns the bound on requests at one upstream.
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -248,6 +248,7 @@
     ) -> forwarding.Upstream | None:
         """Returns the upstream that comes next, None if there is none."""
         choice = await self.placing.choose(ticket)
+        ticket.wanted_in = choice.wanted_in
         if choice.upstream is None:
             return None
         record = decisions_module.Attempt(
@@ -275,7 +276,7 @@
             if answer.started and not self.may_resume(ticket):
                 # nobody could go on: what is silent may still come
                 return False
-            if not self.chooser.directory.candidates(ticket.service).by_name:
+            if not self.chooser.any_wants(ticket.service):
                 return False
             self.drop_lapsed(ticket)
             if ticket.may_send:
@@ -358,9 +359,10 @@
         cause = f'no upstream of {ticket.service!r} is known'
         if ticket.placed:
             cause = 'no upstream took the request'
-        raise errors.NoUpstream(
-            cause, entry_module.come_back_seconds(ticket.left)
-        )
+        if ticket.wanted_in:
+            cause = f'no upstream of {ticket.service!r} wants requests now'
+        seconds = entry_module.come_back_seconds(ticket.left)
+        raise errors.NoUpstream(cause, max(seconds, ticket.wanted_in))
 
 
 def note_sent(ticket: tickets.Ticket, record: decisions_module.Attempt) -> None:
--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -24,6 +24,8 @@
 MAX_AVOID_SECONDS = 4.0
 # a full upstream has room again after a request or two
 FULL_SECONDS = 0.15
+# an upstream that asks for more by mistake must not be lost until it restarts
+MAX_UNWANTED_SECONDS = 300.0
 # a cause that this router has not seen itself
 FOUND_BY_OTHERS = 'found by others'
 
@@ -46,6 +48,8 @@
         suspect_until: Router clock until which it is taken for dead or out
             of reach.
         full_until: Router clock until which it is taken for full.
+        unwanted_until: Router clock until which it wants nothing from this
+            router, by its own word.
         rounds: How often it was avoided without a success between.
     """
 
@@ -55,6 +59,7 @@
     avoid_until: float = 0.0
     suspect_until: float = 0.0
     full_until: float = 0.0
+    unwanted_until: float = 0.0
     rounds: int = 0
 
     @property
@@ -77,6 +82,7 @@
     Attributes:
         records: By instance.
         quiet_from: Router clock from which on nobody is avoided.
+        unwanted_to: Router clock from which on all want requests.
         on_suspect: Called when an upstream is found dead or out of reach,
             with the seconds for which it is avoided.
     """
@@ -84,6 +90,7 @@
     def __init__(self) -> None:
         self.records: dict[str, Record] = {}
         self.quiet_from = 0.0
+        self.unwanted_to = 0.0
         self.on_suspect: Callable[[str, float], None] = ignore
 
     def record(self, instance: str) -> Record:
@@ -184,6 +191,39 @@
         self.quiet_from = max(self.quiet_from, record.full_until)
         AVOIDED.inc({'cause': 'full'})
 
+    def note_unwanted(self, instance: str, seconds: float) -> None:
+        """Notes that an upstream wants no request for a time."""
+        record = self.record(instance)
+        seconds = min(seconds, MAX_UNWANTED_SECONDS)
+        until = trio.current_time() + seconds
+        if until <= record.unwanted_until:
+            return
+        record.unwanted_until = until
+        self.unwanted_to = max(self.unwanted_to, until)
+        AVOIDED.inc({'cause': 'asked'})
+        logs.change(
+            'upstream_unwanted', upstream=instance, seconds=round(seconds, 2)
+        )
+
+    def wants_none(self, instance: str) -> bool:
+        """Returns whether an upstream wants no request now."""
+        now = trio.current_time()
+        if now >= self.unwanted_to:
+            return False
+        record = self.records.get(instance)
+        return record is not None and record.unwanted_until > now
+
+    def wanting_none(self) -> dict[str, float]:
+        """Returns the upstreams that want no request, and until when."""
+        now = trio.current_time()
+        if now >= self.unwanted_to:
+            return {}
+        return {
+            instance: record.unwanted_until
+            for instance, record in self.records.items()
+            if record.unwanted_until > now
+        }
+
     def avoid(self, instance: str, record: Record, cause: str) -> None:
         """Avoids an upstream, the longer the more often it was."""
         now = trio.current_time()
@@ -222,6 +262,8 @@
         """Returns whether an upstream is avoided, in words."""
         record = self.records.get(instance)
         now = trio.current_time()
+        if record is not None and record.unwanted_until > now:
+            return f'wants nothing for {record.unwanted_until - now:.1f} s'
         if record is None or record.held_until <= now:
             return 'candidate'
         cause = 'failed' if record.avoid_until > now else 'full'
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -55,6 +55,8 @@
         repeats: Repeats that were taken for it, sent or not.
         repeat_at: Router clock at which the last of them was taken.
         may_have_run: Whether an upstream may have begun to run it.
+        wanted_in: Seconds after which an upstream takes requests again, 0 if
+            some do now.
         fingerprint: What it has in common with its repetitions, None until
             it is asked for.
         logged: Whether lines are written on it even if it ends well.
@@ -81,6 +83,7 @@
     repeats: int = 0
     repeat_at: float = 0.0
     may_have_run: bool = False
+    wanted_in: float = 0.0
     fingerprint: int | None = None
     logged: bool = False
     hop: spans.Hop | None = None
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -99,6 +99,10 @@
     """No connection; no byte of the request has left."""
 
 
+class UpstreamWithdrawn(UpstreamUnreachable):
+    """It left, or asked for no requests, before this one was sent."""
+
+
 class UpstreamRefused(UpstreamError):
     """The upstream refused the request before it started it."""
 
