Soak: workers that leave by their answers while the store is away, and pauses

The soak had one kind of leaving, by the store's word while it answers. A second set of faults (`--departures`), apart from the first so that its seeds draw what they drew: a worker whose answers say that it leaves while the store is silent, whose entry then says so, is gone, or is as before; one that goes without a word; workers that turn requests away with `Retry-After`.

Three checks: nothing reaches a worker from a router later than the bound after that router passed on the word; no more than two requests within a pause that was asked for; what left without a word.

--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -203,6 +203,7 @@
         'signature': name('response-signature'),
         'not_run': name('not-executed'),
         'load': name('server-load'),
+        'leaving': 'server-leaving',
         'reserved': [name('hold')],
     }
 
--- a/tests/integration/forwarding_soak.py
+++ b/tests/integration/forwarding_soak.py
@@ -58,7 +58,12 @@
     'no_http',
     'late_second',
 )
+# of what a worker asks for by turning requests away
+AFTER_SECONDS = 0.5
+MOST_AFTER = 2
 FAULTS: registry.Registry = registry.Registry('fault')
+# apart from the others: what a seed draws of those stays as it is
+DEPARTURES: registry.Registry = registry.Registry('fault of who leaves')
 
 
 @attrs.frozen
@@ -127,9 +132,19 @@
 class World(forwarding_fleet.ForwardingFleet):
     """A fleet whose links to the store and the workers can be disturbed."""
 
-    def __init__(self, folder, seed, routers=forwarding_fleet.ROUTERS) -> None:
+    def __init__(
+        self,
+        folder,
+        seed,
+        routers=forwarding_fleet.ROUTERS,
+        departures=False,
+    ) -> None:
         super().__init__(folder, routers)
         self.seed = seed
+        self.kinds = {name: FAULTS.get(name) for name in FAULTS}
+        if departures:
+            self.kinds = {name: DEPARTURES.get(name) for name in DEPARTURES}
+        self.restarted: list[tuple[str, float]] = []
         self.rng = random.Random(seed)
         self.told: list[Told] = []
         self.faults: list[str] = []
@@ -184,8 +199,20 @@
     def register(self, name, state='ready') -> None:
         port = self.worker_links[name].port
         address = f'{standins.HOST}:{port}'
-        entry = {**self.workers[name].entry(state), 'address': address}
-        self.store.put(f'servers/{name}', entry)
+        worker = self.workers[name]
+        entry = {**worker.entry(state), 'address': address}
+        self.store.put(f'servers/{worker.instance}', entry)
+
+    def replace(self, name) -> None:
+        """Starts a worker anew under another id, at the same address."""
+        worker = self.workers[name]
+        key = f'servers/{worker.instance}'
+        if key in self.store.items:
+            self.store.remove(key)
+        self.count += 1
+        worker.instance = f'{name}-{self.count}'
+        worker.leaving = False
+        self.register(name)
 
     def publish(self) -> None:
         tenants = [{'name': 'corte', 'apiKeys': self.keys, 'priority': 1}]
@@ -313,7 +340,7 @@
     async def play_one(self, name) -> None:
         begin = trio.current_time()
         try:
-            await FAULTS.get(name)(self)
+            await self.kinds[name](self)
         finally:
             self.played.append((name, begin, trio.current_time()))
 
@@ -339,7 +366,7 @@
 
     async def play(self, seconds) -> None:
         """Plays faults, every second time two at once."""
-        names = list(FAULTS)
+        names = list(self.kinds)
         end = trio.current_time() + seconds
         while trio.current_time() < end:
             chosen = self.rng.sample(names, 1 + len(self.faults) % 2)
@@ -361,6 +388,7 @@
                 f'{self.faults[-1]}'
             )
             await router.process.start()
+            self.restarted.append((router.host, trio.current_time()))
             self.disturb()
 
     def runs(self) -> dict[str, list]:
@@ -379,6 +407,60 @@
             self.check_told(told, runs.get(told.id, []))
         for name, at in self.left:
             self.check_left(name, at)
+        told = {one.id: one for one in self.told}
+        for name, worker in self.workers.items():
+            self.check_word(name, worker, told)
+            self.check_turned_away(name, worker, told)
+
+    def has_restarted(self, host: str, since: float, until: float) -> bool:
+        """Returns whether a router ended, or stood still for long."""
+        return any(
+            one == host and since <= at <= until for one, at in self.restarted
+        )
+
+    def check_word(self, name, worker, told: dict[str, Told]) -> None:
+        """Finds what came to a worker whose answers had said it leaves."""
+        heard: dict[tuple[str, str], float] = {}
+        for request, instance in worker.told_leaving.items():
+            one = told.get(request)
+            if one is None or not one.status:
+                continue
+            at = heard.get((one.router, instance), float('inf'))
+            heard[one.router, instance] = min(at, one.until)
+        for _, request, instance in worker.arrived:
+            one = told.get(request)
+            at = one and heard.get((one.router, instance))
+            if at is None or one.sent <= at + LEAVE_SECONDS:
+                continue
+            if self.has_restarted(one.router, at, one.sent):
+                continue
+            self.violations.append(
+                f'{request} came to {name} {one.sent - at:.2f} s after '
+                f'{one.router} had passed on that it leaves'
+            )
+
+    def check_turned_away(self, name, worker, told: dict[str, Told]) -> None:
+        """Finds what came to a worker that had asked for a pause."""
+        arrived = [
+            (at, told[request].router, request)
+            for at, request, _ in worker.arrived
+            if request in told
+        ]
+        for at, request, seconds in worker.turned_away:
+            if request not in told:
+                continue
+            router = told[request].router
+            found = [
+                one
+                for came, host, one in arrived
+                if host == router and at + AFTER_SECONDS < came < at + seconds
+            ]
+            excused = self.has_restarted(router, at, at + seconds)
+            if len(found) > MOST_AFTER and not excused:
+                self.violations.append(
+                    f'{", ".join(found)} came to {name} from {router} within '
+                    f'{seconds} s of its refusal of {request}'
+                )
 
     def check_told(self, told: Told, ran: list) -> None:
         found = []
@@ -480,6 +562,7 @@
     await router.process.kill()
     await trio.sleep(world.rng.uniform(0.0, 1.0))
     await router.process.start()
+    world.restarted.append((router.host, trio.current_time()))
     world.disturb()
 
 
@@ -490,6 +573,7 @@
         await router.process.kill()
     for router in world.routers:
         await router.process.start()
+        world.restarted.append((router.host, trio.current_time()))
     world.disturb()
 
 
@@ -503,6 +587,7 @@
     await trio.sleep(world.rng.uniform(0.5, 6.0))
     world.held.discard(router.host)
     router.process.resume()
+    world.restarted.append((router.host, trio.current_time()))
     world.disturb()
 
 
@@ -519,6 +604,7 @@
         world.violations.append(f'{router.host} did not stop')
         await router.process.kill()
     await router.process.start()
+    world.restarted.append((router.host, trio.current_time()))
     world.disturb()
 
 
@@ -613,11 +699,69 @@
     world.register(name)
 
 
+@DEPARTURES.register('leave by answers')
+async def leave_by_answers(world):
+    """A worker says that it leaves while the store is away."""
+    name = world.rng.choice(('i-e1', 'i-e2'))
+    worker = world.workers[name]
+    if any(one.leaving for one in world.workers.values()):
+        return
+    world.disturb()
+    world.store.fault = 'silent'
+    worker.leaving = True
+    await trio.sleep(world.rng.uniform(LEAVE_SECONDS + 1.0, 5.0))
+    # the store learns of it, or the entry has lapsed, or is as before
+    outcome = world.rng.choice(('told', 'lapsed', 'late'))
+    if outcome == 'told':
+        world.register(name, 'draining')
+    if outcome == 'lapsed':
+        world.store.remove(f'servers/{worker.instance}')
+    world.store.fault = ''
+    world.disturb()
+    await trio.sleep(world.rng.uniform(1.0, LEAVE_SECONDS + 1.0))
+    world.replace(name)
+
+
+@DEPARTURES.register('leave without a word')
+async def leave_without_a_word(world):
+    name = world.rng.choice(('i-e1', 'i-e2'))
+    if world.workers[name].leaving:
+        return
+    key = f'servers/{world.workers[name].instance}'
+    if key not in world.store.items:
+        return
+    world.store.remove(key)
+    world.left.append((name, trio.current_time()))
+    await trio.sleep(world.rng.uniform(3.0, 5.0))
+    world.returned.append((name, trio.current_time()))
+    world.replace(name)
+
+
+@DEPARTURES.register('turn away')
+async def turn_away(world):
+    """Workers turn requests away and say for how long."""
+    count = world.rng.randint(1, len(world.workers))
+    for name in world.rng.sample(sorted(world.workers), count):
+        worker = world.workers[name]
+        worker.pause = world.rng.choice((1.0, 1.5, 3.0))
+        seconds = world.rng.uniform(0.2, 4.0)
+        worker.away_until = trio.current_time() + seconds
+    await trio.sleep(1.0)
+
+
+for shared in ('kill', 'leave', 'configuration', 'reload', 'stop'):
+    DEPARTURES.register(shared)(FAULTS.get(shared))
+
+
 async def soak(
-    folder, seed, seconds, routers=forwarding_fleet.ROUTERS
+    folder,
+    seed,
+    seconds,
+    routers=forwarding_fleet.ROUTERS,
+    departures=False,
 ) -> World:
     """Returns the world after a soak."""
-    world = World(folder, seed, routers)
+    world = World(folder, seed, routers, departures)
     async with trio.open_nursery() as nursery:
         try:
             await world.start(nursery)
@@ -658,11 +802,19 @@
     parser.add_argument('--count', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--routers', type=int, default=forwarding_fleet.ROUTERS)
+    parser.add_argument('--departures', action='store_true')
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        world = trio.run(soak, folder, seed, options.seconds, options.routers)
+        world = trio.run(
+            soak,
+            folder,
+            seed,
+            options.seconds,
+            options.routers,
+            options.departures,
+        )
         told = collections.Counter((one.kind, one.status) for one in world.told)
         failed += bool(world.violations)
         print(f'seed {seed}: {len(world.told)} requests, {dict(told)}')
--- a/tests/integration/test_integration_forwarding_soak.py
+++ b/tests/integration/test_integration_forwarding_soak.py
@@ -28,6 +28,13 @@
     assert any(told.status == 200 for told in world.told)
 
 
+@pytest.mark.parametrize('seed', [5002, 5003])
+async def test_short_soak_of_those_who_leave_breaks_no_promise(tmp_path, seed):
+    world = await forwarding_soak.soak(tmp_path, seed, 10.0, departures=True)
+    assert world.violations == []
+    assert any(told.status == 200 for told in world.told)
+
+
 @pytest.fixture
 def world(tmp_path):
     return forwarding_soak.World(tmp_path, 1)
@@ -105,6 +112,58 @@
     assert world.violations == []
 
 
+def arrived(world, request, at, sent, router='127.0.0.2', status=200):
+    worker = world.workers['i-e1']
+    worker.arrived.append((at, request, 'i-e1'))
+    world.told.append(
+        forwarding_soak.Told(
+            *(request, 'look', KEY, sent, status),
+            body=f'did /desk/look/1/{request[1:]}'.encode(),
+            signed=True,
+            router=router,
+            until=at,
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ('sent', 'router', 'found'),
+    [
+        (12.5, '127.0.0.2', True),
+        (11.5, '127.0.0.2', False),
+        (12.5, '127.0.0.3', False),
+    ],
+)
+def test_request_after_an_answer_s_word_is_found(world, sent, router, found):
+    world.workers['i-e1'].told_leaving = {'r1': 'i-e1'}
+    arrived(world, 'r1', 10.0, 9.9)
+    arrived(world, 'r2', 13.0, sent, router)
+    world.check()
+    assert bool(world.violations) == found
+    world.violations.clear()
+    world.restarted = [(router, 11.0)]
+    world.check()
+    assert world.violations == []
+
+
+@pytest.mark.parametrize(
+    ('times', 'found'),
+    [((10.6, 10.7, 10.8), True), ((10.6, 10.7), False), ((10.3,) * 9, False)],
+)
+def test_requests_within_the_pause_asked_for_are_found(world, times, found):
+    arrived(world, 'r1', 10.0, 9.9, status=503)
+    world.workers['i-e1'].turned_away = [(10.0, 'r1', 1.0)]
+    for number, at in enumerate(times, 2):
+        arrived(world, f'r{number}', at, at - 0.1)
+    arrived(world, 'r99', 11.1, 11.0)
+    world.check()
+    assert bool(world.violations) == found
+    world.violations.clear()
+    world.restarted = [('127.0.0.2', 10.1)]
+    world.check()
+    assert world.violations == []
+
+
 async def test_router_of_another_soak_does_not_pass_for_ones_own(world):
     # A soak's router could not bind its ports, since a router of an earlier
     # soak still had them. That one answered that it was ready, and was taken
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -252,6 +252,13 @@
             it answers well.
         events: Events of its streams.
         gap: Seconds between them.
+        leaving: Whether its answers say that it leaves.
+        pause: Seconds for which it asks those that it turns away.
+        away_until: Clock until which it turns all away.
+        arrived: When each request came, its id, and the instance by then.
+        told_leaving: Ids of requests whose answers said that it leaves, and
+            the instance that said so.
+        turned_away: When it turned which request away, and for how long.
     """
 
     def __init__(self, instance, service):
@@ -261,8 +268,14 @@
         self.plans = []
         self.events = 5
         self.gap = 0.0
+        self.leaving = False
+        self.pause = 0.0
+        self.away_until = 0.0
         self.ran = []
         self.ran_at = []
+        self.arrived = []
+        self.told_leaving = {}
+        self.turned_away = []
 
     def note_run(self, asked):
         self.ran.append(asked)
@@ -282,15 +295,27 @@
 
     def headers(self, asked):
         return [
-            (
-                'lavenderbend-request-id',
-                asked.headers['lavenderbend-request-id'],
-            ),
+            *self.unsigned(asked),
             ('lavenderbend-response-signature', f'sig.{self.instance}'),
             ('lavenderbend-server-load', '1,0,8'),
         ]
 
+    def unsigned(self, asked):
+        request = asked.headers['lavenderbend-request-id']
+        found = [('lavenderbend-request-id', request)]
+        if self.leaving:
+            self.told_leaving[request] = self.instance
+            found.append(('server-leaving', '1'))
+        return found
+
     async def answer(self, asked, stream, protocol):
+        now = trio.current_time()
+        request = asked.headers['lavenderbend-request-id']
+        self.arrived.append((now, request, self.instance))
+        if now < self.away_until:
+            self.turned_away.append((now, request, self.pause))
+            await self.turns_away(asked, stream, protocol)
+            return
         plan = self.plans.pop(0) if self.plans else 'well'
         await getattr(self, plan)(asked, stream, protocol)
 
@@ -331,7 +356,15 @@
         await trio.sleep_forever()
 
     async def full(self, asked, stream, protocol):
-        headers = [*self.headers(asked)[:1], ('lavenderbend-not-executed', '1')]
+        headers = [*self.unsigned(asked), ('lavenderbend-not-executed', '1')]
+        await stream.send_all(encode(protocol, 503, headers, b''))
+
+    async def turns_away(self, asked, stream, protocol):
+        headers = [
+            *self.unsigned(asked),
+            ('lavenderbend-not-executed', '1'),
+            ('retry-after', f'{self.pause:g}'),
+        ]
         await stream.send_all(encode(protocol, 503, headers, b''))
 
     async def resets(self, asked, stream, protocol):
