--- a/lavenderbend/coordination/forwarding/leaving.py
+++ b/lavenderbend/coordination/forwarding/leaving.py
@@ -62,11 +62,11 @@
             if revision > snapshot.revision or instance in lapsed
         }
         now = trio.current_time()
-        for instance in self.said:
-            if instance in snapshot.upstreams or instance in lapsed:
-                self.said[instance] = now
         self.said = {
             instance: at
             for instance, at in self.said.items()
             if at > now - SAID_SECONDS
         }
+        for instance in self.said:
+            if instance in snapshot.upstreams or instance in lapsed:
+                self.said[instance] = now
--- a/tests/test_coordination/test_forwarding_leaving.py
+++ b/tests/test_coordination/test_forwarding_leaving.py
@@ -25,11 +25,10 @@
     return found
 
 
-def slow(node, is_slow=True):
+def slow(node):
     """Has all that holds the configuration come too late at one router."""
-    cause = errors.KeyValueUnavailable('TooSlowError')
-    node.source.error = cause if is_slow else None
-    node.link.too_slow = is_slow
+    node.source.error = errors.KeyValueUnavailable('TooSlowError')
+    node.link.too_slow = True
 
 
 async def put_versions(fleet, *found, seconds):
@@ -69,11 +68,12 @@
 ):
     # guards against taking a slow router for a store that was away
     node = fleet.routers[HOSTS[3]]
+    del node.peers.on_learned[departures.LEFT]
     slow(node)
     both = fakes.upstream('e1'), fakes.upstream('e2')
     await put_versions(fleet, *both, seconds=2.5)
     await put_versions(fleet, both[1], seconds=1.0)
-    slow(node, False)
+    node.source.error = None
     await put_versions(fleet, both[1], seconds=1.0)
     assert names(node) == ['e2']
 
@@ -160,6 +160,27 @@
     assert names(router) == ['e2']
 
 
+@pytest.mark.parametrize(('seconds', 'used'), [(50.0, False), (70.0, True)])
+async def test_entry_that_comes_back_does_not_unsay_that_its_upstream_leaves(
+    autojump_clock, seconds, used
+):
+    # guards against an entry from before the word that is written late
+    found = [fakes.upstream('e1'), fakes.upstream('e2')]
+    router = fakes.Router(
+        fakes.snapshot(1, fakes.table(1), *found), fakes.Exchanges()
+    )
+    router.departures.note_word('e1')
+    for revision in (2, 3):
+        gone = fakes.snapshot(revision, fakes.table(revision), found[1])
+        router.snapshots.accept(gone, trio.current_time())
+        await trio.sleep(seconds / 2)
+    back = fakes.upstream('e1', revision=4)
+    router.snapshots.accept(
+        fakes.snapshot(4, fakes.table(4), back, found[1]), trio.current_time()
+    )
+    assert names(router) == (['e1', 'e2'] if used else ['e2'])
+
+
 async def test_word_of_another_process_at_the_address_is_not_the_upstreams(
     autojump_clock,
 ):
--- a/tests/test_coordination/test_forwarding_path.py
+++ b/tests/test_coordination/test_forwarding_path.py
@@ -528,3 +528,15 @@
     assert error is None
     ((_, sent),) = exchanges.sent
     assert dict(sent.headers)[b'x-expect-instance'] == b'e1'
+
+
+async def test_next_version_keeps_the_rules_that_stay(autojump_clock):
+    # guards against a version that stops a router for as long as it has rules
+    stays = fakes.rule('stays', '/stays/*')
+    router = fakes.Router(
+        fakes.snapshot(1, fakes.table(1, (stays,))), fakes.Exchanges()
+    )
+    router.entry.compile(fakes.table(1, (stays,)))
+    (before,) = router.entry.compiled.rules
+    router.entry.compile(fakes.table(2, (fakes.rule(), stays)))
+    assert router.entry.compiled.rules[1] is before
--- a/tests/test_coordination/test_forwarding_snapshots.py
+++ b/tests/test_coordination/test_forwarding_snapshots.py
@@ -169,6 +169,20 @@
     assert found.of('chat') == []
 
 
+async def test_entry_that_goes_while_others_hear_of_the_store_is_gone(
+    autojump_clock, source, followed
+):
+    # guards against taking a router's slow reads for a store that was away
+    found = directory.Directory(followed)
+    await followed.read()
+    for _ in range(8):
+        await trio.sleep(0.5)
+        followed.note_answered(followed.clock())
+    source.put(fakes.snapshot(2, fakes.table(1)))
+    await followed.read()
+    assert found.of('chat') == []
+
+
 async def test_upstream_that_leaves_without_a_word_is_no_lapsed_one(
     nursery, autojump_clock, source, clock
 ):
