--- a/lavenderbend/coordination/forwarding/departures.py
+++ b/lavenderbend/coordination/forwarding/departures.py
@@ -30,6 +30,7 @@
     """An upstream that leaves; the source is the revision that shows it."""
 
     most_seconds = MOST_SECONDS
+    for_new = False
 
 
 @facts_module.KINDS.register(LEAVING)
@@ -42,9 +43,9 @@
 class Departures:
     """Tells other routers which upstreams leave, and heeds what they tell.
 
-    An upstream's word comes with the configuration, in one snapshot. One of
-    many routes takes longer over a narrow link than an upstream waits that
-    leaves; what is told here fits a datagram.
+    What an upstream says in the store comes with the configuration, in one
+    snapshot. Over a narrow link a snapshot of many routes takes longer than
+    an upstream that leaves goes on; what is told here fits a datagram.
 
     Attributes:
         followed: The snapshots of this router.
--- a/lavenderbend/coordination/forwarding/facts.py
+++ b/lavenderbend/coordination/forwarding/facts.py
@@ -44,10 +44,13 @@
         most_seconds: No fact of the kind holds longer, whatever it says.
         cleared_by: Kind of the facts that end all earlier ones on the same
             subject, empty if there is none.
+        for_new: Whether a router that starts is told at once; not what its
+            first snapshot shows anyway, which would take the place of others.
     """
 
     most_seconds = 0.0
     cleared_by = ''
+    for_new = True
 
 
 KINDS: registry.Registry[type[Kind]] = registry.Registry('kind of fact')
@@ -209,7 +212,11 @@
 
     def told_to_new(self) -> list[list[str | int]]:
         """Returns what a router that starts is told."""
-        held = [one.fact for one in self.all() if self.holds(one)]
+        held = [
+            one.fact
+            for one in self.all()
+            if self.holds(one) and KINDS.get(one.fact.kind).for_new
+        ]
         held.sort(key=lambda fact: fact.at, reverse=True)
         return [row(fact) for fact in held[:MAX_TOLD_TO_NEW]]
 
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -8,6 +8,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import departures
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.protocol import peer
 from tests import forwarding_fakes as fakes
@@ -199,6 +200,18 @@
     assert node.crashes.deaths(7) == ['e1', 'e2']
 
 
+async def test_upstreams_that_leave_hide_nothing_from_a_router_that_starts(
+    fleet, autojump_clock
+):
+    # guards against a release that keeps a new router from hearing of a death
+    known = fleet.routers[HOSTS[0]].peers.facts
+    known.add(crashes.DEATH, crashes.subject_of(7), 'e1', 60.0)
+    for number in range(20):
+        known.add(departures.LEFT, f'x{number}', '1', 30.0)
+    told = [kind for kind, *_ in known.told_to_new()]
+    assert told == [crashes.DEATH]
+
+
 async def test_many_changes_are_fetched_together(fleet, autojump_clock):
     # Upstreams come and go twenty times a second. Fetching each change would
     # cost each router of a large fleet most of its time.
