--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -33,6 +33,7 @@
     'version',
     'crash notice',
     'suspicion',
+    'departures',
     'loads',
     'prompts by hashes',
     'prompts by owners',
--- a/bench/fleet/measures.py
+++ b/bench/fleet/measures.py
@@ -13,6 +13,7 @@
 from bench.fleet import world
 from lavenderbend import registry
 from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import departures as departures_lib
 from lavenderbend.coordination.forwarding import suspicions
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
 MOST_WAIT_SECONDS = 10.0
 FINGERPRINT = 7
 INSTANCES = ['i-00000001', 'i-00000002']
+LEFT_AT_ONCE = 10
 # a multiple of the usual requests
 PROMPTS_RATE = 2.0
 
@@ -134,6 +136,23 @@
     )
 
 
+@SCENARIOS.register('departures')
+async def departures(fleet: world.Fleet) -> float:
+    """One router sees ten upstreams leave; 99 in 100 send them nothing."""
+    first = next(iter(fleet.routers.values()))
+    left = list(first.directory.candidates(world.SERVICE).by_name)
+    del left[LEFT_AT_ONCE:]
+    seconds = departures_lib.MOST_SECONDS
+    for name in left:
+        first.peers.facts.add(departures_lib.LEFT, name, '2', seconds)
+
+    def none_used(one: world.Router) -> bool:
+        used = one.directory.candidates(world.SERVICE).by_name
+        return used.keys().isdisjoint(left)
+
+    return await until_most(fleet, none_used)
+
+
 @SCENARIOS.register('version')
 async def version(fleet: world.Fleet) -> float:
     """A version is accepted; 99 in 100 routers serve by it."""
--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -11,6 +11,8 @@
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import budget
 from lavenderbend.coordination.forwarding import crashes
+from lavenderbend.coordination.forwarding import departures
+from lavenderbend.coordination.forwarding import directory
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import loads
@@ -161,6 +163,11 @@
             self.peers.facts, self.peers.fleet_size
         )
         self.health.on_suspect = self.suspicions.tell
+        self.directory = directory.Directory(self.snapshots)
+        self.departures = departures.Departures(
+            self.snapshots, self.directory, self.peers.facts
+        )
+        self.peers.on_learned[departures.LEFT] = self.departures.learn
         self.budget = budget.RepeatBudget(REPEATS, self.peers.budget_parts)
 
     def extra(self) -> float:
--- a/tests/test_coordination/test_forwarding_fleet.py
+++ b/tests/test_coordination/test_forwarding_fleet.py
@@ -122,6 +122,7 @@
     await trio.sleep(6.0)
     assert 0.0 < await measures.crash_notice(fleet) <= 1.0
     assert 0.0 < await measures.suspicion(fleet) <= 1.0
+    assert 0.0 < await measures.departures(fleet) <= 1.0
 
 
 @pytest.mark.parametrize('size', SIZES)
