--- a/lavenderbend/coordination/forwarding/departures.py
+++ b/lavenderbend/coordination/forwarding/departures.py
@@ -26,7 +26,7 @@
 
 
 @facts_module.KINDS.register(LEFT)
-class Left(facts_module.Kind):
+class SeenToLeave(facts_module.Kind):
     """An upstream that leaves; the source is the revision that shows it."""
 
     most_seconds = MOST_SECONDS
@@ -34,7 +34,7 @@
 
 
 @facts_module.KINDS.register(LEAVING)
-class Leaving(facts_module.Kind):
+class SaidToLeave(facts_module.Kind):
     """An upstream whose answers say that it leaves."""
 
     most_seconds = MOST_SECONDS
--- a/tests/test_coordination/test_forwarding_retry_after.py
+++ b/tests/test_coordination/test_forwarding_retry_after.py
@@ -93,6 +93,7 @@
 
 
 async def test_time_that_an_upstream_asks_for_is_bounded(autojump_clock):
+    # guards against losing an upstream to a mistake in one header
     exchanges = fakes.Exchanges(e1=[away('99999999'), fakes.reply()])
     router = router_of(exchanges, 'e1')
     await router.ask()
