Upstreams that leave together are one change of their service

Routers tell of each upstream that leaves, and each was noted as a change with its own former set; six are kept. Of 20 upstreams of which 12 leave at once, the oldest set that was still known had 14: who holds a chat's prompt was forgotten, and the prompt read again in place of copied. Now a set that is part of one noted within two seconds is not noted.

The test fails without the change (14 of 20) and passes.

--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -20,6 +20,9 @@
 # chats that have not come back for so long are hardly cached any more
 FORMER_SECONDS = 30.0
 MAX_FORMER = 6
+# upstreams that leave within it are one change: each by itself would push out
+# the set that still names who holds a chat
+SAME_CHANGE_SECONDS = 2.0
 
 
 @attrs.frozen
@@ -140,7 +143,11 @@
         if before.names == self.by_service.get(service, NOBODY).places.names:
             return
         changes = self.changes.setdefault(service, [])
-        changes.append(Former(trio.current_time(), before))
+        now = trio.current_time()
+        recent = changes and changes[-1].until > now - SAME_CHANGE_SECONDS
+        if recent and before.names < changes[-1].places.names:
+            return
+        changes.append(Former(now, before))
         del changes[:-MAX_FORMER]
 
     def former(self, service: str, since: float) -> list[places_module.Places]:
--- a/tests/test_coordination/test_forwarding_leaving.py
+++ b/tests/test_coordination/test_forwarding_leaving.py
@@ -206,3 +206,19 @@
     await trio.sleep(1.0)
     for router in fleet.routers.values():
         assert names(router) == ['e2']
+
+
+async def test_many_that_leave_at_once_leave_their_former_set_known(
+    autojump_clock,
+):
+    # guards against reading prompts anew that those who leave still hold
+    found = [fakes.upstream(f'e{number}') for number in range(20)]
+    router = fakes.Router(
+        fakes.snapshot(1, fakes.table(1), *found), fakes.Exchanges()
+    )
+    for number in range(12):
+        router.directory.note_left(f'e{number}', 2)
+        await trio.sleep(0.05)
+    former = router.directory.former('chat', 0.0)
+    assert len(former[-1].names) == 20
+    assert len(names(router)) == 8
