Permits that load nothing no longer raise the bound of all engines

Cause: an owner's table keeps grants whose answers were lost, permits whose releases were lost, and those of routers that went over to another owner. As an engine's load that is safe; in the mean it raises the bound of all.

Ruled out: clocks (exact), two owners that fill one headroom (shares held there).

Mend: such permits do not count in the mean (admission/unsure); a request for a permit says how many the entry holds; a report that shows fewer requests than the table drops as many of the doubtful.

Reports are polled in an order that does not depend on hashes of names, so that a play repeats.

--- a/lavenderbend/coordination/admission/entries.py
+++ b/lavenderbend/coordination/admission/entries.py
@@ -15,6 +15,7 @@
 
     Attributes:
         heard: Owner clock of each entry's last sign.
+        moved: Owner clock at which entries said that they ask another owner.
         active_since: When the first of them was heard.
         changed_at: When the last of them was heard for the first time.
         mismatches: Heartbeats in a row with other sums than the owner's.
@@ -26,6 +27,7 @@
         self.membership = membership
         self.seconds = seconds
         self.heard: dict[str, float] = {}
+        self.moved: dict[str, float] = {}
         self.active_since = 0.0
         self.changed_at = 0.0
         self.mismatches: dict[str, int] = {}
@@ -39,10 +41,17 @@
         if entry not in self.heard:
             self.changed_at = now
         self.heard[entry] = now
+        self.moved.pop(entry, None)
         return first
 
+    def move(self, entry: str) -> None:
+        """Notes that an entry asks another owner."""
+        self.drop(entry)
+        self.moved[entry] = trio.current_time()
+
     def drop(self, entry: str) -> None:
-        """Notes that an entry asks another owner, or is gone."""
+        """Notes that an entry is gone."""
+        self.moved.pop(entry, None)
         self.heard.pop(entry, None)
         self.mismatches.pop(entry, None)
 
--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -12,6 +12,7 @@
 from lavenderbend.coordination.admission import rates
 from lavenderbend.coordination.admission import serving
 from lavenderbend.coordination.admission import sums
+from lavenderbend.coordination.admission import unsure
 from lavenderbend.protocol import messages_decisions
 from lavenderbend.state import permits
 from lavenderbend.state import requests
@@ -40,12 +41,14 @@
     Attributes:
         table: Live permits joined with reports.
         rates: How fast permits come back.
+        unsure: Which of them may load nothing.
         tested: Until when no other suspect is sent to an upstream.
         tested_chats: Until when a suspect's chat is not sent again.
     """
 
     def __init__(
         self,
+        name: str,
         group: groups.GroupId,
         directory: groups.Directory,
         membership: interfaces.Membership,
@@ -61,6 +64,7 @@
         self.sums = pool_sums
         self.table = permits.PermitTable()
         self.rates = rates.Rates()
+        self.unsure = unsure.UnsurePermits(name, self.table, askers, self.rates)
         self.tested: dict[str, float] = {}
         self.tested_chats: dict[int, float] = {}
 
@@ -88,6 +92,25 @@
                 self.table.join(vm.id, at, report.load)
         return vms
 
+    def drop_vanished(self) -> list[permits.LivePermit]:
+        """Drops permits that load nothing by what upstreams report.
+
+        Their releases were lost, or were never meant to come here: counted
+        for ever, they would keep upstreams full.
+        """
+        dropped = []
+        for vm in self.upstreams():
+            seen = self.table.seen.get(vm.id)
+            if seen is None:
+                continue
+            found = self.unsure.vanished(vm.id, seen.at, seen.reported)
+            for permit in found:
+                self.unsure.discard(permit)
+            if found:
+                self.table.join(vm.id, seen.at, seen.reported)
+            dropped += found
+        return dropped
+
     def load(self, upstream: str, share: float) -> int:
         """Returns the load of an upstream as far as it is known.
 
@@ -259,6 +282,7 @@
         engines = sum(item.engines for item in others.values())
         unseen = MIN_UNSEEN + self.rates.rate * self.settings.flight
         unseen += sums.DRIFT * elsewhere + FOREIGN_DRIFT * (load - own)
+        load -= self.unsure.count()
         return placement.allowed_load(
             self.pool(),
             load + elsewhere,
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -41,6 +41,7 @@
 
     def __init__(
         self,
+        name: str,
         group: groups.GroupId,
         directory: groups.Directory,
         membership: interfaces.Membership,
@@ -52,9 +53,16 @@
         self.entries = entries.Entries(membership, settings.heard)
         self.freed: set[str] = set()
         self.loads = loads.GroupLoads(
-            group, directory, membership, settings, self.entries, pool_sums
+            name,
+            group,
+            directory,
+            membership,
+            settings,
+            self.entries,
+            pool_sums,
         )
         self.table = self.loads.table
+        self.unsure = self.loads.unsure
         self.places = placements.Placements(settings.chats)
         self.shares = shares.FairShares(directory)
         self.room = waiting.WaitingRoom(
@@ -126,6 +134,8 @@
     def look_after(self) -> None:
         """Serves and expires those that wait; called at every tick."""
         self.loads.rates.measure()
+        for permit in self.loads.drop_vanished():
+            self.shares.live[permit.customer] -= 1
         if self.room.waiting:
             self.room.dispatch()
             self.room.expire()
@@ -165,6 +175,7 @@
     def check_digest(self, entry: str, count: int, digest: int) -> bool:
         """Returns whether an entry should list its permits."""
         freed = self.hear(entry)
+        self.unsure.note_held(entry, count)
         equal = self.table.digest(entry) == (count, digest)
         return self.entries.compare(entry, equal) or freed
 
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -69,6 +69,7 @@
         group = groups.GroupId(pool, index)
         if group not in self.owned:
             self.owned[group] = owned.OwnedGroup(
+                self.name,
                 group,
                 self.directory,
                 self.membership,
@@ -97,6 +98,7 @@
         assert isinstance(item, messages_decisions.PermitRequest)
         group = self.group(item.pool, item.group)
         self.hear(group, entry)
+        group.unsure.note_held(entry, item.held)
         live = group.table.get(entry, item.number)
         if live is not None:
             # asked again because the first answer was lost: another permit
@@ -173,7 +175,7 @@
     async def on_moved(self, entry: str, item: peer.Message) -> None:
         """Notes that an entry asks another owner from now on."""
         assert isinstance(item, messages_decisions.PermitMoved)
-        self.group(item.pool, item.group).entries.drop(entry)
+        self.group(item.pool, item.group).entries.move(entry)
 
     async def on_digest(self, entry: str, item: peer.Message) -> None:
         """Compares an entry's sums with this owner's."""
--- a/lavenderbend/coordination/admission/search.py
+++ b/lavenderbend/coordination/admission/search.py
@@ -150,7 +150,7 @@
                 self.number, group.pool, group.index, round(hold * 1000)
             )
         else:
-            item = self.message(group, hold, left)
+            item = self.message(owner, group, hold, left)
         timeout = hold + settings.ask_timeout
         return await self.admission.link.request(owner, item, timeout)
 
@@ -170,7 +170,7 @@
         self.admission.tell(owner, item)
 
     def message(
-        self, group: groups.GroupId, hold: float, left: float
+        self, owner: str, group: groups.GroupId, hold: float, left: float
     ) -> messages_decisions.PermitRequest:
         """Returns the message that asks for the permit."""
         short_id = messages_decisions.short_id
@@ -190,6 +190,7 @@
             avoid=sorted(self.avoid),
             hops=self.hops,
             suspect=ask.suspect,
+            held=self.admission.held_of(owner, group),
         )
 
     def follow(
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -158,6 +158,13 @@
             )
         return self.polling[group] or not self.owner_of(group)
 
+    def held_of(self, owner: str, group: groups.GroupId) -> int:
+        """Returns how many permits of an owner's group are held here."""
+        return sum(
+            one.owner == owner and one.group == group
+            for one in self.held.values()
+        )
+
     def tell(self, router: str, item: peer.Message) -> None:
         """Queues a notice to a router."""
         self.link.notify(router, item)
--- a/lavenderbend/coordination/membership/reports.py
+++ b/lavenderbend/coordination/membership/reports.py
@@ -111,7 +111,7 @@
         wanted = {vm.id for vm in self.wanted()}
         now = trio.current_time()
         period = self.period(len(wanted))
-        for vm_id in wanted - self.polled.keys():
+        for vm_id in sorted(wanted - self.polled.keys()):
             # spread over the period, so that polls come evenly
             due = now + self.fleet.rng.uniform(0, period / 2)
             self.polled[vm_id] = Polled(due)
--- a/lavenderbend/protocol/messages_decisions.py
+++ b/lavenderbend/protocol/messages_decisions.py
@@ -43,6 +43,8 @@
         avoid: Short ids of upstreams not to use.
         hops: Groups of the pool that sent the request on.
         suspect: Whether it was on an upstream that died.
+        held: Permits of this owner in the group that the entry holds, None
+            from an entry that does not say.
     """
 
     number: int
@@ -59,6 +61,7 @@
     avoid: list[int] = attrs.field(factory=list)
     hops: int = 0
     suspect: bool = False
+    held: int | None = None
 
 
 @peer.message(51)
--- a/lavenderbend/state/permits.py
+++ b/lavenderbend/state/permits.py
@@ -41,11 +41,13 @@
         at: Owner clock at which the report was taken.
         load: Load in the report, at least `own`.
         own: Permits of this owner that were live then.
+        reported: Load in the report.
     """
 
     at: float
     load: int
     own: int
+    reported: int = 0
 
     @property
     def foreign(self) -> int:
@@ -86,20 +88,52 @@
 
     def remove(self, entry: str, number: int, now: float) -> LivePermit | None:
         """Removes a permit; returns it, None if it is not live."""
-        permit = self.permits.pop((entry, number), None)
+        permit = self.permits.get((entry, number))
         if permit is None:
             return None
-        numbers = self.numbers[entry]
-        numbers.discard(number)
-        if not numbers:
-            del self.numbers[entry]
-        del self.live[permit.upstream][(entry, number)]
+        self.discard(permit)
         released = self.released[permit.upstream]
         released.append((permit.granted_at, now))
         while released[0][1] < now - RELEASED_SECONDS:
             released.popleft()
         return permit
 
+    def discard(self, permit: LivePermit) -> None:
+        """Drops a permit that was not live any more at the last report."""
+        key = (permit.entry, permit.number)
+        del self.permits[key]
+        del self.live[permit.upstream][key]
+        numbers = self.numbers[permit.entry]
+        numbers.discard(permit.number)
+        if not numbers:
+            del self.numbers[permit.entry]
+
+    def count_before(self, entry: str, at: float) -> int:
+        """Returns how many of an entry's permits were granted before a time.
+
+        Args:
+            entry: The entry.
+            at: Owner clock.
+        """
+        return sum(
+            self.permits[entry, number].granted_at < at
+            for number in self.numbers.get(entry, ())
+        )
+
+    def running_at(self, upstream: str, at: float) -> list[LivePermit]:
+        """Returns live permits whose requests had reached an upstream then.
+
+        Args:
+            upstream: VM id.
+            at: Owner clock.
+        """
+        before = at - REPORT_SLACK_SECONDS
+        return [
+            permit
+            for permit in self.live[upstream].values()
+            if permit.granted_at < before
+        ]
+
     def digest(self, entry: str) -> tuple[int, int]:
         """Returns the number of an entry's permits and their digest."""
         numbers = self.numbers.get(entry, ())
@@ -120,7 +154,7 @@
             own += permit.granted_at <= after
         for granted_at, released_at in self.released[upstream]:
             own += granted_at <= after and released_at >= before
-        self.seen[upstream] = Seen(at, max(load, own), own)
+        self.seen[upstream] = Seen(at, max(load, own), own, load)
 
     def forget(self, upstream: str) -> None:
         """Forgets the report of an upstream."""
--- /dev/null
+++ b/tests/disagreeing_fleet.py
@@ -0,0 +1,315 @@
+"""Routers that disagree: real membership and admission, a virtual clock."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import attrs
+import trio
+
+from bench.decisions import views
+from bench.peers import fleets
+from bench.peers import network as network_lib
+from lavenderbend import errors
+from lavenderbend.coordination import admission
+from lavenderbend.coordination import interfaces
+from lavenderbend.coordination import membership
+from lavenderbend.coordination import placement
+from lavenderbend.standin import vm_list
+from lavenderbend.state import configuration
+from lavenderbend.state import requests
+from lavenderbend.state import upstreams
+from tests.integration import permits
+
+MODEL = 'chat-1'
+SERVICE = 'model'
+POOL = configuration.Pool('chat', SERVICE, bound=1.5, floor=2, max_load=32)
+ORDER_SECONDS = 1e-6  # between two messages of one connection
+WAY_SECONDS = (0.0005, 0.003)  # from a router to an engine or back
+ANSWER_SECONDS = (0.02, 0.3)
+PAUSE_SECONDS = (0.01, 0.1)  # between two turns of a chat
+DEADLINE_SECONDS = 30.0
+SETTLE_SECONDS = 1.0
+CUT_SECONDS = 3.0
+SHORT_CUT_SECONDS = 0.4
+CUT_PART = 0.6  # of the others, in a cut from some
+STALL_SECONDS = (0.02, 0.5)
+STALLS_PER_SECOND = 1.5
+
+
+class Cuts(enum.Enum):
+    """From which other routers a router is cut one way."""
+
+    NONE = 'none'
+    SOME = 'some'
+    ALL = 'all'
+
+
+@attrs.frozen
+class Troubles:
+    """What happens in a play.
+
+    Attributes:
+        cuts: Each router in turn is cut from others, in one direction.
+        stalls: Routers stand still for a moment, one after the other.
+    """
+
+    cuts: Cuts
+    stalls: bool = False
+
+
+class OrderedNetwork(network_lib.MemoryNetwork):
+    """A network whose messages from one router to another keep their order."""
+
+    def __init__(self, nursery: trio.Nursery, rng: random.Random) -> None:
+        super().__init__(nursery, rng)
+        self.due: dict[tuple[str, str], float] = {}
+
+    async def carry(self, source: str, target: str) -> bool:
+        """Takes the time of a message; returns whether it arrives."""
+        delay = self.latency + self.rng.uniform(0, self.jitter)
+        await self.wait_turn(source, target, delay)
+        while stalled := {source, target} & self.paused.keys():
+            await self.paused[min(stalled)].wait()
+            await self.wait_turn(source, target, 0.0)
+        return (source, target) not in self.cut
+
+    async def wait_turn(self, source: str, target: str, delay: float) -> None:
+        """Waits for a delay, and behind the messages that went before."""
+        before = self.due.get((source, target), 0.0)
+        due = max(trio.current_time() + delay, before + ORDER_SECONDS)
+        self.due[source, target] = due
+        await trio.sleep_until(due)
+
+
+class LoadedEngines(interfaces.UpstreamClient):
+    """Engines that report what runs on them."""
+
+    def __init__(self, running: dict[str, int]) -> None:
+        self.running = running
+
+    async def open(self, vm, request, headers, timeout):
+        """Is not used here."""
+        raise errors.UpstreamUnreachable(vm.id)
+
+    async def report(self, vm: upstreams.Vm) -> upstreams.LoadReport:
+        """Returns an engine's report."""
+        await trio.sleep(WAY_SECONDS[0])
+        load = self.running[vm.id]
+        await trio.sleep(WAY_SECONDS[0])
+        return upstreams.LoadReport(vm.id, 'one', load, 0, models=(MODEL,))
+
+
+@attrs.define
+class Fleet:
+    """Routers with membership and admission before some engines.
+
+    Attributes:
+        nursery: Runs the routers.
+        rng: Draws the load and the troubles.
+        network: Between the routers.
+        members: Membership by router.
+        admissions: Admission by router.
+        running: Requests that run on each engine.
+        held: Permits of all routers, ended or not.
+    """
+
+    nursery: trio.Nursery
+    rng: random.Random
+    network: OrderedNetwork
+    members: dict[str, membership.FleetMembership] = attrs.field(factory=dict)
+    admissions: dict[str, admission.OwnerAdmission] = attrs.field(factory=dict)
+    running: dict[str, int] = attrs.field(factory=dict)
+    held: list[permits.Permit] = attrs.field(factory=list)
+
+    @property
+    def names(self) -> list[str]:
+        """Ids of the routers."""
+        return list(self.admissions)
+
+    @property
+    def engines(self) -> list[str]:
+        """Ids of the engines."""
+        return list(self.running)
+
+    def ask(self, chat: int) -> interfaces.PermitAsk:
+        """Returns an ask for a permit."""
+        return interfaces.PermitAsk(
+            request_id=f'request-{len(self.held)}',
+            pool=POOL.name,
+            customer='court',
+            chat=(chat + 1) * 0x9E3779B97F4A7C15 % 2**64,
+            model=MODEL,
+            adapter=None,
+            priority=requests.Priority.NORMAL,
+            prompt_tokens=100,
+            deadline=trio.current_time() + DEADLINE_SECONDS,
+        )
+
+    async def serve(self, router: str, chat: int, seconds: float) -> None:
+        """Runs one request, if it is admitted."""
+        one = self.admissions[router]
+        try:
+            permit = await one.acquire(self.ask(chat))
+        except errors.RequestError:
+            return
+        index = self.note_begin(router, permit)
+        engine = permit.upstream.id
+        await trio.sleep(self.rng.uniform(*WAY_SECONDS))
+        self.running[engine] += 1
+        await trio.sleep(seconds)
+        self.running[engine] -= 1
+        await trio.sleep(self.rng.uniform(*WAY_SECONDS))
+        one.release(permit, 'complete')
+        self.held[index] = attrs.evolve(
+            self.held[index], ended=trio.current_time()
+        )
+
+    def note_begin(self, router: str, permit: interfaces.Permit) -> int:
+        """Records a permit; returns its index."""
+        self.held.append(
+            permits.Permit(
+                permit.upstream.id,
+                permit.id,
+                '',
+                trio.current_time(),
+                router=router,
+                owner=permit.owner,
+                reason=permit.reason,
+                waited=permit.waited,
+            )
+        )
+        return len(self.held) - 1
+
+    async def chat(self, number: int, until: float) -> None:
+        """Sends turn after turn of chats through routers drawn at random."""
+        chat = number
+        turns = 0
+        while trio.current_time() < until:
+            if turns == 0:
+                chat += 1000
+                turns = self.rng.randint(1, 5)
+            turns -= 1
+            router = self.rng.choice(self.names)
+            await self.serve(router, chat, self.rng.uniform(*ANSWER_SECONDS))
+            await trio.sleep(self.rng.uniform(*PAUSE_SECONDS))
+
+    async def play(self, chats: int, troubles: Troubles) -> None:
+        """Plays a load while routers are cut off one after the other."""
+        seconds = 2 * SETTLE_SECONDS + CUT_SECONDS * len(self.names)
+        until = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            for number in range(chats):
+                nursery.start_soon(self.chat, number, until)
+            if troubles.stalls:
+                nursery.start_soon(self.stall, until)
+            await trio.sleep(SETTLE_SECONDS)
+            if troubles.cuts is not Cuts.NONE:
+                for name in self.names:
+                    self.cut(name, troubles.cuts, nursery)
+                    await trio.sleep(CUT_SECONDS)
+
+    def cut(self, name: str, cuts: Cuts, nursery: trio.Nursery) -> None:
+        """Loses messages to or from a router, for a while."""
+        outward = self.rng.random() < 0.5
+        for other in self.names:
+            if other == name:
+                continue
+            seconds = CUT_SECONDS
+            if cuts is Cuts.SOME:
+                if self.rng.random() > CUT_PART:
+                    continue
+                seconds = self.rng.uniform(SHORT_CUT_SECONDS, CUT_SECONDS)
+            pair = (name, other) if outward else (other, name)
+            nursery.start_soon(self.cut_pair, pair, seconds)
+
+    async def cut_pair(self, pair: tuple[str, str], seconds: float) -> None:
+        """Loses the messages from one router to another for a while."""
+        self.network.cut.add(pair)
+        await trio.sleep(seconds)
+        self.network.cut.discard(pair)
+
+    async def stall(self, until: float) -> None:
+        """Stalls one router after the other."""
+        while trio.current_time() < until:
+            await trio.sleep(self.rng.expovariate(STALLS_PER_SECOND))
+            name = self.rng.choice(self.names)
+            self.network.pause(name)
+            await trio.sleep(self.rng.uniform(*STALL_SECONDS))
+            self.network.resume(name)
+
+    def start(
+        self,
+        vm: upstreams.Vm,
+        listed: vm_list.VmListStandIn,
+        configurations: interfaces.Configurations,
+    ) -> None:
+        """Starts a router."""
+        link = self.network.link(vm.id)
+        member = membership.FleetMembership(
+            vm,
+            fleets.ListReader(listed),
+            link,
+            LoadedEngines(self.running),
+            random.Random(self.rng.random()),
+        )
+        one = admission.OwnerAdmission(
+            vm.id,
+            link,
+            member,
+            configurations,
+            random.Random(self.rng.random()),
+        )
+        member.wants_report = one.wants_report
+        self.members[vm.id] = member
+        self.admissions[vm.id] = one
+        self.nursery.start_soon(member.run)
+        self.nursery.start_soon(one.run)
+
+    def owner(self) -> str:
+        """Returns the owner of the pool, by the view of all."""
+        one = self.admissions[self.names[0]]
+        one.refresh_owners()
+        return one.owner_of(one.directory.groups()[0])
+
+    def loads_at(self, router: str):
+        """Returns the loads that a router knows as the owner of the pool."""
+        (group,) = self.admissions[router].owner.owned.values()
+        return group.loads
+
+    def allowed_at(self, router: str) -> int:
+        """Returns the highest load that a router allows as the owner."""
+        loads = self.loads_at(router)
+        candidates = [
+            placement.Candidate(vm.id, '', loads.table.load(vm.id))
+            for vm in loads.upstreams()
+        ]
+        return loads.allowed(candidates)
+
+
+async def make_fleet(
+    nursery: trio.Nursery, seed: int, routers: int = 4, engines: int = 5
+) -> Fleet:
+    """Returns a fleet whose routers know each other."""
+    rng = random.Random(seed)
+    fleet = Fleet(nursery, rng, OrderedNetwork(nursery, rng))
+    listed = vm_list.VmListStandIn(
+        [fleets.router_vm(number) for number in range(routers)]
+    )
+    listed.lag = 0.0
+    for number in range(engines):
+        vm = fleets.engine_vm(number, SERVICE)
+        listed.add(vm)
+        fleet.running[vm.id] = 0
+    configurations = views.FixedConfiguration(
+        configuration.Configuration(pools=(POOL,))
+    )
+    for number in range(routers):
+        fleet.start(fleets.router_vm(number), listed, configurations)
+    with trio.fail_after(60):
+        for member in fleet.members.values():
+            while len(member.routers()) != routers:
+                await member.wait_changed()
+    await trio.sleep(SETTLE_SECONDS)
+    return fleet
--- /dev/null
+++ b/tests/test_coordination/test_admission_views.py
@@ -0,0 +1,145 @@
+"""The bound on engines while routers disagree on who owns them."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lavenderbend.coordination import placement
+from lavenderbend.protocol import messages_decisions as messages
+from tests import disagreeing_fleet
+from tests.integration import checkers
+
+Cuts = disagreeing_fleet.Cuts
+Troubles = disagreeing_fleet.Troubles
+TROUBLES = {
+    'cut-from-some': Troubles(Cuts.SOME),
+    'cut-from-all': Troubles(Cuts.ALL),
+    'cut-and-stalled': Troubles(Cuts.ALL, stalls=True),
+}
+CHATS = 24
+# one for the disagreement, one for messages on the way
+SLACK = 2
+LONG_SECONDS = 20.0
+RUNNING = 8
+ENDED = 6
+
+
+@pytest.fixture
+async def fleet(nursery, autojump_clock):
+    return await disagreeing_fleet.make_fleet(nursery, seed=1)
+
+
+def bound_of(running):
+    """Returns the bound by what runs on the engines in truth."""
+    return placement.allowed_load(
+        disagreeing_fleet.POOL, sum(running.values()), len(running)
+    )
+
+
+async def fill(fleet, nursery, names, count, first=0):
+    """Has requests begin that last long, through some routers in turn."""
+    for number in range(first, first + count):
+        name = names[number % len(names)]
+        nursery.start_soon(fleet.serve, name, number, LONG_SECONDS)
+        await trio.sleep(0.02)
+
+
+@pytest.mark.parametrize('seed', [73, 102, 110, 111])
+@pytest.mark.parametrize('troubles', TROUBLES.values(), ids=list(TROUBLES))
+async def test_no_engine_is_swamped_while_routers_are_cut_one_way(
+    nursery, autojump_clock, seed, troubles
+):
+    # routers that are cut one way disagree on who owns the engines
+    fleet = await disagreeing_fleet.make_fleet(nursery, seed)
+    await fleet.play(CHATS, troubles)
+
+    assert len(fleet.held) > 10 * CHATS
+    assert (
+        checkers.bounded_load(
+            fleet.held,
+            fleet.engines,
+            disagreeing_fleet.POOL.bound,
+            disagreeing_fleet.POOL.floor,
+            SLACK,
+        )
+        == []
+    )
+
+
+async def test_grants_that_never_arrive_do_not_raise_the_bound(fleet, nursery):
+    # answers to one router are lost: what it was granted loads no engine
+    owner = fleet.owner()
+    deaf, *others = [name for name in fleet.names if name != owner]
+    await fill(fleet, nursery, others, RUNNING)
+    fleet.network.cut.add((owner, deaf))
+    await fill(fleet, nursery, [deaf], 15, first=100)
+    await trio.sleep(0.1)
+    await fill(fleet, nursery, [deaf], 1, first=200)
+
+    assert sum(fleet.running.values()) == RUNNING
+    assert len(fleet.loads_at(owner).table.permits) >= RUNNING + 3
+    assert fleet.allowed_at(owner) <= bound_of(fleet.running)
+
+
+@pytest.fixture
+async def ended(fleet, nursery):
+    """A router whose requests end soon, beside some of the owner's own."""
+    owner = fleet.owner()
+    one = next(name for name in fleet.names if name != owner)
+    for number in range(40):
+        nursery.start_soon(fleet.serve, one, number, 0.1)
+        await trio.sleep(0.02)
+    await trio.sleep(0.5)
+    await fill(fleet, nursery, [owner], RUNNING, first=200)
+    for number in range(100, 100 + ENDED):
+        nursery.start_soon(fleet.serve, one, number, 0.2)
+        await trio.sleep(0.01)
+    return one
+
+
+async def test_releases_that_never_arrive_do_not_raise_the_bound(fleet, ended):
+    # what one router says is lost: its requests end, its permits stay
+    owner = fleet.owner()
+    fleet.network.cut.add((ended, owner))
+    await trio.sleep(0.3)
+
+    assert sum(fleet.running.values()) == RUNNING
+    assert len(fleet.loads_at(owner).table.permits) >= RUNNING + 3
+    assert fleet.allowed_at(owner) <= bound_of(fleet.running)
+
+
+async def test_permits_of_another_owner_do_not_raise_the_bound(fleet, ended):
+    # a router that asks another owner does not tell this one of any end
+    owner = fleet.owner()
+    loads = fleet.loads_at(owner)
+    hand_over(fleet.admissions[ended], ended)
+    await trio.sleep(0.3)
+
+    assert sum(fleet.running.values()) == RUNNING
+    assert len(loads.table.permits) >= RUNNING + 3
+    assert fleet.allowed_at(owner) <= bound_of(fleet.running)
+
+
+def hand_over(admission, name):
+    """Has a router take itself for the owner."""
+    (group,) = admission.owners
+    before = admission.owners[group]
+    admission.owners[group] = name
+    admission.tell(before, messages.PermitMoved(group.pool, group.index))
+    admission.register(group, name, list(admission.held.values()))
+
+
+@pytest.mark.parametrize('how', ['silent', 'moved'])
+async def test_engine_that_reports_less_has_room_again(fleet, ended, how):
+    # permits that load nothing and are never given back kept engines full
+    owner = fleet.owner()
+    if how == 'silent':
+        fleet.network.cut.add((ended, owner))
+    else:
+        hand_over(fleet.admissions[ended], ended)
+    await trio.sleep(1.5)
+
+    table = fleet.loads_at(owner).table
+    loads = {name: table.load(name) for name in fleet.engines}
+    assert loads == fleet.running
