A router that sees nobody else no longer takes the whole headroom

Callers saw: engines above their bound while routers are cut off from one another: eight requests on an engine where three are allowed (four routers, each alone).

Cause: the share of an owner, and the part of an entry that no owner answers, are divided by the routers in the view. Who takes the others for dead divides by one.

--- a/lavenderbend/coordination/admission/degraded.py
+++ b/lavenderbend/coordination/admission/degraded.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination.admission import live_routers
     from lavenderbend.state import configuration
     from lavenderbend.state import upstreams
 
@@ -29,9 +30,15 @@
         lost_at: Router clock at which an owner was lost last.
     """
 
-    def __init__(self, name: str, membership: interfaces.Membership) -> None:
+    def __init__(
+        self,
+        name: str,
+        membership: interfaces.Membership,
+        routers: live_routers.LiveRouters,
+    ) -> None:
         self.name = name
         self.membership = membership
+        self.routers = routers
         self.granted: dict[str, tuple[float, int]] = {}
         self.live: collections.Counter[str] = collections.Counter()
         self.lost_at = 0.0
@@ -48,7 +55,7 @@
         granted last: until a later one comes, a single request of the whole
         fleet is sent to each upstream.
         """
-        routers = self.membership.region_routers()
+        routers = self.routers.names()
         part = max(0, headroom) * SHARED_PART
         if self.stale(upstream):
             part = min(1.0, headroom)
@@ -73,7 +80,7 @@
         """Returns the load in the last report, or what is live here."""
         report = self.membership.report(upstream)
         if report is None:
-            return self.live[upstream] * len(self.membership.region_routers())
+            return self.live[upstream] * len(self.routers.names())
         return report.load
 
     def used(self, upstream: str) -> int:
--- a/lavenderbend/coordination/admission/entries.py
+++ b/lavenderbend/coordination/admission/entries.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination.admission import live_routers
 
 
 class Entries:
@@ -22,9 +23,13 @@
     """
 
     def __init__(
-        self, membership: interfaces.Membership, seconds: float
+        self,
+        membership: interfaces.Membership,
+        routers: live_routers.LiveRouters,
+        seconds: float,
     ) -> None:
         self.membership = membership
+        self.routers = routers
         self.seconds = seconds
         self.heard: dict[str, float] = {}
         self.moved: dict[str, float] = {}
@@ -56,11 +61,15 @@
         self.mismatches.pop(entry, None)
 
     def share(self) -> float:
-        """Returns the share of live entries that ask this owner."""
+        """Returns the share of the routers that ask this owner.
+
+        Those lost a moment ago count as asking another: each of two routers
+        that take each other for dead would hold itself for the only owner.
+        """
         live = self.membership.region_routers()
         oldest = trio.current_time() - self.seconds
         asking = sum(self.heard.get(name, -1.0) >= oldest for name in live)
-        return asking / max(1, len(live))
+        return asking / max(1, len(self.routers.names()))
 
     def compare(self, entry: str, equal: bool) -> bool:
         """Notes a heartbeat; returns whether the entry should list all.
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -21,6 +21,7 @@
     from lavenderbend.coordination import cache_transfer
     from lavenderbend.coordination import interfaces
     from lavenderbend.coordination.admission import groups
+    from lavenderbend.coordination.admission import live_routers
     from lavenderbend.coordination.admission import settings as settings_
     from lavenderbend.coordination.admission import sums
     from lavenderbend.coordination.admission import waiter as waiter_
@@ -45,12 +46,13 @@
         group: groups.GroupId,
         directory: groups.Directory,
         membership: interfaces.Membership,
+        routers: live_routers.LiveRouters,
         settings: settings_.AdmissionSettings,
         pool_sums: sums.PoolSums,
         cache_client: cache_transfer.CacheClient | None = None,
     ) -> None:
         self.group = group
-        self.entries = entries.Entries(membership, settings.heard)
+        self.entries = entries.Entries(membership, routers, settings.heard)
         self.freed: set[str] = set()
         self.loads = loads.GroupLoads(
             name,
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from lavenderbend.coordination import cache_transfer
     from lavenderbend.coordination import interfaces
+    from lavenderbend.coordination.admission import live_routers
     from lavenderbend.coordination.admission import settings as settings_
     from lavenderbend.protocol import peer
 
@@ -43,6 +44,7 @@
         link: interfaces.PeerLink,
         membership: interfaces.Membership,
         directory: groups.Directory,
+        routers: live_routers.LiveRouters,
         settings: settings_.AdmissionSettings,
         cache_client: cache_transfer.CacheClient | None = None,
     ) -> None:
@@ -52,6 +54,7 @@
         self.directory = directory
         self.settings = settings
         self.created = trio.Event()
+        self.routers = routers
         self.sums = sums.PoolSums()
         self.cache_client = cache_client
         self.owned: dict[groups.GroupId, owned.OwnedGroup] = {}
@@ -73,6 +76,7 @@
                 group,
                 self.directory,
                 self.membership,
+                self.routers,
                 self.settings,
                 self.sums,
                 self.cache_client,
@@ -234,6 +238,7 @@
     async def run_views(self) -> None:
         """Frees the permits of entries that left, asks those that came back."""
         while True:
+            self.routers.look()
             await self.membership.wait_changed()
             live = set(self.membership.region_routers())
             for group in list(self.owned.values()):
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -13,6 +13,7 @@
 from lavenderbend.coordination.admission import degraded
 from lavenderbend.coordination.admission import groups
 from lavenderbend.coordination.admission import held as held_
+from lavenderbend.coordination.admission import live_routers
 from lavenderbend.coordination.admission import owner as owner_
 from lavenderbend.coordination.admission import search
 from lavenderbend.coordination.admission import settings as settings_
@@ -70,15 +71,17 @@
         self.rng = rng
         self.settings = settings or settings_.AdmissionSettings()
         self.directory = groups.Directory(membership, configurations)
+        routers = live_routers.LiveRouters(membership)
         self.owner = owner_.Owner(
             name,
             link,
             membership,
             self.directory,
+            routers,
             self.settings,
             cache_client,
         )
-        self.local = degraded.LocalShare(name, membership)
+        self.local = degraded.LocalShare(name, membership, routers)
         self.held: dict[int, held_.Held] = {}
         self.owners: dict[groups.GroupId, str] = {}
         self.suspects: dict[str, float] = {}
--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -6,8 +6,10 @@
 import trio
 
 from lavenderbend.coordination import placement
+from lavenderbend.coordination.admission import live_routers
 from lavenderbend.protocol import messages_decisions as messages
 from tests import disagreeing_fleet
+from tests import fakes
 from tests.integration import checkers
 
 Cuts = disagreeing_fleet.Cuts
@@ -23,6 +25,7 @@
 LONG_SECONDS = 20.0
 RUNNING = 8
 ENDED = 6
+ALONE_SECONDS = 3.0
 
 
 @pytest.fixture
@@ -143,3 +146,42 @@
     table = fleet.loads_at(owner).table
     loads = {name: table.load(name) for name in fleet.engines}
     assert loads == fleet.running
+
+
+async def test_router_that_sees_nobody_else_takes_its_part_only(
+    nursery, autojump_clock
+):
+    # each of four routers that see nobody else is the only owner
+    fleet = fakes.Fleet(nursery, routers=4, engines=4)
+    await trio.sleep(1)
+    fleet.report({vm.id: 0 for vm in fleet.vms})
+    for name in fleet.names:
+        fleet.views[name].set_routers([name])
+    await trio.sleep(0.1)
+    fleet.report({vm.id: 0 for vm in fleet.vms})
+    full, *others = [vm.id for vm in fleet.vms]
+
+    async def ask(number):
+        entry = fleet.admissions[fleet.names[number % 4]]
+        with trio.move_on_after(ALONE_SECONDS):
+            await entry.acquire(fleet.ask(number, avoid=tuple(others)))
+
+    async with trio.open_nursery() as asking:
+        for number in range(20):
+            asking.start_soon(ask, number)
+
+    load = fleet.loads()[full]
+    allowed = placement.allowed_load(fleet.pool, load, 4)
+    assert 0 < load <= allowed + len(fleet.names) - 1
+
+
+async def test_router_lost_for_long_has_no_part(nursery, autojump_clock):
+    fleet = fakes.Fleet(nursery, routers=3, engines=2)
+    view = fleet.views[fleet.names[0]]
+    routers = live_routers.LiveRouters(view)
+    assert routers.names() == fleet.names
+    view.set_routers(fleet.names[:2])
+    await trio.sleep(live_routers.LOST_SECONDS - 1)
+    assert routers.names() == fleet.names
+    await trio.sleep(2)
+    assert routers.names() == fleet.names[:2]
