A new owner does not go by old reports of what others sent

Callers saw: an owner and an engine die; 1.3 s later two requests start on an engine that is two above its bound then, while others have room.

Cause: requests of other owners count in the mean by the engines' last reports, less a quarter, whatever their age: 61 in the reports, 32 in truth. And the bound never lies under the next whole number above the mean.

Mend: the part that usually ends within a report's age does not raise the bound; for an owner with reports from before its time it does not count in the mean.

The test fails without the change: 13 allowed in place of 2.

--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -30,7 +30,7 @@
 
 # releases on their way count as load that may have ended
 MIN_UNSEEN = 1.0
-# what load from elsewhere may have fallen by since the report
+# what load from elsewhere may have fallen by since the report, at least
 FOREIGN_DRIFT = 0.25
 ROUNDING = 1e-9
 
@@ -234,7 +234,7 @@
             if seen is None:
                 continue
             room = math.ceil(share * (allowed - seen.load) - ROUNDING)
-            if seen.at < self.entries.active_since:
+            if self.is_before_owner(candidate.upstream):
                 room = min(1, room)
             candidate.room = room - self.table.growth(candidate.upstream)
 
@@ -271,7 +271,6 @@
             unknown: How many further upstreams may serve it.
         """
         load = sum(candidate.load for candidate in candidates)
-        own = sum(self.table.own(one.upstream) for one in candidates)
         for one in candidates:
             if one.avoided:
                 # it may just have died, and what other owners sent there
@@ -281,8 +280,15 @@
         elsewhere = sum(item.load for item in others.values())
         engines = sum(item.engines for item in others.values())
         unseen = MIN_UNSEEN + self.rates.rate * self.settings.flight
-        unseen += sums.DRIFT * elsewhere + FOREIGN_DRIFT * (load - own)
+        unseen += sums.DRIFT * elsewhere
         load -= self.unsure.count()
+        ended = self.ended_elsewhere(candidates)
+        if any(self.is_before_owner(one.upstream) for one in candidates):
+            # what the owner before granted and took back is not known: by the
+            # mean of such reports one more request would go to each upstream
+            load -= round(ended)
+        else:
+            unseen += ended
         return placement.allowed_load(
             self.pool(),
             load + elsewhere,
@@ -290,6 +296,36 @@
             unseen,
         )
 
+    def is_before_owner(self, upstream: str) -> bool:
+        """Returns whether a report is older than this router as the owner."""
+        seen = self.table.seen.get(upstream)
+        return seen is not None and seen.at < self.entries.active_since
+
+    def ended_elsewhere(self, candidates: list[placement.Candidate]) -> float:
+        """Returns how much load of other owners may have ended by now.
+
+        Args:
+            candidates: Who serves the model.
+        """
+        return sum(
+            self.ended_part(one.upstream)
+            * (one.load - self.table.own(one.upstream))
+            for one in candidates
+            if not one.avoided
+        )
+
+    def ended_part(self, upstream: str) -> float:
+        """Returns the part of a report's requests that may have ended."""
+        seen = self.table.seen.get(upstream)
+        service = self.rates.service
+        if seen is None:
+            return FOREIGN_DRIFT
+        if service <= 0:
+            # an owner that has just become one knows of no end yet
+            return 1.0
+        age = trio.current_time() - seen.at
+        return max(FOREIGN_DRIFT, 1.0 - math.exp(-age / service))
+
     def max_load(self, priority: int, over: bool) -> int:
         """Returns the hard limit of an upstream for some requests.
 
--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -185,3 +185,32 @@
     assert routers.names() == fleet.names
     await trio.sleep(2)
     assert routers.names() == fleet.names[:2]
+
+
+async def test_old_reports_of_others_load_do_not_raise_a_new_owners_bound(
+    nursery, autojump_clock
+):
+    # the owner dies, what it had granted ends, and reports from before stay
+    fleet = fakes.Fleet(nursery, routers=4, engines=5)
+    await trio.sleep(1)
+    fleet.report({vm.id: 12 for vm in fleet.vms})
+    await trio.sleep(4)
+    lost = fleet.owner()
+    fleet.network.dead.add(lost)
+    rest = [name for name in fleet.names if name != lost]
+    for name in rest:
+        fleet.views[name].set_routers(rest)
+    await trio.sleep(1)
+    fleet.names = rest
+    entry = fleet.admissions[fleet.owner()]
+    entry.release(await entry.acquire(fleet.ask(1)), 'complete')
+    await trio.sleep(0.1)
+    (group,) = entry.owner.owned.values()
+    group.loads.rates.service = 1.0
+    candidates = [
+        placement.Candidate(vm.id, '', group.loads.load(vm.id, 0.25))
+        for vm in group.loads.upstreams()
+    ]
+
+    assert [one.load for one in candidates] == [12] * 5
+    assert group.loads.allowed(candidates) == fleet.pool.floor
