An entry that is silent by chance is not doubted

Of an entry with twelve permits of four seconds, one release may well be late by chance; three hardly ever.

--- a/lavenderbend/coordination/admission/unsure.py
+++ b/lavenderbend/coordination/admission/unsure.py
@@ -20,7 +20,7 @@
     LivePermit = permits.LivePermit
 
 # releases of an entry that may be late by chance
-LATE_RELEASES = 1.0
+LATE_RELEASES = 3.0
 # an entry that speaks has not yet got the grants that are on their way
 ON_THE_WAY_SECONDS = 0.05
 
