Who fails is printed at once, and a listed test runs when it is asked for

The listing of failures without names came of a run that was ended before its summary. And a test in KNOWN-RED.txt was left out also when it alone was named, so that its entry's command could not be run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,10 +23,16 @@
     return [f'known red, not run: {line}' for line in known_red().values()]
 
 
+def pytest_runtest_logreport(report):
+    # a run that is ended has no summary: who failed must stand there before
+    if report.failed:
+        print(f'\nfailed in {report.when}: {report.nodeid}', flush=True)
+
+
 def pytest_collection_modifyitems(config, items):
     # a real fault that is open stays listed and printed; CI passes over
-    # just the tests that are named
-    listed = known_red()
+    # just the tests that are named, and whoever asks for one gets it
+    listed = known_red().keys() - set(config.args)
     left_out = [item for item in items if item.nodeid in listed]
     if left_out:
         config.hook.pytest_deselected(items=left_out)
