What two owners of an upstream grant while halves of a fleet do not hear each other

Engines as in the tests of owners, one chat in a fifth of the requests, the fleet parted into halves, one way or both.

--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -366,3 +368,54 @@
     assert [one.reason for one in found.passed_over] == (
         [choice.OVER_ITS_BOUND] * 5
     )
+
+
+def halves_cut(fleet, both_ways):
+    """Returns what parts the routers of every zone into two halves.
+
+    One way, those of one half still hear of the others and ask them, but
+    are not heard.
+    """
+    first = {
+        router.host
+        for number, router in fleet.routers.items()
+        if number // fleet.zones % 2 == 0
+    }
+
+    def cut(source, target):
+        if (source in first) == (target in first):
+            return False
+        return both_ways or source in first
+
+    return cut
+
+
+def owned_twice(fleet):
+    """Returns how many upstreams routers of their zone see two owners of."""
+    owners = collections.defaultdict(set)
+    for upstream in fleet.store.content.upstreams.values():
+        short = hashing.short_id(upstream.instance)
+        for router in fleet.routers.values():
+            if router.zone == upstream.vm.availability_zone:
+                asked = router.peers.reservations.owners
+                owners[short].add(asked.own_of_zone(short))
+    return sum(len(found) > 1 for found in owners.values())
+
+
+@pytest.mark.parametrize('both_ways', [False, True])
+@pytest.mark.parametrize('size', [30, 60])
+async def test_two_owners_of_an_upstream_overload_no_engine(
+    nursery, autojump_clock, size, both_ways
+):
+    # two halves that do not hear each other own the same upstreams, and
+    # neither owner counts what the other does
+    fleet = await started(nursery, size)
+    found = prompts.Prompts(fleet, by_owners=True, hot_part=0.2)
+    await found.play(prompts.BEGINNING_SECONDS)
+    fleet.net.cut = halves_cut(fleet, both_ways)
+    await found.play(4.0)
+    found.figures()
+    await found.play(4.0)
+
+    assert owned_twice(fleet) > 0
+    assert found.figures()['over_bound'] <= OVER_BOUND
