--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -40,6 +40,14 @@
     )
 
 
+def swamped(fleet):
+    """Returns permits that were granted above the bound."""
+    pool = disagreeing_fleet.POOL
+    return checkers.bounded_load(
+        fleet.held, fleet.engines, pool.bound, pool.floor, SLACK
+    )
+
+
 async def fill(fleet, nursery, names, count, first=0):
     """Has requests begin that last long, through some routers in turn."""
     for number in range(first, first + count):
@@ -58,16 +66,20 @@
     await fleet.play(CHATS, troubles)
 
     assert len(fleet.held) > 10 * CHATS
-    assert (
-        checkers.bounded_load(
-            fleet.held,
-            fleet.engines,
-            disagreeing_fleet.POOL.bound,
-            disagreeing_fleet.POOL.floor,
-            SLACK,
-        )
-        == []
-    )
+    assert swamped(fleet) == []
+
+
+@pytest.mark.parametrize(
+    ('seed', 'troubles'), [(2, 'cut-from-all'), (3, 'cut-and-stalled')]
+)
+async def test_no_engine_of_a_larger_pool_is_swamped(
+    nursery, autojump_clock, seed, troubles
+):
+    # eight routers are cut off in turn, and up to four of them own the engines
+    fleet = await disagreeing_fleet.make_fleet(nursery, seed, 8, 9)
+    await fleet.play(2 * CHATS, TROUBLES[troubles])
+
+    assert swamped(fleet) == []
 
 
 async def test_grants_that_never_arrive_do_not_raise_the_bound(fleet, nursery):
