Each guard of the bound has a test that fails without it

Two were held by none and have one now: parts while no owner answers (16 of 8 in place of 4), an owner that knows of no end yet.

--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -199,8 +199,23 @@
     assert routers.names() == fleet.names[:2]
 
 
-async def test_old_reports_of_others_load_do_not_raise_a_new_owners_bound(
+async def test_parts_of_routers_that_see_nobody_else_add_up(
     nursery, autojump_clock
+):
+    # no owner answers, and each router would take the whole half for its part
+    fleet = fakes.Fleet(nursery, routers=4, engines=2)
+    await trio.sleep(1)
+    fleet.report({vm.id: 4 for vm in fleet.vms})
+    for name in fleet.names:
+        fleet.views[name].set_routers([name])
+    locals_ = [fleet.admissions[name].local for name in fleet.names]
+
+    assert sum(local.share('engine-0', 8) for local in locals_) == 4
+
+
+@pytest.mark.parametrize('service', [0.0, 1.0])
+async def test_old_reports_of_others_load_do_not_raise_a_new_owners_bound(
+    nursery, autojump_clock, service
 ):
     # the owner dies, what it had granted ends, and reports from before stay
     fleet = fakes.Fleet(nursery, routers=4, engines=5)
@@ -218,7 +233,7 @@
     entry.release(await entry.acquire(fleet.ask(1)), 'complete')
     await trio.sleep(0.1)
     (group,) = entry.owner.owned.values()
-    group.loads.rates.service = 1.0
+    group.loads.rates.service = service
     candidates = [
         placement.Candidate(vm.id, '', group.loads.load(vm.id, 0.25))
         for vm in group.loads.upstreams()
