Tests that get the virtual clock by a fixture alone no longer run in real time

Its requests to the owner had timed out, which cannot be on a clock that stands while there is work.

Cause: only a test that names autojump_clock itself runs on it; one that gets it by a fixture runs in real time and says nothing. 20 tests did: 5 new ones and 15 of test_forwarding_operators.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import inspect
 import pathlib
 
 import pytest
 import trio
 
 SCHEDULER_SEED = 1
+CLOCK = 'autojump_clock'
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 
@@ -23,6 +25,22 @@
     return [f'known red, not run: {line}' for line in known_red().values()]
 
 
+def refuse_real_time(items):
+    """Refuses tests that would run in real time and seem not to.
+
+    Only a test that names the virtual clock itself runs on it; by a fixture
+    that does it would run in real time, and fail on a busy machine.
+    """
+    slow = [
+        item.nodeid
+        for item in items
+        if CLOCK in item.fixturenames
+        and CLOCK not in inspect.signature(item.function).parameters
+    ]
+    if slow:
+        raise pytest.UsageError(f'name {CLOCK} in: {", ".join(slow)}')
+
+
 def pytest_runtest_logreport(report):
     # a run that is ended has no summary: who failed must stand there before
     if report.failed:
@@ -30,6 +48,7 @@
 
 
 def pytest_collection_modifyitems(config, items):
+    refuse_real_time(items)
     # a real fault that is open stays listed and printed; CI passes over
     # just the tests that are named, and whoever asks for one gets it
     listed = known_red().keys() - set(config.args)
--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -82,7 +82,9 @@
     assert swamped(fleet) == []
 
 
-async def test_grants_that_never_arrive_do_not_raise_the_bound(fleet, nursery):
+async def test_grants_that_never_arrive_do_not_raise_the_bound(
+    fleet, nursery, autojump_clock
+):
     # answers to one router are lost: what it was granted loads no engine
     owner = fleet.owner()
     deaf, *others = [name for name in fleet.names if name != owner]
@@ -113,7 +115,9 @@
     return one
 
 
-async def test_releases_that_never_arrive_do_not_raise_the_bound(fleet, ended):
+async def test_releases_that_never_arrive_do_not_raise_the_bound(
+    fleet, ended, autojump_clock
+):
     # what one router says is lost: its requests end, its permits stay
     owner = fleet.owner()
     fleet.network.cut.add((ended, owner))
@@ -124,7 +128,9 @@
     assert fleet.allowed_at(owner) <= bound_of(fleet.running)
 
 
-async def test_permits_of_another_owner_do_not_raise_the_bound(fleet, ended):
+async def test_permits_of_another_owner_do_not_raise_the_bound(
+    fleet, ended, autojump_clock
+):
     # a router that asks another owner does not tell this one of any end
     owner = fleet.owner()
     loads = fleet.loads_at(owner)
@@ -146,7 +152,9 @@
 
 
 @pytest.mark.parametrize('how', ['silent', 'moved'])
-async def test_engine_that_reports_less_has_room_again(fleet, ended, how):
+async def test_engine_that_reports_less_has_room_again(
+    fleet, ended, how, autojump_clock
+):
     # permits that load nothing and are never given back kept engines full
     owner = fleet.owner()
     if how == 'silent':
--- a/tests/test_transport/test_forwarding_operators.py
+++ b/tests/test_transport/test_forwarding_operators.py
@@ -114,7 +114,7 @@
     assert found['outcome'] == 'complete'
 
 
-async def test_decision_never_shows_a_credential(subject):
+async def test_decision_never_shows_a_credential(subject, autojump_clock):
     await subject.router.ask(x_request_id='r-1', x_more='kept')
     _, found = await subject.call('GET', '/v1/decisions/r-1')
     assert fakes.KEY not in orjson.dumps(found).decode()
@@ -130,7 +130,7 @@
     ],
 )
 async def test_decisions_can_be_told_apart_by_outcome(
-    subject, fields, outcome, error
+    subject, autojump_clock, fields, outcome, error
 ):
     await subject.router.ask(x_request_id='r-1', **fields)
     _, found = await subject.call('GET', f'/v1/decisions?outcome={outcome}')
@@ -149,7 +149,9 @@
     assert len(found['attempts']) == 1
 
 
-async def test_explanation_names_the_upstream_that_is_then_taken(subject):
+async def test_explanation_names_the_upstream_that_is_then_taken(
+    subject, autojump_clock
+):
     headers = {'host': 'a.example', 'x-prompt-parts': PARTS}
     found = await explained(subject, headers=headers)
     assert found['rule'] == 'chat'
@@ -162,7 +164,9 @@
     assert verdicts[taken] == 'would be taken: prompt cached'
 
 
-async def test_explanation_says_why_an_upstream_is_passed_over(subject):
+async def test_explanation_says_why_an_upstream_is_passed_over(
+    subject, autojump_clock
+):
     subject.router.health.note_unreachable('e1')
     found = await explained(subject)
     verdicts = {one['upstream']: one['verdict'] for one in found['candidates']}
@@ -179,14 +183,14 @@
     ],
 )
 async def test_explanation_of_a_refusal_says_what_the_caller_gets(
-    subject, question, verdict
+    subject, autojump_clock, question, verdict
 ):
     found = await explained(subject, **question)
     assert verdict in found['verdict']
     assert found['candidates'] == []
 
 
-async def test_explanation_of_a_stale_router_says_so(subject):
+async def test_explanation_of_a_stale_router_says_so(subject, autojump_clock):
     follow = subject.router.snapshots.settings
     subject.router.snapshots.settings = type(follow)(
         revocation_seconds=5.0, apply_seconds=2.0
@@ -196,7 +200,7 @@
     assert 'not confirmed lately' in found['verdict']
 
 
-async def test_status_lists_upstreams_and_rules(subject):
+async def test_status_lists_upstreams_and_rules(subject, autojump_clock):
     await subject.router.ask()
     members = subject.peers.members
     members.near.note('127.0.0.3')
@@ -233,7 +237,9 @@
         ('POST', '/v1/rules/diff'),
     ],
 )
-async def test_rules_are_changed_elsewhere(subject, method, path):
+async def test_rules_are_changed_elsewhere(
+    subject, autojump_clock, method, path
+):
     # an operator who tries to change the rules here must hear where they are
     # kept, rather than that there is no such page
     status, found = await subject.call(method, path)
@@ -241,6 +247,6 @@
     assert "platform's store" in found['detail']
 
 
-async def test_nothing_is_shown_without_the_credential(subject):
+async def test_nothing_is_shown_without_the_credential(subject, autojump_clock):
     status, _ = await subject.call('GET', '/v1/status', headers={})
     assert status == 401
