Two tests of routers that forget each other after a quiet time; both fail

Cause: LiveRouters.refresh notes who is live only when it is called: at a change of the view or when a share is computed. After ten seconds without either, the refresh at the change that drops a router finds its last mark too old and drops it at once. So the ten seconds count from the last call, not from the loss.

Evidence, tests on the virtual clock, 20 s without a change, then each router alone in its view: 2, 3 and 4 routers put 4, 6 and 8 permits on an engine (allowed with one for each further owner 3, 5, 6); each had share 1.0 and one name. Four routers without an owner take 16 of a shared half of 4. Without the quiet time (scratch, reports of now) 2, 3 and 4 permits, and 4 of 4.

--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -26,6 +26,14 @@
 RUNNING = 8
 ENDED = 6
 ACQUIRE_SECONDS = 3.0
+SHARED_CHAT = 0x123456789ABCDEF0
+ENGINES = 10
+EACH = 4  # requests on each engine but the one that is filled
+QUIET_SECONDS = 20.0
+SETTLE_SECONDS = 0.1
+HELD_SECONDS = 2.0  # much longer than the age of reports
+NO_HEADROOM_SECONDS = 2.0
+UNUSED = 'RequestQuarantined'  # result that does not count in rates
 
 
 @pytest.fixture
@@ -260,3 +268,123 @@
 
     assert [candidate.load for candidate in candidates] == [12] * 5
     assert group.loads.allowed(candidates) == fleet.pool.floor
+
+
+async def make_idle_fleet(nursery, routers, engines=ENGINES):
+    """Returns a fleet that is older than all timeouts of admission."""
+    pool = disagreeing_fleet.POOL
+    fleet = fakes.Fleet(nursery, routers, engines, pool)
+    await trio.sleep(QUIET_SECONDS)
+    return fleet
+
+
+async def make_loaded_fleet(nursery, routers):
+    """Returns a fleet with permits of all routers on all engines but one."""
+    fleet = await make_idle_fleet(nursery, routers)
+    for view in fleet.views.values():
+        view.wake()
+    await trio.sleep(SETTLE_SECONDS)
+    fleet.report(fleet.loads())
+    for turn in range(EACH):
+        for index, vm in enumerate(fleet.vms[1:]):
+            name = fleet.names[(index + turn) % routers]
+            await acquire_on(fleet, name, vm.id, turn * ENGINES + index)
+    return fleet
+
+
+async def acquire_on(fleet, name, engine, number, **changes):
+    """Acquires a permit on a certain engine through a router."""
+    avoid = tuple(vm.id for vm in fleet.vms if vm.id != engine)
+    request = fleet.permit_request(number, avoid=avoid, **changes)
+    return await fleet.admissions[name].acquire(request)
+
+
+async def fill_engine(fleet, name, engine):
+    """Acquires permits of one chat while its engine has headroom."""
+    held = []
+    entry = fleet.admissions[name]
+    with trio.move_on_after(NO_HEADROOM_SECONDS):
+        held = [await acquire_on(fleet, name, engine, 500, chat=SHARED_CHAT)]
+    while held:
+        request = fleet.permit_request(501, chat=SHARED_CHAT)
+        with trio.move_on_after(NO_HEADROOM_SECONDS) as scope:
+            permit = await entry.acquire(request)
+        if scope.cancelled_caught:
+            break
+        if permit.upstream.id != engine:
+            entry.release(permit, UNUSED)
+            break
+        held.append(permit)
+    return held
+
+
+def release_all(fleet, name, held):
+    """Releases permits of a router."""
+    for permit in held:
+        fleet.admissions[name].release(permit, 'complete')
+
+
+def split(fleet, sizes):
+    """Splits the routers into sides that regard each other as dead."""
+    names = [fleet.owner()]
+    names += [name for name in fleet.names if name not in names]
+    sides = []
+    for size in sizes:
+        sides.append(names[:size])
+        names = names[size:]
+        board = fakes.ReportBoard()
+        board.reports.update(fleet.board.reports)
+        for name in sides[-1]:
+            fleet.views[name].board = board
+            fleet.views[name].set_routers(sides[-1])
+    return sides
+
+
+def report_to(fleet, names):
+    """Publishes reports of the present loads to some routers only."""
+    taken = fakes.ReportBoard()
+    everywhere, fleet.board = fleet.board, taken
+    fleet.report(fleet.loads())
+    fleet.board = everywhere
+    for name in names:
+        fleet.views[name].board.reports.update(taken.reports)
+
+
+def highest_load(fleet, owners):
+    """Returns the bound by all permits, and one for each further owner."""
+    loads = fleet.loads()
+    mean_without_last = sum(loads.values()) - 1
+    bound = placement.allowed_load(fleet.pool, mean_without_last, len(loads))
+    return bound + owners - 1
+
+
+@pytest.mark.parametrize('routers', [2, 3, 4])
+async def test_isolated_routers_share_headroom_after_quiet_seconds(
+    nursery, autojump_clock, routers
+):
+    # Guards against routers that forget each other at once when they are cut
+    # off after many seconds without any change of their views.
+    fleet = await make_idle_fleet(nursery, routers, 4)
+    sides = split(fleet, [1] * routers)
+    await trio.sleep(SETTLE_SECONDS)
+    engine = fleet.vms[0].id
+    for side in sides:
+        report_to(fleet, side)
+    for (name,) in sides:
+        await fill_engine(fleet, name, engine)
+
+    assert 0 < fleet.loads()[engine] <= highest_load(fleet, routers)
+
+
+async def test_degraded_shares_add_up_after_quiet_seconds(
+    nursery, autojump_clock
+):
+    # Guards against routers without an owner that forget each other at once
+    # when they are cut off after many seconds without a change.
+    fleet = await make_idle_fleet(nursery, 4, 2)
+    fleet.report({vm.id: 4 for vm in fleet.vms})
+    split(fleet, [1, 1, 1, 1])
+    await trio.sleep(SETTLE_SECONDS)
+    locals_ = [fleet.admissions[name].local for name in fleet.names]
+
+    assert sum(local.share('engine-0', 8) for local in locals_) == 4
