A test of permits given back and granted by two owners; it fails

Cause: GroupLoads.limit_headroom allows net growth since the owner's own report. What its requests gave back since then makes the growth negative and is granted anew, though another owner has counted it as room by a later report.

Evidence, ten engines, four requests on each of nine: an owner with seven permits on the tenth, all in its report; they end; the other owner has a later report and fills its share, then the first grants again. Halves of two and two routers: 3 + 6 = 9 permits, bound 7 and one for the further owner. Three and one: 4 + 6 = 10, allowed 8. The same with a report from before the second was owner: its limit of one for an engine has the negative growth added.

--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -388,3 +388,30 @@
     locals_ = [fleet.admissions[name].local for name in fleet.names]
 
     assert sum(local.share('engine-0', 8) for local in locals_) == 4
+
+
+@pytest.mark.parametrize('knows', ['own-report', 'predecessor-report'])
+@pytest.mark.parametrize('sizes', [(2, 2), (3, 1)], ids=str)
+async def test_permits_given_back_are_not_granted_by_two_owners(
+    nursery, autojump_clock, sizes, knows
+):
+    # Guards against an owner that grants anew what another owner has already
+    # counted as headroom by a later report.
+    fleet = await make_loaded_fleet(nursery, sum(sizes))
+    engine = fleet.vms[0].id
+    last = [name for name in fleet.names if name != fleet.owner()][-1]
+    held = await fill_engine(fleet, last, engine)
+    await trio.sleep(HELD_SECONDS)
+    fleet.report(fleet.loads())
+    first, second = split(fleet, sizes)
+    await trio.sleep(SETTLE_SECONDS)
+    if knows == 'own-report':
+        report_to(fleet, second)
+    await trio.sleep(SETTLE_SECONDS)
+    release_all(fleet, last, held)
+    await trio.sleep(SETTLE_SECONDS)
+    report_to(fleet, first)
+    await fill_engine(fleet, first[0], engine)
+    await fill_engine(fleet, second[0], engine)
+
+    assert 0 < fleet.loads()[engine] <= highest_load(fleet, 2)
