A test of releases just before a report that hide another owner; it fails

Not mended here.

Cause: PermitTable.join counts as own, in a report, all permits released up to 0.05 s before it or granted up to 0.05 s after it. They cover the load of other owners in the report (foreign = load - own), and growth starts from a number that never ran at that time, so that the owner has room anew for them.

Evidence: two owners with three permits each on an engine; the first's are released 0.04 s before a report that both get; then both fill it: 9 permits, allowed 7 and one, with 1+1 and 2+2 routers.

--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -8,6 +8,7 @@
 from lavenderbend.coordination import placement
 from lavenderbend.coordination.admission import live_routers
 from lavenderbend.protocol import messages_decisions as messages
+from lavenderbend.state import permits
 from tests import disagreeing_fleet
 from tests import fakes
 from tests.integration import checkers
@@ -415,3 +416,33 @@
     await fill_engine(fleet, second[0], engine)
 
     assert 0 < fleet.loads()[engine] <= highest_load(fleet, 2)
+
+
+@pytest.mark.parametrize('sizes', [(1, 1), (2, 2)], ids=str)
+async def test_releases_just_before_a_report_hide_no_other_owner(
+    nursery, autojump_clock, sizes
+):
+    # Guards against permits released within the slack before a report that
+    # are taken for the requests of another owner in it.
+    fleet = await make_loaded_fleet(nursery, sum(sizes))
+    engine = fleet.vms[0].id
+    first_name = fleet.owner()
+    last = [name for name in fleet.names if name != first_name][-1]
+    held = []
+    for number in range(3):
+        held.append(await acquire_on(fleet, first_name, engine, 600 + number))
+        await acquire_on(fleet, last, engine, 700 + number)
+    await trio.sleep(HELD_SECONDS)
+    sides = split(fleet, sizes)
+    await trio.sleep(SETTLE_SECONDS)
+    for side in sides:
+        report_to(fleet, side)
+    await trio.sleep(SETTLE_SECONDS)
+    release_all(fleet, first_name, held)
+    await trio.sleep(0.8 * permits.REPORT_SLACK_SECONDS)
+    for side in sides:
+        report_to(fleet, side)
+    for side in sides:
+        await fill_engine(fleet, side[0], engine)
+
+    assert 3 < fleet.loads()[engine] <= highest_load(fleet, 2)
