A router lost after a quiet time still counts for its share

Callers saw: routers that are cut off from one another after ten seconds in which nothing changed each take the whole headroom: 4, 6 and 8 requests on an engine where 3, 5 and 6 are allowed (two, three, four routers), and 16 in place of 4 while no owner can be reached.

Cause: a router counts for ten seconds after it was last live, but "last live" was noted only when the view changed. After a quiet time it counted as lost long ago at the moment it was lost.

Mend: the owner's tick notes who is live. Trial that was not kept: to count a router as live until the refresh that misses it (test_router_lost_for_long_has_no_share fails, since a refresh may come long after the loss).

--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -248,6 +248,9 @@
         """Serves and expires queued requests periodically."""
         while True:
             await trio.sleep(self.settings.tick_interval)
+            # The view may not change for long: a router that is lost then
+            # would count as lost long ago.
+            self.routers.refresh()
             with SKIP_REQUEST_ERRORS:
                 for group in list(self.owned.values()):
                     group.tick()
