Permits of a router that moved are handed over to its new owner

Callers saw: while two routers both own a pool, requests wait though engines have room: the former owner's table keeps the permits of routers that went over to the other one (8, 8, 7, 8 of three routers, for as long as the run lasted), counts them as its own and turns waiting requests away.

Cause: the releases of those permits go to the new owner. The old one dropped such a permit only when a report showed fewer requests than its table; where the new owner's requests fill the engine, none does.

The new test fails without the change: ten permits left, after a report taken a second after the move.

Mend: a report taken after the move shows their requests as load from elsewhere, and the permits are dropped then.

--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -100,11 +100,12 @@
                 self.table.join(vm.id, at, report.load)
         return vms
 
-    def drop_unused_permits(self) -> list[permits.LivePermit]:
-        """Drops permits that are not in use according to load reports.
+    def drop_obsolete_permits(self) -> list[permits.LivePermit]:
+        """Drops permits that are not in use, or no longer this owner's.
 
         Their releases were lost, or were sent to another owner. Counted for
-        ever, such permits would keep upstreams full.
+        ever, such permits would keep upstreams full and use up this owner's
+        share of the bound.
 
         Returns:
             The dropped permits.
@@ -114,12 +115,15 @@
             seen = self.table.reports.get(vm.id)
             if seen is None:
                 continue
+            moved = self.unconfirmed.moved(vm.id, seen.at)
+            for permit in moved:
+                self.unconfirmed.discard(permit)
             unused = self.unconfirmed.unused(vm.id, seen.at, seen.reported)
             for permit in unused:
                 self.unconfirmed.discard(permit)
-            if unused:
+            if moved or unused:
                 self.table.join(vm.id, seen.at, seen.reported)
-            dropped += unused
+            dropped += moved + unused
         return dropped
 
     def load(self, upstream: str, share: float) -> int:
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -155,9 +155,9 @@
         return True
 
     def tick(self) -> None:
-        """Updates the rates, drops unused permits, serves the queue."""
+        """Updates the rates, drops obsolete permits, serves the queue."""
         self.loads.rates.update()
-        for permit in self.loads.drop_unused_permits():
+        for permit in self.loads.drop_obsolete_permits():
             self.shares.live[permit.customer] -= 1
         if self.queue.waiting:
             self.queue.dispatch()
--- a/lavenderbend/coordination/admission/unconfirmed.py
+++ b/lavenderbend/coordination/admission/unconfirmed.py
@@ -79,6 +79,23 @@
         if self.unheld.get(permit.entry):
             self.unheld[permit.entry] -= 1
 
+    def moved(self, upstream: str, at: float) -> list[LivePermit]:
+        """Returns permits of entry routers that use another owner by now.
+
+        A report taken after the move shows their load, which the other owner
+        answers for.
+
+        Args:
+            upstream: VM id.
+            at: Owner clock at which the report was taken.
+        """
+        moved_at = self.entries.moved_at
+        return [
+            permit
+            for permit in self.table.running_at(upstream, at)
+            if moved_at.get(permit.entry, math.inf) < at
+        ]
+
     def unused(self, upstream: str, at: float, load: int) -> list[LivePermit]:
         """Returns permits that the upstream's own report shows as unused.
 
--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -185,6 +185,29 @@
     assert loads == fleet.running
 
 
+async def test_permits_of_a_router_that_moved_are_handed_over(
+    nursery, autojump_clock
+):
+    # Permits of a router that uses another owner by now must not use up the
+    # former owner's share of the bound.
+    fleet = fakes.Fleet(nursery, routers=4, engines=5)
+    owner = fleet.owner()
+    rest = [name for name in fleet.names if name != owner]
+    entry = fleet.admissions[rest[0]]
+    for number in range(10):
+        await entry.acquire(fleet.permit_request(number))
+    fleet.views[entry.name].set_routers(rest)
+    await trio.sleep(1)
+    fleet.report(fleet.loads())
+    await trio.sleep(0.2)
+
+    (group,) = fleet.admissions[owner].owner.owned.values()
+    loads = {vm.id: group.table.load(vm.id) for vm in fleet.vms}
+    assert loads == fleet.loads()
+    assert entry.name not in group.table.numbers
+    assert group.shares.live.total() == 0
+
+
 async def test_isolated_routers_use_only_their_share(nursery, autojump_clock):
     # Each of four routers regards all others as dead and itself as the only
     # owner: each must use only its share of the headroom.
