A request queued at a former owner asks the new one at once

Callers saw: a request waits up to ten seconds though engines have room: its router uses another owner by now, but the request stays queued at the former one, which turns it away for as long as it may hold its answer.

Cause: requests that wait for an owner's answer were cancelled only if that owner left the view or did not answer, not if another router became the owner beside it.

test_queued_request_moves_to_a_new_owner_at_once: not granted within half a second before, granted by the new owner now.

--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -219,10 +219,11 @@
                 self.register(group, router, held)
 
     def cancel_pending(self, router: str) -> None:
-        """Cancels the requests that wait for the answer of a lost router.
+        """Cancels the requests that wait for the answer of a former owner.
 
-        Otherwise requests queued there would not notice the loss until the
-        time for which the router may hold an answer is over.
+        Otherwise requests queued there would not notice that it is lost, or
+        that another router is the owner now, until the time for which it may
+        hold an answer is over.
         """
         for scope in list(self.pending[router]):
             scope.cancel()
@@ -247,6 +248,7 @@
                     group.pool, group.index
                 )
                 self.send_notice(before, moved)
+                self.cancel_pending(before)
             self.register(group, name, by_group[group])
 
     def register(
--- a/tests/test_coordination/test_admission_faults.py
+++ b/tests/test_coordination/test_admission_faults.py
@@ -7,6 +7,7 @@
 from lavenderbend.coordination import placement
 from lavenderbend.coordination.admission import groups
 from lavenderbend.state import configuration
+from lavenderbend.state import requests
 from tests import fakes
 
 
@@ -49,6 +50,45 @@
     assert len(group.table.permits) == 30 - lost_permits
 
 
+async def test_queued_request_moves_to_a_new_owner_at_once(
+    nursery, autojump_clock
+):
+    # A request must not stay queued at an owner that its router no longer
+    # uses, while the new owner has room.
+    pool = configuration.Pool('chat', 'model', max_load=4)
+    fleet = fakes.Fleet(nursery, routers=3, engines=2, pool=pool)
+    owner = fleet.owner()
+    rest = [name for name in fleet.names if name != owner]
+    for name in rest:
+        fleet.views[name].set_routers(rest)
+    await trio.sleep(0.1)
+    entry = fleet.admissions[rest[0]]
+    (former,) = entry.owners.values()
+    held = [
+        await entry.acquire(instant_request(fleet, number))
+        for number in range(2 * pool.max_load)
+    ]
+    granted = []
+
+    async def acquire():
+        granted.append(await entry.acquire(instant_request(fleet, 100)))
+
+    nursery.start_soon(acquire)
+    await trio.sleep(0.5)
+    for name in rest:
+        fleet.views[name].set_routers(fleet.names)
+    await trio.sleep(0.1)
+    entry.release(held[0], 'complete')
+    await trio.sleep(0.5)
+
+    assert former != owner
+    assert [permit.owner for permit in granted] == [owner]
+
+
+def instant_request(fleet, number):
+    return fleet.permit_request(number, priority=requests.Priority.INSTANT)
+
+
 async def test_chats_keep_their_places_when_the_owner_is_lost(
     nursery, autojump_clock
 ):
