Two owners no longer grant the same headroom: permits are bounded by a share

Cause: limit_headroom bounded the growth of an owner's permits since its own last report. Reports of two owners are of different moments, so the parts added up to no bound: an owner granted anew what its own requests gave back, though the other had counted that as headroom by a later report; and the count of own permits at a report, from which growth is counted, was up to three too high (those begun or ended within 50 ms of it).

Forced order: 9, 9, 10, 10 and 9, 9 where 8 are allowed before, all pass now.

Mend: own permits on an engine are at most the share of the bound.

Open, listed: an owner that does not hear that its entries moved.

--- a/lavenderbend/coordination/admission/entry_tracker.py
+++ b/lavenderbend/coordination/admission/entry_tracker.py
@@ -77,12 +77,19 @@
         routers that each regard the other as dead would both act as the only
         owner.
         """
-        live = self.membership.region_routers()
+        return self.in_contact() / max(1, len(self.routers.names()))
+
+    def share_of_live(self) -> float:
+        """Returns the fraction of the live routers that use this owner."""
+        return self.in_contact() / max(1, len(self.membership.region_routers()))
+
+    def in_contact(self) -> int:
+        """Returns how many live routers use this owner."""
         oldest = trio.current_time() - self.timeout
-        in_contact = sum(
-            self.last_contact.get(name, -1.0) >= oldest for name in live
+        return sum(
+            self.last_contact.get(name, -1.0) >= oldest
+            for name in self.membership.region_routers()
         )
-        return in_contact / max(1, len(self.routers.names()))
 
     def compare(self, entry: str, equal: bool) -> bool:
         """Records whether a heartbeat's digest equals the owner's.
--- a/lavenderbend/coordination/admission/loads.py
+++ b/lavenderbend/coordination/admission/loads.py
@@ -9,6 +9,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import placement
+from lavenderbend.coordination.admission import owner_share
 from lavenderbend.coordination.admission import pool_totals as pool_totals_
 from lavenderbend.coordination.admission import rates
 from lavenderbend.coordination.admission import serving
@@ -34,7 +35,6 @@
 # least part of the load from other owners that may have ended since the
 # report
 MIN_FOREIGN_ENDED_FRACTION = 0.25
-ROUNDING_TOLERANCE = 1e-9
 
 
 class GroupLoads:
@@ -44,6 +44,7 @@
         table: Live permits joined with reports.
         rates: How fast permits are released.
         unconfirmed: Which live permits may no longer be in use.
+        owner_share: Limits permits while another owner may be active.
         suspect_until: Owner clock until which no other suspect request is
             sent to an upstream, by VM id.
         suspect_chat_until: Owner clock until which a suspect request is not
@@ -71,6 +72,7 @@
         self.unconfirmed = unconfirmed.UnconfirmedPermits(
             name, self.table, entries, self.rates
         )
+        self.owner_share = owner_share.OwnerShare(self.table, entries)
         self.suspect_until: dict[str, float] = {}
         self.suspect_chat_until: dict[int, float] = {}
 
@@ -232,42 +234,6 @@
         self.suspect_until.pop(upstream, None)
         self.suspect_chat_until.pop(chat, None)
 
-    def limit_headroom(
-        self, candidates: list[placement.Candidate], allowed: int
-    ) -> None:
-        """Limits the permits to add while another owner may be active.
-
-        Two routers that both act as the owner see each other's grants only
-        in load reports, one report interval late. Each would fill the same
-        headroom and engines would be far above the bound. So between two
-        reports each owner adds only its share of the headroom of the last
-        report: in proportion to the entry routers that use it, and to the
-        load that was admitted through it. A new owner adds one request at a
-        time until it has a report taken after it became the owner. The shares
-        add up to the headroom, and rounding up adds at most one request for
-        each further owner.
-        """
-        share = self.entries.share()
-        own = sum(
-            self.table.own(candidate.upstream) for candidate in candidates
-        )
-        load = sum(candidate.load for candidate in candidates)
-        if share >= 1.0 and load == own:
-            return
-        share = min(share, (own + 1) / (load + 1))
-        for candidate in candidates:
-            seen = self.table.reports.get(candidate.upstream)
-            if seen is None:
-                continue
-            headroom = math.ceil(
-                share * (allowed - seen.load) - ROUNDING_TOLERANCE
-            )
-            if self.predates_ownership(candidate.upstream):
-                headroom = min(1, headroom)
-            candidate.headroom = headroom - self.table.growth(
-                candidate.upstream
-            )
-
     def place(
         self,
         request: messages_decisions.PermitRequest,
@@ -289,7 +255,7 @@
             self.membership, self.upstreams(), request.model
         )
         allowed = self.allowed(candidates, unreported)
-        self.limit_headroom(candidates, allowed)
+        self.owner_share.limit_headroom(candidates, allowed)
         ordered = placement.order(candidates, places, request.number)
         return placement.choose(ordered, allowed, max_load)
 
@@ -320,7 +286,7 @@
         load -= self.unconfirmed.count()
         foreign_ended = self.foreign_load_ended(candidates)
         if any(
-            self.predates_ownership(candidate.upstream)
+            self.owner_share.predates_ownership(candidate.upstream)
             for candidate in candidates
         ):
             # The previous owner's grants and releases since the report are
@@ -336,11 +302,6 @@
             possibly_ended,
         )
 
-    def predates_ownership(self, upstream: str) -> bool:
-        """Returns whether a report is from before this router was owner."""
-        seen = self.table.reports.get(upstream)
-        return seen is not None and seen.at < self.entries.active_since
-
     def foreign_load_ended(
         self, candidates: list[placement.Candidate]
     ) -> float:
--- a/lavenderbend/coordination/admission/owner.py
+++ b/lavenderbend/coordination/admission/owner.py
@@ -36,7 +36,7 @@
     """Serves every group that entry routers regard this router as owner of.
 
     It does not check whether it is the owner by its own view: views differ
-    for seconds, and `GroupLoads.limit_headroom` keeps the bound while there
+    for seconds, and `OwnerShare.limit_headroom` keeps the bound while there
     are two owners.
 
     Attributes:
