--- a/lavenderbend/coordination/limits/pools.py
+++ b/lavenderbend/coordination/limits/pools.py
@@ -51,7 +51,7 @@
         tokens: Tokens in the pool.
         held: Tokens that routers hold, the sum over the leases.
         leases: By router.
-        pruned_at: Router clock of the last removal of old leases.
+        cleaned_at: Router clock of the last removal of old leases.
         waiting_tokens: Tokens asked for by routers that got less, at the
             last count.
         counted_at: Router clock of that count.
@@ -63,7 +63,7 @@
     tokens: float = 0.0
     held: float = 0.0
     leases: dict[str, Lease] = attrs.field(factory=dict)
-    pruned_at: float = 0.0
+    cleaned_at: float = 0.0
     waiting_tokens: int = 0
     counted_at: float = -1.0
 
@@ -94,11 +94,11 @@
             and lease.reported_at > now - WAITING_LEASE_SECONDS
         )
 
-    def prune(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Removes leases of routers that stopped reporting."""
-        if now < self.pruned_at + LEASE_RETENTION_SECONDS:
+        if now < self.cleaned_at + LEASE_RETENTION_SECONDS:
             return
-        self.pruned_at = now
+        self.cleaned_at = now
         for router, lease in list(self.leases.items()):
             if lease.reported_at < now - LEASE_RETENTION_SECONDS:
                 del self.leases[router]
@@ -113,7 +113,7 @@
             held: Tokens that the router has, after returning tokens.
             now: Router clock.
         """
-        self.prune(now)
+        self.remove_expired(now)
         previous = self.leases.get(router)
         if previous is not None:
             self.held -= previous.held
