Rules shown: a next line in a text is escaped

What operators saw: a rule, pool or customer whose name holds U+0085 was written by `rules show` as YAML that `rules apply` reads as another document ('a\x85b' became 'a b').

Cause: U+0085 is a line break of YAML 1.1. The writer regards it as printable (allow_unicode) and writes it raw in single quotes; the parser (libyaml) folds it. Only double quotes allow the escape.

Ruled out: U+2028 and U+2029 (kept as they are), a carriage return, U+FEFF, control characters, spaces at either end.

Fix: texts with U+0085 are double quoted where all texts of a document are written.

--- a/lavenderbend/protocol/documents_yaml.py
+++ b/lavenderbend/protocol/documents_yaml.py
@@ -24,6 +24,10 @@
 
 T = TypeVar('T')
 
+# A line break of YAML 1.1 which parsers replace by a newline or a space unless
+# it is escaped, as only double quotes allow.
+NEXT_LINE = '\x85'
+
 
 def load_settings(path: str | pathlib.Path) -> settings.RouterSettings:
     """Returns the settings in a file.
@@ -175,8 +179,11 @@
 
 def represent_text(dumper: Dumper, value: str) -> yaml.Node:
     """Returns the scalar node of a string, quoted if necessary."""
-    plain = yaml_nodes.resolve(value) is value
-    style = None if plain else "'"
+    style = None
+    if NEXT_LINE in value:
+        style = '"'
+    elif yaml_nodes.resolve(value) is not value:
+        style = "'"
     return dumper.represent_scalar('tag:yaml.org,2002:str', value, style=style)
 
 
--- a/tests/test_coordination/test_rules.py
+++ b/tests/test_coordination/test_rules.py
@@ -347,6 +347,55 @@
     assert documents_yaml.parse_configuration(text, 'again') == document
 
 
+BREAKS = ['\n', '\r', '\r\n', '\x85', '\u2028', '\u2029', '\ufeff', ' ', '\t']
+
+
+@pytest.mark.parametrize('form', ['{}', '{}a', 'a{}', 'a{}{}b', 'a {} b'])
+@pytest.mark.parametrize('character', BREAKS)
+def test_line_breaks_in_what_is_shown_are_kept(character, form):
+    # a next line (U+0085) in a name is folded when it is read again
+    text = form.format(character, character)
+    document = configuration.Configuration(
+        rules=(
+            configuration.Rule(
+                text,
+                configuration.Then(pool=text, model=text, adapter=text),
+                configuration.When(
+                    customer=(text,), path=(f'/{text}',), header={'x': text}
+                ),
+            ),
+            configuration.Rule('last', configuration.Then(reject=text)),
+        ),
+        pools=(configuration.Pool(text, text),),
+        customers=(configuration.Customer(text),),
+        orders=(configuration.Order(text, text, text, 1, (text,)),),
+    )
+
+    shown = documents_yaml.dump_configuration(document)
+
+    assert documents_yaml.parse_configuration(shown, 'again') == document
+
+
+# all ranges between whose ends YAML treats characters alike
+CHARACTERS = ''.join(map(chr, [*range(0x3100), *range(0xF000, 0x10100)]))
+
+
+@pytest.mark.parametrize('form', ['{}', 'a{}b'])
+def test_each_character_that_is_shown_can_be_read_again(form):
+    # a character is shown that a parser refuses or changes
+    names = tuple(form.format(character) for character in CHARACTERS)
+    for start in range(0, len(names), 5000):
+        adapters = names[start : start + 5000]
+        document = configuration.Configuration(
+            pools=(configuration.Pool('p', 's'),),
+            orders=(configuration.Order('p', 'm', '1', 1, adapters),),
+        )
+
+        shown = documents_yaml.dump_configuration(document)
+
+        assert documents_yaml.parse_configuration(shown, 'again') == document
+
+
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(
     whens=st.lists(st.one_of(WHENS, UNROOTED_WHENS), max_size=6),
