Decisions, trace: lines end at newlines only

Cause: the lines are JSON by orjson, which keeps these characters; httpx's `aiter_lines` and `str.splitlines` part lines at them. Ruled out by reading them: the parser of upstreams' events and the one of forwarded events (bytes, at newlines), the watch of etcd (its texts are base64), tests' evidence (logs of fixed names).

Fix: the stream is read by the parser of server-sent events, the log is parted at newlines. Six new cases failed before, none now.

--- a/lavenderbend/cmd/trace.py
+++ b/lavenderbend/cmd/trace.py
@@ -130,7 +130,7 @@
         text = pathlib.Path(name).read_text(errors='replace')
     except OSError as exc:
         raise LogUnreadable(f'{name}: {exc.strerror}') from exc
-    for text_line in text.splitlines():
+    for text_line in text.split('\n'):
         start = text_line.find('{')
         if start < 0:
             continue
--- a/lavenderbend/transport/operator_client.py
+++ b/lavenderbend/transport/operator_client.py
@@ -10,6 +10,7 @@
 import orjson
 
 from lavenderbend import errors
+from lavenderbend.protocol import sse
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -20,6 +21,8 @@
 # `operator_rules.apply`
 APPLY_TIMEOUT_SECONDS = 90.0
 STREAM_READ_TIMEOUT_SECONDS = 60.0
+# bounds the memory for an event that never ends
+MAX_EVENT_BYTES = 1024 * 1024
 PROBLEM_PREFIX = 'urn:lavenderbend:problem:'
 
 
@@ -113,16 +116,22 @@
                 if response.is_error:
                     await response.aread()
                     raise error_from_response(response)
-                async for line in response.aiter_lines():
-                    if line.startswith('data: '):
-                        yield orjson.loads(line.removeprefix('data: '))
+                parser = sse.Parser(MAX_EVENT_BYTES)
+                async for data in response.aiter_bytes():
+                    for event in parser.feed(data):
+                        if event.data:
+                            yield orjson.loads(event.data)
 
     @contextlib.contextmanager
     def connection_errors(self) -> Any:
         """Raises connection errors as `OperatorUnreachable`."""
         try:
             yield
-        except (httpx.TransportError, httpx.InvalidURL) as exc:
+        except (
+            httpx.TransportError,
+            httpx.InvalidURL,
+            errors.UpstreamBroke,
+        ) as exc:
             detail = str(exc) or type(exc).__name__
             raise errors.OperatorUnreachable(f'{self.url}: {detail}') from exc
 
--- a/tests/test_cmd/test_cmd_trace.py
+++ b/tests/test_cmd/test_cmd_trace.py
@@ -5,6 +5,7 @@
 import io
 import json
 
+import orjson
 import pytest
 
 from lavenderbend.cmd import base
@@ -68,3 +69,21 @@
     code, text = run('r1', str(tmp_path / 'none.log'))
     assert code == exit_codes.ExitCode.FAILED
     assert 'none.log' in text
+
+
+@pytest.mark.parametrize('character', ['\x85', '\u2028', '\u2029'])
+def test_a_line_with_line_breaks_of_unicode_is_shown(tmp_path, character):
+    # log lines with a next line in a field were left out
+    path = tmp_path / 'a.log'
+    line = {
+        'request': 'r1',
+        'rule': f'a{character}b',
+        'timestamp': 1.0,
+        'message_type': 'lavenderbend:request_ended',
+    }
+    path.write_bytes(orjson.dumps(line) + b'\n')
+
+    code, text = run('r1', str(path))
+
+    assert code == exit_codes.ExitCode.OK
+    assert 'request_ended' in text
--- a/tests/test_transport/test_operators_client.py
+++ b/tests/test_transport/test_operators_client.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import contextlib
+import itertools
+
 import httpx
 import pytest
 import trio
@@ -49,6 +52,28 @@
     assert received == sorted(received)
 
 
+@pytest.mark.parametrize('character', ['\x85', '\u2028', '\u2029'])
+async def test_live_stream_keeps_line_breaks_of_unicode(router, character):
+    # a next line in a rule's name ended `decisions --follow` with an error
+    fakes, client = router
+    rule = f'a{character}b'
+    stream = client.follow('/v1/decisions', {'rule': rule})
+
+    async def add_decisions():
+        # decisions added before the stream is open are not sent
+        for number in itertools.count():
+            fakes.decisions.add(operator_fakes.decision(number, rule=rule))
+            await trio.sleep(0.05)
+
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery, contextlib.aclosing(stream):
+            nursery.start_soon(add_decisions)
+            decision = await anext(stream)
+            nursery.cancel_scope.cancel()
+
+    assert decision['rule'] == rule
+
+
 async def test_refusal_contains_status_kind_and_faults(router):
     _, client = router
 
