Rules shown: the comment with the reason is valid YAML

What operators saw: after a revision with a control character in its author or reason, what `rules show` writes was refused by `rules check` and `rules apply`.

Cause: the second line is a comment with both; they were kept on one line, but YAML allows no control characters in comments either.

Fix: characters that are not printable are shown as spaces.

--- a/lavenderbend/cmd/rules_show.py
+++ b/lavenderbend/cmd/rules_show.py
@@ -38,8 +38,7 @@
         revision = operator_options.call_router(
             arguments, lambda client: client.get('/v1/rules')
         )
-        # author and reason must stay on one line of the comment
-        by = ' '.join(f'{revision["author"]}: {revision["reason"]}'.split())
+        by = comment(f'{revision["author"]}: {revision["reason"]}')
         text = (
             f'# revision {revision["number"]}\n'
             f'# accepted {tables.format_utc(revision["accepted_at"])} by {by}\n'
@@ -47,3 +46,12 @@
         )
         output.write_result(revision, text)
         return exit_codes.ExitCode.OK
+
+
+def comment(text: str) -> str:
+    """Returns a text as one line that YAML allows in a comment.
+
+    YAML does not allow control characters, and a comment cannot escape them.
+    """
+    allowed = (char if char.isprintable() else ' ' for char in text)
+    return ' '.join(''.join(allowed).split())
--- a/tests/test_cmd/test_cmd_main.py
+++ b/tests/test_cmd/test_cmd_main.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 
+import attrs
 import pytest
 import trio
 
@@ -233,6 +234,25 @@
     assert len(components.configurations.revisions) == 2
 
 
+@pytest.mark.parametrize('character', ['\x1b', '\x7f', '\n', '\x85', '\uffff'])
+async def test_shown_rules_are_valid_after_any_reason(
+    router, tmp_path, character
+):
+    # a control character in the reason made the shown rules invalid YAML
+    components, run_command = router
+    current = components.configurations.current()
+    components.configurations.revisions.append(
+        attrs.evolve(current, reason=f'a{character}b')
+    )
+    path = tmp_path / 'rules.yaml'
+    path.write_text((await run_command('rules', 'show')).text)
+
+    checked = run('rules', 'check', path)
+
+    assert 'a b' in path.read_text().splitlines()[1]
+    assert checked.code is Code.OK
+
+
 async def test_apply_names_routers_without_the_revision(router, tmp_path):
     components, run_command = router
     components.configurations.missing = ('router-2',)
