Owners: estimates of waiting rest on time in which requests wait

What callers saw: a chat was refused twice behind one queued request and told to come again after 38.9 s (test_rolling_restart_cuts_off_nothing, once beside load).

Cause: the rates by which waiting is estimated were measured at all times. In a pool with room they show how much is asked for, at a router that is not the owner nothing; they fell by a fifth each second.

Evidence: on the virtual clock one release and 14 s without give 0.0625/s and, behind one request, an estimate of 40.0 s. Ruled out for this path: permits registered by entries (they give no releases until they end).

Fix: grants to queued requests, over the time in which requests wait, for the pool and for each customer; they fade once there is room. Before ten grants the rate expected by load and time held counts. Nothing in loads.py or unconfirmed.py changed: `rate` and `service_seconds` are as they were.

--- a/lavenderbend/coordination/admission/estimates.py
+++ b/lavenderbend/coordination/admission/estimates.py
@@ -7,9 +7,9 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.admission import rates
 
 if TYPE_CHECKING:
-    from lavenderbend.coordination.admission import rates as rates_
     from lavenderbend.coordination.admission import waiter as waiter_
 
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -17,13 +17,61 @@
 ESTIMATE_MARGIN = 1.25
 # most of a request's total time that is kept for running it
 MAX_SERVICE_FRACTION = 0.25
+# a customer's rate of less time no longer matters
+FORGOTTEN_SECONDS = 0.001
 
 
 class WaitEstimates:
-    """Estimates waiting times from the rates at which permits are released."""
+    """Estimates waiting times from the rates at which permits are granted.
 
-    def __init__(self, rates: rates_.ReleaseRates) -> None:
-        self.rates = rates
+    Attributes:
+        releases: Release rate and service time of the group's permits.
+        grants: Grants to all queued requests.
+        customer_grants: Grants to those of each customer that has or had
+            requests queued.
+        full_load: Load at which requests last waited.
+        expected_rate: Grants per second that are expected at this load, 0 if
+            unknown.
+    """
+
+    def __init__(self, releases: rates.ReleaseRates) -> None:
+        self.releases = releases
+        self.grants = rates.GrantRate()
+        self.customer_grants: dict[int, rates.GrantRate] = {}
+        self.full_load = 0
+        self.expected_rate = 0.0
+
+    def expect(self, load: int) -> None:
+        """Sets the expected rate by the load at which requests wait."""
+        self.full_load = load
+        self.expected_rate = self.releases.expected_rate(load)
+
+    def note_queued(self, customer: int) -> None:
+        """Counts a request of a customer that now waits."""
+        self.grants.note_queued()
+        if customer not in self.customer_grants:
+            self.customer_grants[customer] = rates.GrantRate()
+        self.customer_grants[customer].note_queued()
+
+    def note_left(self, customer: int, granted: bool = False) -> None:
+        """Counts a request of a customer that no longer waits."""
+        self.grants.note_left(granted)
+        self.customer_grants[customer].note_left(granted)
+
+    def update(self, load: int) -> None:
+        """Updates the rates; forgets customers whose requests are served.
+
+        Args:
+            load: Load of the group.
+        """
+        if self.grants.waiting:
+            self.expect(load)
+        full = load >= self.full_load
+        self.grants.update(full)
+        for customer, grants in list(self.customer_grants.items()):
+            grants.update(full)
+            if not grants.waiting and grants.seconds < FORGOTTEN_SECONDS:
+                del self.customer_grants[customer]
 
     def estimate(
         self, ahead: int, ahead_of_customer: int, customer: int
@@ -35,13 +83,16 @@
             ahead_of_customer: How many of them are its customer's.
             customer: Short id of its customer.
         """
-        rates = self.rates
         seconds = 0.0
-        if rates.rate > 0:
-            seconds = (ahead + 1) / rates.rate
-        customer_rate = rates.customer_rates.get(customer, 0.0)
-        if customer_rate > 0 and ahead_of_customer > 0:
-            seconds = max(seconds, (ahead_of_customer + 1) / customer_rate)
+        rate = self.grants.per_second(self.expected_rate)
+        if rate > 0:
+            seconds = (ahead + 1) / rate
+        grants = self.customer_grants.get(customer)
+        if grants is not None and grants.waiting and ahead_of_customer > 0:
+            part = grants.waiting / self.grants.waiting
+            customer_rate = grants.per_second(rate * part)
+            if customer_rate > 0:
+                seconds = max(seconds, (ahead_of_customer + 1) / customer_rate)
         return seconds * ESTIMATE_MARGIN
 
     def too_late(
@@ -57,7 +108,9 @@
         if left <= 0:
             return True
         total = waiter.deadline - waiter.arrived_at
-        service = min(self.rates.service_seconds, MAX_SERVICE_FRACTION * total)
+        service = min(
+            self.releases.service_seconds, MAX_SERVICE_FRACTION * total
+        )
         seconds = self.estimate(
             ahead, ahead_of_customer, waiter.request.customer
         )
--- a/lavenderbend/coordination/admission/owned.py
+++ b/lavenderbend/coordination/admission/owned.py
@@ -157,6 +157,7 @@
     def tick(self) -> None:
         """Updates the rates, drops unused permits, serves the queue."""
         self.loads.rates.update()
+        self.queue.update_rates()
         for permit in self.loads.drop_unused_permits():
             self.shares.live[permit.customer] -= 1
         if self.queue.waiting:
--- a/lavenderbend/coordination/admission/request_queue.py
+++ b/lavenderbend/coordination/admission/request_queue.py
@@ -147,7 +147,8 @@
 
     def remove(self, waiter: waiter_.Waiter) -> None:
         """Removes a request that no longer waits."""
-        self.queue.remove(waiter)
+        if self.queue.remove(waiter):
+            self.estimates.note_left(waiter.request.customer)
         if waiter in self.locality_wait.waiters:
             self.locality_wait.waiters.remove(waiter)
         key = (waiter.entry, waiter.request.number)
@@ -161,6 +162,8 @@
     def enqueue(self, waiter: waiter_.Waiter) -> None:
         """Queues a request, or refuses it if it cannot be served in time."""
         request = waiter.request
+        if len(self.queue) == 0:
+            self.estimates.expect(self.loads.total()[0])
         ahead = self.queue.ahead(request.priority, request.customer)
         ahead_of_customer = self.queue.count_of(
             request.priority, request.customer
@@ -175,6 +178,7 @@
             return
         weight = self.loads.directory.weight(request.customer)
         self.queue.push(waiter, request.priority, request.customer, weight)
+        self.estimates.note_queued(request.customer)
         self.add(waiter)
         self.dispatch()
         if len(self.queue) <= self.loads.pool().max_waiting:
@@ -192,6 +196,11 @@
         )
         self.refuse(last, error)
 
+    def update_rates(self) -> None:
+        """Updates the rates by which waiting times are estimated."""
+        if self.estimates.customer_grants:
+            self.estimates.update(self.loads.total()[0])
+
     def dispatch(self) -> None:
         """Grants the free capacity to waiting requests, in queue order."""
         self.locality_wait.serve()
@@ -224,7 +233,8 @@
             return ServeResult.LATER
         if choice.reason != placement.HELD_CHAT:
             waiter, choice = self.swap_for_context(waiter, choice)
-        self.queue.dequeue(waiter)
+        if self.queue.dequeue(waiter):
+            self.estimates.note_left(waiter.request.customer, granted=True)
         self.remove(waiter)
         self.grant(waiter, choice)
         return ServeResult.DECIDED
--- a/lavenderbend/coordination/fairness.py
+++ b/lavenderbend/coordination/fairness.py
@@ -114,21 +114,29 @@
         self.item_at[first] = right
         self.item_at[second] = left
 
-    def dequeue(self, item: T) -> None:
-        """Dequeues an item and advances the virtual time to its start tag."""
+    def dequeue(self, item: T) -> bool:
+        """Dequeues an item and advances the virtual time to its start tag.
+
+        Returns:
+            Whether it was queued.
+        """
         position = self.positions.get(id(item))
         if position is None:
-            return
+            return False
         priority, start, _ = position
         virtual_time = self.virtual_time.get(priority, 0.0)
         self.virtual_time[priority] = max(virtual_time, start)
-        self.remove(item)
+        return self.remove(item)
 
-    def remove(self, item: T) -> None:
-        """Removes an item without advancing the virtual time."""
+    def remove(self, item: T) -> bool:
+        """Removes an item without advancing the virtual time.
+
+        Returns:
+            Whether it was queued.
+        """
         position = self.positions.pop(id(item), None)
         if position is None:
-            return
+            return False
         del self.items[bisect.bisect_left(self.items, position)]
         del self.item_at[position]
         key = self.keys.pop(id(item))
@@ -139,3 +147,4 @@
         if not self.items:
             self.finish.clear()
             self.virtual_time.clear()
+        return True
