--- a/tests/test_coordination/test_admission_estimates.py
+++ b/tests/test_coordination/test_admission_estimates.py
@@ -109,14 +109,14 @@
 async def test_owner_that_saw_few_releases_refuses_nothing(
     callers, autojump_clock
 ):
-    # one request that ran long was all that a new owner knew, and refused by
-    callers.start(1, 12.0)
-    await trio.sleep(13)
-    callers.start(8, 0.5)
+    # one release was all that an owner knew of, and refused by
+    callers.start(1, 0.5)
+    await trio.sleep(14)
+    callers.start(12, 0.5)
     await trio.sleep(5)
 
     assert callers.refused == []
-    assert len(callers.served) == 9
+    assert len(callers.served) == 13
 
 
 async def test_what_exceeds_a_known_rate_is_refused_at_once(
