Early connections: only a request that waited counts from the binding

What callers saw: 503 "not sent before the deadline" from a router that was ready, at once (test_reload_while_a_router_starts_does_not_end_it, once beside load).

Cause: the first request on a connection accepted early counted from the moment at which the early socket was bound, though it was sent only after the router was ready. A start of five seconds used up its time.

The new test failed before.

Fix: it counts from the binding only if bytes of it are there when the connection is accepted. The time of a request that waited still includes the wait (existing test).

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -42,7 +42,7 @@
         idle_scope: Cancel scope of the wait for the next request.
         waiting_since: Router clock since which its first request may have
             been waiting in the socket while the router started, None if the
-            connection was opened later.
+            connection was opened later or the request had not come.
     """
 
     def __init__(
@@ -52,7 +52,9 @@
         self.stream = stream
         self.idle_scope = trio.CancelScope()
         self.waiting_since: float | None = None
-        if trio.current_time() < server.early_until:
+        early = trio.current_time() < server.early_until
+        # of a connection that waited, only a request that waited too
+        if early and stream.socket.is_readable():
             self.waiting_since = server.waiting_since
         limits = server.limits()
         self.protocol = h11.Connection(
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -284,6 +284,30 @@
     assert router.requests[1].arrived >= began
 
 
+async def test_request_after_an_early_connection_has_all_its_time(
+    monkeypatch, nursery, free_address
+):
+    # its deadline was counted from before it was sent, and had passed by then
+    monkeypatch.setenv(early_listener.ADDRESS_VARIABLE, free_address)
+    early_listener.open_from_environment()
+    port = int(free_address.rpartition(':')[2])
+    stream = await trio.open_tcp_stream(HOST, port)
+    await trio.sleep(0.1)
+    router = Router()
+    server = caller_server.CallerServer(router.handle, lambda: LIMITS, 10)
+    await nursery.start(functools.partial(server.serve, HOST, port))
+    with trio.fail_after(5.0):
+        while True:
+            if server.connections:
+                break
+            await trio.sleep(0.001)
+    began = trio.current_time()
+    await stream.send_all(GET)
+    with trio.fail_after(5.0):
+        await stream.receive_some()
+    assert router.requests[0].arrived >= began
+
+
 async def test_early_listener_of_another_address_is_closed(
     monkeypatch, free_address
 ):
