A moved group leaves the requests of other groups in their queues

When one group of a pool got another owner, refresh_owners cancelled every request that waited at the former owner, also those of groups that it still owns: they asked again under new numbers, behind all others.

Pending requests carry their group, and only those of the moved group ask anew; a lost router's are still all cancelled.

test_request_keeps_its_turn_while_another_group_moves: without the mend the first queued number changes (..486 became ..502 behind the rest), with it the queue stays.

--- a/lavenderbend/coordination/admission/acquisition.py
+++ b/lavenderbend/coordination/admission/acquisition.py
@@ -140,7 +140,7 @@
         """Asks an owner; returns None if there is no usable answer."""
         admission = self.admission
         with trio.CancelScope() as scope:
-            admission.pending[owner][scope] = None
+            admission.pending[owner][scope] = group
             try:
                 answer = await self.exchange(owner, group)
                 if owner in admission.disconnected:
@@ -161,7 +161,7 @@
                 raise
             finally:
                 admission.pending[owner].pop(scope, None)
-        # cancelled because the owner is lost
+        # cancelled because the owner is lost or another router is it now
         self.renumber(owner)
         return None
 
--- a/lavenderbend/coordination/admission/service.py
+++ b/lavenderbend/coordination/admission/service.py
@@ -52,7 +52,7 @@
         unserved_until: Router clock until which a group is not asked for a
             model that none of its upstreams serves, by pool, group and model.
         pending: Cancel scopes of the requests that wait for each router's
-            answer.
+            answer, with their groups.
         report_needs: Whether the reports of a group are needed here, by the
             view in `report_needs_view`.
         report_needs_view: The live routers that `report_needs` is based on.
@@ -91,7 +91,7 @@
         self.unreachable_until: dict[str, float] = {}
         self.disconnected: set[str] = set()
         self.unserved_until: dict[tuple[str, int, str | None], float] = {}
-        self.pending: dict[str, dict[trio.CancelScope, None]] = (
+        self.pending: dict[str, dict[trio.CancelScope, groups.GroupId]] = (
             collections.defaultdict(dict)
         )
         self.last_number = rng.getrandbits(NUMBER_BITS)
@@ -218,15 +218,22 @@
                 ]
                 self.register(group, router, held)
 
-    def cancel_pending(self, router: str) -> None:
+    def cancel_pending(
+        self, router: str, group: groups.GroupId | None = None
+    ) -> None:
         """Cancels the requests that wait for the answer of a former owner.
 
         Otherwise requests queued there would not notice that it is lost, or
         that another router is the owner now, until the time for which it may
         hold an answer is over.
+
+        Args:
+            router: The former owner.
+            group: The group that it no longer owns, None for all groups.
         """
-        for scope in list(self.pending[router]):
-            scope.cancel()
+        for scope, pending_group in list(self.pending[router].items()):
+            if group in (None, pending_group):
+                scope.cancel()
 
     def refresh_owners(self) -> None:
         """Computes the owners anew and registers permits with new owners."""
@@ -248,7 +255,7 @@
                     group.pool, group.index
                 )
                 self.send_notice(before, moved)
-                self.cancel_pending(before)
+                self.cancel_pending(before, group)
             self.register(group, name, by_group[group])
 
     def register(
--- a/tests/test_coordination/test_admission_faults.py
+++ b/tests/test_coordination/test_admission_faults.py
@@ -473,3 +473,32 @@
     counted = sum(len(group.table.permits) for group in groups_)
 
     assert counted == 20
+
+
+async def test_request_keeps_its_turn_while_another_group_moves(
+    nursery, autojump_clock
+):
+    # Guards against requests that lose their turn at an owner that stays.
+    pool = configuration.Pool('chat', 'model', max_load=1, groups=2)
+    fleet = fakes.Fleet(nursery, routers=6, engines=6, pool=pool)
+    moves, stays = fleet.admissions['router-0'].directory.groups()
+    joining = groups.owner(moves, fleet.names)
+    rest = [name for name in fleet.names if name != joining]
+    owner = groups.owner(moves, rest)
+    for name in rest:
+        fleet.views[name].set_routers(rest)
+    await trio.sleep(1)
+    entry = fleet.admissions[next(name for name in rest if name != owner)]
+    for number in range(6):
+        await entry.acquire(fleet.permit_request(number))
+    for number in range(100, 110):
+        nursery.start_soon(entry.acquire, fleet.permit_request(number))
+    await trio.sleep(0.5)
+    queue = fleet.admissions[owner].owner.owned[stays].queue
+    before = list(queue.waiting)
+    fleet.views[entry.name].set_routers(fleet.names)
+    await trio.sleep(0.5)
+
+    assert groups.owner(moves, rest) == groups.owner(stays, fleet.names)
+    assert before
+    assert list(queue.waiting)[: len(before)] == before
