A router that was never heard doesn't count as a user of an owner

The default for a router without contact was the time -1, which is later than the oldest contact that counts while the clock is below entry_timeout less one second: all live routers counted as users (share 1.0 where 0.0 is right). Only virtual clocks start at 0, so this hid limits from tests in their first four seconds; no effect on a running router is known.

--- a/lavenderbend/coordination/admission/entry_tracker.py
+++ b/lavenderbend/coordination/admission/entry_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -87,7 +88,7 @@
         """Returns how many live routers use this owner."""
         oldest = trio.current_time() - self.timeout
         return sum(
-            self.last_contact.get(name, -1.0) >= oldest
+            self.last_contact.get(name, -math.inf) >= oldest
             for name in self.membership.region_routers()
         )
 
--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -6,6 +6,7 @@
 import trio
 
 from lavenderbend.coordination import placement
+from lavenderbend.coordination.admission import entry_tracker
 from lavenderbend.coordination.admission import live_routers
 from lavenderbend.protocol import messages_decisions as messages
 from lavenderbend.state import permits
@@ -248,6 +249,17 @@
     assert routers.names() == fleet.names[:2]
 
 
+async def test_silent_router_does_not_use_an_owner(nursery, autojump_clock):
+    # Guards against routers that count as heard while the clock is young.
+    fleet = fakes.Fleet(nursery, routers=3, engines=2)
+    view = fleet.views[fleet.names[0]]
+    routers = live_routers.LiveRouters(view)
+    tracker = entry_tracker.EntryTracker(view, routers, timeout=5.0)
+    assert tracker.share() == 0.0
+    tracker.note_contact(fleet.names[1])
+    assert tracker.share() == pytest.approx(1 / 3)
+
+
 async def test_degraded_shares_of_isolated_routers_add_up(
     nursery, autojump_clock
 ):
