--- a/tests/test_coordination/test_admission_views.py
+++ b/tests/test_coordination/test_admission_views.py
@@ -9,6 +9,7 @@
 from lavenderbend.coordination.admission import entry_tracker
 from lavenderbend.coordination.admission import live_routers
 from lavenderbend.protocol import messages_decisions as messages
+from lavenderbend.state import configuration
 from lavenderbend.state import permits
 from tests import disagreeing_fleet
 from tests import fakes
@@ -502,3 +503,44 @@
     await fill_engine(fleet, before, engine)
 
     assert 0 < fleet.loads()[engine] <= highest_load(fleet, 2)
+
+
+@pytest.mark.parametrize('routers', [2, 3, 4])
+async def test_isolated_routers_without_reports_use_only_their_share(
+    nursery, autojump_clock, routers
+):
+    # Guards against owners that share the bound only on reported engines.
+    fleet = await make_idle_fleet(nursery, routers, 4)
+    split(fleet, [1] * routers)
+    await trio.sleep(SETTLE_SECONDS)
+    engine = fleet.vms[0].id
+    for name in fleet.names:
+        await fill_engine(fleet, name, engine)
+
+    assert 0 < fleet.loads()[engine] <= highest_load(fleet, routers)
+
+
+@pytest.mark.parametrize(
+    'sizes', [(1, 1), (2, 2), (1, 1, 1)], ids=['1-1', '2-2', '1-1-1']
+)
+async def test_owner_with_a_newer_report_leaves_the_others_their_share(
+    nursery, autojump_clock, sizes
+):
+    # Guards against an owner that takes the share of those which do not yet
+    # know its load, because its own report shows no load but its own.
+    pool = configuration.Pool('chat', 'model', bound=1.5, floor=8)
+    fleet = fakes.Fleet(nursery, sum(sizes), 4, pool)
+    await trio.sleep(QUIET_SECONDS)
+    first, *others = split(fleet, sizes)
+    await trio.sleep(SETTLE_SECONDS)
+    for side in [first, *others]:
+        report_to(fleet, side)
+    engine, *rest = [vm.id for vm in fleet.vms]
+    for number in range(8):
+        await acquire_on(fleet, first[0], rest[number % 3], number)
+    await trio.sleep(SETTLE_SECONDS)
+    report_to(fleet, first)
+    for side in [first, *others]:
+        await fill_engine(fleet, side[0], engine)
+
+    assert 0 < fleet.loads()[engine] <= highest_load(fleet, len(sizes))
