A lost router's share is taken only once other owners have reports

Cause: the load in the reports gave the first owner the share of lost routers at once, though those may not have a report yet that shows its load.

Mend: a router counts for its share for three seconds after its loss whatever the reports show; reports come each second.

--- a/lavenderbend/coordination/admission/entry_tracker.py
+++ b/lavenderbend/coordination/admission/entry_tracker.py
@@ -7,9 +7,10 @@
 
 import trio
 
+from lavenderbend.coordination.admission import live_routers
+
 if TYPE_CHECKING:
     from lavenderbend.coordination import interfaces
-    from lavenderbend.coordination.admission import live_routers
 
 
 class EntryTracker:
@@ -71,18 +72,17 @@
         self.last_contact.pop(entry, None)
         self.mismatches.pop(entry, None)
 
-    def share(self) -> float:
+    def share(self, seconds: float = live_routers.LOST_SECONDS) -> float:
         """Returns the fraction of the routers that use this owner.
 
         Recently lost routers count as users of another owner. Otherwise two
         routers that each regard the other as dead would both act as the only
         owner.
-        """
-        return self.in_contact() / max(1, len(self.routers.names()))
 
-    def share_of_live(self) -> float:
-        """Returns the fraction of the live routers that use this owner."""
-        return self.in_contact() / max(1, len(self.membership.region_routers()))
+        Args:
+            seconds: How long a lost router counts.
+        """
+        return self.in_contact() / max(1, len(self.routers.names(seconds)))
 
     def in_contact(self) -> int:
         """Returns how many live routers use this owner."""
--- a/lavenderbend/coordination/admission/live_routers.py
+++ b/lavenderbend/coordination/admission/live_routers.py
@@ -38,7 +38,12 @@
             if seen_at < now - LOST_SECONDS:
                 del self.last_seen[name]
 
-    def names(self) -> list[str]:
-        """Returns the routers that are live or were live until recently."""
+    def names(self, seconds: float = LOST_SECONDS) -> list[str]:
+        """Returns the routers that were live within the last seconds."""
         self.refresh()
-        return sorted(self.last_seen)
+        oldest = trio.current_time() - seconds
+        return sorted(
+            name
+            for name, seen_at in self.last_seen.items()
+            if seen_at >= oldest
+        )
--- a/lavenderbend/coordination/admission/owner_share.py
+++ b/lavenderbend/coordination/admission/owner_share.py
@@ -13,6 +13,8 @@
     from lavenderbend.state import permits
 
 ROUNDING_TOLERANCE = 1e-9
+# After this time another owner has reports that show this owner's load.
+REPORTED_SECONDS = 3.0
 
 
 class OwnerShare:
@@ -53,9 +55,11 @@
         """
         own = sum(self.own(candidate.upstream) for candidate in candidates)
         load = sum(candidate.load for candidate in candidates)
-        if self.entries.share() >= 1.0 and load == own:
+        share = self.entries.share()
+        if share >= 1.0 and load == own:
             return
-        share = min(self.share(candidates), (own + 1) / (load + 1))
+        share = max(share, self.share_by_load(candidates))
+        share = min(share, (own + 1) / (load + 1))
         limit = math.ceil(share * allowed - ROUNDING_TOLERANCE)
         for candidate in candidates:
             upstream = candidate.upstream
@@ -66,13 +70,13 @@
                 growth = self.table.growth(upstream)
                 candidate.headroom = min(candidate.headroom, 1 - growth)
 
-    def share(self, candidates: Sequence[placement.Candidate]) -> float:
-        """Returns the fraction of the bound that this owner may use.
+    def share_by_load(self, candidates: Sequence[placement.Candidate]) -> float:
+        """Returns the fraction of the bound that reports leave to this owner.
 
-        A recently lost router may be the owner of others, so it counts as one
-        that does not use this owner. But it may also be dead, and the share
-        that it leaves unused would delay requests. So it does not count to
-        the extent that the load in the last reports is of this owner.
+        A lost router may be the owner of others, so it counts as one that does
+        not use this owner. But it may also be dead, and the share that it
+        leaves unused would delay requests. So after `REPORTED_SECONDS` it does
+        not count to the extent that the load in the reports is this owner's.
         """
         reports = self.table.reports
         seen = [
@@ -82,8 +86,7 @@
         ]
         own = sum(report.own for report in seen)
         load = sum(report.load for report in seen)
-        by_load = self.entries.share_of_live() * own / (load + 1)
-        return max(self.entries.share(), by_load)
+        return self.entries.share(REPORTED_SECONDS) * own / (load + 1)
 
     def own(self, upstream: str) -> int:
         """Returns how many live permits of an upstream are this owner's.
