Tests of reservations made after a report of the other half's load

Cause: an offer's load is the greater of the owner's count and the report with the router's own changes. The owner counts only its half, so all that the half reserves after a report stays hidden until the count passes it. The chat router adds the excess of a report to its permits instead (PermitTable.join); forwarding owners don't.

Forced, 30 routers in one zone, halves cut both ways: report of 7, engines else at 3, then ten requests by ten routers of one half. Load 7 is seen at each choice until 8 are placed (7 hidden); 5 of 10 find the engine over twice the mean and three. Same for reports 0.1 s and 0.8 s old.

--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -424,3 +424,78 @@
 
     assert count_owned_twice(fleet) > 0
     assert traffic.figures()['over_bound'] <= MAX_OVER_BOUND_FRACTION
+
+
+def heard_by_first(fleet):
+    """Returns the routers that messages of the first router reach."""
+    host = fleet.routers[0].host
+    return [
+        router
+        for router in fleet.routers.values()
+        if not fleet.net.cut(host, router.host)
+    ]
+
+
+def preferred_upstream(fleet, chat):
+    """Returns the instance that a chat prefers."""
+    chats = prompts.Chats(fleet.routers[0], by_owners=True)
+    places = chats.chooser.directory.candidates(world.SERVICE).rendezvous
+    return places.first(chat)
+
+
+async def place(traffic, router, chat):
+    """Has a router place a request of a chat, whose prompt is read at once."""
+    subject = ticket(chat)
+    chats = prompts.Chats(router, by_owners=True)
+    chosen = await chats.placing.choose(subject)
+    traffic.note_load(traffic.engines[chosen.upstream.instance])
+    router.loads.begin(chosen.upstream.instance)
+    if subject.reservation is not None:
+        subject.reservation.note_begun()
+    await trio.sleep(reservations.FLUSH_SECONDS + 0.01)
+    return chosen
+
+
+async def place_after_report(nursery, load, age):
+    """Has a half place one chat's requests after a report of the other's.
+
+    Each request is sent through another router, and no report follows.
+
+    Returns:
+        The traffic, and the choices of the chat's preferred upstream.
+    """
+    fleet = await started(nursery, 30, loss=0.0, zones=1)
+    fleet.net.cut = partition(fleet, both_ways=True)
+    await trio.sleep(4.0)
+    preferred = preferred_upstream(fleet, 'chat-1')
+    traffic = prompts.Prompts(fleet, by_owners=True)
+    for engine in traffic.engines.values():
+        engine.load = 3
+    traffic.engines[preferred].load = load
+    half = heard_by_first(fleet)
+    for router in half:
+        for instance, engine in traffic.engines.items():
+            router.loads.note_peer_report(instance, engine.load, age)
+    choices = [await place(traffic, router, 'chat-1') for router in half[:10]]
+    return traffic, [
+        chosen for chosen in choices if chosen.upstream.instance == preferred
+    ]
+
+
+@pytest.mark.parametrize('age', [0.1, 0.8])
+async def test_reservations_after_a_report_add_to_its_load(
+    nursery, autojump_clock, age
+):
+    # The report of 7 hid all that other routers reserved after it, up to 7.
+    _, choices = await place_after_report(nursery, 7, age)
+    unseen = [7 + n - chosen.load for n, chosen in enumerate(choices)]
+    assert max(unseen) <= 0
+
+
+@pytest.mark.parametrize('age', [0.1, 0.8])
+async def test_half_of_a_fleet_overloads_no_engine_between_reports(
+    nursery, autojump_clock, age
+):
+    # One half filled the bound again above the other's reported requests.
+    traffic, _ = await place_after_report(nursery, 7, age)
+    assert sum(traffic.over) == 0
