Test of a half that hears an owner but isn't heard by it

Cause: a router that is heard counts as alive, so routers of the half that isn't heard take its owners for theirs. Their requests for reservations get no reply, the owner is passed by for a second, and none of their requests is counted by anyone: each router knows its own and what gossip brings.

Forced, 30 routers in one zone, cut one way: 15 requests of one chat, each by another router that already found the owner silent, all go to the same engine; 11 of 15 find it over twice the mean and three.

--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -499,3 +499,29 @@
     # One half filled the bound again above the other's reported requests.
     traffic, _ = await place_after_report(nursery, 7, age)
     assert sum(traffic.over) == 0
+
+
+async def test_half_that_the_owner_does_not_hear_overloads_no_engine(
+    nursery, autojump_clock
+):
+    # Routers heard an owner that did not hear them, and none counted for them.
+    fleet = await started(nursery, 30, loss=0.0, zones=1)
+    fleet.net.cut = partition(fleet, both_ways=False)
+    await trio.sleep(4.0)
+    half = heard_by_first(fleet)
+    owners = fleet.routers[0].peers.reservations.owners
+    number = 1
+    while True:
+        preferred = preferred_upstream(fleet, f'chat-{number}')
+        owner = owners.owner_in_zone(hashing.short_id(preferred))
+        if fleet.net.cut(fleet.routers[0].host, owner):
+            break
+        number += 1
+    # Each router has noticed that this owner does not reply to it.
+    upstream = fleet.store.content.upstreams[preferred]
+    for router in half:
+        await router.peers.reservations.reserve(upstream, PROMPT, 0.001)
+    traffic = prompts.Prompts(fleet, by_owners=True)
+    for router in half:
+        await place(traffic, router, f'chat-{number}')
+    assert sum(traffic.over) == 0
