Test of an owner's refusal that is forgotten at the next one's silence

Cause: where an owner has said that its upstream is over the bound and the next one asked doesn't reply, the offers are released and the choice is made anew by local knowledge, which sends the request, uncounted, to the upstream that was refused.

Forced, 20 routers: six requests counted on the preferred upstream at a bound of three, then only that owner is reachable: it is chosen.

--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -525,3 +525,19 @@
     for router in half:
         await place(traffic, router, f'chat-{number}')
     assert sum(traffic.over) == 0
+
+
+async def test_full_upstream_is_not_used_after_another_owner_is_silent(
+    chats, autojump_clock
+):
+    # The owner's answer was dropped with the offers when the next was silent.
+    places = chats.chooser.directory.candidates(world.SERVICE).rendezvous
+    preferred = places.first('chat-1')
+    reserving = chats.placing.reservations
+    upstream = chats.chooser.directory.find(preferred)
+    for _ in range(2 * chats.chooser.load_bound(places.sample)):
+        reply = await reserving.reserve(upstream, PROMPT, 5.0)
+    network = chats.router.peers.link.network
+    network.cut = lambda source, target: reply.owner not in (source, target)
+    chosen = await chats.placing.choose(ticket())
+    assert chosen.upstream.instance != preferred
