Owners add what reports show beyond their own count

What callers saw: with each zone cut into two halves, requests met engines over twice the mean and three.

Cause: an offer's load was the greater of the owner's count and the report with the router's own changes, so that what a half reserved after a report stayed hidden until the count passed the report. The owner now joins the last report with the reservations live at its time (PermitTable, as the other kind of router does): the excess is added to the live reservations. PermitTable only gains remove_idle, which drops upstreams without permits; its present callers don't use it.

--- a/lavenderbend/coordination/forwarding/loads.py
+++ b/lavenderbend/coordination/forwarding/loads.py
@@ -174,6 +174,14 @@
                 break
             del self.reports[instance]
 
+    def last_report(self, instance: str) -> LoadReport | None:
+        """Returns the last report of an upstream, None if it has expired."""
+        report = self.reports.get(instance)
+        if report is None:
+            return None
+        age = trio.current_time() - report.at
+        return report if age < REPORT_LIFETIME_SECONDS else None
+
     def load(self, instance: str) -> int:
         """Returns how many requests an upstream has."""
         self.remove_expired()
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -11,10 +11,13 @@
 
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
+from lavenderbend.state import permits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lavenderbend.coordination.forwarding import loads
+
 # Cost of copying a cached prompt from another upstream, as a fraction of the
 # time that it takes to process it.
 COPY_COST_FRACTION = 0.2
@@ -57,6 +60,10 @@
     until: float
 
 
+def no_report(upstream: int) -> None:
+    """Returns no load report of any upstream."""
+
+
 class OwnedLoads:
     """Counts the requests at the upstreams that this router owns.
 
@@ -67,16 +74,29 @@
     The owner decides nothing; if it is dead, unreachable or wrong, routers
     choose by their own knowledge.
 
+    Requests that the owner does not count are known from the upstream's load
+    reports only: the excess of the last report over the reservations that were
+    live at its time is added to the reservations that are live now.
+
     Attributes:
         host: This router.
+        last_report: Returns the last load report of an upstream, None if it is
+            unknown or expired.
         upstreams: Reservations by upstream, then by router and number.
+        table: The same reservations, combined with the load reports.
         chats: Upstreams that hold each chat and the router clock at which
             that was last reported; the most recently updated chat last.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(
+        self,
+        host: str,
+        last_report: Callable[[int], loads.LoadReport | None] = no_report,
+    ) -> None:
         self.host = host
+        self.last_report = last_report
         self.upstreams: dict[int, dict[tuple[str, int], CountedRequest]] = {}
+        self.table = permits.PermitTable()
         self.chats: collections.OrderedDict[int, dict[int, float]] = (
             collections.OrderedDict()
         )
@@ -89,15 +109,15 @@
         A reservation request that arrives twice is counted once.
         """
         now = trio.current_time()
+        self.discard(request)
+        self.drop_expired(request.upstream, now)
         counted = self.upstreams.setdefault(request.upstream, {})
-        counted.pop((request.host, request.number), None)
-        drop_expired(counted, now)
         holders = self.holders(request.chat)
         reply = messages_forwarding.ReservationReply(
             request.number,
             self.host,
             request.upstream,
-            len(counted),
+            self.load(request.upstream),
             sum(other.unread for other in counted.values()),
             holders,
         )
@@ -114,8 +134,32 @@
             ),
             now + seconds,
         )
+        self.table.add(
+            permits.LivePermit(
+                request.host, request.number, table_key(request.upstream), now
+            )
+        )
         return reply
 
+    def load(self, upstream: int) -> int:
+        """Returns how many requests an upstream has."""
+        key = table_key(upstream)
+        report = self.last_report(upstream)
+        matched = self.table.reports.get(key)
+        if report is None:
+            self.table.remove_report(key)
+        elif matched is None or matched.at != report.at:
+            self.table.join(key, report.at, report.load)
+        return self.table.load(key)
+
+    def discard(self, request: messages_forwarding.ReservationRequest) -> None:
+        """Removes a reservation whose request has been received again."""
+        counted = self.upstreams.get(request.upstream, {})
+        counted.pop((request.host, request.number), None)
+        permit = self.table.get(request.host, request.number)
+        if permit is not None:
+            self.table.discard(permit)
+
     def holders(self, chat: int) -> list[int]:
         """Returns the upstreams that hold a chat, the latest first."""
         holders = self.chats.get(chat, {})
@@ -149,7 +193,9 @@
         self, host: str, number: int, upstream: int, chat: int, holder: int
     ) -> None:
         """Removes a request that has ended."""
-        self.upstreams.get(upstream, {}).pop((host, number), None)
+        counted = self.upstreams.get(upstream, {})
+        if counted.pop((host, number), None) is not None:
+            self.table.remove(host, number, trio.current_time())
 
     def note_held(
         self, host: str, number: int, upstream: int, chat: int, holder: int
@@ -167,21 +213,26 @@
         """Removes expired reservations and updates the metric."""
         now = trio.current_time()
         for upstream, counted in list(self.upstreams.items()):
-            drop_expired(counted, now)
+            self.drop_expired(upstream, now)
             if not counted:
                 del self.upstreams[upstream]
+        self.table.remove_idle(now)
         count = sum(len(counted) for counted in self.upstreams.values())
         RESERVATIONS.set({}, count)
 
+    def drop_expired(self, upstream: int, now: float) -> None:
+        """Removes the expired reservations at an upstream."""
+        counted = self.upstreams.get(upstream, {})
+        for host, number in [
+            key for key, request in counted.items() if request.until <= now
+        ]:
+            del counted[host, number]
+            self.table.remove(host, number, now)
+
 
-def drop_expired(
-    counted: dict[tuple[str, int], CountedRequest], now: float
-) -> None:
-    """Removes the expired requests."""
-    for key in [
-        key for key, request in counted.items() if request.until <= now
-    ]:
-        del counted[key]
+def table_key(upstream: int) -> str:
+    """Returns the key of an upstream in the table of reservations."""
+    return f'{upstream:08x}'
 
 
 def unread_tokens(
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -139,7 +139,7 @@
         self.freshness.on_fetched = self.relay
         self.owners = owners.Owners(host, zone, self.members, self.fleet, rng)
         self.reservations = reservations.Reservations(
-            host, self.owners, link, rng
+            host, self.owners, link, rng, self.loads.last_report
         )
         self.handlers: dict[type, Callable[..., None]] = {
             messages_forwarding.RouterState: self.on_state,
--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -15,10 +15,12 @@
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
     import random
 
     from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import loads
     from lavenderbend.coordination.forwarding import owners as owners_module
     from lavenderbend.state import forwarding
 
@@ -155,10 +157,11 @@
         owners: owners_module.Owners,
         link: interfaces.DatagramLink,
         rng: random.Random,
+        last_report: Callable[[int], loads.LoadReport | None],
     ) -> None:
         self.host = host
         self.owners = owners
-        self.owned = owned_loads.OwnedLoads(host)
+        self.owned = owned_loads.OwnedLoads(host, last_report)
         self.link = link
         self.numbers = itertools.count(rng.getrandbits(30))
         self.pending: dict[int, PendingRequest] = {}
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -57,9 +57,9 @@
 
     Attributes:
         reservation: The owner's answer.
-        load: Requests that the upstream holds: the owner's count, or the
-            reported load if that is higher. A router that has just become the
-            owner counts from zero, and would let requests exceed the bound.
+        load: Requests that the upstream holds: as the owner counts them, or
+            as this router knows if that is more. The owner may lack a report
+            that has reached this router.
         holds: Whether the upstream has the chat cached.
         held: Whether any upstream has.
     """
--- a/lavenderbend/coordination/forwarding/shared_loads.py
+++ b/lavenderbend/coordination/forwarding/shared_loads.py
@@ -63,6 +63,11 @@
                 self.short_ids[instance] = short = hashing.short_id(instance)
                 self.instances[short] = instance
 
+    def last_report(self, short: int) -> loads_module.LoadReport | None:
+        """Returns the last report of an upstream, None if there is none."""
+        instance = self.instances.get(short)
+        return None if instance is None else self.loads.last_report(instance)
+
     def packed_reports(self, other_zone: bool) -> bytes:
         """Returns the latest load reports, packed.
 
--- a/lavenderbend/state/permits.py
+++ b/lavenderbend/state/permits.py
@@ -167,6 +167,17 @@
         """Removes the report of an upstream."""
         self.reports.pop(upstream, None)
 
+    def remove_idle(self, now: float) -> None:
+        """Removes upstreams that have no live or retained permits."""
+        oldest = now - RELEASED_RETENTION_SECONDS
+        for upstream, live in list(self.live.items()):
+            released = self.released.get(upstream)
+            if live or (released and released[-1][1] >= oldest):
+                continue
+            del self.live[upstream]
+            self.released.pop(upstream, None)
+            self.reports.pop(upstream, None)
+
     def own(self, upstream: str) -> int:
         """Returns how many permits of the upstream are live."""
         return len(self.live[upstream])
