A silent owner neither ends the asking nor hides a refusal

What callers saw: cut in one direction, with 60 routers, up to 0.050 of the requests met an engine over twice the mean and three.

Cause: the first owner that did not reply ended the asking. Offers that were refused were dropped, and the choice without a reservation went back to the upstream that its owner had called full. Now the next upstream is asked about, until two owners were silent; upstreams called full are left out of the choice without a reservation while others are usable.

test_full_upstream_is_not_used_after_another_owner_is_silent failed before and passes now.

--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
@@ -45,10 +46,14 @@
 # requests of one chat learn of each other's requests too late, and would
 # overload the upstream that each of them believes to be free.
 MAX_OFFERS = 10
+# Owners that do not reply, after which no other is asked: each may delay the
+# request by `reservations.REPLY_TIMEOUT_SECONDS`.
+MAX_SILENT_OWNERS = 2
 
 HOLDS_CHAT = 'holds the chat'
 LESS_UNREAD = 'less to read'
 MORE_UNREAD = 'more to read'
+NO_REPLY = 'its owner did not reply'
 
 
 @attrs.frozen
@@ -149,7 +154,7 @@
         if self.fleet_size() <= SMALL_FLEET_ROUTERS:
             return choice
         prompt = make_prompt(ticket.prompt.parts, ticket.prompt.chat)
-        offers = await self.ask(ticket, prompt, choice.allowed)
+        offers, silent = await self.ask(ticket, prompt, choice.allowed)
         # Upstreams may have come or gone while owners were asked.
         upstreams = self.chooser.directory.candidates(ticket.service).by_name
         remaining = [
@@ -158,9 +163,7 @@
         chosen = best(remaining, prompt, choice.allowed)
         self.release(offers, chosen)
         if chosen is None:
-            return self.chooser.choose(
-                ticket.service, ticket.prompt, ticket.tried, ticket.id
-            )
+            return self.choose_unreserved(ticket, remaining)
         ticket.reservation = reservations_module.ActiveReservation(
             self.reservations,
             chosen.reservation,
@@ -169,41 +172,78 @@
             self.names(offers[0].reservation.holders),
         )
         upstream = upstreams[chosen.reservation.instance]
-        return make_choice(upstream, offers, chosen, choice.allowed)
+        return make_choice(upstream, offers, chosen, choice.allowed, silent)
+
+    def choose_unreserved(
+        self, ticket: tickets.Ticket, over_bound: Sequence[Offer]
+    ) -> choice_module.Choice:
+        """Chooses by what this router knows, without a reservation.
+
+        Args:
+            ticket: The request.
+            over_bound: Offers over the bound. Their upstreams are left out
+                while others are usable.
+        """
+        refused = {offer.reservation.instance for offer in over_bound}
+        usable = self.chooser.usable(
+            ticket.service, ticket.prompt, ticket.tried
+        )
+        if usable.next(refused) is None:
+            refused = set()
+        choice = self.chooser.choose(
+            ticket.service, ticket.prompt, {*ticket.tried, *refused}, ticket.id
+        )
+        passed_over = tuple(
+            decisions.PassedOver(one.upstream, choice_module.OVER_BOUND)
+            if one.upstream in refused
+            else one
+            for one in choice.passed_over
+        )
+        return attrs.evolve(choice, passed_over=passed_over)
 
     async def ask(
         self,
         ticket: tickets.Ticket,
         prompt: reservations_module.PromptSummary,
         bound: int,
-    ) -> list[Offer]:
-        """Reserves at owners in turn, until an offer is good enough."""
+    ) -> tuple[list[Offer], list[str]]:
+        """Reserves at owners in turn, until an offer is good enough.
+
+        Returns:
+            The offers, and the upstreams whose owners did not reply.
+        """
         usable = self.chooser.usable(
             ticket.service, ticket.prompt, ticket.tried
         )
         offers: list[Offer] = []
+        silent: list[str] = []
         try:
-            while needs_another_offer(offers, bound):
-                upstream = self.next_to_ask(usable, offers, bound)
+            while (
+                needs_another_offer(offers, bound)
+                and len(silent) < MAX_SILENT_OWNERS
+            ):
+                upstream = self.next_to_ask(usable, offers, bound, silent)
                 if upstream is None:
                     break
                 reservation = await self.reservations.reserve(
                     upstream, prompt, ticket.seconds_left
                 )
                 if reservation is None:
-                    break
+                    silent.append(upstream.instance)
+                    continue
                 local_load = self.chooser.loads.load(upstream.instance)
                 offers.append(make_offer(reservation, local_load, offers))
         except trio.Cancelled:
             self.release(offers, None)
             raise
-        return offers
+        return offers, silent
 
     def next_to_ask(
         self,
         usable: choice_module.UsableUpstreams,
         offers: Sequence[Offer],
         bound: int,
+        silent: Collection[str],
     ) -> forwarding.Upstream | None:
         """Returns the upstream whose owner is asked next, None if none is.
 
@@ -212,13 +252,14 @@
         as far as this router knows.
         """
         asked = {offer.reservation.instance for offer in offers}
+        asked.update(silent)
         holders = offers[0].reservation.holders if offers else ()
         for name in self.names(holders):
             if name not in asked and usable.has(name):
                 return usable.candidates.by_name[name]
         while (upstream := usable.next(asked)) is not None:
             local_load = self.chooser.loads.load(upstream.instance)
-            if not offers or local_load < bound:
+            if not asked or local_load < bound:
                 return upstream
             asked.add(upstream.instance)
         return None
@@ -242,20 +283,22 @@
     offers: Sequence[Offer],
     chosen: Offer,
     bound: int,
+    silent: Sequence[str],
 ) -> choice_module.Choice:
     """Returns the choice of an offer, with why the others were passed over."""
     reason = choice_module.PROMPT_CACHED
     if chosen is not offers[0]:
         reason = HOLDS_CHAT if chosen.holds else LESS_UNREAD
-    passed_over = tuple(
+    passed_over = [
         decisions.PassedOver(
             offer.reservation.instance, pass_over_reason(offer, bound)
         )
         for offer in offers
         if offer is not chosen
-    )
+    ]
+    passed_over += [decisions.PassedOver(name, NO_REPLY) for name in silent]
     return choice_module.Choice(
-        upstream, reason, chosen.load, bound, passed_over
+        upstream, reason, chosen.load, bound, tuple(passed_over)
     )
 
 
--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -18,6 +18,7 @@
 from lavenderbend.coordination.forwarding import reserving_chooser
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import hashing
+from lavenderbend.state import permits
 
 HELD = owned_loads.NoteKind.HELD
 ENDED = owned_loads.NoteKind.ENDED
@@ -541,3 +542,29 @@
     network.cut = lambda source, target: reply.owner not in (source, target)
     chosen = await chats.placing.choose(ticket())
     assert chosen.upstream.instance != preferred
+
+
+async def test_request_waits_for_two_silent_owners_at_most(
+    chats, autojump_clock
+):
+    # All other routers died at once: each owner asked costs the full timeout.
+    chats.router.peers.link.network.cut = lambda source, target: True
+    begin = trio.current_time()
+    chosen = await chats.placing.choose(ticket())
+    waited = trio.current_time() - begin
+    assert chosen.upstream is not None
+    assert waited <= 2 * reservations.REPLY_TIMEOUT_SECONDS + 0.001
+
+
+async def test_upstream_without_requests_is_forgotten(owned, autojump_clock):
+    # Upstreams come and go for as long as a router runs.
+    owned.reserve(request(1))
+    owned.reserve(request(2, milliseconds=1000))
+    owned.apply_notes(notes([ENDED, 1, 5, 77, 0]))
+    await trio.sleep(2.0)
+    owned.remove_expired()
+    await trio.sleep(permits.RELEASED_RETENTION_SECONDS + 1.0)
+    owned.remove_expired()
+    assert not owned.upstreams
+    assert not owned.table.live
+    assert not owned.table.released
