--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -18,6 +18,7 @@
 from lavenderbend.coordination.forwarding import reserving_chooser
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import hashing
+from lavenderbend.state import permits
 
 HELD = owned_loads.NoteKind.HELD
 ENDED = owned_loads.NoteKind.ENDED
@@ -424,3 +425,146 @@
 
     assert count_owned_twice(fleet) > 0
     assert traffic.figures()['over_bound'] <= MAX_OVER_BOUND_FRACTION
+
+
+def heard_by_first(fleet):
+    """Returns the routers that messages of the first router reach."""
+    host = fleet.routers[0].host
+    return [
+        router
+        for router in fleet.routers.values()
+        if not fleet.net.cut(host, router.host)
+    ]
+
+
+def preferred_upstream(fleet, chat):
+    """Returns the instance that a chat prefers."""
+    chats = prompts.Chats(fleet.routers[0], by_owners=True)
+    places = chats.chooser.directory.candidates(world.SERVICE).rendezvous
+    return places.first(chat)
+
+
+async def place(traffic, router, chat):
+    """Has a router place a request of a chat, whose prompt is read at once."""
+    subject = ticket(chat)
+    chats = prompts.Chats(router, by_owners=True)
+    chosen = await chats.placing.choose(subject)
+    traffic.note_load(traffic.engines[chosen.upstream.instance])
+    router.loads.begin(chosen.upstream.instance)
+    if subject.reservation is not None:
+        subject.reservation.note_begun()
+    await trio.sleep(reservations.FLUSH_SECONDS + 0.01)
+    return chosen
+
+
+async def place_after_report(nursery, load, age):
+    """Has a half place one chat's requests after a report of the other's.
+
+    Each request is sent through another router, and no report follows.
+
+    Returns:
+        The traffic, and the choices of the chat's preferred upstream.
+    """
+    fleet = await started(nursery, 30, loss=0.0, zones=1)
+    fleet.net.cut = partition(fleet, both_ways=True)
+    await trio.sleep(4.0)
+    preferred = preferred_upstream(fleet, 'chat-1')
+    traffic = prompts.Prompts(fleet, by_owners=True)
+    for engine in traffic.engines.values():
+        engine.load = 3
+    traffic.engines[preferred].load = load
+    half = heard_by_first(fleet)
+    for router in half:
+        for instance, engine in traffic.engines.items():
+            router.loads.note_peer_report(instance, engine.load, age)
+    choices = [await place(traffic, router, 'chat-1') for router in half[:10]]
+    return traffic, [
+        chosen for chosen in choices if chosen.upstream.instance == preferred
+    ]
+
+
+@pytest.mark.parametrize('age', [0.1, 0.8])
+async def test_reservations_after_a_report_add_to_its_load(
+    nursery, autojump_clock, age
+):
+    # The report of 7 hid all that other routers reserved after it, up to 7.
+    _, choices = await place_after_report(nursery, 7, age)
+    unseen = [7 + n - chosen.load for n, chosen in enumerate(choices)]
+    assert max(unseen) <= 0
+
+
+@pytest.mark.parametrize('age', [0.1, 0.8])
+async def test_half_of_a_fleet_overloads_no_engine_between_reports(
+    nursery, autojump_clock, age
+):
+    # One half filled the bound again above the other's reported requests.
+    traffic, _ = await place_after_report(nursery, 7, age)
+    assert sum(traffic.over) == 0
+
+
+async def test_half_that_the_owner_does_not_hear_overloads_no_engine(
+    nursery, autojump_clock
+):
+    # Routers heard an owner that did not hear them, and none counted for them.
+    fleet = await started(nursery, 30, loss=0.0, zones=1)
+    fleet.net.cut = partition(fleet, both_ways=False)
+    await trio.sleep(4.0)
+    half = heard_by_first(fleet)
+    owners = fleet.routers[0].peers.reservations.owners
+    number = 1
+    while True:
+        preferred = preferred_upstream(fleet, f'chat-{number}')
+        owner = owners.owner_in_zone(hashing.short_id(preferred))
+        if fleet.net.cut(fleet.routers[0].host, owner):
+            break
+        number += 1
+    # Each router has noticed that this owner does not reply to it.
+    upstream = fleet.store.content.upstreams[preferred]
+    for router in half:
+        await router.peers.reservations.reserve(upstream, PROMPT, 0.001)
+    traffic = prompts.Prompts(fleet, by_owners=True)
+    for router in half:
+        await place(traffic, router, f'chat-{number}')
+    assert sum(traffic.over) == 0
+
+
+async def test_full_upstream_is_not_used_after_another_owner_is_silent(
+    chats, autojump_clock
+):
+    # The owner's answer was dropped with the offers when the next was silent.
+    places = chats.chooser.directory.candidates(world.SERVICE).rendezvous
+    preferred = places.first('chat-1')
+    reserving = chats.placing.reservations
+    upstream = chats.chooser.directory.find(preferred)
+    for _ in range(2 * chats.chooser.load_bound(places.sample)):
+        reply = await reserving.reserve(upstream, PROMPT, 5.0)
+    network = chats.router.peers.link.network
+    network.cut = lambda source, target: reply.owner not in (source, target)
+    chosen = await chats.placing.choose(ticket())
+    assert chosen.upstream.instance != preferred
+
+
+async def test_request_waits_for_two_silent_owners_at_most(
+    chats, autojump_clock
+):
+    # All other routers died at once: each owner asked costs the full timeout.
+    chats.router.peers.link.network.cut = lambda source, target: True
+    begin = trio.current_time()
+    chosen = await chats.placing.choose(ticket())
+    waited = trio.current_time() - begin
+    assert chosen.upstream is not None
+    assert waited <= 2 * reservations.REPLY_TIMEOUT_SECONDS + 0.001
+
+
+async def test_upstream_without_requests_is_forgotten(owned, autojump_clock):
+    # Upstreams come and go for as long as a router runs.
+    owned.reserve(request(1))
+    owned.reserve(request(2, milliseconds=1000))
+    owned.apply_notes(notes([ENDED, 1, 5, 77, 0]))
+    await trio.sleep(2.0)
+    owned.remove_expired()
+    await trio.sleep(permits.RELEASED_RETENTION_SECONDS + 1.0)
+    owned.remove_expired()
+    assert not owned.upstreams
+    assert not owned.table.live
+    assert not owned.table.released
