A reservation whose replies were lost is ended

What callers saw: nothing measured. An owner whose replies do not arrive counted each such request until its deadline, 15 s at most: the upstream looked fuller than it was.

Cause: a reservation request without a reply in time ended nothing; only a reply that came late did. Now the router that was asked is told of the end. If it had passed the request on to the owner, it ignores the note: that case remains.

test_reservation_without_a_reply_is_ended failed before (one reservation left) and passes now, with 9 others on silent, dead, late and lost replies.

--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -207,6 +207,9 @@
         if reply is None:
             OWNER_REQUESTS.inc({'answered': 'no'})
             self.owners.note_unresponsive(host)
+            # The owner may have counted it, and its replies were lost.
+            lost = Reservation(request.number, '', short, host)
+            self.queue_note(lost, owned_loads.NoteKind.ENDED, 0)
             return None
         OWNER_REQUESTS.inc({'answered': 'yes'})
         self.owners.note_owner(short, reply.owner)
--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -204,6 +204,21 @@
     assert (await client.reserve(upstream, PROMPT, 5.0)).load == 0
 
 
+async def test_reservation_without_a_reply_is_ended(nursery, autojump_clock):
+    # An owner that is heard no more would count it until its deadline.
+    fleet = await started(nursery, 20, loss=0.0)
+    upstream = upstream_of(fleet)
+    client = fleet.routers[0].peers.reservations
+    first = await client.reserve(upstream, PROMPT, 5.0)
+    client.queue_note(first, ENDED, 0)
+    await trio.sleep(0.5)
+    fleet.net.cut = lambda source, target: source == first.owner
+    assert await client.reserve(upstream, PROMPT, 5.0) is None
+    await trio.sleep(0.5)
+    owner = next(r for r in fleet.routers.values() if r.host == first.owner)
+    assert not owner.peers.reservations.owned.upstreams.get(first.upstream)
+
+
 @pytest.fixture
 async def chats(nursery, autojump_clock):
     fleet = await started(nursery, 20, loss=0.0)
