Drained zones: their upstreams get no requests until taken back

The directory leaves their upstreams out, also those whose entries lapsed, and requests that are connecting look once more before they are sent. All zones drained: refused at once as not run, with the reason. Prompts are copied from a drained zone only until it may be gone.

--- a/lavenderbend/coordination/forwarding/cached_prompts.py
+++ b/lavenderbend/coordination/forwarding/cached_prompts.py
@@ -115,6 +115,7 @@
         parts: Sequence[choice.PromptPart],
         chosen: forwarding.Upstream,
         holders: Collection[str] = (),
+        regions: frozenset[str] | None = None,
     ) -> CopySource | None:
         """Returns an upstream that may have more of a prompt than the chosen.
 
@@ -125,6 +126,7 @@
             chosen: The upstream that the request is sent to.
             holders: Upstreams that hold the chat, by the answer of the owner
                 of its preferred upstream.
+            regions: The regions that they may be in, None for all.
 
         Returns:
             The copy source, None if the chosen upstream has the whole prompt
@@ -135,26 +137,28 @@
         if last == chosen.instance or chosen.instance in holders:
             return None
         for name in holders:
-            upstream = self.usable(name, chosen)
+            upstream = self.usable(name, chosen, regions)
             if upstream is not None:
                 COPIES.inc({'why': HOLDS_CHAT})
                 return CopySource(upstream, HOLDS_CHAT)
         for name, reason in self.likely_holders(service, key, chosen):
-            upstream = self.usable(name, chosen)
+            upstream = self.usable(name, chosen, regions)
             if upstream is not None:
                 COPIES.inc({'why': reason})
                 return CopySource(upstream, reason)
-        return self.shared_prefix_source(parts, chosen)
+        return self.shared_prefix_source(parts, chosen, regions)
 
     def shared_prefix_source(
         self,
         parts: Sequence[choice.PromptPart],
         chosen: forwarding.Upstream,
+        regions: frozenset[str] | None,
     ) -> CopySource | None:
         """Returns an upstream that holds the prefix shared by many chats."""
 
         def usable(short: int) -> bool:
-            return self.usable(self.instances.get(short), chosen) is not None
+            name = self.instances.get(short)
+            return self.usable(name, chosen, regions) is not None
 
         short = self.holders.shared_prefix_holder(parts, usable)
         if short is None:
@@ -188,7 +192,10 @@
             yield rendezvous.first(key), PREFERRED_BEFORE_CHANGE
 
     def usable(
-        self, name: str | None, chosen: forwarding.Upstream
+        self,
+        name: str | None,
+        chosen: forwarding.Upstream,
+        regions: frozenset[str] | None,
     ) -> forwarding.Upstream | None:
         """Returns the upstream of a name if it can be copied from."""
         if name is None or name == chosen.instance:
@@ -197,4 +204,8 @@
         # what it has cached. A copy from a dead one would only add a wait.
         if self.health.is_suspected(name):
             return None
-        return self.directory.find(name)
+        upstream = self.directory.find(name)
+        if upstream is None:
+            return None
+        allowed = self.directory.may_copy_from(upstream, regions)
+        return upstream if allowed else None
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -41,6 +41,8 @@
 ALL_OVER_BOUND = 'all over bound'
 ALL_AVOIDED = 'all avoided'
 ALL_PAUSED = 'none wants requests'
+ALL_DRAINED = 'all are in drained zones'
+NONE_IN_REGIONS = 'none is in the allowed regions: '
 # Reasons why an upstream is passed over.
 OVER_BOUND = 'over bound'
 ALREADY_TRIED = 'had the request'
@@ -223,6 +225,7 @@
         prompt: RequestPrompt,
         used: Collection[str],
         tie_break: str,
+        regions: frozenset[str] | None = None,
     ) -> Choice:
         """Chooses the upstream that a request is sent to.
 
@@ -231,10 +234,11 @@
             prompt: The request's prompt.
             used: Instances that the request was already sent to.
             tie_break: Decides between equally ranked upstreams.
+            regions: The regions that it may be in, None for all.
         """
-        candidates = self.directory.candidates(service)
+        candidates = self.directory.candidates(service, regions)
         if not candidates.by_name:
-            return Choice(None)
+            return Choice(None, self.cause_of_none(service, regions))
         instances = candidates.by_name.keys()
         exclusions = self.exclusions(candidates, used)
         if len(exclusions.paused) == len(instances):
@@ -251,11 +255,25 @@
             candidates, names, tie_break, exclusions, LEAST_LOADED
         )
 
+    def cause_of_none(
+        self, service: str, regions: frozenset[str] | None
+    ) -> str:
+        """Returns why a service has no upstream, empty if none is known."""
+        if self.directory.candidates(service).by_name:
+            return NONE_IN_REGIONS + ', '.join(sorted(regions))
+        if self.directory.has_drained(service):
+            return ALL_DRAINED
+        return ''
+
     def usable(
-        self, service: str, prompt: RequestPrompt, used: Collection[str]
+        self,
+        service: str,
+        prompt: RequestPrompt,
+        used: Collection[str],
+        regions: frozenset[str] | None = None,
     ) -> UsableUpstreams:
         """Returns the upstreams that a request may be sent to."""
-        candidates = self.directory.candidates(service)
+        candidates = self.directory.candidates(service, regions)
         return UsableUpstreams(
             candidates, self.exclusions(candidates, used), prompt.chat
         )
@@ -275,9 +293,13 @@
         bound = self.load_bound(candidates.rendezvous.sample)
         return Exclusions(tried, avoided, bound, paused)
 
-    def any_accepts(self, service: str) -> bool:
+    def any_accepts(
+        self,
+        service: str,
+        regions: frozenset[str] | None = None,
+    ) -> bool:
         """Returns whether any upstream of a service accepts requests now."""
-        instances = self.directory.candidates(service).by_name.keys()
+        instances = self.directory.candidates(service, regions).by_name.keys()
         return bool(instances - self.health.paused().keys())
 
     def all_paused(self, instances: Collection[str]) -> Choice:
--- a/lavenderbend/coordination/forwarding/departures.py
+++ b/lavenderbend/coordination/forwarding/departures.py
@@ -21,6 +21,7 @@
 
 LEFT = 'left'
 LEAVING = 'leaving'
+DRAINED = 'zone drained'
 # After this time each router has a snapshot that shows the departure, unless it
 # is cut off from the store and from all routers.
 FACT_SECONDS = 30.0
@@ -43,6 +44,14 @@
     max_seconds = FACT_SECONDS
 
 
+@facts_module.FACT_KINDS.register(DRAINED)
+class DrainedFact(facts_module.FactKind):
+    """A drained zone; the source is the store revision since which it is."""
+
+    max_seconds = FACT_SECONDS
+    sent_to_starting = False
+
+
 class Departures:
     """Shares which upstreams leave, and applies what other routers share.
 
@@ -56,6 +65,7 @@
         directory: The upstreams to which departures are applied.
         facts: Facts exchanged with other routers.
         previous: Upstreams of the latest snapshot.
+        drained_before: Drained zones of the latest snapshot.
     """
 
     def __init__(
@@ -68,7 +78,9 @@
         self.directory = directory
         self.facts = facts
         self.previous: Mapping[str, forwarding.Upstream] = {}
+        self.drained_before: Mapping[str, int] = {}
         snapshots.on_change.append(self.share_departures)
+        snapshots.on_change.append(self.share_drained)
 
     def share_departures(self, snapshot: forwarding.Snapshot) -> None:
         """Shares the upstreams that leave according to a new snapshot."""
@@ -87,7 +99,7 @@
     ) -> None:
         """Shares that an upstream leaves, unless another router has."""
         shared = self.facts.current(LEFT, upstream.instance)
-        if any(departure_revision(fact) > upstream.revision for fact in shared):
+        if any(revision_of(fact) > upstream.revision for fact in shared):
             return
         self.facts.add(LEFT, upstream.instance, str(revision), FACT_SECONDS)
 
@@ -111,7 +123,7 @@
 
     def apply_departure(self, fact: facts_module.Fact) -> None:
         """Stops sending to an upstream that another router saw leave."""
-        revision = departure_revision(fact)
+        revision = revision_of(fact)
         if not self.directory.note_leaving_in_store(fact.subject, revision):
             return
         current = self.snapshots.current
@@ -123,9 +135,23 @@
             age=round(self.snapshots.age, 3),
         )
 
+    def share_drained(self, snapshot: forwarding.Snapshot) -> None:
+        """Shares the zones that are drained according to a new snapshot."""
+        for zone, revision in snapshot.drained_zones.items():
+            if self.drained_before.get(zone) == revision:
+                continue
+            shared = self.facts.current(DRAINED, zone)
+            if not any(revision_of(fact) == revision for fact in shared):
+                self.facts.add(DRAINED, zone, str(revision), FACT_SECONDS)
+        self.drained_before = snapshot.drained_zones
+
+    def apply_drained(self, fact: facts_module.Fact) -> None:
+        """Stops sending to a zone that another router saw drained."""
+        self.directory.note_drained(fact.subject, revision_of(fact))
+
 
-def departure_revision(fact: facts_module.Fact) -> int:
-    """Returns the revision that shows a departure, -1 if the fact has none."""
+def revision_of(fact: facts_module.Fact) -> int:
+    """Returns the revision that shows a fact, -1 if it names none."""
     text = fact.source
     if len(text) > MAX_REVISION_DIGITS or not text.isdecimal():
         return -1
--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import types
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
+from lavenderbend.coordination.forwarding import drained_zones
 from lavenderbend.coordination.forwarding import leaving
 from lavenderbend.coordination.forwarding import rendezvous as rendezvous_module
 
@@ -23,6 +25,8 @@
 # Upstreams that leave within this time count as one change. As one change each
 # they would displace the set that still tells who holds a chat.
 SAME_CHANGE_SECONDS = 2.0
+# Sets of regions for which the upstreams of a service are kept.
+MAX_CONFINED = 1000
 
 
 @attrs.frozen
@@ -69,12 +73,29 @@
         replaced: Instances at whose address another instance answered.
         leaving: Upstreams that are known to leave before the snapshot shows
             it.
+        drained: Availability zones whose upstreams get no requests.
+        regions: Regions of the availability zones.
+        copy_seconds: Time for which cached prompts are copied from upstreams
+            of a drained zone.
+        confined: Upstreams of a service in some regions, with the upstreams
+            of the service from which they were selected.
     """
 
-    def __init__(self, followed: snapshots.Snapshots) -> None:
+    def __init__(
+        self,
+        followed: snapshots.Snapshots,
+        regions: Mapping[str, str] = types.MappingProxyType({}),
+        copy_seconds: float = 0.0,
+    ) -> None:
         self.followed = followed
+        self.regions = regions
+        self.copy_seconds = copy_seconds
         self.replaced: set[str] = set()
         self.leaving = leaving.LeavingUpstreams()
+        self.drained = drained_zones.DrainedZones()
+        self.confined: dict[
+            tuple[str, frozenset[str]], tuple[Candidates, Candidates]
+        ] = {}
         self.by_service: dict[str, Candidates] = {}
         self.changes: dict[str, list[FormerUpstreams]] = {}
         followed.on_change.append(self.apply_snapshot)
@@ -83,10 +104,15 @@
         """Replaces the upstreams of all services by those of a snapshot."""
         self.replaced &= snapshot.upstreams.keys()
         self.leaving.forget(snapshot, self.followed.retained)
+        self.drained.apply_snapshot(snapshot)
+        self.rebuild(snapshot)
+
+    def rebuild(self, snapshot: forwarding.Snapshot) -> None:
+        """Determines which upstreams may be sent requests."""
         before = self.by_service
         by_service: dict[str, list[forwarding.Upstream]] = {}
         for upstream in snapshot.upstreams.values():
-            if self.leaving.is_staying(upstream):
+            if self.may_be_sent(upstream):
                 by_service.setdefault(upstream.vm.service, []).append(upstream)
         self.by_service = {
             service: make_candidates(upstreams)
@@ -95,6 +121,27 @@
         for service, candidates in before.items():
             self.note_change(service, candidates.rendezvous)
 
+    def may_be_sent(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether an upstream may be sent new requests."""
+        if upstream.vm.availability_zone in self.drained.zones:
+            return False
+        return self.leaving.is_staying(upstream)
+
+    def note_drained(self, zone: str, revision: int) -> bool:
+        """Records that another router saw in the store that a zone is drained.
+
+        Returns:
+            Whether this router did not know it yet.
+        """
+        current = self.followed.current
+        if current is None or current.revision >= revision:
+            # This router's snapshot shows it, or that it has ended.
+            return False
+        if not self.drained.note(zone, revision):
+            return False
+        self.rebuild(current)
+        return True
+
     def note_leaving_in_store(self, instance: str, revision: int) -> bool:
         """Records that another router saw in the store an upstream leave.
 
@@ -130,7 +177,7 @@
             return True
         for service, before in self.by_service.items():
             upstream = before.by_name.get(instance)
-            if upstream is not None and not self.leaving.is_staying(upstream):
+            if upstream is not None and not self.may_be_sent(upstream):
                 self.by_service[service] = make_candidates(
                     candidate
                     for candidate in before.by_name.values()
@@ -174,6 +221,17 @@
             if change.until >= oldest
         ]
 
+    def has_drained(self, service: str) -> bool:
+        """Returns whether a service has upstreams in drained zones."""
+        current = self.followed.current
+        if current is None or not self.drained.zones:
+            return False
+        return any(
+            upstream.vm.service == service
+            and upstream.vm.availability_zone in self.drained.zones
+            for upstream in current.upstreams.values()
+        )
+
     def find(self, instance: str) -> forwarding.Upstream | None:
         """Returns an upstream that is present, leaving or not."""
         if self.followed.current is None or instance in self.replaced:
@@ -184,7 +242,59 @@
         """Returns the upstreams of a service that are not leaving."""
         return list(self.candidates(service).by_name.values())
 
-    def candidates(self, service: str) -> Candidates:
+    def candidates(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> Candidates:
+        """Returns the upstreams of a service that may be sent requests.
+
+        Args:
+            service: The service.
+            regions: The regions that they may be in, None for all.
+        """
+        candidates = self.all_candidates(service)
+        if regions is None:
+            return candidates
+        known = self.confined.get((service, regions))
+        if known is not None and known[0] is candidates:
+            return known[1]
+        selected = make_candidates(
+            upstream
+            for upstream in candidates.by_name.values()
+            if self.is_in(upstream, regions)
+        )
+        if len(self.confined) >= MAX_CONFINED:
+            self.confined.clear()
+        self.confined[service, regions] = candidates, selected
+        return selected
+
+    def may_copy_from(
+        self, upstream: forwarding.Upstream, regions: frozenset[str] | None
+    ) -> bool:
+        """Returns whether cached prompts may be copied from an upstream.
+
+        A drained zone may be removed soon: what is not copied before that
+        would be a wait for nothing.
+        """
+        since = self.drained.zones.get(upstream.vm.availability_zone)
+        if (
+            since is not None
+            and trio.current_time() > since + self.copy_seconds
+        ):
+            return False
+        return self.is_in(upstream, regions)
+
+    def is_in(
+        self, upstream: forwarding.Upstream, regions: frozenset[str] | None
+    ) -> bool:
+        """Returns whether an upstream is in one of some regions, None for all.
+
+        An upstream of a zone whose region is not known is in none.
+        """
+        if regions is None:
+            return True
+        return self.regions.get(upstream.vm.availability_zone) in regions
+
+    def all_candidates(self, service: str) -> Candidates:
         """Returns the upstreams of a service that may be sent requests."""
         candidates = self.by_service.get(service, NO_CANDIDATES)
         lapsed = self.lapsed(service)
@@ -208,5 +318,5 @@
             for upstream, until in self.followed.retained.values()
             if until > now
             and upstream.vm.service == service
-            and self.leaving.is_staying(upstream)
+            and self.may_be_sent(upstream)
         ]
--- a/lavenderbend/coordination/forwarding/explain.py
+++ b/lavenderbend/coordination/forwarding/explain.py
@@ -9,18 +9,20 @@
 
 from lavenderbend.coordination import explain as explanations
 from lavenderbend.coordination.forwarding import choice as choice_module
+from lavenderbend.coordination.forwarding import request_resolver
 from lavenderbend.coordination.rules import rules as rules_module
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from lavenderbend.coordination.forwarding import request_resolver
     from lavenderbend.state import forwarding
 
 NO_TABLE = 'no configuration was read yet: the caller gets 503'
 STALE = 'the configuration was not confirmed lately: the caller gets 503'
 NO_CREDENTIAL = 'the customer has no credential: the caller gets 401'
 LEAVING = 'leaving'
+DRAINED = 'its zone is drained'
+OTHER_REGION = 'in a region that is not allowed'
 
 
 @attrs.frozen
@@ -123,14 +125,16 @@
                 request.headers.get(self.resolver.headers.prompt_parts)
             )
         )
-        choice = self.chooser.choose(service, prompt, (), request.path)
-        candidates = self.candidates(service, choice)
+        regions = request_resolver.allowed_regions(
+            then, self.customer(request.customer)
+        )
+        choice = self.chooser.choose(service, prompt, (), request.path, regions)
+        candidates = self.candidates(service, choice, regions)
         if choice.upstream is None:
-            return attrs.evolve(
-                base,
-                candidates=candidates,
-                verdict=explanations.NO_UPSTREAM,
-            )
+            verdict = explanations.NO_UPSTREAM
+            if choice.reason:
+                verdict = f'{verdict}: {choice.reason}'
+            return attrs.evolve(base, candidates=candidates, verdict=verdict)
         return attrs.evolve(
             base,
             allowed_load=choice.allowed,
@@ -139,15 +143,24 @@
             f'{choice.reason}',
         )
 
+    def customer(self, name: str) -> forwarding.ForwardCustomer | None:
+        """Returns a customer of the version in force, None if there is none."""
+        customers = self.resolver.snapshots.table.customers
+        return next((entry for entry in customers if entry.name == name), None)
+
     def candidates(
-        self, service: str, choice: choice_module.Choice
+        self,
+        service: str,
+        choice: choice_module.Choice,
+        regions: frozenset[str] | None,
     ) -> tuple[explanations.CandidateStep, ...]:
         """Returns the verdict on each upstream of a service."""
         current = self.resolver.snapshots.current
         passed_over = {
             entry.upstream: entry.reason for entry in choice.passed_over
         }
-        usable = self.chooser.directory.candidates(service).by_name
+        directory = self.chooser.directory
+        usable = directory.candidates(service).by_name
         steps = []
         for upstream in current.upstreams.values():
             if upstream.vm.service != service:
@@ -155,6 +168,10 @@
             verdict = passed_over.get(upstream.instance, explanations.LATER)
             if upstream.instance not in usable:
                 verdict = LEAVING
+            if upstream.vm.availability_zone in directory.drained.zones:
+                verdict = DRAINED
+            elif not directory.is_in(upstream, regions):
+                verdict = OTHER_REGION
             if upstream == choice.upstream:
                 verdict = f'{explanations.TAKEN}: {choice.reason}'
             steps.append(self.step(upstream, verdict))
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -263,6 +263,7 @@
         choice = await self.reserving_chooser.choose(ticket)
         ticket.retry_after_seconds = choice.retry_after_seconds
         if choice.upstream is None:
+            ticket.no_choice_reason = choice.reason
             return None
         record = decisions_module.Attempt(
             choice.upstream.instance,
@@ -290,7 +291,7 @@
                 # No upstream could resume the stream, and the silent one may
                 # still continue it.
                 return False
-            if not self.chooser.any_accepts(ticket.service):
+            if not self.chooser.any_accepts(ticket.service, ticket.regions):
                 return False
             self.release_expired_retry(ticket)
             if ticket.may_send:
@@ -387,6 +388,8 @@
             cause = 'no upstream accepted the request'
         if ticket.retry_after_seconds:
             cause = f'all upstreams of {ticket.service!r} asked for a pause'
+        elif ticket.no_choice_reason:
+            cause = f'{ticket.service!r}: {ticket.no_choice_reason}'
         seconds = request_resolver.retry_after_seconds(ticket.seconds_left)
         raise errors.NoUpstream(cause, max(seconds, ticket.retry_after_seconds))
 
--- a/lavenderbend/coordination/forwarding/outgoing.py
+++ b/lavenderbend/coordination/forwarding/outgoing.py
@@ -123,6 +123,7 @@
             ticket.prompt.parts,
             upstream,
             () if ticket.reservation is None else ticket.reservation.holders,
+            ticket.regions,
         )
         if source is None:
             return None
--- a/lavenderbend/coordination/forwarding/request_resolver.py
+++ b/lavenderbend/coordination/forwarding/request_resolver.py
@@ -232,12 +232,23 @@
             prompt=choice.RequestPrompt(
                 choice.parse_parts(request.header(self.headers.prompt_parts))
             ),
+            regions=allowed_regions(then, customer),
             splitter=events.EventSplitter(
                 events.parse_event_number(last.encode('latin-1'))
             ),
         )
 
 
+def allowed_regions(
+    then: forwarding.Forward, customer: forwarding.ForwardCustomer | None
+) -> frozenset[str] | None:
+    """Returns the regions that rule and customer both allow, None for all."""
+    by_customer = None if customer is None else customer.regions
+    if then.regions is None or by_customer is None:
+        return by_customer if then.regions is None else then.regions
+    return then.regions & by_customer
+
+
 def weighted_pool(then: forwarding.Forward, request_id: str) -> str:
     """Returns the pool of a request, chosen by the weights of its rule.
 
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -146,7 +146,11 @@
     async def choose(self, ticket: tickets.Ticket) -> choice_module.Choice:
         """Chooses the next upstream of a request and reserves it there."""
         choice = self.chooser.choose(
-            ticket.service, ticket.prompt, ticket.tried, ticket.id
+            ticket.service,
+            ticket.prompt,
+            ticket.tried,
+            ticket.id,
+            ticket.regions,
         )
         ticket.reservation = None
         if choice.upstream is None or not ticket.prompt.parts:
@@ -156,7 +160,9 @@
         prompt = make_prompt(ticket.prompt.parts, ticket.prompt.chat)
         offers, silent = await self.ask(ticket, prompt, choice.allowed)
         # Upstreams may have come or gone while owners were asked.
-        upstreams = self.chooser.directory.candidates(ticket.service).by_name
+        upstreams = self.chooser.directory.candidates(
+            ticket.service, ticket.regions
+        ).by_name
         remaining = [
             offer for offer in offers if offer.reservation.instance in upstreams
         ]
@@ -186,12 +192,16 @@
         """
         refused = {offer.reservation.instance for offer in over_bound}
         usable = self.chooser.usable(
-            ticket.service, ticket.prompt, ticket.tried
+            ticket.service, ticket.prompt, ticket.tried, ticket.regions
         )
         if usable.next(refused) is None:
             refused = set()
         choice = self.chooser.choose(
-            ticket.service, ticket.prompt, {*ticket.tried, *refused}, ticket.id
+            ticket.service,
+            ticket.prompt,
+            {*ticket.tried, *refused},
+            ticket.id,
+            ticket.regions,
         )
         passed_over = tuple(
             decisions.PassedOver(one.upstream, choice_module.OVER_BOUND)
@@ -213,7 +223,7 @@
             The offers, and the upstreams whose owners did not reply.
         """
         usable = self.chooser.usable(
-            ticket.service, ticket.prompt, ticket.tried
+            ticket.service, ticket.prompt, ticket.tried, ticket.regions
         )
         offers: list[Offer] = []
         silent: list[str] = []
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -42,6 +42,7 @@
         service: The service that it is sent to.
         customer: The customer, empty on public rules.
         rank: Priority that is sent to upstreams.
+        regions: The regions that it may be sent to, None for all.
         deadline: Router clock by which the caller has its final response.
         prompt: The parts of the request's prompt.
         splitter: The position in the response stream.
@@ -57,6 +58,8 @@
         may_have_run: Whether an upstream may have begun to run the request.
         retry_after_seconds: Seconds until an upstream of the service accepts
             requests again, 0 if some do now.
+        no_choice_reason: Why no upstream could be chosen, empty if it is not
+            known or one was.
         fingerprint: Hash that is the same when the caller sends the request
             again, None until it is computed.
         logged: Whether the request is logged even if it succeeds.
@@ -74,6 +77,7 @@
     rank: int
     deadline: float
     prompt: choice.RequestPrompt = attrs.field(factory=choice.RequestPrompt)
+    regions: frozenset[str] | None = None
     splitter: events.EventSplitter = attrs.field(factory=events.EventSplitter)
     sent_to: list[str] = attrs.field(factory=list)
     attempts: list[decisions.Attempt] = attrs.field(factory=list)
@@ -84,6 +88,7 @@
     retry_reserved_at: float = 0.0
     may_have_run: bool = False
     retry_after_seconds: float = 0.0
+    no_choice_reason: str = ''
     fingerprint: int | None = None
     logged: bool = False
     span: spans.Hop | None = None
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -49,7 +49,7 @@
 # stop ends
 STOP_MARGIN_SECONDS = 0.3
 # settings that take effect only after a restart
-RESTART_SETTINGS = ('listen', 'readiness_path', 'headers')
+RESTART_SETTINGS = ('listen', 'readiness_path', 'headers', 'zones')
 
 
 class ForwardingDaemon:
@@ -99,7 +99,11 @@
             lambda: self.snapshots.current,
             self.snapshots.removals.removed_since,
         )
-        self.directory = directory.Directory(self.snapshots)
+        self.directory = directory.Directory(
+            self.snapshots,
+            self.forwarding.zones,
+            self.forwarding.zone_drain_seconds,
+        )
         self.health = health.Health()
         self.loads = loads.Loads()
         self.peers = peers.Peers(
@@ -134,6 +138,7 @@
             crashes.CLEARED: self.crashes.apply_fact,
             departures.LEFT: self.departures.apply_departure,
             departures.LEAVING: self.departures.apply_announcement,
+            departures.DRAINED: self.departures.apply_drained,
             suspicions.SUSPECTED: self.suspicions.apply_suspicion,
         }
         self.budget = budget.RetryBudget(
--- a/lavenderbend/platform/configuration_document.py
+++ b/lavenderbend/platform/configuration_document.py
@@ -86,9 +86,24 @@
         target=target / 1000,
         max_gap=gap / 1000,
         rank=route.get('priority', DEFAULT_RANK),
+        regions=regions(route),
     )
 
 
+def regions(value: dict[str, Any]) -> frozenset[str] | None:
+    """Returns the regions that a route or tenant is confined to, None for all.
+
+    Raises:
+        TypeError: They are not a list of strings. Requests must not leave
+            their regions because the names could not be read.
+    """
+    names = value.get('allowedRegions') or []
+    field_types.check_type('allowedRegions', names, list)
+    for name in names:
+        field_types.check_type('allowedRegions', name, str)
+    return frozenset(names) or None
+
+
 def shares(route: dict[str, Any]) -> tuple[forwarding.PoolShare, ...]:
     """Returns the pools of a route's services with their weights."""
     split = route.get('trafficSplit')
@@ -105,6 +120,8 @@
     return forwarding.ForwardPool(
         name=service['name'],
         max_connections=service.get('maxConns', 100),
+        warm_up_seconds=service.get('coldS') or 0.0,
+        warm_up_rate=service.get('warmupPerS') or 0.0,
     )
 
 
@@ -123,6 +140,7 @@
         name=tenant['name'],
         credentials=tuple(credentials),
         rank=tenant.get('priority'),
+        regions=regions(tenant),
     )
 
 
--- a/lavenderbend/platform/snapshot_decoding.py
+++ b/lavenderbend/platform/snapshot_decoding.py
@@ -22,6 +22,9 @@
 
 CONFIGURATION_KEY = 'op/config'
 UPSTREAM_PREFIX = 'servers/'
+# A key with this prefix and the name of a zone exists while the zone is
+# drained; its value says nothing.
+DRAINED_PREFIX = 'op/evacuate/'
 
 UNREADABLE = metrics.counter(
     'lavenderbend_platform_unreadable_entries_total',
@@ -107,8 +110,18 @@
         for key, item in decoded.items()
         if key.startswith(UPSTREAM_PREFIX) and item.value is not None
     }
+    drained = {
+        key[len(DRAINED_PREFIX) :]: item.revision
+        for key, item in raw.items.items()
+        if key.startswith(DRAINED_PREFIX)
+    }
     return forwarding.Snapshot(
-        raw.revision, raw.digest, table and table.value, by_instance, raw
+        raw.revision,
+        raw.digest,
+        table and table.value,
+        by_instance,
+        raw,
+        drained,
     )
 
 
--- a/lavenderbend/platform/upstream_entries.py
+++ b/lavenderbend/platform/upstream_entries.py
@@ -62,7 +62,12 @@
         kind=upstreams.UpstreamKind.SERVICE,
         state=state,
     )
-    return forwarding.Upstream(instance_id(name, value), vm, value['slots'])
+    return forwarding.Upstream(
+        instance_id(name, value),
+        vm,
+        value['slots'],
+        cold_seconds=max(0.0, value['coldLeftMs'] / 1000),
+    )
 
 
 def instance_id(name: str, value: dict[str, Any]) -> str:
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -48,6 +48,7 @@
             seconds.
         max_gap: Target for the longest pause between events, in seconds.
         rank: Urgency sent to upstreams; 0 is the most urgent.
+        regions: The regions that the requests may be sent to, None for all.
     """
 
     pools: tuple[PoolShare, ...]
@@ -60,6 +61,7 @@
     target: float = 1.0
     max_gap: float = 0.25
     rank: int = 5
+    regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -91,11 +93,13 @@
         credentials: The bearer tokens, as callers send them.
         rank: Urgency of its requests, which overrides that of the rule;
             None to use the rule's.
+        regions: The regions that its requests may be sent to, None for all.
     """
 
     name: str
     credentials: tuple[str, ...] = ()
     rank: int | None = None
+    regions: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -106,10 +110,15 @@
         name: Name of the service.
         max_connections: Maximum number of connections that one upstream
             accepts from the whole fleet.
+        warm_up_seconds: Time for which an upstream is cold after it started.
+        warm_up_rate: Requests a second that a cold upstream tolerates from
+            the whole fleet, 0 for any number.
     """
 
     name: str
     max_connections: int = 100
+    warm_up_seconds: float = 0.0
+    warm_up_rate: float = 0.0
 
 
 @attrs.frozen
@@ -161,12 +170,14 @@
             leaving.
         slots: Number of requests that it runs concurrently.
         revision: Store revision at which its entry was last changed.
+        cold_seconds: Time for which it stays cold, as of that revision.
     """
 
     instance: str
     vm: upstreams.Vm
     slots: int
     revision: int = 0
+    cold_seconds: float = 0.0
 
 
 @attrs.frozen
@@ -298,6 +309,8 @@
         table: The configuration, None until the first one is accepted.
         upstreams: Upstreams by instance.
         raw: The undecoded contents, sent to peers that do not have them.
+        drained_zones: Availability zones whose upstreams get no requests, and
+            the revision since which each has been drained.
     """
 
     revision: int
@@ -305,3 +318,4 @@
     table: ForwardingTable | None
     upstreams: dict[str, Upstream]
     raw: RawSnapshot
+    drained_zones: Mapping[str, int] = attrs.field(factory=dict)
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -81,6 +81,13 @@
         repeat_window_seconds: Time window over which both are counted.
         load_factor: No upstream is loaded above this multiple of the mean
             load.
+        zone_drain_seconds: Time after which the upstreams of a drained zone
+            may be gone; until then cached prompts are copied from them.
+        zones: Region of each availability zone. Requests that are confined to
+            regions reach no upstream in a zone that is missing.
+        cold_rate_factor: Multiple of the rate that a cold upstream tolerates
+            that it may be sent.
+        cold_rate_extra: Requests in a second allowed in addition.
     """
 
     listen: ForwardListen
@@ -102,3 +109,9 @@
         10.0, 0.1, 3600.0
     )
     load_factor: float = setting_fields.bounded(2.0, 1.0, 100.0)
+    zone_drain_seconds: setting_fields.Seconds = setting_fields.bounded(
+        5.0, 0.1, 600.0
+    )
+    zones: dict[str, str] = attrs.field(factory=dict)
+    cold_rate_factor: float = setting_fields.bounded(1.0, 0.0, 100.0)
+    cold_rate_extra: float = setting_fields.bounded(0.0, 0.0, 1e6)
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -81,14 +81,16 @@
     )
 
 
-def snapshot(revision=1, forwarding_table=None, *members):
+def snapshot(revision=1, forwarding_table=None, *members, drained=None):
     by_name = {member.instance: member for member in members}
     parts = [str(forwarding_table), *sorted(str(member) for member in members)]
+    if drained:
+        parts.append(str(drained))
     # A changed part becomes another key, so that the digest changes.
     items = {part: forwarding.RawItem(1, b'') for part in parts}
     raw = forwarding.RawSnapshot(revision, items)
     return forwarding.Snapshot(
-        revision, raw.digest, forwarding_table, by_name, raw
+        revision, raw.digest, forwarding_table, by_name, raw, drained or {}
     )
 
 
@@ -342,6 +344,8 @@
         self.applied_facts.append(fact)
         if fact.kind == departures.LEAVING:
             self.departures.apply_announcement(fact)
+        elif fact.kind == departures.DRAINED:
+            self.departures.apply_drained(fact)
         elif fact.kind != departures.LEFT:
             self.crashes.apply_fact(fact)
 
@@ -467,6 +471,7 @@
             crashes.CLEARED: self.crashes.apply_fact,
             departures.LEFT: self.departures.apply_departure,
             departures.LEAVING: self.departures.apply_announcement,
+            departures.DRAINED: self.departures.apply_drained,
             suspicions.SUSPECTED: self.suspicions.apply_suspicion,
         }
         routers[host] = self
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -295,3 +295,56 @@
         client.decoded_answer(
             answer, functools.partial(store_answers.decode_changes, 1)
         )
+
+
+async def test_drained_zones_are_read_with_their_revisions(store, client):
+    store.put('op/evacuate/sala-b', {})
+    store.put('op/evacuate/sala-c', {'unknown': 1})
+    drained = client.decode(await client.read()).drained_zones
+    assert drained == {'sala-b': store.revision - 1, 'sala-c': store.revision}
+    store.remove('op/evacuate/sala-b')
+    drained = client.decode(await client.read()).drained_zones
+    assert list(drained) == ['sala-c']
+
+
+async def test_regions_of_routes_and_tenants(store, client):
+    confined = standins.route(
+        'chat', '/chat/', 'engines', 'streaming', allowedRegions=['norte']
+    )
+    open_route = standins.route('look', '/look/', 'desk', 'idempotent')
+    tenant = {'name': 'corte', 'apiKeys': ['k'], 'allowedRegions': ['sur']}
+    configuration = standins.configuration(
+        2, routes=[confined, open_route], tenants=[tenant]
+    )
+    store.put('op/config', configuration)
+    table = client.decode(await client.read()).table
+    by_name = {rule.name: rule.then.regions for rule in table.rules}
+    assert by_name == {'chat': {'norte'}, 'look': None}
+    assert table.customers[0].regions == {'sur'}
+
+
+@pytest.mark.parametrize('names', ['norte', [1], {'norte': 1}])
+async def test_regions_that_cannot_be_read_refuse_the_version(
+    store, client, names
+):
+    # Guards against requests that leave their regions after a wrong edit.
+    route = standins.route('chat', '/chat/', 'engines', 'streaming')
+    route['allowedRegions'] = names
+    store.put('op/config', standins.configuration(2, routes=[route]))
+    with pytest.raises(errors.CodecError, match='allowedRegions'):
+        client.decode(await client.read())
+
+
+async def test_warm_up_of_services_and_upstreams(store, client):
+    engines = {'name': 'engines', 'coldS': 3.0, 'warmupPerS': 10.0}
+    desk = {'name': 'desk'}
+    store.put('op/config', standins.configuration(2, services=[engines, desk]))
+    worker = standins.Worker('i-1', 'engines')
+    worker.port = 4000
+    store.put('servers/i-1', {**worker.entry(), 'coldLeftMs': 1500})
+    snapshot = client.decode(await client.read())
+    pools = {pool.name: pool for pool in snapshot.table.pools}
+    assert pools['engines'].warm_up_seconds == 3.0
+    assert pools['engines'].warm_up_rate == 10.0
+    assert pools['desk'].warm_up_rate == 0.0
+    assert snapshot.upstreams['i-1'].cold_seconds == 1.5
