Cold upstreams: all routers together send them no more than they tolerate

Cause: nothing of ours knew a cold upstream; the entry's time was checked and dropped.

An upstream counts as cold from the last sign that it may have become so: its id is new, its zone was taken back, its entry says so, or it did not answer. An entry that lapsed and came back is no start. A request goes to a cold one only with its owner's permit; one that is connecting asks once more; a permit lasts 0.2 s by the clock that counts suspensions.

The sum over all routers is kept without their agreeing on an owner: each router of the zone lends its equal share of the rate to one owner at a time and to another only when no window can hold permits of both; an owner permits no more than it was lent. The share is by the most routers of the zone that any lender counted. A restarted owner is another borrower, a restarted lender lends nothing until its loans of before have ended. A zone that had routers is left to them; one that never had any is split between the zones.

Ruled out: shares without an owner (20 by 28 routers is less than one request a second each, and all may use theirs in the same one); owners that trust their view (two of them permit twice the limit); a lease in the store (away when zones return).

Questions to owners get one module, which reservations use too.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -23,6 +23,9 @@
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import outgoing
     from lavenderbend.coordination.forwarding import silence as silence_module
+    from lavenderbend.coordination.forwarding.warm_up import (
+        cold_starts as cold_starts_module,
+    )
     from lavenderbend.state import forwarding
     from lavenderbend.state import forwarding_settings
 
@@ -60,6 +63,7 @@
         not_run_header: Header that says that the request did not run.
         load_header: Header with the load of the upstream.
         leaving_header: Header that says that the upstream leaves.
+        cold_starts: Limits the requests to cold upstreams, None for no limit.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         self.not_run_header = headers.not_run.encode()
         self.load_header = headers.load.encode()
         self.leaving_header = headers.leaving.encode()
+        self.cold_starts: cold_starts_module.ColdStarts | None = None
 
     async def attempt(
         self,
@@ -154,21 +159,27 @@
         except errors.UpstreamUnreachable:
             self.health.note_unreachable(upstream.instance)
             raise
-        if self.accepts_requests(ticket.service, upstream):
+        if self.accepts_requests(ticket, upstream):
             return exchange
         exchange.close()
         raise errors.UpstreamWithdrawn('upstream withdrawn while connecting')
 
     def accepts_requests(
-        self, service: str, upstream: forwarding.Upstream
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> bool:
-        """Returns whether an upstream still accepts requests.
+        """Returns whether an upstream still accepts a request.
 
-        It may have left, or have sent a Retry-After, since it was chosen.
+        It may have left, turned cold or have sent a Retry-After since it was
+        chosen, or connecting may have taken longer than its permit lasts.
         """
-        if self.health.is_paused(upstream.instance):
+        instance = upstream.instance
+        if self.health.is_paused(instance):
+            return False
+        if self.cold_starts is not None and not self.cold_starts.may_send(
+            instance, ticket.permitted_until
+        ):
             return False
-        return upstream.instance in self.directory.candidates(service).by_name
+        return instance in self.directory.candidates(ticket.service).by_name
 
     async def run_exchange(
         self,
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -41,6 +41,7 @@
 ALL_OVER_BOUND = 'all over bound'
 ALL_AVOIDED = 'all avoided'
 ALL_PAUSED = 'none wants requests'
+ALL_CLOSED = 'those that want requests are warming up'
 ALL_DRAINED = 'all are in drained zones'
 NONE_IN_REGIONS = 'none is in the allowed regions: '
 # Reasons why an upstream is passed over.
@@ -48,6 +49,7 @@
 ALREADY_TRIED = 'had the request'
 RECENT_FAILURES = 'failed lately'
 PAUSED = 'wants none'
+WARMING_UP = 'warming up'
 
 
 @attrs.frozen
@@ -135,22 +137,32 @@
         bound: Requests that each of the other upstreams may hold.
         paused: Instances that asked for no requests. The request is not sent
             there even if there are no others.
+        warming_up: Instances that are cold and may not be sent this request
+            now, even if there are no others.
     """
 
     used: Set[str]
     avoided: Set[str]
     bound: int
     paused: Set[str] = frozenset()
+    warming_up: Set[str] = frozenset()
 
     @property
     def names(self) -> set[str]:
         """All excluded instances."""
-        return {*self.used, *self.avoided, *self.paused}
+        return {*self.used, *self.avoided, *self.closed}
+
+    @property
+    def closed(self) -> set[str]:
+        """The instances that are not used even if there are no others."""
+        return {*self.paused, *self.warming_up}
 
     def reason(self, name: str) -> str:
         """Returns why an upstream is excluded, empty if it is not."""
         if name in self.paused:
             return PAUSED
+        if name in self.warming_up:
+            return WARMING_UP
         if name in self.used:
             return ALREADY_TRIED
         return RECENT_FAILURES if name in self.avoided else ''
@@ -226,6 +238,7 @@
         used: Collection[str],
         tie_break: str,
         regions: frozenset[str] | None = None,
+        warming_up: Collection[str] = (),
     ) -> Choice:
         """Chooses the upstream that a request is sent to.
 
@@ -235,16 +248,17 @@
             used: Instances that the request was already sent to.
             tie_break: Decides between equally ranked upstreams.
             regions: The regions that it may be in, None for all.
+            warming_up: Cold instances that may not be sent the request now.
         """
         candidates = self.directory.candidates(service, regions)
         if not candidates.by_name:
             return Choice(None, self.cause_of_none(service, regions))
         instances = candidates.by_name.keys()
-        exclusions = self.exclusions(candidates, used)
-        if len(exclusions.paused) == len(instances):
-            return self.all_paused(instances)
+        exclusions = self.exclusions(candidates, used, warming_up)
+        if len(exclusions.closed) == len(instances):
+            return self.all_closed(instances, exclusions)
         if len(exclusions.names) == len(instances):
-            names = instances - exclusions.used - exclusions.paused
+            names = instances - exclusions.used - exclusions.closed
             return self.least_loaded(
                 candidates, names, tie_break, exclusions, ALL_AVOIDED
             )
@@ -271,27 +285,31 @@
         prompt: RequestPrompt,
         used: Collection[str],
         regions: frozenset[str] | None = None,
+        warming_up: Collection[str] = (),
     ) -> UsableUpstreams:
         """Returns the upstreams that a request may be sent to."""
         candidates = self.directory.candidates(service, regions)
-        return UsableUpstreams(
-            candidates, self.exclusions(candidates, used), prompt.chat
-        )
+        exclusions = self.exclusions(candidates, used, warming_up)
+        return UsableUpstreams(candidates, exclusions, prompt.chat)
 
     def exclusions(
-        self, candidates: directory.Candidates, used: Collection[str]
+        self,
+        candidates: directory.Candidates,
+        used: Collection[str],
+        warming_up: Collection[str] = (),
     ) -> Exclusions:
         """Returns the upstreams that a request is not sent to."""
         instances = candidates.by_name.keys()
         paused = instances & self.health.paused().keys()
+        warming = instances & set(warming_up)
         tried = instances & set(used)
-        if len(tried | paused) == len(instances):
+        if len(tried | paused | warming) == len(instances):
             # The request was sent to every upstream that accepts requests:
             # one of them gets it again.
             tried = frozenset()
         avoided = instances & self.health.deprioritized()
         bound = self.load_bound(candidates.rendezvous.sample)
-        return Exclusions(tried, avoided, bound, paused)
+        return Exclusions(tried, avoided, bound, paused, warming)
 
     def any_accepts(
         self,
@@ -302,11 +320,18 @@
         instances = self.directory.candidates(service, regions).by_name.keys()
         return bool(instances - self.health.paused().keys())
 
-    def all_paused(self, instances: Collection[str]) -> Choice:
-        """Returns the choice if each of some upstreams asked for a pause."""
+    def all_closed(
+        self, instances: Collection[str], exclusions: Exclusions
+    ) -> Choice:
+        """Returns the choice if no upstream may be sent a request now."""
+        passed_over = [
+            decisions.PassedOver(name, exclusions.reason(name))
+            for name in instances
+        ]
+        if exclusions.warming_up - exclusions.paused:
+            return Choice(None, ALL_CLOSED, passed_over=tuple(passed_over))
         paused_until = self.health.paused()
         soonest = min(paused_until[name] for name in instances)
-        passed_over = [decisions.PassedOver(name, PAUSED) for name in instances]
         return Choice(
             None,
             ALL_PAUSED,
--- a/lavenderbend/coordination/forwarding/owners.py
+++ b/lavenderbend/coordination/forwarding/owners.py
@@ -15,6 +15,7 @@
         fleet_count as fleet_count_module,
     )
     from lavenderbend.coordination.forwarding import members as members_module
+    from lavenderbend.protocol import messages_forwarding
 
 # Time for which an owner that did not reply is not asked again.
 UNRESPONSIVE_SECONDS = 1.0
@@ -90,6 +91,13 @@
             return None
         return host
 
+    def relay_target(self, request: messages_forwarding.OwnerRequest) -> str:
+        """Returns the router that replies to a question, this one included."""
+        zone = self.owning_zone(request.upstream, request.zone)
+        if request.forwarded or zone != self.zone:
+            return self.host
+        return self.owner_in_zone(request.upstream)
+
     def is_unresponsive(self, host: str) -> bool:
         """Returns whether a router recently failed to reply in time."""
         return self.unresponsive_until.get(host, 0.0) > trio.current_time()
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -93,6 +93,7 @@
         members: Other routers.
         fleet: Number of routers.
         divisor: Number by which limits of the fleet are divided.
+        zone_divisor: Number by which limits of this zone are divided.
         facts: Facts that all routers need.
         fact_callbacks: Called with a new fact, by the fact's kind.
         owners: Finds the owners of upstreams.
@@ -129,6 +130,7 @@
         )
         self.fleet = fleet_count.FleetCount(zone)
         self.divisor = fleet_count.FleetDivisor()
+        self.zone_divisor = fleet_count.FleetDivisor()
         self.prompts = prompt_holders.PromptHolders()
         self.facts = facts_module.Facts(host, self.on_fact)
         self.fact_callbacks: dict[str, Callable[[facts_module.Fact], None]] = {}
@@ -236,6 +238,8 @@
         alive = len(neighbours.alive()) + 1
         self.fleet.note(self.zone, alive)
         self.divisor.note(self.fleet_size())
+        # Routers that are not heard now may hold shares of this zone's limits.
+        self.zone_divisor.note(len(neighbours.last_seen) + 1)
         for host in neighbours.choose(self.rng, SAME_ZONE_FAN_OUT):
             self.send(host, self.full_state(host))
         due = self.other_zone_rate(alive) * GOSSIP_INTERVAL_SECONDS / alive
--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -10,6 +10,7 @@
 import trio
 
 from lavenderbend.coordination.forwarding import owned_loads
+from lavenderbend.coordination.forwarding import owner_calls
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import hashing
@@ -24,20 +25,11 @@
     from lavenderbend.coordination.forwarding import owners as owners_module
     from lavenderbend.state import forwarding
 
-# An owner in another zone replies within three or four milliseconds, a busy
-# one later. A reservation only improves the choice of the upstream, so a
-# request waits no longer for it.
-REPLY_TIMEOUT_SECONDS = 0.02
-# A reservation request or its reply may be lost: it is sent once more.
-RETRANSMIT_SECONDS = 0.01
 FLUSH_SECONDS = 0.05
 # Each note is sent twice: if it were lost, the request would be counted until
 # its deadline.
 NOTE_TRANSMISSIONS = 2
 MAX_ROWS = 40
-# Numbers of answered reservation requests that are kept to recognize a second
-# reply; none arrives more than this many replies later.
-MAX_ANSWERED = 256
 MILLISECONDS = 1000
 
 OWNER_REQUESTS = metrics.counter(
@@ -122,19 +114,6 @@
         )
 
 
-@attrs.define
-class PendingRequest:
-    """A reservation request without a reply so far.
-
-    Attributes:
-        reply: The reply, None until it arrives.
-        answered: Set when it has arrived.
-    """
-
-    reply: messages_forwarding.ReservationReply | None = None
-    answered: trio.Event = attrs.field(factory=trio.Event)
-
-
 class Reservations:
     """Reserves with the owners of upstreams, and replies as an owner.
 
@@ -144,8 +123,7 @@
         owned: Requests at the upstreams that this router owns.
         link: Carries messages to other routers.
         numbers: Numbers of the next reservations.
-        pending: Reservation requests without a reply, by number.
-        answered: Numbers of those with a reply, the latest last.
+        calls: Reservation requests to other routers.
         notes: Rows to be sent, by owner, each with the remaining number of
             transmissions.
         notes_queued: Set while there are rows to be sent.
@@ -164,10 +142,7 @@
         self.owned = owned_loads.OwnedLoads(host, last_report)
         self.link = link
         self.numbers = itertools.count(rng.getrandbits(30))
-        self.pending: dict[int, PendingRequest] = {}
-        self.answered: collections.deque[int] = collections.deque(
-            maxlen=MAX_ANSWERED
-        )
+        self.calls = owner_calls.OwnerCalls(link)
         self.notes: dict[str, collections.deque[tuple[list[int], int]]] = {}
         self.notes_queued = trio.Event()
 
@@ -203,7 +178,10 @@
             prompt.own_tokens,
             max(1, round(seconds * MILLISECONDS)),
         )
-        reply = await self.request_reply(host, request)
+        if host == self.host:
+            reply = self.owned.reserve(request)
+        else:
+            reply = await self.calls.call(host, request)
         if reply is None:
             OWNER_REQUESTS.inc({'answered': 'no'})
             self.owners.note_unresponsive(host)
@@ -223,37 +201,11 @@
             tuple(reply.holders),
         )
 
-    async def request_reply(
-        self, host: str, request: messages_forwarding.ReservationRequest
-    ) -> messages_forwarding.ReservationReply | None:
-        """Sends a reservation request, twice if the reply is late.
-
-        Returns:
-            The reply, None if it does not arrive in time.
-        """
-        if host == self.host:
-            return self.owned.reserve(request)
-        pending = self.pending[request.number] = PendingRequest()
-        try:
-            with trio.move_on_after(REPLY_TIMEOUT_SECONDS):
-                self.link.send(host, request)
-                with trio.move_on_after(RETRANSMIT_SECONDS):
-                    await pending.answered.wait()
-                if pending.reply is None:
-                    self.link.send(host, request)
-                await pending.answered.wait()
-        finally:
-            del self.pending[request.number]
-        return pending.reply
-
     def on_request(
         self, request: messages_forwarding.ReservationRequest
     ) -> None:
         """Replies to a reservation request, or forwards it to the owner."""
-        owner = self.host
-        zone = self.owners.owning_zone(request.upstream, request.zone)
-        if not request.forwarded and zone == self.owners.zone:
-            owner = self.owners.owner_in_zone(request.upstream)
+        owner = self.owners.relay_target(request)
         if owner != self.host:
             self.link.send(owner, attrs.evolve(request, forwarded=True))
             return
@@ -265,16 +217,10 @@
         The second reply to a request that was sent twice ends nothing: the
         request that it counts is in transit.
         """
-        pending = self.pending.get(reply.number)
-        if pending is None:
-            if reply.number in self.answered:
-                return
-            late = Reservation(reply.number, '', reply.upstream, reply.owner)
-            self.queue_note(late, owned_loads.NoteKind.ENDED, 0)
+        if self.calls.take(reply):
             return
-        pending.reply = reply
-        pending.answered.set()
-        self.answered.append(reply.number)
+        late = Reservation(reply.number, '', reply.upstream, reply.owner)
+        self.queue_note(late, owned_loads.NoteKind.ENDED, 0)
 
     def queue_note(
         self,
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -29,6 +29,7 @@
     from collections.abc import Sequence
 
     from lavenderbend.coordination.forwarding import tickets
+    from lavenderbend.coordination.forwarding.warm_up import cold_starts
     from lavenderbend.state import forwarding
 
 # Up to this many routers learn of each other's requests soon enough without
@@ -50,6 +51,14 @@
 # request by `reservations.REPLY_TIMEOUT_SECONDS`.
 MAX_SILENT_OWNERS = 2
 
+# Owners of cold upstreams that are asked for a permit before all cold upstreams
+# are passed over.
+MAX_PERMITS_ASKED = 2
+# A request waits this long for a permit if no warm upstream accepts it: several
+# come free within that time.
+MAX_PERMIT_WAIT_SECONDS = 0.3
+PERMIT_RETRY_SECONDS = 0.03
+
 HOLDS_CHAT = 'holds the chat'
 LESS_UNREAD = 'less to read'
 MORE_UNREAD = 'more to read'
@@ -129,6 +138,7 @@
         reservations: Reserves at owners.
         instances: Instances of upstreams by short id.
         fleet_size: Returns the number of routers.
+        cold_starts: Limits the requests to cold upstreams, None for no limit.
     """
 
     def __init__(
@@ -142,15 +152,60 @@
         self.reservations = reservations
         self.instances = instances
         self.fleet_size = fleet_size
+        self.cold_starts: cold_starts.ColdStarts | None = None
 
     async def choose(self, ticket: tickets.Ticket) -> choice_module.Choice:
-        """Chooses the next upstream of a request and reserves it there."""
+        """Chooses the next upstream of a request and reserves it there.
+
+        A cold upstream is chosen only with its owner's permit. Where no other
+        upstream accepts requests, the request waits briefly for one.
+        """
+        ticket.permitted_until = None
+        if self.cold_starts is None:
+            return await self.choose_open(ticket, frozenset())
+        refused_at = trio.current_time() + MAX_PERMIT_WAIT_SECONDS
+        closed: set[str] = set()
+        while True:
+            choice = await self.choose_open(ticket, closed)
+            if choice.upstream is None:
+                if not closed or trio.current_time() >= refused_at:
+                    return choice
+                await trio.sleep(PERMIT_RETRY_SECONDS)
+                closed.clear()
+                continue
+            if await self.may_start(ticket, choice.upstream):
+                return choice
+            if ticket.reservation is not None:
+                ticket.reservation.note_ended()
+            closed.add(choice.upstream.instance)
+            if len(closed) >= MAX_PERMITS_ASKED:
+                closed |= self.cold_starts.coldness.cold()
+
+    async def may_start(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> bool:
+        """Returns whether an upstream is warm or permits the request."""
+        if not self.cold_starts.coldness.is_cold(upstream.instance):
+            return True
+        ticket.permitted_until = await self.cold_starts.permit(upstream)
+        return ticket.permitted_until is not None
+
+    async def choose_open(
+        self, ticket: tickets.Ticket, closed: Collection[str]
+    ) -> choice_module.Choice:
+        """Chooses an upstream that is not closed and reserves it there.
+
+        Args:
+            ticket: The request.
+            closed: Cold upstreams that may not be sent the request now.
+        """
         choice = self.chooser.choose(
             ticket.service,
             ticket.prompt,
             ticket.tried,
             ticket.id,
             ticket.regions,
+            closed,
         )
         ticket.reservation = None
         if choice.upstream is None or not ticket.prompt.parts:
@@ -158,7 +213,7 @@
         if self.fleet_size() <= SMALL_FLEET_ROUTERS:
             return choice
         prompt = make_prompt(ticket.prompt.parts, ticket.prompt.chat)
-        offers, silent = await self.ask(ticket, prompt, choice.allowed)
+        offers, silent = await self.ask(ticket, prompt, choice.allowed, closed)
         # Upstreams may have come or gone while owners were asked.
         upstreams = self.chooser.directory.candidates(
             ticket.service, ticket.regions
@@ -169,7 +224,7 @@
         chosen = best(remaining, prompt, choice.allowed)
         self.release(offers, chosen)
         if chosen is None:
-            return self.choose_unreserved(ticket, remaining)
+            return self.choose_unreserved(ticket, remaining, closed)
         ticket.reservation = reservations_module.ActiveReservation(
             self.reservations,
             chosen.reservation,
@@ -181,7 +236,10 @@
         return make_choice(upstream, offers, chosen, choice.allowed, silent)
 
     def choose_unreserved(
-        self, ticket: tickets.Ticket, over_bound: Sequence[Offer]
+        self,
+        ticket: tickets.Ticket,
+        over_bound: Sequence[Offer],
+        closed: Collection[str],
     ) -> choice_module.Choice:
         """Chooses by what this router knows, without a reservation.
 
@@ -189,10 +247,15 @@
             ticket: The request.
             over_bound: Offers over the bound. Their upstreams are left out
                 while others are usable.
+            closed: Cold upstreams that may not be sent the request now.
         """
         refused = {offer.reservation.instance for offer in over_bound}
         usable = self.chooser.usable(
-            ticket.service, ticket.prompt, ticket.tried, ticket.regions
+            ticket.service,
+            ticket.prompt,
+            ticket.tried,
+            ticket.regions,
+            closed,
         )
         if usable.next(refused) is None:
             refused = set()
@@ -202,6 +265,7 @@
             {*ticket.tried, *refused},
             ticket.id,
             ticket.regions,
+            closed,
         )
         passed_over = tuple(
             decisions.PassedOver(one.upstream, choice_module.OVER_BOUND)
@@ -216,6 +280,7 @@
         ticket: tickets.Ticket,
         prompt: reservations_module.PromptSummary,
         bound: int,
+        closed: Collection[str],
     ) -> tuple[list[Offer], list[str]]:
         """Reserves at owners in turn, until an offer is good enough.
 
@@ -223,7 +288,11 @@
             The offers, and the upstreams whose owners did not reply.
         """
         usable = self.chooser.usable(
-            ticket.service, ticket.prompt, ticket.tried, ticket.regions
+            ticket.service,
+            ticket.prompt,
+            ticket.tried,
+            ticket.regions,
+            closed,
         )
         offers: list[Offer] = []
         silent: list[str] = []
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -51,6 +51,8 @@
             which ones were passed over, and the result.
         reservation: The reservation of the latest attempt at the owner of its
             upstream, None without one.
+        permitted_until: Suspension clock until which the request may be sent to
+            the cold upstream that was chosen, None for a warm one.
         unreachable: Instances that accepted no connection.
         replaced: Instances at whose addresses other processes answered.
         retries: Retries reserved for the request, sent or not.
@@ -82,6 +84,7 @@
     sent_to: list[str] = attrs.field(factory=list)
     attempts: list[decisions.Attempt] = attrs.field(factory=list)
     reservation: reservations.ActiveReservation | None = None
+    permitted_until: float | None = None
     unreachable: list[str] = attrs.field(factory=list)
     replaced: list[str] = attrs.field(factory=list)
     retries: int = 0
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/warm_up/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that have just started, and the rate of requests to them."""
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/warm_up/cold_starts.py
@@ -0,0 +1,315 @@
+"""Permits for requests to cold upstreams, granted by their owners."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend.coordination.forwarding import owner_calls
+from lavenderbend.coordination.forwarding.warm_up import rate_shares
+from lavenderbend.observe import logs
+from lavenderbend.observe import metrics
+from lavenderbend.protocol import messages_forwarding
+from lavenderbend.state import hashing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import peers as peers_module
+    from lavenderbend.coordination.forwarding.warm_up import coldness as colds
+    from lavenderbend.state import forwarding
+
+# Interval at which an owner asks for shares while an upstream is cold.
+BORROW_SECONDS = 0.25
+# Least time between two of these.
+MIN_BORROW_SECONDS = 0.05
+# Time for which shares are asked for after a question about an upstream that
+# its owner does not take for cold.
+WANTED_SECONDS = 1.0
+# Shares arrive within this time after they were asked for.
+SHARES_WAIT_SECONDS = 0.06
+MILLISECONDS = 1000
+
+PERMITS = metrics.counter(
+    'lavenderbend_forward_cold_permits_total',
+    'Questions of this router whether a request may go to a cold upstream.',
+)
+GRANTED = metrics.counter(
+    'lavenderbend_forward_cold_granted_total',
+    'Replies of this router as the owner of cold upstreams.',
+)
+
+
+@attrs.frozen
+class RateSettings:
+    """How many requests a cold upstream may be sent.
+
+    Attributes:
+        factor: Multiple of the rate that its pool states.
+        extra: Requests in a second in addition.
+    """
+
+    factor: float = 1.0
+    extra: float = 0.0
+
+
+class ColdStarts:
+    """Limits the requests that all routers together send to cold upstreams.
+
+    Attributes:
+        coldness: Knows which upstreams may be cold.
+        peers: The other routers.
+        link: Carries messages to them.
+        clock: The suspension clock: a permit must not outlast a suspension.
+        settings: How many requests a cold upstream may be sent.
+        zones: Number of availability zones that the settings name.
+        lender: Lends this router's shares.
+        borrowed: Shares that this router was lent, by short id of the upstream.
+        calls: Questions to owners.
+        denied_until: Router clock until which an upstream's owner need not be
+            asked again.
+        wake: Set when shares are to be asked for at once.
+    """
+
+    def __init__(
+        self,
+        coldness: colds.Coldness,
+        peers: peers_module.Peers,
+        link: interfaces.DatagramLink,
+        clock: Callable[[], float],
+        rng: random.Random,
+        settings: RateSettings,
+        zones: int = 1,
+    ) -> None:
+        self.coldness = coldness
+        self.peers = peers
+        self.owners = peers.owners
+        self.link = link
+        self.clock = clock
+        self.settings = settings
+        self.zones = zones
+        self.lender = rate_shares.Lender(clock, peers.zone_divisor.divisor)
+        self.borrowed: dict[int, rate_shares.BorrowedShares] = {}
+        self.calls = owner_calls.OwnerCalls(link)
+        self.numbers = itertools.count(rng.getrandbits(30))
+        self.denied_until: dict[str, float] = {}
+        self.wake = trio.Event()
+        peers.handlers.update(
+            {
+                messages_forwarding.ColdStartRequest: self.on_request,
+                messages_forwarding.ColdStartReply: self.calls.take,
+                messages_forwarding.RateShareRequest: self.on_share_request,
+                messages_forwarding.RateShareReply: self.on_share_reply,
+            }
+        )
+
+    async def permit(self, upstream: forwarding.Upstream) -> float | None:
+        """Asks whether a request may be sent to a cold upstream.
+
+        Returns:
+            The suspension clock until which it may be sent, None if not now.
+        """
+        now = trio.current_time()
+        if self.denied_until.get(upstream.instance, 0.0) > now:
+            return None
+        asked_at = self.clock()
+        reply = await self.ask(upstream)
+        if reply is None or not reply.permitted:
+            PERMITS.inc({'outcome': 'no reply' if reply is None else 'denied'})
+            wait = 0 if reply is None else reply.wait_milliseconds
+            self.denied_until[upstream.instance] = now + wait / MILLISECONDS
+            return None
+        PERMITS.inc({'outcome': 'permitted'})
+        return asked_at + rate_shares.PERMIT_SECONDS
+
+    async def ask(
+        self, upstream: forwarding.Upstream
+    ) -> messages_forwarding.ColdStartReply | None:
+        """Returns the owner's reply, None if no router replied in time."""
+        short = hashing.short_id(upstream.instance)
+        zone = upstream.vm.availability_zone
+        host = self.owners.router_to_ask(short, zone)
+        if host is None:
+            return None
+        request = messages_forwarding.ColdStartRequest(
+            next(self.numbers), self.peers.host, short, zone
+        )
+        if host == self.peers.host:
+            return self.reply_to(request)
+        reply = await self.calls.call(host, request)
+        if reply is None:
+            self.owners.note_unresponsive(host)
+            return None
+        self.owners.note_owner(short, reply.owner)
+        return reply
+
+    def on_request(self, request: messages_forwarding.ColdStartRequest) -> None:
+        """Replies to a question, or passes it on to the owner."""
+        owner = self.owners.relay_target(request)
+        if owner != self.peers.host:
+            self.link.send(owner, attrs.evolve(request, forwarded=True))
+            return
+        self.link.send(request.host, self.reply_to(request))
+
+    def reply_to(
+        self, request: messages_forwarding.ColdStartRequest
+    ) -> messages_forwarding.ColdStartReply:
+        """Returns this router's reply as the owner."""
+        shares = self.shares(request.upstream)
+        shares.wanted_until = self.clock() + WANTED_SECONDS
+        permitted = shares.try_permit(
+            request.host, request.number, self.limit(request)
+        )
+        GRANTED.inc({'outcome': 'permitted' if permitted else 'denied'})
+        wait = 0.0 if permitted else shares.wait_seconds()
+        if not shares.by_lender:
+            self.wake.set()
+            wait = SHARES_WAIT_SECONDS
+        return messages_forwarding.ColdStartReply(
+            request.number,
+            self.peers.host,
+            request.upstream,
+            permitted,
+            round(wait * MILLISECONDS),
+        )
+
+    def limit(self, request: messages_forwarding.ColdStartRequest) -> float:
+        """Returns how many requests an upstream tolerates in a second.
+
+        An upstream in a zone that has had no routers is owned by a router of
+        another zone. The zones may disagree on which one: each has a part.
+        """
+        instance = self.peers.loads.instances.get(request.upstream)
+        pool = None if instance is None else self.coldness.pool(instance)
+        if pool is None:
+            return 0.0
+        limit = pool.warm_up_rate * self.settings.factor + self.settings.extra
+        if request.zone == self.peers.zone:
+            return limit
+        if request.zone in self.peers.fleet.counts:
+            return 0.0
+        return limit / max(1, self.zones, len(self.peers.fleet.counts))
+
+    def shares(self, upstream: int) -> rate_shares.BorrowedShares:
+        """Returns the shares of an upstream, created if there are none."""
+        shares = self.borrowed.get(upstream)
+        if shares is None:
+            shares = rate_shares.BorrowedShares(self.clock)
+            self.borrowed[upstream] = shares
+        return shares
+
+    def on_share_request(
+        self, request: messages_forwarding.RateShareRequest
+    ) -> None:
+        """Lends shares to an owner."""
+        borrower = rate_shares.Borrower(request.host, request.incarnation)
+        lent = self.lender.lend(borrower, request.upstreams)
+        if lent:
+            self.link.send(request.host, self.loan(request, lent))
+
+    def loan(
+        self, request: messages_forwarding.RateShareRequest, lent: list[int]
+    ) -> messages_forwarding.RateShareReply:
+        """Returns the message that lends shares."""
+        routers = max(self.lender.routers(), request.routers)
+        return messages_forwarding.RateShareReply(
+            self.peers.host,
+            request.incarnation,
+            request.asked_at,
+            routers,
+            lent,
+        )
+
+    def on_share_reply(self, reply: messages_forwarding.RateShareReply) -> None:
+        """Adds shares that were lent to this process."""
+        if reply.incarnation != self.peers.incarnation:
+            return
+        for upstream in reply.upstreams:
+            self.shares(upstream).add(reply)
+
+    async def run(self) -> None:
+        """Asks for shares while upstreams of this router are cold."""
+        while True:
+            self.wake = trio.Event()
+            self.borrow()
+            # Questions that arrive before any share was lent, as while the
+            # whole fleet starts, must not cause a broadcast each.
+            await trio.sleep(MIN_BORROW_SECONDS)
+            with trio.move_on_after(BORROW_SECONDS - MIN_BORROW_SECONDS):
+                await self.wake.wait()
+
+    def borrow(self) -> None:
+        """Asks all routers of the zone for their shares."""
+        self.lender.remove_expired()
+        wanted = self.wanted()
+        self.drop_unwanted(wanted)
+        if not wanted:
+            return
+        request = messages_forwarding.RateShareRequest(
+            self.peers.host,
+            self.peers.incarnation,
+            self.clock(),
+            self.lender.routers(),
+            sorted(wanted),
+        )
+        borrower = rate_shares.Borrower(request.host, request.incarnation)
+        lent = self.lender.lend(borrower, request.upstreams)
+        if lent:
+            self.on_share_reply(self.loan(request, lent))
+        for host in self.peers.members.same_zone.alive():
+            self.link.send(host, request)
+
+    def wanted(self) -> set[int]:
+        """Returns the upstreams whose shares this router needs."""
+        now = self.clock()
+        wanted = {
+            short
+            for short, shares in self.borrowed.items()
+            if shares.wanted_until > now
+        }
+        for instance in self.coldness.cold():
+            upstream = self.coldness.upstreams.get(instance)
+            if upstream is None:
+                continue
+            short = hashing.short_id(instance)
+            zone = upstream.vm.availability_zone
+            if self.owns(short, zone):
+                wanted.add(short)
+        return wanted
+
+    def owns(self, upstream: int, zone: str) -> bool:
+        """Returns whether this router takes itself for an upstream's owner."""
+        if self.owners.owning_zone(upstream, zone) != self.peers.zone:
+            return False
+        return self.owners.owner_in_zone(upstream) == self.peers.host
+
+    def drop_unwanted(self, wanted: set[int]) -> None:
+        """Drops state that is too old to matter."""
+        oldest = self.clock() - rate_shares.SEPARATION_SECONDS
+        for short, shares in list(self.borrowed.items()):
+            if short not in wanted and shares.wanted_until < oldest:
+                del self.borrowed[short]
+        now = trio.current_time()
+        for instance, until in list(self.denied_until.items()):
+            if until <= now:
+                del self.denied_until[instance]
+
+    def may_send(self, instance: str, permitted_until: float | None) -> bool:
+        """Returns whether a request may be sent to an upstream now.
+
+        Args:
+            instance: The upstream.
+            permitted_until: Suspension clock at which the request's permit
+                ends, None without one.
+        """
+        if permitted_until is not None:
+            return self.clock() <= permitted_until
+        if not self.coldness.is_cold(instance):
+            return True
+        logs.change('cold_upstream_withheld', upstream=instance)
+        return False
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -26,6 +26,8 @@
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.coordination.forwarding import suspicions
+from lavenderbend.coordination.forwarding.warm_up import cold_starts
+from lavenderbend.coordination.forwarding.warm_up import coldness
 from lavenderbend.observe import logs
 from lavenderbend.platform import store
 from lavenderbend.protocol import documents_yaml
@@ -121,6 +123,19 @@
         """Creates the components of the request path."""
         settings = self.forwarding
         self.exchanges = upstream_exchanges.UpstreamExchanges()
+        self.coldness = coldness.Coldness(self.peers.facts)
+        self.snapshots.on_change.append(self.coldness.apply_snapshot)
+        self.cold_starts = cold_starts.ColdStarts(
+            self.coldness,
+            self.peers,
+            self.link,
+            self.snapshots.clock,
+            self.rng,
+            cold_starts.RateSettings(
+                settings.cold_rate_factor, settings.cold_rate_extra
+            ),
+            len(settings.zones),
+        )
         self.crashes = crashes.CrashDetector(
             self.exchanges.accepts, self.peers.facts
         )
@@ -132,7 +147,7 @@
         self.departures = departures.Departures(
             self.snapshots, self.directory, self.peers.facts
         )
-        self.health.on_suspect = self.suspicions.announce
+        self.health.on_suspect = self.announce_suspect
         self.peers.fact_callbacks = {
             crashes.DEATH: self.crashes.apply_fact,
             crashes.CLEARED: self.crashes.apply_fact,
@@ -140,6 +155,7 @@
             departures.LEAVING: self.departures.apply_announcement,
             departures.DRAINED: self.departures.apply_drained,
             suspicions.SUSPECTED: self.suspicions.apply_suspicion,
+            coldness.COLD: self.coldness.apply_fact,
         }
         self.budget = budget.RetryBudget(
             retry_budget_settings(settings), self.peers.budget_divisor
@@ -182,6 +198,8 @@
             self.budget,
         )
         self.forwarder.fleet_size = self.peers.fleet_size
+        self.forwarder.reserving_chooser.cold_starts = self.cold_starts
+        self.forwarder.attempts.cold_starts = self.cold_starts
 
     def make_servers(self) -> None:
         """Creates the servers for callers and the load balancer."""
@@ -227,6 +245,12 @@
         """
         if not self.silence.received_within(instance, silence.SILENT_SECONDS):
             self.health.note_suspected(instance, seconds)
+            self.coldness.note_silent(instance, seconds)
+
+    def announce_suspect(self, instance: str, seconds: float) -> None:
+        """Reports an upstream that this router found dead or unreachable."""
+        self.coldness.note_silent(instance, seconds)
+        self.suspicions.announce(instance, seconds)
 
     def caller_limits(self) -> forwarding_state.CallerLimits:
         """Returns the caller limits in force."""
@@ -279,6 +303,7 @@
             await nursery.start(self.link.run)
             nursery.start_soon(self.snapshots.run)
             nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.cold_starts.run)
             nursery.start_soon(self.crashes.run)
             nursery.start_soon(self.silence.run)
             nursery.start_soon(self.remove_stale_state)
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -112,9 +112,41 @@
     known_revision: int = attrs.field(validator=fields.INTEGER)
 
 
+class OwnerRequest(peer.Message):
+    """Base of the questions to the owner of an upstream.
+
+    Attributes:
+        number: Number of the question, unique at the sender.
+        host: IPv4 address of the sender.
+        upstream: Short id of the upstream.
+        zone: The upstream's availability zone.
+        forwarded: Whether another router has relayed the message.
+    """
+
+    number: int
+    host: str
+    upstream: int
+    zone: str
+    forwarded: bool
+
+
+class OwnerReply(peer.Message):
+    """Base of the replies of owners.
+
+    Attributes:
+        number: Number of the question.
+        owner: IPv4 address of the sender.
+        upstream: Short id of the upstream.
+    """
+
+    number: int
+    owner: str
+    upstream: int
+
+
 @peer.message(110)
 @attrs.frozen
-class ReservationRequest(peer.Message):
+class ReservationRequest(OwnerRequest):
     """Requests a reservation and the load of an upstream from its owner.
 
     Attributes:
@@ -143,7 +175,7 @@
 
 @peer.message(111)
 @attrs.frozen
-class ReservationReply(peer.Message):
+class ReservationReply(OwnerReply):
     """State of an upstream at its owner, without the new reservation.
 
     Attributes:
@@ -182,3 +214,87 @@
     rows: list[list[int]] = attrs.field(
         validator=fields.rows_of(int, int, int, int, int)
     )
+
+
+@peer.message(113)
+@attrs.frozen
+class ColdStartRequest(OwnerRequest):
+    """Asks the owner of a cold upstream whether a request may be sent there.
+
+    Attributes:
+        number: Number of the question, unique at the sender.
+        host: IPv4 address of the sender.
+        upstream: Short id of the upstream.
+        zone: The upstream's availability zone.
+        forwarded: Whether another router has relayed the message.
+    """
+
+    number: int = attrs.field(validator=fields.INTEGER)
+    host: str = attrs.field(validator=fields.TEXT)
+    upstream: int = attrs.field(validator=fields.INTEGER)
+    zone: str = attrs.field(validator=fields.TEXT)
+    forwarded: bool = attrs.field(validator=fields.FLAG, default=False)
+
+
+@peer.message(114)
+@attrs.frozen
+class ColdStartReply(OwnerReply):
+    """Whether a request may be sent to a cold upstream.
+
+    Attributes:
+        number: Number of the question.
+        owner: IPv4 address of the sender.
+        upstream: Short id of the upstream.
+        permitted: Whether it may, if it is sent at once.
+        wait_milliseconds: Time after which it may be worth asking again.
+    """
+
+    number: int = attrs.field(validator=fields.INTEGER)
+    owner: str = attrs.field(validator=fields.TEXT)
+    upstream: int = attrs.field(validator=fields.INTEGER)
+    permitted: bool = attrs.field(validator=fields.FLAG)
+    wait_milliseconds: int = attrs.field(validator=fields.INTEGER)
+
+
+@peer.message(115)
+@attrs.frozen
+class RateShareRequest(peer.Message):
+    """Asks a router of the zone to lend its shares of cold upstreams' rates.
+
+    Attributes:
+        host: IPv4 address of the sender, the owner of the upstreams.
+        incarnation: Of the sender's process.
+        asked_at: The sender's suspension clock, from which the loans count.
+        routers: Routers of the zone, as the sender counts them.
+        upstreams: Short ids of the upstreams.
+    """
+
+    host: str = attrs.field(validator=fields.TEXT)
+    incarnation: int = attrs.field(validator=fields.INTEGER)
+    asked_at: float = attrs.field(validator=fields.NUMBER)
+    routers: int = attrs.field(validator=fields.INTEGER)
+    upstreams: list[int] = attrs.field(
+        validator=attrs.validators.deep_iterable(fields.INTEGER)
+    )
+
+
+@peer.message(116)
+@attrs.frozen
+class RateShareReply(peer.Message):
+    """Lends shares of cold upstreams' rates to their owner.
+
+    Attributes:
+        host: IPv4 address of the sender.
+        incarnation: Of the process that asked.
+        asked_at: `asked_at` of the request.
+        routers: Routers of the zone, among which the rate is shared.
+        upstreams: Short ids of the upstreams whose shares are lent.
+    """
+
+    host: str = attrs.field(validator=fields.TEXT)
+    incarnation: int = attrs.field(validator=fields.INTEGER)
+    asked_at: float = attrs.field(validator=fields.NUMBER)
+    routers: int = attrs.field(validator=fields.INTEGER)
+    upstreams: list[int] = attrs.field(
+        validator=attrs.validators.deep_iterable(fields.INTEGER)
+    )
--- a/tests/test_protocol/test_protocol_samples.py
+++ b/tests/test_protocol/test_protocol_samples.py
@@ -295,6 +295,42 @@
         ),
         '9370a5746578743191950102030405',
     ),
+    (
+        messages_forwarding.ColdStartRequest(
+            number=1, host='text2', upstream=3, zone='text4', forwarded=False
+        ),
+        '967101a5746578743203a57465787434c2',
+    ),
+    (
+        messages_forwarding.ColdStartReply(
+            number=1,
+            owner='text2',
+            upstream=3,
+            permitted=True,
+            wait_milliseconds=5,
+        ),
+        '967201a5746578743203c305',
+    ),
+    (
+        messages_forwarding.RateShareRequest(
+            host='text1',
+            incarnation=2,
+            asked_at=3.5,
+            routers=4,
+            upstreams=[5, 105],
+        ),
+        '9673a5746578743102cb400c00000000000004920569',
+    ),
+    (
+        messages_forwarding.RateShareReply(
+            host='text1',
+            incarnation=2,
+            asked_at=3.5,
+            routers=4,
+            upstreams=[5, 105],
+        ),
+        '9674a5746578743102cb400c00000000000004920569',
+    ),
 ]
 
 BATCH = claims.Batch(
