Soak: zones that are drained and taken back, engines that start cold

Real processes; what engines ran is checked against the drain and against what a cold engine tolerates.

--- a/tests/integration/forwarding_soak.py
+++ b/tests/integration/forwarding_soak.py
@@ -64,6 +64,15 @@
 FAULTS: registry.Registry = registry.Registry('fault')
 # apart from the others: what a seed draws of those stays as it is
 DEPARTURES: registry.Registry = registry.Registry('fault of who leaves')
+ZONES: registry.Registry = registry.Registry('fault of zones and starts')
+DRAINED_ZONE = 'sala-b'
+# Time in which a drained zone is known on all routers.
+DRAIN_SECONDS = 3.0
+# What a cold engine tolerates in any second.
+COLD_SECONDS = 2.0
+COLD_RATE = 2.0
+COLD_RATE_EXTRA = 2.0
+MOST_WHILE_COLD = 4
 
 
 @attrs.frozen
@@ -138,12 +147,21 @@
         seed,
         routers=forwarding_fleet.ROUTERS,
         departures=False,
+        zones=False,
     ) -> None:
         super().__init__(folder, routers)
         self.seed = seed
         self.kinds = {name: FAULTS.get(name) for name in FAULTS}
         if departures:
             self.kinds = {name: DEPARTURES.get(name) for name in DEPARTURES}
+        self.changes = {}
+        self.services = standins.configuration()['services']
+        if zones:
+            self.kinds = {name: ZONES.get(name) for name in ZONES}
+            self.limit_cold_engines()
+        self.zones = {'i-e2': DRAINED_ZONE}
+        self.drained: list[tuple[float, float]] = []
+        self.cold: list[tuple[str, float]] = []
         self.restarted: list[tuple[str, float]] = []
         self.rng = random.Random(seed)
         self.told: list[Told] = []
@@ -167,6 +185,15 @@
             for name, worker in self.workers.items()
         }
 
+    def limit_cold_engines(self) -> None:
+        """Lets engines that start tolerate few requests."""
+        engines = {'coldS': COLD_SECONDS, 'warmupPerS': COLD_RATE}
+        self.services = [
+            {**service, **(engines if service['name'] == 'engines' else {})}
+            for service in self.services
+        ]
+        self.changes = {'cold_rate_extra': COLD_RATE_EXTRA}
+
     def stream_worker(self, worker):
         engine = stream_standins.StreamWorker(
             worker.instance, worker.service, self.seed
@@ -190,7 +217,10 @@
             self.store_links[router.host] = link
             share = REPEAT_SHARES[self.seed % len(REPEAT_SHARES)]
             self.write_settings(
-                router, store_port=link.port, repeat_share=share
+                router,
+                store_port=link.port,
+                repeat_share=share,
+                **self.changes,
             )
             await router.process.start()
         for router in self.routers:
@@ -201,6 +231,7 @@
         address = f'{standins.HOST}:{port}'
         worker = self.workers[name]
         entry = {**worker.entry(state), 'address': address}
+        entry['zone'] = self.zones.get(name, entry['zone'])
         self.store.put(f'servers/{worker.instance}', entry)
 
     def replace(self, name) -> None:
@@ -217,7 +248,10 @@
     def publish(self) -> None:
         tenants = [{'name': 'corte', 'apiKeys': self.keys, 'priority': 1}]
         value = standins.configuration(
-            self.version, tenants=tenants, routes=ROUTES
+            self.version,
+            tenants=tenants,
+            routes=ROUTES,
+            services=self.services,
         )
         self.store.put('op/config', value)
         self.version += self.rng.randint(1, 3)
@@ -411,6 +445,10 @@
         for name, worker in self.workers.items():
             self.check_word(name, worker, told)
             self.check_turned_away(name, worker, told)
+        for begin, end in self.drained:
+            self.check_drained(begin, end)
+        for instance, at in self.cold:
+            self.check_cold(instance, at)
 
     def has_restarted(self, host: str, since: float, until: float) -> bool:
         """Returns whether a router ended, or stood still for long."""
@@ -462,6 +500,50 @@
                     f'{seconds} s of its refusal of {request}'
                 )
 
+    def runs_of(self, name: str) -> list[tuple[float, str, str]]:
+        """Returns time, request and instance of the runs of a worker."""
+        worker = self.workers[name]
+        return [
+            (
+                at,
+                asked.headers['lavenderbend-request-id'],
+                asked.headers['lavenderbend-expect-instance'],
+            )
+            for asked, at in zip(worker.ran, worker.ran_at, strict=True)
+        ]
+
+    def check_drained(self, begin: float, end: float) -> None:
+        """Finds what came to the drained zone while it was drained."""
+        if any(
+            begin - TOUCH_SECONDS < disturbed < end
+            for disturbed in self.disturbed
+        ):
+            return
+        for name in self.zones:
+            self.violations.extend(
+                f'{request} came to {name} {at - begin:.2f} s after its zone '
+                'was drained'
+                for at, request, _ in self.runs_of(name)
+                if begin + DRAIN_SECONDS < at < end
+            )
+
+    def check_cold(self, instance: str, begin: float) -> None:
+        """Finds whether an engine got too many requests while it was cold."""
+        times = sorted(
+            at
+            for name in self.workers
+            for at, _, expected in self.runs_of(name)
+            if expected == instance and begin <= at < begin + COLD_SECONDS
+        )
+        for first, last in zip(times, times[MOST_WHILE_COLD:], strict=False):
+            if last - first < 1.0:
+                self.violations.append(
+                    f'{instance} got more than {MOST_WHILE_COLD} requests in '
+                    f'{last - first:.2f} s, {first - begin:.2f} s after its '
+                    'start'
+                )
+                return
+
     def check_told(self, told: Told, ran: list) -> None:
         found = []
         self.find(told, ran, found)
@@ -753,15 +835,46 @@
     DEPARTURES.register(shared)(FAULTS.get(shared))
 
 
+@ZONES.register('drain zone')
+async def drain_zone(world):
+    """Operators drain a zone and take it back; its engine is cold then."""
+    key = f'op/evacuate/{DRAINED_ZONE}'
+    if key in world.store.items:
+        return
+    world.store.put(key, {})
+    begin = trio.current_time()
+    await trio.sleep(world.rng.uniform(DRAIN_SECONDS, DRAIN_SECONDS + 2.0))
+    end = trio.current_time()
+    world.store.remove(key)
+    world.drained.append((begin, end))
+    for name in world.zones:
+        world.cold.append((world.workers[name].instance, end))
+
+
+@ZONES.register('start again')
+async def start_again(world):
+    """An engine is gone, and another one starts cold at its address."""
+    name = world.rng.choice(('i-e1', 'i-e2'))
+    world.replace(name)
+    instance = world.workers[name].instance
+    world.cold.append((instance, trio.current_time()))
+    await trio.sleep(world.rng.uniform(0.0, 2.0))
+
+
+for shared in ('kill', 'kill all', 'pause', 'configuration', 'store link'):
+    ZONES.register(shared)(FAULTS.get(shared))
+
+
 async def soak(
     folder,
     seed,
     seconds,
     routers=forwarding_fleet.ROUTERS,
     departures=False,
+    zones=False,
 ) -> World:
     """Returns the world after a soak."""
-    world = World(folder, seed, routers, departures)
+    world = World(folder, seed, routers, departures, zones)
     async with trio.open_nursery() as nursery:
         try:
             await world.start(nursery)
@@ -803,6 +916,7 @@
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--routers', type=int, default=forwarding_fleet.ROUTERS)
     parser.add_argument('--departures', action='store_true')
+    parser.add_argument('--zones', action='store_true')
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
@@ -814,6 +928,7 @@
             options.seconds,
             options.routers,
             options.departures,
+            options.zones,
         )
         told = collections.Counter((one.kind, one.status) for one in world.told)
         failed += bool(world.violations)
--- a/tests/integration/test_integration_forwarding_soak.py
+++ b/tests/integration/test_integration_forwarding_soak.py
@@ -35,13 +35,23 @@
     assert any(told.status == 200 for told in world.told)
 
 
+@pytest.mark.parametrize('seed', [7001, 7002])
+async def test_short_soak_of_zones_and_starts_breaks_no_promise(tmp_path, seed):
+    world = await forwarding_soak.soak(tmp_path, seed, 10.0, zones=True)
+    assert world.violations == []
+    assert any(told.status == 200 for told in world.told)
+
+
 @pytest.fixture
 def world(tmp_path):
     return forwarding_soak.World(tmp_path, 1)
 
 
 def ran(world, request, at=10.0, worker='i-d1'):
-    headers = {'lavenderbend-request-id': request}
+    headers = {
+        'lavenderbend-request-id': request,
+        'lavenderbend-expect-instance': worker,
+    }
     asked = standins.ReceivedRequest('POST', '/desk/send', headers, b'')
     world.workers[worker].ran.append(asked)
     world.workers[worker].ran_at.append(at)
@@ -51,6 +61,31 @@
     return forwarding_soak.Told('r1', kind, KEY, sent, status, body, signed)
 
 
+def test_checkers_find_requests_in_a_drained_zone(world):
+    world.drained = [(10.0, 16.0)]
+    ran(world, 'r1', 12.9, 'i-e2')
+    ran(world, 'r2', 13.1, 'i-e1')
+    ran(world, 'r3', 16.1, 'i-e2')
+    world.check()
+    assert world.violations == []
+    ran(world, 'r4', 13.1, 'i-e2')
+    world.check()
+    assert len(world.violations) == 1
+
+
+def test_checkers_find_too_many_requests_at_a_cold_engine(world):
+    world.cold = [('i-e1', 10.0)]
+    for number in range(forwarding_soak.MOST_WHILE_COLD):
+        ran(world, f'r{number}', 10.5 + number / 100, 'i-e1')
+    for number in range(9):
+        ran(world, f'warm{number}', 12.5, 'i-e1')
+    world.check()
+    assert world.violations == []
+    ran(world, 'r9', 11.4, 'i-e1')
+    world.check()
+    assert len(world.violations) == 1
+
+
 def test_checkers_find_nothing_in_what_is_right(world):
     ran(world, 'r1')
     world.told = [told(200)]
