--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -150,11 +150,13 @@
     @property
     def names(self) -> set[str]:
         """All excluded instances."""
-        return {*self.used, *self.avoided, *self.closed}
+        return {*self.used, *self.avoided, *self.paused, *self.warming_up}
 
     @property
-    def closed(self) -> set[str]:
+    def closed(self) -> Set[str]:
         """The instances that are not used even if there are no others."""
+        if not self.warming_up:
+            return self.paused
         return {*self.paused, *self.warming_up}
 
     def reason(self, name: str) -> str:
@@ -301,9 +303,10 @@
         """Returns the upstreams that a request is not sent to."""
         instances = candidates.by_name.keys()
         paused = instances & self.health.paused().keys()
-        warming = instances & set(warming_up)
+        warming = instances & set(warming_up) if warming_up else frozenset()
         tried = instances & set(used)
-        if len(tried | paused | warming) == len(instances):
+        closed = paused | warming if warming else paused
+        if len(tried | closed) == len(instances):
             # The request was sent to every upstream that accepts requests:
             # one of them gets it again.
             tried = frozenset()
