Cold upstreams: a router whose own path is cut takes few for cold

An upstream that did not answer may have started again, and counts as cold for its warm-up. A router that is cut off finds nobody answering: when its path is back it would need a permit for each request, of owners that it does not know yet. Above half of a pool the rest is taken for warm. Found by reading; test with it.

--- a/lavenderbend/coordination/forwarding/warm_up/coldness.py
+++ b/lavenderbend/coordination/forwarding/warm_up/coldness.py
@@ -21,6 +21,9 @@
 # An upstream whose entry comes back within this time has not started: each
 # start has another id.
 KNOWN_SECONDS = 300.0
+# Where more than this fraction of a pool does not answer, the path of this
+# router is cut rather than that they all started again under the same ids.
+MAX_SILENT_FRACTION = 0.5
 # Why an upstream may be cold.
 STARTED = 'started'
 TAKEN_BACK = 'its zone was taken back'
@@ -55,6 +58,7 @@
         upstreams: Upstreams of these pools by instance.
         seen_at: Router clock at which each upstream was last listed.
         until: Router clock until which each upstream may be cold.
+        silent_until: The same for those that did not answer.
         drained_zones: Drained zones of the latest snapshot.
         last_end: Router clock from which on no upstream is cold.
     """
@@ -65,6 +69,7 @@
         self.upstreams: dict[str, forwarding.Upstream] | None = None
         self.seen_at: dict[str, float] = {}
         self.until: dict[str, float] = {}
+        self.silent_until: dict[str, float] = {}
         self.drained_zones: Collection[str] = ()
         self.last_end = 0.0
 
@@ -110,6 +115,11 @@
         self.until = {
             name: until for name, until in self.until.items() if until > now
         }
+        self.silent_until = {
+            name: until
+            for name, until in self.silent_until.items()
+            if until > now
+        }
         self.seen_at.update(dict.fromkeys(self.upstreams, now))
         oldest = now - KNOWN_SECONDS
         self.seen_at = {
@@ -156,8 +166,21 @@
             seconds: Time for which it is avoided.
         """
         pool = self.pool(instance)
-        if pool is not None:
-            self.note(instance, seconds + pool.warm_up_seconds, SILENT)
+        if pool is None:
+            return
+        seconds += pool.warm_up_seconds
+        now = trio.current_time()
+        self.silent_until[instance] = now + seconds
+        silent = sum(
+            until > now and self.pool(name) is pool
+            for name, until in self.silent_until.items()
+        )
+        members = sum(
+            upstream.vm.service == pool.name
+            for upstream in self.upstreams.values()
+        )
+        if silent <= MAX_SILENT_FRACTION * members:
+            self.note(instance, seconds, SILENT)
 
     def apply_fact(self, fact: facts_module.Fact) -> None:
         """Records that another router found an upstream cold."""
--- a/tests/test_coordination/test_warm_up_coldness.py
+++ b/tests/test_coordination/test_warm_up_coldness.py
@@ -130,6 +130,18 @@
     assert not coldness.is_cold('e1')
 
 
+async def test_router_whose_path_is_cut_takes_few_for_cold(
+    coldness, autojump_clock
+):
+    # Guards against a router that needs a permit for each request when its path
+    # is back, from owners that it does not know yet.
+    members = [fakes.upstream(f'e{number}') for number in range(8)]
+    coldness.apply_snapshot(content(1, *members))
+    for member in members:
+        coldness.note_silent(member.instance, 1.0)
+    assert len(coldness.cold()) == 4
+
+
 async def test_pool_without_a_warm_up_rate_has_no_cold_upstreams(
     coldness, autojump_clock
 ):
