Reload takes over the settings of drained zones and cold upstreams

Neither did it nor did its line name them. Found by reading the diff; a test with it. The tests of silent owners name the time-out where it stands now (owner_calls; same value, same bounds), and an unused type variable is gone.

--- a/lavenderbend/coordination/forwarding/owner_calls.py
+++ b/lavenderbend/coordination/forwarding/owner_calls.py
@@ -4,7 +4,6 @@
 
 import collections
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 import attrs
 import trio
@@ -13,8 +12,6 @@
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.protocol import messages_forwarding
 
-    R = TypeVar('R', bound=messages_forwarding.OwnerReply)
-
 # An owner in another zone replies within three or four milliseconds, a busy
 # one later. A request waits no longer for it.
 REPLY_TIMEOUT_SECONDS = 0.02
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -48,7 +48,7 @@
 # overload the upstream that each of them believes to be free.
 MAX_OFFERS = 10
 # Owners that do not reply, after which no other is asked: each may delay the
-# request by `reservations.REPLY_TIMEOUT_SECONDS`.
+# request by `owner_calls.REPLY_TIMEOUT_SECONDS`.
 MAX_SILENT_OWNERS = 2
 
 # Owners of cold upstreams that are asked for a permit before all cold upstreams
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -131,9 +131,7 @@
             self.link,
             self.snapshots.clock,
             self.rng,
-            cold_starts.RateSettings(
-                settings.cold_rate_factor, settings.cold_rate_extra
-            ),
+            cold_rate_settings(settings),
             len(settings.zones),
         )
         self.crashes = crashes.CrashDetector(
@@ -268,8 +266,9 @@
     def reload(self, settings: settings_module.RouterSettings) -> None:
         """Applies the settings that may change while the router runs.
 
-        These are the addresses of other routers and the bounds on the age
-        of the configuration, on retries and on load. The other settings
+        These are the addresses of other routers, the bounds on the age of
+        the configuration, on retries and on load, and those of drained zones
+        and cold upstreams. The other settings
         need a restart; the log line names those that have changed.
         """
         forwarding = settings.forwarding
@@ -283,6 +282,8 @@
         self.forwarder.resolver.apply_seconds = forwarding.apply_seconds
         self.budget.settings = retry_budget_settings(forwarding)
         self.forwarder.chooser.load_factor = forwarding.load_factor
+        self.directory.copy_seconds = forwarding.zone_drain_seconds
+        self.cold_starts.settings = cold_rate_settings(forwarding)
         changed = [
             name
             for name in RESTART_SETTINGS
@@ -381,6 +382,15 @@
     )
 
 
+def cold_rate_settings(
+    forwarding: forwarding_settings.ForwardingSettings,
+) -> cold_starts.RateSettings:
+    """Returns the settings of the rate of requests to cold upstreams."""
+    return cold_starts.RateSettings(
+        forwarding.cold_rate_factor, forwarding.cold_rate_extra
+    )
+
+
 def address(text: str) -> tuple[str, int]:
     """Returns host and port of `host:port`."""
     host, _, port = text.rpartition(':')
--- a/tests/test_coordination/test_forwarding_owners.py
+++ b/tests/test_coordination/test_forwarding_owners.py
@@ -14,6 +14,7 @@
 from bench.fleet import world
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import owned_loads
+from lavenderbend.coordination.forwarding import owner_calls
 from lavenderbend.coordination.forwarding import reservations
 from lavenderbend.coordination.forwarding import reserving_chooser
 from lavenderbend.protocol import messages_forwarding
@@ -155,9 +156,9 @@
     begin = trio.current_time()
     assert await client.reserve(upstream, PROMPT, 5.0) is None
     waited = trio.current_time() - begin
-    assert waited <= reservations.REPLY_TIMEOUT_SECONDS + 0.001
+    assert waited <= owner_calls.REPLY_TIMEOUT_SECONDS + 0.001
     await client.reserve(upstream, PROMPT, 5.0)
-    assert trio.current_time() - begin <= 2 * reservations.REPLY_TIMEOUT_SECONDS
+    assert trio.current_time() - begin <= 2 * owner_calls.REPLY_TIMEOUT_SECONDS
     await trio.sleep(6.0)
     # The first request may go to the dead router once more.
     replies = [await client.reserve(upstream, PROMPT, 5.0) for _ in range(3)]
@@ -589,7 +590,7 @@
     chosen = await chats.placing.choose(ticket())
     waited = trio.current_time() - begin
     assert chosen.upstream is not None
-    assert waited <= 2 * reservations.REPLY_TIMEOUT_SECONDS + 0.001
+    assert waited <= 2 * owner_calls.REPLY_TIMEOUT_SECONDS + 0.001
 
 
 async def test_upstream_without_requests_is_forgotten(owned, autojump_clock):
--- a/tests/test_daemon/test_daemon_forwarding.py
+++ b/tests/test_daemon/test_daemon_forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from lavenderbend.daemon import forwarding
 from lavenderbend.state import forwarding_settings
@@ -13,19 +14,38 @@
 )
 
 
-async def test_reload_changes_the_age_limit_of_refusals():
-    # Guards against a reload that changes `apply_seconds` for reading the
-    # store but not for refusals, although its log line names no need for a
-    # restart: unknown routes and credentials were still refused by a
-    # configuration as old as the former value allowed.
-    settings = settings_module.RouterSettings(
+@pytest.fixture
+def settings():
+    return settings_module.RouterSettings(
         'router-1',
         'sala-a',
         settings_module.KeyValueSettings(['http://127.0.0.1:4']),
         forwarding=forwarding_settings.ForwardingSettings(LISTEN),
     )
+
+
+async def test_reload_changes_the_age_limit_of_refusals(settings):
+    # Guards against a reload that changes `apply_seconds` for reading the
+    # store but not for refusals, although its log line names no need for a
+    # restart: unknown routes and credentials were still refused by a
+    # configuration as old as the former value allowed.
     daemon = forwarding.ForwardingDaemon(settings)
     changed = attrs.evolve(settings.forwarding, apply_seconds=0.5)
     daemon.reload(attrs.evolve(settings, forwarding=changed))
     assert daemon.snapshots.settings.apply_seconds == 0.5
     assert daemon.forwarder.resolver.apply_seconds == 0.5
+
+
+async def test_reload_changes_drained_zones_and_cold_upstreams(settings):
+    # Guards against a reload that needs a restart and does not say so.
+    daemon = forwarding.ForwardingDaemon(settings)
+    changed = attrs.evolve(
+        settings.forwarding,
+        zone_drain_seconds=7.0,
+        cold_rate_factor=2.0,
+        cold_rate_extra=3.0,
+    )
+    daemon.reload(attrs.evolve(settings, forwarding=changed))
+    assert daemon.directory.copy_seconds == 7.0
+    assert daemon.cold_starts.settings.factor == 2.0
+    assert daemon.cold_starts.settings.extra == 3.0
