A test of a cold engine's rate granted by two zones; it fails, and is listed

Found by reading: a router that was restarted while it hears nothing of an engine's zone takes it for a zone that never had routers and grants a part of the rate beside the zone's own owner: 30 where 20 are allowed.

--- a/tests/test_coordination/test_warm_up_limit.py
+++ b/tests/test_coordination/test_warm_up_limit.py
@@ -6,6 +6,7 @@
 import trio
 
 from lavenderbend.coordination.forwarding.warm_up import rate_shares
+from lavenderbend.protocol import messages_forwarding
 from tests import cold_start_fleet as fleets
 
 LIMIT = fleets.LIMIT
@@ -158,3 +159,19 @@
     fleet = await play(nursery, 28, 3, faults)
     await trio.sleep(2.0)
     assert fleet.most_in_a_second() > LIMIT
+
+
+async def test_zones_that_do_not_know_each_other_share_the_rate(
+    nursery, autojump_clock
+):
+    # Guards against a router that was restarted during a cut between zones and
+    # takes an upstream's zone for one that never had routers.
+    fleet = fleets.Fleet(nursery, 2, 1)
+    owner, elsewhere = (process.starts for process in fleet.processes.values())
+    elsewhere.peers.zone = 'sala-b'
+    owner.zones = elsewhere.zones = 2
+    (upstream, *_) = fleet.instances
+    request = messages_forwarding.ColdStartRequest(
+        1, '10.0.0.9', upstream, fleets.ZONE
+    )
+    assert owner.limit(request) + elsewhere.limit(request) <= LIMIT
