Lines that tell a router's own lost paths from dead upstreams

A router that could open no connection wrote the same lines as one whose upstreams died: upstream_avoided, cause unreachable. upstreams_lost says how the connections failed (no answer, refused), how long before them the last one was opened, how many routers are known and how old the store's content is. No decision changes: UpstreamPaths opens what UpstreamExchanges opened.

--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -171,6 +171,36 @@
         """
 
 
+class DirectExchanges(Exchanges):
+    """Connections that this router itself opens to upstreams."""
+
+    @abc.abstractmethod
+    def reuse(
+        self, upstream: forwarding.Upstream, repeatable: bool
+    ) -> Exchange | None:
+        """Returns an idle connection, None if there is none to reuse.
+
+        Args:
+            upstream: The upstream.
+            repeatable: Whether the request may run twice.
+        """
+
+    @abc.abstractmethod
+    async def connect(self, upstream: forwarding.Upstream) -> Exchange:
+        """Returns a new connection.
+
+        Raises:
+            UpstreamUnreachable: The upstream accepts none; nothing was sent.
+        """
+
+    async def open(
+        self, upstream: forwarding.Upstream, repeatable: bool
+    ) -> Exchange:
+        """Returns an idle or a new connection."""
+        idle = self.reuse(upstream, repeatable)
+        return await self.connect(upstream) if idle is None else idle
+
+
 class SnapshotSource(abc.ABC):
     """Reads configuration and upstreams from the platform's store."""
 
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -21,11 +21,13 @@
 from lavenderbend.coordination.forwarding import loads
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
+from lavenderbend.coordination.forwarding import reachability
 from lavenderbend.coordination.forwarding import request_resolver
 from lavenderbend.coordination.forwarding import reserving_chooser
 from lavenderbend.coordination.forwarding import silence
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.coordination.forwarding import suspicions
+from lavenderbend.coordination.forwarding import upstream_paths
 from lavenderbend.coordination.forwarding.warm_up import cold_starts
 from lavenderbend.coordination.forwarding.warm_up import coldness
 from lavenderbend.observe import logs
@@ -123,6 +125,12 @@
         """Creates the components of the request path."""
         settings = self.forwarding
         self.exchanges = upstream_exchanges.UpstreamExchanges()
+        self.reachability = reachability.Reachability()
+        self.reachability.fleet_size = self.peers.fleet_size
+        self.reachability.store_age = lambda: self.snapshots.age
+        self.paths = upstream_paths.UpstreamPaths(
+            self.exchanges, self.reachability
+        )
         self.coldness = coldness.Coldness(self.peers.facts)
         self.snapshots.on_change.append(self.coldness.apply_snapshot)
         self.cold_starts = cold_starts.ColdStarts(
@@ -135,7 +143,7 @@
             len(settings.zones),
         )
         self.crashes = crashes.CrashDetector(
-            self.exchanges.accepts, self.peers.facts
+            self.paths.accepts, self.peers.facts
         )
         self.silence = silence.SilenceDetector(self.health)
         self.suspicions = suspicions.Suspicions(
@@ -175,7 +183,7 @@
                 self.peers.fleet_size,
             ),
             attempts.Attempts(
-                self.exchanges,
+                self.paths,
                 self.directory,
                 self.health,
                 self.loads,
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -99,6 +99,14 @@
     """No connection to the upstream; no byte of the request was sent."""
 
 
+class ConnectTimeout(UpstreamUnreachable):
+    """Nothing answered the opening of the connection in time."""
+
+
+class ConnectRefused(UpstreamUnreachable):
+    """The opening of the connection was refused or reset."""
+
+
 class UpstreamWithdrawn(UpstreamUnreachable):
     """The upstream left or paused before the request was sent."""
 
--- a/lavenderbend/transport/socket_options.py
+++ b/lavenderbend/transport/socket_options.py
@@ -42,13 +42,18 @@
     """Opens a connection to an upstream, with a timeout in seconds.
 
     Raises:
-        UpstreamUnreachable: The connection cannot be opened in time.
+        ConnectTimeout: The connection cannot be opened in time.
+        ConnectRefused: The connection cannot be opened.
     """
     try:
         with trio.fail_after(seconds):
             return await connect(vm.host, vm.port)
-    except (OSError, trio.TooSlowError) as exc:
-        raise errors.UpstreamUnreachable(
+    except trio.TooSlowError as exc:
+        raise errors.ConnectTimeout(
+            f'no connection: {type(exc).__name__}'
+        ) from exc
+    except OSError as exc:
+        raise errors.ConnectRefused(
             f'no connection: {type(exc).__name__}'
         ) from exc
 
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -44,7 +44,7 @@
 )
 
 
-class UpstreamExchanges(interfaces.Exchanges):
+class UpstreamExchanges(interfaces.DirectExchanges):
     """A pool of connections by instance of the upstream.
 
     Attributes:
@@ -56,20 +56,24 @@
             str, collections.deque[pooled_connections.PooledConnection]
         ] = {}
 
-    async def open(
+    def reuse(
         self, upstream: forwarding.Upstream, repeatable: bool
-    ) -> UpstreamExchange:
-        """Returns a connection that no other request uses.
-
-        Raises:
-            UpstreamUnreachable: No connection can be opened; nothing was sent.
-        """
+    ) -> UpstreamExchange | None:
+        """Returns an idle connection, None if there is none to reuse."""
         idle = self.idle.get(upstream.instance)
         while idle:
             connection = idle.pop()
             if connection.reusable(repeatable):
                 return UpstreamExchange(self, upstream.instance, connection)
             connection.close()
+        return None
+
+    async def connect(self, upstream: forwarding.Upstream) -> UpstreamExchange:
+        """Returns a new connection.
+
+        Raises:
+            UpstreamUnreachable: No connection can be opened; nothing was sent.
+        """
         connection = await pooled_connections.connect(upstream)
         CONNECTIONS.inc({'service': upstream.vm.service})
         return UpstreamExchange(self, upstream.instance, connection)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,13 @@
 import inspect
 import pathlib
 
+import eliot
 import pytest
 import trio
 
+from lavenderbend.observe import log_writer
+from lavenderbend.observe import logs
+
 SCHEDULER_SEED = 1
 CLOCK = 'autojump_clock'
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
@@ -73,3 +77,22 @@
     # faults instead, so the seed is fixed.
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(SCHEDULER_SEED)
+
+
+def ignore(message):
+    """Discards a log message."""
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    """The log lines that a test causes."""
+    budget = log_writer.LineBudget(1000.0, 1000.0)
+    monkeypatch.setattr(logs, 'SUCCESS_BUDGET', budget)
+    # Messages that other tests in this process logged without a destination
+    # are delivered to the first one added: keep them out of this test's list.
+    eliot.add_destinations(ignore)
+    eliot.remove_destination(ignore)
+    messages = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -4,34 +4,15 @@
 
 import contextlib
 
-import eliot
 import pytest
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import failed_attempts
 from lavenderbend.coordination.forwarding import health
 from lavenderbend.coordination.forwarding import silence
-from lavenderbend.observe import log_writer
 from lavenderbend.observe import logs
 from tests import forwarding_fakes as fakes
-
-
-def ignore(message):
-    """Discards a log message."""
-
-
-@pytest.fixture
-def lines(monkeypatch):
-    budget = log_writer.LineBudget(1000.0, 1000.0)
-    monkeypatch.setattr(logs, 'SUCCESS_BUDGET', budget)
-    # Messages that other tests in this process logged without a destination
-    # are delivered to the first one added: keep them out of this test's list.
-    eliot.add_destinations(ignore)
-    eliot.remove_destination(ignore)
-    messages = []
-    eliot.add_destinations(messages.append)
-    yield messages
-    eliot.remove_destination(messages.append)
+from tests.logged import named
 
 
 def make_router(steps, rule):
@@ -50,14 +31,6 @@
     ]
 
 
-def named(lines, event):
-    return [
-        line
-        for line in lines
-        if line['message_type'] == f'lavenderbend:{event}'
-    ]
-
-
 async def test_each_decision_on_a_request_is_logged(autojump_clock, lines):
     rule = fakes.rule(idempotent=True, attempts=2)
     router = make_router([fakes.LOST_ANSWER, fakes.reply()], rule)
