--- /dev/null
+++ b/tests/test_daemon/test_daemon_partition.py
@@ -0,0 +1,51 @@
+"""Routers that are cut off from all upstreams, and those that are not."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests import partitioned_fleet
+from tests.partitioned_fleet import Cut
+from tests.partitioned_fleet import PATHS
+
+ROUTERS = 4
+# the time after which callers of routers that are cut off must be served
+CONTACT_SECONDS = 3.0
+LOAD_SECONDS = 3.0
+REQUESTS_PER_SECOND = 12.0
+# of the share that other routers serve
+MIN_FRACTION = 2 / 3
+
+
+@pytest.fixture
+async def fleet(tmp_path, monkeypatch, nursery):
+    subject = partitioned_fleet.PartitionedFleet(tmp_path, monkeypatch, ROUTERS)
+    await subject.start(nursery)
+    return subject
+
+
+@pytest.mark.parametrize('count', [1, ROUTERS - 1])
+@pytest.mark.parametrize('cut', list(Cut), ids=lambda cut: cut.name.lower())
+async def test_callers_of_routers_cut_off_from_upstreams_are_served(
+    fleet, cut, count
+):
+    # Guards against a router that has no way to upstreams but its own.
+    hosts = list(fleet.daemons)
+    await fleet.load(1.0, REQUESTS_PER_SECOND)
+    for host in hosts[:count]:
+        fleet.paths.cut(host, cut)
+    await fleet.load(CONTACT_SECONDS, REQUESTS_PER_SECOND / 4)
+    fleet.tries.clear()
+    await fleet.load(LOAD_SECONDS, REQUESTS_PER_SECOND)
+    served = {
+        kind: (
+            fleet.served(hosts[:count], kind),
+            fleet.served(hosts[count:], kind),
+        )
+        for kind in PATHS
+    }
+    assert all(
+        of_cut >= MIN_FRACTION * of_others > 0.0
+        for of_cut, of_others in served.values()
+    ), served
+    assert fleet.ran_twice() == []
