Connections outlive lost keep-alive probes: the user timeout agrees with their count

Where TCP_USER_TIMEOUT is set, Linux gives an idle connection up once so long passed since the last sign of life and any probe is unanswered, whatever the count. It was 2 s beside probes after 1 s, each 1 s, twice: the first lost probe, or its lost answer, ended a connection whose caller or upstream merely waited. At three packets in ten lost each way that is every second probe. Now 4 s and three probes. Relayed connections get the options at both ends.

Not moved: requests into a dead connection end at 4 s instead of 2 s where nothing else ends them before (a request that may run once, whose caller gets 504 either way).

--- a/lavenderbend/transport/relay_server.py
+++ b/lavenderbend/transport/relay_server.py
@@ -14,6 +14,7 @@
 from lavenderbend.transport import peer_datagrams
 from lavenderbend.transport import pooled_connections
 from lavenderbend.transport import relayed_streams
+from lavenderbend.transport import socket_options
 
 if TYPE_CHECKING:
     from lavenderbend.coordination.forwarding import relays as relays_module
@@ -127,6 +128,7 @@
         request: messages_forwarding.RelayRequest,
     ) -> None:
         """Serves one request to relay a connection."""
+        socket_options.prepare(stream.socket)
         try:
             await self.serve_request(stream, request)
         except trio.BrokenResourceError:
--- a/lavenderbend/transport/socket_options.py
+++ b/lavenderbend/transport/socket_options.py
@@ -14,10 +14,14 @@
 
 # without these options, a connection to a peer whose VM lost power or whose
 # network path is down would stay open, and its request hang, for minutes
-USER_TIMEOUT_MILLISECONDS = 2000
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_COUNT = 2
+KEEPALIVE_COUNT = 3
+# where it is set, Linux gives up by it alone, whatever the count of probes: a
+# shorter one would end a connection at its first lost probe
+USER_TIMEOUT_MILLISECONDS = 1000 * (
+    KEEPALIVE_IDLE_SECONDS + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_SECONDS
+)
 
 
 async def connect(host: str, port: int) -> trio.SocketStream:
