Brittle upstreams: all routers together cause fewer rejections than they stand

Upstreams may say in their answers how many rejections in a second they stand before they fall over; nothing read that. Where they were full, each request tried one after the other (avoided ones are used when there are no others).

The share alone bounds the sum in small fleets whatever routers believe. Not proved: two owners of one upstream in a large fleet that is split.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lavenderbend.coordination.forwarding import brittle as brittle_module
     from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import departures as departing
     from lavenderbend.coordination.forwarding import directory as directories
@@ -63,7 +64,9 @@
         not_run_header: Header that says that the request did not run.
         load_header: Header with the load of the upstream.
         leaving_header: Header that says that the upstream leaves.
+        brittle_header: Header that says that the upstream is brittle.
         cold_starts: Limits the requests to cold upstreams, None for no limit.
+        brittle: Limits the requests to brittle upstreams, None for no limit.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         self.not_run_header = headers.not_run.encode()
         self.load_header = headers.load.encode()
         self.leaving_header = headers.leaving.encode()
+        self.brittle_header = headers.brittle.encode()
         self.cold_starts: cold_starts_module.ColdStarts | None = None
+        self.brittle: brittle_module.BrittleUpstreams | None = None
 
     async def attempt(
         self,
@@ -115,6 +120,7 @@
                 the request may have run is in the ticket.
         """
         self.loads.begin(upstream.instance)
+        self.begin_unanswered(ticket, upstream)
         try:
             exchange = await self.open(ticket, upstream)
             ticket.attempts[-1].relay = exchange.relay
@@ -145,9 +151,24 @@
             raise
         finally:
             self.loads.end(upstream.instance)
+            self.end_unanswered(ticket)
             if ticket.reservation is not None:
                 ticket.reservation.note_ended()
 
+    def begin_unanswered(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> None:
+        """Counts a request until its upstream answers."""
+        if self.brittle is not None:
+            ticket.unanswered_at = upstream.instance
+            self.brittle.begin(upstream.instance)
+
+    def end_unanswered(self, ticket: tickets.Ticket) -> None:
+        """Counts a request no more, if it still was."""
+        if ticket.unanswered_at:
+            self.brittle.end(ticket.unanswered_at)
+            ticket.unanswered_at = ''
+
     def note_relay(
         self, exchange: interfaces.Exchange, cause: BaseException
     ) -> None:
@@ -184,12 +205,15 @@
     ) -> bool:
         """Returns whether an upstream still accepts a request.
 
-        It may have left, turned cold or have sent a Retry-After since it was
-        chosen, or connecting may have taken longer than its permit lasts.
+        It may have left, turned cold or brittle or have sent a Retry-After
+        since it was chosen, or connecting may have taken longer than its
+        permit lasts.
         """
         instance = upstream.instance
         if self.health.is_paused(instance):
             return False
+        if self.brittle is not None and not self.brittle.has_room(upstream, 1):
+            return False
         if self.cold_starts is not None and not self.cold_starts.may_send(
             instance, ticket.permitted_until
         ):
@@ -221,6 +245,7 @@
         record.first_byte = trio.current_time() - record.started
         self.silence.note_bytes(waiting)
         self.note_head(upstream, head)
+        self.end_unanswered(ticket)
         if self.reports_not_run(head):
             ticket.may_have_run = previously
             if head.status == MISDIRECTED:
@@ -297,6 +322,11 @@
             self.loads.note_report(upstream.instance, load)
         if interfaces.header(head.headers, self.leaving_header) == HEADER_TRUE:
             self.departures.note_announcement(upstream.instance)
+        if self.brittle is not None:
+            self.brittle.note_answer(
+                upstream.instance,
+                interfaces.header(head.headers, self.brittle_header),
+            )
         if head.status == SERVICE_UNAVAILABLE:
             self.note_retry_after(upstream, head)
 
@@ -336,6 +366,8 @@
                 'another process answered at the address of the upstream'
             )
         self.health.note_full(upstream.instance)
+        if self.brittle is not None:
+            self.brittle.note_rejected(upstream.instance)
         try:
             await read_body(exchange, waiting)
         except errors.UpstreamBroke as exc:
--- /dev/null
+++ b/lavenderbend/coordination/forwarding/brittle.py
@@ -0,0 +1,294 @@
+"""Upstreams that fall over if they must reject too many requests."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from lavenderbend.coordination.forwarding import facts as facts_module
+from lavenderbend.observe import logs
+from lavenderbend.observe import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    import random
+
+    from lavenderbend.coordination.forwarding import loads as loads_module
+    from lavenderbend.state import forwarding
+
+BRITTLE = 'brittle'
+FULL = 'full'
+# An upstream that says so in its answers still counts as brittle for this long
+# after the latest of them.
+BRITTLE_SECONDS = 5.0
+# All routers are told again at this interval.
+REPEAT_SECONDS = 2.0
+# Share of the rejections that an upstream stands that the routers together may
+# cause. The rest covers routers that count fewer routers than there are.
+USED_SHARE = 0.5
+# For this long an upstream that has rejected a request is sent none.
+FULL_SECONDS = 0.5
+# An owner that granted no slot is asked again after a time that grows with the
+# routers, so that all together ask it at one rate.
+ASK_SECONDS_PER_ROUTER = 0.004
+MIN_ASK_SECONDS = 0.01
+MAX_ASK_SECONDS = 0.2
+# The slots that are used double at this interval after a rejection.
+RECOVERY_SECONDS = 2.0
+# For this long after a rejection the owner is asked by all routers.
+CALM_SECONDS = 10.0
+MAX_LIMIT_DIGITS = 9
+
+REJECTIONS = metrics.counter(
+    'lavenderbend_forward_brittle_rejections_total',
+    'Requests of this router that brittle upstreams rejected.',
+)
+
+
+@facts_module.FACT_KINDS.register(BRITTLE)
+class BrittleFact(facts_module.FactKind):
+    """An upstream that says that it is brittle; the source is its limit."""
+
+    max_seconds = BRITTLE_SECONDS
+
+
+@facts_module.FACT_KINDS.register(FULL)
+class FullFact(facts_module.FactKind):
+    """A brittle upstream that rejected a request; the source is the router."""
+
+    max_seconds = FULL_SECONDS
+    sent_to_starting = False
+
+
+@attrs.define
+class BrittleRecord:
+    """What is known of a brittle upstream.
+
+    Attributes:
+        limit: Rejections in a second that it stands.
+        until: Router clock until which it counts as brittle.
+        told_at: Router clock at which the others were last told.
+        full_until: Router clock until which it is sent no requests.
+        ask_after: Router clock before which its owner is not asked again.
+        rejected_at: Router clock of the latest known rejection.
+        used_slots: Part of its slots that was used after that.
+    """
+
+    limit: int
+    until: float
+    told_at: float = float('-inf')
+    full_until: float = float('-inf')
+    ask_after: float = float('-inf')
+    rejected_at: float = float('-inf')
+    used_slots: float = 1.0
+
+    def usable_slots(self) -> float:
+        """Returns the part of its slots that is used now."""
+        doublings = (trio.current_time() - self.rejected_at) / RECOVERY_SECONDS
+        return min(1.0, self.used_slots * 2.0 ** min(doublings, 10.0))
+
+    def note_rejected(self) -> None:
+        """Sends it nothing for a while, and uses fewer of its slots then."""
+        now = trio.current_time()
+        if now < self.full_until:
+            return
+        self.used_slots = 0.5 * self.usable_slots()
+        self.rejected_at = now
+        self.full_until = now + FULL_SECONDS
+
+
+class BrittleUpstreams:
+    """Limits the rejections that routers together cause at brittle upstreams.
+
+    A request without an answer may yet be rejected. If the share of each router
+    in the limit is one request or more, each has at most its share waiting, so
+    that the sum keeps the limit whatever the others do. If it is less, as in
+    large fleets, and for a while after a rejection, each request is counted by
+    the owner of the upstream first, and is not sent while the slots are in use.
+    A rejection, of any router, stops all requests for a moment and halves the
+    slots that are used then.
+
+    Attributes:
+        loads: Requests at upstreams.
+        facts: Facts exchanged with other routers.
+        fleet_size: Returns the number of routers to share the limit with, 0 if
+            it is not known.
+        rng: Draws when an owner is asked again.
+        unanswered: Requests of this router without an answer, by instance.
+        records: The brittle upstreams by instance.
+        last_end: Router clock from which on no upstream is brittle.
+    """
+
+    def __init__(
+        self,
+        loads: loads_module.Loads,
+        facts: facts_module.Facts,
+        fleet_size: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self.loads = loads
+        self.facts = facts
+        self.fleet_size = fleet_size
+        self.rng = rng
+        self.unanswered: collections.Counter[str] = collections.Counter()
+        self.records: dict[str, BrittleRecord] = {}
+        self.last_end = float('-inf')
+
+    def begin(self, instance: str) -> None:
+        """Counts a request that is about to be sent to an upstream."""
+        self.unanswered[instance] += 1
+
+    def end(self, instance: str) -> None:
+        """Removes a request that has an answer or has failed."""
+        self.unanswered[instance] -= 1
+        if not self.unanswered[instance]:
+            del self.unanswered[instance]
+
+    def note_answer(self, instance: str, value: bytes | None) -> None:
+        """Records what an answer of an upstream says.
+
+        Args:
+            instance: The upstream.
+            value: The limit that it names, None if it names none.
+        """
+        if value is None:
+            if self.records.pop(instance, None) is not None:
+                logs.change('upstream_sturdy', upstream=instance)
+            return
+        limit = parse_limit(value)
+        if limit is None:
+            return
+        record = self.note_brittle(instance, limit, BRITTLE_SECONDS)
+        now = trio.current_time()
+        if now - record.told_at >= REPEAT_SECONDS:
+            record.told_at = now
+            self.facts.add(BRITTLE, instance, str(limit), BRITTLE_SECONDS)
+
+    def note_brittle(
+        self, instance: str, limit: int, seconds: float
+    ) -> BrittleRecord:
+        """Records that an upstream is brittle for some time."""
+        until = trio.current_time() + seconds
+        record = self.records.get(instance)
+        if record is None:
+            record = self.records[instance] = BrittleRecord(limit, until)
+            logs.change('upstream_brittle', upstream=instance, limit=limit)
+        record.limit = limit
+        record.until = max(record.until, until)
+        self.last_end = max(self.last_end, until)
+        return record
+
+    def apply_brittle(self, fact: facts_module.Fact) -> None:
+        """Applies that another router heard that an upstream is brittle."""
+        limit = parse_limit(fact.source.encode())
+        seconds = fact.expires_at - trio.current_time()
+        if limit is not None and seconds > 0.0:
+            self.note_brittle(fact.subject, limit, seconds)
+
+    def note_rejected(self, instance: str) -> None:
+        """Records that a brittle upstream rejected a request."""
+        record = self.current(instance)
+        if record is None:
+            return
+        REJECTIONS.inc({})
+        record.note_rejected()
+        self.facts.add(FULL, instance, self.facts.origin, FULL_SECONDS)
+        logs.change(
+            'upstream_full',
+            upstream=instance,
+            limit=record.limit,
+            unanswered=self.unanswered[instance],
+            known=self.loads.load(instance),
+            used_slots=round(record.used_slots, 3),
+        )
+
+    def apply_full(self, fact: facts_module.Fact) -> None:
+        """Applies that an upstream rejected a request of another router."""
+        record = self.current(fact.subject)
+        if record is not None and fact.source != self.facts.origin:
+            record.note_rejected()
+
+    def note_refused(self, instance: str) -> None:
+        """Records that the owner of an upstream granted no slot there."""
+        record = self.current(instance)
+        if record is None:
+            return
+        seconds = ASK_SECONDS_PER_ROUTER * self.fleet_size()
+        seconds = min(max(seconds, MIN_ASK_SECONDS), MAX_ASK_SECONDS)
+        seconds *= self.rng.uniform(0.5, 1.5)
+        record.ask_after = trio.current_time() + seconds
+
+    def current(self, instance: str) -> BrittleRecord | None:
+        """Returns the record of an upstream, None if it is not brittle."""
+        record = self.records.get(instance)
+        if record is None or record.until <= trio.current_time():
+            return None
+        return record
+
+    def share(self, record: BrittleRecord) -> int:
+        """Returns how many requests of this router may wait for answers.
+
+        0 if that is less than one, so that the owner is asked.
+        """
+        routers = self.fleet_size()
+        return int(USED_SHARE * record.limit / routers) if routers > 0 else 0
+
+    def slots_to_ask(self, upstream: forwarding.Upstream) -> int:
+        """Returns how many slots may be used by the owner's count.
+
+        0 if the owner need not be asked.
+        """
+        record = self.current(upstream.instance)
+        if record is None:
+            return 0
+        calm = trio.current_time() - record.rejected_at > CALM_SECONDS
+        if calm and self.share(record) > 0:
+            return 0
+        return max(1, int(record.usable_slots() * upstream.slots))
+
+    def has_room(self, upstream: forwarding.Upstream, begun: int = 0) -> bool:
+        """Returns whether an upstream may be sent a request, or asked about.
+
+        Args:
+            upstream: The upstream.
+            begun: Requests that are counted already and not yet sent.
+        """
+        record = self.current(upstream.instance)
+        if record is None:
+            return True
+        if max(record.full_until, record.ask_after) > trio.current_time():
+            return False
+        share = self.share(record)
+        if share and self.unanswered[upstream.instance] - begun >= share:
+            return False
+        if self.slots_to_ask(upstream):
+            return True
+        return self.loads.load(upstream.instance) - begun < upstream.slots
+
+    def full(self, upstreams: Collection[forwarding.Upstream]) -> set[str]:
+        """Returns the upstreams that may be sent no request now."""
+        if trio.current_time() >= self.last_end:
+            # The usual case: none is brittle.
+            return set()
+        return {one.instance for one in upstreams if not self.has_room(one)}
+
+    def retain(self, instances: Collection[str]) -> None:
+        """Drops the records of all upstreams but the given ones."""
+        now = trio.current_time()
+        self.records = {
+            name: record
+            for name, record in self.records.items()
+            if name in instances and record.until > now
+        }
+
+
+def parse_limit(value: bytes) -> int | None:
+    """Returns the rejections in a second of a header, None if it names none."""
+    value = value.strip()
+    if len(value) > MAX_LIMIT_DIGITS or not value.isdigit():
+        return None
+    return int(value)
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -16,6 +16,7 @@
     from collections.abc import Collection
     from collections.abc import Sequence
 
+    from lavenderbend.coordination.forwarding import brittle as brittle_module
     from lavenderbend.coordination.forwarding import directory
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
@@ -42,6 +43,7 @@
 ALL_AVOIDED = 'all avoided'
 ALL_PAUSED = 'none wants requests'
 ALL_CLOSED = 'those that want requests are warming up'
+ALL_FULL = 'those that want requests are full'
 ALL_DRAINED = 'all are in drained zones'
 NONE_IN_REGIONS = 'none is in the allowed regions: '
 # Reasons why an upstream is passed over.
@@ -50,6 +52,9 @@
 RECENT_FAILURES = 'failed lately'
 PAUSED = 'wants none'
 WARMING_UP = 'warming up'
+NO_ROOM = 'full'
+# After this time a brittle upstream may have room again.
+ROOM_SECONDS = 0.3
 
 
 @attrs.frozen
@@ -117,6 +122,7 @@
         passed_over: Upstreams that were not chosen, and why.
         retry_after_seconds: Seconds until the first paused upstream accepts
             requests again, 0 if pauses are not why there is no upstream.
+        full: Whether there is none because brittle upstreams are full.
     """
 
     upstream: forwarding.Upstream | None
@@ -125,6 +131,7 @@
     allowed: int = 0
     passed_over: tuple[decisions.PassedOver, ...] = ()
     retry_after_seconds: float = 0.0
+    full: bool = False
 
 
 @attrs.frozen
@@ -139,6 +146,8 @@
             there even if there are no others.
         warming_up: Instances that are cold and may not be sent this request
             now, even if there are no others.
+        full: Brittle instances that may be sent no request now, even if there
+            are no others.
     """
 
     used: Set[str]
@@ -146,18 +155,19 @@
     bound: int
     paused: Set[str] = frozenset()
     warming_up: Set[str] = frozenset()
+    full: Set[str] = frozenset()
 
     @property
     def names(self) -> set[str]:
         """All excluded instances."""
-        return {*self.used, *self.avoided, *self.paused, *self.warming_up}
+        return {*self.used, *self.avoided, *self.closed}
 
     @property
     def closed(self) -> Set[str]:
         """The instances that are not used even if there are no others."""
-        if not self.warming_up:
+        if not self.warming_up and not self.full:
             return self.paused
-        return {*self.paused, *self.warming_up}
+        return {*self.paused, *self.warming_up, *self.full}
 
     def reason(self, name: str) -> str:
         """Returns why an upstream is excluded, empty if it is not."""
@@ -165,6 +175,8 @@
             return PAUSED
         if name in self.warming_up:
             return WARMING_UP
+        if name in self.full:
+            return NO_ROOM
         if name in self.used:
             return ALREADY_TRIED
         return RECENT_FAILURES if name in self.avoided else ''
@@ -217,6 +229,7 @@
     Attributes:
         availability_zone: This router's zone.
         load_factor: No upstream is loaded above this multiple of the mean.
+        brittle: Limits the requests to brittle upstreams, None for no limit.
     """
 
     def __init__(
@@ -232,6 +245,7 @@
         self.health = health
         self.loads = loads
         self.load_factor = load_factor
+        self.brittle: brittle_module.BrittleUpstreams | None = None
 
     def choose(
         self,
@@ -305,14 +319,17 @@
         paused = instances & self.health.paused().keys()
         warming = instances & set(warming_up) if warming_up else frozenset()
         tried = instances & set(used)
-        closed = paused | warming if warming else paused
+        full: Set[str] = frozenset()
+        if self.brittle is not None:
+            full = self.brittle.full(candidates.by_name.values())
+        closed = paused | warming | full
         if len(tried | closed) == len(instances):
             # The request was sent to every upstream that accepts requests:
             # one of them gets it again.
             tried = frozenset()
         avoided = instances & self.health.deprioritized()
         bound = self.load_bound(candidates.rendezvous.sample)
-        return Exclusions(tried, avoided, bound, paused, warming)
+        return Exclusions(tried, avoided, bound, paused, warming, full)
 
     def any_accepts(
         self,
@@ -333,6 +350,14 @@
         ]
         if exclusions.warming_up - exclusions.paused:
             return Choice(None, ALL_CLOSED, passed_over=tuple(passed_over))
+        if exclusions.full - exclusions.paused:
+            return Choice(
+                None,
+                ALL_FULL,
+                passed_over=tuple(passed_over),
+                retry_after_seconds=ROOM_SECONDS,
+                full=True,
+            )
         paused_until = self.health.paused()
         soonest = min(paused_until[name] for name in instances)
         return Choice(
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -106,7 +106,8 @@
     ) -> messages_forwarding.ReservationReply:
         """Counts a request; returns the load of the upstream before it.
 
-        A reservation request that arrives twice is counted once.
+        A reservation request that arrives twice is counted once, and one at
+        an upstream that holds its `max_load` is not.
         """
         now = trio.current_time()
         self.discard(request)
@@ -121,6 +122,8 @@
             sum(other.unread for other in counted.values()),
             holders,
         )
+        if 0 < request.max_load <= reply.load:
+            return reply
         seconds = min(
             request.lifetime_milliseconds / MILLISECONDS,
             MAX_RESERVATION_SECONDS,
--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -97,6 +97,9 @@
 
     def note_begun(self) -> None:
         """Notifies owners that the upstream has processed the prompt."""
+        if not self.chat:
+            # the request has no prompt
+            return
         queue_note = self.reservations.queue_note
         queue_note(self.reservation, owned_loads.NoteKind.BEGUN, self.chat)
         if self.preferred is not self.reservation:
@@ -112,6 +115,9 @@
         self.reservations.queue_note(
             self.reservation, owned_loads.NoteKind.ENDED, self.chat
         )
+        if not self.chat:
+            # others wait for the slot
+            self.reservations.flush()
 
 
 class Reservations:
@@ -151,6 +157,7 @@
         upstream: forwarding.Upstream,
         prompt: PromptSummary,
         seconds: float,
+        max_load: int = 0,
     ) -> Reservation | None:
         """Has a request counted at an upstream by its owner.
 
@@ -158,6 +165,8 @@
             upstream: The upstream.
             prompt: The prompt of the request.
             seconds: Time after which the reservation expires.
+            max_load: Requests at the upstream from which on the request is
+                not counted, 0 for no such number.
 
         Returns:
             The reservation, None if no router replied in time.
@@ -177,6 +186,7 @@
             prompt.tokens,
             prompt.own_tokens,
             max(1, round(seconds * MILLISECONDS)),
+            max_load=max_load,
         )
         if host == self.host:
             reply = self.owned.reserve(request)
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -59,6 +59,8 @@
 MAX_PERMIT_WAIT_SECONDS = 0.3
 PERMIT_RETRY_SECONDS = 0.03
 
+NO_PROMPT = reservations_module.PromptSummary(0, 0, 0)
+
 HOLDS_CHAT = 'holds the chat'
 LESS_UNREAD = 'less to read'
 MORE_UNREAD = 'more to read'
@@ -158,17 +160,17 @@
         """Chooses the next upstream of a request and reserves it there.
 
         A cold upstream is chosen only with its owner's permit. Where no other
-        upstream accepts requests, the request waits briefly for one.
+        upstream accepts requests, the request waits briefly for one, as it
+        does for room at a brittle upstream.
         """
         ticket.permitted_until = None
-        if self.cold_starts is None:
-            return await self.choose_open(ticket, frozenset())
         refused_at = trio.current_time() + MAX_PERMIT_WAIT_SECONDS
         closed: set[str] = set()
         while True:
             choice = await self.choose_open(ticket, closed)
             if choice.upstream is None:
-                if not closed or trio.current_time() >= refused_at:
+                waits = closed or choice.full
+                if not waits or trio.current_time() >= refused_at:
                     return choice
                 await trio.sleep(PERMIT_RETRY_SECONDS)
                 closed.clear()
@@ -178,18 +180,63 @@
             if ticket.reservation is not None:
                 ticket.reservation.note_ended()
             closed.add(choice.upstream.instance)
-            if len(closed) >= MAX_PERMITS_ASKED:
+            if self.cold_starts and len(closed) >= MAX_PERMITS_ASKED:
                 closed |= self.cold_starts.coldness.cold()
 
     async def may_start(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> bool:
-        """Returns whether an upstream is warm or permits the request."""
+        """Returns whether an upstream, if cold or brittle, has room."""
+        if not await self.has_slot(ticket, upstream):
+            return False
+        if self.cold_starts is None:
+            return True
         if not self.cold_starts.coldness.is_cold(upstream.instance):
             return True
         ticket.permitted_until = await self.cold_starts.permit(upstream)
         return ticket.permitted_until is not None
 
+    async def has_slot(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> bool:
+        """Returns whether an upstream is not brittle or has a free slot."""
+        brittle = self.chooser.brittle
+        slots = 0 if brittle is None else brittle.slots_to_ask(upstream)
+        if not slots:
+            return True
+        if ticket.reservation is not None:
+            load = ticket.reservation.reservation.load
+        else:
+            load = await self.reserve_slot(ticket, upstream, slots)
+        if load < slots:
+            return True
+        brittle.note_refused(upstream.instance)
+        return False
+
+    async def reserve_slot(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream, slots: int
+    ) -> int:
+        """Has a request without a prompt counted by an upstream's owner.
+
+        Returns:
+            The load of the upstream without it; all its slots if the owner
+            does not reply.
+        """
+        reservation = await self.reservations.reserve(
+            upstream, NO_PROMPT, ticket.seconds_left, slots
+        )
+        if reservation is None:
+            return slots
+        if reservation.load < slots:
+            ticket.reservation = reservations_module.ActiveReservation(
+                self.reservations,
+                reservation,
+                reservation,
+                NO_PROMPT.chat,
+                (),
+            )
+        return reservation.load
+
     async def choose_open(
         self, ticket: tickets.Ticket, closed: Collection[str]
     ) -> choice_module.Choice:
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -53,6 +53,7 @@
             upstream, None without one.
         permitted_until: Suspension clock until which the request may be sent to
             the cold upstream that was chosen, None for a warm one.
+        unanswered_at: The upstream whose answer it waits for, empty if none.
         unreachable: Instances that accepted no connection.
         replaced: Instances at whose addresses other processes answered.
         retries: Retries reserved for the request, sent or not.
@@ -85,6 +86,7 @@
     attempts: list[decisions.Attempt] = attrs.field(factory=list)
     reservation: reservations.ActiveReservation | None = None
     permitted_until: float | None = None
+    unanswered_at: str = ''
     unreachable: list[str] = attrs.field(factory=list)
     replaced: list[str] = attrs.field(factory=list)
     retries: int = 0
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -10,6 +10,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import attempts
+from lavenderbend.coordination.forwarding import brittle
 from lavenderbend.coordination.forwarding import budget
 from lavenderbend.coordination.forwarding import cached_prompts
 from lavenderbend.coordination.forwarding import choice
@@ -139,6 +140,12 @@
             cold_rate_settings(settings),
             len(settings.zones),
         )
+        self.brittle = brittle.BrittleUpstreams(
+            self.loads,
+            self.peers.facts,
+            self.peers.budget_divisor,
+            self.rng,
+        )
         self.crashes = crashes.CrashDetector(
             self.paths.accepts, self.peers.facts
         )
@@ -162,6 +169,8 @@
             departures.DRAINED: self.departures.apply_drained,
             suspicions.SUSPECTED: self.suspicions.apply_suspicion,
             coldness.COLD: self.coldness.apply_fact,
+            brittle.BRITTLE: self.brittle.apply_brittle,
+            brittle.FULL: self.brittle.apply_full,
         }
         self.budget = budget.RetryBudget(
             retry_budget_settings(settings), self.peers.budget_divisor
@@ -206,6 +215,8 @@
         self.forwarder.fleet_size = self.peers.fleet_size
         self.forwarder.reserving_chooser.cold_starts = self.cold_starts
         self.forwarder.attempts.cold_starts = self.cold_starts
+        self.forwarder.chooser.brittle = self.brittle
+        self.forwarder.attempts.brittle = self.brittle
 
     def make_paths(self) -> None:
         """Creates the components that connect to upstreams."""
@@ -393,6 +404,7 @@
             self.exchanges.close_expired()
             self.health.retain(instances)
             self.paths.retain(instances)
+            self.brittle.retain(instances)
 
 
 def follow_settings(
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -165,6 +165,8 @@
         lifetime_milliseconds: Time after which the request has certainly
             ended.
         forwarded: Whether another router has relayed the message.
+        max_load: Requests at the upstream from which on the request is not
+            counted, 0 for no such number.
     """
 
     number: int = attrs.field(validator=fields.INTEGER)
@@ -176,6 +178,7 @@
     own_tokens: int = attrs.field(validator=fields.INTEGER)
     lifetime_milliseconds: int = attrs.field(validator=fields.INTEGER)
     forwarded: bool = attrs.field(validator=fields.FLAG, default=False)
+    max_load: int = attrs.field(validator=fields.INTEGER, default=0)
 
 
 @peer.message(111)
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -276,7 +276,9 @@
         applied_facts: Facts that the router applied, in order.
     """
 
-    def __init__(self, content, exchanges, fleet=1, **follow):
+    def __init__(
+        self, content, exchanges, fleet=1, shared_loads_of=None, **follow
+    ):
         self.clock = SuspensionClock()
         self.source = Source(content)
         self.snapshots = snapshots.Snapshots(
@@ -287,7 +289,7 @@
         )
         self.directory = directory.Directory(self.snapshots)
         self.health = health.Health()
-        self.loads = loads.Loads()
+        self.loads = shared_loads_of or loads.Loads()
         self.exchanges = exchanges
         self.applied_facts = []
         shared_facts = facts.Facts('10.0.0.1', self.apply_fact)
