Brittle upstreams whose owner is silent get one request at a time; a soak of cut paths

While an owner is silent a router sends one request at a time, and none to an upstream that is known to be half busy.

--- a/lavenderbend/coordination/forwarding/brittle.py
+++ b/lavenderbend/coordination/forwarding/brittle.py
@@ -37,6 +37,8 @@
 ASK_SECONDS_PER_ROUTER = 0.004
 MIN_ASK_SECONDS = 0.01
 MAX_ASK_SECONDS = 0.2
+# Part of the slots of an upstream that is used while its owner is silent.
+SILENT_OWNER_SLOTS = 0.5
 # The slots that are used double at this interval after a rejection.
 RECOVERY_SECONDS = 2.0
 # For this long after a rejection the owner is asked by all routers.
@@ -269,6 +271,17 @@
             return True
         return self.loads.load(upstream.instance) - begun < upstream.slots
 
+    def seems_free(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether an upstream whose owner is silent may be sent one.
+
+        All routers may be without its owner at once, so that each sends one
+        request at a time, and none to an upstream that is known to be busy.
+        """
+        if self.unanswered[upstream.instance]:
+            return False
+        known = self.loads.load(upstream.instance)
+        return known < SILENT_OWNER_SLOTS * upstream.slots
+
     def full(self, upstreams: Collection[forwarding.Upstream]) -> set[str]:
         """Returns the upstreams that may be sent no request now."""
         if trio.current_time() >= self.last_end:
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -208,25 +208,26 @@
             load = ticket.reservation.reservation.load
         else:
             load = await self.reserve_slot(ticket, upstream, slots)
-        if load < slots:
-            return True
-        brittle.note_refused(upstream.instance)
-        return False
+        if load is None:
+            return brittle.seems_free(upstream)
+        if load >= slots:
+            brittle.note_refused(upstream.instance)
+        return load < slots
 
     async def reserve_slot(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream, slots: int
-    ) -> int:
+    ) -> int | None:
         """Has a request without a prompt counted by an upstream's owner.
 
         Returns:
-            The load of the upstream without it; all its slots if the owner
-            does not reply.
+            The load of the upstream without it, None if the owner does not
+            reply.
         """
         reservation = await self.reservations.reserve(
             upstream, NO_PROMPT, ticket.seconds_left, slots
         )
         if reservation is None:
-            return slots
+            return None
         if reservation.load < slots:
             ticket.reservation = reservations_module.ActiveReservation(
                 self.reservations,
--- a/lavenderbend/transport/peer_datagrams.py
+++ b/lavenderbend/transport/peer_datagrams.py
@@ -68,12 +68,13 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Receives messages and serves snapshots until cancelled."""
-        await self.socket.bind((self.host, self.port))
-        listeners = await trio.open_tcp_listeners(self.port, host=self.host)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(trio.serve_listeners, self.serve, listeners)
-            task_status.started()
-            await self.receive_all()
+        with self.socket:
+            await self.socket.bind((self.host, self.port))
+            listeners = await trio.open_tcp_listeners(self.port, host=self.host)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, self.serve, listeners)
+                task_status.started()
+                await self.receive_all()
 
     async def receive_all(self) -> None:
         """Passes each received message to `receiver`."""
--- a/lavenderbend/transport/relay_server.py
+++ b/lavenderbend/transport/relay_server.py
@@ -101,7 +101,7 @@
         try:
             async with self.sending:
                 await self.requester.send_all(frame)
-        except trio.BrokenResourceError as exc:
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise errors.PeerUnreachable('the requester is lost') from exc
 
 
--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -204,6 +204,7 @@
         'not_run': name('not-executed'),
         'load': name('server-load'),
         'leaving': 'server-leaving',
+        'brittle': 'server-brittle',
         'reserved': [name('hold')],
     }
 
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -24,6 +24,10 @@
 DEADLINE_SECONDS = 5.0
 # a kind of request by its path; `desk` may run only once
 PATHS = {'chat': '/chat/1', 'desk': '/desk/send', 'look': '/desk/look/1'}
+BODIES = (
+    b''.join(b'id: %d\ndata: x%d\n\n' % (n, n) for n in range(1, 6)),
+    *(b'did ' + path.encode() for path in PATHS.values()),
+)
 
 
 class Cut(enum.Enum):
@@ -109,14 +113,20 @@
     Attributes:
         router: Host of the router that got it.
         kind: Key of `PATHS`.
+        id: Id of the request.
+        began: Time at which it was sent.
         status: Status of the answer, 0 if there was none.
         seconds: Time that it took.
+        whole: Whether the body was that of an upstream.
     """
 
     router: str
     kind: str
+    id: str
+    began: float
     status: int
     seconds: float
+    whole: bool
 
 
 class PartitionedFleet(forwarding_fleet.ForwardingFleet):
@@ -125,18 +135,29 @@
     Attributes:
         paths: Their paths to upstreams.
         daemons: The routers, by host.
+        ended: Set when a router has ended, by host.
+        nursery: Runs the routers.
         tries: What callers got.
     """
 
+    worker_class = standins.Worker
+
     def __init__(self, folder, monkeypatch, routers):
         super().__init__(folder, routers)
+        self.workers = {
+            name: self.worker_class(name, worker.service)
+            for name, worker in self.workers.items()
+        }
         self.paths = Paths()
         monkeypatch.setattr(socket_options, 'connect', self.paths.connect)
         self.daemons = {}
+        self.ended = {}
+        self.nursery = None
         self.tries = []
         self.sent = 0
 
     async def start(self, nursery):
+        self.nursery = nursery
         await nursery.start(self.store.serve)
         for worker in self.workers.values():
             await nursery.start(worker.serve)
@@ -145,16 +166,22 @@
         self.store.put('op/config', standins.configuration())
         for router in self.routers:
             self.write_settings(router)
-            path = self.folder / f'{router.host}.yaml'
-            daemon = forwarding.ForwardingDaemon(
-                documents_yaml.load_settings(str(path))
-            )
-            self.daemons[router.host] = daemon
-            token = ROUTER.set(router.host)
-            await nursery.start(daemon.run)
-            ROUTER.reset(token)
+            await self.start_router(router.host)
         await self.until(self.know_each_other)
 
+    async def start_router(self, host):
+        path = self.folder / f'{host}.yaml'
+        settings = documents_yaml.load_settings(str(path))
+        self.daemons[host] = forwarding.ForwardingDaemon(settings)
+        self.ended[host] = trio.Event()
+        token = ROUTER.set(host)
+        await self.nursery.start(self.run_router, host)
+        ROUTER.reset(token)
+
+    async def run_router(self, host, task_status):
+        await self.daemons[host].run(task_status=task_status)
+        self.ended[host].set()
+
     async def know_each_other(self):
         return all(
             one.ready() and one.peers.fleet_size() == len(self.routers)
@@ -193,11 +220,13 @@
                 answer = await forwarding_fleet.ask_by(
                     client, router, path, number, 'POST', standins.KEY
                 )
-            status = answer.status_code
+            status, whole = answer.status_code, answer.content in BODIES
         except httpx.HTTPError:
-            status = 0
+            status, whole = 0, False
         seconds = trio.current_time() - began
-        self.tries.append(Try(router.host, kind, status, seconds))
+        self.tries.append(
+            Try(router.host, kind, f'r{number}', began, status, seconds, whole)
+        )
 
     def served(self, hosts, kind=''):
         """Returns the share of first tries at some routers that were served."""
--- a/tests/test_daemon/test_daemon_partition.py
+++ b/tests/test_daemon/test_daemon_partition.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests import partitioned_fleet
+from tests.integration import partition_soak
 from tests.partitioned_fleet import Cut
 from tests.partitioned_fleet import PATHS
 
@@ -49,3 +50,12 @@
         for of_cut, of_others in served.values()
     ), served
     assert fleet.ran_twice() == []
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+async def test_short_soak_of_cut_paths_breaks_no_promise(
+    tmp_path, monkeypatch, seed
+):
+    world = await partition_soak.soak(tmp_path, monkeypatch, seed, 10.0)
+    assert world.violations == []
+    assert any(one.status == 200 for one in world.tries)
--- a/tests/test_transport/test_relayed_connections.py
+++ b/tests/test_transport/test_relayed_connections.py
@@ -266,6 +266,17 @@
     assert answers == [b'did /desk/r1']
 
 
+async def test_relay_stops_while_its_connections_close(exchanges, relaying):
+    # Guards against a router that a closing connection ends amid its stop.
+    opened = [await connect(exchanges, relaying) for _ in range(20)]
+    with trio.fail_after(5.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(relaying.server.shut_down)
+            for exchange in opened:
+                exchange.close()
+                await trio.lowlevel.checkpoint()
+
+
 async def test_relay_that_stops_relays_nothing_new(exchanges, relaying):
     await relaying.server.shut_down()
     with pytest.raises(errors.RelayUnavailable):
