An upstream that a router alone finds silent may be cold, whatever others reach

The check before a suspicion is told to others held back also this router's own note that the upstream may have started again. That note has a guard against cut paths of its own (MAX_SILENT_FRACTION) and is taken at once again.

--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -158,9 +158,9 @@
             self.snapshots, self.directory, self.peers.facts
         )
         self.suspicion_checks = suspicion_checks.SuspicionChecks(
-            self.paths, self.directory, self.silence, self.announce_suspect
+            self.paths, self.directory, self.silence, self.suspicions.announce
         )
-        self.health.on_suspect = self.suspicion_checks.suspect
+        self.health.on_suspect = self.note_own_suspicion
         self.peers.fact_callbacks = {
             crashes.DEATH: self.crashes.apply_fact,
             crashes.CLEARED: self.crashes.apply_fact,
@@ -284,10 +284,10 @@
             self.health.note_suspected(instance, seconds)
             self.coldness.note_silent(instance, seconds)
 
-    def announce_suspect(self, instance: str, seconds: float) -> None:
-        """Reports an upstream that this router found dead or unreachable."""
+    def note_own_suspicion(self, instance: str, seconds: float) -> None:
+        """Applies that this router found an upstream dead or unreachable."""
         self.coldness.note_silent(instance, seconds)
-        self.suspicions.announce(instance, seconds)
+        self.suspicion_checks.suspect(instance, seconds)
 
     def caller_limits(self) -> forwarding_state.CallerLimits:
         """Returns the caller limits in force."""
