Brittle upstreams: a slot that was granted is used, though the owner refuses the next

A refusal for one request held back another of the same router that had just been granted a slot and was connecting: the check before sending now looks at rejections only. An entry without slots counts as one slot.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -205,14 +205,14 @@
     ) -> bool:
         """Returns whether an upstream still accepts a request.
 
-        It may have left, turned cold or brittle or have sent a Retry-After
-        since it was chosen, or connecting may have taken longer than its
-        permit lasts.
+        It may have left, turned cold, have rejected a request although it is
+        brittle or have sent a Retry-After since it was chosen, or connecting
+        may have taken longer than its permit lasts.
         """
         instance = upstream.instance
         if self.health.is_paused(instance):
             return False
-        if self.brittle is not None and not self.brittle.has_room(upstream, 1):
+        if self.brittle is not None and self.brittle.is_full(instance):
             return False
         if self.cold_starts is not None and not self.cold_starts.may_send(
             instance, ticket.permitted_until
--- a/lavenderbend/coordination/forwarding/brittle.py
+++ b/lavenderbend/coordination/forwarding/brittle.py
@@ -252,24 +252,24 @@
             return 0
         return max(1, int(record.usable_slots() * upstream.slots))
 
-    def has_room(self, upstream: forwarding.Upstream, begun: int = 0) -> bool:
-        """Returns whether an upstream may be sent a request, or asked about.
+    def is_full(self, instance: str) -> bool:
+        """Returns whether an upstream rejected a request a moment ago."""
+        record = self.current(instance)
+        return record is not None and record.full_until > trio.current_time()
 
-        Args:
-            upstream: The upstream.
-            begun: Requests that are counted already and not yet sent.
-        """
+    def has_room(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether an upstream may be sent a request, or asked about."""
         record = self.current(upstream.instance)
         if record is None:
             return True
         if max(record.full_until, record.ask_after) > trio.current_time():
             return False
         share = self.share(record)
-        if share and self.unanswered[upstream.instance] - begun >= share:
+        if share and self.unanswered[upstream.instance] >= share:
             return False
         if self.slots_to_ask(upstream):
             return True
-        return self.loads.load(upstream.instance) - begun < upstream.slots
+        return self.loads.load(upstream.instance) < max(1, upstream.slots)
 
     def seems_free(self, upstream: forwarding.Upstream) -> bool:
         """Returns whether an upstream whose owner is silent may be sent one.
@@ -280,7 +280,7 @@
         if self.unanswered[upstream.instance]:
             return False
         known = self.loads.load(upstream.instance)
-        return known < SILENT_OWNER_SLOTS * upstream.slots
+        return known < max(1.0, SILENT_OWNER_SLOTS * upstream.slots)
 
     def full(self, upstreams: Collection[forwarding.Upstream]) -> set[str]:
         """Returns the upstreams that may be sent no request now."""
