--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -269,3 +269,49 @@
     answer, error = await router.send_request()
     assert error is None
     assert answer.body == event(1) + event(2) + event(3)
+
+
+SECOND = 1.2
+
+
+def pausing_router(pause_after, **then):
+    """Returns a router before engines that stand still once for a second."""
+    events = [event(number) for number in range(1, 6)]
+    events.insert(pause_after, SECOND)
+    content = fakes.snapshot(
+        1,
+        fakes.table(1, (fakes.rule(**then),)),
+        fakes.upstream('e1'),
+    )
+    return fakes.Router(content, fakes.Exchanges(e1=[fakes.reply(body=events)]))
+
+
+@pytest.mark.parametrize('pause_after', [0, 1, 4])
+@pytest.mark.parametrize('resumable', [False, True])
+async def test_stream_goes_on_whole_after_a_second_of_silence(
+    autojump_clock, pause_after, resumable
+):
+    # Guards against a sound engine whose pause breaks off or doubles a stream.
+    router = pausing_router(
+        pause_after, streaming=True, resumable=resumable, idempotent=resumable
+    )
+    answer, error = await router.send_request()
+    assert error is None
+    assert answer.body == b''.join(event(number) for number in range(1, 6))
+    assert len(router.exchanges.sent) == 1
+
+
+async def test_request_that_may_run_once_waits_out_a_second_of_silence(
+    autojump_clock,
+):
+    # Guards against a second run of what the silent upstream still completes.
+    content = fakes.snapshot(
+        1,
+        fakes.table(1, (fakes.rule(idempotent=False, attempts=1),)),
+        *(fakes.upstream(name) for name in ('e1', 'e2')),
+    )
+    late = [fakes.reply(delay=SECOND)]
+    router = fakes.Router(content, fakes.Exchanges(e1=late, e2=late))
+    answer, error = await router.send_request()
+    assert (error, answer.status) == (None, 200)
+    assert len(router.exchanges.sent) == 1
