--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lavenderbend.coordination.forwarding import brittle as brittle_module
     from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import departures as departing
     from lavenderbend.coordination.forwarding import directory as directories
@@ -23,6 +22,9 @@
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import outgoing
+    from lavenderbend.coordination.forwarding import (
+        rejection_limits as rejection_limits_module,
+    )
     from lavenderbend.coordination.forwarding import silence as silence_module
     from lavenderbend.coordination.forwarding.warm_up import (
         cold_starts as cold_starts_module,
@@ -64,9 +66,11 @@
         not_run_header: Header that says that the request did not run.
         load_header: Header with the load of the upstream.
         leaving_header: Header that says that the upstream leaves.
-        brittle_header: Header that says that the upstream is brittle.
+        rejection_limit_header: Header with the rejections that the
+            upstream stands.
         cold_starts: Limits the requests to cold upstreams, None for no limit.
-        brittle: Limits the requests to brittle upstreams, None for no limit.
+        rejection_limits: Limits the rejections at upstreams that crash of too
+            many, None for no limit.
     """
 
     def __init__(
@@ -93,9 +97,11 @@
         self.not_run_header = headers.not_run.encode()
         self.load_header = headers.load.encode()
         self.leaving_header = headers.leaving.encode()
-        self.brittle_header = headers.brittle.encode()
+        self.rejection_limit_header = headers.rejection_limit.encode()
         self.cold_starts: cold_starts_module.ColdStarts | None = None
-        self.brittle: brittle_module.BrittleUpstreams | None = None
+        self.rejection_limits: (
+            rejection_limits_module.RejectionLimits | None
+        ) = None
 
     async def attempt(
         self,
@@ -159,14 +165,14 @@
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> None:
         """Counts a request until its upstream answers."""
-        if self.brittle is not None:
+        if self.rejection_limits is not None:
             ticket.unanswered_at = upstream.instance
-            self.brittle.begin(upstream.instance)
+            self.rejection_limits.begin(upstream.instance)
 
     def end_unanswered(self, ticket: tickets.Ticket) -> None:
         """Counts a request no more, if it still was."""
         if ticket.unanswered_at:
-            self.brittle.end(ticket.unanswered_at)
+            self.rejection_limits.end(ticket.unanswered_at)
             ticket.unanswered_at = ''
 
     def note_relay(
@@ -205,14 +211,16 @@
     ) -> bool:
         """Returns whether an upstream still accepts a request.
 
-        It may have left, turned cold, have rejected a request although it is
-        brittle or have sent a Retry-After since it was chosen, or connecting
-        may have taken longer than its permit lasts.
+        It may have left, turned cold, have rejected a request although it has
+        a rejection limit or have sent a Retry-After since it was chosen, or
+        connecting may have taken longer than its permit lasts.
         """
         instance = upstream.instance
         if self.health.is_paused(instance):
             return False
-        if self.brittle is not None and self.brittle.is_full(instance):
+        if self.rejection_limits is not None and self.rejection_limits.is_full(
+            instance
+        ):
             return False
         if self.cold_starts is not None and not self.cold_starts.may_send(
             instance, ticket.permitted_until
@@ -322,10 +330,10 @@
             self.loads.note_report(upstream.instance, load)
         if interfaces.header(head.headers, self.leaving_header) == HEADER_TRUE:
             self.departures.note_announcement(upstream.instance)
-        if self.brittle is not None:
-            self.brittle.note_answer(
+        if self.rejection_limits is not None:
+            self.rejection_limits.note_answer(
                 upstream.instance,
-                interfaces.header(head.headers, self.brittle_header),
+                interfaces.header(head.headers, self.rejection_limit_header),
             )
         if head.status == SERVICE_UNAVAILABLE:
             self.note_retry_after(upstream, head)
@@ -366,8 +374,8 @@
                 'another process answered at the address of the upstream'
             )
         self.health.note_full(upstream.instance)
-        if self.brittle is not None:
-            self.brittle.note_rejected(upstream.instance)
+        if self.rejection_limits is not None:
+            self.rejection_limits.note_rejected(upstream.instance)
         try:
             await read_body(exchange, waiting)
         except errors.UpstreamBroke as exc:
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -16,10 +16,12 @@
     from collections.abc import Collection
     from collections.abc import Sequence
 
-    from lavenderbend.coordination.forwarding import brittle as brittle_module
     from lavenderbend.coordination.forwarding import directory
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import loads as loads_module
+    from lavenderbend.coordination.forwarding import (
+        rejection_limits as rejection_limits_module,
+    )
     from lavenderbend.state import forwarding
 
 # Share of the load factor's excess over 1.0 that this router uses. It does not
@@ -53,7 +55,7 @@
 PAUSED = 'wants none'
 WARMING_UP = 'warming up'
 NO_ROOM = 'full'
-# After this time a brittle upstream may have room again.
+# After this time an upstream with a rejection limit may have room again.
 ROOM_SECONDS = 0.3
 
 
@@ -122,7 +124,8 @@
         passed_over: Upstreams that were not chosen, and why.
         retry_after_seconds: Seconds until the first paused upstream accepts
             requests again, 0 if pauses are not why there is no upstream.
-        full: Whether there is none because brittle upstreams are full.
+        full: Whether there is none because upstreams with a rejection limit
+            are full.
     """
 
     upstream: forwarding.Upstream | None
@@ -146,8 +149,8 @@
             there even if there are no others.
         warming_up: Instances that are cold and may not be sent this request
             now, even if there are no others.
-        full: Brittle instances that may be sent no request now, even if there
-            are no others.
+        full: Instances with a rejection limit that may be sent no request now,
+            even if there are no others.
     """
 
     used: Set[str]
@@ -229,7 +232,8 @@
     Attributes:
         availability_zone: This router's zone.
         load_factor: No upstream is loaded above this multiple of the mean.
-        brittle: Limits the requests to brittle upstreams, None for no limit.
+        rejection_limits: Limits the rejections at upstreams that crash of too
+            many, None for no limit.
     """
 
     def __init__(
@@ -245,7 +249,9 @@
         self.health = health
         self.loads = loads
         self.load_factor = load_factor
-        self.brittle: brittle_module.BrittleUpstreams | None = None
+        self.rejection_limits: (
+            rejection_limits_module.RejectionLimits | None
+        ) = None
 
     def choose(
         self,
@@ -320,8 +326,8 @@
         warming = instances & set(warming_up) if warming_up else frozenset()
         tried = instances & set(used)
         full: Set[str] = frozenset()
-        if self.brittle is not None:
-            full = self.brittle.full(candidates.by_name.values())
+        if self.rejection_limits is not None:
+            full = self.rejection_limits.full(candidates.by_name.values())
         closed = paused | warming | full
         if len(tried | closed) == len(instances):
             # The request was sent to every upstream that accepts requests:
--- a/lavenderbend/coordination/forwarding/brittle.py
+++ b/lavenderbend/coordination/forwarding/rejection_limits.py
@@ -1,4 +1,4 @@
-"""Upstreams that fall over if they must reject too many requests."""
+"""Limits on the rejections by upstreams that crash if there are too many."""
 
 from __future__ import annotations
 
@@ -20,11 +20,11 @@
     from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.state import forwarding
 
-BRITTLE = 'brittle'
+LIMITED = 'rejection limit'
 FULL = 'full'
-# An upstream that says so in its answers still counts as brittle for this long
-# after the latest of them.
-BRITTLE_SECONDS = 5.0
+# The limit that an upstream states in its answers holds for this long after the
+# latest of them.
+LIMIT_SECONDS = 5.0
 # All routers are told again at this interval.
 REPEAT_SECONDS = 2.0
 # Share of the rejections that an upstream stands that the routers together may
@@ -46,33 +46,33 @@
 MAX_LIMIT_DIGITS = 9
 
 REJECTIONS = metrics.counter(
-    'lavenderbend_forward_brittle_rejections_total',
-    'Requests of this router that brittle upstreams rejected.',
+    'lavenderbend_forward_limited_rejections_total',
+    'Requests of this router rejected by upstreams with a rejection limit.',
 )
 
 
-@facts_module.FACT_KINDS.register(BRITTLE)
-class BrittleFact(facts_module.FactKind):
-    """An upstream that says that it is brittle; the source is its limit."""
+@facts_module.FACT_KINDS.register(LIMITED)
+class LimitFact(facts_module.FactKind):
+    """An upstream with a rejection limit; the source is the limit."""
 
-    max_seconds = BRITTLE_SECONDS
+    max_seconds = LIMIT_SECONDS
 
 
 @facts_module.FACT_KINDS.register(FULL)
 class FullFact(facts_module.FactKind):
-    """A brittle upstream that rejected a request; the source is the router."""
+    """A limited upstream that rejected a request; the source is the router."""
 
     max_seconds = FULL_SECONDS
     sent_to_starting = False
 
 
 @attrs.define
-class BrittleRecord:
-    """What is known of a brittle upstream.
+class LimitedUpstream:
+    """What is known of an upstream with a rejection limit.
 
     Attributes:
         limit: Rejections in a second that it stands.
-        until: Router clock until which it counts as brittle.
+        until: Router clock until which the limit holds.
         told_at: Router clock at which the others were last told.
         full_until: Router clock until which it is sent no requests.
         ask_after: Router clock before which its owner is not asked again.
@@ -103,8 +103,8 @@
         self.full_until = now + FULL_SECONDS
 
 
-class BrittleUpstreams:
-    """Limits the rejections that routers together cause at brittle upstreams.
+class RejectionLimits:
+    """Limits the rejections that all routers together cause at upstreams.
 
     A request without an answer may yet be rejected. If the share of each router
     in the limit is one request or more, each has at most its share waiting, so
@@ -121,8 +121,8 @@
             it is not known.
         rng: Draws when an owner is asked again.
         unanswered: Requests of this router without an answer, by instance.
-        records: The brittle upstreams by instance.
-        last_end: Router clock from which on no upstream is brittle.
+        records: The upstreams with a limit, by instance.
+        last_end: Router clock from which on no upstream has a limit.
     """
 
     def __init__(
@@ -137,7 +137,7 @@
         self.fleet_size = fleet_size
         self.rng = rng
         self.unanswered: collections.Counter[str] = collections.Counter()
-        self.records: dict[str, BrittleRecord] = {}
+        self.records: dict[str, LimitedUpstream] = {}
         self.last_end = float('-inf')
 
     def begin(self, instance: str) -> None:
@@ -159,40 +159,42 @@
         """
         if value is None:
             if self.records.pop(instance, None) is not None:
-                logs.change('upstream_sturdy', upstream=instance)
+                logs.change('upstream_rejection_limit_ended', upstream=instance)
             return
         limit = parse_limit(value)
         if limit is None:
             return
-        record = self.note_brittle(instance, limit, BRITTLE_SECONDS)
+        record = self.note_limit(instance, limit, LIMIT_SECONDS)
         now = trio.current_time()
         if now - record.told_at >= REPEAT_SECONDS:
             record.told_at = now
-            self.facts.add(BRITTLE, instance, str(limit), BRITTLE_SECONDS)
+            self.facts.add(LIMITED, instance, str(limit), LIMIT_SECONDS)
 
-    def note_brittle(
+    def note_limit(
         self, instance: str, limit: int, seconds: float
-    ) -> BrittleRecord:
-        """Records that an upstream is brittle for some time."""
+    ) -> LimitedUpstream:
+        """Records that an upstream has a limit for some time."""
         until = trio.current_time() + seconds
         record = self.records.get(instance)
         if record is None:
-            record = self.records[instance] = BrittleRecord(limit, until)
-            logs.change('upstream_brittle', upstream=instance, limit=limit)
+            record = self.records[instance] = LimitedUpstream(limit, until)
+            logs.change(
+                'upstream_rejection_limit', upstream=instance, limit=limit
+            )
         record.limit = limit
         record.until = max(record.until, until)
         self.last_end = max(self.last_end, until)
         return record
 
-    def apply_brittle(self, fact: facts_module.Fact) -> None:
-        """Applies that another router heard that an upstream is brittle."""
+    def apply_limit(self, fact: facts_module.Fact) -> None:
+        """Applies the limit of an upstream that another router heard."""
         limit = parse_limit(fact.source.encode())
         seconds = fact.expires_at - trio.current_time()
         if limit is not None and seconds > 0.0:
-            self.note_brittle(fact.subject, limit, seconds)
+            self.note_limit(fact.subject, limit, seconds)
 
     def note_rejected(self, instance: str) -> None:
-        """Records that a brittle upstream rejected a request."""
+        """Records that an upstream rejected a request."""
         record = self.current(instance)
         if record is None:
             return
@@ -224,14 +226,14 @@
         seconds *= self.rng.uniform(0.5, 1.5)
         record.ask_after = trio.current_time() + seconds
 
-    def current(self, instance: str) -> BrittleRecord | None:
-        """Returns the record of an upstream, None if it is not brittle."""
+    def current(self, instance: str) -> LimitedUpstream | None:
+        """Returns the record of an upstream, None if it has no limit."""
         record = self.records.get(instance)
         if record is None or record.until <= trio.current_time():
             return None
         return record
 
-    def share(self, record: BrittleRecord) -> int:
+    def share(self, record: LimitedUpstream) -> int:
         """Returns how many requests of this router may wait for answers.
 
         0 if that is less than one, so that the owner is asked.
@@ -285,7 +287,7 @@
     def full(self, upstreams: Collection[forwarding.Upstream]) -> set[str]:
         """Returns the upstreams that may be sent no request now."""
         if trio.current_time() >= self.last_end:
-            # The usual case: none is brittle.
+            # The usual case: none has a limit.
             return set()
         return {one.instance for one in upstreams if not self.has_room(one)}
 
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -161,7 +161,7 @@
 
         A cold upstream is chosen only with its owner's permit. Where no other
         upstream accepts requests, the request waits briefly for one, as it
-        does for room at a brittle upstream.
+        does for room at an upstream with a rejection limit.
         """
         ticket.permitted_until = None
         refused_at = trio.current_time() + MAX_PERMIT_WAIT_SECONDS
@@ -186,7 +186,7 @@
     async def may_start(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> bool:
-        """Returns whether an upstream, if cold or brittle, has room."""
+        """Returns whether an upstream may be sent the request now."""
         if not await self.has_slot(ticket, upstream):
             return False
         if self.cold_starts is None:
@@ -199,9 +199,9 @@
     async def has_slot(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> bool:
-        """Returns whether an upstream is not brittle or has a free slot."""
-        brittle = self.chooser.brittle
-        slots = 0 if brittle is None else brittle.slots_to_ask(upstream)
+        """Returns whether an upstream has a free slot, if it needs one."""
+        limits = self.chooser.rejection_limits
+        slots = 0 if limits is None else limits.slots_to_ask(upstream)
         if not slots:
             return True
         if ticket.reservation is not None:
@@ -209,9 +209,9 @@
         else:
             load = await self.reserve_slot(ticket, upstream, slots)
         if load is None:
-            return brittle.seems_free(upstream)
+            return limits.seems_free(upstream)
         if load >= slots:
-            brittle.note_refused(upstream.instance)
+            limits.note_refused(upstream.instance)
         return load < slots
 
     async def reserve_slot(
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -10,7 +10,6 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import attempts
-from lavenderbend.coordination.forwarding import brittle
 from lavenderbend.coordination.forwarding import budget
 from lavenderbend.coordination.forwarding import cached_prompts
 from lavenderbend.coordination.forwarding import choice
@@ -23,6 +22,7 @@
 from lavenderbend.coordination.forwarding import outgoing
 from lavenderbend.coordination.forwarding import peers
 from lavenderbend.coordination.forwarding import reachability
+from lavenderbend.coordination.forwarding import rejection_limits
 from lavenderbend.coordination.forwarding import relays
 from lavenderbend.coordination.forwarding import request_resolver
 from lavenderbend.coordination.forwarding import reserving_chooser
@@ -140,7 +140,7 @@
             cold_rate_settings(settings),
             len(settings.zones),
         )
-        self.brittle = brittle.BrittleUpstreams(
+        self.rejection_limits = rejection_limits.RejectionLimits(
             self.loads,
             self.peers.facts,
             self.peers.budget_divisor,
@@ -169,8 +169,8 @@
             departures.DRAINED: self.departures.apply_drained,
             suspicions.SUSPECTED: self.suspicions.apply_suspicion,
             coldness.COLD: self.coldness.apply_fact,
-            brittle.BRITTLE: self.brittle.apply_brittle,
-            brittle.FULL: self.brittle.apply_full,
+            rejection_limits.LIMITED: self.rejection_limits.apply_limit,
+            rejection_limits.FULL: self.rejection_limits.apply_full,
         }
         self.budget = budget.RetryBudget(
             retry_budget_settings(settings), self.peers.budget_divisor
@@ -215,8 +215,8 @@
         self.forwarder.fleet_size = self.peers.fleet_size
         self.forwarder.reserving_chooser.cold_starts = self.cold_starts
         self.forwarder.attempts.cold_starts = self.cold_starts
-        self.forwarder.chooser.brittle = self.brittle
-        self.forwarder.attempts.brittle = self.brittle
+        self.forwarder.chooser.rejection_limits = self.rejection_limits
+        self.forwarder.attempts.rejection_limits = self.rejection_limits
 
     def make_paths(self) -> None:
         """Creates the components that connect to upstreams."""
@@ -404,7 +404,7 @@
             self.exchanges.close_expired()
             self.health.retain(instances)
             self.paths.retain(instances)
-            self.brittle.retain(instances)
+            self.rejection_limits.retain(instances)
 
 
 def follow_settings(
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -25,8 +25,8 @@
         load: Set by upstreams: numbers of running requests, waiting
             requests and slots, separated by commas.
         leaving: Set to 1 on every answer of an upstream that is draining.
-        brittle: Set on every answer of an upstream that falls over if it must
-            reject more requests in a second than the number given.
+        rejection_limit: Set on every answer of an upstream that crashes if it
+            must reject more requests in a second than the number given.
         copy_from: Sent to upstreams: address of the upstream from which to
             copy cached prompt parts; an empty name if upstreams cannot.
         reserved: Headers that are never relayed from callers.
@@ -42,7 +42,7 @@
     not_run: str = 'x-not-run'
     load: str = 'x-load'
     leaving: str = 'x-leaving'
-    brittle: str = 'x-brittle'
+    rejection_limit: str = 'x-rejection-limit'
     copy_from: str = ''
     reserved: tuple[str, ...] = ()
 
--- a/tests/integration/forwarding_fleet.py
+++ b/tests/integration/forwarding_fleet.py
@@ -204,7 +204,7 @@
         'not_run': name('not-executed'),
         'load': name('server-load'),
         'leaving': 'server-leaving',
-        'brittle': 'server-brittle',
+        'rejection_limit': 'server-brittle',
         'reserved': [name('hold')],
     }
 
--- a/tests/integration/partition_soak.py
+++ b/tests/integration/partition_soak.py
@@ -1,7 +1,7 @@
 """A soak of routers whose paths to upstreams are cut, in one process.
 
-Beside the cuts, upstreams fall silent for a second and go on, say that they are
-brittle and have little room, and routers are stopped and started.
+Beside the cuts, upstreams fall silent for a second and go on, state a limit of
+rejections and have little room, and routers are stopped and started.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 SLOTS = 8
 SLOW_SECONDS = 0.15
 LIMIT = 8
-MAX_FALLS = 2
+MAX_CRASHES = 2
 DOWN_SECONDS = 2.0
 # after the beginning of a cut callers must be served as others are
 CONTACT_SECONDS = 3.0
@@ -40,16 +40,16 @@
 
 
 class Worker(standins.Worker):
-    """An upstream that may stand still, or be brittle with little room.
+    """An upstream that may stand still, or have a limit and little room.
 
     Attributes:
         awake: Set while it runs.
-        brittle: Whether it says that it is, and has little room.
+        limited: Whether it states a limit of rejections.
         waiting: Requests that it lets wait beside those that it runs.
         seconds: Time that it takes for a request.
         held: Requests that it has.
         rejections: Times of its rejections.
-        falls: Times at which it fell over.
+        crashes: Times at which it crashed.
         down_until: Time until which it is down.
     """
 
@@ -57,17 +57,17 @@
         super().__init__(instance, service)
         self.awake = trio.Event()
         self.awake.set()
-        self.brittle = False
+        self.limited = False
         self.waiting = 2 * SLOTS
         self.seconds = 0.02
         self.held = 0
         self.rejections = []
-        self.falls = []
+        self.crashes = []
         self.down_until = 0.0
 
     def unsigned_headers(self, request):
         headers = super().unsigned_headers(request)
-        if self.brittle:
+        if self.limited:
             headers.append(('server-brittle', str(LIMIT)))
         return headers
 
@@ -91,8 +91,8 @@
         now = trio.current_time()
         self.rejections = [at for at in self.rejections if at > now - 1.0]
         self.rejections.append(now)
-        if self.brittle and len(self.rejections) > LIMIT:
-            self.falls.append(now)
+        if self.limited and len(self.rejections) > LIMIT:
+            self.crashes.append(now)
             self.rejections = []
             self.down_until = now + DOWN_SECONDS
 
@@ -150,8 +150,10 @@
             if one.status == 200 and not one.whole:
                 self.violations.append(f'not whole: {one}')
         for worker in self.workers.values():
-            if len(worker.falls) > MAX_FALLS:
-                self.violations.append(f'{worker.instance} fell {worker.falls}')
+            if len(worker.crashes) > MAX_CRASHES:
+                self.violations.append(
+                    f'{worker.instance} crashed {worker.crashes}'
+                )
         for period in self.cuts:
             self.check_cut(period)
 
@@ -202,22 +204,22 @@
     worker.awake.set()
 
 
-@FAULTS.register('brittle')
-async def brittle(world):
-    """The upstreams of a service are brittle, and then have little room."""
+@FAULTS.register('limited')
+async def limited(world):
+    """The upstreams of a service state a limit, and then have little room."""
     service = world.rng.choice(('engines', 'desk'))
     workers = [one for one in world.workers.values() if one.service == service]
-    if any(worker.brittle for worker in workers):
+    if any(worker.limited for worker in workers):
         return
     for worker in workers:
-        worker.brittle = True
-        worker.falls.clear()
+        worker.limited = True
+        worker.crashes.clear()
     await trio.sleep(CONTACT_SECONDS)
     for worker in workers:
         worker.waiting, worker.seconds = 0, SLOW_SECONDS
     await trio.sleep(world.rng.uniform(*FAULT_SECONDS))
     for worker in workers:
-        worker.brittle = False
+        worker.limited = False
         worker.waiting, worker.seconds = 2 * SLOTS, 0.02
 
 
--- a/tests/brittle_fleet.py
+++ b/tests/rejection_limit_fleet.py
@@ -1,4 +1,4 @@
-"""Routers before upstreams that fall over if they must reject too much.
+"""Routers before upstreams that crash if they must reject too much.
 
 Gossip between the routers is real; the clock is virtual.
 """
@@ -12,8 +12,8 @@
 import trio
 
 from lavenderbend import errors
-from lavenderbend.coordination.forwarding import brittle
 from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.coordination.forwarding import rejection_limits
 from lavenderbend.state import forwarding
 from tests import forwarding_fakes as fakes
 
@@ -38,7 +38,7 @@
         held: Requests that it has.
         down_until: Time until which it is down.
         rejected: Times of its rejections.
-        falls: Times at which it fell over.
+        crashes: Times at which it crashed.
         done: Requests that it answered.
     """
 
@@ -51,7 +51,7 @@
     held: int = 0
     down_until: float = 0.0
     rejected: list = attrs.field(factory=list)
-    falls: list = attrs.field(factory=list)
+    crashes: list = attrs.field(factory=list)
     done: int = 0
 
     @property
@@ -61,7 +61,7 @@
     def head(self, head):
         if not self.says:
             return head
-        name = (b'x-brittle', b'%d' % self.limit)
+        name = (b'x-rejection-limit', b'%d' % self.limit)
         return attrs.evolve(head, headers=(*head.headers, name))
 
     async def answer(self):
@@ -75,7 +75,7 @@
         finally:
             self.held -= 1
         if self.down:
-            raise errors.UpstreamLost('fell over')
+            raise errors.UpstreamLost('crashed')
         self.done += 1
         return self.head(fakes.reply().head)
 
@@ -85,10 +85,10 @@
         if self.says and sum(at > now - 1.0 for at in self.rejected) > (
             self.limit
         ):
-            self.falls.append(now)
+            self.crashes.append(now)
             self.rejected.clear()
             self.down_until = now + DOWN_SECONDS
-            raise errors.UpstreamLost('fell over')
+            raise errors.UpstreamLost('crashed')
         return self.head(NOT_RUN)
 
 
@@ -127,7 +127,7 @@
         return Exchange(self.workers[target.instance])
 
 
-class BrittleFleet:
+class LimitedFleet:
     """Routers with gossip, and callers that send to them at random.
 
     Attributes:
@@ -173,17 +173,19 @@
         )
         router.node = node
         if guarded:
-            guard = brittle.BrittleUpstreams(
+            guard = rejection_limits.RejectionLimits(
                 node.loads,
                 node.peers.facts,
                 node.peers.budget_divisor,
                 random.Random(host),
             )
-            node.peers.fact_callbacks[brittle.BRITTLE] = guard.apply_brittle
-            node.peers.fact_callbacks[brittle.FULL] = guard.apply_full
-            router.chooser.brittle = guard
+            node.peers.fact_callbacks[rejection_limits.LIMITED] = (
+                guard.apply_limit
+            )
+            node.peers.fact_callbacks[rejection_limits.FULL] = guard.apply_full
+            router.chooser.rejection_limits = guard
             router.reserving_chooser.reservations = node.peers.reservations
-            router.forwarder.attempts.brittle = guard
+            router.forwarder.attempts.rejection_limits = guard
         node.start(self.nursery)
         self.nursery.start_soon(router.silence.run)
         self.routers[host] = router
@@ -216,8 +218,8 @@
         self.outcomes[outcome] += 1
 
     @property
-    def falls(self):
-        return sum(len(worker.falls) for worker in self.workers.values())
+    def crashes(self):
+        return sum(len(worker.crashes) for worker in self.workers.values())
 
     def share(self, outcome):
         return self.outcomes[outcome] / max(1, self.outcomes.total())
--- a/tests/test_coordination/test_forwarding_brittle.py
+++ b/tests/test_coordination/test_forwarding_rejection_limits.py
@@ -1,4 +1,4 @@
-"""Upstreams that fall over if they must reject too many requests."""
+"""Upstreams that crash if they must reject too many requests."""
 
 from __future__ import annotations
 
@@ -7,31 +7,34 @@
 import pytest
 import trio
 
-from lavenderbend.coordination.forwarding import brittle
 from lavenderbend.coordination.forwarding import facts
 from lavenderbend.coordination.forwarding import loads
-from tests import brittle_fleet
+from lavenderbend.coordination.forwarding import rejection_limits
 from tests import forwarding_fakes as fakes
+from tests import rejection_limit_fleet
 
 WORKERS = 3
 CALM_PER_SECOND = 30.0
 # three times what the workers bear
 SURGE_PER_SECOND = (
-    3 * WORKERS * brittle_fleet.SLOTS / (brittle_fleet.SERVICE_SECONDS)
+    3
+    * WORKERS
+    * rejection_limit_fleet.SLOTS
+    / (rejection_limit_fleet.SERVICE_SECONDS)
 )
 SURGE_SECONDS = 4.0
 
 
-def allowed_falls(workers=WORKERS):
+def allowed_crashes(workers=WORKERS):
     return 2 + workers / 10
 
 
 async def overload(nursery, size, limit, seed=1, guarded=True, harm=None):
     """Returns a fleet after its upstreams were overloaded for a while."""
-    fleet = brittle_fleet.BrittleFleet(
+    fleet = rejection_limit_fleet.LimitedFleet(
         nursery, size, limit, seed, WORKERS, guarded
     )
-    await trio.sleep(brittle_fleet.SETTLE_SECONDS)
+    await trio.sleep(rejection_limit_fleet.SETTLE_SECONDS)
     await fleet.press(2.0, CALM_PER_SECOND)
     if harm is not None:
         nursery.start_soon(harm, fleet)
@@ -41,19 +44,19 @@
 
 
 @pytest.mark.parametrize(('size', 'limit'), [(6, 5), (6, 40), (24, 10)])
-async def test_overloaded_brittle_upstreams_do_not_fall_over(
+async def test_overloaded_upstreams_do_not_crash_of_rejections(
     nursery, autojump_clock, size, limit
 ):
     fleet = await overload(nursery, size, limit)
-    assert fleet.falls <= allowed_falls()
+    assert fleet.crashes <= allowed_crashes()
     # a third is what they bear
     assert fleet.share('answered') >= 0.2
     nursery.cancel_scope.cancel()
 
 
-async def test_without_the_limit_they_fall_over(nursery, autojump_clock):
+async def test_without_the_guard_they_crash(nursery, autojump_clock):
     fleet = await overload(nursery, 6, 5, guarded=False)
-    assert fleet.falls > allowed_falls()
+    assert fleet.crashes > allowed_crashes()
     nursery.cancel_scope.cancel()
 
 
@@ -86,14 +89,14 @@
     nursery, autojump_clock, size, limit, harm
 ):
     fleet = await overload(nursery, size, limit, harm=harm)
-    assert fleet.falls <= allowed_falls()
+    assert fleet.crashes <= allowed_crashes()
     nursery.cancel_scope.cancel()
 
 
 @pytest.fixture
 async def guard(autojump_clock):
     told = facts.Facts('10.0.0.1', lambda fact: None)
-    return brittle.BrittleUpstreams(
+    return rejection_limits.RejectionLimits(
         loads.Loads(), told, lambda: 4, random.Random(1)
     )
 
@@ -112,7 +115,7 @@
     assert guard.has_room(E1)
 
 
-async def test_upstream_that_is_not_brittle_has_no_limit(guard, autojump_clock):
+async def test_upstream_without_a_limit_is_not_limited(guard, autojump_clock):
     for _ in range(100):
         guard.begin('e1')
     guard.note_rejected('e1')
@@ -128,9 +131,11 @@
     assert guard.full([E1]) == set()
 
 
-async def test_silent_upstream_is_brittle_for_a_while(guard, autojump_clock):
+async def test_limit_of_a_silent_upstream_holds_for_a_while(
+    guard, autojump_clock
+):
     guard.note_answer('e1', b'4')
-    await trio.sleep(brittle.BRITTLE_SECONDS + 0.1)
+    await trio.sleep(rejection_limits.LIMIT_SECONDS + 0.1)
     assert guard.current('e1') is None
 
 
@@ -142,11 +147,11 @@
     guard.note_rejected('e1')
     guard.note_rejected('e1')
     assert not guard.has_room(E1)
-    await trio.sleep(brittle.FULL_SECONDS)
+    await trio.sleep(rejection_limits.FULL_SECONDS)
     assert guard.has_room(E1)
     assert guard.slots_to_ask(E1) == 3
     guard.note_answer('e1', b'100')
-    await trio.sleep(brittle.RECOVERY_SECONDS)
+    await trio.sleep(rejection_limits.RECOVERY_SECONDS)
     assert guard.slots_to_ask(E1) == 6
 
 
@@ -154,9 +159,11 @@
     guard, autojump_clock
 ):
     now = trio.current_time()
-    guard.apply_brittle(facts.Fact(brittle.BRITTLE, 'e1', '4', now, 5.0))
+    guard.apply_limit(facts.Fact(rejection_limits.LIMITED, 'e1', '4', now, 5.0))
     assert guard.has_room(E1)
-    guard.apply_full(facts.Fact(brittle.FULL, 'e1', '10.0.0.2', now, 0.5))
+    guard.apply_full(
+        facts.Fact(rejection_limits.FULL, 'e1', '10.0.0.2', now, 0.5)
+    )
     assert not guard.has_room(E1)
 
 
