Fields that earlier builds lack are left out unless used; a failed connect keeps its type

Builds understand each other either way; a field of later builds is now left out at its default, so that the bytes are the same while nothing is cut or limited. - Operators read the name of an attempt's error: UpstreamUnreachable had become ConnectRefused.

--- a/lavenderbend/coordination/forwarding/upstream_paths.py
+++ b/lavenderbend/coordination/forwarding/upstream_paths.py
@@ -169,18 +169,20 @@
             cause: errors.UpstreamUnreachable = exc
         else:
             exchange = await self.connect_by_any(upstream)
-            cause = errors.ConnectTimeout('no path to the upstream in time')
+            cause = errors.UpstreamUnreachable(
+                'no path to the upstream in time', errors.ConnectFailure.TIMEOUT
+            )
         if exchange is not None and not exchange.relay:
             return exchange
         if not self.found_unreached(upstream.instance):
             self.reachability.note_failed(
-                upstream.instance, type(cause).__name__
+                upstream.instance, cause.failure.value
             )
         if exchange is None:
             raise cause
-        if isinstance(cause, errors.ConnectTimeout):
+        if cause.failure is errors.ConnectFailure.TIMEOUT:
             self.connections.close_silent(began)
-        self.note_cut(upstream, exchange.relay, type(cause).__name__)
+        self.note_cut(upstream, exchange.relay, cause.failure.value)
         return exchange
 
     async def connect_directly(
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -95,16 +95,26 @@
     ended_by = EndedBy.UPSTREAM
 
 
-class UpstreamUnreachable(UpstreamError):
-    """No connection to the upstream; no byte of the request was sent."""
+class ConnectFailure(enum.Enum):
+    """How the opening of a connection failed."""
 
+    UNKNOWN = 'unknown'
+    REFUSED = 'refused'
+    TIMEOUT = 'timeout'
 
-class ConnectTimeout(UpstreamUnreachable):
-    """Nothing answered the opening of the connection in time."""
 
+class UpstreamUnreachable(UpstreamError):
+    """No connection to the upstream; no byte of the request was sent.
 
-class ConnectRefused(UpstreamUnreachable):
-    """The opening of the connection was refused or reset."""
+    Attributes:
+        failure: How the opening of the connection failed.
+    """
+
+    def __init__(
+        self, detail: str, failure: ConnectFailure = ConnectFailure.UNKNOWN
+    ) -> None:
+        super().__init__(detail)
+        self.failure = failure
 
 
 class UpstreamWithdrawn(UpstreamUnreachable):
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -80,7 +80,9 @@
         factory=list, validator=fields.rows_of(str, bytes)
     )
     prompts: bytes = attrs.field(validator=fields.PACKED, default=b'')
-    upstreams_lost: bool = attrs.field(validator=fields.FLAG, default=False)
+    upstreams_lost: bool = attrs.field(
+        validator=fields.FLAG, default=False, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(101)
@@ -178,7 +180,9 @@
     own_tokens: int = attrs.field(validator=fields.INTEGER)
     lifetime_milliseconds: int = attrs.field(validator=fields.INTEGER)
     forwarded: bool = attrs.field(validator=fields.FLAG, default=False)
-    max_load: int = attrs.field(validator=fields.INTEGER, default=0)
+    max_load: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(111)
--- a/lavenderbend/protocol/peer.py
+++ b/lavenderbend/protocol/peer.py
@@ -17,6 +17,9 @@
 C = TypeVar('C', bound=type)
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# Metadata of a field that earlier builds lack. It is left out at its default:
+# messages that do not use it have the bytes of those builds.
+ADDED_LATER = {'added_later': True}
 
 
 class Message:
@@ -53,10 +56,16 @@
 
 def to_wire(message: Message) -> list[Any]:
     """Returns the message as a list: its tag, then its fields in order."""
-    values = [
-        getattr(message, field.name) for field in attrs.fields(type(message))
-    ]
-    return [message.tag, *values]
+    fields = list(attrs.fields(type(message)))
+    while fields and may_leave_out(message, fields[-1]):
+        fields.pop()
+    return [message.tag, *(getattr(message, field.name) for field in fields)]
+
+
+def may_leave_out(message: Message, field: attrs.Attribute) -> bool:
+    """Returns whether earlier builds lack a last field, and it is unused."""
+    added_later = ADDED_LATER.keys() <= field.metadata.keys()
+    return added_later and getattr(message, field.name) == field.default
 
 
 def from_wire(values: Any) -> Message:
--- a/lavenderbend/transport/socket_options.py
+++ b/lavenderbend/transport/socket_options.py
@@ -46,19 +46,17 @@
     """Opens a connection to an upstream, with a timeout in seconds.
 
     Raises:
-        ConnectTimeout: The connection cannot be opened in time.
-        ConnectRefused: The connection cannot be opened.
+        UpstreamUnreachable: The connection cannot be opened in time.
     """
     try:
         with trio.fail_after(seconds):
             return await connect(vm.host, vm.port)
-    except trio.TooSlowError as exc:
-        raise errors.ConnectTimeout(
-            f'no connection: {type(exc).__name__}'
-        ) from exc
-    except OSError as exc:
-        raise errors.ConnectRefused(
-            f'no connection: {type(exc).__name__}'
+    except (OSError, trio.TooSlowError) as exc:
+        timeout = isinstance(exc, trio.TooSlowError)
+        failure = errors.ConnectFailure
+        raise errors.UpstreamUnreachable(
+            f'no connection: {type(exc).__name__}',
+            failure.TIMEOUT if timeout else failure.REFUSED,
         ) from exc
 
 
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -138,6 +138,7 @@
         ended: Set when a router has ended, by host.
         nursery: Runs the routers.
         tries: What callers got.
+        new_connections: Opens a connection for each request.
     """
 
     worker_class = standins.Worker
@@ -155,6 +156,10 @@
         self.nursery = None
         self.tries = []
         self.sent = 0
+        self.new_connections = httpx.AsyncClient(
+            timeout=2 * DEADLINE_SECONDS,
+            limits=httpx.Limits(max_keepalive_connections=0),
+        )
 
     async def start(self, nursery):
         self.nursery = nursery
@@ -214,12 +219,14 @@
         began = trio.current_time()
         path = PATHS[kind]
         try:
-            if client is None:
-                answer = await forwarding_fleet.ask(router, path, number)
-            else:
-                answer = await forwarding_fleet.ask_by(
-                    client, router, path, number, 'POST', standins.KEY
-                )
+            answer = await forwarding_fleet.ask_by(
+                client or self.new_connections,
+                router,
+                path,
+                number,
+                'POST',
+                standins.KEY,
+            )
             status, whole = answer.status_code, answer.content in BODIES
         except httpx.HTTPError:
             status, whole = 0, False
--- a/tests/rejection_limit_fleet.py
+++ b/tests/rejection_limit_fleet.py
@@ -123,7 +123,7 @@
 
     async def open(self, target, repeatable):
         if not await self.accepts(target):
-            raise errors.ConnectRefused('down')
+            raise errors.UpstreamUnreachable('down')
         return Exchange(self.workers[target.instance])
 
 
--- a/tests/test_coordination/test_reachability.py
+++ b/tests/test_coordination/test_reachability.py
@@ -15,8 +15,8 @@
 
 
 async def test_one_failed_upstream_is_not_a_lost_path(own, autojump_clock):
-    own.note_failed('i-1', 'ConnectTimeout')
-    own.note_failed('i-1', 'ConnectTimeout')
+    own.note_failed('i-1', 'timeout')
+    own.note_failed('i-1', 'timeout')
     assert not own.lost
 
 
@@ -27,21 +27,21 @@
     own.store_age = lambda: 0.4
     own.note_connected()
     await trio.sleep(1.0)
-    own.note_failed('i-1', 'ConnectTimeout')
-    own.note_failed('i-2', 'ConnectRefused')
-    own.note_failed('i-3', 'ConnectRefused')
+    own.note_failed('i-1', 'timeout')
+    own.note_failed('i-2', 'refused')
+    own.note_failed('i-3', 'refused')
     assert own.lost
     (line,) = named(lines, 'upstreams_lost')
-    assert line['causes'] == {'ConnectTimeout': 1, 'ConnectRefused': 1}
+    assert line['causes'] == {'timeout': 1, 'refused': 1}
     assert line['upstreams'] == ['i-1', 'i-2']
     assert line['connected_before'] == 1.0
     assert (line['routers'], line['store_age']) == (6, 0.4)
 
 
 async def test_any_connection_ends_a_lost_path(own, autojump_clock, lines):
-    own.note_failed('i-1', 'ConnectTimeout')
+    own.note_failed('i-1', 'timeout')
     await trio.sleep(0.5)
-    own.note_failed('i-2', 'ConnectTimeout')
+    own.note_failed('i-2', 'timeout')
     own.note_connected()
     own.note_connected()
     assert not own.lost
--- a/tests/test_coordination/test_upstream_paths.py
+++ b/tests/test_coordination/test_upstream_paths.py
@@ -21,6 +21,7 @@
 from tests import forwarding_fakes as fakes
 from tests.logged import named
 
+Failure = errors.ConnectFailure
 SILENT = 'silent'
 REFUSED = 'refused'
 CONNECT_SECONDS = 0.5
@@ -83,9 +84,9 @@
         await trio.sleep(ROUND_TRIP_SECONDS)
         if cut == SILENT:
             await trio.sleep(CONNECT_SECONDS)
-            raise errors.ConnectTimeout(SILENT)
+            raise errors.UpstreamUnreachable(SILENT, Failure.TIMEOUT)
         if cut == REFUSED:
-            raise errors.ConnectRefused(REFUSED)
+            raise errors.UpstreamUnreachable(REFUSED, Failure.REFUSED)
 
     def open_one(self, relay):
         exchange = Opened(relay)
@@ -227,8 +228,9 @@
     connections.own = {'e1': SILENT}
     connections.others = dict.fromkeys((NEAR, NEAR_2, FAR), SILENT)
     began = trio.current_time()
-    with pytest.raises(errors.ConnectTimeout):
+    with pytest.raises(errors.UpstreamUnreachable) as caught:
         await paths.open(E1, True)
+    assert caught.value.failure is Failure.TIMEOUT
     assert trio.current_time() - began < 0.8
 
 
@@ -236,8 +238,9 @@
     paths, connections, node, autojump_clock
 ):
     connections.own = {'e1': REFUSED}
-    with pytest.raises(errors.ConnectRefused):
+    with pytest.raises(errors.UpstreamUnreachable) as caught:
         await paths.open(E1, True)
+    assert caught.value.failure is Failure.REFUSED
     assert (await paths.open(E2, True)).relay == ''
 
 
--- a/tests/test_protocol/test_protocol_samples.py
+++ b/tests/test_protocol/test_protocol_samples.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from lavenderbend import errors
@@ -331,6 +332,11 @@
         ),
         '9674a5746578743102cb400c00000000000004920569',
     ),
+    (
+        messages_forwarding.RelayRequest(instance='text1'),
+        '9275a57465787431',
+    ),
+    (messages_forwarding.RelayReply(outcome=1), '927601'),
 ]
 
 BATCH = claims.Batch(
@@ -406,6 +412,20 @@
     assert peer.decode(bytes.fromhex(data)) == message
 
 
+@pytest.mark.parametrize(
+    ('tag', 'field', 'value'),
+    [(104, 'upstreams_lost', True), (110, 'max_load', 3)],
+)
+def test_field_that_earlier_builds_lack_is_sent_only_if_it_is_used(
+    tag, field, value
+):
+    # Earlier builds ignore it, and messages from them have its default.
+    (unused,) = [message for message, _ in MESSAGES if message.tag == tag]
+    used = attrs.evolve(unused, **{field: value})
+    assert peer.decode(peer.encode(used)) == used
+    assert peer.to_wire(used) == [*peer.to_wire(unused), value]
+
+
 def test_each_message_has_a_sample():
     # Other tests register messages of their own.
     tags = [
