--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -301,13 +301,16 @@
     assert len(router.exchanges.sent) == 1
 
 
+@pytest.mark.parametrize('attempts', [1, 2])
 async def test_request_that_may_run_once_waits_out_a_second_of_silence(
-    autojump_clock,
+    autojump_clock, attempts
 ):
     # Guards against a second run of what the silent upstream still completes.
     content = fakes.snapshot(
         1,
-        fakes.table(1, (fakes.rule(idempotent=False, attempts=1),)),
+        fakes.table(
+            1, (fakes.rule(idempotent=False, attempts=attempts, target=0.1),)
+        ),
         *(fakes.upstream(name) for name in ('e1', 'e2')),
     )
     late = [fakes.reply(delay=SECOND)]
