Cold upstreams: a line and a label that tell which zone's owner permits

Three ways to explain it: two owners within the engine's zone, a request permitted twice, owners of other zones that permit beside it. The metric of permits did not tell the zone, and no line said why an owner permits what it does.

cold_upstream_owned says for each owner its zone, its limit and of whose routers it has heard; the counter of permits has a label for the zone. With it, 2 routers a zone, zone b restarted while all are apart (20.0 s cut, 21.0 s restart):

0.02 s own_zone sala-a limit 20.0 counted_zones sala-a, sala-b, sala-c 21.73 s own_zone sala-b limit 6.667 counted_zones sala-b

and no second line of sala-a. Requests by second from 24 s on: sala-a 18 19 16 12 17, sala-b 3 3 6 6 6. All restarted: 20.0, 6.667, 6.667, together 32 in a second. Zone b restarted while it reaches c: limit 0.0, counted a, b, c; 20 in a second. So it is the third way alone: a process that has never heard a count of a zone takes it for one without routers.

--- a/lavenderbend/coordination/forwarding/warm_up/cold_starts.py
+++ b/lavenderbend/coordination/forwarding/warm_up/cold_starts.py
@@ -41,7 +41,8 @@
 )
 GRANTED = metrics.counter(
     'lavenderbend_forward_cold_granted_total',
-    'Replies of this router as the owner of cold upstreams.',
+    'Replies of this router as the owner of cold upstreams, by outcome and by '
+    "whether the upstream is in this router's zone.",
 )
 
 
@@ -160,12 +161,18 @@
         self, request: messages_forwarding.ColdStartRequest
     ) -> messages_forwarding.ColdStartReply:
         """Returns this router's reply as the owner."""
+        limit = self.limit(request)
+        if request.upstream not in self.borrowed:
+            self.log_rate(request, limit)
         shares = self.shares(request.upstream)
         shares.wanted_until = self.clock() + WANTED_SECONDS
-        permitted = shares.try_permit(
-            request.host, request.number, self.limit(request)
+        permitted = shares.try_permit(request.host, request.number, limit)
+        GRANTED.inc(
+            {
+                'outcome': 'permitted' if permitted else 'denied',
+                'zone': 'own' if request.zone == self.peers.zone else 'other',
+            }
         )
-        GRANTED.inc({'outcome': 'permitted' if permitted else 'denied'})
         wait = 0.0 if permitted else shares.wait_seconds()
         if not shares.by_lender:
             self.wake.set()
@@ -195,6 +202,20 @@
             return 0.0
         return limit / max(1, self.zones, len(self.peers.fleet.counts))
 
+    def log_rate(
+        self, request: messages_forwarding.ColdStartRequest, limit: float
+    ) -> None:
+        """Writes how many requests this router may permit, and why."""
+        logs.change(
+            'cold_upstream_owned',
+            upstream=self.peers.loads.instances.get(request.upstream),
+            zone=request.zone,
+            own_zone=self.peers.zone,
+            limit=round(limit, 3),
+            counted_zones=sorted(self.peers.fleet.counts),
+            zones=self.zones,
+        )
+
     def shares(self, upstream: int) -> rate_shares.BorrowedShares:
         """Returns the shares of an upstream, created if there are none."""
         shares = self.borrowed.get(upstream)
