A test of a router that takes its whole zone's rate; it fails, and is listed

A router that hears other zones only is told of its own by them: 20 at most, now tested.

Tried and dropped (trial): no count of the zone while nobody is heard. The count in the zone's record would tell the two apart; it grows while VMs are replaced, and needs a safe way down.

--- a/tests/test_coordination/test_warm_up_zones.py
+++ b/tests/test_coordination/test_warm_up_zones.py
@@ -239,3 +239,34 @@
     )
     permitted = sum(starts.limit(request) for starts in (owner, *elsewhere))
     assert 0 < permitted <= LIMIT + 1e-9
+
+
+async def restart_alone(fleet, others):
+    """Restarts a router that is cut off from some others of the fleet."""
+    await calm(fleet)
+    (host, *_) = fleet.hosts(*A)
+    for other in others:
+        fleet.cut.update([(host, other), (other, host)])
+    await fleet.restart([host])
+    await trio.sleep(CUT_SECONDS)
+
+
+@pytest.mark.parametrize('size', SIZES)
+async def test_router_that_hears_other_zones_only_takes_no_others_share(
+    nursery, autojump_clock, size
+):
+    # Guards against a router that was restarted, does not hear those of its
+    # zone, and takes itself for the only one there.
+    fleet = zones.Fleet(nursery, size, 1)
+    await restart_alone(fleet, fleet.hosts(*A))
+    assert fleet.most_in_a_second() <= LIMIT
+
+
+async def test_router_that_hears_nobody_takes_no_others_share(
+    nursery, autojump_clock
+):
+    # Guards against a router that was restarted, is cut off from all others,
+    # and takes itself for the only one of its zone.
+    fleet = zones.Fleet(nursery, 3, 1)
+    await restart_alone(fleet, list(fleet.zone_of))
+    assert fleet.most_in_a_second() <= LIMIT
