--- a/lavenderbend/coordination/forwarding/warm_up/cold_starts.py
+++ b/lavenderbend/coordination/forwarding/warm_up/cold_starts.py
@@ -10,6 +10,7 @@
 
 from lavenderbend.coordination.forwarding import owner_calls
 from lavenderbend.coordination.forwarding.warm_up import rate_shares
+from lavenderbend.coordination.forwarding.warm_up import share_exchange
 from lavenderbend.coordination.forwarding.warm_up import zone_records
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
@@ -70,11 +71,11 @@
         clock: The suspension clock: a permit must not outlast a suspension.
         settings: How many requests a cold upstream may be sent.
         zones: Number of availability zones that the settings name.
-        lender: Lends this router's shares.
-        borrowed: Shares that this router was lent, by short id of the upstream.
+        exchange: Exchanges shares of the rate with the routers of the zone.
         calls: Questions to owners.
         denied_until: Router clock until which an upstream's owner need not be
             asked again.
+        logged_limits: Limit in the last log line, by short id of the upstream.
         wake: Set when shares are to be asked for at once.
         presence: Returns what is known of the routers of a zone.
     """
@@ -96,11 +97,11 @@
         self.clock = clock
         self.settings = settings
         self.zones = zones
-        self.lender = rate_shares.Lender(clock, peers.zone_divisor.divisor)
-        self.borrowed: dict[int, rate_shares.BorrowedShares] = {}
+        self.exchange = share_exchange.ShareExchange(peers, link, clock)
         self.calls = owner_calls.OwnerCalls(link)
         self.numbers = itertools.count(rng.getrandbits(30))
         self.denied_until: dict[str, float] = {}
+        self.logged_limits: dict[int, float] = {}
         self.wake = trio.Event()
         self.presence: Callable[[str], zone_records.Presence] = lambda zone: (
             zone_records.Presence.CONFIRMED
@@ -109,8 +110,8 @@
             {
                 messages_forwarding.ColdStartRequest: self.on_request,
                 messages_forwarding.ColdStartReply: self.calls.take,
-                messages_forwarding.RateShareRequest: self.on_share_request,
-                messages_forwarding.RateShareReply: self.on_share_reply,
+                messages_forwarding.RateShareRequest: self.exchange.on_request,
+                messages_forwarding.RateShareReply: self.exchange.on_reply,
             }
         )
 
@@ -167,9 +168,8 @@
     ) -> messages_forwarding.ColdStartReply:
         """Returns this router's reply as the owner."""
         limit = self.limit(request)
-        if request.upstream not in self.borrowed:
-            self.log_rate(request, limit)
-        shares = self.shares(request.upstream)
+        self.log_limit(request, limit)
+        shares = self.exchange.shares(request.upstream)
         shares.wanted_until = self.clock() + WANTED_SECONDS
         permitted = shares.try_permit(request.host, request.number, limit)
         GRANTED.inc(
@@ -215,10 +215,13 @@
             return 0.0
         return part
 
-    def log_rate(
+    def log_limit(
         self, request: messages_forwarding.ColdStartRequest, limit: float
     ) -> None:
-        """Writes how many requests this router may permit, and why."""
+        """Writes how many requests this router may permit, if that changed."""
+        if self.logged_limits.get(request.upstream) == limit:
+            return
+        self.logged_limits[request.upstream] = limit
         logs.change(
             'cold_upstream_owned',
             upstream=self.peers.loads.instances.get(request.upstream),
@@ -230,81 +233,24 @@
             zones=self.zones,
         )
 
-    def shares(self, upstream: int) -> rate_shares.BorrowedShares:
-        """Returns the shares of an upstream, created if there are none."""
-        shares = self.borrowed.get(upstream)
-        if shares is None:
-            shares = rate_shares.BorrowedShares(self.clock)
-            self.borrowed[upstream] = shares
-        return shares
-
-    def on_share_request(
-        self, request: messages_forwarding.RateShareRequest
-    ) -> None:
-        """Lends shares to an owner."""
-        borrower = rate_shares.Borrower(request.host, request.incarnation)
-        lent = self.lender.lend(borrower, request.upstreams)
-        if lent:
-            self.link.send(request.host, self.loan(request, lent))
-
-    def loan(
-        self, request: messages_forwarding.RateShareRequest, lent: list[int]
-    ) -> messages_forwarding.RateShareReply:
-        """Returns the message that lends shares."""
-        routers = max(self.lender.routers(), request.routers)
-        return messages_forwarding.RateShareReply(
-            self.peers.host,
-            request.incarnation,
-            request.asked_at,
-            routers,
-            lent,
-        )
-
-    def on_share_reply(self, reply: messages_forwarding.RateShareReply) -> None:
-        """Adds shares that were lent to this process."""
-        if reply.incarnation != self.peers.incarnation:
-            return
-        for upstream in reply.upstreams:
-            self.shares(upstream).add(reply)
-
     async def run(self) -> None:
         """Asks for shares while upstreams of this router are cold."""
         while True:
             self.wake = trio.Event()
-            self.borrow()
+            self.remove_expired()
+            self.exchange.borrow(self.wanted())
             # Questions that arrive before any share was lent, as while the
             # whole fleet starts, must not cause a broadcast each.
             await trio.sleep(MIN_BORROW_SECONDS)
             with trio.move_on_after(BORROW_SECONDS - MIN_BORROW_SECONDS):
                 await self.wake.wait()
 
-    def borrow(self) -> None:
-        """Asks all routers of the zone for their shares."""
-        self.lender.remove_expired()
-        wanted = self.wanted()
-        self.drop_unwanted(wanted)
-        if not wanted:
-            return
-        request = messages_forwarding.RateShareRequest(
-            self.peers.host,
-            self.peers.incarnation,
-            self.clock(),
-            self.lender.routers(),
-            sorted(wanted),
-        )
-        borrower = rate_shares.Borrower(request.host, request.incarnation)
-        lent = self.lender.lend(borrower, request.upstreams)
-        if lent:
-            self.on_share_reply(self.loan(request, lent))
-        for host in self.peers.members.same_zone.alive():
-            self.link.send(host, request)
-
     def wanted(self) -> set[int]:
         """Returns the upstreams whose shares this router needs."""
         now = self.clock()
         wanted = {
             short
-            for short, shares in self.borrowed.items()
+            for short, shares in self.exchange.borrowed.items()
             if shares.wanted_until > now
         }
         for instance in self.coldness.cold():
@@ -323,16 +269,14 @@
             return False
         return self.owners.owner_in_zone(upstream) == self.peers.host
 
-    def drop_unwanted(self, wanted: set[int]) -> None:
-        """Drops state that is too old to matter."""
-        oldest = self.clock() - rate_shares.SEPARATION_SECONDS
-        for short, shares in list(self.borrowed.items()):
-            if short not in wanted and shares.wanted_until < oldest:
-                del self.borrowed[short]
+    def remove_expired(self) -> None:
+        """Removes state that is too old to matter."""
         now = trio.current_time()
         for instance, until in list(self.denied_until.items()):
             if until <= now:
                 del self.denied_until[instance]
+        for upstream in self.logged_limits.keys() - self.exchange.borrowed:
+            del self.logged_limits[upstream]
 
     def may_send(self, instance: str, permitted_until: float | None) -> bool:
         """Returns whether a request may be sent to an upstream now.
--- a/lavenderbend/transport/http_calls.py
+++ b/lavenderbend/transport/http_calls.py
@@ -69,7 +69,11 @@
         return await self.answer('POST', target, body)
 
     async def answer(self, method: str, target: str, body: bytes) -> CallAnswer:
-        """Returns the answer to a call that ends within the timeout."""
+        """Returns the answer to a call.
+
+        Raises:
+            KeyValueUnavailable: There was no answer within the timeout.
+        """
         try:
             with trio.fail_after(self.timeout_seconds):
                 answer = await self.call(method, target, body)
