A test of a zone whose routers are of the build before and were heard

The guard that leaves a zone to its own routers once they were heard was switched off in a clone and no test failed: between routers of this build the parts add up anyway. It is needed beside routers of the build before, which permit the whole rate: without it 32 requests in a second where 20 are allowed.

--- a/tests/test_coordination/test_warm_up_zones.py
+++ b/tests/test_coordination/test_warm_up_zones.py
@@ -177,6 +177,20 @@
     assert fleet.most_in_a_second() <= LIMIT
 
 
+async def test_zone_of_an_earlier_build_that_was_heard_is_left_to_itself(
+    nursery, autojump_clock
+):
+    # Guards against a part beside routers that know of no parts.
+    fleet = zones.Fleet(nursery, 2, 1, earlier=True)
+    fleet.store.refuses = True
+    fleet.earlier_builds = set(fleet.hosts(*A))
+    await fleet.restart(fleet.hosts(*B, *C))
+    await trio.sleep(RECORD_SECONDS)
+    fleet.separate(*APART)
+    await trio.sleep(2 * CUT_SECONDS)
+    assert fleet.most_in_a_second() <= LIMIT
+
+
 async def test_store_that_takes_no_records_costs_a_part_of_the_rate_only(
     nursery, autojump_clock
 ):
