--- a/tests/test_coordination/test_warm_up_zones.py
+++ b/tests/test_coordination/test_warm_up_zones.py
@@ -206,7 +206,7 @@
     assert fleet.most_in_a_second() <= LIMIT
 
 
-async def test_restarted_fleet_uses_the_rate_though_the_store_is_away(
+async def test_restarted_zone_uses_the_rate_though_the_store_is_away(
     nursery, autojump_clock
 ):
     # Guards against a record that helps only while the store answers.
