Store: lines for a store that goes back, and for each upstream that departs

Lines now: store_outdated (the first of a row), store_revision_reused, store_era_changed and upstream_departed, with counters. No decision changes.

--- a/lavenderbend/coordination/forwarding/departures.py
+++ b/lavenderbend/coordination/forwarding/departures.py
@@ -89,11 +89,30 @@
                 continue
             later = snapshot.upstreams.get(instance)
             if later is None and instance not in self.snapshots.retained:
-                self.share_departure(upstream, snapshot.revision)
+                self.note_departure(upstream, snapshot.revision, 'removed')
             elif later is not None and later.vm.state is not LIVE:
-                self.share_departure(upstream, later.revision)
+                self.note_departure(upstream, later.revision, 'leaving')
         self.previous = snapshot.upstreams
 
+    def note_departure(
+        self, upstream: forwarding.Upstream, revision: int, entry: str
+    ) -> None:
+        """Logs and shares that an upstream leaves.
+
+        Args:
+            upstream: Its entry before.
+            revision: Revision that shows it.
+            entry: What became of its entry.
+        """
+        logs.change(
+            'upstream_departed',
+            upstream=upstream.instance,
+            entry=entry,
+            revision=revision,
+            age=round(self.snapshots.age, 3),
+        )
+        self.share_departure(upstream, revision)
+
     def share_departure(
         self, upstream: forwarding.Upstream, revision: int
     ) -> None:
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -49,6 +49,10 @@
     'lavenderbend_forward_store_reads_total',
     "Reads of the platform's store, by outcome.",
 )
+REUSED = metrics.counter(
+    'lavenderbend_forward_store_revisions_reused_total',
+    'Items that were read with the revision of an earlier, different value.',
+)
 VERSION = metrics.gauge(
     'lavenderbend_forward_table_version',
     'Version of the configuration in force.',
@@ -107,6 +111,7 @@
         failures: Reads that failed in a row.
         retry_at: Time before which a failed read is not repeated.
         read_delay_seconds: Time for which this router lets others read first.
+        was_outdated: Whether the last read was older than `current`.
     """
 
     def __init__(
@@ -134,6 +139,7 @@
         self.failures = 0
         self.retry_at = NEVER
         self.read_delay_seconds = 0.0
+        self.was_outdated = False
 
     @property
     def age(self) -> float:
@@ -237,11 +243,21 @@
             logs.change('store_unreadable', cause=str(exc))
             self.delay_retry()
             return
-        READS.inc({'outcome': 'answered'})
+        outdated = self.is_outdated(snapshot)
+        READS.inc({'outcome': 'outdated' if outdated else 'answered'})
+        if outdated and not self.was_outdated:
+            logs.change(
+                'store_outdated',
+                revision=snapshot.revision,
+                known_revision=self.current.revision,
+                age=round(self.age, 3),
+            )
+        self.was_outdated = outdated
         if self.failures:
             logs.change('store_regained', failures=self.failures)
         self.failures = 0
         self.note_answered(self.clock())
+        self.note_reused_revisions(raw)
         self.accept(snapshot, sent_at)
         for callback in self.on_proof:
             callback()
@@ -289,9 +305,9 @@
             snapshot: From the store or a peer.
             proved_at: Time at which it is known to have been the newest.
         """
-        current = self.current
-        if current is not None and snapshot.revision < current.revision:
+        if self.is_outdated(snapshot):
             return
+        current = self.current
         self.removals.note(current and current.raw, snapshot.raw)
         if current is None or snapshot.digest != current.digest:
             self.retain_lapsed(snapshot)
@@ -301,6 +317,25 @@
             self.current = snapshot
         self.prove(proved_at)
 
+    def is_outdated(self, snapshot: forwarding.Snapshot) -> bool:
+        """Returns whether a newer snapshot is present."""
+        current = self.current
+        return current is not None and snapshot.revision < current.revision
+
+    def note_reused_revisions(self, raw: forwarding.RawSnapshot) -> None:
+        """Logs items that differ from those known of the same revision."""
+        if self.current is None:
+            return
+        for key, known in self.current.raw.items.items():
+            item = raw.items.get(key)
+            if item is None or item.revision != known.revision:
+                continue
+            if item.value != known.value:
+                REUSED.inc({})
+                logs.change(
+                    'store_revision_reused', key=key, revision=item.revision
+                )
+
     def note_answered(self, at: float) -> None:
         """Records that the store answered some router.
 
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -13,6 +13,7 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.observe import logs
 from lavenderbend.platform import configuration_document
 from lavenderbend.platform import part_record_items
 from lavenderbend.platform import record_items
@@ -42,6 +43,8 @@
 # waiting longer.
 WATCH_MILLISECONDS = 20
 MILLISECONDS = 1000
+# Rises each time the store comes back from a copy of its content.
+ERA = b'store-era'
 OK = 200
 CHANGED_MEANWHILE = 412
 GONE = 410
@@ -62,6 +65,8 @@
         writing: Held during a call that writes.
         decoded: Items of the last decoded snapshot, by key.
         table_decoder: Decoder of the configuration.
+        era: What the last answer said of how often the store has come back
+            from a copy.
     """
 
     def __init__(self, address: str, timeout_seconds: float) -> None:
@@ -78,6 +83,7 @@
         self.writing = trio.Lock()
         self.decoded: dict[str, snapshot_decoding.DecodedItem] = {}
         self.table_decoder = configuration_document.TableDecoder()
+        self.era = ''
 
     async def read(self) -> forwarding.RawSnapshot:
         """Reads all keys.
@@ -107,7 +113,7 @@
             'after': str(revision),
             'waitMs': str(WATCH_MILLISECONDS),
         }
-        answer = await self.calls.get(f'{WATCH}?{parse.urlencode(query)}')
+        answer = await self.get(f'{WATCH}?{parse.urlencode(query)}')
         if answer.status == GONE:
             return None
         return self.decoded_answer(
@@ -151,9 +157,22 @@
         query = {'pathPrefix': prefix}
         if after:
             query['after'] = after
-        answer = await self.calls.get(f'{RANGE}?{parse.urlencode(query)}')
+        answer = await self.get(f'{RANGE}?{parse.urlencode(query)}')
         return self.decoded_answer(answer, store_answers.decode_page)
 
+    async def get(self, target: str) -> http_calls.CallAnswer:
+        """Returns the answer to a call that reads.
+
+        Raises:
+            KeyValueUnavailable: The store did not answer.
+        """
+        answer = await self.calls.get(target)
+        era = answer.headers.get(ERA, b'').decode(errors='replace')
+        if era != self.era:
+            logs.change('store_era_changed', era=era, before=self.era)
+        self.era = era
+        return answer
+
     async def write_zone_record(
         self, zone: str, revision: int, confirmed: bool
     ) -> bool:
--- a/lavenderbend/transport/http_calls.py
+++ b/lavenderbend/transport/http_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping  # noqa: TC003 - attrs evaluates it
 import contextlib
 
 import attrs
@@ -27,10 +28,12 @@
     Attributes:
         status: HTTP status.
         body: The complete body.
+        headers: Values by name in lower case.
     """
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = attrs.field(factory=dict)
 
 
 class HttpCaller:
@@ -131,6 +134,7 @@
     async def read_answer(self, stream: trio.SocketStream) -> CallAnswer:
         """Reads one answer."""
         status = 0
+        headers: dict[bytes, bytes] = {}
         parts: list[bytes] = []
         while True:
             event = self.protocol.next_event()
@@ -139,10 +143,11 @@
                 self.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = dict(event.headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return CallAnswer(status, b''.join(parts))
+                return CallAnswer(status, b''.join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError(
                     'connection closed before the answer'
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -277,3 +277,28 @@
     assert line['upstream'] == 'e1'
     assert line['cause'] == health.REPORTED_BY_PEERS
     assert line['seconds'] == 2.0
+
+
+async def test_reads_of_an_older_store_are_told(autojump_clock, lines):
+    """Guards against a store that goes back without a trace in the log."""
+    router = make_router([fakes.reply()], fakes.rule())
+    router.snapshots.accept(
+        fakes.snapshot(9, fakes.table(9), fakes.upstream('e1')), 0.0
+    )
+    router.source.put(fakes.snapshot(7, fakes.table(9), fakes.upstream('e1')))
+    await router.snapshots.read()
+    await router.snapshots.read()
+    (line,) = named(lines, 'store_outdated')
+    assert (line['revision'], line['known_revision']) == (7, 9)
+
+
+async def test_departures_name_upstream_and_revision(autojump_clock, lines):
+    """Guards against a leaving upstream of which no line of a router tells."""
+    router = make_router([fakes.reply()], fakes.rule())
+    leaving = fakes.upstream('e1', leaving=True, revision=5)
+    router.snapshots.accept(fakes.snapshot(6, fakes.table(1), leaving), 0.0)
+    departed = [
+        (line['upstream'], line['entry'], line['revision'])
+        for line in named(lines, 'upstream_departed')
+    ]
+    assert departed == [('e1', 'leaving', 5), ('e2', 'removed', 6)]
