--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -125,6 +125,8 @@
         watches_silent: Whether watches report no changes.
         leases: Times of the leases that were made, in milliseconds.
         compacted_revision: Revision up to which the history is discarded.
+        era: How often it came back from a copy, None to leave it unsaid.
+        copies: The content at each revision.
     """
 
     def __init__(self):
@@ -137,17 +139,38 @@
         self.watches_silent = False
         self.compacted_revision = 0
         self.leases = []
+        self.era = None
+        self.copies = {self.revision: ({}, 0)}
 
     def put(self, key, value):
         self.revision += 1
         self.items[key] = (json.dumps(value).encode(), self.revision)
-        self.history.append((self.revision, self.item(key)))
+        self.note_change(self.item(key))
 
     def remove(self, key):
         self.revision += 1
         del self.items[key]
-        removal = {'key': key, 'rev': self.revision, 'deleted': True}
-        self.history.append((self.revision, removal))
+        self.note_change({'key': key, 'rev': self.revision, 'deleted': True})
+
+    def note_change(self, event):
+        """Adds a change to the history, and keeps the content after it."""
+        self.history.append((self.revision, event))
+        self.copies[self.revision] = (dict(self.items), len(self.leases))
+
+    def go_back(self, revision):
+        """Returns to the content at a revision; later ones are given again."""
+        items, leases = self.copies[revision]
+        self.items = dict(items)
+        del self.leases[leases:]
+        self.revision = revision
+        self.history = [one for one in self.history if one[0] <= revision]
+        self.copies = {
+            known: copy
+            for known, copy in self.copies.items()
+            if known <= revision
+        }
+        if self.era is not None:
+            self.era += 1
 
     async def answer(self, request, stream, protocol):
         if self.fault == 'silent':
@@ -161,9 +184,12 @@
         elif self.fault:
             status, value = {'busy': 503, 'many': 429}[self.fault], {}
         body = json.dumps(value).encode()
-        headers = [('content-type', 'application/json')]
+        headers = [('content-type', 'application/json'), *self.era_headers()]
         await stream.send_all(encode(protocol, status, headers, body))
 
+    def era_headers(self):
+        return [] if self.era is None else [('store-era', str(self.era))]
+
     def response(self, request):
         """Returns status and content of a response."""
         url = parse.urlsplit(request.target)
@@ -193,12 +219,12 @@
         for write in value['writes']:
             content = base64.b64decode(write['value'])
             self.items[write['key']] = (content, self.revision)
-            self.history.append((self.revision, self.item(write['key'])))
+            self.note_change(self.item(write['key']))
         return 200, {'rev': self.revision}
 
     def watch(self, query):
         after = int(query['after'])
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return 410, {}
         events = [event for revision, event in self.history if revision > after]
         if self.watches_silent:
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -296,8 +296,11 @@
         scope: Cancelled when the process is killed.
         calls: Scopes of the requests that it serves.
         paused_until: Time until which it is frozen.
+        revocation_seconds: The setting of that name.
     """
 
+    revocation_seconds = 0.0
+
     def __init__(self, fleet, host, zone, number):
         self.fleet = fleet
         self.host = host
@@ -308,17 +311,19 @@
         listen = forwarding_settings.ForwardListen(
             f'{host}:1', f'{host}:2', f'{host}:3'
         )
+        forwarding = forwarding_settings.ForwardingSettings(
+            listen,
+            peers=tuple(seeds),
+            repeat_extra=1000.0,
+            zones=dict.fromkeys(ZONES, 'stgo'),
+            revocation_seconds=self.revocation_seconds,
+        )
         super().__init__(
             settings_module.RouterSettings(
                 f'router-{host}',
                 zone,
                 settings_module.KeyValueSettings(['http://127.0.0.1:4']),
-                forwarding=forwarding_settings.ForwardingSettings(
-                    listen,
-                    peers=tuple(seeds),
-                    repeat_extra=1000.0,
-                    zones=dict.fromkeys(ZONES, 'stgo'),
-                ),
+                forwarding=forwarding,
                 seed=number,
             )
         )
