--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -85,9 +85,9 @@
             raise errors.KeyValueUnavailable('down')
         return content.raw
 
-    async def newest_revision(self) -> int:
-        """Returns the store's revision."""
-        return (await self.read()).revision
+    async def newest_position(self) -> forwarding.StorePosition:
+        """Returns the store's position."""
+        return (await self.read()).position
 
     async def changes_since(self, revision: int) -> forwarding.Changes | None:
         """Returns nothing: the whole store is read."""
@@ -99,6 +99,12 @@
             self.known[raw.digest], revision=raw.revision, raw=raw
         )
 
+    def keep_table(
+        self, raw: forwarding.RawSnapshot, kept: forwarding.RawSnapshot
+    ) -> forwarding.RawSnapshot:
+        """Returns the read: versions only rise here."""
+        return raw
+
 
 def snapshot_of(count: int) -> forwarding.Snapshot:
     """Returns a snapshot with so many upstreams of one service."""
--- a/bench/relay/forwarding.py
+++ b/bench/relay/forwarding.py
@@ -50,7 +50,7 @@
         await trio.sleep_forever()
         raise AssertionError
 
-    async def newest_revision(self) -> int:
+    async def newest_position(self) -> forwarding.StorePosition:
         """Is not called."""
         raise AssertionError
 
@@ -62,6 +62,12 @@
         """Is not called."""
         raise AssertionError
 
+    def keep_table(
+        self, raw: forwarding.RawSnapshot, kept: forwarding.RawSnapshot
+    ) -> forwarding.RawSnapshot:
+        """Is not called."""
+        raise AssertionError
+
 
 def rule(name: str, path: str) -> forwarding.ForwardRule:
     """Returns a rule for streams that may be resumed."""
--- a/lavenderbend/coordination/forwarding/crashing_parts/part_records.py
+++ b/lavenderbend/coordination/forwarding/crashing_parts/part_records.py
@@ -55,6 +55,7 @@
         records: Records of the latest snapshot, by part.
         void: Revisions of records of parts that were answered since, by part.
         written_at: Router clock of the last write, by part.
+        era: Era of the latest snapshot.
     """
 
     def __init__(
@@ -69,12 +70,18 @@
         self.records: Mapping[int, forwarding.PartRecord] = {}
         self.void: dict[int, int] = {}
         self.written_at: dict[int, float] = {}
+        self.era = 0
         snapshots.on_change.append(self.apply_snapshot)
         parts.on_cleared = self.note_cleared
 
     def apply_snapshot(self, snapshot: forwarding.Snapshot) -> None:
         """Takes over the records of a snapshot."""
         before, self.records = self.records, snapshot.part_records
+        if snapshot.era != self.era:
+            # What is missing was lost, and is written again.
+            before = {}
+            self.void.clear()
+        self.era = snapshot.era
         for part, record in self.records.items():
             if self.parts.was_answered(part):
                 self.void[part] = record.revision
--- a/lavenderbend/coordination/forwarding/departures.py
+++ b/lavenderbend/coordination/forwarding/departures.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import trio
 
 from lavenderbend.coordination.forwarding import facts as facts_module
 from lavenderbend.observe import logs
+from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 
 if TYPE_CHECKING:
@@ -17,26 +19,35 @@
     from lavenderbend.coordination.forwarding import (
         snapshots as snapshots_module,
     )
-    from lavenderbend.state import forwarding
 
 LEFT = 'left'
+LEFT_BEFORE = 'left before the store came back'
 LEAVING = 'leaving'
 DRAINED = 'zone drained'
 # After this time each router has a snapshot that shows the departure, unless it
 # is cut off from the store and from all routers.
 FACT_SECONDS = 30.0
-MAX_REVISION_DIGITS = 20
+# Era and revision in the source of a fact; the first era is left out.
+POSITION = re.compile(r'(?:([0-9]{1,9})\.)?([0-9]{1,20})')
+UNKNOWN_POSITION = forwarding.StorePosition(-1, 0)
 LIVE = upstreams.VmState.LIVE
 
 
 @facts_module.FACT_KINDS.register(LEFT)
 class LeftFact(facts_module.FactKind):
-    """An upstream that leaves; the source is the store revision showing it."""
+    """An upstream that leaves; the source is the store position showing it."""
 
     max_seconds = FACT_SECONDS
     sent_to_starting = False
 
 
+@facts_module.FACT_KINDS.register(LEFT_BEFORE)
+class LeftBeforeFact(facts_module.FactKind):
+    """An upstream that left, which a store that came back does not show."""
+
+    max_seconds = FACT_SECONDS
+
+
 @facts_module.FACT_KINDS.register(LEAVING)
 class LeavingFact(facts_module.FactKind):
     """An upstream whose responses announce that it leaves."""
@@ -46,7 +57,7 @@
 
 @facts_module.FACT_KINDS.register(DRAINED)
 class DrainedFact(facts_module.FactKind):
-    """A drained zone; the source is the store revision since which it is."""
+    """A drained zone; the source is the store position since which it is."""
 
     max_seconds = FACT_SECONDS
     sent_to_starting = False
@@ -66,6 +77,7 @@
         facts: Facts exchanged with other routers.
         previous: Upstreams of the latest snapshot.
         drained_before: Drained zones of the latest snapshot.
+        era: Era of the latest snapshot.
     """
 
     def __init__(
@@ -79,6 +91,7 @@
         self.facts = facts
         self.previous: Mapping[str, forwarding.Upstream] = {}
         self.drained_before: Mapping[str, int] = {}
+        self.era = 0
         snapshots.on_change.append(self.share_departures)
         snapshots.on_change.append(self.share_drained)
 
@@ -89,38 +102,64 @@
                 continue
             later = snapshot.upstreams.get(instance)
             if later is None and instance not in self.snapshots.retained:
-                self.note_departure(upstream, snapshot.revision, 'removed')
+                self.note_departure(upstream, snapshot.position, 'removed')
             elif later is not None and later.vm.state is not LIVE:
-                self.note_departure(upstream, later.revision, 'leaving')
+                position = forwarding.StorePosition(
+                    snapshot.era, later.revision
+                )
+                self.note_departure(upstream, position, 'leaving')
         self.previous = snapshot.upstreams
+        if self.era != snapshot.era:
+            self.share_earlier_departures(snapshot)
+        self.era = snapshot.era
 
     def note_departure(
-        self, upstream: forwarding.Upstream, revision: int, entry: str
+        self,
+        upstream: forwarding.Upstream,
+        position: forwarding.StorePosition,
+        entry: str,
     ) -> None:
-        """Logs and shares that an upstream leaves.
+        """Records and shares that an upstream leaves.
 
         Args:
             upstream: Its entry before.
-            revision: Revision that shows it.
+            position: Position of the store that shows it.
             entry: What became of its entry.
         """
         logs.change(
             'upstream_departed',
             upstream=upstream.instance,
             entry=entry,
-            revision=revision,
+            era=position.era,
+            revision=position.revision,
             age=round(self.snapshots.age, 3),
         )
-        self.share_departure(upstream, revision)
-
-    def share_departure(
-        self, upstream: forwarding.Upstream, revision: int
-    ) -> None:
-        """Shares that an upstream leaves, unless another router has."""
+        self.directory.leaving.note_left(upstream.instance, position)
+        listed = forwarding.StorePosition(self.era, upstream.revision)
         shared = self.facts.current(LEFT, upstream.instance)
-        if any(revision_of(fact) > upstream.revision for fact in shared):
-            return
-        self.facts.add(LEFT, upstream.instance, str(revision), FACT_SECONDS)
+        if not any(position_of(fact) > listed for fact in shared):
+            self.add_fact(LEFT, upstream.instance, position)
+
+    def share_earlier_departures(self, snapshot: forwarding.Snapshot) -> None:
+        """Shares who left, where the store has come back without showing it."""
+        earlier = self.directory.leaving.shown_as_ready(snapshot)
+        for instance, position in earlier.items():
+            logs.change(
+                'upstream_shown_again',
+                upstream=instance,
+                left_era=position.era,
+                left_revision=position.revision,
+                era=snapshot.era,
+                revision=snapshot.upstreams[instance].revision,
+            )
+            if not self.facts.current(LEFT_BEFORE, instance):
+                self.add_fact(LEFT_BEFORE, instance, position)
+
+    def add_fact(
+        self, kind: str, subject: str, position: forwarding.StorePosition
+    ) -> None:
+        """Shares what a position of the store shows."""
+        self.facts.add(kind, subject, position_text(position), FACT_SECONDS)
 
     def note_announcement(self, instance: str) -> None:
         """Shares that a response announced that its upstream leaves."""
@@ -142,14 +181,17 @@
 
     def apply_departure(self, fact: facts_module.Fact) -> None:
         """Stops sending to an upstream that another router saw leave."""
-        revision = revision_of(fact)
-        if not self.directory.note_leaving_in_store(fact.subject, revision):
+        position = position_of(fact)
+        if position == UNKNOWN_POSITION:
+            return
+        if not self.directory.note_leaving_in_store(fact.subject, position):
             return
         current = self.snapshots.current
         logs.change(
             'upstream_left',
             upstream=fact.subject,
-            revision=revision,
+            era=position.era,
+            revision=position.revision,
             known_revision=0 if current is None else current.revision,
             age=round(self.snapshots.age, 3),
         )
@@ -159,19 +201,28 @@
         for zone, revision in snapshot.drained_zones.items():
             if self.drained_before.get(zone) == revision:
                 continue
+            position = forwarding.StorePosition(snapshot.era, revision)
             shared = self.facts.current(DRAINED, zone)
-            if not any(revision_of(fact) == revision for fact in shared):
-                self.facts.add(DRAINED, zone, str(revision), FACT_SECONDS)
+            if not any(position_of(fact) == position for fact in shared):
+                self.add_fact(DRAINED, zone, position)
         self.drained_before = snapshot.drained_zones
 
     def apply_drained(self, fact: facts_module.Fact) -> None:
         """Stops sending to a zone that another router saw drained."""
-        self.directory.note_drained(fact.subject, revision_of(fact))
+        self.directory.note_drained(fact.subject, position_of(fact))
+
+
+def position_text(position: forwarding.StorePosition) -> str:
+    """Returns a position as the source of a fact."""
+    if not position.era:
+        return str(position.revision)
+    return f'{position.era}.{position.revision}'
 
 
-def revision_of(fact: facts_module.Fact) -> int:
-    """Returns the revision that shows a fact, -1 if it names none."""
-    text = fact.source
-    if len(text) > MAX_REVISION_DIGITS or not text.isdecimal():
-        return -1
-    return int(text)
+def position_of(fact: facts_module.Fact) -> forwarding.StorePosition:
+    """Returns the position that shows a fact, an early one if it names none."""
+    match = POSITION.fullmatch(fact.source)
+    if match is None:
+        return UNKNOWN_POSITION
+    era, revision = match.groups(default='0')
+    return forwarding.StorePosition(int(era), int(revision))
--- a/lavenderbend/coordination/forwarding/directory.py
+++ b/lavenderbend/coordination/forwarding/directory.py
@@ -143,37 +143,50 @@
             return False
         return self.leaving.is_staying(upstream)
 
-    def note_drained(self, zone: str, revision: int) -> bool:
+    def note_drained(
+        self, zone: str, position: forwarding.StorePosition
+    ) -> bool:
         """Records that another router saw in the store that a zone is drained.
 
+        Args:
+            zone: The zone.
+            position: Position of the store that shows it.
+
         Returns:
             Whether this router did not know it yet.
         """
         current = self.followed.current
-        if current is None or current.revision >= revision:
+        if current is None or current.position >= position:
             # This router's snapshot shows it, or that it has ended.
             return False
-        if not self.drained.note(zone, revision):
+        if not self.drained.note(zone, position):
             return False
         self.rebuild(current)
         return True
 
-    def note_leaving_in_store(self, instance: str, revision: int) -> bool:
+    def note_leaving_in_store(
+        self, instance: str, position: forwarding.StorePosition
+    ) -> bool:
         """Records that another router saw in the store an upstream leave.
 
         Args:
             instance: The upstream.
-            revision: Revision of the store that shows it.
+            position: Position of the store that shows it.
 
         Returns:
             Whether this router did not know it yet.
         """
         current = self.followed.current
-        known = current is None or current.revision >= revision
-        if known and instance not in self.followed.retained:
-            # This router's snapshot shows it already, or is not read yet.
+        if current is None:
+            return False
+        shown = (
+            current.era == position.era
+            and current.revision >= position.revision
+        )
+        if shown and instance not in self.followed.retained:
+            # This router's snapshot shows it already.
             return False
-        self.leaving.note_left(instance, revision)
+        self.leaving.note_left(instance, position)
         return self.drop(instance)
 
     def note_leaving_announced(self, instance: str) -> bool:
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -246,8 +246,8 @@
         """
 
     @abc.abstractmethod
-    async def newest_revision(self) -> int:
-        """Returns the store's revision, which is not older than the call.
+    async def newest_position(self) -> forwarding.StorePosition:
+        """Returns the store's position, which is not older than the call.
 
         Raises:
             KeyValueError: The store did not answer.
@@ -271,20 +271,33 @@
             CodecError: It cannot be decoded; the message names the field.
         """
 
+    @abc.abstractmethod
+    def keep_table(
+        self, raw: forwarding.RawSnapshot, kept: forwarding.RawSnapshot
+    ) -> forwarding.RawSnapshot:
+        """Returns a read with the configuration of an earlier one.
+
+        Args:
+            raw: The read, which shows an older configuration.
+            kept: The earlier read.
+        """
+
 
 class ZoneRecordStore(abc.ABC):
     """Writes the records of zones that have routers to the store."""
 
     @abc.abstractmethod
     async def write_zone_record(
-        self, zone: str, revision: int, confirmed: bool
+        self, zone: str, position: forwarding.StorePosition, confirmed: bool
     ) -> bool:
         """Writes a zone's record unless it was changed meanwhile.
 
         Args:
             zone: The availability zone.
-            revision: Revision of the record to replace, 0 if there is none.
-            confirmed: Whether the record is confirmed.
+            position: Era of the store, and revision of the record to replace,
+                0 if there is none.
+            confirmed: Whether the record is confirmed; it counts as such in
+                that era only.
 
         Returns:
             Whether it was written.
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -419,6 +419,8 @@
             digest=0 if current is None else current.digest,
             upstreams_lost=self.upstreams_lost(),
             draws_versions=self.draws_versions,
+            era=0 if current is None else current.era,
+            version=0 if current is None else current.version,
             **fields,
         )
 
--- a/lavenderbend/coordination/forwarding/removals.py
+++ b/lavenderbend/coordination/forwarding/removals.py
@@ -21,7 +21,8 @@
     five times a second while upstreams come and go.
 
     Attributes:
-        entries: Revision at which this router saw the removal, and key.
+        entries: Revision at which this router saw the removal, and key; all in
+            the era of the latest snapshot.
         complete_since: Revision from which on `entries` is complete.
     """
 
@@ -35,7 +36,8 @@
         after: forwarding.RawSnapshot,
     ) -> None:
         """Records the keys that a newer snapshot no longer has."""
-        if before is None:
+        if before is None or before.era != after.era:
+            self.entries.clear()
             self.complete_since = after.revision
             return
         for key in before.items.keys() - after.items.keys():
--- a/lavenderbend/coordination/forwarding/request_resolver.py
+++ b/lavenderbend/coordination/forwarding/request_resolver.py
@@ -52,6 +52,7 @@
         compiled: The compiled rules of the version in force.
         customers: Customers of that version by credential.
         version: The configuration version in force.
+        table: That version as it was read.
         hits: How often each rule was the first match, by name.
         unmatched: How many requests no rule matched.
     """
@@ -66,6 +67,7 @@
         self.headers = headers
         self.apply_seconds = apply_seconds
         self.version = -1
+        self.table: forwarding.ForwardingTable | None = None
         self.compiled = rules_module.CompiledRules(())
         self.customers: dict[str, forwarding.ForwardCustomer] = {}
         self.hits: collections.Counter[str] = collections.Counter()
@@ -116,7 +118,7 @@
 
     def compile(self, table: forwarding.ForwardingTable) -> None:
         """Compiles the rules and credentials of a version, once."""
-        if table.version == self.version:
+        if table is self.table:
             return
         compiled = rules_module.CompiledRules(table.rules, self.compiled)
         customers = {
@@ -129,6 +131,7 @@
         self.compiled = compiled
         self.customers = customers
         self.version = table.version
+        self.table = table
 
     def request_attributes(
         self, request: interfaces.CallerRequest
--- a/lavenderbend/coordination/forwarding/shared_freshness.py
+++ b/lavenderbend/coordination/forwarding/shared_freshness.py
@@ -9,6 +9,7 @@
 
 from lavenderbend import errors
 from lavenderbend.observe import logs
+from lavenderbend.state import forwarding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,7 +19,6 @@
         snapshots as snapshots_module,
     )
     from lavenderbend.protocol import messages_forwarding
-    from lavenderbend.state import forwarding
 
 # Minimum interval between fetches as a fraction of `apply_seconds`. While
 # upstreams come and go ten times a second, every router would otherwise fetch
@@ -38,22 +38,27 @@
     Attributes:
         host: That router.
         same_zone: Whether it is in this router's zone.
-        revision: Revision of the snapshot when it was offered.
-        digest: Digest of the snapshot.
+        position: Position of the snapshot when it was offered.
+        identity: Identity of the snapshot.
         proved_at: Time, by this router's suspension clock, at which the
             snapshot is known to have been the newest.
     """
 
     host: str
     same_zone: bool
-    revision: int
-    digest: int
+    position: forwarding.StorePosition
+    identity: tuple[int, int, int]
     proved_at: float
 
     @property
-    def rank(self) -> tuple[int, bool]:
+    def version(self) -> int:
+        """Version of the snapshot's configuration."""
+        return self.identity[-1]
+
+    @property
+    def rank(self) -> tuple[int, forwarding.StorePosition, bool]:
         """Sort key; the higher of two offers is preferred."""
-        return self.revision, self.same_zone
+        return self.version, self.position, self.same_zone
 
     def proof_of(self, snapshot: forwarding.Snapshot) -> float:
         """Returns the time at which a fetched snapshot was the newest.
@@ -62,8 +67,8 @@
         was restarted in between. The offer's proof does not hold for an older
         snapshot.
         """
-        same = snapshot.digest == self.digest
-        if same or snapshot.revision >= self.revision:
+        same = snapshot.identity == self.identity
+        if same or snapshot.position >= self.position:
             return self.proved_at
         return NEVER
 
@@ -117,20 +122,35 @@
         current = self.snapshots.current
         proved_at = self.proved_at(state)
         self.snapshots.note_answered(proved_at)
-        if current is None or state.digest != current.digest:
-            if current is None or state.revision > current.revision:
+        if current is None or identity_of(state) != current.identity:
+            if current is None or self.is_later(state, proved_at):
                 self.note_offer(state, proved_at)
             return 0.0
         gained = proved_at - self.snapshots.proved_at
         if gained <= 0:
             return 0.0
         if state.revision > current.revision:
-            self.snapshots.current = attrs.evolve(
-                current, revision=state.revision
-            )
+            self.snapshots.raise_revision(state.revision)
         self.snapshots.prove(proved_at)
         return gained
 
+    def is_later(
+        self, state: messages_forwarding.RouterState, proved_at: float
+    ) -> bool:
+        """Returns whether a peer's snapshot is later than this router's.
+
+        A later version of the configuration is, wherever the rest was read.
+        Where the store names no era, routers find out by themselves that it
+        came back, and may not have counted alike: only what was proved later
+        is sure to be later.
+        """
+        current = self.snapshots.current
+        if state.version > current.version:
+            return True
+        if state.era > current.era:
+            return proved_at > self.snapshots.proved_at
+        return position_of(state) > current.position
+
     def note_offer(
         self, state: messages_forwarding.RouterState, proved_at: float
     ) -> None:
@@ -138,8 +158,8 @@
         offer = SnapshotOffer(
             state.host,
             state.zone == self.zone,
-            state.revision,
-            state.digest,
+            position_of(state),
+            identity_of(state),
             proved_at,
         )
         if self.has_offer.is_set() and self.offer.rank > offer.rank:
@@ -175,6 +195,7 @@
             self.has_offer = trio.Event()
             self.has_same_zone_offer = trio.Event()
             await self.fetch(offer)
+            self.snapshots.first_contact.set()
             await trio.sleep(
                 FETCH_INTERVAL_FRACTION * self.snapshots.settings.apply_seconds
             )
@@ -222,3 +243,17 @@
                 raise
             logs.change('peer_changes_unfit', host=host, cause=str(exc))
         return await self.link.fetch(host, None)
+
+
+def position_of(
+    state: messages_forwarding.RouterState,
+) -> forwarding.StorePosition:
+    """Returns the position of the sender's snapshot."""
+    return forwarding.StorePosition(state.era, state.revision)
+
+
+def identity_of(
+    state: messages_forwarding.RouterState,
+) -> tuple[int, int, int]:
+    """Returns the identity of the sender's snapshot."""
+    return state.era, state.digest, state.version
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -14,13 +14,13 @@
 from lavenderbend.coordination.forwarding import store_reads
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.state import forwarding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
     from lavenderbend.coordination.forwarding import interfaces
-    from lavenderbend.state import forwarding
 
 # Interval between reads as a fraction of `apply_seconds`. A version must be in
 # force on all routers within `apply_seconds`, even if a read fails once and is
@@ -43,15 +43,19 @@
 INFREQUENT_RETRY_SECONDS = 6.0
 # Credentials are refused this long before a revocation must be in force.
 REVOCATION_MARGIN_SECONDS = 0.4
+# Time for other routers to answer a router that starts.
+FIRST_CONTACT_SECONDS = 0.05
+# A store that does not name its era is read whole this often.
+WHOLE_READ_SECONDS = 10.0
 NEVER = float('-inf')
 
 READS = metrics.counter(
     'lavenderbend_forward_store_reads_total',
     "Reads of the platform's store, by outcome.",
 )
-REUSED = metrics.counter(
-    'lavenderbend_forward_store_revisions_reused_total',
-    'Items that were read with the revision of an earlier, different value.',
+ERA = metrics.gauge(
+    'lavenderbend_forward_store_era',
+    'How often the store has come back from a copy of its content.',
 )
 VERSION = metrics.gauge(
     'lavenderbend_forward_table_version',
@@ -111,7 +115,10 @@
         failures: Reads that failed in a row.
         retry_at: Time before which a failed read is not repeated.
         read_delay_seconds: Time for which this router lets others read first.
-        was_outdated: Whether the last read was older than `current`.
+        first_contact: Set once another router was asked for its snapshot.
+        learned_at: Time at which the revision of `current` became known.
+        era_unnamed: Whether the store does not name its era.
+        whole_read_at: Time from which on such a store is read whole again.
     """
 
     def __init__(
@@ -139,7 +146,10 @@
         self.failures = 0
         self.retry_at = NEVER
         self.read_delay_seconds = 0.0
-        self.was_outdated = False
+        self.first_contact = trio.Event()
+        self.learned_at = NEVER
+        self.era_unnamed = False
+        self.whole_read_at = NEVER
 
     @property
     def age(self) -> float:
@@ -190,7 +200,13 @@
         return self.age < seconds
 
     async def run(self) -> None:
-        """Reads the store whenever no other router has read it in time."""
+        """Reads the store whenever no other router has read it in time.
+
+        The first time it lets other routers tell what they know: the store may
+        show an earlier configuration than the one in force.
+        """
+        with trio.move_on_after(FIRST_CONTACT_SECONDS):
+            await self.first_contact.wait()
         while True:
             delay = self.next_read_at() - self.clock()
             if delay > 0:
@@ -233,7 +249,7 @@
         """Reads the store once."""
         sent_at = self.clock()
         try:
-            raw = await self.read_raw()
+            raw = self.with_era(await self.read_raw(), sent_at)
             snapshot = self.decode(raw)
         except errors.KeyValueError as exc:
             self.note_failure(exc)
@@ -243,21 +259,14 @@
             logs.change('store_unreadable', cause=str(exc))
             self.delay_retry()
             return
-        outdated = self.is_outdated(snapshot)
-        READS.inc({'outcome': 'outdated' if outdated else 'answered'})
-        if outdated and not self.was_outdated:
-            logs.change(
-                'store_outdated',
-                revision=snapshot.revision,
-                known_revision=self.current.revision,
-                age=round(self.age, 3),
-            )
-        self.was_outdated = outdated
+        self.note_answered(self.clock())
+        if self.is_outdated(snapshot):
+            self.note_outdated(snapshot)
+            return
+        READS.inc({'outcome': 'answered'})
         if self.failures:
             logs.change('store_regained', failures=self.failures)
         self.failures = 0
-        self.note_answered(self.clock())
-        self.note_reused_revisions(raw)
         self.accept(snapshot, sent_at)
         for callback in self.on_proof:
             callback()
@@ -271,14 +280,58 @@
         current = self.current
         if current is None:
             return await self.source.read()
-        # A peer may have proved that nothing changed up to a later revision.
-        known = attrs.evolve(current.raw, revision=current.revision)
-        return await store_reads.read_changes(self.source, known)
+        if self.is_whole_read_due():
+            return await self.source.read()
+        return await store_reads.read_changes(self.source, self.known_raw())
+
+    def known_raw(self) -> forwarding.RawSnapshot:
+        """Returns the content of the store at the latest known revision.
+
+        A peer may have proved that nothing changed since it was read.
+        """
+        return attrs.evolve(self.current.raw, revision=self.current.revision)
+
+    def is_whole_read_due(self) -> bool:
+        """Returns whether changes of the store would not suffice.
+
+        A store that does not name its era may have come back from a copy since
+        the last read, and have passed the known revision again.
+        """
+        now = self.clock()
+        if not self.era_unnamed or now < self.whole_read_at:
+            return False
+        self.whole_read_at = now + WHOLE_READ_SECONDS
+        return True
+
+    def with_era(
+        self, raw: forwarding.RawSnapshot, sent_at: float
+    ) -> forwarding.RawSnapshot:
+        """Returns a read with its era, which follows from it if unnamed.
+
+        Args:
+            raw: The read.
+            sent_at: Time at which it was sent.
+        """
+        if raw.era != forwarding.UNNAMED_ERA:
+            return raw
+        self.era_unnamed = True
+        current = self.current
+        if current is None:
+            return attrs.evolve(raw, era=0)
+        # What another router offered while the read was on its way is later.
+        lost = sent_at >= self.learned_at and store_reads.contradicts(
+            raw, self.known_raw()
+        )
+        return attrs.evolve(raw, era=current.era + lost)
 
     def decode(self, raw: forwarding.RawSnapshot) -> forwarding.Snapshot:
         """Returns the decoded snapshot, or the one in force if unchanged."""
         current = self.current
-        if current is not None and raw.digest == current.digest:
+        if (
+            current is not None
+            and raw.digest == current.digest
+            and raw.era == current.era
+        ):
             return attrs.evolve(current, revision=raw.revision, raw=raw)
         return self.source.decode(raw)
 
@@ -289,6 +342,20 @@
             logs.change('store_lost', cause=str(cause), age=round(self.age, 3))
         self.delay_retry()
 
+    def note_outdated(self, snapshot: forwarding.Snapshot) -> None:
+        """Records that the store answered with less than is known."""
+        READS.inc({'outcome': 'outdated'})
+        if not self.failures:
+            logs.change(
+                'store_outdated',
+                era=snapshot.era,
+                revision=snapshot.revision,
+                known_era=self.current.era,
+                known_revision=self.current.revision,
+                age=round(self.age, 3),
+            )
+        self.delay_retry()
+
     def delay_retry(self) -> None:
         """Delays the next read by exponential backoff with jitter."""
         self.failures += 1
@@ -306,10 +373,15 @@
             proved_at: Time at which it is known to have been the newest.
         """
         if self.is_outdated(snapshot):
+            self.take_table(snapshot)
             return
-        current = self.current
-        self.removals.note(current and current.raw, snapshot.raw)
-        if current is None or snapshot.digest != current.digest:
+        before = self.current
+        snapshot = self.with_table_in_force(snapshot)
+        if before is not None and before.era != snapshot.era:
+            self.note_era(before, snapshot)
+        self.removals.note(before and before.raw, snapshot.raw)
+        self.learned_at = self.clock()
+        if before is None or snapshot.identity != before.identity:
             self.retain_lapsed(snapshot)
             self.current = snapshot
             self.notify_change(snapshot)
@@ -317,24 +389,67 @@
             self.current = snapshot
         self.prove(proved_at)
 
-    def is_outdated(self, snapshot: forwarding.Snapshot) -> bool:
-        """Returns whether a newer snapshot is present."""
+    def with_table_in_force(
+        self, snapshot: forwarding.Snapshot
+    ) -> forwarding.Snapshot:
+        """Returns a snapshot whose configuration is not older than in force.
+
+        A store that came back from a copy shows an earlier version until the
+        operators' later one is written again.
+        """
         current = self.current
-        return current is not None and snapshot.revision < current.revision
+        if current is None or snapshot.version >= current.version:
+            return snapshot
+        return self.source.decode(
+            self.source.keep_table(snapshot.raw, current.raw)
+        )
+
+    def take_table(self, snapshot: forwarding.Snapshot) -> None:
+        """Takes over the configuration of an earlier snapshot if it is later.
 
-    def note_reused_revisions(self, raw: forwarding.RawSnapshot) -> None:
-        """Logs items that differ from those known of the same revision."""
-        if self.current is None:
+        A router that starts may read an earlier version from a store that came
+        back than the one that other routers have in force.
+        """
+        if snapshot.version <= self.current.version:
             return
-        for key, known in self.current.raw.items.items():
-            item = raw.items.get(key)
-            if item is None or item.revision != known.revision:
-                continue
-            if item.value != known.value:
-                REUSED.inc({})
-                logs.change(
-                    'store_revision_reused', key=key, revision=item.revision
-                )
+        self.current = self.source.decode(
+            self.source.keep_table(self.known_raw(), snapshot.raw)
+        )
+        self.notify_change(self.current)
+
+    def note_era(
+        self, before: forwarding.Snapshot, snapshot: forwarding.Snapshot
+    ) -> None:
+        """Records that the store has come back from a copy.
+
+        What was registered since that copy is registered again, as after an
+        outage.
+        """
+        self.recovered_at = self.clock()
+        until = self.recovered_at + REREGISTRATION_SECONDS
+        self.retained = {
+            instance: (upstream, until)
+            for instance, (upstream, _) in self.retained.items()
+        }
+        logs.change(
+            'store_came_back',
+            era=snapshot.era,
+            revision=snapshot.revision,
+            known_era=before.era,
+            known_revision=before.revision,
+            version=snapshot.version,
+            age=round(self.age, 3),
+        )
+
+    def raise_revision(self, revision: int) -> None:
+        """Records that nothing changed up to a later revision."""
+        self.current = attrs.evolve(self.current, revision=revision)
+        self.learned_at = self.clock()
+
+    def is_outdated(self, snapshot: forwarding.Snapshot) -> bool:
+        """Returns whether a later snapshot is present."""
+        current = self.current
+        return current is not None and snapshot.position < current.position
 
     def note_answered(self, at: float) -> None:
         """Records that the store answered some router.
@@ -360,12 +475,13 @@
 
     def notify_change(self, snapshot: forwarding.Snapshot) -> None:
         """Logs a new snapshot and calls the callbacks."""
-        version = 0 if snapshot.table is None else snapshot.table.version
-        VERSION.set({}, version)
+        ERA.set({}, snapshot.era)
+        VERSION.set({}, snapshot.version)
         logs.change(
             'snapshot_changed',
+            era=snapshot.era,
             revision=snapshot.revision,
-            version=version,
+            version=snapshot.version,
             upstreams=len(snapshot.upstreams),
         )
         for callback in self.on_change:
--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -51,6 +51,8 @@
 ONLY = 'only '
 DRAWN = 'drawn '
 UNSETTLED = ''
+# Follows what a record says; the first era is left out.
+ERA_SUFFIX = '\nera {}'
 
 WRITES = metrics.counter(
     'lavenderbend_forward_version_record_writes_total',
@@ -123,6 +125,7 @@
         to_void: Services whose record is to be taken back.
         table: The configuration that `seconds` is of.
         seconds: How long a stream may last, by service that has any.
+        era: Era of the latest snapshot.
     """
 
     def __init__(
@@ -149,6 +152,7 @@
         self.to_void: set[str] = set()
         self.table: forwarding.ForwardingTable | None = None
         self.seconds: dict[str, float] = {}
+        self.era = 0
         snapshots.on_change.append(self.apply_snapshot)
 
     def state(self, service: str) -> Settled:
@@ -217,6 +221,9 @@
             if self.records.get(service) != record:
                 self.record_seen[service] = now
         self.records = snapshot.version_records
+        if snapshot.era != self.era:
+            self.void_revisions.clear()
+        self.era = snapshot.era
         self.draws.apply_snapshot(snapshot)
         self.observe()
         self.note_void()
@@ -270,10 +277,15 @@
         }
 
     def agreeing_content(self, service: str, versions: set[str]) -> str:
-        """Returns the content of a record that agrees with the entries."""
+        """Returns the content of a record that agrees with the entries.
+
+        A record holds in the era in which it was written: the store may come
+        back from a copy without what took it back.
+        """
+        suffix = ERA_SUFFIX.format(self.era) if self.era else ''
         if len(versions) == 1:
-            return ONLY + next(iter(versions))
-        return DRAWN + self.draws.digest(service)
+            return ONLY + next(iter(versions)) + suffix
+        return DRAWN + self.draws.digest(service) + suffix
 
     def update_settled(self) -> None:
         """Updates which services are settled, and logs what changed."""
--- a/lavenderbend/coordination/forwarding/warm_up/coldness.py
+++ b/lavenderbend/coordination/forwarding/warm_up/coldness.py
@@ -61,6 +61,8 @@
         silent_until: The same for those that did not answer.
         drained_zones: Drained zones of the latest snapshot.
         last_end: Router clock from which on no upstream is cold.
+        era: Era of the latest snapshot.
+        came_back: Whether it is the first one of its era.
     """
 
     def __init__(self, facts: facts_module.Facts) -> None:
@@ -72,6 +74,8 @@
         self.silent_until: dict[str, float] = {}
         self.drained_zones: Collection[str] = ()
         self.last_end = 0.0
+        self.era = 0
+        self.came_back = False
 
     def is_cold(self, instance: str) -> bool:
         """Returns whether an upstream may be cold."""
@@ -98,6 +102,8 @@
             pool.name: pool for pool in pools if pool.warm_up_rate > 0.0
         }
         before = self.upstreams
+        self.came_back = snapshot.era != self.era
+        self.era = snapshot.era
         self.upstreams = {
             instance: upstream
             for instance, upstream in snapshot.upstreams.items()
@@ -149,13 +155,22 @@
         elif upstream.vm.availability_zone in taken_back:
             seconds = max(pool.warm_up_seconds, upstream.cold_seconds)
             self.note(instance, seconds, TAKEN_BACK)
-        elif upstream.cold_seconds > 0.0 and (
-            known is None or known.revision != upstream.revision
-        ):
+        elif upstream.cold_seconds > 0.0 and self.is_news(upstream, known):
             self.note(instance, upstream.cold_seconds, IN_STORE)
             if known is not None and known.cold_seconds == 0.0:
                 self.facts.add(COLD, instance, COLD, upstream.cold_seconds)
 
+    def is_news(
+        self, upstream: forwarding.Upstream, known: forwarding.Upstream | None
+    ) -> bool:
+        """Returns whether an entry says more than what is known.
+
+        What a store shows that came back from a copy may be older.
+        """
+        if known is None:
+            return True
+        return not self.came_back and known != upstream
+
     def note_silent(self, instance: str, seconds: float) -> None:
         """Records that an upstream did not answer.
 
--- a/lavenderbend/coordination/forwarding/warm_up/zone_records.py
+++ b/lavenderbend/coordination/forwarding/warm_up/zone_records.py
@@ -12,6 +12,7 @@
 from lavenderbend.coordination.forwarding.warm_up import rate_shares
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.state import forwarding
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,7 +23,6 @@
         snapshots as snapshots_module,
     )
     from lavenderbend.coordination.forwarding.warm_up import coldness as colds
-    from lavenderbend.state import forwarding
 
 # A snapshot without a record shows that there is none for this long after it
 # was proved to be the newest.
@@ -70,6 +70,9 @@
         records: Records of the latest snapshot.
         pending: Suspension clock since which a record is known to be missing
             (revision 0) or not confirmed, by zone and revision.
+        lost: Zones whose record the store has lost, and that are recorded
+            again.
+        era: Era of the latest snapshot.
     """
 
     def __init__(
@@ -85,6 +88,8 @@
         self.coldness = coldness
         self.records: Mapping[str, forwarding.ZoneRecord] = {}
         self.pending: dict[tuple[str, int], float] = {}
+        self.lost: set[str] = set()
+        self.era = 0
         snapshots.on_change.append(self.apply_snapshot)
 
     def presence(self, zone: str) -> Presence:
@@ -94,7 +99,8 @@
             return (
                 Presence.CONFIRMED if record.confirmed else Presence.UNCERTAIN
             )
-        return Presence.ABSENT if self.is_fresh() else Presence.UNCERTAIN
+        absent = self.is_fresh() and zone not in self.lost
+        return Presence.ABSENT if absent else Presence.UNCERTAIN
 
     def is_fresh(self) -> bool:
         """Returns whether the snapshot shows what is missing in the store."""
@@ -103,6 +109,11 @@
     def apply_snapshot(self, snapshot: forwarding.Snapshot) -> None:
         """Takes over the records of a snapshot, and logs what changed."""
         before, self.records = self.records, snapshot.zone_records
+        if snapshot.era != self.era:
+            self.lost |= before.keys()
+            self.pending = {}
+        self.era = snapshot.era
+        self.lost -= self.records.keys()
         for zone in sorted(before.keys() | self.records.keys()):
             record = self.records.get(zone)
             if record != before.get(zone):
@@ -117,7 +128,7 @@
     def update_pending(self) -> None:
         """Updates which records are missing or not confirmed, since when."""
         now = self.snapshots.clock()
-        revisions = dict.fromkeys(self.fleet.recent(), 0)
+        revisions = dict.fromkeys([*self.fleet.recent(), *sorted(self.lost)], 0)
         revisions.update(
             {zone: record.revision for zone, record in self.records.items()}
         )
@@ -160,7 +171,7 @@
         confirmed = revision != 0
         try:
             written = await self.store.write_zone_record(
-                zone, revision, confirmed
+                zone, forwarding.StorePosition(self.era, revision), confirmed
             )
         except errors.KeyValueError as exc:
             WRITES.inc({'outcome': 'failed'})
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -199,6 +199,7 @@
             crashing_parts.BLAMED: self.crashing_parts.apply_blamed,
             crashing_parts.ANSWERED: self.crashing_parts.apply_answered,
             departures.LEFT: self.departures.apply_departure,
+            departures.LEFT_BEFORE: self.departures.apply_departure,
             departures.LEAVING: self.departures.apply_announcement,
             departures.DRAINED: self.departures.apply_drained,
             suspicions.SUSPECTED: self.suspicions.apply_suspicion,
--- a/lavenderbend/platform/snapshot_decoding.py
+++ b/lavenderbend/platform/snapshot_decoding.py
@@ -40,11 +40,11 @@
     """A decoded item of the store.
 
     Attributes:
-        revision: Revision of its last change.
+        item: The item.
         value: The table or the upstream, None if the entry is not usable.
     """
 
-    revision: int
+    item: forwarding.RawItem
     value: forwarding.ForwardingTable | forwarding.Upstream | None
 
 
@@ -69,15 +69,13 @@
     decoded: dict[str, DecodedItem] = {}
     for key, item in raw.items.items():
         previous = before.get(key)
-        if previous is not None and previous.revision == item.revision:
+        if previous is not None and previous.item == item:
             decoded[key] = previous
         elif key == CONFIGURATION_KEY:
             value = decode_json(key, item.value, table_decoder.decode)
-            decoded[key] = DecodedItem(item.revision, value)
+            decoded[key] = DecodedItem(item, value)
         elif key.startswith(UPSTREAM_PREFIX):
-            decoded[key] = DecodedItem(
-                item.revision, decode_upstream(key, item)
-            )
+            decoded[key] = DecodedItem(item, decode_upstream(key, item))
     return decoded
 
 
@@ -125,7 +123,7 @@
         by_instance,
         raw,
         drained,
-        zone_record_items.zone_records(raw.items),
+        zone_record_items.zone_records(raw),
         version_record_items.version_records(raw.items),
         part_record_items.part_records(raw.items),
     )
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -8,12 +8,12 @@
 from typing import TypeVar
 from urllib import parse
 
+import attrs
 import orjson
 import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
-from lavenderbend.observe import logs
 from lavenderbend.platform import configuration_document
 from lavenderbend.platform import part_record_items
 from lavenderbend.platform import record_items
@@ -43,8 +43,6 @@
 # waiting longer.
 WATCH_MILLISECONDS = 20
 MILLISECONDS = 1000
-# Rises each time the store comes back from a copy of its content.
-ERA = b'store-era'
 OK = 200
 CHANGED_MEANWHILE = 412
 GONE = 410
@@ -65,8 +63,6 @@
         writing: Held during a call that writes.
         decoded: Items of the last decoded snapshot, by key.
         table_decoder: Decoder of the configuration.
-        era: What the last answer said of how often the store has come back
-            from a copy.
     """
 
     def __init__(self, address: str, timeout_seconds: float) -> None:
@@ -83,7 +79,6 @@
         self.writing = trio.Lock()
         self.decoded: dict[str, snapshot_decoding.DecodedItem] = {}
         self.table_decoder = configuration_document.TableDecoder()
-        self.era = ''
 
     async def read(self) -> forwarding.RawSnapshot:
         """Reads all keys.
@@ -93,14 +88,14 @@
         """
         return await self.read_range(ALL_KEYS)
 
-    async def newest_revision(self) -> int:
-        """Returns the store's revision, by a call that returns no items.
+    async def newest_position(self) -> forwarding.StorePosition:
+        """Returns the store's position, by a call that returns no items.
 
         Raises:
             KeyValueError: The store did not answer, or refused.
         """
         page = await self.read_page(NO_KEYS, '')
-        return page.revision
+        return forwarding.StorePosition(page.era, page.revision)
 
     async def changes_since(self, revision: int) -> forwarding.Changes | None:
         """Returns the changes that a watch reports, None if they are compacted.
@@ -113,7 +108,7 @@
             'after': str(revision),
             'waitMs': str(WATCH_MILLISECONDS),
         }
-        answer = await self.get(f'{WATCH}?{parse.urlencode(query)}')
+        answer = await self.calls.get(f'{WATCH}?{parse.urlencode(query)}')
         if answer.status == GONE:
             return None
         return self.decoded_answer(
@@ -124,19 +119,26 @@
         """Reads all keys with a prefix, page by page.
 
         Raises:
-            KeyValueError: The store did not answer.
+            KeyValueError: The store did not answer, or came back from a copy
+                between two pages.
         """
         items: dict[str, forwarding.RawItem] = {}
-        revision = None
+        first = None
         after = ''
         for _ in range(MAX_PAGES):
             page = await self.read_page(prefix, after)
             # The pages are not read atomically: the items on the first one
             # are certain to be current only as of the first call.
-            revision = page.revision if revision is None else revision
+            first = page if first is None else first
+            if page.era != first.era:
+                raise errors.KeyValueUnavailable(
+                    f'era {page.era} follows {first.era} within a read'
+                )
             items.update(page.items)
             if not page.has_more:
-                return forwarding.RawSnapshot(revision, items)
+                return forwarding.RawSnapshot(
+                    first.revision, items, era=first.era
+                )
             after = next(reversed(page.items))
         # A part of the store must not be returned as the whole: upstreams on
         # pages that were not read would be treated as removed.
@@ -157,24 +159,11 @@
         query = {'pathPrefix': prefix}
         if after:
             query['after'] = after
-        answer = await self.get(f'{RANGE}?{parse.urlencode(query)}')
+        answer = await self.calls.get(f'{RANGE}?{parse.urlencode(query)}')
         return self.decoded_answer(answer, store_answers.decode_page)
 
-    async def get(self, target: str) -> http_calls.CallAnswer:
-        """Returns the answer to a call that reads.
-
-        Raises:
-            KeyValueUnavailable: The store did not answer.
-        """
-        answer = await self.calls.get(target)
-        era = answer.headers.get(ERA, b'').decode(errors='replace')
-        if era != self.era:
-            logs.change('store_era_changed', era=era, before=self.era)
-        self.era = era
-        return answer
-
     async def write_zone_record(
-        self, zone: str, revision: int, confirmed: bool
+        self, zone: str, position: forwarding.StorePosition, confirmed: bool
     ) -> bool:
         """Writes a zone's record unless it was changed meanwhile.
 
@@ -183,8 +172,8 @@
         """
         return await self.write_item(
             zone_record_items.key(zone),
-            revision,
-            zone_record_items.value(confirmed),
+            position.revision,
+            zone_record_items.value(confirmed, position.era),
         )
 
     async def write_version_record(
@@ -276,10 +265,14 @@
             return answer
 
     def decoded_answer(
-        self, answer: http_calls.CallAnswer, decoder: Callable[[Any], T]
+        self, answer: http_calls.CallAnswer, decoder: Callable[[int, Any], T]
     ) -> T:
         """Returns the decoded body of a response.
 
+        Args:
+            answer: The response.
+            decoder: Decodes the body, given the store's era.
+
         Raises:
             KeyValueUnavailable: The store refused, or its response cannot be
                 decoded.
@@ -287,7 +280,8 @@
         if answer.status != OK:
             raise errors.KeyValueUnavailable(f'status {answer.status}')
         try:
-            return decoder(orjson.loads(answer.body))
+            era = store_answers.decode_era(answer.headers)
+            return decoder(era, orjson.loads(answer.body))
         except (ValueError, KeyError, TypeError) as exc:
             cause = f'unreadable: {type(exc).__name__} {exc}'
             raise errors.KeyValueUnavailable(cause) from exc
@@ -302,3 +296,11 @@
             raw, self.decoded, self.table_decoder
         )
         return snapshot_decoding.snapshot(raw, self.decoded)
+
+    def keep_table(
+        self, raw: forwarding.RawSnapshot, kept: forwarding.RawSnapshot
+    ) -> forwarding.RawSnapshot:
+        """Returns a read with the configuration of an earlier one."""
+        key = snapshot_decoding.CONFIGURATION_KEY
+        item = attrs.evolve(kept.items[key], revision=forwarding.KEPT_REVISION)
+        return raw.with_changes(raw.revision, {key: item}, ())
--- a/lavenderbend/platform/store_answers.py
+++ b/lavenderbend/platform/store_answers.py
@@ -4,12 +4,19 @@
 
 import base64
 from typing import Any
+from typing import TYPE_CHECKING
 
 import attrs
 
 from lavenderbend.platform import field_types
 from lavenderbend.state import forwarding
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Rises each time the store comes back from a copy of its content.
+ERA_HEADER = b'store-era'
+
 
 @attrs.frozen
 class Page:
@@ -19,16 +26,32 @@
         revision: The store's revision at the time of the call.
         items: Items by key; not empty if `has_more`.
         has_more: Whether there are keys after the last of these.
+        era: The store's era, `UNNAMED_ERA` if it does not say.
     """
 
     revision: int
     items: dict[str, forwarding.RawItem]
     has_more: bool
+    era: int
+
+
+def decode_era(headers: Mapping[bytes, bytes]) -> int:
+    """Returns the era that the headers of a response name.
+
+    Raises:
+        ValueError: It is no number.
+    """
+    text = headers.get(ERA_HEADER)
+    return forwarding.UNNAMED_ERA if text is None else int(text)
 
 
-def decode_page(value: dict[str, Any]) -> Page:
+def decode_page(era: int, value: dict[str, Any]) -> Page:
     """Returns the page in a response of the store.
 
+    Args:
+        era: The store's era.
+        value: The response.
+
     Raises:
         ValueError: A revision is not a number, or the page has no items but
             claims that more follow.
@@ -38,10 +61,10 @@
     items = {item['key']: decode_item(item) for item in value['items']}
     if value['hasMore'] and not items:
         raise ValueError('empty page that has more keys after it')
-    return Page(int(value['storeRevision']), items, value['hasMore'])
+    return Page(int(value['storeRevision']), items, value['hasMore'], era)
 
 
-def decode_lease(value: dict[str, Any]) -> int:
+def decode_lease(_era: int, value: dict[str, Any]) -> int:
     """Returns the lease in a response of the store.
 
     Raises:
@@ -52,11 +75,14 @@
     return value['lease']
 
 
-def decode_changes(since: int, value: dict[str, Any]) -> forwarding.Changes:
+def decode_changes(
+    since: int, era: int, value: dict[str, Any]
+) -> forwarding.Changes:
     """Returns the changes in a response of the store.
 
     Args:
         since: Revision after which the changes were requested.
+        era: The store's era.
         value: The response.
 
     Raises:
@@ -67,7 +93,7 @@
     events = value['events']
     field_types.check_type('events', events, list)
     entries = tuple(decode_change(event) for event in events)
-    return forwarding.Changes(since, entries)
+    return forwarding.Changes(since, entries, era)
 
 
 def decode_change(value: dict[str, Any]) -> forwarding.Change:
--- a/lavenderbend/platform/zone_record_items.py
+++ b/lavenderbend/platform/zone_record_items.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from lavenderbend.state import forwarding
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
 # A key with this prefix and the name of a zone.
 PREFIX = 'router-zones/'
 ANNOUNCED = b'announced'
@@ -16,17 +11,18 @@
 
 
 def zone_records(
-    items: Mapping[str, forwarding.RawItem],
+    raw: forwarding.RawSnapshot,
 ) -> dict[str, forwarding.ZoneRecord]:
     """Returns the records among the items of the store, by zone.
 
-    A value of another program counts as not confirmed.
+    A value of another program, or of an earlier era, counts as not confirmed.
     """
+    confirmed = value(True, raw.era)
     return {
         key[len(PREFIX) :]: forwarding.ZoneRecord(
-            item.revision, item.value == CONFIRMED
+            item.revision, item.value == confirmed
         )
-        for key, item in items.items()
+        for key, item in raw.items.items()
         if key.startswith(PREFIX)
     }
 
@@ -36,6 +32,8 @@
     return PREFIX + zone
 
 
-def value(confirmed: bool) -> bytes:
-    """Returns the value of a record."""
-    return CONFIRMED if confirmed else ANNOUNCED
+def value(confirmed: bool, era: int) -> bytes:
+    """Returns the value of a record that is written in an era of the store."""
+    if not confirmed:
+        return ANNOUNCED
+    return CONFIRMED + f' {era}'.encode() if era > 0 else CONFIRMED
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -53,6 +53,8 @@
             upstreams.
         draws_versions: Whether the sender's build begins streams at versions
             that are drawn, and has a record taken back where it does not.
+        era: The store's era in the sender's snapshot.
+        version: Version of the configuration in force at the sender.
     """
 
     name: str = attrs.field(validator=fields.TEXT)
@@ -88,6 +90,12 @@
     draws_versions: bool = attrs.field(
         validator=fields.FLAG, default=False, metadata=peer.ADDED_LATER
     )
+    era: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+    version: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(101)
@@ -103,6 +111,8 @@
         removed: Keys removed since the revision in the request.
         digest: Digest of the whole snapshot, by which the receiver verifies
             that the changes fit the snapshot it has.
+        era: Era of the store; in another one than the request's the snapshot
+            is whole.
     """
 
     revision: int = attrs.field(validator=fields.INTEGER)
@@ -110,6 +120,9 @@
     keys: list[str] | None
     removed: list[str]
     digest: int = attrs.field(validator=fields.INTEGER)
+    era: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(103)
@@ -119,9 +132,13 @@
 
     Attributes:
         known_revision: Revision of the sender's snapshot, 0 for none.
+        known_era: Era of the sender's snapshot.
     """
 
     known_revision: int = attrs.field(validator=fields.INTEGER)
+    known_era: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
 
 
 class OwnerRequest(peer.Message):
--- a/lavenderbend/state/forwarding.py
+++ b/lavenderbend/state/forwarding.py
@@ -191,12 +191,36 @@
         return hashing.hash64(self.vm.service, self.software)
 
 
+# Era of an answer of a store that does not name its era.
+UNNAMED_ERA = -1
+# Revision of an item that is in force although the store shows an older one.
+KEPT_REVISION = 0
+
+
+@attrs.frozen(order=True)
+class StorePosition:
+    """A point in the history of the store.
+
+    A store that comes back from a copy of its content gives the revisions since
+    that copy out again. A revision alone names no content: only within one era
+    is the higher one later.
+
+    Attributes:
+        era: How often the store has come back from a copy.
+        revision: The store's revision.
+    """
+
+    era: int
+    revision: int
+
+
 @attrs.frozen
 class RawItem:
     """An undecoded item of the store.
 
     Attributes:
-        revision: Store revision at which it was last changed.
+        revision: Store revision at which it was last changed, `KEPT_REVISION`
+            if the store shows an older one.
         value: The value as written; only the store adapter decodes it.
     """
 
@@ -217,14 +241,22 @@
         revision: The store's revision.
         items: Items by key.
         digest: Exclusive or of the items' digests, equal for equal contents
-            regardless of the revision. The cost of updating it depends only
-            on the number of changed items: of thousands of entries, a few
-            change each second.
+            of one era regardless of the revision. The cost of updating it
+            depends only on the number of changed items: of thousands of
+            entries, a few change each second.
+        era: How often the store has come back from a copy, `UNNAMED_ERA` if it
+            does not say.
     """
 
     revision: int
     items: Mapping[str, RawItem]
     digest: int = attrs.field()
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Where in the history of the store it was read."""
+        return StorePosition(self.era, self.revision)
 
     @digest.default
     def digest_of_all(self) -> int:
@@ -255,7 +287,7 @@
         for key, item in changed.items():
             items[key] = item
             digest ^= item_digest(key, item)
-        return RawSnapshot(revision, items, digest)
+        return RawSnapshot(revision, items, digest, self.era)
 
 
 @attrs.frozen
@@ -280,10 +312,12 @@
     Attributes:
         since: The revision after which the changes were made.
         entries: Changes by ascending revision.
+        era: The store's era, `UNNAMED_ERA` if it does not say.
     """
 
     since: int
     entries: tuple[Change, ...]
+    era: int = 0
 
     def complete_to(self, revision: int) -> bool:
         """Returns whether all revisions up to the given one are present."""
@@ -356,8 +390,9 @@
 
     Attributes:
         revision: The store's revision.
-        digest: Equal for equal contents regardless of the revision.
-        table: The configuration, None until the first one is accepted.
+        digest: Equal for equal contents of one era.
+        table: The configuration in force, None until the first one is
+            accepted.
         upstreams: Upstreams by instance.
         raw: The undecoded contents, sent to peers that do not have them.
         drained_zones: Availability zones whose upstreams get no requests, and
@@ -377,3 +412,23 @@
     zone_records: Mapping[str, ZoneRecord] = attrs.field(factory=dict)
     version_records: Mapping[str, VersionRecord] = attrs.field(factory=dict)
     part_records: Mapping[int, PartRecord] = attrs.field(factory=dict)
+
+    @property
+    def era(self) -> int:
+        """How often the store had come back from a copy."""
+        return self.raw.era
+
+    @property
+    def position(self) -> StorePosition:
+        """Where in the history of the store it was read."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration, 0 if there is none."""
+        return 0 if self.table is None else self.table.version
+
+    @property
+    def identity(self) -> tuple[int, int, int]:
+        """Equal for equal contents regardless of the revision."""
+        return self.era, self.digest, self.version
--- a/lavenderbend/transport/peer_datagrams.py
+++ b/lavenderbend/transport/peer_datagrams.py
@@ -105,7 +105,7 @@
             with trio.fail_after(SERVE_TIMEOUT_SECONDS):
                 request = await read_message(stream)
             if isinstance(request, messages_forwarding.SnapshotRequest):
-                await self.send_snapshot(stream, request.known_revision)
+                await self.send_snapshot(stream, request)
             elif (
                 isinstance(request, messages_forwarding.RelayRequest)
                 and self.relay is not None
@@ -124,9 +124,11 @@
             stream.socket.close()
 
     async def send_snapshot(
-        self, stream: trio.SocketStream, since: int
+        self,
+        stream: trio.SocketStream,
+        request: messages_forwarding.SnapshotRequest,
     ) -> None:
-        """Sends the changes of the snapshot in force since a revision.
+        """Sends what the other router's snapshot lacks of the one in force.
 
         Raises:
             TooSlowError: The other router does not read them.
@@ -134,7 +136,7 @@
         current = self.snapshot()
         if current is None:
             return
-        content = changes_since(current.raw, since, self.removed_since(since))
+        content = requested_content(current.raw, request, self.removed_since)
         with trio.fail_after(SERVE_TIMEOUT_SECONDS):
             await stream.send_all(encode_frame(content))
 
@@ -152,8 +154,7 @@
             PeerError: The router did not answer in time.
             CodecError: The answer is not a snapshot, or does not fit `base`.
         """
-        revision = 0 if base is None else base.revision
-        request = messages_forwarding.SnapshotRequest(revision)
+        request = snapshot_request(base)
         try:
             with trio.fail_after(FETCH_TIMEOUT_SECONDS):
                 stream = await trio.open_tcp_stream(host, self.port)
@@ -211,6 +212,30 @@
         ) from exc
 
 
+def snapshot_request(
+    base: forwarding.RawSnapshot | None,
+) -> messages_forwarding.SnapshotRequest:
+    """Returns the request for what a snapshot lacks, None for a whole one."""
+    if base is None:
+        return messages_forwarding.SnapshotRequest(0)
+    return messages_forwarding.SnapshotRequest(base.revision, base.era)
+
+
+def requested_content(
+    raw: forwarding.RawSnapshot,
+    request: messages_forwarding.SnapshotRequest,
+    removed_since: Callable[[int], list[str] | None],
+) -> messages_forwarding.SnapshotContent:
+    """Returns what another router's snapshot lacks.
+
+    Of another era nothing is known to be in both: the whole snapshot is sent.
+    """
+    if request.known_era != raw.era:
+        return changes_since(raw, 0)
+    since = request.known_revision
+    return changes_since(raw, since, removed_since(since))
+
+
 def changes_since(
     raw: forwarding.RawSnapshot,
     since: int,
@@ -227,11 +252,11 @@
     changed: list[list[str | int | bytes]] = [
         [key, item.revision, item.value]
         for key, item in raw.items.items()
-        if item.revision > since
+        if item.revision > since or item.revision == forwarding.KEPT_REVISION
     ]
     keys = list(raw.items) if removed is None else None
     return messages_forwarding.SnapshotContent(
-        raw.revision, changed, keys, removed or [], raw.digest
+        raw.revision, changed, keys, removed or [], raw.digest, raw.era
     )
 
 
@@ -245,8 +270,8 @@
         CodecError: The digest of the result is not that of the sender: an
             item is missing or was not removed.
     """
-    if base is None:
-        base = forwarding.RawSnapshot(0, {})
+    if base is None or base.era != content.era:
+        base = forwarding.RawSnapshot(0, {}, era=content.era)
     removed = content.removed
     if content.keys is not None:
         removed = base.items.keys() - set(content.keys)
--- a/tests/test_coordination/test_forwarding_peers.py
+++ b/tests/test_coordination/test_forwarding_peers.py
@@ -217,6 +217,16 @@
     assert kinds == [crashes.DEATH]
 
 
+async def test_starting_router_receives_who_left_before_a_return(
+    fleet, autojump_clock
+):
+    """Guards against requests of a router that only knows an older copy."""
+    facts = fleet.routers[HOSTS[0]].peers.facts
+    facts.add(departures.LEFT_BEFORE, 'x1', '12', 30.0)
+    kinds = [kind for kind, *_ in facts.rows_for_starting()]
+    assert kinds == [departures.LEFT_BEFORE]
+
+
 async def test_many_changes_are_fetched_together(fleet, autojump_clock):
     # Upstreams come and go twenty times a second. With a fetch for each change
     # a router of a large fleet would spend most of its time on fetches.
--- a/tests/test_coordination/test_settled_versions.py
+++ b/tests/test_coordination/test_settled_versions.py
@@ -60,6 +60,7 @@
         self.entries = {}
         self.records = {}
         self.revision = 1
+        self.era = 0
 
     def show(self, record=None, **versions):
         """Shows engines, and possibly a record, in the next snapshot."""
@@ -82,6 +83,7 @@
         content = attrs.evolve(
             content,
             digest=self.revision,
+            raw=attrs.evolve(content.raw, era=self.era),
             version_records=dict(self.records),
         )
         self.snapshots.accept(content, trio.current_time())
@@ -318,3 +320,33 @@
     world.show(e1='v1')
     await world.follow(3.0 * STREAM_SECONDS)
     assert not world.store.written
+
+
+async def test_record_of_an_earlier_era_of_the_store_does_not_hold(
+    autojump_clock, world
+):
+    """Guards against streams of a release that the store has lost."""
+    world.show('only v1', e1='v1')
+    assert world.state is Settled.ONLY
+    world.era = 1
+    world.accept()
+    assert world.state is Settled.NOT
+    await world.follow(1.0)
+    assert world.store.written[-1][2] == settled_versions.UNSETTLED
+    world.show(settled_versions.UNSETTLED)
+    await world.follow(STREAM_SECONDS + 2.0)
+    _, _, content = world.store.written[-1]
+    assert content == 'only v1' + settled_versions.ERA_SUFFIX.format(1)
+    world.show(content)
+    assert world.state is Settled.ONLY
+
+
+async def test_revision_of_a_void_record_is_given_again(autojump_clock, world):
+    """Guards against a record that is void by the number of another one."""
+    world.show('only v1', e1='v2')
+    void = world.records[SERVICE].revision
+    content = 'only v2' + settled_versions.ERA_SUFFIX.format(1)
+    world.era = 1
+    world.records[SERVICE] = forwarding.VersionRecord(void, content)
+    world.accept()
+    assert world.state is Settled.ONLY
--- a/tests/test_coordination/test_warm_up_zone_records.py
+++ b/tests/test_coordination/test_warm_up_zone_records.py
@@ -172,3 +172,51 @@
     assert not store.writes
     await node.follow(2.0)
     assert store.writes == [(ZONE, True)]
+
+
+def come_back(store, revision):
+    """Shows the store without records, as of a copy."""
+    content = fakes.snapshot(
+        revision, store.content.table, *store.content.upstreams.values()
+    )
+    raw = attrs.evolve(content.raw, era=store.content.era + 1)
+    store.content = attrs.evolve(content, raw=raw)
+
+
+async def test_record_that_the_store_lost_is_written_again(
+    node, store, autojump_clock
+):
+    """Guards against a cut off zone whose share others take after a return."""
+    node.fleet.note(OTHER, 3)
+    copy = store.content.revision
+    await node.follow(2.0 * zone_records.CONFIRM_SECONDS)
+    assert node.records.presence(OTHER) is Presence.CONFIRMED
+    await node.follow(60.0)
+    assert OTHER not in node.fleet.recent()
+    store.writes.clear()
+    come_back(store, copy)
+    node.see()
+    assert node.records.presence(OTHER) is Presence.UNCERTAIN
+    await node.follow(zone_records.ANNOUNCE_SECONDS + 1.0)
+    assert sorted(store.writes) == [(ZONE, False), (OTHER, False)]
+    await node.follow(zone_records.CONFIRM_SECONDS + 1.0)
+    assert node.records.presence(OTHER) is Presence.CONFIRMED
+
+
+async def test_time_to_confirm_begins_anew_in_another_era(
+    node, store, autojump_clock
+):
+    """Guards against a record confirmed early by its revision's first time."""
+    copy = store.content.revision
+    node.see()
+    store.put_record(ZONE, False)
+    await node.follow(zone_records.CONFIRM_SECONDS - 1.0)
+    come_back(store, copy)
+    store.put_record(ZONE, False)
+    store.content = attrs.evolve(
+        store.content, raw=attrs.evolve(store.content.raw, era=1)
+    )
+    await node.follow(zone_records.CONFIRM_SECONDS - 1.0)
+    assert not store.writes
+    await node.follow(2.0)
+    assert store.writes == [(ZONE, True)]
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -165,6 +165,7 @@
 @pytest.mark.parametrize('value', [5, None, 'abc', '*'])
 def test_value_that_is_not_base64_does_not_affect_other_items(value):
     page = store_answers.decode_page(
+        0,
         {
             'items': [
                 {'key': 'servers/s0', 'rev': 1, 'value': value},
@@ -176,7 +177,7 @@
             ],
             'hasMore': False,
             'storeRevision': 3,
-        }
+        },
     )
     raw = forwarding.RawSnapshot(page.revision, page.items)
     snapshot, _ = decode_raw(raw)
