Answers that never end: judged, bounded, and tried elsewhere

Three causes: * an answer without the request's id was skipped as another request's and never counted against its upstream; * bodies of refusals and errors, bodies of whole answers, strays and informational answers were read without an end, in bytes or time; * a limit on bytes lets through a million parts of a few bytes. A part counts as 512 bytes at least now.

Ruled out: the health of upstreams, which judges them once it is told.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import answer_bodies
 from lavenderbend.coordination.forwarding import failed_attempts
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import tickets
@@ -161,7 +162,7 @@
             self.note_failure(ticket, upstream)
             self.crashes.note_lost(ticket, upstream)
             raise
-        except errors.UpstreamBroke:
+        except (errors.UpstreamBroke, errors.AnswerMismatch):
             self.note_failure(ticket, upstream)
             raise
         finally:
@@ -300,8 +301,9 @@
             UpstreamError: The response broke off, or it is a server error
                 after which another upstream is tried.
         """
-        body = await read_body(exchange, waiting)
         failed = head.status >= SERVER_ERROR
+        seconds = answer_bodies.ERROR_BODY_SECONDS if failed else math.inf
+        body = await answer_bodies.read_body(exchange, waiting, seconds)
         if failed:
             self.note_failure(ticket, upstream)
         else:
@@ -402,7 +404,9 @@
         if self.rejection_limits is not None:
             self.rejection_limits.note_rejected(upstream.instance)
         try:
-            await read_body(exchange, waiting)
+            await answer_bodies.read_body(
+                exchange, waiting, answer_bodies.ERROR_BODY_SECONDS
+            )
         except errors.UpstreamBroke as exc:
             raise errors.UpstreamRefused(
                 f'answered {head.status}, then: {exc}'
@@ -497,17 +501,3 @@
     except ValueError:
         return 0.0
     return seconds if 0.0 < seconds < math.inf else 0.0
-
-
-async def read_body(
-    exchange: interfaces.Exchange, waiting: silence_module.UpstreamWait
-) -> bytes:
-    """Returns the complete body of a response.
-
-    Raises:
-        UpstreamBroke: The response broke off.
-    """
-    parts = []
-    while (data := await waiting.read(exchange.read)) is not None:
-        parts.append(data)
-    return b''.join(parts)
--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lavenderbend import errors
+from lavenderbend.protocol import part_sizes
 
 # The blank line that ends an event, for both line endings in use.
 EVENT_TERMINATORS = (b'\n\n', b'\r\n\r\n')
@@ -50,6 +51,7 @@
         resume_unconfirmed: Whether no event number has shown yet that the
             upstream resumes the stream and does not restart it.
         partial_event: Bytes of the event that is not complete yet.
+        partial_size: What its parts count for against the limit.
     """
 
     def __init__(self, last: int | None = None) -> None:
@@ -59,6 +61,7 @@
         self.passed_events = False
         self.resume_unconfirmed = False
         self.partial_event = b''
+        self.partial_size = 0
 
     def mark_written(self) -> None:
         """Records that all events read were written to the caller."""
@@ -72,6 +75,7 @@
         self.read_position = self.written_position
         self.resume_unconfirmed = self.passed_events
         self.partial_event = b''
+        self.partial_size = 0
 
     def feed(self, data: bytes) -> bytes:
         """Returns the events that these bytes complete.
@@ -85,12 +89,14 @@
         end = end_of_events(buffer)
         if not end:
             self.partial_event = buffer
-            if len(buffer) > MAX_EVENT_BYTES:
+            self.partial_size += part_sizes.counted_size(data)
+            if self.partial_size > MAX_EVENT_BYTES:
                 raise errors.UpstreamBroke(
-                    f'event larger than {MAX_EVENT_BYTES} bytes'
+                    f'event of {len(buffer)} bytes over the limit'
                 )
             return b''
         self.partial_event = buffer[end:]
+        self.partial_size = len(self.partial_event)
         complete = buffer[:end]
         self.check_sequence(complete)
         return complete
--- a/lavenderbend/transport/answer_heads.py
+++ b/lavenderbend/transport/answer_heads.py
@@ -11,6 +11,10 @@
     from collections.abc import Callable
 
 
+# More than any upstream has reason to send before its answer.
+MAX_INFORMATIONAL = 32
+
+
 async def next_head(
     protocol: h11.Connection, receive: Callable[[], Awaitable[None]]
 ) -> h11.Response:
@@ -22,9 +26,11 @@
 
     Raises:
         RemoteProtocolError: The upstream closed the connection before it
-            answered, or its bytes are not valid HTTP/1.1.
+            answered, or its bytes are not valid HTTP/1.1 or do not come to an
+            answer.
     """
-    while True:
+    informational = 0
+    while informational <= MAX_INFORMATIONAL:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
             await receive()
@@ -32,3 +38,6 @@
             return event
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError('connection closed before the answer')
+        elif isinstance(event, h11.InformationalResponse):
+            informational += 1
+    raise h11.RemoteProtocolError('informational answers without end')
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -13,6 +13,7 @@
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import hop_headers
+from lavenderbend.protocol import part_sizes
 from lavenderbend.transport import answer_heads
 from lavenderbend.transport import pooled_connections
 
@@ -26,6 +27,7 @@
 # them does not block
 SMALL_BODY_BYTES = 1024
 MAX_STRAY_ANSWERS = 4
+MAX_STRAY_BYTES = 1024 * 1024
 FRAMING = (b'content-length', b'transfer-encoding')
 MISMATCH_DETAIL = 'the answer carries the id of another request'
 
@@ -299,13 +301,21 @@
                 self.connection.note_idle_limit(int(seconds))
 
     async def skip_answer(self) -> None:
-        """Skips an answer; the bytes after it are read as the next answer."""
-        while True:
-            event = self.protocol.next_event()
+        """Skips an answer; the bytes after it are read as the next answer.
+
+        Raises:
+            AnswerMismatch: It is too large to be a duplicate.
+        """
+        size = 0
+        while not isinstance(
+            event := self.protocol.next_event(), h11.EndOfMessage
+        ):
             if event is h11.NEED_DATA:
                 await self.receive()
-            elif isinstance(event, h11.EndOfMessage):
-                break
+            elif isinstance(event, h11.Data):
+                size += part_sizes.counted_size(event.data)
+            if size > MAX_STRAY_BYTES:
+                raise errors.AnswerMismatch(MISMATCH_DETAIL)
         rest, closed = self.protocol.trailing_data
         self.protocol = h11.Connection(h11.CLIENT)
         self.request_bytes()
--- a/tests/test_transport/test_upstream_exchanges.py
+++ b/tests/test_transport/test_upstream_exchanges.py
@@ -183,3 +183,84 @@
     await fetch(exchanges, worker)
     exchanges.retain(set())
     assert not exchanges.idle
+
+
+class Endless:
+    """A peer that accepts one connection and writes without end.
+
+    Attributes:
+        written: Bytes that it has written.
+        closed: Set when its connection is closed.
+    """
+
+    def __init__(self, head, part):
+        self.head = head
+        self.part = part
+        self.written = 0
+        self.closed = trio.Event()
+        self.instance = 'i-1'
+        self.service = 'desk'
+        self.port = 0
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        listeners = await trio.open_tcp_listeners(0, host=standins.HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        await trio.serve_listeners(
+            self.write, listeners, task_status=task_status
+        )
+
+    async def write(self, stream):
+        try:
+            await stream.receive_some(65536)
+            await stream.send_all(self.head)
+            while True:
+                await stream.send_all(self.part)
+                self.written += len(self.part)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.closed.set()
+
+
+LONG = b'x' * 4096
+STRAY = b'HTTP/1.1 200 OK\r\nlavenderbend-request-id: r0\r\n'
+SIGNED = b'HTTP/1.1 200 OK\r\nlavenderbend-request-id: r1\r\n'
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('head', 'part'),
+    [
+        (b'HTTP/1.1 200 ', LONG),
+        (b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 500),
+        (b'HTTP/1.1 200 OK\r\na: ', LONG),
+        (b'\x00\x01\x02', LONG),
+        (b'\x00\r\n', b'y\r\n' * 500),
+        (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 50),
+        (SIGNED + CHUNKED, b'0' * 4096),
+        (SIGNED + CHUNKED + b'0\r\n', b'a: b\r\n' * 500),
+        (STRAY + CHUNKED, b'1000\r\n' + LONG + b'\r\n'),
+        (STRAY + b'\r\n', LONG),
+        (b'HTTP/1.1 200 OK\r\n' + CHUNKED, b'1000\r\n' + LONG + b'\r\n'),
+        (
+            STRAY + b'content-length: 0\r\n\r\n',
+            STRAY + b'content-length: 0\r\n\r\n',
+        ),
+    ],
+)
+async def test_bytes_without_end_are_given_up(nursery, exchanges, head, part):
+    """Guards against a router that reads on what never becomes an answer."""
+    endless = Endless(head, part)
+    await nursery.start(endless.serve)
+    with pytest.raises((errors.UpstreamBroke, errors.AnswerMismatch)):
+        await fetch(exchanges, endless)
+    await endless.closed.wait()
+    nursery.cancel_scope.cancel()
+
+
+async def test_bytes_past_the_end_close_the_connection(nursery, exchanges):
+    """Guards against bytes that are read as the next answer."""
+    endless = Endless(SIGNED + b'content-length: 2\r\n\r\nok', LONG)
+    await nursery.start(endless.serve)
+    assert (await fetch(exchanges, endless))[1] == b'ok'
+    exchanges.close_expired()
+    await endless.closed.wait()
+    nursery.cancel_scope.cancel()
