--- a/tests/test_coordination/test_crashing_part_routers.py
+++ b/tests/test_coordination/test_crashing_part_routers.py
@@ -259,6 +259,26 @@
     assert fleet.store.part_records.keys() == {PART}
 
 
+async def test_record_that_the_store_lost_is_written_again(
+    fleet, autojump_clock
+):
+    """Guards against a part that is released by a store's older copy."""
+    blame(fleet.routers[hosts_of(fleet)[0]])
+    await trio.sleep(3.0)
+    # From here on routers know of it by the record alone.
+    async with trio.open_nursery() as restarts:
+        for host in hosts_of(fleet):
+            restarts.start_soon(fleet.restart, host)
+    await trio.sleep(3.0)
+    fleet.store.part_records.clear()
+    fleet.store.era += 1
+    fleet.store.refresh()
+    await trio.sleep(4.0)
+    assert fleet.store.part_records.keys() == {PART}
+    for host in hosts_of(fleet):
+        assert await send(fleet, host, 'f0', 'bad') == QUARANTINED
+
+
 async def test_part_that_is_still_asked_for_is_not_forgotten(
     fleet, autojump_clock
 ):
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -48,6 +48,7 @@
     Attributes:
         records: Records of the versions of streams.
         refuses: Whether it refuses to write.
+        era: How often it came back from a copy.
     """
 
     def __init__(self, *rules):
@@ -57,6 +58,7 @@
         self.revision = 1
         self.records = {}
         self.refuses = False
+        self.era = 0
         self.refresh()
 
     def refresh(self):
@@ -69,6 +71,7 @@
             for service, record in self.records.items()
         }
         raw = content.raw.with_changes(self.revision, items, ())
+        raw = attrs.evolve(raw, era=self.era)
         self.put(
             attrs.evolve(
                 content,
