--- a/tests/store_copy_plays.py
+++ b/tests/store_copy_plays.py
@@ -180,45 +180,47 @@
     await trio.sleep(3.0)
     fleet.written_again['op/config'] = 4.0
     await fleet.go_back(copy)
-    for host in sorted(fleet.routers)[:2]:
-        fleet.nursery.start_soon(fleet.restart, host, 0.2)
+    restart_two(fleet)
 
 
-@play()
-async def left_before(fleet):
-    """A worker leaves, and the store loses that for a while."""
+async def leave_and_lose(fleet, after, before, again):
+    """A worker leaves, and the store loses that for a while.
+
+    Args:
+        fleet: The fleet.
+        after: Seconds from the copy until the worker leaves.
+        before: Seconds from then until the store is away.
+        again: Seconds from the return until the worker writes again.
+    """
     copy = fleet.copy()
-    await trio.sleep(2.0)
+    await trio.sleep(after)
     fleet.leave('w0')
-    await trio.sleep(1.0)
-    fleet.written_again['servers/w0'] = 1.0
+    await trio.sleep(before)
+    fleet.written_again['servers/w0'] = again
     fleet.beat_seconds = 1000.0
     await fleet.go_back(copy)
 
 
+def restart_two(fleet):
+    for host in sorted(fleet.routers)[:2]:
+        fleet.nursery.start_soon(fleet.restart, host, 0.2)
+
+
+@play()
+async def left_before(fleet):
+    await leave_and_lose(fleet, 2.0, 1.0, 1.0)
+
+
 @play()
 async def left_long_before(fleet):
-    copy = fleet.copy()
-    await trio.sleep(0.5)
-    fleet.leave('w0')
-    await trio.sleep(2.5)
-    fleet.written_again['servers/w0'] = 3.0
-    fleet.beat_seconds = 1000.0
-    await fleet.go_back(copy)
+    await leave_and_lose(fleet, 0.5, 2.5, 3.0)
 
 
 @play()
 async def left_before_restarts(fleet):
     """Two routers start while the store shows an upstream that left."""
-    copy = fleet.copy()
-    await trio.sleep(0.5)
-    fleet.leave('w0')
-    await trio.sleep(2.5)
-    fleet.written_again['servers/w0'] = 3.0
-    fleet.beat_seconds = 1000.0
-    await fleet.go_back(copy)
-    for host in sorted(fleet.routers)[:2]:
-        fleet.nursery.start_soon(fleet.restart, host, 0.2)
+    await left_long_before(fleet)
+    restart_two(fleet)
 
 
 @play()
@@ -280,8 +282,7 @@
     copy = fleet.copy()
     await trio.sleep(COPY_SECONDS)
     await fleet.go_back(copy)
-    for host in sorted(fleet.routers)[:2]:
-        fleet.nursery.start_soon(fleet.restart, host, 0.2)
+    restart_two(fleet)
     await trio.sleep(0.3)
     fleet.leave('w0')
 
--- a/tests/test_coordination/test_store_beliefs.py
+++ b/tests/test_coordination/test_store_beliefs.py
@@ -126,7 +126,8 @@
 
 async def test_value_with_a_known_revision_is_decoded_anew(store, client):
     """Guards against a leaving entry that passes for the ready one."""
-    assert client.decode(await client.read()).upstreams['w1'].vm.state.name
+    before = client.decode(await client.read())
+    assert before.upstreams['w1'].vm.state.name == 'LIVE'
     store.go_back(store.revision - 1)
     store.put('servers/w1', entry('draining'))
     after = client.decode(await client.read())
@@ -140,11 +141,13 @@
     """Guards against a content that passes for unchanged by its revisions."""
     store.era = era
     await followed.read()
+    before = followed.current
     store.go_back(store.revision - 1)
     store.put('servers/w1', entry('draining'))
     await followed.read()
     assert followed.current.upstreams['w1'].vm.state.name == 'LEAVING'
-    assert followed.current.era == followed.current.position.era
+    assert followed.current.digest == before.digest
+    assert followed.current.era == before.era + 1
     assert followed.recovered_at == trio.current_time()
 
 
