Store writes: what is due is checked again after each await

The same shape stood in the records of zones and of stream versions; the latter could overwrite a record that another router had just taken back.

--- a/lavenderbend/coordination/forwarding/crashing_parts/part_records.py
+++ b/lavenderbend/coordination/forwarding/crashing_parts/part_records.py
@@ -101,10 +101,13 @@
         """Writes and removes the records that are due."""
         while True:
             await trio.sleep(CHECK_SECONDS)
+            # a snapshot that arrives during a write may change what is due
             for part, quarantine in self.due():
-                await self.write(part, quarantine.strike)
+                if (part, quarantine) in self.due():
+                    await self.write(part, quarantine.strike)
             for part in self.due_removals():
-                await self.remove(part)
+                if self.may_remove(part):
+                    await self.remove(part)
 
     def due(self) -> list[tuple[int, quarantines.Quarantine]]:
         """Returns the parts whose record is to be written."""
@@ -132,14 +135,14 @@
 
     def due_removals(self) -> list[int]:
         """Returns the parts whose record is to be removed."""
-        return [
-            part
-            for part, revision in self.void.items()
-            if part in self.records
-            and part not in self.parts.quarantines
-            and self.records[part].revision == revision
-            and self.may_write(part)
-        ]
+        return [part for part in self.void if self.may_remove(part)]
+
+    def may_remove(self, part: int) -> bool:
+        """Returns whether the record of a part is void and can be removed."""
+        record = self.records.get(part)
+        if record is None or record.revision != self.void.get(part):
+            return False
+        return part not in self.parts.quarantines and self.may_write(part)
 
     def may_write(self, part: int) -> bool:
         """Returns whether an earlier write of a record would show by now."""
--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -383,7 +383,9 @@
             for service in sorted(self.to_void):
                 await self.void(service)
             for service, content in self.due():
-                await self.write(service, content)
+                # another router may have unsettled the service meanwhile
+                if (service, content) in self.due():
+                    await self.write(service, content)
 
     def due(self) -> list[tuple[str, str]]:
         """Returns the services whose record is to be written, and as what."""
--- a/lavenderbend/coordination/forwarding/warm_up/zone_records.py
+++ b/lavenderbend/coordination/forwarding/warm_up/zone_records.py
@@ -149,7 +149,9 @@
             await trio.sleep(CHECK_SECONDS)
             self.update_pending()
             for zone, revision in self.due():
-                await self.write(zone, revision)
+                # the revision names another content once the era has changed
+                if (zone, revision) in self.due():
+                    await self.write(zone, revision)
 
     def due(self) -> list[tuple[str, int]]:
         """Returns zones whose record is to be written, with its revision."""
--- a/tests/test_coordination/test_settled_versions.py
+++ b/tests/test_coordination/test_settled_versions.py
@@ -350,3 +350,26 @@
     world.records[SERVICE] = forwarding.VersionRecord(void, content)
     world.accept()
     assert world.state is Settled.ONLY
+
+
+async def test_service_unsettled_during_another_write_is_not_settled(
+    autojump_clock,
+):
+    """Guards against streams that go on at a version that did not begin them.
+
+    The record that another router has just taken back must not be replaced by
+    what this router wanted to write before it saw that.
+    """
+    world = World()
+    due = [(SERVICE, 'first'), ('other', 'second')]
+    world.settled.due = lambda: list(due)
+
+    async def write(service, revision, content):
+        world.store.written.append((service, revision, content))
+        due.clear()
+        return True
+
+    world.store.write_version_record = write
+    world.show(e1='v1')
+    await world.follow(2.0)
+    assert world.store.written == [(SERVICE, 0, 'first')]
