--- /dev/null
+++ b/lavenderbend/coordination/forwarding/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests to upstreams that have too little room."""
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -40,11 +40,14 @@
         BEGUN: The upstream has processed the prompt and begun to answer.
         ENDED: The request has ended there, or was sent elsewhere.
         HELD: Another upstream holds the prompt of the chat in its cache.
+        PACE: The upstream stated how long work takes there, in percent of
+            the usual time; the row has it in place of the holder.
     """
 
     BEGUN = 1
     ENDED = 2
     HELD = 3
+    PACE = 4
 
 
 @attrs.define
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -55,6 +55,7 @@
             that are drawn, and has a record taken back where it does not.
         era: The store's era in the sender's snapshot.
         version: Version of the configuration in force at the sender.
+        capacity: Processor of the sender's machine, in hundredths of a core.
     """
 
     name: str = attrs.field(validator=fields.TEXT)
@@ -96,6 +97,9 @@
     version: int = attrs.field(
         validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
     )
+    capacity: int = attrs.field(
+        validator=fields.INTEGER, default=100, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(101)
@@ -191,6 +195,14 @@
         forwarded: Whether another router has relayed the message.
         max_load: Requests at the upstream from which on the request is not
             counted, 0 for no such number.
+        rank: Priority of the request, 0 is the most urgent.
+        customer: Short id of the customer, 0 for none.
+        output_tokens: Expected length of the output in tokens.
+        target_milliseconds: Time left until the latency target, 0 if it has
+            passed.
+        checks_room: Whether the owner may decline the request.
+        wait_milliseconds: How long the request may wait for room, 0 if it is
+            to be declined at once.
     """
 
     number: int = attrs.field(validator=fields.INTEGER)
@@ -205,6 +217,60 @@
     max_load: int = attrs.field(
         validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
     )
+    rank: int = attrs.field(
+        validator=fields.INTEGER, default=5, metadata=peer.ADDED_LATER
+    )
+    customer: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+    output_tokens: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+    target_milliseconds: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+    checks_room: bool = attrs.field(
+        validator=fields.FLAG, default=False, metadata=peer.ADDED_LATER
+    )
+    wait_milliseconds: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+
+
+class ReservationOutcome(enum.IntEnum):
+    """What the owner of an upstream did with a request.
+
+    Attributes:
+        GRANTED: It may be sent, and is counted.
+        WAITING: It waits at the owner, and is not counted.
+        DECLINED: Neither.
+    """
+
+    GRANTED = 1
+    WAITING = 2
+    DECLINED = 3
+
+
+class Shortage(enum.IntEnum):
+    """What an upstream has too little of for a request.
+
+    Attributes:
+        NONE: Nothing; the request fits.
+        REQUESTS: It holds as many requests as are allowed.
+        READING: It has to process other prompts first.
+        CHAT: It is processing a prompt of the same chat.
+        MEMORY: Prompts and outputs would exceed its memory.
+        QUEUE: Too many requests wait for it.
+        TIME: The request could not begin before its deadline.
+    """
+
+    NONE = 0
+    REQUESTS = 1
+    READING = 2
+    CHAT = 3
+    MEMORY = 4
+    QUEUE = 5
+    TIME = 6
 
 
 @peer.message(111)
@@ -220,6 +286,11 @@
         unread_tokens: Tokens of their prompts that it has yet to process.
         holders: Short ids of upstreams that have the chat cached, the latest
             first.
+        outcome: A `ReservationOutcome`.
+        shortage: A `Shortage`: why the request was not granted.
+        expected_milliseconds: Expected time until the upstream begins with
+            the request.
+        queued: Requests that wait for the upstream.
     """
 
     number: int = attrs.field(validator=fields.INTEGER)
@@ -230,6 +301,20 @@
     holders: list[int] = attrs.field(
         validator=attrs.validators.deep_iterable(fields.INTEGER)
     )
+    outcome: int = attrs.field(
+        validator=fields.INTEGER,
+        default=int(ReservationOutcome.GRANTED),
+        metadata=peer.ADDED_LATER,
+    )
+    shortage: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+    expected_milliseconds: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
+    queued: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(112)
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -23,7 +23,12 @@
         signature: Set by upstreams to mark an answer as their own.
         not_run: Set by upstreams on answers to requests that did not run.
         load: Set by upstreams: numbers of running requests, waiting
-            requests and slots, separated by commas.
+            requests and slots, separated by commas; a fourth number says how
+            long work takes now, in percent of the usual time.
+        tokens: Number of prompt tokens and the most output tokens, separated
+            by a comma; an empty name if callers state none.
+        length_hint: The caller's estimate of the number of output tokens; an
+            empty name if callers state none.
         leaving: Set to 1 on every answer of an upstream that is draining.
         rejection_limit: Set on every answer of an upstream that crashes if it
             must reject more requests in a second than the number given.
@@ -46,6 +51,8 @@
     leaving: str = 'x-leaving'
     rejection_limit: str = 'x-rejection-limit'
     resumes: str = 'x-resumes'
+    tokens: str = ''
+    length_hint: str = ''
     copy_from: str = ''
     reserved: tuple[str, ...] = ()
 
@@ -94,6 +101,10 @@
         cold_rate_factor: Multiple of the rate that a cold upstream tolerates
             that it may be sent.
         cold_rate_extra: Requests in a second allowed in addition.
+        queue_seconds: Longest time for which a request waits for room at the
+            owner of an upstream, 0 if none waits.
+        processor_cores: Processor of the router's machine, in cores of usual
+            speed.
     """
 
     listen: ForwardListen
@@ -121,3 +132,7 @@
     zones: dict[str, str] = attrs.field(factory=dict)
     cold_rate_factor: float = setting_fields.bounded(1.0, 0.0, 100.0)
     cold_rate_extra: float = setting_fields.bounded(0.0, 0.0, 1e6)
+    queue_seconds: setting_fields.Seconds = setting_fields.bounded(
+        0.0, 0.0, 60.0
+    )
+    processor_cores: float = setting_fields.bounded(1.0, 0.01, 1024.0)
