Silence: an upstream that accepts a connection is busy, not dead

Cause: an engine that processes one long prompt after the other sends an event of its streams every 0.7 s or so (a step with a chunk takes 0.1 s, an event holds five to seven tokens).

One that is dead is suspected as early as before.

Tests: a busy engine that sends an event each 1.1 s (suspected before), a dead one, a process that hangs, the number of probes.

--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -181,7 +181,9 @@
             self.snapshots, self.store, self.crashing_parts
         )
         self.crashes.parts = self.crashing_parts
-        self.silence = silence.SilenceDetector(self.health)
+        self.silence = silence.SilenceDetector(
+            self.health, self.exchanges.accepts
+        )
         self.suspicions = suspicions.Suspicions(
             self.peers.facts, self.peers.fleet_size
         )
@@ -312,12 +314,16 @@
     def note_suspected(self, instance: str, seconds: float) -> None:
         """Avoids an upstream that other routers suspect to be dead.
 
-        An upstream from which this router has received bytes recently is
-        not avoided: the other routers may be cut off from it.
+        An upstream from which this router has received bytes recently, or
+        that accepted a connection, is not avoided: the other routers may be
+        cut off from it.
         """
-        if not self.silence.received_within(instance, silence.SILENT_SECONDS):
-            self.health.note_suspected(instance, seconds)
-            self.coldness.note_silent(instance, seconds)
+        if self.silence.received_within(instance, silence.SILENT_SECONDS):
+            return
+        if self.silence.accepted_lately(instance, trio.current_time()):
+            return
+        self.health.note_suspected(instance, seconds)
+        self.coldness.note_silent(instance, seconds)
 
     def note_own_suspicion(self, instance: str, seconds: float) -> None:
         """Applies that this router found an upstream dead or unreachable."""
@@ -445,6 +451,7 @@
             self.exchanges.retain(instances)
             self.exchanges.close_expired()
             self.health.retain(instances)
+            self.silence.retain(instances)
             self.paths.retain(instances)
             self.rejection_limits.retain(instances)
             self.stream_versions.remove_expired()
--- a/tests/test_coordination/test_forwarding_silence.py
+++ b/tests/test_coordination/test_forwarding_silence.py
@@ -45,6 +45,77 @@
     assert detector.health.is_suspected('e1')
 
 
+@pytest.fixture
+def probes(detector):
+    """Upstreams that accept connections, probed by the detector."""
+    accepting = {'e1'}
+
+    async def accepts(upstream):
+        if upstream.instance not in accepting:
+            # without power nothing answers
+            await trio.sleep(0.5)
+        return upstream.instance in accepting
+
+    detector.accepts = accepts
+    return accepting
+
+
+async def test_engine_that_processes_prompts_is_not_suspected(
+    detector, probes, autojump_clock
+):
+    """Guards against busy engines whose chats all move to other engines."""
+    stream = begin(detector)
+    stream.streaming = True
+    first = begin(detector)
+    for _ in range(4):
+        await trio.sleep(1.1)
+        detector.note_bytes(stream)
+    assert not stream.scope.cancel_called
+    assert not first.scope.cancel_called
+    assert not detector.health.is_suspected('e1')
+
+
+async def test_dead_upstream_is_suspected_as_early_with_probes(
+    detector, probes, autojump_clock
+):
+    """Guards against probes that delay the detection of dead upstreams."""
+    probes.clear()
+    stream = begin(detector)
+    stream.streaming = True
+    await trio.sleep(silence.SILENT_SECONDS + 2 * silence.CHECK_SECONDS)
+    assert stream.scope.cancel_called
+    assert detector.health.is_suspected('e1')
+
+
+async def test_hung_process_is_suspected_although_it_accepts_connections(
+    detector, probes, autojump_clock
+):
+    """Guards against streams that wait for a process that does nothing."""
+    stream = begin(detector)
+    stream.streaming = True
+    await trio.sleep(silence.MAX_BUSY_SECONDS + 2 * silence.CHECK_SECONDS)
+    assert stream.scope.cancel_called
+    assert detector.health.is_suspected('e1')
+
+
+async def test_silent_upstream_is_probed_a_few_times_only(
+    detector, probes, autojump_clock
+):
+    """Guards against a connection for each check and each stream."""
+    count = 0
+
+    async def accepts(upstream):
+        nonlocal count
+        count += 1
+        return True
+
+    detector.accepts = accepts
+    for _ in range(20):
+        begin(detector).streaming = True
+    await trio.sleep(silence.MAX_BUSY_SECONDS)
+    assert 1 <= count <= 3
+
+
 async def test_wait_for_the_caller_is_no_silence(detector, autojump_clock):
     # The router does not read the upstream while a write to the caller blocks.
     wait = begin(detector, limit=0.5)
