--- a/lavenderbend/coordination/fairness.py
+++ b/lavenderbend/coordination/fairness.py
@@ -128,6 +128,26 @@
         self.virtual_time[priority] = max(virtual_time, start)
         return self.remove(item)
 
+    def withdraw(self, item: T) -> bool:
+        """Removes an item as if its customer had never queued it.
+
+        The customer's later items move up by one position each, so that it
+        is not charged for an item that was not dequeued.
+
+        Returns:
+            Whether it was queued.
+        """
+        key = self.keys.get(id(item))
+        if key is None:
+            return False
+        for later in self.next_of_customer(item, self.count_of(*key)):
+            self.swap(item, later)
+        _, start, _ = self.positions[id(item)]
+        self.remove(item)
+        if key in self.finish:
+            self.finish[key] = start
+        return True
+
     def remove(self, item: T) -> bool:
         """Removes an item without advancing the virtual time.
 
--- a/lavenderbend/coordination/forwarding/admission/demand.py
+++ b/lavenderbend/coordination/forwarding/admission/demand.py
@@ -41,7 +41,7 @@
 
     @property
     def shared_tokens(self) -> int:
-        """Length of the part that other requests of the chat have, in tokens."""
+        """Length of the part that the chat's other requests have, in tokens."""
         return self.tokens - self.own_tokens
 
 
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -6,9 +6,12 @@
 import enum
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
+from lavenderbend.coordination.forwarding.admission import demand as demands
+from lavenderbend.coordination.forwarding.admission import owner_queue
+from lavenderbend.coordination.forwarding.admission import pace as paces
+from lavenderbend.coordination.forwarding.admission import room as rooms
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import permits
@@ -23,8 +26,9 @@
 COPY_COST_FRACTION = 0.2
 MAX_CHATS = 20_000
 MAX_HOLDERS = 3
-# A reservation whose end was lost expires after this time.
-MAX_RESERVATION_SECONDS = 15.0
+# Notes may fail to arrive and load reports change: what waits is checked this
+# often.
+GRANT_SECONDS = 0.02
 MILLISECONDS = 1000
 
 RESERVATIONS = metrics.gauge(
@@ -50,21 +54,19 @@
     PACE = 4
 
 
-@attrs.define
-class CountedRequest:
-    """A request that its owner counts at an upstream.
+def no_report(upstream: int) -> None:
+    """Returns no load report of any upstream."""
 
-    Attributes:
-        unread: Prompt tokens that the upstream has yet to process.
-        until: Router clock at which the reservation expires.
-    """
 
-    unread: int
-    until: float
+def ignore_grant(
+    host: str, reply: messages_forwarding.ReservationReply
+) -> None:
+    """Leaves a grant to the next resend of its request."""
 
 
-def no_report(upstream: int) -> None:
-    """Returns no load report of any upstream."""
+def is_present(upstream: int) -> bool:
+    """Returns that every upstream exists."""
+    return True
 
 
 class OwnedLoads:
@@ -74,8 +76,8 @@
     before they send it a prompt. In a fleet of hundreds the owner is the only
     router that knows at once what all others have sent: gossiped loads are
     half a second old, while a prompt takes a quarter of a second to process.
-    The owner decides nothing; if it is dead, unreachable or wrong, routers
-    choose by their own knowledge.
+    The owner declines or queues only requests that say so; if it is dead,
+    unreachable or wrong, routers choose by their own knowledge.
 
     Requests that the owner does not count are known from the upstream's load
     reports only: the excess of the last report over the reservations that were
@@ -85,10 +87,18 @@
         host: This router.
         last_report: Returns the last load report of an upstream, None if it is
             unknown or expired.
-        upstreams: Reservations by upstream, then by router and number.
+        upstreams: Reservations by upstream.
         table: The same reservations, combined with the load reports.
         chats: Upstreams that hold each chat and the router clock at which
             that was last reported; the most recently updated chat last.
+        paces: How fast upstreams are.
+        queue: Decides on requests that may be declined or wait.
+        queued: Set while requests may be waiting.
+        on_grant: Called with the entry's host and the reply for each request
+            that is granted after waiting.
+        is_present: Returns whether an upstream still exists.
+        memory_tokens: Returns the capacity of an upstream's memory, None if
+            it is unknown.
     """
 
     def __init__(
@@ -98,54 +108,95 @@
     ) -> None:
         self.host = host
         self.last_report = last_report
-        self.upstreams: dict[int, dict[tuple[str, int], CountedRequest]] = {}
+        self.upstreams: dict[int, rooms.Room] = {}
         self.table = permits.PermitTable()
         self.chats: collections.OrderedDict[int, dict[int, float]] = (
             collections.OrderedDict()
         )
+        self.paces: dict[int, paces.UpstreamPace] = {}
+        self.queue = owner_queue.OwnerQueue(self)
+        self.queued = trio.Event()
+        self.on_grant: Callable[
+            [str, messages_forwarding.ReservationReply], None
+        ] = ignore_grant
+        self.is_present: Callable[[int], bool] = is_present
+        self.memory_tokens: Callable[[int], int | None] = lambda upstream: None
 
     def reserve(
         self, request: messages_forwarding.ReservationRequest
     ) -> messages_forwarding.ReservationReply:
-        """Counts a request; returns the load of the upstream before it.
+        """Returns the reply to a request, the first one or a resend.
 
-        A reservation request that arrives twice is counted once, and one at
-        an upstream that holds its `max_load` is not.
+        A request that checks for room is counted, queued or declined; any
+        other is counted, unless the upstream holds its `max_load`. The load
+        in the reply is that before the request, which is counted once however
+        often it arrives.
         """
         now = trio.current_time()
+        if request.checks_room:
+            self.drop_expired(request.upstream, now)
+            reply = self.queue.answer(request, now)
+            if self.queue.queues:
+                self.queued.set()
+            return reply
         self.discard(request)
         self.drop_expired(request.upstream, now)
-        counted = self.upstreams.setdefault(request.upstream, {})
-        holders = self.holders(request.chat)
         reply = messages_forwarding.ReservationReply(
             request.number,
             self.host,
             request.upstream,
             self.load(request.upstream),
-            sum(other.unread for other in counted.values()),
-            holders,
+            self.room(request.upstream).unread(),
+            self.holders(request.chat),
         )
         if 0 < request.max_load <= reply.load:
             return reply
-        seconds = min(
-            request.lifetime_milliseconds / MILLISECONDS,
-            MAX_RESERVATION_SECONDS,
-        )
-        counted[request.host, request.number] = CountedRequest(
-            unread_tokens(
-                request.tokens,
-                request.own_tokens,
-                request.upstream in holders,
-                bool(holders),
-            ),
-            now + seconds,
-        )
+        need = demands.of_request(request, now)
+        until = min(need.deadline, now + owner_queue.MAX_RESERVATION_SECONDS)
+        unread = self.unread(request.upstream, need)
+        counted = rooms.count(need, unread, until, now)
+        counted.backlog = reply.unread_tokens + unread
+        self.count(request, counted)
+        return reply
+
+    def count(
+        self,
+        request: messages_forwarding.ReservationRequest,
+        counted: rooms.CountedRequest,
+    ) -> None:
+        """Counts a request at its upstream."""
+        room = self.room(request.upstream)
+        room.counted[request.host, request.number] = counted
         self.table.add(
             permits.LivePermit(
-                request.host, request.number, table_key(request.upstream), now
+                request.host,
+                request.number,
+                table_key(request.upstream),
+                counted.granted_at,
             )
         )
-        return reply
+
+    def room(self, upstream: int) -> rooms.Room:
+        """Returns what is counted at an upstream."""
+        room = self.upstreams.get(upstream)
+        if room is None:
+            room = rooms.Room(memory_tokens=self.memory_tokens(upstream))
+            self.upstreams[upstream] = room
+        return room
+
+    def pace(self, upstream: int) -> paces.UpstreamPace:
+        """Returns how fast an upstream is."""
+        pace = self.paces.get(upstream)
+        if pace is None:
+            pace = self.paces[upstream] = paces.UpstreamPace()
+        return pace
+
+    def unread(self, upstream: int, need: demands.Demand) -> int:
+        """Returns the tokens that an upstream would process for a request."""
+        holders = self.chats.get(need.chat, {})
+        return unread_tokens(
+            need.tokens, need.own_tokens, upstream in holders, bool(holders)
+        )
 
     def load(self, upstream: int) -> int:
         """Returns how many requests an upstream has."""
@@ -160,8 +211,8 @@
 
     def discard(self, request: messages_forwarding.ReservationRequest) -> None:
         """Removes a reservation whose request has been received again."""
-        counted = self.upstreams.get(request.upstream, {})
-        counted.pop((request.host, request.number), None)
+        room = self.room(request.upstream)
+        room.counted.pop((request.host, request.number), None)
         permit = self.table.get(request.host, request.number)
         if permit is not None:
             self.table.discard(permit)
@@ -174,34 +225,62 @@
     def apply_notes(self, notes: messages_forwarding.ReservationNotes) -> None:
         """Applies notes about reservations; idempotent.
 
-        Rows of a kind that this version does not know are ignored.
+        Rows of a kind that this version does not know are ignored. Waiting
+        requests that fit afterwards are granted.
         """
         handlers: dict[int, Callable[..., None]] = {
             NoteKind.BEGUN: self.note_begun,
             NoteKind.ENDED: self.note_ended,
             NoteKind.HELD: self.note_held,
+            NoteKind.PACE: self.note_pace,
         }
         for kind, number, upstream, chat, holder in notes.rows:
             handler = handlers.get(kind)
             if handler is not None:
                 handler(notes.host, number, upstream, chat, holder)
+        for upstream in {row[2] for row in notes.rows}:
+            self.queue.grant_waiting(upstream, trio.current_time())
 
     def note_begun(
         self, host: str, number: int, upstream: int, chat: int, holder: int
     ) -> None:
         """Records that an upstream processed a prompt and holds its chat."""
-        counted = self.upstreams.get(upstream, {}).get((host, number))
-        if counted is not None:
+        counted = self.counted(host, number, upstream)
+        if counted is not None and not counted.begun:
+            now = trio.current_time()
+            counted.begun = True
             counted.unread = 0
+            seconds = now - counted.granted_at
+            self.pace(upstream).note_begun(counted.backlog, seconds, now)
         self.note_held(host, number, upstream, chat, upstream)
 
     def note_ended(
         self, host: str, number: int, upstream: int, chat: int, holder: int
     ) -> None:
-        """Removes a request that has ended."""
-        counted = self.upstreams.get(upstream, {})
-        if counted.pop((host, number), None) is not None:
-            self.table.remove(host, number, trio.current_time())
+        """Removes a request that has ended, or that waits no longer."""
+        now = trio.current_time()
+        self.queue.note_ended(upstream, (host, number), now)
+        counted = self.counted(host, number, upstream)
+        if counted is None:
+            return
+        del self.upstreams[upstream].counted[host, number]
+        self.table.remove(host, number, now)
+        # A prompt that ends before the upstream began was sent elsewhere.
+        if counted.begun or not counted.chat:
+            self.pace(upstream).note_ended(now - counted.granted_at, now)
+
+    def note_pace(
+        self, host: str, number: int, upstream: int, chat: int, percent: int
+    ) -> None:
+        """Records the pace that an upstream stated."""
+        self.pace(upstream).note_percent(percent, trio.current_time())
+
+    def counted(
+        self, host: str, number: int, upstream: int
+    ) -> rooms.CountedRequest | None:
+        """Returns a counted request, None if it is not counted."""
+        room = self.upstreams.get(upstream)
+        return None if room is None else room.counted.get((host, number))
 
     def note_held(
         self, host: str, number: int, upstream: int, chat: int, holder: int
@@ -215,24 +294,49 @@
         if len(self.chats) > MAX_CHATS:
             self.chats.popitem(last=False)
 
+    async def run(self) -> None:
+        """Grants waiting requests that fit by the passage of time."""
+        while True:
+            await self.queued.wait()
+            await trio.sleep(GRANT_SECONDS)
+            self.grant_ready()
+            if not self.queue.queues:
+                self.queued = trio.Event()
+
+    def grant_ready(self) -> None:
+        """Grants waiting requests that fit by now, and drops overdue ones."""
+        now = trio.current_time()
+        for upstream in list(self.queue.queues):
+            self.drop_expired(upstream, now)
+        self.queue.grant_ready(now)
+
     def remove_expired(self) -> None:
-        """Removes expired reservations and updates the metric."""
+        """Removes expired reservations and updates the metrics."""
         now = trio.current_time()
-        for upstream, counted in list(self.upstreams.items()):
+        for upstream in list(self.queue.queues):
+            if not self.is_present(upstream):
+                self.queue.drop_upstream(upstream)
+        for upstream, room in list(self.upstreams.items()):
             self.drop_expired(upstream, now)
-            if not counted:
+            if not room:
                 del self.upstreams[upstream]
+        for upstream, pace in list(self.paces.items()):
+            if upstream not in self.upstreams and pace.is_idle(now):
+                del self.paces[upstream]
         self.table.remove_idle(now)
-        count = sum(len(counted) for counted in self.upstreams.values())
-        RESERVATIONS.set({}, count)
+        self.grant_ready()
+        self.queue.remove_expired(now)
+        RESERVATIONS.set({}, sum(len(room) for room in self.upstreams.values()))
 
     def drop_expired(self, upstream: int, now: float) -> None:
         """Removes the expired reservations at an upstream."""
-        counted = self.upstreams.get(upstream, {})
+        room = self.upstreams.get(upstream)
+        if room is None:
+            return
         for host, number in [
-            key for key, request in counted.items() if request.until <= now
+            key for key, counted in room.counted.items() if counted.until <= now
         ]:
-            del counted[host, number]
+            del room.counted[host, number]
             self.table.remove(host, number, now)
 
 
