--- a/lavenderbend/coordination/forwarding/admission/owner_queue.py
+++ b/lavenderbend/coordination/forwarding/admission/owner_queue.py
@@ -177,6 +177,7 @@
             return self.decide(request, now)
         waiting.heard_at = now
         if self.end_overdue(waiting, now):
+            self.remove_empty(request.upstream)
             return self.declined[request.upstream][key].reply
         return self.state_of(waiting, now)
 
--- a/lavenderbend/coordination/forwarding/admission/pace.py
+++ b/lavenderbend/coordination/forwarding/admission/pace.py
@@ -13,7 +13,9 @@
 MAX_TOKENS_PER_SECOND = 400_000.0
 # Shorter backlogs are processed in less time than notes take to arrive.
 MIN_SAMPLE_TOKENS = 2000
-USUAL_SERVICE_SECONDS = 0.2
+# Used before the first measurement. If it were too long, requests would be
+# refused that could have begun in time.
+USUAL_SERVICE_SECONDS = 0.05
 # Requests that end sooner were released offers, not answers.
 MIN_SERVICE_SECONDS = 0.02
 SMOOTHING_FACTOR = 0.2
