--- a/lavenderbend/coordination/forwarding/admission/owner_queue.py
+++ b/lavenderbend/coordination/forwarding/admission/owner_queue.py
@@ -270,7 +270,7 @@
         )
         until = min(need.deadline, now + MAX_RESERVATION_SECONDS)
         counted = rooms.count(need, unread, until, now)
-        counted.backlog = occupancy.unread + unread
+        counted.measured_tokens = 0 if occupancy.reading else unread
         counted.reply = reply
         self.owned.count(request, counted)
         occupancy.add(counted, now)
--- a/lavenderbend/coordination/forwarding/admission/pace.py
+++ b/lavenderbend/coordination/forwarding/admission/pace.py
@@ -11,7 +11,7 @@
 # Slower or faster samples are errors of measurement, as after a lost note.
 MIN_TOKENS_PER_SECOND = 2000.0
 MAX_TOKENS_PER_SECOND = 400_000.0
-# Shorter backlogs are processed in less time than notes take to arrive.
+# Shorter prompts are processed in less time than notes take to arrive.
 MIN_SAMPLE_TOKENS = 2000
 # Used before the first measurement. If it were too long, requests would be
 # refused that could have begun in time.
@@ -66,17 +66,17 @@
             return 1.0
         return self.percent / USUAL_PACE_PERCENT
 
-    def note_begun(self, backlog: int, seconds: float, now: float) -> None:
-        """Records that an upstream has processed a backlog of prompts.
+    def note_begun(self, tokens: int, seconds: float, now: float) -> None:
+        """Records that an upstream has processed a prompt.
 
         Args:
-            backlog: Tokens that it had to process.
+            tokens: Tokens that it had to process.
             seconds: Time that it took.
             now: Router clock.
         """
-        if backlog < MIN_SAMPLE_TOKENS or seconds <= 0:
+        if tokens < MIN_SAMPLE_TOKENS or seconds <= 0:
             return
-        sample = backlog / seconds * self.factor(now)
+        sample = tokens / seconds * self.factor(now)
         sample = min(MAX_TOKENS_PER_SECOND, max(MIN_TOKENS_PER_SECOND, sample))
         before = self.reading_rate(now)
         self.tokens_per_second = smoothed(before, sample)
--- a/lavenderbend/coordination/forwarding/admission/room.py
+++ b/lavenderbend/coordination/forwarding/admission/room.py
@@ -37,8 +37,9 @@
         until: Router clock at which the reservation expires.
         granted_at: Router clock at which it was counted.
         reading_until: Router clock from which its prompt counts as processed.
-        backlog: Tokens that the upstream had to process before its first
-            output, its own included.
+        measured_tokens: Tokens by whose processing the reading rate is
+            measured, 0 if the upstream was processing other prompts when it
+            was counted: how much of those is left is not known.
         begun: Whether the upstream has begun to answer.
         chat: Short id of its chat, 0 for none.
         shared_tokens: Length of the part that other requests of the chat have.
@@ -50,7 +51,7 @@
     until: float
     granted_at: float = -math.inf
     reading_until: float = math.inf
-    backlog: int = 0
+    measured_tokens: int = 0
     begun: bool = False
     chat: int = 0
     shared_tokens: int = 0
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -155,7 +155,7 @@
         until = min(need.deadline, now + owner_queue.MAX_RESERVATION_SECONDS)
         unread = self.unread(request.upstream, need)
         counted = rooms.count(need, unread, until, now)
-        counted.backlog = reply.unread_tokens + unread
+        counted.measured_tokens = 0 if reply.unread_tokens else unread
         self.count(request, counted)
         return reply
 
@@ -251,7 +251,9 @@
             counted.begun = True
             counted.unread = 0
             seconds = now - counted.granted_at
-            self.pace(upstream).note_begun(counted.backlog, seconds, now)
+            self.pace(upstream).note_begun(
+                counted.measured_tokens, seconds, now
+            )
         self.note_held(host, number, upstream, chat, upstream)
 
     def note_ended(
--- a/tests/test_coordination/test_owner_queue.py
+++ b/tests/test_coordination/test_owner_queue.py
@@ -272,6 +272,30 @@
     assert reply.expected_milliseconds == 500
 
 
+async def test_notes_measure_the_reading_rate(owned, autojump_clock):
+    # A slow engine would be sent requests that miss their deadlines there.
+    for number in range(1, 31):
+        owned.reserve(ask(number, 8000))
+        await trio.sleep(0.4)
+        fakes.begin(owned, number)
+        fakes.end(owned, number)
+    owned.reserve(ask(98, 8000))
+    reply = owned.reserve(ask(99, 8000, wait=0))
+    assert reply.expected_milliseconds == pytest.approx(400, rel=0.02)
+
+
+async def test_prompt_behind_others_measures_no_rate(owned, autojump_clock):
+    # The first is almost done: the engine would seem to have read both within
+    # a few milliseconds.
+    owned.reserve(ask(1, 8000))
+    await trio.sleep(0.19)
+    assert state(owned.reserve(ask(2, 2000))) == GRANTED
+    await trio.sleep(0.06)
+    fakes.begin(owned, 2)
+    pace = owned.pace(fakes.UPSTREAM)
+    assert pace.reading_rate(trio.current_time()) == 40_000
+
+
 async def test_wait_for_a_slot_counts_position_and_service_time(
     owned, autojump_clock
 ):
--- a/tests/test_coordination/test_upstream_pace.py
+++ b/tests/test_coordination/test_upstream_pace.py
@@ -33,7 +33,7 @@
     assert pace.reading_seconds(9000, 3.0) == pytest.approx(0.45, rel=0.01)
 
 
-def test_short_backlog_measures_no_rate(pace):
+def test_short_prompt_measures_no_rate(pace):
     # It takes less time than the note that tells of its end.
     pace.note_begun(500, 0.06, 1.0)
     assert pace.reading_rate(1.0) == paces.USUAL_TOKENS_PER_SECOND
