--- a/lavenderbend/coordination/forwarding/admission/owner_queue.py
+++ b/lavenderbend/coordination/forwarding/admission/owner_queue.py
@@ -176,7 +176,8 @@
             self.grant_waiting(request.upstream, now)
             return self.decide(request, now)
         waiting.heard_at = now
-        if self.end_overdue(waiting, now):
+        reading = self.reading_seconds(waiting, now)
+        if self.end_overdue(waiting, reading, now):
             self.remove_empty(request.upstream)
             return self.declined[request.upstream][key].reply
         return self.state_of(waiting, now)
@@ -368,12 +369,21 @@
     def grant_ready(self, now: float) -> None:
         """Grants waiting requests at upstreams where anything has changed."""
         for upstream in list(self.queues):
-            checked_at, held = self.checked[upstream]
-            if (
-                now - checked_at >= RECHECK_SECONDS
-                or self.occupancy(upstream, now) != held
-            ):
-                self.grant_waiting(upstream, now)
+            self.grant_changed(upstream, now)
+
+    def grant_changed(self, upstream: int, now: float) -> None:
+        """Grants waiting requests if what their upstream holds has changed.
+
+        Each note arrives twice, and most copies change nothing.
+        """
+        if upstream not in self.queues:
+            return
+        checked_at, held = self.checked[upstream]
+        if (
+            now - checked_at >= RECHECK_SECONDS
+            or self.occupancy(upstream, now) != held
+        ):
+            self.grant_waiting(upstream, now)
 
     def grant_waiting(self, upstream: int, now: float) -> None:
         """Grants the waiting requests that fit, in their order."""
@@ -396,17 +406,28 @@
         """Drops requests that wait no longer, and reorders the others."""
         for waiting in queue:
             waiting.unread = self.owned.unread(upstream, waiting.need)
+            reading = self.reading_seconds(waiting, now)
             if now - waiting.heard_at > UNHEARD_SECONDS:
                 queue.remove(waiting)
                 observe_wait(waiting, 'unheard', now)
-            elif not self.end_overdue(waiting, now):
-                reading = self.reading_seconds(waiting, now)
-                if not waiting.can_meet_target(reading, now):
-                    queue.note_late(waiting)
-
-    def end_overdue(self, waiting: waitings.WaitingRequest, now: float) -> bool:
-        """Declines a request that may wait no longer; returns whether."""
-        reading = self.reading_seconds(waiting, now)
+            elif self.end_overdue(waiting, reading, now):
+                continue
+            elif not waiting.can_meet_target(reading, now):
+                queue.note_late(waiting)
+
+    def end_overdue(
+        self, waiting: waitings.WaitingRequest, reading: float, now: float
+    ) -> bool:
+        """Declines a request that may wait no longer.
+
+        Args:
+            waiting: The request.
+            reading: Time from its beginning to its output, in seconds.
+            now: Router clock.
+
+        Returns:
+            Whether it was declined.
+        """
         if now + reading >= waiting.need.deadline:
             self.end(waiting, Shortage.TIME, now)
             return True
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -239,7 +239,7 @@
             if handler is not None:
                 handler(notes.host, number, upstream, chat, holder)
         for upstream in {row[2] for row in notes.rows}:
-            self.queue.grant_waiting(upstream, trio.current_time())
+            self.queue.grant_changed(upstream, trio.current_time())
 
     def note_begun(
         self, host: str, number: int, upstream: int, chat: int, holder: int
--- a/tests/test_coordination/test_fairness.py
+++ b/tests/test_coordination/test_fairness.py
@@ -60,6 +60,21 @@
     assert [item.name for item in queue] == ['b1', 'a1']
 
 
+def test_withdrawn_item_is_not_charged():
+    # A customer whose items were withdrawn would be served after all others.
+    queue = fairness.FairQueue()
+    items = {name: Item(name) for name in ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')}
+    for name, item in items.items():
+        queue.push(item, 2, 1 if name.startswith('a') else 2, 1.0)
+
+    assert queue.withdraw(items['a1'])
+    assert queue.withdraw(items['a3'])
+    assert not queue.withdraw(items['a3'])
+    queue.push(Item('a4'), 2, 1, 1.0)
+
+    assert [item.name for item in queue] == ['a2', 'b1', 'b2', 'a4', 'b3']
+
+
 def test_removed_items_leave_no_state():
     queue = fairness.FairQueue()
     items = [Item(str(number)) for number in range(50)]
