--- a/lavenderbend/coordination/forwarding/health.py
+++ b/lavenderbend/coordination/forwarding/health.py
@@ -192,6 +192,11 @@
             return False
         return record.suspect_until > trio.current_time()
 
+    def is_avoided(self, instance: str) -> bool:
+        """Returns whether an upstream is avoided as dead or failing."""
+        record = self.records.get(instance)
+        return record is not None and record.avoid_until > trio.current_time()
+
     def note_full(self, instance: str) -> None:
         """Records that an upstream refused a request because it is full."""
         record = self.record(instance)
--- a/lavenderbend/coordination/forwarding/loads.py
+++ b/lavenderbend/coordination/forwarding/loads.py
@@ -17,6 +17,11 @@
 REPORT_LIFETIME_SECONDS = 2.0
 # A peer that sent no message for this time may have ended its requests.
 PEER_LIFETIME_SECONDS = 3.0
+# How long work may take, in percent of the usual time. Other figures are taken
+# for faults of the upstream.
+MIN_PACE_PERCENT = 10
+MAX_PACE_PERCENT = 10_000
+MAX_PACE_DIGITS = 5
 
 
 @attrs.define
@@ -199,3 +204,21 @@
         """Returns how many requests some upstreams have in total."""
         self.remove_expired()
         return sum(self.unexpired_load(instance) for instance in instances)
+
+
+def parse_pace(value: bytes) -> int | None:
+    """Returns how long work takes by a load report, None if it says nothing.
+
+    Returns:
+        The time in percent of the usual time.
+    """
+    parts = value.split(b',')
+    if len(parts) < 4:
+        return None
+    text = parts[3].strip()
+    if not text.isdigit() or len(text) > MAX_PACE_DIGITS:
+        return None
+    percent = int(text)
+    if not MIN_PACE_PERCENT <= percent <= MAX_PACE_PERCENT:
+        return None
+    return percent
