--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.forwarding import answer_bodies
 from lavenderbend.coordination.forwarding import failed_attempts
 from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.coordination.forwarding import loads as loads_module
 from lavenderbend.coordination.forwarding import tickets
 
 if TYPE_CHECKING:
@@ -21,12 +22,17 @@
     from lavenderbend.coordination.forwarding import directory as directories
     from lavenderbend.coordination.forwarding import events
     from lavenderbend.coordination.forwarding import health as health_module
-    from lavenderbend.coordination.forwarding import loads as loads_module
     from lavenderbend.coordination.forwarding import outgoing
     from lavenderbend.coordination.forwarding import (
         rejection_limits as rejection_limits_module,
     )
+    from lavenderbend.coordination.forwarding import (
+        reservations as reservations_module,
+    )
     from lavenderbend.coordination.forwarding import silence as silence_module
+    from lavenderbend.coordination.forwarding.admission import (
+        crowding as crowding_module,
+    )
     from lavenderbend.coordination.forwarding.stream_versions import (
         stream_versions as stream_versions_module,
     )
@@ -112,6 +118,15 @@
         self.stream_versions: stream_versions_module.StreamVersions | None = (
             None
         )
+        self.crowding: crowding_module.Crowding | None = None
+        self.on_pace: Callable[
+            [
+                forwarding.Upstream,
+                reservations_module.Reservation | None,
+                int,
+            ],
+            None,
+        ] = ignore_pace
 
     async def attempt(
         self,
@@ -264,8 +279,10 @@
         self.silence.note_bytes(waiting)
         ticket.unframed = not head.framed
         self.note_head(upstream, head)
+        self.note_pace(ticket, upstream, head)
         self.end_unanswered(ticket)
         if self.reports_not_run(head):
+            self.note_crowded(ticket, upstream, head)
             ticket.may_have_run = previously
             if head.status == MISDIRECTED:
                 # The intended upstream has not received the request.
@@ -365,6 +382,40 @@
         if head.status == SERVICE_UNAVAILABLE:
             self.note_retry_after(upstream, head)
 
+    def note_pace(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        head: interfaces.AnswerHead,
+    ) -> None:
+        """Passes on how long work takes at an upstream, if it says so."""
+        load = interfaces.header(head.headers, self.load_header)
+        if load is None or head.status == MISDIRECTED:
+            return
+        percent = loads_module.parse_pace(load)
+        if percent is None:
+            return
+        reservation = None
+        if ticket.reservation is not None:
+            reservation = ticket.reservation.reservation
+        self.on_pace(upstream, reservation, percent)
+
+    def note_crowded(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        head: interfaces.AnswerHead,
+    ) -> None:
+        """Records that an upstream had no room for a request without a prompt.
+
+        One that leaves rejects requests for another reason.
+        """
+        if self.crowding is None or ticket.prompt.parts:
+            return
+        leaving = interfaces.header(head.headers, self.leaving_header)
+        if head.status == SERVICE_UNAVAILABLE and leaving != HEADER_TRUE:
+            self.crowding.note_rejected(upstream.instance)
+
     def note_retry_after(
         self, upstream: forwarding.Upstream, head: interfaces.AnswerHead
     ) -> None:
@@ -490,6 +541,14 @@
         await answer.finish()
 
 
+def ignore_pace(
+    upstream: forwarding.Upstream,
+    reservation: reservations_module.Reservation | None,
+    percent: int,
+) -> None:
+    """Does nothing; the default of `Attempts.on_pace`."""
+
+
 def parse_retry_after(value: bytes | None) -> float:
     """Returns the seconds of a Retry-After header, 0 if it has none.
 
--- a/lavenderbend/coordination/forwarding/request_resolver.py
+++ b/lavenderbend/coordination/forwarding/request_resolver.py
@@ -33,6 +33,7 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 1.0
 POOL_SHARE_STEPS = 1_000_000
+MAX_TOKEN_DIGITS = 9
 
 
 def retry_after_seconds(left: float) -> float:
@@ -211,6 +212,18 @@
             seconds = min(seconds, stated)
         return request.arrived + seconds
 
+    def output_tokens(self, request: interfaces.CallerRequest) -> int:
+        """Returns the expected length of an output, 0 if callers state none.
+
+        It is the caller's estimate, but not more than the most that the caller
+        allows.
+        """
+        names = self.headers
+        usage = request.header(names.tokens) if names.tokens else None
+        hint = request.header(names.length_hint) if names.length_hint else None
+        _, _, most = (usage or '').partition(',')
+        return expected_output(parse_tokens(most), parse_tokens(hint or ''))
+
     def make_ticket(
         self,
         request: interfaces.CallerRequest,
@@ -237,6 +250,8 @@
             prompt=choice.RequestPrompt(
                 choice.parse_parts(request.header(self.headers.prompt_parts))
             ),
+            target_at=request.arrived + then.target,
+            output_tokens=self.output_tokens(request),
             regions=allowed_regions(then, customer),
             splitter=events.EventSplitter(
                 events.parse_event_number(last.encode('latin-1'))
@@ -245,6 +260,26 @@
         )
 
 
+def parse_tokens(text: str) -> int:
+    """Returns a number of tokens, 0 for text that is not one."""
+    text = text.strip()
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_TOKEN_DIGITS:
+        return 0
+    return int(text)
+
+
+def expected_output(most: int, hint: int) -> int:
+    """Returns the expected length of an output in tokens, 0 if unknown.
+
+    Args:
+        most: The most that the caller allows, 0 if it states none.
+        hint: The caller's estimate, 0 if it states none.
+    """
+    if most and hint:
+        return min(most, hint)
+    return most or hint
+
+
 def allowed_regions(
     then: forwarding.Forward, customer: forwarding.ForwardCustomer | None
 ) -> frozenset[str] | None:
--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -64,6 +64,9 @@
     own_tokens: int
 
 
+NO_PROMPT = PromptSummary(0, 0, 0)
+
+
 @attrs.define
 class Reservation:
     """One request at one upstream, as counted by the owner of the upstream.
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,12 +16,16 @@
 
 from lavenderbend.coordination.forwarding import choice as choice_module
 from lavenderbend.coordination.forwarding import directory
-from lavenderbend.coordination.forwarding import owned_loads
 from lavenderbend.coordination.forwarding import (
     reservations as reservations_module,
 )
+from lavenderbend.coordination.forwarding.admission import crowded_choices
+from lavenderbend.coordination.forwarding.admission import (
+    offers as offers_module,
+)
+from lavenderbend.coordination.forwarding.admission import queued_choices
+from lavenderbend.coordination.forwarding.admission import waits
 from lavenderbend.state import decisions
-from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,24 +35,14 @@
     from collections.abc import Sequence
 
     from lavenderbend.coordination.forwarding import tickets
+    from lavenderbend.coordination.forwarding.admission import crowding
+    from lavenderbend.coordination.forwarding.admission import demand as demands
     from lavenderbend.coordination.forwarding.warm_up import cold_starts
     from lavenderbend.state import forwarding
 
 # Up to this many routers learn of each other's requests soon enough without
 # asking owners.
 SMALL_FLEET_ROUTERS = 12
-# Unprocessed tokens at an upstream that delay a long prompt by less than its
-# own processing time. A chat that moves costs more than that: its prompt is
-# copied, and the copy displaces other prompts from memory.
-LOW_UNREAD_TOKENS = 5000
-# Upstreams below the load bound whose owners are asked at most, at two
-# milliseconds each.
-MAX_OPEN_OFFERS = 3
-# Upstreams whose owners are asked at most, including those over the bound.
-# After a full upstream the next one is asked about: routers that all have
-# requests of one chat learn of each other's requests too late, and would
-# overload the upstream that each of them believes to be free.
-MAX_OFFERS = 10
 # Owners that do not reply, after which no other is asked: each may delay the
 # request by `owner_calls.REPLY_TIMEOUT_SECONDS`.
 MAX_SILENT_OWNERS = 2
@@ -60,77 +55,8 @@
 MAX_PERMIT_WAIT_SECONDS = 0.3
 PERMIT_RETRY_SECONDS = 0.03
 
-NO_PROMPT = reservations_module.PromptSummary(0, 0, 0)
-
-HOLDS_CHAT = 'holds the chat'
-LESS_UNREAD = 'less to read'
-MORE_UNREAD = 'more to read'
-NO_REPLY = 'its owner did not reply'
-
-
-@attrs.frozen
-class Offer:
-    """An upstream that a request may be sent to, by its owner's answer.
-
-    Attributes:
-        reservation: The owner's answer.
-        load: Requests that the upstream holds: as the owner counts them, or
-            as this router knows if that is more. The owner may lack a report
-            that has reached this router.
-        holds: Whether the upstream has the chat cached.
-        held: Whether any upstream has.
-    """
-
-    reservation: reservations_module.Reservation
-    load: int
-    holds: bool
-    held: bool
-
-    def unread(self, prompt: reservations_module.PromptSummary) -> int:
-        """Returns the tokens to process before the request's first output."""
-        own = owned_loads.unread_tokens(
-            prompt.tokens, prompt.own_tokens, self.holds, self.held
-        )
-        return self.reservation.unread + own
-
-
-def is_good(offer: Offer, bound: int) -> bool:
-    """Returns whether no other upstream needs to be asked about."""
-    if offer.load >= bound:
-        return False
-    if offer.held and not offer.holds:
-        return False
-    return offer.reservation.unread <= LOW_UNREAD_TOKENS
-
-
-def needs_another_offer(offers: Sequence[Offer], bound: int) -> bool:
-    """Returns whether the owner of one more upstream is asked."""
-    if not offers:
-        return True
-    if is_good(offers[-1], bound) or len(offers) >= MAX_OFFERS:
-        return False
-    return sum(offer.load < bound for offer in offers) < MAX_OPEN_OFFERS
-
-
-def best(
-    offers: Sequence[Offer],
-    prompt: reservations_module.PromptSummary,
-    bound: int,
-) -> Offer | None:
-    """Returns the offer that a request uses, None if all are over the bound.
-
-    A later offer must save a delay that a caller would notice: each move of a
-    chat costs a copy of its prompt, or leaves the prompt cached at two
-    upstreams.
-    """
-    open_offers = [offer for offer in offers if offer.load < bound]
-    if not open_offers:
-        return None
-    chosen = open_offers[0]
-    for offer in open_offers[1:]:
-        if offer.unread(prompt) + LOW_UNREAD_TOKENS < chosen.unread(prompt):
-            chosen = offer
-    return chosen
+LESS_UNREAD = offers_module.LESS_UNREAD
+MORE_UNREAD = offers_module.MORE_UNREAD
 
 
 class ReservingChooser:
@@ -142,6 +68,11 @@
         instances: Instances of upstreams by short id.
         fleet_size: Returns the number of routers.
         cold_starts: Limits the requests to cold upstreams, None for no limit.
+        crowding: Knows which upstreams are crowded, None if none may be.
+        rng: Spreads the retries of callers that are refused.
+        waits: Has requests wait for room.
+        queued: Chooses for prompts that may wait.
+        crowded: Chooses for requests without a prompt at crowded upstreams.
     """
 
     def __init__(
@@ -156,6 +87,34 @@
         self.instances = instances
         self.fleet_size = fleet_size
         self.cold_starts: cold_starts.ColdStarts | None = None
+        self.crowding: crowding.Crowding | None = None
+        self.rng = random.Random()  # noqa: S311 - jitter only
+        self.waits = waits.Waits()
+        self.queued = queued_choices.QueuedChoices(self, self.waits)
+        self.crowded = crowded_choices.CrowdedChoices(self, self.waits)
+
+    def queues(self) -> bool:
+        """Returns whether requests may wait for room at owners."""
+        return (
+            self.waits.queue_seconds > 0.0
+            and self.fleet_size() > SMALL_FLEET_ROUTERS
+        )
+
+    def note_pace(
+        self,
+        upstream: forwarding.Upstream,
+        reservation: reservations_module.Reservation | None,
+        percent: int,
+    ) -> None:
+        """Notifies the owner of an upstream how long work takes there.
+
+        Args:
+            upstream: The upstream.
+            reservation: The reservation of a request there, None without one.
+            percent: The time, in percent of the usual time.
+        """
+        if self.queues():
+            self.reservations.note_pace(upstream, reservation, percent)
 
     async def choose(self, ticket: tickets.Ticket) -> choice_module.Choice:
         """Chooses the next upstream of a request and reserves it there.
@@ -176,7 +135,7 @@
                 await trio.sleep(PERMIT_RETRY_SECONDS)
                 closed.clear()
                 continue
-            if await self.may_start(ticket, choice.upstream):
+            if await self.may_start_or_release(ticket, choice.upstream):
                 return choice
             if ticket.reservation is not None:
                 ticket.reservation.note_ended()
@@ -184,6 +143,17 @@
             if self.cold_starts and len(closed) >= MAX_PERMITS_ASKED:
                 closed |= self.cold_starts.coldness.cold()
 
+    async def may_start_or_release(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> bool:
+        """Returns `may_start`; releases the reservation if cancelled."""
+        try:
+            return await self.may_start(ticket, upstream)
+        except trio.Cancelled:
+            if ticket.reservation is not None:
+                ticket.reservation.note_ended()
+            raise
+
     async def may_start(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
     ) -> bool:
@@ -225,7 +195,7 @@
             reply.
         """
         reservation = await self.reservations.reserve(
-            upstream, NO_PROMPT, ticket.seconds_left, slots
+            upstream, reservations_module.NO_PROMPT, ticket.seconds_left, slots
         )
         if reservation is None:
             return None
@@ -234,7 +204,7 @@
                 self.reservations,
                 reservation,
                 reservation,
-                NO_PROMPT.chat,
+                reservations_module.NO_PROMPT.chat,
                 (),
             )
         return reservation.load
@@ -283,11 +253,71 @@
             closed,
         )
         ticket.reservation = None
-        if choice.upstream is None or not ticket.prompt.parts:
+        if choice.upstream is None:
             return choice
+        if not ticket.prompt.parts:
+            if not self.needs_grant(choice.upstream):
+                return choice
+            return await self.crowded.choose(ticket, choice, closed, selection)
         if self.fleet_size() <= SMALL_FLEET_ROUTERS:
             return choice
-        prompt = make_prompt(ticket.prompt.parts, ticket.prompt.chat)
+        if self.queues():
+            return await self.queued.choose(ticket, choice, closed, selection)
+        return await self.choose_offer(ticket, choice, closed, selection)
+
+    def needs_grant(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether an upstream gets requests only if they are granted.
+
+        One with a rejection limit has stricter rules of its own.
+        """
+        if self.crowding is None or not self.queues():
+            return False
+        if not self.crowding.is_crowded(upstream.instance):
+            return False
+        return not self.has_rejection_limit(upstream)
+
+    def has_rejection_limit(self, upstream: forwarding.Upstream) -> bool:
+        """Returns whether an upstream has a rejection limit."""
+        limits = self.chooser.rejection_limits
+        return limits is not None and (
+            limits.current(upstream.instance) is not None
+        )
+
+    def is_usable(
+        self,
+        ticket: tickets.Ticket,
+        instance: str,
+        selection: directory.Selection,
+    ) -> bool:
+        """Returns whether a request may still be sent to an upstream."""
+        candidates = self.chooser.directory.candidates(
+            ticket.service, selection
+        )
+        health = self.chooser.health
+        return (
+            instance in candidates.by_name
+            and not health.is_paused(instance)
+            and not health.is_avoided(instance)
+        )
+
+    async def choose_offer(
+        self,
+        ticket: tickets.Ticket,
+        choice: choice_module.Choice,
+        closed: Collection[str],
+        selection: directory.Selection,
+    ) -> choice_module.Choice:
+        """Chooses the best offer of owners, none of which makes it wait.
+
+        Args:
+            ticket: The request.
+            choice: The choice by what this router knows.
+            closed: Cold upstreams that may not be sent the request now.
+            selection: Which upstreams of the service it may be sent to.
+        """
+        prompt = offers_module.make_prompt(
+            ticket.prompt.parts, ticket.prompt.chat
+        )
         offers, silent = await self.ask(
             ticket, prompt, choice.allowed, closed, selection
         )
@@ -298,24 +328,58 @@
         remaining = [
             offer for offer in offers if offer.reservation.instance in upstreams
         ]
-        chosen = best(remaining, prompt, choice.allowed)
+        chosen = offers_module.best(remaining, prompt, choice.allowed)
         self.release(offers, chosen)
         if chosen is None:
             return self.choose_unreserved(ticket, remaining, closed, selection)
+        return self.take(
+            ticket, prompt, selection, offers, chosen, choice.allowed, silent
+        )
+
+    def take(
+        self,
+        ticket: tickets.Ticket,
+        prompt: reservations_module.PromptSummary,
+        selection: directory.Selection,
+        offers: Sequence[offers_module.Offer],
+        chosen: offers_module.Offer,
+        bound: int,
+        silent: Sequence[str],
+        urgent: bool = False,
+    ) -> choice_module.Choice:
+        """Returns the choice of an offer, which the request uses from now on.
+
+        Args:
+            ticket: The request.
+            prompt: Its prompt.
+            selection: Which upstreams of the service it may be sent to.
+            offers: All offers, in the order in which owners were asked.
+            chosen: The offer that is used; its upstream is a candidate.
+            bound: Requests that an upstream may hold.
+            silent: Upstreams whose owners did not reply.
+            urgent: Whether the owner is notified at once.
+        """
+        upstreams = self.chooser.directory.candidates(
+            ticket.service, selection
+        ).by_name
+        preferred = offers[0].reservation
         ticket.reservation = reservations_module.ActiveReservation(
             self.reservations,
             chosen.reservation,
-            offers[0].reservation,
+            preferred,
             prompt.chat,
-            self.names(offers[0].reservation.holders),
+            self.names(preferred.holders),
+            urgent,
         )
         upstream = upstreams[chosen.reservation.instance]
-        return make_choice(upstream, offers, chosen, choice.allowed, silent)
+        return offers_module.make_choice(
+            upstream, offers, chosen, bound, silent
+        )
 
     def choose_unreserved(
         self,
         ticket: tickets.Ticket,
-        over_bound: Sequence[Offer],
+        over_bound: Sequence[offers_module.Offer],
         closed: Collection[str],
         selection: directory.Selection,
     ) -> choice_module.Choice:
@@ -361,9 +425,18 @@
         bound: int,
         closed: Collection[str],
         selection: directory.Selection,
-    ) -> tuple[list[Offer], list[str]]:
+        demand: demands.Demand | None = None,
+    ) -> tuple[list[offers_module.Offer], list[str]]:
         """Reserves at owners in turn, until an offer is good enough.
 
+        Args:
+            ticket: The request.
+            prompt: Its prompt.
+            bound: Requests that an upstream may hold.
+            closed: Cold upstreams that may not be sent the request now.
+            selection: Which upstreams of the service it may be sent to.
+            demand: What the request needs, None if owners may not decline it.
+
         Returns:
             The offers, and the upstreams whose owners did not reply.
         """
@@ -374,33 +447,65 @@
             selection,
             closed,
         )
-        offers: list[Offer] = []
+        offers: list[offers_module.Offer] = []
         silent: list[str] = []
         try:
             while (
-                needs_another_offer(offers, bound)
+                offers_module.needs_another_offer(offers, prompt, bound)
                 and len(silent) < MAX_SILENT_OWNERS
             ):
                 upstream = self.next_to_ask(usable, offers, bound, silent)
                 if upstream is None:
                     break
-                reservation = await self.reservations.reserve(
-                    upstream, prompt, ticket.seconds_left
+                offer = await self.ask_one(
+                    ticket, upstream, prompt, bound, demand, offers
                 )
-                if reservation is None:
+                if offer is None:
                     silent.append(upstream.instance)
                     continue
-                local_load = self.chooser.loads.load(upstream.instance)
-                offers.append(make_offer(reservation, local_load, offers))
+                offers.append(offer)
         except trio.Cancelled:
             self.release(offers, None)
             raise
         return offers, silent
 
+    async def ask_one(
+        self,
+        ticket: tickets.Ticket,
+        upstream: forwarding.Upstream,
+        prompt: reservations_module.PromptSummary,
+        bound: int,
+        demand: demands.Demand | None,
+        earlier: Sequence[offers_module.Offer],
+    ) -> offers_module.Offer | None:
+        """Returns the offer of an upstream's owner, None if it is silent.
+
+        Args:
+            ticket: The request.
+            upstream: The upstream.
+            prompt: The prompt of the request.
+            bound: Requests that the upstream may hold.
+            demand: What the request needs, None if owners may not decline it.
+            earlier: Offers by other owners.
+        """
+        if demand is not None and self.has_rejection_limit(upstream):
+            demand = None
+        reservation = await self.reservations.reserve(
+            upstream,
+            prompt,
+            ticket.seconds_left,
+            0 if demand is None else bound,
+            demand,
+        )
+        if reservation is None:
+            return None
+        local_load = self.chooser.loads.load(upstream.instance)
+        return offers_module.make_offer(reservation, local_load, earlier)
+
     def next_to_ask(
         self,
         usable: choice_module.UsableUpstreams,
-        offers: Sequence[Offer],
+        offers: Sequence[offers_module.Offer],
         bound: int,
         silent: Collection[str],
     ) -> forwarding.Upstream | None:
@@ -428,13 +533,15 @@
         names = (self.instances.get(short) for short in short_ids)
         return [name for name in names if name is not None]
 
-    def release(self, offers: Sequence[Offer], chosen: Offer | None) -> None:
+    def release(
+        self,
+        offers: Sequence[offers_module.Offer],
+        chosen: offers_module.Offer | None,
+    ) -> None:
         """Releases the reservations of all offers but the chosen one."""
         for offer in offers:
             if offer is not chosen:
-                self.reservations.queue_note(
-                    offer.reservation, owned_loads.NoteKind.ENDED, 0
-                )
+                self.reservations.release(offer.reservation)
 
 
 def has_room(choice: choice_module.Choice, tried: Collection[str]) -> bool:
@@ -444,69 +551,3 @@
     if choice.reason == choice_module.ALL_AVOIDED:
         return False
     return choice.load < choice.allowed
-
-
-def make_choice(
-    upstream: forwarding.Upstream,
-    offers: Sequence[Offer],
-    chosen: Offer,
-    bound: int,
-    silent: Sequence[str],
-) -> choice_module.Choice:
-    """Returns the choice of an offer, with why the others were passed over."""
-    reason = choice_module.PROMPT_CACHED
-    if chosen is not offers[0]:
-        reason = HOLDS_CHAT if chosen.holds else LESS_UNREAD
-    passed_over = [
-        decisions.PassedOver(
-            offer.reservation.instance, pass_over_reason(offer, bound)
-        )
-        for offer in offers
-        if offer is not chosen
-    ]
-    passed_over += [decisions.PassedOver(name, NO_REPLY) for name in silent]
-    return choice_module.Choice(
-        upstream, reason, chosen.load, bound, tuple(passed_over)
-    )
-
-
-def make_prompt(
-    parts: Sequence[choice_module.PromptPart], chat: str
-) -> reservations_module.PromptSummary:
-    """Returns the description of a prompt that is sent to owners."""
-    tokens = sum(part.tokens for part in parts)
-    own = parts[-1].tokens if len(parts) > 1 else 0
-    return reservations_module.PromptSummary(
-        hashing.short_id(chat), tokens, own
-    )
-
-
-def make_offer(
-    reservation: reservations_module.Reservation,
-    local_load: int,
-    earlier: Sequence[Offer],
-) -> Offer:
-    """Returns an owner's answer as an offer.
-
-    The owner of the chat's preferred upstream, which is asked first, knows
-    which upstreams hold the chat.
-
-    Args:
-        reservation: The owner's answer.
-        local_load: Requests at the upstream, as far as this router knows.
-        earlier: Offers by other owners.
-    """
-    holders = {*reservation.holders}
-    for offer in earlier:
-        holders.update(offer.reservation.holders)
-    load = max(reservation.load, local_load)
-    return Offer(
-        reservation, load, reservation.upstream in holders, bool(holders)
-    )
-
-
-def pass_over_reason(offer: Offer, bound: int) -> str:
-    """Returns why an offer was passed over."""
-    if offer.load >= bound:
-        return choice_module.OVER_BOUND
-    return MORE_UNREAD
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -49,6 +49,9 @@
             continue it; None if the caller has no event yet.
         deadline: Router clock by which the caller has its final response.
         prompt: The parts of the request's prompt.
+        target_at: Router clock by which its output should begin.
+        output_tokens: Expected length of its output, 0 if it is not known.
+        waited_seconds: Time that it has waited for room at upstreams.
         drawn_software_id: The software at which its stream should begin, None
             if at any.
         splitter: The position in the response stream.
@@ -93,6 +96,9 @@
     rank: int
     deadline: float
     prompt: choice.RequestPrompt = attrs.field(factory=choice.RequestPrompt)
+    target_at: float = 0.0
+    output_tokens: int = 0
+    waited_seconds: float = 0.0
     regions: frozenset[str] | None = None
     software_id: int | None = None
     drawn_software_id: int | None = None
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -31,6 +31,7 @@
 from lavenderbend.coordination.forwarding import suspicion_checks
 from lavenderbend.coordination.forwarding import suspicions
 from lavenderbend.coordination.forwarding import upstream_paths
+from lavenderbend.coordination.forwarding.admission import crowding
 from lavenderbend.coordination.forwarding.crashing_parts import crashing_parts
 from lavenderbend.coordination.forwarding.crashing_parts import part_records
 from lavenderbend.coordination.forwarding.stream_versions import (
@@ -253,6 +254,18 @@
         self.forwarder.chooser.rejection_limits = self.rejection_limits
         self.forwarder.attempts.rejection_limits = self.rejection_limits
         self.forwarder.attempts.stream_versions = self.stream_versions
+        self.make_admission()
+
+    def make_admission(self) -> None:
+        """Creates what lets requests wait for room at upstreams."""
+        chooser = self.forwarder.reserving_chooser
+        chooser.rng = self.rng
+        chooser.waits.queue_seconds = self.forwarding.queue_seconds
+        self.crowding = crowding.Crowding(self.peers.facts, chooser.queues)
+        chooser.crowding = self.crowding
+        self.forwarder.attempts.crowding = self.crowding
+        self.forwarder.attempts.on_pace = chooser.note_pace
+        self.peers.fact_callbacks[crowding.CROWDED] = self.crowding.apply_fact
 
     def make_paths(self) -> None:
         """Creates the components that connect to upstreams."""
@@ -341,9 +354,9 @@
         """Applies the settings that may change while the router runs.
 
         These are the addresses of other routers, the bounds on the age of
-        the configuration, on retries and on load, and those of drained zones
-        and cold upstreams. The other settings
-        need a restart; the log line names those that have changed.
+        the configuration, on retries and on load, those of drained zones
+        and cold upstreams, and how long requests wait for room. The other
+        settings need a restart; the log line names those that have changed.
         """
         forwarding = settings.forwarding
         if forwarding is None:
@@ -358,6 +371,8 @@
         self.forwarder.chooser.load_factor = forwarding.load_factor
         self.directory.copy_seconds = forwarding.zone_drain_seconds
         self.cold_starts.settings = cold_rate_settings(forwarding)
+        waits = self.forwarder.reserving_chooser.waits
+        waits.queue_seconds = forwarding.queue_seconds
         changed = [
             name
             for name in RESTART_SETTINGS
@@ -447,6 +462,7 @@
             self.health.retain(instances)
             self.paths.retain(instances)
             self.rejection_limits.retain(instances)
+            self.crowding.retain(instances)
             self.stream_versions.remove_expired()
             self.crashing_parts.remove_expired()
             self.part_records.remove_expired()
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -238,6 +238,12 @@
     kind = 'no-upstream'
 
 
+class BeginsTooLate(RequestError):
+    """No upstream could begin the request before its deadline."""
+
+    kind = 'begins-too-late'
+
+
 class StreamVersionUnknown(RequestError):
     """No router knows the software version that alone may go on."""
 
