--- a/lavenderbend/coordination/forwarding/admission/offers.py
+++ b/lavenderbend/coordination/forwarding/admission/offers.py
@@ -77,6 +77,9 @@
 
     def own_unread(self, prompt: reservations_module.PromptSummary) -> int:
         """Returns the tokens of the request's prompt to process there."""
+        if self.reservation.shortage == Shortage.CHAT:
+            # It waits until the rest has been processed.
+            return prompt.own_tokens
         return owned_loads.unread_tokens(
             prompt.tokens, prompt.own_tokens, self.holds, self.held
         )
@@ -90,12 +93,14 @@
     ) -> float:
         """Returns the expected time until the request's first output.
 
-        An owner of the previous build states none; it follows from the tokens
-        to process then.
+        An owner of the previous build states no time until the upstream begins
+        with the request; it follows from the tokens to process before then.
         """
-        if self.reservation.expected_seconds > 0.0:
-            return self.reservation.expected_seconds
-        return self.unread(prompt) / READING_TOKENS_PER_SECOND
+        begins = self.reservation.expected_seconds
+        if begins <= 0.0:
+            begins = self.reservation.unread / READING_TOKENS_PER_SECOND
+        own = self.own_unread(prompt)
+        return begins + own / READING_TOKENS_PER_SECOND
 
 
 def is_good(
--- a/lavenderbend/coordination/forwarding/admission/waits.py
+++ b/lavenderbend/coordination/forwarding/admission/waits.py
@@ -34,11 +34,11 @@
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 10.0)
 WAITS = metrics.counter(
-    'lavenderbend_forward_waits_total',
+    'lavenderbend_forward_entry_waits_total',
     'Waits of requests of this router for room at upstreams, by outcome.',
 )
 WAIT_SECONDS = metrics.histogram(
-    'lavenderbend_forward_wait_seconds',
+    'lavenderbend_forward_entry_wait_seconds',
     'Time that a request of this router waited for room at an upstream.',
     SECONDS_BUCKETS,
 )
--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -445,6 +445,12 @@
         self.notes_queued.set()
 
     async def run(self) -> None:
+        """Sends queued notes to owners, and grants what waits here."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.owned.run)
+            nursery.start_soon(self.send_notes)
+
+    async def send_notes(self) -> None:
         """Sends queued notes to owners."""
         while True:
             await self.notes_queued.wait()
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -263,6 +263,9 @@
         chooser.waits.queue_seconds = self.forwarding.queue_seconds
         self.crowding = crowding.Crowding(self.peers.facts, chooser.queues)
         chooser.crowding = self.crowding
+        self.peers.reservations.owned.is_present = (
+            self.peers.loads.instances.__contains__
+        )
         self.forwarder.attempts.crowding = self.crowding
         self.forwarder.attempts.on_pace = chooser.note_pace
         self.peers.fact_callbacks[crowding.CROWDED] = self.crowding.apply_fact
