--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -189,6 +189,8 @@
             the latest last.
         paces_sent_at: Router clock at which the owner of each upstream was
             last told of its pace without a reservation.
+        nursery: Runs its tasks, None before `run`.
+        grants_started: Whether the task that grants waiting requests runs.
     """
 
     def __init__(
@@ -212,6 +214,8 @@
             maxlen=MAX_ABANDONED
         )
         self.paces_sent_at: dict[int, float] = {}
+        self.nursery: trio.Nursery | None = None
+        self.grants_started = False
         self.owned.on_grant = self.send_grant
 
     async def reserve(
@@ -260,7 +264,7 @@
         if demand is not None:
             request = with_demand(request, demand, wait_seconds)
         if host == self.host:
-            reply = self.owned.reserve(request)
+            reply = self.answer(request)
         else:
             reply = await self.calls.call(host, request)
         if reply is None:
@@ -304,7 +308,7 @@
         if reservation.owner != self.host:
             self.link.send(reservation.owner, reservation.request)
             return
-        self.on_reply(self.owned.reserve(reservation.request))
+        self.on_reply(self.answer(reservation.request))
 
     def keep(self, reservation: Reservation) -> None:
         """Ends the wait for a reservation that was granted.
@@ -390,7 +394,7 @@
         if owner != self.host:
             self.link.send(owner, attrs.evolve(request, forwarded=True))
             return
-        self.link.send(request.host, self.owned.reserve(request))
+        self.link.send(request.host, self.answer(request))
 
     def on_reply(self, reply: messages_forwarding.ReservationReply) -> None:
         """Handles a reply; ends the reservation of one that is too late.
@@ -447,8 +451,21 @@
     async def run(self) -> None:
         """Sends queued notes to owners, and grants what waits here."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.owned.run)
-            nursery.start_soon(self.send_notes)
+            self.nursery = nursery
+            await self.send_notes()
+
+    def answer(
+        self, request: messages_forwarding.ReservationRequest
+    ) -> messages_forwarding.ReservationReply:
+        """Returns the reply of this router as the owner.
+
+        Grants by the passage of time begin with the first request that may
+        wait; where none does, no further task runs.
+        """
+        if request.checks_room and self.nursery and not self.grants_started:
+            self.grants_started = True
+            self.nursery.start_soon(self.owned.run)
+        return self.owned.reserve(request)
 
     async def send_notes(self) -> None:
         """Sends queued notes to owners."""
@@ -489,13 +506,14 @@
     wait_seconds: float,
 ) -> messages_forwarding.ReservationRequest:
     """Returns a request that the owner may decline or have wait."""
-    target = demand.target_at - trio.current_time()
+    # A request without a target has one that has passed.
+    target = max(0.0, demand.target_at - trio.current_time())
     return attrs.evolve(
         request,
         rank=demand.rank,
         customer=demand.customer,
         output_tokens=demand.output_tokens,
-        target_milliseconds=max(0, round(target * MILLISECONDS)),
+        target_milliseconds=round(target * MILLISECONDS),
         checks_room=True,
         wait_milliseconds=max(0, round(wait_seconds * MILLISECONDS)),
     )
