Owners of upstreams are drawn in proportion to the routers' processors

Each router sends its capacity; rows of its zone's routers carry those that it received from them, in a field that earlier builds ignore. Owners are cached until the membership of the zone changes. Equal capacities give the owners of before.

--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -19,6 +19,7 @@
 from lavenderbend.coordination.forwarding import peers
 from lavenderbend.coordination.forwarding import snapshots
 from lavenderbend.coordination.forwarding import suspicions
+from lavenderbend.coordination.forwarding import zone_members
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 
@@ -141,6 +142,7 @@
         store: Store,
         seeds: list[str],
         life: int = 0,
+        capacity: int = zone_members.DEFAULT_CAPACITY,
     ) -> None:
         self.host = host_of(number)
         self.zone = zone_of(number, zones)
@@ -165,6 +167,7 @@
             self.loads,
             link,
             rng,
+            capacity,
         )
         self.crashes = crashes.CrashDetector(lambda one: True, self.peers.facts)
         self.suspicions = suspicions.Suspicions(
@@ -202,6 +205,8 @@
         net: The network.
         store: The store.
         routers: Those that live, by number.
+        capacities: Capacities of routers that differ from the default, by
+            number.
     """
 
     nursery: trio.Nursery
@@ -212,6 +217,7 @@
     rng: random.Random
     routers: dict[int, Router] = attrs.field(factory=dict)
     lives: int = 0
+    capacities: dict[int, int] = attrs.field(factory=dict)
 
     @property
     def seeds(self) -> list[str]:
@@ -222,7 +228,13 @@
         """Starts a router."""
         self.lives += 1
         router = Router(
-            number, self.zones, self.net, self.store, self.seeds, self.lives
+            number,
+            self.zones,
+            self.net,
+            self.store,
+            self.seeds,
+            self.lives,
+            self.capacities.get(number, zone_members.DEFAULT_CAPACITY),
         )
         self.routers[number] = router
         self.nursery.start_soon(router.run)
--- a/lavenderbend/coordination/forwarding/members.py
+++ b/lavenderbend/coordination/forwarding/members.py
@@ -82,12 +82,13 @@
         zone: str,
         seeds: Iterable[str],
         clock: Callable[[], float],
+        capacity: int = zone_members.DEFAULT_CAPACITY,
     ) -> None:
         self.host = host
         self.zone = zone
         self.seeds = [seed for seed in seeds if seed != host]
         self.clock = clock
-        self.same_zone = zone_members.ZoneMembers(host)
+        self.same_zone = zone_members.ZoneMembers(host, capacity)
         self.other_zones: dict[str, dict[str, float]] = {}
         self.by_host: dict[str, Member] = {}
 
@@ -136,6 +137,7 @@
                 self.same_zone.remove(state.host)
             else:
                 self.same_zone.note(state.host)
+                self.same_zone.note_capacity(state.host, state.capacity)
         elif not state.leaving:
             self.note_host(state.zone, state.host, 0.0)
 
--- a/lavenderbend/coordination/forwarding/owners.py
+++ b/lavenderbend/coordination/forwarding/owners.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from lavenderbend.coordination.forwarding import zone_owners
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
@@ -26,7 +27,10 @@
     """Finds the owners of upstreams.
 
     An upstream is owned by a router of its own availability zone, the first
-    in rendezvous hashing order: the routers of a zone know each other. A
+    in weighted rendezvous hashing order: the routers of a zone know each other
+    and, from their own messages, each other's processors. Routers that have
+    heard different ones may disagree for a while; as a question is forwarded
+    only once, the router that is taken for the owner then replies. A
     router of another zone knows only some of them; it sends its request to
     any, which forwards it to the owner, and to the owner from then on.
 
@@ -34,6 +38,7 @@
         host: This router.
         zone: Its availability zone.
         members: Other routers.
+        zone_owners: Finds owners in this router's zone.
         fleet_count: Knows which zones there are.
         rng: Chooses routers of other zones.
         known_owners: Owners that have replied, by short ids of upstreams.
@@ -51,6 +56,7 @@
         self.host = host
         self.zone = zone
         self.members = members
+        self.zone_owners = zone_owners.ZoneOwners(members.same_zone)
         self.fleet_count = fleet_count
         self.rng = rng
         self.known_owners: dict[int, str] = {}
@@ -58,8 +64,7 @@
 
     def owner_in_zone(self, upstream: int) -> str:
         """Returns the owner of an upstream of this router's zone."""
-        hosts = {self.host, *self.members.same_zone.alive()}
-        return hashing.rendezvous(f'{upstream:08x}', hosts)
+        return self.zone_owners.owner(upstream)
 
     def owning_zone(self, upstream: int, zone: str) -> str:
         """Returns the zone whose routers own an upstream.
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -16,6 +16,7 @@
 from lavenderbend.coordination.forwarding import reservations
 from lavenderbend.coordination.forwarding import shared_freshness
 from lavenderbend.coordination.forwarding import shared_loads
+from lavenderbend.coordination.forwarding import zone_members
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
@@ -122,6 +123,7 @@
         loads: loads_module.Loads,
         link: interfaces.DatagramLink,
         rng: random.Random,
+        capacity: int = zone_members.DEFAULT_CAPACITY,
     ) -> None:
         self.name = name
         self.host = host
@@ -132,7 +134,7 @@
         self.rng = rng
         self.incarnation = rng.getrandbits(48)
         self.members = members_module.Members(
-            host, zone, seeds, snapshots.clock
+            host, zone, seeds, snapshots.clock, capacity
         )
         self.fleet = fleet_count.FleetCount(zone)
         self.divisor = fleet_count.FleetDivisor()
@@ -370,6 +372,12 @@
         member = self.members.get(host)
         zone = '' if member is None else member.zone
         same_zone = not zone or zone == self.zone
+        # Other zones need only the number of routers.
+        hosts, capacities = (
+            self.members.same_zone.rows_to_send(self.rng)
+            if same_zone
+            else (b'', b'')
+        )
         return self.state(
             host,
             reply_requested=reply_requested,
@@ -378,14 +386,12 @@
             facts=self.facts.rows_for_starting()
             if new
             else self.facts.rows_to_send(),
-            # Other zones need only the number of routers.
-            same_zone_hosts=self.members.same_zone.rows_to_send(self.rng)
-            if same_zone
-            else b'',
+            same_zone_hosts=hosts,
             reports=self.loads.packed_reports(other_zone=not same_zone),
             requests=self.loads.packed_requests(),
             other_zone_hosts=self.members.rows_to_send(self.rng, zone, new),
             prompts=self.prompts.rows_to_send(other_zone=not same_zone),
+            same_zone_capacities=capacities,
         )
 
     def state(
@@ -421,6 +427,7 @@
             draws_versions=self.draws_versions,
             era=0 if current is None else current.era,
             version=0 if current is None else current.version,
+            capacity=self.members.same_zone.capacity,
             **fields,
         )
 
@@ -450,7 +457,9 @@
     def merge(self, state: messages_forwarding.RouterState) -> None:
         """Merges the content of a message except the proof of freshness."""
         if state.zone == self.zone:
-            self.members.same_zone.merge(state.same_zone_hosts)
+            self.members.same_zone.merge(
+                state.same_zone_hosts, state.same_zone_capacities
+            )
         self.members.merge_hosts(state.other_zone_hosts)
         self.fleet.merge(state.zones)
         if trio.current_time() - self.started < MERGE_COUNT_SECONDS:
--- a/lavenderbend/coordination/forwarding/zone_members.py
+++ b/lavenderbend/coordination/forwarding/zone_members.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from lavenderbend.protocol import packed_rows
@@ -16,6 +18,27 @@
 ALIVE_SECONDS = 3.0
 # A packed host takes 5 bytes.
 MAX_HOSTS_PER_MESSAGE = 40
+# Of a router of which no message has arrived, in hundredths of a core.
+DEFAULT_CAPACITY = 100
+MIN_CAPACITY = 1
+# A thousand cores.
+MAX_CAPACITY = 100_000
+
+
+def bounded_capacity(capacity: int) -> int:
+    """Returns a capacity limited to what can be the weight of a router."""
+    return min(max(capacity, MIN_CAPACITY), MAX_CAPACITY)
+
+
+@attrs.frozen
+class Membership:
+    """Routers of a zone that are alive.
+
+    Attributes:
+        hosts: Their hosts by capacity, in hundredths of a core.
+    """
+
+    hosts: dict[int, list[str]]
 
 
 class ZoneMembers:
@@ -29,36 +52,100 @@
 
     Attributes:
         host: This router.
+        capacity: This router's processor in hundredths of a core.
         last_seen: Router clock of the latest sign of life, by host.
+        capacities: Capacities in the routers' own messages.
+        reported_capacities: Capacities that others received from routers; they
+            count for a router from which no message has arrived here.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, capacity: int = DEFAULT_CAPACITY) -> None:
         self.host = host
+        self.capacity = bounded_capacity(capacity)
         self.last_seen: dict[str, float] = {}
+        self.capacities: dict[str, int] = {}
+        self.reported_capacities: dict[str, int] = {}
+        self.latest_membership = Membership({})
+        self.changed = True
+        # No router of the latest membership was seen before this time, so none
+        # of them can be silent until `ALIVE_SECONDS` later.
+        self.oldest_seen = math.inf
 
     def note(self, host: str, age: float = 0.0) -> None:
         """Records that a router gave a sign of life `age` seconds ago."""
         if host == self.host:
             return
-        seen_at = trio.current_time() - age
-        if seen_at > self.last_seen.get(host, float('-inf')):
-            self.last_seen[host] = seen_at
+        now = trio.current_time()
+        seen_at = now - age
+        previous = self.last_seen.get(host, -math.inf)
+        if seen_at <= previous:
+            return
+        self.last_seen[host] = seen_at
+        if previous < now - ALIVE_SECONDS:
+            self.changed = True
+
+    def note_capacity(
+        self, host: str, capacity: int, reported: bool = False
+    ) -> None:
+        """Records the capacity of a router.
+
+        Args:
+            host: The router.
+            capacity: In hundredths of a core.
+            reported: Whether it was in a message of another router.
+        """
+        capacity = bounded_capacity(capacity)
+        known = self.reported_capacities if reported else self.capacities
+        if known.get(host) == capacity:
+            return
+        known[host] = capacity
+        self.changed = True
 
-    def merge(self, rows: bytes) -> None:
-        """Merges the signs of life of another router's message."""
-        for host, age in packed_rows.unpack_hosts(rows):
-            if age < ALIVE_SECONDS:
-                self.note(host, age)
+    def known_capacity(self, host: str) -> int:
+        """Returns the capacity of another router, the usual if unknown."""
+        reported = self.reported_capacities.get(host, DEFAULT_CAPACITY)
+        return self.capacities.get(host, reported)
 
-    def rows_to_send(self, rng: random.Random) -> bytes:
-        """Returns routers that are alive, a random sample if many, packed."""
+    def set_capacity(self, capacity: int) -> None:
+        """Sets the capacity of this router."""
+        self.capacity = bounded_capacity(capacity)
+        self.changed = True
+
+    def merge(self, rows: bytes, capacities: bytes = b'') -> None:
+        """Merges the signs of life of another router's message.
+
+        Args:
+            rows: Routers that it knows, packed.
+            capacities: Capacities of the first of them, packed.
+        """
+        known = packed_rows.unpack_capacities(capacities)
+        for host, age in packed_rows.unpack_hosts(rows):
+            capacity = next(known, 0)
+            if age >= ALIVE_SECONDS:
+                continue
+            self.note(host, age)
+            if capacity and host != self.host:
+                self.note_capacity(host, capacity, reported=True)
+
+    def rows_to_send(self, rng: random.Random) -> tuple[bytes, bytes]:
+        """Returns routers that are alive, a random sample if many, packed.
+
+        Returns:
+            Their hosts with the times of the last signs of life, and their
+            capacities, if any is unusual. Only what the routers themselves
+            sent: a capacity that has changed would circulate for ever.
+        """
         now = trio.current_time()
         alive = self.alive()
         if len(alive) > MAX_HOSTS_PER_MESSAGE:
             alive = rng.sample(alive, MAX_HOSTS_PER_MESSAGE)
-        return packed_rows.pack_hosts(
+        rows = packed_rows.pack_hosts(
             (host, now - self.last_seen[host]) for host in alive
         )
+        capacities = [self.capacities.get(host, 0) for host in alive]
+        if not set(capacities) - {0, DEFAULT_CAPACITY}:
+            return rows, b''
+        return rows, packed_rows.pack_capacities(capacities)
 
     def alive(self) -> list[str]:
         """Returns the other routers seen within `ALIVE_SECONDS`."""
@@ -69,6 +156,32 @@
             if seen_at >= oldest
         ]
 
+    def membership(self) -> Membership:
+        """Returns the routers that are alive, this one included.
+
+        Returns the same object until a router joins, leaves, becomes silent
+        or changes its capacity.
+        """
+        oldest = trio.current_time() - ALIVE_SECONDS
+        if not self.changed and self.oldest_seen >= oldest:
+            return self.latest_membership
+        self.changed = False
+        membership = self.count_members()
+        if membership != self.latest_membership:
+            self.latest_membership = membership
+        return self.latest_membership
+
+    def count_members(self) -> Membership:
+        """Returns the routers that are alive by their capacity."""
+        alive = self.alive()
+        self.oldest_seen = min(
+            map(self.last_seen.__getitem__, alive), default=math.inf
+        )
+        hosts = {self.capacity: [self.host]}
+        for host in alive:
+            hosts.setdefault(self.known_capacity(host), []).append(host)
+        return Membership(hosts)
+
     def silent(self) -> list[str]:
         """Returns the known routers not seen within `ALIVE_SECONDS`."""
         oldest = trio.current_time() - ALIVE_SECONDS
@@ -82,11 +195,18 @@
         for host in [
             name for name, seen_at in self.last_seen.items() if seen_at < oldest
         ]:
-            del self.last_seen[host]
+            self.forget(host)
 
     def remove(self, host: str) -> None:
         """Removes a router that announced that it is stopping."""
+        self.forget(host)
+        self.changed = True
+
+    def forget(self, host: str) -> None:
+        """Removes all that is known of a router."""
         self.last_seen.pop(host, None)
+        self.capacities.pop(host, None)
+        self.reported_capacities.pop(host, None)
 
     def choose(self, rng: random.Random, count: int) -> list[str]:
         """Returns some routers that are alive, recently seen ones preferred.
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -56,6 +56,9 @@
         era: The store's era in the sender's snapshot.
         version: Version of the configuration in force at the sender.
         capacity: Processor of the sender's machine, in hundredths of a core.
+        same_zone_capacities: Capacities of the routers of `same_zone_hosts`, in
+            the same order, as they told the sender, packed; 0 for a router from
+            which it has received nothing, empty if none is unusual.
     """
 
     name: str = attrs.field(validator=fields.TEXT)
@@ -100,6 +103,9 @@
     capacity: int = attrs.field(
         validator=fields.INTEGER, default=100, metadata=peer.ADDED_LATER
     )
+    same_zone_capacities: bytes = attrs.field(
+        validator=fields.PACKED, default=b'', metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(101)
--- a/lavenderbend/protocol/packed_rows.py
+++ b/lavenderbend/protocol/packed_rows.py
@@ -18,6 +18,8 @@
 REPORT = struct.Struct('>IBB')
 COUNT = struct.Struct('>IB')
 HOLDER = struct.Struct('>IIB')
+CAPACITY_BYTES = 3
+MAX_PACKED_CAPACITY = 2 ** (8 * CAPACITY_BYTES) - 1
 # Coarser for holders, whose entries live longer and need less precision.
 HOLDER_AGE_UNITS_PER_SECOND = 8
 
@@ -44,6 +46,23 @@
         yield socket.inet_ntoa(address), age / AGE_UNITS_PER_SECOND
 
 
+def pack_capacities(capacities: Iterable[int]) -> bytes:
+    """Packs capacities of routers, in hundredths of a core; 0 for unknown.
+
+    Capacities over `MAX_PACKED_CAPACITY` are packed as that.
+    """
+    return b''.join(
+        min(capacity, MAX_PACKED_CAPACITY).to_bytes(CAPACITY_BYTES, 'big')
+        for capacity in capacities
+    )
+
+
+def unpack_capacities(data: bytes) -> Iterator[int]:
+    """Yields capacities; drops a truncated one."""
+    for begin in range(0, len(data) - CAPACITY_BYTES + 1, CAPACITY_BYTES):
+        yield int.from_bytes(data[begin : begin + CAPACITY_BYTES], 'big')
+
+
 def pack_reports(rows: Iterable[tuple[int, int, float]]) -> bytes:
     """Packs short ids of upstreams, loads, and ages in seconds.
 
--- a/lavenderbend/state/hashing.py
+++ b/lavenderbend/state/hashing.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
 MAX_HASH = 2**64
 SHORT_SHIFT = 32
@@ -70,6 +71,38 @@
     return None if best is None else best[1]
 
 
+def weighted_rendezvous(
+    key: str | bytes, members: Mapping[int, Iterable[str]]
+) -> str | None:
+    """Returns the member with the highest weighted score, None without any.
+
+    Among members of equal weight it is exactly the one of `rendezvous`: their
+    hashes are compared as integers, and only the first of each weight by the
+    weighted score, in which two hashes may round to the same number.
+
+    Args:
+        key: What the members are ranked for.
+        members: Members by their weight, which is positive.
+    """
+    first = {weight: rendezvous(key, members[weight]) for weight in members}
+    candidates = {name: weight for weight, name in first.items() if name}
+    if len(candidates) < 2:
+        return next(iter(candidates), None)
+    return max(
+        sorted(candidates),
+        key=lambda name: precise_score(key, name, candidates[name]),
+    )
+
+
+def precise_score(key: str | bytes, member: str, weight: float) -> float:
+    """Returns the score of `weighted_score`, finite for every hash.
+
+    In `weighted_score` the fraction of one of the largest hashes rounds to 1.
+    """
+    value = hash64(key, member)
+    return weight / math.log1p((MAX_HASH - value) / (value + 1))
+
+
 def weighted_score(key: str | bytes, member: str, weight: float) -> float:
     """Returns the weighted rendezvous score (logarithmic method)."""
     fraction = (hash64(key, member) + 1) / (MAX_HASH + 1)
--- a/tests/cold_start_fleet.py
+++ b/tests/cold_start_fleet.py
@@ -15,6 +15,7 @@
 from lavenderbend.coordination.forwarding import facts
 from lavenderbend.coordination.forwarding import fleet_count
 from lavenderbend.coordination.forwarding import owners
+from lavenderbend.coordination.forwarding import zone_members
 from lavenderbend.coordination.forwarding.warm_up import cold_starts
 from lavenderbend.coordination.forwarding.warm_up import coldness
 from lavenderbend.state import forwarding
@@ -45,6 +46,10 @@
     def alive(self):
         return sorted(self.hosts)
 
+    def membership(self):
+        hosts = [self.host, *self.alive()]
+        return zone_members.Membership({zone_members.DEFAULT_CAPACITY: hosts})
+
 
 class Process:
     """One process of a router."""
--- a/tests/test_coordination/test_forwarding_fleet.py
+++ b/tests/test_coordination/test_forwarding_fleet.py
@@ -173,7 +173,7 @@
     begin = trio.current_time()
     while any('10.0.0.9' in router.alive() for router in routers):
         for sender in routers:
-            rows = sender.rows_to_send(random.Random(1))
+            rows, _ = sender.rows_to_send(random.Random(1))
             for other in routers:
                 other.merge(rows)
         await trio.sleep(0.01)
