--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -138,6 +138,7 @@
             self.loads,
             self.link,
             self.rng,
+            self.forwarding.processor_capacity,
         )
 
     def make_request_path(self) -> None:
@@ -340,9 +341,9 @@
     def reload(self, settings: settings_module.RouterSettings) -> None:
         """Applies the settings that may change while the router runs.
 
-        These are the addresses of other routers, the bounds on the age of
-        the configuration, on retries and on load, and those of drained zones
-        and cold upstreams. The other settings
+        These are the addresses of other routers, the processor of the
+        machine, the bounds on the age of the configuration, on retries and on
+        load, and those of drained zones and cold upstreams. The other settings
         need a restart; the log line names those that have changed.
         """
         forwarding = settings.forwarding
@@ -352,6 +353,7 @@
         self.peers.members.seeds = [
             address(text)[0] for text in forwarding.peers
         ]
+        self.peers.members.same_zone.set_capacity(forwarding.processor_capacity)
         self.snapshots.settings = follow_settings(forwarding)
         self.forwarder.resolver.apply_seconds = forwarding.apply_seconds
         self.budget.settings = retry_budget_settings(forwarding)
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -103,8 +103,11 @@
         cold_rate_extra: Requests in a second allowed in addition.
         queue_seconds: Longest time for which a request waits for room at the
             owner of an upstream, 0 if none waits.
-        processor_cores: Processor of the router's machine, in cores of usual
-            speed.
+        processor_share: Share of a core of the router's machine that it may
+            use, over 1 if it has several cores.
+        processor_speed: Speed of a core of that machine, as a multiple of the
+            usual speed. Routers own upstreams in proportion to the product of
+            both.
     """
 
     listen: ForwardListen
@@ -135,4 +138,10 @@
     queue_seconds: setting_fields.Seconds = setting_fields.bounded(
         0.0, 0.0, 60.0
     )
-    processor_cores: float = setting_fields.bounded(1.0, 0.01, 1024.0)
+    processor_share: float = setting_fields.bounded(1.0, 0.001, 1024.0)
+    processor_speed: float = setting_fields.bounded(1.0, 0.001, 1024.0)
+
+    @property
+    def processor_capacity(self) -> int:
+        """Processor of the router's machine, in hundredths of a core."""
+        return round(100 * self.processor_share * self.processor_speed)
--- a/tests/test_daemon/test_daemon_forwarding.py
+++ b/tests/test_daemon/test_daemon_forwarding.py
@@ -56,3 +56,18 @@
     daemon = forwarding.ForwardingDaemon(settings)
     assert daemon.cold_starts.presence == daemon.zone_records.presence
     assert daemon.zone_records.store is daemon.store
+
+
+async def test_processor_settings_weight_the_router_and_reload(settings):
+    # Guards against a router that tells others the usual processor, whatever
+    # its settings say, or needs a restart to tell them another.
+    small = attrs.evolve(
+        settings.forwarding, processor_share=0.5, processor_speed=1.6
+    )
+    daemon = forwarding.ForwardingDaemon(
+        attrs.evolve(settings, forwarding=small)
+    )
+    assert daemon.peers.state('127.0.0.9').capacity == 80
+    large = attrs.evolve(small, processor_share=1.0, processor_speed=2.15)
+    daemon.reload(attrs.evolve(settings, forwarding=large))
+    assert daemon.peers.state('127.0.0.9').capacity == 215
