--- a/lavenderbend/protocol/packed_rows.py
+++ b/lavenderbend/protocol/packed_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import socket
 import struct
@@ -20,6 +21,9 @@
 HOLDER = struct.Struct('>IIB')
 CAPACITY_BYTES = 3
 MAX_PACKED_CAPACITY = 2 ** (8 * CAPACITY_BYTES) - 1
+# More than the hosts that one router meets in its life; a message carries some
+# forty, nearly always known ones.
+CACHED_HOSTS = 2048
 # Coarser for holders, whose entries live longer and need less precision.
 HOLDER_AGE_UNITS_PER_SECOND = 8
 
@@ -33,17 +37,21 @@
     return min(MAX_AGE, math.ceil(max(0.0, seconds) * per_second))
 
 
+packed_host = functools.lru_cache(CACHED_HOSTS)(socket.inet_aton)
+unpacked_host = functools.lru_cache(CACHED_HOSTS)(socket.inet_ntoa)
+
+
 def pack_hosts(rows: Iterable[tuple[str, float]]) -> bytes:
     """Packs IPv4 addresses and the seconds since each was last seen."""
     return b''.join(
-        HOST.pack(socket.inet_aton(host), packed_age(age)) for host, age in rows
+        [HOST.pack(packed_host(host), packed_age(age)) for host, age in rows]
     )
 
 
 def unpack_hosts(data: bytes) -> Iterator[tuple[str, float]]:
     """Yields IPv4 addresses and seconds; drops a truncated row."""
     for address, age in HOST.iter_unpack(complete_rows(data, HOST)):
-        yield socket.inet_ntoa(address), age / AGE_UNITS_PER_SECOND
+        yield unpacked_host(address), age / AGE_UNITS_PER_SECOND
 
 
 def pack_capacities(capacities: Iterable[int]) -> bytes:
