--- a/lavenderbend/protocol/message_fields.py
+++ b/lavenderbend/protocol/message_fields.py
@@ -50,8 +50,10 @@
     """Returns whether a value is a list with members of these types."""
     if not isinstance(row, list) or len(row) < len(types):
         return False
+    if len(row) == len(types):
+        return all(map(isinstance, row, types))
     further = row[len(types) :]
-    if further and more is None:
+    if more is None:
         return False
     return all(map(isinstance, row, types)) and all(
         isinstance(value, more) for value in further
