--- a/lavenderbend/coordination/forwarding/members.py
+++ b/lavenderbend/coordination/forwarding/members.py
@@ -143,12 +143,18 @@
 
     def note_host(self, zone: str, host: str, age: float) -> None:
         """Records that a host was alive `age` seconds ago."""
+        now = trio.current_time()
+        self.note_seen(zone, host, now - age, now)
+
+    def note_seen(
+        self, zone: str, host: str, seen_at: float, now: float
+    ) -> None:
+        """Records when a host was alive; times are of the router clock."""
         if host == self.host:
             return
         if zone == self.zone:
-            self.same_zone.note(host, age)
+            self.same_zone.note_seen(host, seen_at, now)
             return
-        seen_at = trio.current_time() - age
         hosts = self.other_zones.setdefault(zone, {})
         hosts[host] = max(seen_at, hosts.get(host, seen_at))
         if len(hosts) > MAX_HOSTS_PER_OTHER_ZONE:
@@ -156,9 +162,10 @@
 
     def merge_hosts(self, rows: Iterable[list[str | bytes]]) -> None:
         """Merges the hosts of another router's message."""
+        now = trio.current_time()
         for zone, packed in rows:
             for host, age in packed_rows.unpack_hosts(packed):
-                self.note_host(zone, host, age)
+                self.note_seen(zone, host, now - age, now)
 
     def rows_to_send(
         self, rng: random.Random, zone: str, new: bool
--- a/lavenderbend/coordination/forwarding/zone_members.py
+++ b/lavenderbend/coordination/forwarding/zone_members.py
@@ -73,10 +73,13 @@
 
     def note(self, host: str, age: float = 0.0) -> None:
         """Records that a router gave a sign of life `age` seconds ago."""
+        now = trio.current_time()
+        self.note_seen(host, now - age, now)
+
+    def note_seen(self, host: str, seen_at: float, now: float) -> None:
+        """Records a sign of life; times are of the router clock."""
         if host == self.host:
             return
-        now = trio.current_time()
-        seen_at = now - age
         previous = self.last_seen.get(host, -math.inf)
         if seen_at <= previous:
             return
@@ -118,12 +121,13 @@
             rows: Routers that it knows, packed.
             capacities: Capacities of the first of them, packed.
         """
+        now = trio.current_time()
         known = packed_rows.unpack_capacities(capacities)
         for host, age in packed_rows.unpack_hosts(rows):
             capacity = next(known, 0)
             if age >= ALIVE_SECONDS:
                 continue
-            self.note(host, age)
+            self.note_seen(host, now - age, now)
             if capacity and host != self.host:
                 self.note_capacity(host, capacity, reported=True)
 
