--- a/lavenderbend/coordination/forwarding/members.py
+++ b/lavenderbend/coordination/forwarding/members.py
@@ -167,6 +167,10 @@
             for host, age in packed_rows.unpack_hosts(packed):
                 self.note_seen(zone, host, now - age, now)
 
+    def draws_zones(self) -> bool:
+        """Returns whether messages name only some of the other zones."""
+        return len(self.other_zones) > MAX_ZONE_ROWS
+
     def rows_to_send(
         self, rng: random.Random, zone: str, new: bool
     ) -> list[list[str | bytes]]:
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
     import random
 
     from lavenderbend.coordination.forwarding import interfaces
@@ -251,8 +252,11 @@
         self.divisor.note(self.fleet_size())
         # Routers that are not heard now may hold shares of this zone's limits.
         self.zone_divisor.note(len(neighbours.last_seen) + 1)
-        for host in neighbours.choose(self.rng, SAME_ZONE_FAN_OUT):
-            self.send(host, self.full_state(host))
+        receivers = neighbours.choose(self.rng, SAME_ZONE_FAN_OUT)
+        if receivers:
+            common = self.common_fields(same_zone=True)
+            for host in receivers:
+                self.send(host, self.full_state(host, common=common))
         due = self.other_zone_rate(alive) * GOSSIP_INTERVAL_SECONDS / alive
         if self.rng.random() < due:
             self.send_to_other_zone()
@@ -359,7 +363,11 @@
         self.link.send(host, state)
 
     def full_state(
-        self, host: str, reply_requested: bool = False, new: bool = False
+        self,
+        host: str,
+        reply_requested: bool = False,
+        new: bool = False,
+        common: Mapping[str, object] | None = None,
     ) -> messages_forwarding.RouterState:
         """Returns a message with all that one message can hold.
 
@@ -368,32 +376,55 @@
             reply_requested: Whether the receiver should reply.
             new: Whether the receiver has yet to discover the routers of its
                 zone.
+            common: The fields that do not depend on the receiver, if it is in
+                the same zone; None to compute them.
         """
         member = self.members.get(host)
         zone = '' if member is None else member.zone
         same_zone = not zone or zone == self.zone
+        if common is None or not same_zone:
+            common = self.common_fields(same_zone)
         # Other zones need only the number of routers.
         hosts, capacities = (
             self.members.same_zone.rows_to_send(self.rng)
             if same_zone
             else (b'', b'')
         )
+        if 'other_zone_hosts' not in common:
+            rows = self.members.rows_to_send(self.rng, zone, new)
+            common = {**common, 'other_zone_hosts': rows}
         return self.state(
             host,
             reply_requested=reply_requested,
-            peak_routers=self.divisor.peak(),
-            zones=self.fleet.rows_to_send(),
             facts=self.facts.rows_for_starting()
             if new
             else self.facts.rows_to_send(),
             same_zone_hosts=hosts,
-            reports=self.loads.packed_reports(other_zone=not same_zone),
-            requests=self.loads.packed_requests(),
-            other_zone_hosts=self.members.rows_to_send(self.rng, zone, new),
             prompts=self.prompts.rows_to_send(other_zone=not same_zone),
             same_zone_capacities=capacities,
+            **common,
         )
 
+    def common_fields(self, same_zone: bool) -> dict[str, object]:
+        """Returns the fields that are equal for all receivers of a zone.
+
+        Computed once for the receivers of one moment.
+
+        Args:
+            same_zone: Whether the receivers are in this router's zone.
+        """
+        fields = {
+            'peak_routers': self.divisor.peak(),
+            'zones': self.fleet.rows_to_send(),
+            'reports': self.loads.packed_reports(other_zone=not same_zone),
+            'requests': self.loads.packed_requests(),
+        }
+        if same_zone and not self.members.draws_zones():
+            fields['other_zone_hosts'] = self.members.rows_to_send(
+                self.rng, self.zone, new=False
+            )
+        return fields
+
     def state(
         self, host: str, reply_requested: bool = False, **fields: object
     ) -> messages_forwarding.RouterState:
