--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -467,6 +467,18 @@
         """Returns whether an upstream is in another zone than this router."""
         return upstream.vm.availability_zone != self.availability_zone
 
+    def load_rank(
+        self, candidate: forwarding.Upstream
+    ) -> tuple[bool, bool, float]:
+        """Returns the rank of an upstream by load; the least comes first.
+
+        Expired loads must have been removed.
+        """
+        load = self.loads.unexpired_load(candidate.instance)
+        utilization = load / max(1, candidate.slots)
+        remote = utilization < 1.0 and self.in_other_zone(candidate)
+        return utilization >= BUSY_FRACTION, remote, utilization
+
     def least_loaded(
         self,
         candidates: directory.Candidates,
@@ -478,23 +490,23 @@
         """Returns the least loaded upstream.
 
         Upstreams that are not busy come first, and among upstreams with free
-        slots those of this router's zone.
+        slots those of this router's zone. Equally ranked ones are ordered by
+        hash.
         """
-
-        def rank(
-            candidate: forwarding.Upstream,
-        ) -> tuple[bool, bool, float, int]:
-            load = self.loads.load(candidate.instance)
-            utilization = load / max(1, candidate.slots)
-            remote = self.in_other_zone(candidate) and utilization < 1.0
-            return (
-                utilization >= BUSY_FRACTION,
-                remote,
-                utilization,
-                hashing.hash64(tie_break, candidate.instance),
-            )
-
-        upstream = min((candidates.by_name[name] for name in names), key=rank)
+        self.loads.remove_expired()
+        equal: list[forwarding.Upstream] = []
+        least = None
+        for name in names:
+            candidate = candidates.by_name[name]
+            rank = self.load_rank(candidate)
+            if least is None or rank < least:
+                least = rank
+                equal.clear()
+            if rank == least:
+                equal.append(candidate)
+        upstream = min(
+            equal, key=lambda one: hashing.hash64(tie_break, one.instance)
+        )
         passed_over = [
             decisions.PassedOver(name, exclusions.reason(name))
             for name in sorted(exclusions.names.difference(names))
