--- a/lavenderbend/coordination/forwarding/members.py
+++ b/lavenderbend/coordination/forwarding/members.py
@@ -82,12 +82,13 @@
         zone: str,
         seeds: Iterable[str],
         clock: Callable[[], float],
+        capacity: int = zone_members.DEFAULT_CAPACITY,
     ) -> None:
         self.host = host
         self.zone = zone
         self.seeds = [seed for seed in seeds if seed != host]
         self.clock = clock
-        self.same_zone = zone_members.ZoneMembers(host)
+        self.same_zone = zone_members.ZoneMembers(host, capacity)
         self.other_zones: dict[str, dict[str, float]] = {}
         self.by_host: dict[str, Member] = {}
 
@@ -136,17 +137,24 @@
                 self.same_zone.remove(state.host)
             else:
                 self.same_zone.note(state.host)
+                self.same_zone.note_capacity(state.host, state.capacity)
         elif not state.leaving:
             self.note_host(state.zone, state.host, 0.0)
 
     def note_host(self, zone: str, host: str, age: float) -> None:
         """Records that a host was alive `age` seconds ago."""
+        now = trio.current_time()
+        self.note_seen(zone, host, now - age, now)
+
+    def note_seen(
+        self, zone: str, host: str, seen_at: float, now: float
+    ) -> None:
+        """Records when a host was alive; times are of the router clock."""
         if host == self.host:
             return
         if zone == self.zone:
-            self.same_zone.note(host, age)
+            self.same_zone.note_seen(host, seen_at, now)
             return
-        seen_at = trio.current_time() - age
         hosts = self.other_zones.setdefault(zone, {})
         hosts[host] = max(seen_at, hosts.get(host, seen_at))
         if len(hosts) > MAX_HOSTS_PER_OTHER_ZONE:
@@ -154,9 +162,14 @@
 
     def merge_hosts(self, rows: Iterable[list[str | bytes]]) -> None:
         """Merges the hosts of another router's message."""
+        now = trio.current_time()
         for zone, packed in rows:
             for host, age in packed_rows.unpack_hosts(packed):
-                self.note_host(zone, host, age)
+                self.note_seen(zone, host, now - age, now)
+
+    def draws_zones(self) -> bool:
+        """Returns whether messages name only some of the other zones."""
+        return len(self.other_zones) > MAX_ZONE_ROWS
 
     def rows_to_send(
         self, rng: random.Random, zone: str, new: bool
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -16,6 +16,7 @@
 from lavenderbend.coordination.forwarding import reservations
 from lavenderbend.coordination.forwarding import shared_freshness
 from lavenderbend.coordination.forwarding import shared_loads
+from lavenderbend.coordination.forwarding import zone_members
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import messages_forwarding
@@ -23,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
     import random
 
     from lavenderbend.coordination.forwarding import interfaces
@@ -122,6 +124,7 @@
         loads: loads_module.Loads,
         link: interfaces.DatagramLink,
         rng: random.Random,
+        capacity: int = zone_members.DEFAULT_CAPACITY,
     ) -> None:
         self.name = name
         self.host = host
@@ -132,7 +135,7 @@
         self.rng = rng
         self.incarnation = rng.getrandbits(48)
         self.members = members_module.Members(
-            host, zone, seeds, snapshots.clock
+            host, zone, seeds, snapshots.clock, capacity
         )
         self.fleet = fleet_count.FleetCount(zone)
         self.divisor = fleet_count.FleetDivisor()
@@ -249,8 +252,11 @@
         self.divisor.note(self.fleet_size())
         # Routers that are not heard now may hold shares of this zone's limits.
         self.zone_divisor.note(len(neighbours.last_seen) + 1)
-        for host in neighbours.choose(self.rng, SAME_ZONE_FAN_OUT):
-            self.send(host, self.full_state(host))
+        receivers = neighbours.choose(self.rng, SAME_ZONE_FAN_OUT)
+        if receivers:
+            common = self.common_fields(same_zone=True)
+            for host in receivers:
+                self.send(host, self.full_state(host, common=common))
         due = self.other_zone_rate(alive) * GOSSIP_INTERVAL_SECONDS / alive
         if self.rng.random() < due:
             self.send_to_other_zone()
@@ -357,7 +363,11 @@
         self.link.send(host, state)
 
     def full_state(
-        self, host: str, reply_requested: bool = False, new: bool = False
+        self,
+        host: str,
+        reply_requested: bool = False,
+        new: bool = False,
+        common: Mapping[str, object] | None = None,
     ) -> messages_forwarding.RouterState:
         """Returns a message with all that one message can hold.
 
@@ -366,28 +376,55 @@
             reply_requested: Whether the receiver should reply.
             new: Whether the receiver has yet to discover the routers of its
                 zone.
+            common: The fields that do not depend on the receiver, if it is in
+                the same zone; None to compute them.
         """
         member = self.members.get(host)
         zone = '' if member is None else member.zone
         same_zone = not zone or zone == self.zone
+        if common is None or not same_zone:
+            common = self.common_fields(same_zone)
+        # Other zones need only the number of routers.
+        hosts, capacities = (
+            self.members.same_zone.rows_to_send(self.rng)
+            if same_zone
+            else (b'', b'')
+        )
+        if 'other_zone_hosts' not in common:
+            rows = self.members.rows_to_send(self.rng, zone, new)
+            common = {**common, 'other_zone_hosts': rows}
         return self.state(
             host,
             reply_requested=reply_requested,
-            peak_routers=self.divisor.peak(),
-            zones=self.fleet.rows_to_send(),
             facts=self.facts.rows_for_starting()
             if new
             else self.facts.rows_to_send(),
-            # Other zones need only the number of routers.
-            same_zone_hosts=self.members.same_zone.rows_to_send(self.rng)
-            if same_zone
-            else b'',
-            reports=self.loads.packed_reports(other_zone=not same_zone),
-            requests=self.loads.packed_requests(),
-            other_zone_hosts=self.members.rows_to_send(self.rng, zone, new),
+            same_zone_hosts=hosts,
             prompts=self.prompts.rows_to_send(other_zone=not same_zone),
+            same_zone_capacities=capacities,
+            **common,
         )
 
+    def common_fields(self, same_zone: bool) -> dict[str, object]:
+        """Returns the fields that are equal for all receivers of a zone.
+
+        Computed once for the receivers of one moment.
+
+        Args:
+            same_zone: Whether the receivers are in this router's zone.
+        """
+        fields = {
+            'peak_routers': self.divisor.peak(),
+            'zones': self.fleet.rows_to_send(),
+            'reports': self.loads.packed_reports(other_zone=not same_zone),
+            'requests': self.loads.packed_requests(),
+        }
+        if same_zone and not self.members.draws_zones():
+            fields['other_zone_hosts'] = self.members.rows_to_send(
+                self.rng, self.zone, new=False
+            )
+        return fields
+
     def state(
         self, host: str, reply_requested: bool = False, **fields: object
     ) -> messages_forwarding.RouterState:
@@ -421,6 +458,7 @@
             draws_versions=self.draws_versions,
             era=0 if current is None else current.era,
             version=0 if current is None else current.version,
+            capacity=self.members.same_zone.capacity,
             **fields,
         )
 
@@ -450,7 +488,9 @@
     def merge(self, state: messages_forwarding.RouterState) -> None:
         """Merges the content of a message except the proof of freshness."""
         if state.zone == self.zone:
-            self.members.same_zone.merge(state.same_zone_hosts)
+            self.members.same_zone.merge(
+                state.same_zone_hosts, state.same_zone_capacities
+            )
         self.members.merge_hosts(state.other_zone_hosts)
         self.fleet.merge(state.zones)
         if trio.current_time() - self.started < MERGE_COUNT_SECONDS:
