--- a/lavenderbend/coordination/forwarding/admission/grants.py
+++ b/lavenderbend/coordination/forwarding/admission/grants.py
@@ -28,12 +28,10 @@
 
     Attributes:
         GRANTED: The owner granted the request.
-        DECLINED: The owner takes it out of the queue or did not queue it.
+        DECLINED: The owner took it out of the queue or did not queue it.
         SILENT: The owner does not reply.
         UNUSABLE: The upstream must not be used any more.
         TIMED_OUT: The request has waited for as long as it may.
-        OVER_BOUND: It was granted, but the upstream is over the load bound as
-            far as the entry knows.
         CANCELLED: The caller left or the deadline passed.
     """
 
@@ -42,7 +40,6 @@
     SILENT = 'owner silent'
     UNUSABLE = 'upstream unusable'
     TIMED_OUT = 'timed out'
-    OVER_BOUND = 'over bound'
     CANCELLED = 'cancelled'
 
 
