--- a/bench/fleet/network.py
+++ b/bench/fleet/network.py
@@ -39,6 +39,7 @@
     Attributes:
         messages: Datagrams by kind, `near` or `far`.
         size: Bytes by kind, headers included.
+        size_by_host: Bytes by sender, headers included.
         largest: Bytes of the largest datagram, without headers.
         fetches: Snapshots that were fetched.
     """
@@ -47,6 +48,9 @@
         factory=collections.Counter
     )
     size: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    size_by_host: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     largest: int = 0
     fetches: int = 0
 
@@ -100,6 +104,7 @@
         kind = 'near' if near else 'far'
         self.traffic.messages[kind] += 1
         self.traffic.size[kind] += len(data) + HEADER_BYTES
+        self.traffic.size_by_host[source] += len(data) + HEADER_BYTES
         self.traffic.largest = max(self.traffic.largest, len(data))
         if not self.passes(source, target):
             return
--- a/bench/fleet/world.py
+++ b/bench/fleet/world.py
@@ -72,6 +72,18 @@
         )
         self.known[raw.digest] = self.content
 
+    def replace(
+        self,
+        table: forwarding.ForwardingTable,
+        found: dict[str, forwarding.Upstream],
+    ) -> None:
+        """Puts other content in place of what a new store holds."""
+        items = {name: forwarding.RawItem(2, b'') for name in found}
+        items['config'] = forwarding.RawItem(2, b'')
+        raw = forwarding.RawSnapshot(2, items)
+        self.content = forwarding.Snapshot(2, raw.digest, table, found, raw)
+        self.known[raw.digest] = self.content
+
     async def read(self) -> forwarding.RawSnapshot:
         """Reads the whole store.
 
