--- a/bench/fleet/entries.py
+++ b/bench/fleet/entries.py
@@ -19,7 +19,9 @@
     import trio
 
     from bench.fleet import world
+    from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import interfaces
+    from lavenderbend.coordination.forwarding import peers as peers_module
 
 LOAD_FACTOR = 2.0
 APPLY_SECONDS = 4.0
@@ -90,3 +92,19 @@
     path.attempts.rejection_limits = limits
     path.fleet_size = router.peers.fleet_size
     return path
+
+
+def set_queue(
+    path: forwarder.Forwarder,
+    peers: peers_module.Peers,
+    seconds: float,
+    health: health_module.Health,
+) -> None:
+    """Lets requests wait at the owners of upstreams.
+
+    Args:
+        path: The request path of a router.
+        peers: What the router shares with others.
+        seconds: Longest time for which a request waits, 0 for none.
+        health: The upstreams' health, as the router knows it.
+    """
--- /dev/null
+++ b/tests/test_coordination/test_admission_fleet.py
@@ -0,0 +1,182 @@
+"""Failures of routers, messages and engines while requests wait at owners."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from tests import admission_fleet
+
+# Requests at once: prompts of 1.3 s for each engine.
+BURST = 18
+HARM_SECONDS = 0.3
+# Within this time after a failure, new requests begin again in time.
+RECOVERY_SECONDS = 2.0
+CALM_SECONDS = 2.0
+CALM_PER_SECOND = 6.0
+MIN_IN_TIME_PART = 0.95
+# Requests to an engine over the bound of the moment, as part of all: while
+# routers disagree, each knows the others' requests from load reports only.
+MAX_OVER_PART = 0.05
+PAUSE_SECONDS = 1.0
+LOSS = 0.05
+
+
+async def begin(nursery, **settings):
+    """Returns a settled fleet a moment after a burst of cold prompts."""
+    fleet = admission_fleet.AdmissionFleet(nursery, **settings)
+    await fleet.settle()
+    fleet.burst(BURST)
+    await trio.sleep(HARM_SECONDS)
+    return fleet
+
+
+async def recover(fleet, recovery=RECOVERY_SECONDS):
+    """Returns the requests that were sent after a failure was over."""
+    await trio.sleep(recovery)
+    at = trio.current_time()
+    await fleet.press(CALM_SECONDS, CALM_PER_SECOND)
+    await fleet.finish()
+    return fleet.calls_since(at)
+
+
+def check(fleet, calls, max_over_part=0.0):
+    """Checks what holds after each failure."""
+    assert fleet.late_calls() == []
+    assert fleet.falsely_not_run() == []
+    assert fleet.exchanges.over <= max_over_part * fleet.exchanges.received
+    assert fleet.in_time_part(calls) >= MIN_IN_TIME_PART
+
+
+async def nothing(fleet):
+    pass
+
+
+async def kill_owner(fleet):
+    fleet.kill(fleet.owner('e0'))
+
+
+async def pause_owner(fleet):
+    await fleet.pause(fleet.owner('e0'), PAUSE_SECONDS)
+
+
+async def mute_owner(fleet):
+    fleet.mute(fleet.owner('e0'))
+
+
+async def deafen_owner(fleet):
+    fleet.deafen(fleet.owner('e0'))
+
+
+async def kill_entry(fleet):
+    owners = {fleet.owner(name) for name in fleet.pool}
+    fleet.kill(next(host for host in fleet.hosts if host not in owners))
+
+
+async def lose_messages(fleet):
+    fleet.cut.loss = LOSS
+
+
+async def crash_engine(fleet):
+    fleet.pool['e0'].lose(1.0)
+
+
+async def split(fleet):
+    fleet.split()
+
+
+async def restart_all(fleet):
+    await fleet.restart_all()
+
+
+async def play(nursery, harm, max_over_part=MAX_OVER_PART, **settings):
+    """Plays a failure while requests wait, and checks what must hold."""
+    fleet = await begin(nursery, **settings)
+    await harm(fleet)
+    calls = await recover(fleet)
+    check(fleet, calls, max_over_part)
+    return fleet
+
+
+async def test_burst_without_a_failure(nursery, autojump_clock):
+    # Guards against an owner that grants more than the bound when all is well.
+    await play(nursery, nothing, max_over_part=0.0)
+    nursery.cancel_scope.cancel()
+
+
+async def test_owner_is_killed(nursery, autojump_clock):
+    # Guards against requests that wait for a dead owner until their deadline.
+    await play(nursery, kill_owner)
+    nursery.cancel_scope.cancel()
+
+
+async def test_owner_is_paused(nursery, autojump_clock):
+    # Guards against grants of a resumed owner to requests that run elsewhere.
+    await play(nursery, pause_owner)
+    nursery.cancel_scope.cancel()
+
+
+async def test_owner_is_not_heard(nursery, autojump_clock):
+    # Guards against waiting for grants that are sent and never arrive.
+    await play(nursery, mute_owner)
+    nursery.cancel_scope.cancel()
+
+
+async def test_owner_does_not_hear(nursery, autojump_clock):
+    # Guards against an owner that counts requests whose end it cannot learn.
+    await play(nursery, deafen_owner)
+    nursery.cancel_scope.cancel()
+
+
+async def test_entry_is_killed(nursery, autojump_clock):
+    # Guards against grants that are kept for a dead entry.
+    await play(nursery, kill_entry)
+    nursery.cancel_scope.cancel()
+
+
+async def test_halves_of_a_zone_disagree(nursery, autojump_clock):
+    # Guards against two owners that grant the same room twice for long.
+    # Each half stays large enough to ask owners.
+    await play(nursery, split, size=26)
+    nursery.cancel_scope.cancel()
+
+
+async def test_messages_are_lost(nursery, autojump_clock):
+    # Guards against requests that are forgotten with a lost grant or resend.
+    await play(nursery, lose_messages)
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('newer', ['owners', 'entries', 'every second'])
+async def test_previous_build_beside_this_one(nursery, autojump_clock, newer):
+    # Guards against builds that misread each other's reservations.
+    hosts = admission_fleet.hosts_of(admission_fleet.SIZE)
+    owners = {
+        admission_fleet.owner_of(f'e{n}', hosts)
+        for n in range(admission_fleet.ENGINES)
+    }
+    previous = {
+        'owners': set(hosts) - owners,
+        'entries': owners,
+        'every second': set(hosts[::2]),
+    }[newer]
+    await play(nursery, nothing, previous=previous)
+    nursery.cancel_scope.cancel()
+
+
+async def test_engine_crashes(nursery, autojump_clock):
+    # Guards against requests that wait on for an engine that is gone.
+    await play(nursery, crash_engine)
+    nursery.cancel_scope.cancel()
+
+
+async def test_all_routers_are_restarted(nursery, autojump_clock):
+    # Guards against owners without state that refuse or hold back requests.
+    await play(nursery, restart_all)
+    nursery.cancel_scope.cancel()
+
+
+async def test_three_hundred_routers_with_few_requests(nursery, autojump_clock):
+    # Guards against control messages or owners that fail in large fleets only.
+    await play(nursery, kill_owner, size=300)
+    nursery.cancel_scope.cancel()
