--- a/tests/admission_fleet.py
+++ b/tests/admission_fleet.py
@@ -269,10 +269,44 @@
         """Returns the host of an engine's owner when all are alive."""
         return owner_of(instance, self.hosts)
 
+    def entry(self):
+        """Returns a router that owns no engine."""
+        owners = {self.owner(instance) for instance in self.pool}
+        return next(host for host in self.hosts if host not in owners)
+
     def owned(self, host):
         """Returns what a router counts as an owner."""
         return self.nodes[host].peers.reservations.owned
 
+    def waiting(self, host=None):
+        """Returns the requests that wait at owners, of one entry or of all."""
+        return [
+            waiting
+            for owner in self.nodes
+            for queue in self.owned(owner).queue.queues.values()
+            for waiting in queue
+            if host in (None, waiting.message.host)
+        ]
+
+    def counted(self, host):
+        """Returns the requests of an entry that owners count."""
+        return [
+            counted
+            for owner in self.nodes
+            for room in self.owned(owner).upstreams.values()
+            for key, counted in room.counted.items()
+            if key[0] == host
+        ]
+
+    def unread(self, host):
+        """Returns the tokens that owners take engines to read for an entry."""
+        now = trio.current_time()
+        return sum(
+            counted.unread
+            for counted in self.counted(host)
+            if now < min(counted.until, counted.reading_until)
+        )
+
     async def settle(self):
         """Waits until the routers know each other."""
         await trio.sleep(SETTLE_SECONDS)
--- a/tests/test_coordination/test_admission_fleet.py
+++ b/tests/test_coordination/test_admission_fleet.py
@@ -5,10 +5,13 @@
 import pytest
 import trio
 
+from lavenderbend.coordination.forwarding.admission import owner_queue
+from lavenderbend.coordination.forwarding.admission import room
 from tests import admission_fleet
 
 # Requests at once: prompts of 1.3 s for each engine.
 BURST = 18
+WAITING_AT_ENTRY = 6
 HARM_SECONDS = 0.3
 # Within this time after a failure, new requests begin again in time.
 RECOVERY_SECONDS = 2.0
@@ -23,11 +26,12 @@
 
 
 async def begin(nursery, **settings):
-    """Returns a settled fleet a moment after a burst of cold prompts."""
+    """Returns a fleet in which requests of a burst wait at owners."""
     fleet = admission_fleet.AdmissionFleet(nursery, **settings)
     await fleet.settle()
     fleet.burst(BURST)
     await trio.sleep(HARM_SECONDS)
+    assert fleet.waiting()
     return fleet
 
 
@@ -68,11 +72,6 @@
     fleet.deafen(fleet.owner('e0'))
 
 
-async def kill_entry(fleet):
-    owners = {fleet.owner(name) for name in fleet.pool}
-    fleet.kill(next(host for host in fleet.hosts if host not in owners))
-
-
 async def lose_messages(fleet):
     fleet.cut.loss = LOSS
 
@@ -129,8 +128,22 @@
 
 
 async def test_entry_is_killed(nursery, autojump_clock):
-    # Guards against grants that are kept for a dead entry.
-    await play(nursery, kill_entry)
+    # Guards against room that owners keep for the requests of a dead entry.
+    fleet = await begin(nursery)
+    entry = fleet.entry()
+    fleet.burst(WAITING_AT_ENTRY, [entry])
+    await trio.sleep(HARM_SECONDS)
+    assert fleet.waiting(entry)
+    assert fleet.counted(entry)
+    fleet.kill(entry)
+    await trio.sleep(owner_queue.UNHEARD_SECONDS + owner_queue.RECHECK_SECONDS)
+    assert not fleet.waiting(entry)
+    await trio.sleep(room.READING_SECONDS - owner_queue.UNHEARD_SECONDS)
+    assert fleet.unread(entry) == 0
+    calls = await recover(fleet, RECOVERY_SECONDS - room.READING_SECONDS)
+    check(fleet, calls)
+    await trio.sleep(admission_fleet.DEADLINE_SECONDS)
+    assert not fleet.counted(entry)
     nursery.cancel_scope.cancel()
 
 
