--- a/bench/fleet/callers.py
+++ b/bench/fleet/callers.py
@@ -27,6 +27,7 @@
 # What a caller can still be told of a request that was not run.
 MIN_SECONDS_LEFT = 0.02
 TOKENS_PER_EVENT = 7
+NOT_RUN_STATUS = 503
 
 
 @attrs.frozen
@@ -300,7 +301,7 @@
             got.late += wait > arrival.kind.target
             got.broken += error is not None
             return
-        told_not_run = isinstance(error, errors.NoUpstream)
+        told_not_run = error is not None and error.status == NOT_RUN_STATUS
         if told_not_run and self.ran(arrival.id):
             got.false_refusals += 1
         left = arrival.kind.deadline - seconds
