--- a/tests/admission_fleet.py
+++ b/tests/admission_fleet.py
@@ -76,6 +76,10 @@
     return hashing.rendezvous(f'{hashing.short_id(instance):08x}', hosts)
 
 
+def drop_message(host, message):
+    """Sends nothing."""
+
+
 class Cuts(set):
     """Pairs of hosts between which nothing is delivered, and random losses.
 
@@ -228,8 +232,9 @@
 
     def kill(self, host):
         """Ends a router at once; nobody is told."""
+        # What its requests send as they are cancelled is lost.
+        self.nodes.pop(host).link.send = drop_message
         self.routers.pop(host).scope.cancel()
-        del self.nodes[host]
 
     async def restart_all(self):
         """Kills all routers and starts them again."""
@@ -268,10 +273,10 @@
         """Returns the host of an engine's owner when all are alive."""
         return owner_of(instance, self.hosts)
 
-    def entry(self):
-        """Returns a router that owns no engine."""
+    def entries(self):
+        """Returns the routers that own no engine."""
         owners = {self.owner(instance) for instance in self.pool}
-        return next(host for host in self.hosts if host not in owners)
+        return [host for host in self.hosts if host not in owners]
 
     def owned(self, host):
         """Returns what a router counts as an owner."""
--- a/tests/test_coordination/test_admission_fleet.py
+++ b/tests/test_coordination/test_admission_fleet.py
@@ -38,7 +38,7 @@
     """
     fleet = admission_fleet.AdmissionFleet(nursery, **settings)
     await fleet.settle()
-    fleet.burst(at_entry, [fleet.entry()])
+    fleet.burst(at_entry, fleet.entries()[:1])
     await trio.sleep(LEAD_SECONDS)
     fleet.burst(BURST - at_entry)
     await trio.sleep(HARM_SECONDS)
@@ -141,7 +141,7 @@
 async def test_entry_is_killed(nursery, autojump_clock):
     # Guards against room that owners keep for the requests of a dead entry.
     fleet = await begin(nursery, at_entry=WAITING_AT_ENTRY)
-    entry = fleet.entry()
+    entry = fleet.entries()[0]
     assert fleet.waiting(entry)
     assert fleet.counted(entry)
     fleet.kill(entry)
@@ -156,6 +156,26 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_grant_of_a_dead_entry_holds_others_back_briefly(
+    nursery, autojump_clock
+):
+    # Guards against requests that wait longer than a prompt counts as read.
+    fleet = admission_fleet.AdmissionFleet(nursery, count=1)
+    await fleet.settle()
+    entry, other = fleet.entries()[:2]
+    fleet.burst(1, [entry])
+    await trio.sleep(LEAD_SECONDS)
+    fleet.burst(1, [other])
+    await trio.sleep(LEAD_SECONDS)
+    assert fleet.waiting(other)
+    assert fleet.unread(entry)
+    fleet.kill(entry)
+    await trio.sleep(room.READING_SECONDS + owner_queue.RECHECK_SECONDS)
+    assert not fleet.waiting(other)
+    assert fleet.counted(other)
+    nursery.cancel_scope.cancel()
+
+
 async def test_halves_of_a_zone_disagree(nursery, autojump_clock):
     # Guards against two owners that grant the same room twice for long.
     # Each half stays large enough to ask owners.
