--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -73,7 +73,8 @@
 
 def play_contention(arguments: dict[str, Any]) -> dict[str, Any]:
     """Returns the figures of the contention plays by title."""
-    names = arguments['--only'] or list(contention.PLAYS)
+    # docopt lists repeated options more than once.
+    names = dict.fromkeys(arguments['--only']) or list(contention.PLAYS)
     rates = arguments['--rate'].split(',')
     queues = arguments['--queue'].split(',')
     table = {}
