--- a/tests/test_coordination/test_admission_fleet.py
+++ b/tests/test_coordination/test_admission_fleet.py
@@ -24,6 +24,11 @@
 # routers disagree, each knows the others' requests from load reports only.
 MAX_OVER_PART = 0.05
 PAUSE_SECONDS = 1.0
+# Light requests: more at once than the bound of an idle fleet, then so many
+# that engines always hold more than that.
+RISING_BURST = 30
+RISING_SECONDS = 3.0
+RISING_PER_SECOND = 100.0
 LOSS = 0.05
 
 
@@ -220,6 +225,23 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_first_requests_of_a_rising_load_do_not_wait_for_it_to_fall(
+    nursery, autojump_clock
+):
+    # Guards against requests that wait under the load bound of their arrival
+    # while later ones are granted under a higher one.
+    fleet = admission_fleet.AdmissionFleet(nursery)
+    await fleet.settle()
+    fleet.burst(RISING_BURST, shared=0)
+    first = list(fleet.calls)
+    await fleet.press(RISING_SECONDS, RISING_PER_SECOND, shared=0)
+    await fleet.finish()
+    later = fleet.calls[len(first) :]
+    assert fleet.in_time_part(later) >= MIN_IN_TIME_PART
+    assert fleet.in_time_part(first) == 1.0
+    nursery.cancel_scope.cancel()
+
+
 async def test_three_hundred_routers_with_few_requests(nursery, autojump_clock):
     # Guards against control messages or owners that fail in large fleets only.
     await play(nursery, kill_owner, size=300)
