--- a/lavenderbend/coordination/forwarding/admission/crowded_choices.py
+++ b/lavenderbend/coordination/forwarding/admission/crowded_choices.py
@@ -32,6 +32,9 @@
 
 WaitEnd = grants.WaitEnd
 
+# Part of the time until its target for which a request waits at most. The rest
+# is for its run, and for those before it in the upstream's own queue.
+WAIT_TARGET_FRACTION = 0.5
 # Owners of the least loaded upstreams that are asked for an offer.
 MAX_OWNERS_ASKED = 3
 # Times that owners are asked for one choice.
@@ -75,9 +78,10 @@
         return [one.offer for one in self.declined]
 
     @property
-    def target_seconds_left(self) -> float:
-        """Seconds left until the latency target, not below 0."""
-        return max(0.0, self.demand.target_at - trio.current_time())
+    def longest_wait(self) -> float:
+        """Seconds for which it may wait and still be answered in time."""
+        left = self.demand.target_at - trio.current_time()
+        return max(0.0, WAIT_TARGET_FRACTION * left)
 
 
 class CrowdedChoices:
@@ -216,11 +220,10 @@
     def may_wait(self, request: CrowdedRequest) -> bool:
         """Returns whether a request may wait for some time.
 
-        It waits until its target at most: a caller that is refused then has
-        most of its time left for another try, and the slots go to requests
-        that can still be answered in time.
+        A caller that is refused has most of its time left for another try,
+        and the slots go to requests that can still be answered in time.
         """
-        if request.target_seconds_left < waits_module.MIN_WAIT_SECONDS:
+        if request.longest_wait < waits_module.MIN_WAIT_SECONDS:
             return False
         return self.waits.may_wait(request.ticket)
 
@@ -238,7 +241,7 @@
             lambda: self.placing.is_usable(
                 request.ticket, upstream.instance, request.selection
             ),
-            request.target_seconds_left,
+            request.longest_wait,
         )
 
     def replace(
