Waiting requests: true times in resends, no reservation lost on a cancelled call

From a review of the diff: a resend named the times of the first message, so that a new owner gave it its wait again; a call that was cancelled left its reservation counted until the deadline; a previous build over its limit granted a resend that it did not count; a choice of a crowded upstream was used although it had left during the call; a refusal by three owners did not ask whether others may have room. Each but the last two has a test that fails before.

--- a/lavenderbend/coordination/forwarding/admission/crowded_choices.py
+++ b/lavenderbend/coordination/forwarding/admission/crowded_choices.py
@@ -159,6 +159,10 @@
                 crowding.max_load(upstream.slots),
                 request.demand,
             )
+            if not self.is_usable(request, upstream):
+                if reservation is not None:
+                    self.placing.reservations.release(reservation)
+                return None
             if reservation is None:
                 return choice
             if reservation.granted:
@@ -208,6 +212,10 @@
             result = await self.waits.wait(
                 self.wait_request(request, one.choice.upstream), do_nothing
             )
+            if not self.is_usable(request, one.choice.upstream):
+                if result.reservation is not None:
+                    self.placing.reservations.release(result.reservation)
+                return None
             if result.end is WaitEnd.GRANTED:
                 return self.take(request, one.choice, result.reservation)
             if result.end is WaitEnd.SILENT and not result.waited:
@@ -227,6 +235,14 @@
             return False
         return self.waits.may_wait(request.ticket)
 
+    def is_usable(
+        self, request: CrowdedRequest, upstream: forwarding.Upstream
+    ) -> bool:
+        """Returns whether an upstream may still have the request."""
+        return self.placing.is_usable(
+            request.ticket, upstream.instance, request.selection
+        )
+
     def wait_request(
         self, request: CrowdedRequest, upstream: forwarding.Upstream
     ) -> waits_module.WaitRequest:
@@ -238,9 +254,7 @@
             reservations_module.NO_PROMPT,
             lambda: crowding.max_load(upstream.slots),
             request.demand,
-            lambda: self.placing.is_usable(
-                request.ticket, upstream.instance, request.selection
-            ),
+            lambda: self.is_usable(request, upstream),
             request.longest_wait,
         )
 
@@ -301,11 +315,12 @@
         Raises:
             BeginsTooLate: None could.
         """
-        if offering.begin_too_late(
+        too_late = offering.begin_too_late(
             request.offers,
             reservations_module.NO_PROMPT,
             request.ticket.seconds_left,
-        ):
+        )
+        if too_late and self.all_declined(request):
             self.refuse(request)
 
     def refuse(self, request: CrowdedRequest) -> None:
--- a/lavenderbend/coordination/forwarding/reservations.py
+++ b/lavenderbend/coordination/forwarding/reservations.py
@@ -85,6 +85,7 @@
             request, 0 if the owner states none.
         queued: Requests that wait for the upstream at its owner.
         request: The message to the owner, which is resent during a wait.
+        sent_at: Router clock at which it was last sent.
         wait_end: How the wait for it ended, None if it has not waited.
     """
 
@@ -100,6 +101,7 @@
     expected_seconds: float = 0.0
     queued: int = 0
     request: messages_forwarding.ReservationRequest | None = None
+    sent_at: float = 0.0
     wait_end: grants.WaitEnd | None = None
 
     @property
@@ -266,18 +268,16 @@
         if host == self.host:
             reply = self.answer(request)
         else:
-            reply = await self.calls.call(host, request)
+            reply = await self.call(host, request)
         if reply is None:
             OWNER_REQUESTS.inc({'answered': 'no'})
             self.owners.note_unresponsive(host)
-            # The owner may have counted it, and its replies were lost.
-            lost = Reservation(request.number, '', short, host)
-            self.queue_note(lost, owned_loads.NoteKind.ENDED, 0)
             return None
         OWNER_REQUESTS.inc({'answered': 'yes'})
         self.owners.note_owner(short, reply.owner)
         reservation = Reservation(reply.number, upstream.instance, short)
         reservation.request = request
+        reservation.sent_at = trio.current_time()
         reservation.apply_reply(reply)
         if demand is not None:
             self.decline_over_limit(reservation, max_load)
@@ -289,6 +289,22 @@
             )
         return reservation
 
+    async def call(
+        self, host: str, request: messages_forwarding.ReservationRequest
+    ) -> messages_forwarding.ReservationReply | None:
+        """Asks an owner; returns its reply, None if there is none in time.
+
+        The owner may have counted a request of which no reply is used.
+        """
+        reply = None
+        try:
+            reply = await self.calls.call(host, request)
+        finally:
+            if reply is None:
+                unused = Reservation(request.number, '', request.upstream, host)
+                self.queue_note(unused, owned_loads.NoteKind.ENDED, 0)
+        return reply
+
     def decline_over_limit(
         self, reservation: Reservation, max_load: int
     ) -> None:
@@ -310,9 +326,12 @@
             reservation: The reservation.
             max_load: Requests that the upstream may hold now.
         """
+        now = trio.current_time()
         reservation.request = attrs.evolve(
-            reservation.request, max_load=max_load
+            with_less_time(reservation.request, now - reservation.sent_at),
+            max_load=max_load,
         )
+        reservation.sent_at = now
         if reservation.owner != self.host:
             self.link.send(reservation.owner, reservation.request)
             return
@@ -333,17 +352,13 @@
         self.queue_note(reservation, owned_loads.NoteKind.ENDED, 0)
         self.flush_owner(reservation.owner)
 
-    def release(self, reservation: Reservation, urgent: bool = False) -> None:
-        """Has the owner count a reservation no more that is not used.
-
-        Args:
-            reservation: The reservation.
-            urgent: Whether other requests may wait for what it frees.
-        """
+    def release(self, reservation: Reservation) -> None:
+        """Has the owner count a reservation no more that is not used."""
         if not reservation.granted:
             return
         self.queue_note(reservation, owned_loads.NoteKind.ENDED, 0)
-        if urgent or reservation.queued:
+        if reservation.queued:
+            # others wait for what it frees
             self.flush_owner(reservation.owner)
 
     def send_grant(
@@ -412,8 +427,11 @@
         """
         if reply.number in self.waiting:
             reservation, state = self.waiting[reply.number]
-            if state.note_reply(reply.outcome):
-                reservation.apply_reply(reply)
+            if state.outcome == Outcome.GRANTED:
+                return
+            reservation.apply_reply(reply)
+            self.decline_over_limit(reservation, reservation.request.max_load)
+            state.note_reply(reservation.outcome)
             return
         abandoned = reply.number in self.abandoned
         if not abandoned and self.calls.take(reply):
@@ -525,3 +543,20 @@
         checks_room=True,
         wait_milliseconds=max(0, round(wait_seconds * MILLISECONDS)),
     )
+
+
+def with_less_time(
+    request: messages_forwarding.ReservationRequest, seconds: float
+) -> messages_forwarding.ReservationRequest:
+    """Returns a request as it is some seconds after it was sent.
+
+    Its times count from its arrival, and an owner that has dropped it, or a new
+    one, decides anew.
+    """
+    passed = round(seconds * MILLISECONDS)
+    return attrs.evolve(
+        request,
+        lifetime_milliseconds=max(1, request.lifetime_milliseconds - passed),
+        target_milliseconds=max(0, request.target_milliseconds - passed),
+        wait_milliseconds=max(1, request.wait_milliseconds - passed),
+    )
--- a/tests/test_coordination/test_waiting_grants.py
+++ b/tests/test_coordination/test_waiting_grants.py
@@ -323,3 +323,37 @@
         await wait(client, reservation, max_load=lambda: next(bounds))
     sent = [request.max_load for _, request in client.link.requests]
     assert sent == [8, 9, 12, 15]
+
+
+async def test_resends_name_the_time_that_is_left(client, autojump_clock):
+    """Guards against a new owner that gives a late request all its time."""
+    reservation = await begin(client)
+    with trio.move_on_after(0.25):
+        await wait(client, reservation)
+    first, *_, last = [request for _, request in client.link.requests]
+    assert first.lifetime_milliseconds - last.lifetime_milliseconds == 200
+    assert first.wait_milliseconds - last.wait_milliseconds == 200
+    assert last.target_milliseconds <= first.target_milliseconds
+
+
+async def test_request_cancelled_before_a_reply_is_released(
+    client, autojump_clock
+):
+    """Guards against a request counted until its deadline, though unused."""
+    client.link.outcomes = [None]
+    with trio.move_on_after(0.001):
+        await begin(client)
+    client.flush()
+    _, request = client.link.requests[0]
+    assert client.link.ended() == [request.number]
+
+
+async def test_previous_build_over_its_limit_grants_no_resend(
+    client, autojump_clock
+):
+    """Guards against a request that is sent though nobody counts it."""
+    reservation = await begin(client)
+    full = reply(reservation.number, GRANTED, load=8)
+    client.on_reply(full)
+    assert await wait(client, reservation) is None
+    assert reservation.wait_end is grants.WaitEnd.DECLINED
