--- a/lavenderbend/coordination/forwarding/admission/offers.py
+++ b/lavenderbend/coordination/forwarding/admission/offers.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.forwarding import (
     reservations as reservations_module,
 )
+from lavenderbend.coordination.forwarding.admission import pace
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import decisions
 from lavenderbend.state import hashing
@@ -26,8 +27,7 @@
 # own processing time. A chat that moves costs more than that: its prompt is
 # copied, and the copy displaces other prompts from memory.
 LOW_UNREAD_TOKENS = 5000
-READING_TOKENS_PER_SECOND = 40_000.0
-CLEARLY_SOONER_SECONDS = LOW_UNREAD_TOKENS / READING_TOKENS_PER_SECOND
+CLEARLY_SOONER_SECONDS = LOW_UNREAD_TOKENS / pace.USUAL_TOKENS_PER_SECOND
 # Upstreams below the load bound whose owners are asked at most, at two
 # milliseconds each.
 MAX_OPEN_OFFERS = 3
@@ -98,9 +98,9 @@
         """
         begins = self.reservation.expected_seconds
         if begins <= 0.0:
-            begins = self.reservation.unread / READING_TOKENS_PER_SECOND
+            begins = self.reservation.unread / pace.USUAL_TOKENS_PER_SECOND
         own = self.own_unread(prompt)
-        return begins + own / READING_TOKENS_PER_SECOND
+        return begins + own / pace.USUAL_TOKENS_PER_SECOND
 
 
 def is_good(
@@ -125,7 +125,7 @@
     elsewhere = owned_loads.unread_tokens(
         prompt.tokens, prompt.own_tokens, False, offer.held
     )
-    idle_seconds = elsewhere / READING_TOKENS_PER_SECOND
+    idle_seconds = elsewhere / pace.USUAL_TOKENS_PER_SECOND
     expected = offer.expected_seconds(prompt)
     return expected <= idle_seconds + CLEARLY_SOONER_SECONDS
 
--- a/lavenderbend/coordination/forwarding/admission/pace.py
+++ b/lavenderbend/coordination/forwarding/admission/pace.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-# Measured on engines that process prompts between the tokens of others.
+from lavenderbend.coordination.forwarding import loads
+
+# Of an engine that processes prompts between the tokens of other requests.
 USUAL_TOKENS_PER_SECOND = 40_000.0
 # Slower or faster samples are errors of measurement, as after a lost note.
 MIN_TOKENS_PER_SECOND = 2000.0
@@ -23,8 +25,6 @@
 # router did not know of seems slow, and may be granted nothing for that.
 RATE_LIFETIME_SECONDS = 5.0
 USUAL_PACE_PERCENT = 100
-MIN_PACE_PERCENT = 10
-MAX_PACE_PERCENT = 10_000
 # The pace changes several times a second.
 PACE_LIFETIME_SECONDS = 1.0
 # An upstream without news for this time is forgotten.
@@ -56,7 +56,7 @@
 
     def note_percent(self, percent: int, now: float) -> None:
         """Records the stated pace; ignores values out of range."""
-        if MIN_PACE_PERCENT <= percent <= MAX_PACE_PERCENT:
+        if loads.MIN_PACE_PERCENT <= percent <= loads.MAX_PACE_PERCENT:
             self.percent = percent
             self.percent_at = now
 
--- a/lavenderbend/coordination/forwarding/owned_loads.py
+++ b/lavenderbend/coordination/forwarding/owned_loads.py
@@ -29,7 +29,6 @@
 # Notes may fail to arrive and load reports change: what waits is checked this
 # often.
 GRANT_SECONDS = 0.02
-MILLISECONDS = 1000
 
 RESERVATIONS = metrics.gauge(
     'lavenderbend_forward_reservations',
--- a/lavenderbend/coordination/forwarding/zone_owners.py
+++ b/lavenderbend/coordination/forwarding/zone_owners.py
@@ -15,8 +15,8 @@
 class ZoneOwners:
     """Draws the owners of upstreams, weighted by the capacity of routers.
 
-    An owner is looked up several times per request; hashing all routers of a
-    zone of 200 each time would take 0.1 ms.
+    Owners are cached, as one is looked up several times per request and the
+    cost of drawing it grows with the routers of the zone.
 
     Attributes:
         members: Routers of this router's zone.
