Owner questions: sent once more by the usual time of replies from a zone

Cause: a question was sent again after 10 ms and given up after 20 ms. Over links of 4.9 ms each way every question to another zone was sent twice, and answered twice; one that the first router had to forward, or that met a busy owner, counted as unanswered, so that the owner was not asked again for a second. Now both times follow the smoothed reply time of the zone, at least as before, at most 50 and 100 ms.

--- a/lavenderbend/coordination/forwarding/owner_calls.py
+++ b/lavenderbend/coordination/forwarding/owner_calls.py
@@ -12,11 +12,18 @@
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.protocol import messages_forwarding
 
-# An owner in another zone replies within three or four milliseconds, a busy
-# one later. A request waits no longer for it.
-REPLY_TIMEOUT_SECONDS = 0.02
 # A question or its reply may be lost: it is sent once more.
 RETRANSMIT_SECONDS = 0.01
+# Where replies from a zone take long, the question is sent once more after this
+# multiple of their usual time. Over links of 5 ms each one would be sent twice.
+RETRANSMIT_REPLY_MULTIPLE = 2.0
+MAX_RETRANSMIT_SECONDS = 0.05
+# A request waits for a reply for this multiple of the time until the question
+# is sent once more.
+TIMEOUT_MULTIPLE = 2.0
+# The wait for a reply from a zone whose replies take a few milliseconds.
+REPLY_TIMEOUT_SECONDS = TIMEOUT_MULTIPLE * RETRANSMIT_SECONDS
+SMOOTHING_FACTOR = 0.1
 # Numbers of answered questions that are kept to recognize a second reply; none
 # arrives more than this many replies later.
 MAX_ANSWERED = 256
@@ -42,10 +49,13 @@
         link: Carries messages to other routers.
         pending: Questions without a reply, by number.
         answered: Numbers of those with a reply, the latest last.
+        reply_seconds: Smoothed time until replies to questions about the
+            upstreams of a zone, by zone.
     """
 
     def __init__(self, link: interfaces.DatagramLink) -> None:
         self.link = link
+        self.reply_seconds: dict[str, float] = {}
         self.pending: dict[int, PendingCall] = {}
         self.answered: collections.deque[int] = collections.deque(
             maxlen=MAX_ANSWERED
@@ -60,18 +70,35 @@
             The reply, None if it does not arrive in time.
         """
         pending = self.pending[request.number] = PendingCall()
+        retransmit = self.retransmit_seconds(request.zone)
+        begun = trio.current_time()
         try:
-            with trio.move_on_after(REPLY_TIMEOUT_SECONDS):
+            with trio.move_on_after(TIMEOUT_MULTIPLE * retransmit):
                 self.link.send(host, request)
-                with trio.move_on_after(RETRANSMIT_SECONDS):
+                with trio.move_on_after(retransmit):
                     await pending.answered.wait()
                 if pending.reply is None:
                     self.link.send(host, request)
                 await pending.answered.wait()
         finally:
             del self.pending[request.number]
+        if pending.reply is not None:
+            self.note_reply_seconds(request.zone, trio.current_time() - begun)
         return pending.reply
 
+    def retransmit_seconds(self, zone: str) -> float:
+        """Returns the time after which a question is sent once more."""
+        usual = self.reply_seconds.get(zone, 0.0)
+        seconds = RETRANSMIT_REPLY_MULTIPLE * usual
+        return min(max(seconds, RETRANSMIT_SECONDS), MAX_RETRANSMIT_SECONDS)
+
+    def note_reply_seconds(self, zone: str, seconds: float) -> None:
+        """Records how long a reply took."""
+        before = self.reply_seconds.get(zone, seconds)
+        self.reply_seconds[zone] = before + SMOOTHING_FACTOR * (
+            seconds - before
+        )
+
     def take(self, reply: messages_forwarding.OwnerReply) -> bool:
         """Takes a reply; returns whether its question was asked in time.
 
--- a/lavenderbend/coordination/forwarding/reserving_chooser.py
+++ b/lavenderbend/coordination/forwarding/reserving_chooser.py
@@ -44,7 +44,7 @@
 # asking owners.
 SMALL_FLEET_ROUTERS = 12
 # Owners that do not reply, after which no other is asked: each may delay the
-# request by `owner_calls.REPLY_TIMEOUT_SECONDS`.
+# request by `owner_calls.REPLY_TIMEOUT_SECONDS` or more.
 MAX_SILENT_OWNERS = 2
 
 # Owners of cold upstreams that are asked for a permit before all cold upstreams
