--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -7,6 +7,8 @@
 
 from harness import wire
 
+READ_AHEAD_BYTES = 256 * 1024
+
 
 class Worker:
     """Runs each request that it gets, and answers it whole.
@@ -18,6 +20,9 @@
         id: Its id in the store.
         service: Its service.
         port: Its port.
+        slow_bytes: How much of a body it reads at a time, 0 for all at once.
+        slow_seconds: How long it pauses after that.
+        received: Ids of the requests of which it has read the head.
         runs: Request id, start and end of each run, in the order of starts.
     """
 
@@ -25,6 +30,9 @@
         self.id = name
         self.service = service
         self.port = 0
+        self.slow_bytes = 0
+        self.slow_seconds = 0.0
+        self.received: list[str] = []
         self.runs: list[dict[str, object]] = []
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -32,7 +40,7 @@
     async def start(self) -> None:
         """Begins to listen."""
         self.server = await asyncio.start_server(
-            self.serve, '127.0.0.1', self.port, limit=8 * 1024 * 1024
+            self.serve, '127.0.0.1', self.port, limit=READ_AHEAD_BYTES
         )
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -55,17 +63,33 @@
         """Serves one connection."""
         self.writers.add(writer)
         try:
-            while (request := await wire.read_message(reader)) is not None:
-                if not request.whole:
-                    return
+            while (request := await self.read(reader)) is not None:
                 await self.answer(request, writer)
-        except (ConnectionError, asyncio.CancelledError):
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
             # a cancelled task of a server would be reported as a fault
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    async def read(self, reader: asyncio.StreamReader) -> wire.Message | None:
+        """Returns the next request, None if the connection was closed."""
+        request = await wire.read_head(reader)
+        if request is None:
+            return None
+        self.received.append(request.headers.get('lavenderbend-request-id', ''))
+        left = int(request.headers.get('content-length', '0'))
+        while self.slow_bytes and left > self.slow_bytes:
+            await reader.readexactly(self.slow_bytes)
+            left -= self.slow_bytes
+            await asyncio.sleep(self.slow_seconds)
+        await reader.readexactly(left)
+        return request
+
     def headers(self, request: wire.Message) -> dict[str, object]:
         """Returns the headers of an answer."""
         return {
@@ -93,7 +117,7 @@
             return
         query = dict(row.split('=') for row in text.split('&') if row)
         run = {
-            'id': request.headers['lavenderbend-request-id'],
+            'id': request.headers.get('lavenderbend-request-id', ''),
             'at': time.monotonic(),
             'ended': None,
         }
