--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -113,6 +113,7 @@
         host: Its address.
         front: Its port for clients.
         ready: Its port for the balancer.
+        seeds: The machines that its settings name, None for the first three.
         process: The process, None if it does not run.
     """
 
@@ -121,11 +122,13 @@
         self.host = f'127.0.0.{number + 2}'
         self.front = free_port(self.host)
         self.ready = free_port(self.host)
+        self.seeds: list[Router] | None = None
         self.process: subprocess.Popen | None = None
 
     def fields(self) -> dict[str, object]:
         """Returns the fields of the platform's settings file."""
-        seeds = [f'{router.host}:1' for router in self.fleet.routers[:3]]
+        known = self.seeds or self.fleet.routers[:3]
+        seeds = [f'{router.host}:1' for router in known]
         port = self.fleet.peer_port
         return {
             'node': f'edge-{self.host}',
@@ -141,18 +144,27 @@
                 'ready': f'{self.host}:{self.ready}',
             },
             'limits': LIMITS,
-            'bounds': BOUNDS,
+            'bounds': self.fleet.bounds,
             'platform': {'address': f'127.0.0.1:{self.fleet.store.port}'},
         }
 
+    def role(self) -> dict[str, object]:
+        """Returns the role of the deploy file."""
+        document = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+        return document['roles']['router']
+
+    def write_settings(self) -> pathlib.Path:
+        """Writes the settings file anew; returns its path."""
+        path = self.fleet.folder / f'{self.host}.yaml'
+        template_path = ROOT / self.role()['template']
+        path.write_text(template.render_file(template_path, self.fields()))
+        return path
+
     def start(self) -> None:
         """Starts the process as the deploy file says."""
-        role = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
-        role = role['roles']['router']
+        role = self.role()
         fields = self.fields()
-        path = self.fleet.folder / f'{self.host}.yaml'
-        template_path = ROOT / role['template']
-        path.write_text(template.render_file(template_path, fields))
+        path = self.write_settings()
         variables = {
             name: template.render(text, fields)
             for name, text in role['env'].items()
@@ -212,6 +224,7 @@
         store: The platform's store.
         workers: The workers.
         routers: The routers.
+        bounds: The bounds in the settings of the routers.
         rows: Lines of the record.
     """
 
@@ -227,6 +240,7 @@
         self.routers: list[Router] = []
         for number in range(routers):
             self.routers.append(Router(self, number))
+        self.bounds: dict[str, object] = dict(BOUNDS)
         self.rows: list[str] = []
         self.began = time.monotonic()
 
