--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,19 +12,26 @@
 from harness import fleet as fleets
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-CLIENTS = 140
-SECONDS = 40.0
+CLIENTS = 30
+SECONDS = 45.0
 SEED = 1
-# one of seven servers, which works four times as long as usual
-SERVERS = 7
-SLOW_FACTOR = 4
-WORK_MILLISECONDS = (243, 253)
+# each request takes about a second
+WORK_MILLISECONDS = (950, 1050)
+FIRST_TIMEOUT_MILLISECONDS = 5000
+# of the version that follows
 TIMEOUT_MILLISECONDS = 1000
+CHANGE_SECONDS = 3.0
 DEADLINE_MILLISECONDS = 5000
 # the rule allows so many at a machine
 ALLOWED = 3
 
 
+def table(version: int, timeout: int) -> dict[str, object]:
+    """Returns a version of the configuration."""
+    route = fleets.route('commit', 'non_idempotent', timeoutMs=timeout)
+    return fleets.configuration(version, [route], [fleets.KEY])
+
+
 def play_client(
     router: fleets.Router, number: int, until: float
 ) -> list[tuple[callers.Answer, bool]]:
@@ -53,13 +60,17 @@
 async def play(fleet: fleets.Fleet) -> bool:
     """Plays the case; returns whether the rule was broken."""
     router = fleet.routers[0]
-    if cases.trouble():
-        fleet.workers[0].slow_factor = SLOW_FACTOR
     until = time.monotonic() + SECONDS
     clients = [
-        asyncio.to_thread(play_client, router, number, until)
+        asyncio.create_task(
+            asyncio.to_thread(play_client, router, number, until)
+        )
         for number in range(CLIENTS)
     ]
+    await asyncio.sleep(CHANGE_SECONDS)
+    if cases.trouble():
+        fleet.store.put('op/config', table(2, TIMEOUT_MILLISECONDS))
+        fleet.note('configuration', version=2, timeout=TIMEOUT_MILLISECONDS)
     results = await asyncio.gather(*clients)
     ran = cases.ran(fleet)
     counts = {'whole': 0, 'cut': 0}
@@ -77,11 +88,8 @@
 
 def main() -> None:
     """Runs the case."""
-    route = fleets.route(
-        'commit', 'non_idempotent', timeoutMs=TIMEOUT_MILLISECONDS
-    )
-    table = fleets.configuration(1, [route], [fleets.KEY])
-    cases.run(FOLDER, fleets.Fleet(3, SERVERS), table, play)
+    first = table(1, FIRST_TIMEOUT_MILLISECONDS)
+    cases.run(FOLDER, fleets.Fleet(3, 3), first, play)
 
 
 if __name__ == '__main__':
--- a/review/harness/cases.py
+++ b/review/harness/cases.py
@@ -5,6 +5,7 @@
 import asyncio
 import concurrent.futures
 import os
+import signal
 import sys
 import traceback
 from typing import TYPE_CHECKING
@@ -80,6 +81,13 @@
 ) -> None:
     """Runs a case and exits with its code."""
     code = NOT_RUN
+
+    def stop(*_: object) -> None:
+        # clients in threads may keep the interpreter from ending for long
+        fleet.end_routers()
+        os._exit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         code = asyncio.run(play_case(fleet, table, play))
     except Exception:  # noqa: BLE001 - reported as a case that could not run
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -266,10 +266,14 @@
             for router in self.routers:
                 await router.wait_ready()
 
-    def close(self, record: pathlib.Path) -> None:
-        """Ends all processes and writes the record."""
+    def end_routers(self) -> None:
+        """Ends all processes that were started."""
         for router in self.routers:
             router.end()
+
+    def close(self, record: pathlib.Path) -> None:
+        """Ends all processes and writes the record."""
+        self.end_routers()
         for worker in self.workers:
             for run in worker.runs:
                 ended = run['ended']
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -22,7 +22,6 @@
         port: Its port.
         slow_bytes: How much of a body it reads at a time, 0 for all at once.
         slow_seconds: How long it pauses after that.
-        slow_factor: How many times as long as usual it works.
         received: Ids of the requests of which it has read the head.
         runs: Request id, start and end of each run, in the order of starts.
     """
@@ -33,7 +32,6 @@
         self.port = 0
         self.slow_bytes = 0
         self.slow_seconds = 0.0
-        self.slow_factor = 1
         self.received: list[str] = []
         self.runs: list[dict[str, object]] = []
         self.server: asyncio.Server | None = None
@@ -127,8 +125,7 @@
         if 'events' in query:
             await self.stream(request, query, writer)
         else:
-            seconds = int(query.get('ms', '0')) / 1000
-            await asyncio.sleep(seconds * self.slow_factor)
+            await asyncio.sleep(int(query.get('ms', '0')) / 1000)
             body = b'x' * int(query.get('bytes', '800'))
             start = 'HTTP/1.1 200 OK'
             writer.write(wire.encode(start, self.headers(request), body))
