--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,6 +35,8 @@
     left = round((term_at + seconds - time.monotonic()) * 1000)
     caller = callers.Caller(router)
     first = caller.call(f'/talk/a?events={EVENTS}&ms={left}')
+    if not callers.keeps(first):
+        return first, first
     second = caller.call(f'/talk/b?events={EVENTS}&ms={SECOND_MILLISECONDS}')
     caller.close()
     return first, second
@@ -58,7 +60,7 @@
     for first, second in await asyncio.gather(*clients):
         cases.note_answer(fleet, 'first', first)
         cases.note_answer(fleet, 'second', second)
-        if not first.whole:
+        if not callers.keeps(first):
             raise cases.CaseNotRunError(f'first stream: {first.cause}')
         if second.sent_at < term_at + EXCUSED_SECONDS:
             continue
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -49,7 +49,7 @@
             f'/commit/x?ms={work}', deadline_ms=DEADLINE_MILLISECONDS
         )
         answers.append((answer, kept))
-        kept = answer.whole
+        kept = callers.keeps(answer)
         if not kept:
             caller.close()
             caller = callers.Caller(router)
--- a/review/harness/caller.py
+++ b/review/harness/caller.py
@@ -39,6 +39,11 @@
     ended_at: float = 0.0
 
 
+def keeps(answer: Answer) -> bool:
+    """Returns whether the connection may be used after an answer."""
+    return answer.whole and answer.headers.get('connection') != 'close'
+
+
 class Caller:
     """One client connection.
 
--- a/review/harness/cases.py
+++ b/review/harness/cases.py
@@ -18,9 +18,12 @@
     from harness import caller as callers
     from harness import fleet as fleets
 
+# exit codes of the program; `run.sh` ends with 0, 1 and 2
 HELD = 0
-BROKEN = 1
-NOT_RUN = 2
+BROKEN = 10
+NOT_RUN = 11
+# routers that were started by then are in touch (`contactMs`)
+TOUCH_SECONDS = 4.0
 MAX_CALLERS = 200
 
 
@@ -65,6 +68,7 @@
     )
     try:
         await fleet.start(table)
+        await asyncio.sleep(TOUCH_SECONDS)
         broken = await play(fleet)
     except (CaseNotRunError, TimeoutError, OSError) as exc:
         fleet.note('not_run', cause=repr(exc))
@@ -94,5 +98,5 @@
         traceback.print_exc()
     finally:
         fleet.close(folder / 'record.txt')
-    print(f'exit code {code}, see {folder.name}/record.txt')
+    print(f'code {code}, see {folder.name}/record.txt')
     sys.exit(code)
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -26,6 +26,8 @@
 HOST = 'clients.example'
 KEY = 'key-of-tenant-one'
 START_SECONDS = 20.0
+# loopback addresses of its own for each script that runs
+NETWORK = f'127.0.{os.getpid() % 250 + 1}'
 READY_SECONDS = 0.1
 BOUNDS = {
     'seedLagS': 3,
@@ -119,7 +121,7 @@
 
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet = fleet
-        self.host = f'127.0.0.{number + 2}'
+        self.host = f'{NETWORK}.{number + 2}'
         self.front = free_port(self.host)
         self.ready = free_port(self.host)
         self.seeds: list[Router] | None = None
@@ -236,7 +238,7 @@
             workers.Worker(f'i-worker{number}', 'service-one')
             for number in range(servers)
         ]
-        self.peer_port = free_port('127.0.0.2')
+        self.peer_port = free_port(f'{NETWORK}.2')
         self.routers: list[Router] = []
         for number in range(routers):
             self.routers.append(Router(self, number))
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -125,9 +125,14 @@
         if 'events' in query:
             await self.stream(request, query, writer)
         else:
-            await asyncio.sleep(int(query.get('ms', '0')) / 1000)
+            work = int(query.get('ms', '0'))
+            deadline = int(request.headers['lavenderbend-deadline-ms'])
+            await asyncio.sleep(min(work, deadline) / 1000)
             body = b'x' * int(query.get('bytes', '800'))
             start = 'HTTP/1.1 200 OK'
+            if work > deadline:
+                # it stops work at the deadline that it was given
+                start, body = 'HTTP/1.1 504 Deadline', b''
             writer.write(wire.encode(start, self.headers(request), body))
             await writer.drain()
         run['ended'] = time.monotonic()
