Log how much of an answer left the router

request_ended said began, and nothing of how far the answer came: a request of whose answer no byte left looks the same as one cut half way.

New in the line: finished, and answer_bytes (what the caller's connection took).

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -188,6 +188,8 @@
             peers=self.fleet_size(),
             budget_parts=self.budget.divisor(),
             began=answer.started,
+            finished=answer.finished,
+            answer_bytes=answer.sent_bytes,
             seconds=round(seconds, 4),
         )
         if self.decisions is not None:
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -59,12 +59,14 @@
             nothing may follow.
         disconnected: Whether the caller closed its connection before the
             response was finished.
+        sent_bytes: Bytes of the response that the caller's connection took.
     """
 
     started = False
     finished = False
     write_pending = False
     disconnected = False
+    sent_bytes = 0
 
     @abc.abstractmethod
     async def send_whole(
--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -65,6 +65,7 @@
             self.disconnected = True
             raise errors.CallerGone(type(exc).__name__) from exc
         self.write_pending = False
+        self.sent_bytes += len(data)
 
     def head(self, status: int, headers: interfaces.Headers) -> h11.Response:
         """Returns the head of the answer as an HTTP/1.1 event."""
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -6,6 +6,7 @@
 
 import attrs
 import pytest
+import trio
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import failed_attempts
@@ -302,3 +303,27 @@
         for line in named(lines, 'upstream_departed')
     ]
     assert departed == [('e1', 'leaving', 5), ('e2', 'removed', 6)]
+
+
+class LeavingAnswer(fakes.Answer):
+    """The caller closes its connection once it has the whole answer."""
+
+    async def send_whole(self, status, headers, body):
+        await super().send_whole(status, headers, body)
+        self.sent_bytes = len(body)
+        self.disconnected = True
+
+
+async def test_line_shows_how_much_of_an_answer_left(autojump_clock, lines):
+    """Guards against lines that show an answer of which no byte left as begun."""
+    never = fakes.Answer()
+    never.write = trio.sleep_forever
+    router = make_router([fakes.reply()], fakes.rule(timeout=0.5))
+    with pytest.raises(errors.OutcomeUnknown):
+        await router.forwarder.forward(fakes.request(), never)
+    await router.forwarder.forward(fakes.request(), LeavingAnswer())
+    shown = [
+        (line['began'], line['finished'], line['answer_bytes'])
+        for line in named(lines, 'request_ended')
+    ]
+    assert shown == [(True, False, 0), (True, True, 4)]
