Count a whole answer as answered though its caller has left

A caller that was told to close its connection closes it as soon as it has the answer.

Only a caller that leaves before its answer is finished is gone now. The test failed before ('caller-gone' != 'answered').

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -148,7 +148,7 @@
         detail: str,
     ) -> None:
         """Counts a request that has ended, logs it and keeps its record."""
-        if answer.disconnected:
+        if answer.disconnected and not answer.finished:
             outcome = errors.CallerGone.kind
         seconds = trio.current_time() - request.arrived
         request_id = request.header(self.resolver.headers.request_id) or ''
--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -315,7 +315,7 @@
 
 
 async def test_line_shows_how_much_of_an_answer_left(autojump_clock, lines):
-    """Guards against lines that show an answer of which no byte left as begun."""
+    """Guards against lines that do not tell an answer of which no byte left."""
     never = fakes.Answer()
     never.write = trio.sleep_forever
     router = make_router([fakes.reply()], fakes.rule(timeout=0.5))
@@ -327,3 +327,13 @@
         for line in named(lines, 'request_ended')
     ]
     assert shown == [(True, False, 0), (True, True, 4)]
+
+
+async def test_caller_that_leaves_with_its_answer_was_answered(
+    autojump_clock, lines
+):
+    """Guards against answers that count as lost, since callers close then."""
+    router = make_router([fakes.reply()], fakes.rule())
+    await router.forwarder.forward(fakes.request(), LeavingAnswer())
+    (line,) = named(lines, 'request_ended')
+    assert line['outcome'] == 'answered'
