Accept no request that the end of a stop may cut off

What callers saw: the next request on a kept connection, sent when a long stream had ended, was taken by a router 5.7 to 7.1 s into its stop, passed on and cut off in the middle of its answer at 7.7 s. It may run once only, so the caller could not repeat it.

Cause: wait_for_request serves what is readable when an answer ends, as long as the stop lasts. close_idle closes what is idle at its one moment; the head of a stream that began before the signal can't say that the connection closes; and nothing asked whether a request can end before the router does.

Change: StopTimes. After the balancer's time a request is accepted only if its deadline is before the end of the stop, judged when all of it has been read: that holds for kept connections, for requests sent ahead, for bodies that come late. Others get 503, not run, Retry-After 0.05 s. Why it works: what is accepted ends by its deadline, and that is before the cut. A caller that could not be told of the close has 0.5 s for its next request, and gets its answer rather than a closed connection. Connections end in a stop by a half-close and 0.3 s of reading on: with a plain close, a request that meets it resets the connection and takes along the unread end of an answer (test_request_that_meets_the_close_destroys_no_answer, red without it).

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from lavenderbend.coordination.forwarding import attempts as attempts_module
 from lavenderbend.coordination.forwarding import decision_records
 from lavenderbend.coordination.forwarding import request_resolver
+from lavenderbend.coordination.forwarding import stop_times
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.state import decisions as decisions_module
@@ -65,6 +66,7 @@
             no operators' interface is served.
         tracer: Makes spans, None where no collector is configured.
         fleet_size: Returns how many routers are known, for log lines.
+        stop: The times of this router's graceful stop.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.decisions: decisions_module.DecisionStore | None = None
         self.tracer: request_spans.Tracer | None = None
         self.fleet_size: Callable[[], int] = lambda: 1
+        self.stop = stop_times.StopTimes()
 
     async def forward(
         self,
@@ -102,6 +105,7 @@
         try:
             ticket = await self.resolver.admit(request)
             ticket.span = span
+            self.stop.check(ticket.deadline)
             self.log_admitted(ticket)
             await self.run_until_deadline(ticket, answer)
             outcome = decision_records.ANSWERED
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -445,13 +445,15 @@
 
         Readiness fails first, and callers that the load balancer still
         sends are served; each response tells its caller to close the
-        connection.
+        connection. After the balancer's time only requests whose deadline is
+        before the end of the stop are accepted.
         """
         stop = self.settings.stop
         logs.change('router_stopping', router=self.settings.id)
+        drain_seconds = stop.stream_seconds - STOP_MARGIN_SECONDS
         self.callers.begin_stop()
+        self.forwarder.stop.begin(stop.balancer_grace_seconds, drain_seconds)
         self.peers.leave()
-        drain_seconds = stop.stream_seconds - STOP_MARGIN_SECONDS
         with trio.move_on_after(drain_seconds) as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.relay_server.shut_down)
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -25,6 +25,12 @@
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 # time for a caller to read the error answer before its connection is closed
 LINGERING_CLOSE_SECONDS = 1.0
+# the same at the end of a connection in a stop: a request that the caller has
+# sent meanwhile arrives within it
+STOP_LINGER_SECONDS = 0.3
+# time for the next request of a caller whose last answer began before the stop
+# and did not say that its connection closes
+LAST_REQUEST_SECONDS = 0.5
 
 BAD_REQUESTS = metrics.counter(
     'lavenderbend_caller_bad_requests_total',
@@ -66,7 +72,7 @@
         """Serves requests until either side closes."""
         while True:
             if not await self.wait_for_request():
-                return
+                break
             try:
                 request = await self.read_request()
             except h11.RemoteProtocolError as exc:
@@ -80,19 +86,21 @@
             if not await self.answer(request):
                 return
             if self.protocol.our_state is not h11.DONE:
-                return
+                break
             if self.protocol.their_state is not h11.DONE:
-                return
+                break
             self.protocol.start_next_cycle()
+        if self.server.stopping:
+            await self.linger(STOP_LINGER_SECONDS)
 
     async def wait_for_request(self) -> bool:
         """Waits for a request; returns False if none arrives in time."""
         if self.protocol.trailing_data[0]:
             return True
         idle = self.server.limits().idle_seconds
-        self.idle_scope = trio.CancelScope(deadline=trio.current_time() + idle)
         if self.server.closing_idle:
-            self.idle_scope.cancel()
+            idle = min(idle, LAST_REQUEST_SECONDS)
+        self.idle_scope = trio.CancelScope(deadline=trio.current_time() + idle)
         with self.idle_scope:
             await trio.lowlevel.wait_readable(self.stream.socket)
             return True
@@ -201,8 +209,19 @@
         answer = caller_answers.ConnectionAnswer(self)
         with trio.move_on_after(LINGERING_CLOSE_SECONDS):
             await caller_answers.send_problem(answer, error, '', close=True)
+            await self.linger(LINGERING_CLOSE_SECONDS)
+
+    async def linger(self, seconds: float) -> None:
+        """Ends the sending side, and reads on until the caller closes too.
+
+        Closing a socket with unread bytes, or one to which the caller has just
+        sent its next request, would reset the connection before the caller
+        has read its last answer.
+
+        Args:
+            seconds: Time that the caller has for it.
+        """
+        with trio.move_on_after(seconds):
             await self.stream.send_eof()
-            # closing a socket with unread bytes would reset the connection
-            # before the caller has read the error
             while await self.stream.receive_some(caller_requests.RECEIVE_BYTES):
                 pass
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -11,10 +11,14 @@
 
 from lavenderbend import errors
 from lavenderbend.state import forwarding
+from lavenderbend.transport import caller_connections
 from lavenderbend.transport import caller_server
 from lavenderbend.transport import early_listener
 
 HOST = '127.0.0.1'
+# fits into the router's send buffer, and not into a small receive buffer
+LARGE_BYTES = 8_000
+SMALL_BUFFER_BYTES = 4096
 GET = b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'
 LIMITS = forwarding.CallerLimits(
     header_bytes=2048, body_bytes=1000, header_seconds=0.2, idle_seconds=0.3
@@ -28,6 +32,9 @@
         self.requests = []
         self.step = self.echo
         self.disconnected = trio.Event()
+        self.proceed = trio.Event()
+        self.written = trio.Event()
+        self.tail = b'rest'
 
     async def handle(self, request, answer):
         self.requests.append(request)
@@ -64,6 +71,14 @@
         self.step = self.echo
         raise errors.OutcomeUnknown('no answer before the deadline')
 
+    async def stream(self, request, answer):
+        await answer.start(200, ())
+        await answer.send(b'begun')
+        await self.proceed.wait()
+        await answer.send(self.tail)
+        await answer.finish()
+        self.written.set()
+
     async def fault(self, request, answer):
         raise KeyError('a bug')
 
@@ -83,8 +98,14 @@
     return router
 
 
-async def connect(router):
-    return await trio.open_tcp_stream(HOST, router.port)
+async def connect(router, receive_buffer=None):
+    connection = trio.socket.socket()
+    if receive_buffer is not None:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+        )
+    await connection.connect((HOST, router.port))
+    return trio.SocketStream(connection)
 
 
 async def exchange(router, data):
@@ -105,6 +126,14 @@
     return b''.join(parts)
 
 
+async def read_until(stream, end):
+    """Reads until bytes that end so have come."""
+    received = b''
+    with trio.fail_after(5.0):
+        while not received.endswith(end):
+            received += await stream.receive_some()
+
+
 async def test_chunked_body_is_read_completely(router):
     received = await exchange(
         router,
@@ -229,6 +258,52 @@
         await router.server.wait_all_closed()
 
 
+async def start_stream(router, receive_buffer=None):
+    """Returns a caller that reads a stream while the router begins to stop."""
+    router.step = router.stream
+    stream = await connect(router, receive_buffer)
+    await stream.send_all(GET)
+    await stream.receive_some()
+    router.server.begin_stop()
+    router.server.close_idle()
+    return stream
+
+
+async def test_caller_of_a_stream_gets_an_answer_to_its_next_request(router):
+    """Guards against a request that meets the close after a long stream.
+
+    The head of the stream went out before the stop and could not say that the
+    connection closes.
+    """
+    stream = await start_stream(router)
+    router.step = router.refuse
+    router.proceed.set()
+    await read_until(stream, b'0\r\n\r\n')
+    await trio.sleep(0.05)
+    await stream.send_all(GET)
+    received = await read_all(stream)
+    assert received.startswith(b'HTTP/1.1 503')
+    assert b'connection: close' in received
+
+
+async def test_request_that_meets_the_close_destroys_no_answer(
+    router, monkeypatch
+):
+    """Guards against a reset that takes the unread end of an answer along."""
+    monkeypatch.setattr(caller_connections, 'LAST_REQUEST_SECONDS', 0.0)
+    monkeypatch.setattr(caller_connections, 'STOP_LINGER_SECONDS', 5.0)
+    router.tail = b'x' * LARGE_BYTES
+    stream = await start_stream(router, receive_buffer=SMALL_BUFFER_BYTES)
+    router.proceed.set()
+    with trio.fail_after(5.0):
+        await router.written.wait()
+    await trio.testing.wait_all_tasks_blocked()
+    await stream.send_all(GET)
+    received = await read_all(stream)
+    assert received.endswith(b'0\r\n\r\n')
+    assert received.count(b'x') == LARGE_BYTES
+
+
 async def test_too_many_connections_are_closed(router):
     streams = [await connect(router) for _ in range(10)]
     await trio.sleep(0.05)
