Send what is ready when the deadline of its request passes

What callers saw: requests that end at their route's timeout got neither the upstream's answer nor the router's 504; the connection closed without a byte. They are not idempotent and had run.

Cause: run_until_deadline wraps waiting for an upstream and writing to the caller in one scope. If the end of an answer is read in the turn of the event loop in which the deadline passes, the scope is cancelled before the task goes on, and the first send is cancelled with no byte left. The answer was marked started and the protocol's state moved on before that, so that no error went out.

Change: a write counts what has left. Cancelled, it goes on for 0.2 s, once for all writes of an answer, unless the caller has left: a caller that does not read holds a request no longer than that (0.25 s past a timeout is what callers may be held). So a whole answer, the end of a stream and the error response held for a retry go out. A stream that has not begun does not begin, and its caller gets the error: nothing is marked or composed before that is known. A part that can't be completed ends the connection, as before. The router's own errors, which had no limit, have the same 0.2 s. Why it works: the two ends are told apart by bytes, not by intent.

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -217,8 +217,12 @@
             RequestError: The request was not answered.
         """
         with trio.CancelScope(deadline=ticket.deadline) as scope:
-            await self.run_attempts(ticket, answer)
-        if not scope.cancelled_caught:
+            try:
+                await self.run_attempts(ticket, answer)
+            except trio.Cancelled:
+                await self.send_fallback(ticket, answer)
+                raise
+        if not scope.cancelled_caught or answer.finished:
             return
         if ticket.may_have_run:
             raise errors.OutcomeUnknown('no answer before the deadline')
@@ -393,23 +397,35 @@
             and ticket.splitter.written_position.numbered
         )
 
+    async def send_fallback(
+        self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
+    ) -> bool:
+        """Sends an error response held from an earlier attempt.
+
+        Returns:
+            Whether there was one. A stream that has begun cannot take a second
+            response.
+        """
+        fallback = ticket.fallback
+        if fallback is None or answer.started:
+            return False
+        await answer.send_whole(
+            fallback.head.status, fallback.head.headers, fallback.body
+        )
+        return True
+
     async def finish_unanswered(
         self, ticket: tickets.Ticket, answer: interfaces.CallerAnswer
     ) -> None:
         """Ends a request for which no further upstream is tried.
 
-        An error response held from an earlier attempt is passed on, unless a
-        stream has begun, which cannot take a second response. A request that
-        may have run is not reported as not run.
+        An error response held from an earlier attempt is passed on. A request
+        that may have run is not reported as not run.
 
         Raises:
             RequestError: No upstream answered.
         """
-        if ticket.fallback is not None and not answer.started:
-            fallback = ticket.fallback
-            await answer.send_whole(
-                fallback.head.status, fallback.head.headers, fallback.body
-            )
+        if await self.send_fallback(ticket, answer):
             return
         if ticket.may_have_run:
             raise errors.OutcomeUnknown('the upstream broke off its response')
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -54,9 +54,8 @@
     Attributes:
         started: Whether a part of the response was sent.
         finished: Whether the complete response was sent.
-        write_pending: Whether a write has begun and not ended. If it was
-            cancelled, it is not known how much of it the caller has, and
-            nothing may follow.
+        write_pending: Whether a write has begun and was not completed. The
+            caller may have a part of it, and nothing may follow.
         disconnected: Whether the caller closed its connection before the
             response was finished.
         sent_bytes: Bytes of the response that the caller's connection took.
@@ -72,11 +71,17 @@
     async def send_whole(
         self, status: int, headers: Headers, body: bytes
     ) -> None:
-        """Sends a complete response of known length."""
+        """Sends a complete response of known length.
+
+        It is sent for a short time also if the request was cancelled.
+        """
 
     @abc.abstractmethod
     async def start(self, status: int, headers: Headers) -> None:
-        """Sends the head of a streamed response."""
+        """Sends the head of a streamed response.
+
+        If the request was cancelled, the response is not started.
+        """
 
     @abc.abstractmethod
     async def send(self, data: bytes) -> None:
--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -16,6 +16,8 @@
     from lavenderbend.transport import caller_connections
 
 HEAD = b'HEAD'
+# time for a caller to take what is ready when its request is cancelled
+LATE_WRITE_SECONDS = 0.2
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -24,7 +26,15 @@
 
 
 class ConnectionAnswer(interfaces.CallerAnswer):
-    """The answer to one request on a connection."""
+    """The answer to one request on a connection.
+
+    Attributes:
+        connection: Connection on which it is written.
+        method: Method of the request, empty if it could not be parsed.
+        unsent: Bytes that were given to `write` and have not left.
+        late_until: Router clock until which writes go on although the request
+            is cancelled, None before it is.
+    """
 
     def __init__(
         self,
@@ -40,6 +50,8 @@
         """
         self.connection = connection
         self.method = method
+        self.unsent = memoryview(b'')
+        self.late_until: float | None = None
 
     def closing(self) -> bool:
         """Returns whether the connection is closed after this answer."""
@@ -49,7 +61,7 @@
         """Sends HTTP/1.1 events in one write.
 
         Raises:
-            AnswerInterrupted: An earlier write was cancelled part-way.
+            AnswerInterrupted: An earlier write was not completed.
             CallerGone: The caller has closed the connection.
         """
         if self.write_pending:
@@ -57,15 +69,50 @@
             # write: its answer would have a gap or break the protocol
             raise errors.AnswerInterrupted('an earlier write was interrupted')
         protocol = self.connection.protocol
+        self.started = True
         data = b''.join(protocol.send(event) or b'' for event in events)
+        self.unsent = memoryview(data)
         self.write_pending = True
         try:
-            await self.connection.stream.send_all(data)
+            await self.complete_write()
         except CONNECTION_ERRORS as exc:
             self.disconnected = True
             raise errors.CallerGone(type(exc).__name__) from exc
         self.write_pending = False
-        self.sent_bytes += len(data)
+
+    async def complete_write(self) -> None:
+        """Sends what is unsent, for a short time also in a cancelled request.
+
+        A deadline may pass in the same turn of the event loop in which the end
+        of an answer was read. The first send is cancelled then before a byte
+        has left, and the caller would get neither the answer nor an error.
+        """
+        try:
+            await self.send_unsent()
+        except trio.Cancelled:
+            if self.disconnected:
+                raise
+            if self.late_until is None:
+                self.late_until = trio.current_time() + LATE_WRITE_SECONDS
+            # one limit for all writes: a caller that reads slowly could make
+            # each of them last
+            with trio.CancelScope(deadline=self.late_until, shield=True):
+                await self.send_unsent()
+            if self.unsent:
+                raise
+
+    def limit_writes(self) -> trio.CancelScope:
+        """Returns a scope that ends writes to a caller that does not read."""
+        self.late_until = trio.current_time() + LATE_WRITE_SECONDS
+        return trio.CancelScope(deadline=self.late_until)
+
+    async def send_unsent(self) -> None:
+        """Sends what is unsent; a cancelled call has counted what has left."""
+        connection = self.connection.stream.socket
+        while self.unsent:
+            sent = await connection.send(self.unsent)
+            self.unsent = self.unsent[sent:]
+            self.sent_bytes += sent
 
     def head(self, status: int, headers: interfaces.Headers) -> h11.Response:
         """Returns the head of the answer as an HTTP/1.1 event."""
@@ -76,8 +123,10 @@
     async def send_whole(
         self, status: int, headers: interfaces.Headers, body: bytes
     ) -> None:
-        """Sends a complete answer with its length."""
-        self.started = True
+        """Sends a complete answer with its length.
+
+        It is ready, and sent also if the request was cancelled meanwhile.
+        """
         headers = without_length(headers)
         length = (b'content-length', b'%d' % len(body))
         await self.write(
@@ -89,8 +138,12 @@
         self.finished = True
 
     async def start(self, status: int, headers: interfaces.Headers) -> None:
-        """Sends the head of a streamed answer."""
-        self.started = True
+        """Sends the head of a streamed answer.
+
+        If the request was cancelled meanwhile, the answer does not begin, and
+        the caller can still get an error.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
         await self.write(self.head(status, without_length(headers)))
 
     async def send(self, data: bytes) -> None:
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -178,7 +178,9 @@
         except errors.CallerGone:
             return
         except errors.RequestError as exc:
-            if not answer.started:
+            if answer.started:
+                return
+            with answer.limit_writes():
                 await caller_answers.send_problem(answer, exc, '')
 
     async def watch_caller(
