Answer the requests that the end of a stop meets

What callers saw: a request accepted while the balancer still sent, and longer than the stop, had its connection closed without a byte. Whether it had run was left open also where no upstream had been sent it, and a body still on its way was reset.

Cause: the end of a stop cancelled all tasks at once. The errors of a deadline are raised outside the scope that it cancels; here nothing was outside.

Change: the end of the stop is a deadline of each request in progress (StopTimes.limit), 0.3 s before the end of the grace as before: 504 for what may have run, 503 for what no upstream was sent, and what is ready goes out. Requests that have not arrived whole are refused with 503. 0.1 s for their callers, then the router ends, 0.2 s before the grace does.

Failed before, on the virtual clock: the three tests of test_daemon_stop (a request still waited at 15.0 s where the stop ends at 7.7 s); and the one of a request still arriving (the server could not end its reading).

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -216,7 +216,7 @@
         Raises:
             RequestError: The request was not answered.
         """
-        with trio.CancelScope(deadline=ticket.deadline) as scope:
+        with self.stop.limit(ticket.deadline) as scope:
             try:
                 await self.run_attempts(ticket, answer)
             except trio.Cancelled:
@@ -224,6 +224,8 @@
                 raise
         if not scope.cancelled_caught or answer.finished:
             return
+        if trio.current_time() < ticket.deadline:
+            raise self.stop.end_request(ticket.may_have_run)
         if ticket.may_have_run:
             raise errors.OutcomeUnknown('no answer before the deadline')
         raise errors.NoUpstream('not sent before the deadline')
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -61,9 +61,11 @@
 # interval at which state of removed upstreams is deleted and idle
 # connections that would not be used again are closed
 CLEANUP_SECONDS = 1.0
-# the last requests are cut off this long before the time for a graceful
-# stop ends
+# the last requests are ended this long before the time for a graceful stop
+# ends
 STOP_MARGIN_SECONDS = 0.3
+# time for their callers to take the errors
+LAST_ANSWERS_SECONDS = 0.1
 # settings that take effect only after a restart
 RESTART_SETTINGS = ('listen', 'readiness_path', 'headers', 'zones')
 
@@ -441,7 +443,7 @@
         nursery.start_soon(self.remove_stale_state)
 
     async def shut_down(self) -> None:
-        """Stops gracefully; requests that exceed the time for a stop are cut.
+        """Stops gracefully; requests that exceed the time for a stop are ended.
 
         Readiness fails first, and callers that the load balancer still
         sends are served; each response tells its caller to close the
@@ -460,8 +462,12 @@
                 await trio.sleep(stop.balancer_grace_seconds)
                 self.callers.close_idle()
                 await self.callers.wait_all_closed()
-        if scope.cancelled_caught:
-            logs.change('requests_cut', count=len(self.callers.connections))
+        if not scope.cancelled_caught:
+            return
+        self.callers.end_reading()
+        with trio.move_on_after(LAST_ANSWERS_SECONDS):
+            await self.callers.wait_all_closed()
+        logs.change('requests_cut', count=self.forwarder.stop.cut)
 
     async def remove_stale_state(self) -> None:
         """Removes state of upstreams that no longer exist, until cancelled."""
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -10,6 +10,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination.forwarding import stop_times
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.transport import caller_answers
@@ -46,6 +47,7 @@
         stream: The TCP stream.
         protocol: HTTP/1.1 state.
         idle_scope: Cancel scope of the wait for the next request.
+        read_scope: Cancel scope of the reading of a request.
         waiting_since: Router clock since which its first request may have
             been waiting in the socket while the router started, None if the
             connection was opened later or the request had not come.
@@ -57,6 +59,7 @@
         self.server = server
         self.stream = stream
         self.idle_scope = trio.CancelScope()
+        self.read_scope = trio.CancelScope()
         self.waiting_since: float | None = None
         early = trio.current_time() < server.early_until
         # of a connection that waited, only a request that waited too
@@ -118,7 +121,13 @@
         reader = caller_requests.RequestReader(
             self.stream, self.protocol, self.server.limits()
         )
-        return await reader.read(arrived)
+        self.read_scope = trio.CancelScope()
+        with self.read_scope:
+            return await reader.read(arrived)
+        raise errors.RouterStopping(
+            'the request did not arrive before the router stopped',
+            stop_times.RETRY_AFTER_SECONDS,
+        )
 
     def earliest_arrival(self) -> float:
         """Returns the earliest router clock at which the request can have come.
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -144,6 +144,11 @@
         for connection in self.connections:
             connection.idle_scope.cancel()
 
+    def end_reading(self) -> None:
+        """Refuses the requests of which a part has not arrived."""
+        for connection in self.connections:
+            connection.read_scope.cancel()
+
     async def wait_all_closed(self) -> None:
         """Waits until no connection is open."""
         while self.connections:
--- a/tests/test_daemon/test_daemon_stop.py
+++ b/tests/test_daemon/test_daemon_stop.py
@@ -23,14 +23,14 @@
 
 
 class StoppingRouter:
-    """A router, without its sockets, whose upstream answers after 0.5 s.
+    """A router, without its sockets, whose upstream answers after some time.
 
     Attributes:
         daemon: The router.
         upstream: What its upstream is sent.
     """
 
-    def __init__(self):
+    def __init__(self, answer_seconds=0.5):
         settings = settings_module.RouterSettings(
             'router-1',
             'sala-a',
@@ -41,7 +41,7 @@
             ),
         )
         self.daemon = forwarding.ForwardingDaemon(settings)
-        self.upstream = fakes.Exchanges(e1=[fakes.reply(delay=0.5)])
+        self.upstream = fakes.Exchanges(e1=[fakes.reply(delay=answer_seconds)])
         self.daemon.forwarder.attempts.exchanges = self.upstream
         rules = (fakes.rule(timeout=15.0),)
         content = fakes.snapshot(1, fakes.table(1, rules), fakes.upstream('e1'))
@@ -63,6 +63,12 @@
             return answer, exc
         return answer, None
 
+    async def end_after(self, milliseconds):
+        """Returns a request's answer and error, and when it ended."""
+        began = trio.current_time()
+        answer, error = await self.call(milliseconds)
+        return answer, error, trio.current_time() - began
+
 
 @pytest.fixture
 async def router(nursery):
@@ -110,3 +116,57 @@
     answer, error = await router.call(LONG, arrived=4.5)
     assert isinstance(error, errors.RouterStopping)
     assert not router.upstream.sent
+
+
+@pytest.fixture
+async def hanging():
+    return StoppingRouter(answer_seconds=60.0)
+
+
+async def test_request_that_the_end_of_a_stop_meets_gets_an_error(
+    hanging, nursery, autojump_clock
+):
+    """Guards against callers whose connection closes without an answer."""
+    nursery.start_soon(hanging.daemon.shut_down)
+    await trio.testing.wait_all_tasks_blocked()
+    answer, error, seconds = await hanging.end_after(LONG)
+    assert isinstance(error, errors.OutcomeUnknown)
+    assert not answer.started
+    assert seconds == pytest.approx(
+        STOP_SECONDS - forwarding.STOP_MARGIN_SECONDS
+    )
+    assert hanging.daemon.forwarder.stop.cut == 1
+
+
+async def test_request_from_before_a_stop_gets_an_error_at_its_end(
+    hanging, nursery, autojump_clock
+):
+    """Guards against an end that only requests from after the signal see."""
+    nursery.start_soon(stop_later, hanging, 1.0)
+    _, error, seconds = await hanging.end_after(LONG)
+    assert isinstance(error, errors.OutcomeUnknown)
+    assert seconds == pytest.approx(
+        1.0 + STOP_SECONDS - forwarding.STOP_MARGIN_SECONDS
+    )
+
+
+async def test_request_not_sent_when_a_stop_ends_has_not_run(
+    hanging, nursery, autojump_clock
+):
+    """Guards against an unknown outcome of what no upstream was sent."""
+
+    async def wait(ticket):
+        await trio.sleep_forever()
+
+    hanging.daemon.forwarder.reserving_chooser.choose = wait
+    nursery.start_soon(hanging.daemon.shut_down)
+    await trio.testing.wait_all_tasks_blocked()
+    _, error, _ = await hanging.end_after(LONG)
+    assert isinstance(error, errors.RouterStopping)
+    assert error.outcome is errors.Outcome.NOT_RUN
+    assert not hanging.upstream.sent
+
+
+async def stop_later(router, seconds):
+    await trio.sleep(seconds)
+    await router.daemon.shut_down()
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -318,6 +318,22 @@
     assert received.count(b'x') == LARGE_BYTES
 
 
+async def test_request_still_arriving_when_a_stop_ends_is_refused(router):
+    """Guards against a reset in place of the word that it did not run."""
+    stream = await connect(router)
+    await stream.send_all(
+        b'POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nha'
+    )
+    await trio.testing.wait_all_tasks_blocked()
+    router.server.begin_stop()
+    router.server.close_idle()
+    router.server.end_reading()
+    received = await read_all(stream)
+    assert received.startswith(b'HTTP/1.1 503')
+    assert b'connection: close' in received
+    assert not router.requests
+
+
 async def test_too_many_connections_are_closed(router):
     streams = [await connect(router) for _ in range(10)]
     await trio.sleep(0.05)
