Hand out no relayed connection once the router stops

What callers saw: nothing is known to have been seen. A request of a caller of another router, sent through one that stops, would be cut off at its end.

Cause: the stop is announced on the connections of one moment. One that was being opened then, or whose reply was on its way, came after it: its requester kept it and could send requests on it as long as the stop lasted.

Change: a connection that is open only when the router stops is closed, with the answer that nothing was relayed (no request was sent on it, and another router is asked); one whose reply met the stop is announced on its own.

Both tests failed before: a connection was handed out, and stayed reusable.

--- a/lavenderbend/transport/relay_server.py
+++ b/lavenderbend/transport/relay_server.py
@@ -176,6 +176,10 @@
             # whether the upstream is down or the path cut is not known here
             return Outcome.UNREACHABLE, None
         self.relays.reachability.note_connected()
+        if self.relays.stopping:
+            # no request was sent on it; the requester asks another router
+            connection.close()
+            return Outcome.UNABLE, None
         return Outcome.CONNECTED, connection
 
     async def run(self, connection: RelayedConnection) -> None:
@@ -183,6 +187,9 @@
         self.connections.add(connection)
         OPEN.set({}, len(self.connections))
         try:
+            if self.relays.stopping:
+                # the stop began while the requester was sent the reply
+                await self.announce_stop(connection)
             await connection.run()
         finally:
             self.connections.discard(connection)
--- a/tests/test_transport/test_relayed_connections.py
+++ b/tests/test_transport/test_relayed_connections.py
@@ -281,3 +281,50 @@
     await relaying.server.shut_down()
     with pytest.raises(errors.RelayUnavailable):
         await connect(exchanges, relaying)
+
+
+async def test_relay_that_stops_hands_out_no_connection_it_was_opening(
+    exchanges, relaying, worker, nursery
+):
+    """Guards against a connection that nobody is told not to use again.
+
+    The announcement of the stop goes to the connections of that moment. The
+    requester would send requests on it for as long as the stop lasts.
+    """
+    opening, proceed = trio.Event(), trio.Event()
+    connect_upstream = relaying.server.connect
+
+    async def connect_slowly(upstream):
+        opening.set()
+        with trio.CancelScope(shield=True):
+            await proceed.wait()
+        return await connect_upstream(upstream)
+
+    async def stop():
+        await opening.wait()
+        nursery.start_soon(relaying.server.shut_down)
+        await trio.testing.wait_all_tasks_blocked()
+        proceed.set()
+
+    relaying.server.connect = connect_slowly
+    nursery.start_soon(stop)
+    with trio.fail_after(5.0):
+        with pytest.raises(errors.RelayUnavailable):
+            await connect(exchanges, relaying)
+
+
+async def test_requester_hears_of_a_stop_that_met_the_reply(
+    exchanges, relaying
+):
+    """Guards against the same where the stop begins after the connecting."""
+    run = relaying.server.run
+
+    async def stop_and_run(connection):
+        relaying.relays.stopping = True
+        await run(connection)
+
+    relaying.server.run = stop_and_run
+    with trio.fail_after(5.0):
+        exchange = await connect(exchanges, relaying)
+        await fetch(exchange)
+    assert not exchange.connection.reusable(repeatable=True)
