Send a held failure at the deadline however the other try was cancelled

An error response that is held for a retry goes out at the deadline, but not where the retry has a body of over a kilobyte: it is sent in a task beside the reading of the answer, and the nursery of both wraps their cancellations in a group, which `except trio.Cancelled` does not see. The caller got the router's 504 in place of it.

It is sent behind the cancelled scope now, in one that has expired too, so that the write has its 0.2 s and no more. The test sends a body in this way, and failed before.

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -217,13 +217,15 @@
             RequestError: The request was not answered.
         """
         with self.stop.limit(ticket.deadline) as scope:
-            try:
-                await self.run_attempts(ticket, answer)
-            except trio.Cancelled:
-                await self.send_fallback(ticket, answer)
-                raise
+            await self.run_attempts(ticket, answer)
         if not scope.cancelled_caught or answer.finished:
             return
+        # the scope has expired too: a write has only its time after a
+        # cancellation
+        with trio.CancelScope(deadline=scope.deadline):
+            await self.send_fallback(ticket, answer)
+        if answer.finished:
+            return
         if trio.current_time() < ticket.deadline:
             raise self.stop.end_request(ticket.may_have_run)
         if ticket.may_have_run:
--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -615,12 +615,27 @@
     )
 
 
+class SendingExchange(fakes.Exchange):
+    """Sends a body in a task of its own while it waits for the answer."""
+
+    async def send(self, request):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.sleep, self.step.delay)
+            return await super().send(request)
+
+
 async def test_failure_held_for_a_retry_is_sent_at_the_deadline(autojump_clock):
     """Guards against an answer that is dropped while another try hangs."""
     exchanges = fakes.Exchanges(
         e1=[fakes.reply(500, (b'oops',)), fakes.reply(delay=9.0)]
     )
     exchanges.steps['e2'] = exchanges.steps['e1']
+
+    async def connect(upstream, repeatable):
+        step = exchanges.steps[upstream.instance].pop(0)
+        return SendingExchange(exchanges, upstream.instance, step)
+
+    exchanges.open = connect
     rules = (fakes.rule(timeout=0.9, idempotent=True, attempts=2),)
     listed = [fakes.upstream('e1'), fakes.upstream('e2')]
     content = fakes.snapshot(1, fakes.table(1, rules), *listed)
