--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -213,6 +213,9 @@
     ) -> None:
         """Runs the attempts of a request until its deadline.
 
+        An answer that is ready by then is sent, and the end of a stop is a
+        deadline too.
+
         Raises:
             RequestError: The request was not answered.
         """
@@ -220,8 +223,8 @@
             await self.run_attempts(ticket, answer)
         if not scope.cancelled_caught or answer.finished:
             return
-        # the scope has expired too: a write has only its time after a
-        # cancellation
+        # this scope has expired as well: what is written in it has the short
+        # time of a cancelled request
         with trio.CancelScope(deadline=scope.deadline):
             await self.send_fallback(ticket, answer)
         if answer.finished:
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -26,8 +26,8 @@
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 # time for a caller to read the error answer before its connection is closed
 LINGERING_CLOSE_SECONDS = 1.0
-# the same at the end of a connection in a stop: a request that the caller has
-# sent meanwhile arrives within it
+# time in which a request arrives that a caller has sent while its connection
+# is closed by a stop
 STOP_LINGER_SECONDS = 0.3
 # time for the next request of a caller whose last answer began before the stop
 # and did not say that its connection closes
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -45,7 +45,7 @@
         limits: Returns the current limits.
         max_connections: Connections beyond this are closed at once.
         stopping: Whether answers ask callers to close their connections.
-        closing_idle: Whether idle connections are closed at once.
+        closing_idle: Whether connections that become idle are closed.
         connections: Open connections.
         accept_scope: Cancelled to stop accepting connections.
         all_closed: Set when the last connection closes.
