Test: a caller's next request after a stream has no race with the clock

The test sent its request 50 ms after the end of the stream, and the router waits 0.3 s there: a machine that stands still for so long would have failed it. The limits of the wait are 5 s in the test now, and the request is sent once the router waits. Without the wait in the product it fails as before.

--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -5,6 +5,7 @@
 import functools
 import socket
 
+import attrs
 import pytest
 import trio
 import trio.testing
@@ -283,17 +284,22 @@
     return stream
 
 
-async def test_caller_of_a_stream_gets_an_answer_to_its_next_request(router):
+async def test_caller_of_a_stream_gets_an_answer_to_its_next_request(
+    router, monkeypatch
+):
     """Guards against a request that meets the close after a long stream.
 
     The head of the stream went out before the stop and could not say that the
     connection closes.
     """
+    monkeypatch.setattr(caller_connections, 'LAST_REQUEST_SECONDS', 5.0)
+    patient = attrs.evolve(LIMITS, idle_seconds=5.0)
+    router.server.limits = lambda: patient
     stream = await start_stream(router)
     router.step = router.refuse
     router.proceed.set()
     await read_until(stream, b'0\r\n\r\n')
-    await trio.sleep(0.05)
+    await trio.testing.wait_all_tasks_blocked()
     await stream.send_all(GET)
     received = await read_all(stream)
     assert received.startswith(b'HTTP/1.1 503')
