Test: a stop with real processes and a caller that keeps its connection

A stream whose head goes out before the signal ends 4 s later, and its caller sends the next request on the same connection, with a time limit that the stop has no room for: it gets 503 and the close, no engine is sent it, and the process ends by itself. On the request ran, and the connection closed with no byte of an answer.

--- a/tests/integration/test_integration_forwarding.py
+++ b/tests/integration/test_integration_forwarding.py
@@ -114,13 +114,9 @@
     async def chat():
         answers.append(await forwarding_fleet.ask(router, '/chat/1', 7))
 
-    async def streams():
-        ran = [*fleet.workers['i-e1'].ran, *fleet.workers['i-e2'].ran]
-        return bool(ran)
-
     async with trio.open_nursery() as nursery:
         nursery.start_soon(chat)
-        await fleet.until(streams)
+        await fleet.until(lambda: any_chat_runs(fleet))
         router.process.signal(signal.SIGTERM)
         await fleet.until(lambda: not_ready(router))
         status, body, stays = await caller.ask('/desk/b', 2)
@@ -134,6 +130,35 @@
     return not await router.ready()
 
 
+async def any_chat_runs(fleet):
+    return bool([*fleet.workers['i-e1'].ran, *fleet.workers['i-e2'].ran])
+
+
+async def test_stop_answers_the_next_request_of_a_long_stream(fleet):
+    """Guards against a request read late in a stop and cut off by its end."""
+    router = fleet.routers[0]
+    engines = [fleet.workers['i-e1'], fleet.workers['i-e2']]
+    for engine in engines:
+        engine.gap = 0.9
+
+    async def stop():
+        await fleet.until(lambda: any_chat_runs(fleet))
+        router.process.signal(signal.SIGTERM)
+
+    stream = await trio.open_tcp_stream(router.host, router.callers)
+    caller = forwarding_fleet.KeptCaller(stream)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop)
+        # its head goes out before the signal
+        assert await caller.ask('/chat/1', 1) == (200, EVENTS, True)
+    # its time limit is 5 s, of which the stop has less left
+    status, _, stays = await caller.ask('/chat/1', 2)
+    assert (status, stays) == (503, False)
+    assert sum(len(engine.ran) for engine in engines) == 1
+    with trio.fail_after(20.0):
+        assert await router.process.process.wait() == 0
+
+
 async def test_broken_stream_is_one_stream_to_its_caller(fleet):
     # the router has its part of the repeats when its count of routers stands
     # still; both upstreams are asked first by some request
