Streams taken up: the line names the age of the router's view of the store

stream_taken_up said what told the version that began a stream, but not how old the view of the store was from which that followed. A record that is wrong in the store and a router that is out of step looked alike.

--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -218,6 +218,7 @@
             known_by=known_by,
             software=self.settled.software_name(software_id),
             waited=round(trio.current_time() - asked_at, 4),
+            age=round(self.settled.snapshots.age, 3),
             versions=self.settled.versions(ticket.service),
             peers=self.peers.fleet_size(),
         )
