--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -450,6 +450,7 @@
         leave_fraction: Fraction of tries in which the caller leaves.
         names_first_try: Whether callers name the try that began a stream.
         cut: Returns whether messages from one host to another are lost.
+        return_hosts: Routers at which callers take streams up, all if empty.
     """
 
     def __init__(self, nursery, routers=6, seed=1, rules=(), zones=ZONES):
@@ -473,6 +474,7 @@
         self.leave_fraction = 0.0
         self.leave_at_most = EVENTS
         self.names_first_try = True
+        self.return_hosts = ()
         self.full_from = math.inf
         self.prompts = 20
         self.path = '/chat/1'
@@ -552,8 +554,7 @@
             left = deadline - trio.current_time()
             if left <= MIN_LEFT_SECONDS or len(stream.tries) >= MAX_TRIES:
                 return
-            hosts = [host for host in self.zone_of if host != last_host]
-            last_host = self.rng.choice(hosts)
+            last_host = self.choose_host(stream, last_host)
             if last_host not in self.routers:
                 await trio.sleep(REFUSED_CONNECTION_SECONDS)
                 continue
@@ -565,6 +566,13 @@
                 first_id = request_id
             await trio.sleep(wait)
 
+    def choose_host(self, stream, last_host):
+        """Returns the router of a caller's next try, not the last one."""
+        hosts = self.return_hosts if stream.events else ()
+        hosts = hosts or self.zone_of
+        others = [host for host in hosts if host != last_host]
+        return self.rng.choice(others or list(self.zone_of))
+
     def draw_prompt(self):
         """Returns the parts of a prompt, for half of the requests none."""
         chat = self.rng.randrange(2 * self.prompts)
--- a/tests/version_plays.py
+++ b/tests/version_plays.py
@@ -22,6 +22,13 @@
 ONE_VERSION = dict.fromkeys(TWO_VERSIONS, 'v1')
 # Time after which the versions of a new service are recorded.
 RECORDED_SECONDS = 4.0
+# From the loss of the store to the start of a second version.
+UNSEEN_SECONDS = 0.3
+STANDSTILL_SECONDS = 2.4
+# Time after a standstill until the store is reached.
+AFTERWARDS_SECONDS = 0.5
+CUT_SECONDS = 3.0
+OUTAGE_SECONDS = 8.0
 
 
 @attrs.frozen
@@ -202,6 +209,105 @@
         fleet.add_engine(f'n{number}', 'v2')
 
 
+async def second_version_comes_unseen(fleet, hosts, store_seconds):
+    """A second version joins a moment after routers have lost the store."""
+    fleet.leave_fraction = 0.6
+    fleet.leave_at_most = 8
+    await trio.sleep(FAULT_SECONDS)
+    fleet.cut_from_store |= set(hosts)
+    await trio.sleep(UNSEEN_SECONDS)
+    for number in range(4):
+        fleet.add_engine(f'n{number}', 'v2')
+    fleet.return_hosts = tuple(hosts)
+    await trio.sleep(store_seconds - UNSEEN_SECONDS)
+    fleet.cut_from_store.clear()
+    fleet.return_hosts = ()
+
+
+def some_routers(fleet):
+    """Returns half of the routers, one or more of each zone."""
+    return sorted(fleet.zone_of)[: len(fleet.zone_of) // 2]
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_routers_standing_still(fleet):
+    """They run again before they reach the store."""
+    hosts = some_routers(fleet)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            second_version_comes_unseen,
+            fleet,
+            hosts,
+            STANDSTILL_SECONDS + AFTERWARDS_SECONDS,
+        )
+        await trio.sleep(FAULT_SECONDS)
+        for host in hosts:
+            fleet.pause(host, STANDSTILL_SECONDS)
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_routers_without_store(fleet):
+    await second_version_comes_unseen(fleet, some_routers(fleet), CUT_SECONDS)
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_a_cut_off_router(fleet):
+    """It reaches neither the store nor any other router."""
+    host = fleet.rng.choice(sorted(fleet.zone_of))
+    fleet.nursery.start_soon(cut_for, fleet, {host})
+    await second_version_comes_unseen(fleet, [host], CUT_SECONDS)
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_a_router_that_hears_no_other(fleet):
+    host = fleet.rng.choice(sorted(fleet.zone_of))
+    fleet.nursery.start_soon(cut_for, fleet, {host})
+    fleet.return_hosts = (host,)
+    await second_version_comes_unseen(fleet, [], CUT_SECONDS)
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_a_cut_off_zone(fleet):
+    """Its routers reach each other, but neither the store nor other zones."""
+    zone = fleet.rng.choice(fleet.zones)
+    hosts = {host for host, at in fleet.zone_of.items() if at == zone}
+    fleet.nursery.start_soon(cut_for, fleet, hosts)
+    await second_version_comes_unseen(fleet, hosts, CUT_SECONDS)
+
+
+@play(TWO_VERSIONS, RECORDED_SECONDS)
+async def third_version_comes_to_a_cut_off_router(fleet):
+    """The router has just started, and all others that were told have not."""
+    host = fleet.rng.choice(sorted(fleet.zone_of))
+    await fleet.restart(host)
+    await trio.sleep(FAULT_SECONDS)
+    fleet.nursery.start_soon(cut_for, fleet, {host})
+    await second_version_comes_unseen(fleet, [host], CUT_SECONDS)
+
+
+async def cut_for(fleet, hosts):
+    """Cuts routers off from all others that are not cut off with them."""
+    await trio.sleep(FAULT_SECONDS)
+    fleet.cut = lambda a, b: (a in hosts) != (b in hosts)
+    await trio.sleep(CUT_SECONDS)
+    fleet.cut = lambda a, b: False
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def store_away_while_callers_leave(fleet):
+    """No router reaches the store; one version serves all the while."""
+    fleet.leave_fraction = 0.5
+    await trio.sleep(FAULT_SECONDS)
+    fleet.cut_from_store |= set(fleet.zone_of)
+    await trio.sleep(OUTAGE_SECONDS)
+    fleet.cut_from_store.clear()
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def callers_leave_one_version(fleet):
+    fleet.leave_fraction = 0.5
+
+
 @play(ONE_VERSION, RECORDED_SECONDS)
 async def release_rolled_back(fleet):
     """A second version comes and goes, then all routers are restarted."""
