Streams taken up: one version is believed only by what the store says after the caller came

What callers saw: a stream that had begun at an engine of a new version went on, status 200 and events in order, at an engine of the old one.

A router that stood still, lost the store or the others, or merely has not read the store for half a second misses a version that serves some ten milliseconds after it registers. The class: a view of the past taken for the present, behind a bound on its age (4 s) that is longer than what it is to exclude.

Ruled out: a shorter bound (any is longer than ten milliseconds); asking the routers that would have been told alone (a zone that is cut off is told nothing, and they agree with each other); no new streams at a new version until all old views have expired (costs each release its first engines for seconds).

Change: the store is read after the caller has come, once for all that wait. If it does not answer, the routers that would have been told are asked, and the version holds if each zone of theirs answers that it was told of no other and neither a zone nor half of the fleet has fallen silent. Otherwise the caller is refused (not run), and comes back elsewhere. Reads for this are spaced so that the whole fleet makes about 500 a second.

--- a/lavenderbend/coordination/forwarding/fleet_count.py
+++ b/lavenderbend/coordination/forwarding/fleet_count.py
@@ -87,6 +87,15 @@
             if count.counted_at >= oldest
         }
 
+    def silent_zones(self) -> list[str]:
+        """Returns the zones that were counted lately but are not now."""
+        now = trio.current_time()
+        return [
+            zone
+            for zone, count in self.counts.items()
+            if ZONE_COUNT_SECONDS < now - count.counted_at < PEAK_SECONDS
+        ]
+
     def size(self) -> int:
         """Returns the number of routers in all zones."""
         return sum(count.routers for count in self.recent().values())
--- a/lavenderbend/coordination/forwarding/keepers.py
+++ b/lavenderbend/coordination/forwarding/keepers.py
@@ -68,6 +68,24 @@
         order = hashing.rendezvous_order(f'{key:016x}', hosts)
         return [host for host in order[:count] if host != self.host]
 
+    def is_told(self, key: int) -> bool:
+        """Returns whether this router is one of those that are told."""
+        if self.zone not in self.zones(key, ZONES_TOLD):
+            return False
+        others = self.in_zone(key, ROUTERS_TOLD)
+        return len(others) < ROUTERS_TOLD
+
+    def told_elsewhere(self, key: int) -> dict[str, int]:
+        """Returns the number of other routers that are told, by zone."""
+        counts = self.fleet_count.recent()
+        told = {}
+        for zone in self.zones(key, ZONES_TOLD):
+            if zone == self.zone:
+                told[zone] = len(self.in_zone(key, ROUTERS_TOLD))
+            else:
+                told[zone] = min(ROUTERS_TOLD, counts[zone].routers)
+        return told
+
     def to_tell(self, key: int) -> list[str]:
         """Returns the routers that are told."""
         zones = self.zones(key, ZONES_TOLD)
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -189,6 +189,17 @@
             return 0
         return divisor
 
+    def hears_fleet(self) -> bool:
+        """Returns whether no zone, nor half of the routers, fell silent lately.
+
+        Those that are not heard may be cut off, and see what this router does
+        not.
+        """
+        return (
+            not self.fleet.silent_zones()
+            and 2 * self.fleet_size() > self.divisor.peak()
+        )
+
     def read_position(self) -> int:
         """Returns this router's position in the order of store reads."""
         return read_order.position(
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -190,14 +190,34 @@
         Returns:
             Whether the snapshot is that young.
         """
+        return await self.wait_for_proof(lambda: self.age < seconds, within)
+
+    async def wait_proved_since(self, since: float, within: float) -> bool:
+        """Waits until the snapshot is known to have been the newest later.
+
+        Args:
+            since: Time by the suspension clock.
+            within: Maximum wait in seconds.
+
+        Returns:
+            Whether it was the newest at that time or later.
+        """
+        return await self.wait_for_proof(
+            lambda: self.proved_at >= since, within
+        )
+
+    async def wait_for_proof(
+        self, suffices: Callable[[], bool], within: float
+    ) -> bool:
+        """Waits for a newer proof; returns whether one suffices."""
         if self.failures and self.retry_at > self.clock() + within:
             # No read is due within that time: the caller need not wait.
-            return self.age < seconds
+            return suffices()
         with trio.move_on_after(within):
-            while self.age >= seconds:
+            while not suffices():
                 self.read_requested.set()
                 await self.proved.wait()
-        return self.age < seconds
+        return suffices()
 
     async def run(self) -> None:
         """Reads the store whenever no other router has read it in time.
--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -12,6 +12,7 @@
 from lavenderbend.coordination.forwarding import keepers as keepers_module
 from lavenderbend.coordination.forwarding import request_resolver
 from lavenderbend.coordination.forwarding.stream_versions import origins
+from lavenderbend.coordination.forwarding.stream_versions import questions
 from lavenderbend.coordination.forwarding.stream_versions import (
     settled_versions,
 )
@@ -36,6 +37,11 @@
 UNSETTLED_ASK_SECONDS = 0.5
 # Time after which a second version has been seen by all routers.
 SETTLE_SECONDS = 3.0
+# A store that does not answer within this time may be out of reach.
+STORE_SECONDS = 0.3
+# When a zone is lost its callers come to all other routers at once, and the
+# store answers 2,000 reads a second.
+FLEET_READS_PER_SECOND = 500.0
 # Streams in a message.
 MAX_ROWS = 200
 MILLISECONDS = 1000
@@ -51,32 +57,24 @@
 
 THIS_ROUTER = 'this router'
 SETTLED = 'store'
+UNANIMOUS = 'routers without store'
 OTHER_ROUTER = 'other router'
 NOBODY = 'nobody'
 
 
-@attrs.define
-class Question:
-    """A question without a reply so far.
-
-    Attributes:
-        software_id: The reply, None until one arrives.
-        answered: Set when it has arrived.
-    """
-
-    software_id: int | None = None
-    answered: trio.Event = attrs.field(factory=trio.Event)
-
-
 class StreamVersions:
     """Knows which software began the streams that callers take up.
 
     While a service has run one version for longer than a stream lasts, that
-    one began it. While it runs several, a stream begins at the version that is
-    drawn for it if that has room, so that any router can draw it again; and
-    the router that passes its first event on tells the stream's keepers before
-    it does so. The router at which the caller takes the stream up draws where
-    that is certain, and asks them elsewhere.
+    one began it. A router that was cut off or stood still may have missed
+    another version, which serves a few milliseconds after it has joined: only
+    what the store says after the caller came is trusted, and while the store
+    does not answer, what those routers say that would have been told. While it
+    runs several, a stream begins at the version that is drawn for it if that
+    has room, so that any router can draw it again; and the router that passes
+    its first event on tells the stream's keepers before it does so. The router
+    at which the caller takes the stream up draws where that is certain, and
+    asks them elsewhere.
 
     Attributes:
         peers: The other routers.
@@ -86,6 +84,7 @@
         keepers: Finds the routers to tell and to ask.
         numbers: Numbers of questions.
         questions: Questions without a reply, by number.
+        read_at: Router clock at which the store is read next for a stream.
     """
 
     def __init__(
@@ -103,7 +102,8 @@
             peers.host, peers.zone, peers.members, peers.fleet, rng
         )
         self.numbers = itertools.count(rng.getrandbits(30))
-        self.questions: dict[int, Question] = {}
+        self.questions: dict[int, questions.Question] = {}
+        self.read_at = 0.0
         settled.on_unsettled = self.tell_untold
         peers.on_earlier_build = settled.note_earlier_build
         peers.handlers.update(
@@ -111,6 +111,7 @@
                 messages_forwarding.StreamsBegun: self.on_begun,
                 messages_forwarding.StreamQuestion: self.on_question,
                 messages_forwarding.StreamReply: self.on_reply,
+                messages_forwarding.StreamNotTold: self.on_not_told,
             }
         )
 
@@ -232,28 +233,105 @@
 
     async def find(self, ticket: tickets.Ticket) -> tuple[str, int | None]:
         """Returns what tells which software began a stream, and that one."""
-        stream = origins.stream_key(ticket.customer, ticket.resumes)
+        asked_at = self.settled.snapshots.clock()
+        stream = origins.stream_key(
+            ticket.customer, ticket.resumes or ticket.id
+        )
         software_id = self.origins.software_id(stream)
         if software_id is not None:
             return THIS_ROUTER, software_id
-        settled = self.settled.software_id(
-            ticket.service, ticket.regions, draw_key(ticket)
-        )
-        state = self.settled.state(ticket.service)
-        only = state is settled_versions.Settled.ONLY
-        one_pool = len(ticket.rule.then.pools) == 1
-        if settled is not None and one_pool and only:
-            return SETTLED, settled
+        if await self.is_only_now(ticket, asked_at):
+            return SETTLED, self.settled_software_id(ticket)
         # That a stream began elsewhere than drawn shows in the store later
         # than the routers that were told know it.
-        if ticket.resumes:
-            software_id = await self.ask(stream)
-        if software_id is not None:
-            return OTHER_ROUTER, software_id
+        question = await self.ask(ticket, stream)
+        if question.software_id is not None:
+            return OTHER_ROUTER, question.software_id
+        if self.is_unanimous(ticket, question):
+            return UNANIMOUS, self.settled_software_id(ticket)
+        if self.settled_software_id(ticket) is None:
+            return NOBODY, None
+        if not await self.sees_present(asked_at):
+            return NOBODY, None
+        software_id = self.settled_software_id(ticket)
+        return (NOBODY if software_id is None else SETTLED), software_id
+
+    async def is_only_now(
+        self, ticket: tickets.Ticket, asked_at: float
+    ) -> bool:
+        """Returns whether the store says that one version began a stream.
+
+        Args:
+            ticket: The request that takes it up.
+            asked_at: When that came, by the suspension clock.
+        """
+        if not self.is_only(ticket) or self.settled.snapshots.failures:
+            return False
+        if not await self.sees_present(asked_at):
+            return False
+        return self.is_only(ticket) and len(ticket.rule.then.pools) == 1
+
+    async def sees_present(self, asked_at: float) -> bool:
+        """Waits for a view of the store that is not older than a request.
+
+        Args:
+            asked_at: When the request came, by the suspension clock.
+        """
+        snapshots = self.settled.snapshots
+        if snapshots.proved_at < asked_at:
+            await self.wait_for_turn()
+        waited = snapshots.clock() - asked_at
+        return await snapshots.wait_proved_since(
+            asked_at, max(0.0, STORE_SECONDS - waited)
+        )
+
+    async def wait_for_turn(self) -> None:
+        """Waits until this router may have the store read for a stream."""
+        now = trio.current_time()
+        if self.read_at <= now:
+            pause = self.peers.fleet_size() / FLEET_READS_PER_SECOND
+            self.read_at = now + min(pause, STORE_SECONDS / 2)
+            return
+        await trio.sleep_until(self.read_at)
+
+    def is_only(self, ticket: tickets.Ticket) -> bool:
+        """Returns whether a service has run one version, as far as is seen."""
+        state = self.settled.state(ticket.service)
+        return state is settled_versions.Settled.ONLY
+
+    def settled_software_id(self, ticket: tickets.Ticket) -> int | None:
+        """Returns the software that began a stream by its key, if any does."""
         drawn = ticket.resumes and self.may_have_forgotten(ticket)
-        if settled is not None and (only or drawn):
-            return SETTLED, settled
-        return NOBODY, None
+        if not self.is_only(ticket) and not drawn:
+            return None
+        return self.settled.software_id(
+            ticket.service, ticket.regions, draw_key(ticket)
+        )
+
+    def is_unanimous(
+        self, ticket: tickets.Ticket, question: questions.Question
+    ) -> bool:
+        """Returns whether no router knows of a second version of a service."""
+        if not self.is_only(ticket):
+            return False
+        software_id = self.settled_software_id(ticket)
+        if not self.vouches(software_id):
+            return False
+        if self.peers.budget_divisor() == 1:
+            return True
+        return question.unanimous and self.peers.hears_fleet()
+
+    def vouches(self, software_id: int) -> bool:
+        """Returns whether a service has run one version all the while.
+
+        What was told to an earlier process of this router shows in the store
+        by the time at which this one started.
+        """
+        runs_for = trio.current_time() - self.peers.started
+        return (
+            self.settled.is_only(software_id)
+            and self.settled.snapshots.age <= runs_for
+        )
 
     def may_have_forgotten(self, ticket: tickets.Ticket) -> bool:
         """Returns whether all routers that were told may have been restarted.
@@ -271,24 +349,30 @@
                 return share.pool
         return ticket.service
 
-    async def ask(self, stream: int) -> int | None:
-        """Asks the keepers of a stream; returns None if none knows it."""
+    async def ask(
+        self, ticket: tickets.Ticket, stream: int
+    ) -> questions.Question:
+        """Asks the keepers of a stream."""
+        question = questions.Question(self.keepers.told_elsewhere(stream))
+        only = self.is_only(ticket)
+        if not ticket.resumes and not only:
+            return question
         number = next(self.numbers)
-        question = self.questions[number] = Question()
+        self.questions[number] = question
+        software_id = self.settled_software_id(ticket) if only else 0
         message = messages_forwarding.StreamQuestion(
-            number, self.peers.host, stream
+            number, self.peers.host, stream, only=software_id
         )
         try:
             with trio.move_on_after(self.patience()):
-                while True:
+                while not question.answered.is_set():
                     for host in self.keepers.to_ask(stream):
                         self.link.send(host, message)
                     with trio.move_on_after(REPEAT_SECONDS):
                         await question.answered.wait()
-                        break
         finally:
             del self.questions[number]
-        return question.software_id
+        return question
 
     def patience(self) -> float:
         """Returns for how many seconds a question is repeated."""
@@ -307,6 +391,13 @@
                 messages_forwarding.StreamReply(message.number, software_id),
             )
             return
+        if self.vouches(message.only) and self.keepers.is_told(message.stream):
+            self.link.send(
+                message.host,
+                messages_forwarding.StreamNotTold(
+                    message.number, self.peers.host, self.peers.zone
+                ),
+            )
         if message.forwarded:
             return
         forwarded = attrs.evolve(message, forwarded=True)
@@ -316,11 +407,16 @@
             self.link.send(host, forwarded)
 
     def on_reply(self, message: messages_forwarding.StreamReply) -> None:
-        """Takes a reply."""
+        """Takes a reply that names the software."""
+        question = self.questions.get(message.number)
+        if question is not None:
+            question.note_software(message.software_id)
+
+    def on_not_told(self, message: messages_forwarding.StreamNotTold) -> None:
+        """Takes the reply of a keeper that was told nothing."""
         question = self.questions.get(message.number)
         if question is not None:
-            question.software_id = message.software_id
-            question.answered.set()
+            question.note_not_told(message.zone, message.host)
 
     def remove_expired(self) -> None:
         """Removes the streams that are over."""
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -487,18 +487,23 @@
         host: IPv4 address of the router that asks.
         stream: Key of the stream.
         forwarded: Whether another router has relayed the message.
+        only: The software that began all streams of the service by the
+            sender's view, 0 if a router that knows nothing should be mute.
     """
 
     number: int = attrs.field(validator=fields.INTEGER)
     host: str = attrs.field(validator=fields.TEXT)
     stream: int = attrs.field(validator=fields.INTEGER)
     forwarded: bool = attrs.field(validator=fields.FLAG, default=False)
+    only: int = attrs.field(
+        validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
+    )
 
 
 @peer.message(121)
 @attrs.frozen
 class StreamReply(peer.Message):
-    """Tells which software began a stream. A router that does not know is mute.
+    """Tells which software began a stream.
 
     Attributes:
         number: Number of the question.
@@ -509,6 +514,22 @@
     software_id: int = attrs.field(validator=fields.INTEGER)
 
 
+@peer.message(123)
+@attrs.frozen
+class StreamNotTold(peer.Message):
+    """Tells that a keeper was told of no other software than asked about.
+
+    Attributes:
+        number: Number of the question.
+        host: IPv4 address of the keeper.
+        zone: Its availability zone.
+    """
+
+    number: int = attrs.field(validator=fields.INTEGER)
+    host: str = attrs.field(validator=fields.TEXT)
+    zone: str = attrs.field(validator=fields.TEXT)
+
+
 @peer.message(122)
 @attrs.frozen
 class CrashReports(peer.Message):
--- a/tests/test_protocol/test_protocol_samples.py
+++ b/tests/test_protocol/test_protocol_samples.py
@@ -359,6 +359,10 @@
         ),
         '937a9293cfffffffffffffffff02039404050607c3',
     ),
+    (
+        messages_forwarding.StreamNotTold(number=1, host='text2', zone='text3'),
+        '947b01a57465787432a57465787433',
+    ),
 ]
 
 BATCH = claims.Batch(
@@ -440,6 +444,7 @@
         (104, 'upstreams_lost', True),
         (104, 'draws_versions', True),
         (110, 'max_load', 3),
+        (120, 'only', 3),
     ],
 )
 def test_field_that_earlier_builds_lack_is_sent_only_if_it_is_used(
