Settled versions: a record that others took back delays the next one

What callers saw: a stream of a version that came and went was refused for some seconds, and then went on at the version that was left.

Cause: a router that was cut off while the second version served saw one version before and after. It took the service for settled since before the cut, although the record that others had taken back says that there was another one, and wrote the record anew while that one's streams could still be taken up. The same class: what this router alone saw, taken for what was.

Change: one version settles for as long as a stream lasts after the record was first seen as taken back, as several versions do already.

--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -441,7 +441,8 @@
     def quiet_since(self, service: str, observation: Observation) -> float:
         """Returns since when nothing has spoken against settling a service."""
         if observation.content.startswith(ONLY):
-            return observation.since
+            # others may have seen a version that came and went unseen here
+            return max(observation.since, self.record_seen.get(service, NEVER))
         # Others write no more often than this that a stream began not as
         # drawn.
         repeat = REPEAT_FRACTION * self.stream_seconds()[service]
--- a/tests/test_coordination/test_settled_versions.py
+++ b/tests/test_coordination/test_settled_versions.py
@@ -314,6 +314,19 @@
     assert not world.store.written
 
 
+async def test_version_that_others_saw_delays_the_next_record(
+    autojump_clock, world
+):
+    """Guards against a version that came and went unseen by this router."""
+    world.show('only v1', e1='v1')
+    await world.follow(2.0 * STREAM_SECONDS)
+    world.show(settled_versions.UNSETTLED)
+    await world.follow(STREAM_SECONDS - 1.0)
+    assert not world.store.written
+    await world.follow(2.0)
+    assert world.store.written[-1][2] == 'only v1'
+
+
 async def test_service_without_streams_has_no_record(autojump_clock, world):
     """Guards against writes for services whose streams nobody takes up."""
     world.table = fakes.table(1)
--- a/tests/version_plays.py
+++ b/tests/version_plays.py
@@ -275,6 +275,22 @@
     await second_version_comes_unseen(fleet, hosts, CUT_SECONDS)
 
 
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_and_goes_unseen(fleet):
+    """Its engines are gone when the cut-off router sees the store again."""
+    host = fleet.rng.choice(sorted(fleet.zone_of))
+    fleet.nursery.start_soon(cut_for, fleet, {host})
+    fleet.nursery.start_soon(second_version_goes, fleet)
+    await second_version_comes_unseen(fleet, [host], CUT_SECONDS)
+    fleet.return_hosts = (host,)
+
+
+async def second_version_goes(fleet):
+    await trio.sleep(FAULT_SECONDS + CUT_SECONDS / 3)
+    for number in range(4):
+        fleet.crash_engine(f'n{number}')
+
+
 @play(TWO_VERSIONS, RECORDED_SECONDS)
 async def third_version_comes_to_a_cut_off_router(fleet):
     """The router has just started, and all others that were told have not."""
