Headers: a number that is none no longer ends the request

Cause: `isdigit` holds for digits of other scripts, and `int` raises ValueError for them and for more than 4300 digits; a division or a subtraction with 400 digits raises OverflowError. Neither is an error that the path of a request names, so the connection's last resort closed it. The readers that guarded against this did so one by one.

One function now reads a count from a header: ASCII digits, of a bounded number, else None. All readers of headers on the path use it: deadline, prompt parts, load, pace, idle limit, rejection limit, event numbers. A malformed deadline leaves the route's timeout in force; a malformed load leaves the last report. A report over 999,999 requests is not noted: it would raise the mean load of the service, and with it the bound of all other upstreams.

--- a/lavenderbend/coordination/dispatch/bodies.py
+++ b/lavenderbend/coordination/dispatch/bodies.py
@@ -7,6 +7,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.protocol import counts
 from lavenderbend.protocol import openai
 from lavenderbend.protocol import sse
 
@@ -185,5 +186,4 @@
 
 def content_length(start: interfaces.AnswerStart) -> int | None:
     """Returns the Content-Length of an answer, None if there is none."""
-    value = start.headers.get(CONTENT_LENGTH, '')
-    return int(value) if value.isdigit() and len(value) < 18 else None
+    return counts.parse_count(start.headers.get(CONTENT_LENGTH, ''))
--- a/lavenderbend/coordination/forwarding/choice.py
+++ b/lavenderbend/coordination/forwarding/choice.py
@@ -10,6 +10,7 @@
 import trio
 
 from lavenderbend.coordination.forwarding import directory
+from lavenderbend.protocol import counts
 from lavenderbend.state import decisions
 from lavenderbend.state import hashing
 
@@ -58,6 +59,7 @@
 NO_ROOM = 'full'
 # Parts of a prompt, from the first on, that other requests may share.
 MAX_SHARED_PARTS = 16
+MAX_TOKEN_DIGITS = 9
 # After this time an upstream with a rejection limit may have room again.
 ROOM_SECONDS = 0.3
 
@@ -82,9 +84,10 @@
     parts = []
     for field in text.split(','):
         name, _, tokens = field.strip().partition(':')
-        if not name or not tokens.isdigit():
+        size = counts.parse_count(tokens, MAX_TOKEN_DIGITS)
+        if not name or size is None:
             return ()
-        parts.append(PromptPart(name, int(tokens)))
+        parts.append(PromptPart(name, size))
     return tuple(parts)
 
 
--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lavenderbend import errors
+from lavenderbend.protocol import counts
 from lavenderbend.protocol import part_sizes
 
 # The blank line that ends an event, for both line endings in use.
@@ -13,8 +14,6 @@
 DATA_FIELD = b'data:'
 # Bounds the memory for an event that never ends.
 MAX_EVENT_BYTES = 1024 * 1024
-# Event numbers have 64 bits; longer digit strings are not numbers.
-MAX_NUMBER_DIGITS = 18
 
 
 @attrs.frozen
@@ -185,6 +184,4 @@
 
 def parse_event_number(text: bytes) -> int | None:
     """Returns an event number, None for text that is not one."""
-    if not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
-        return None
-    return int(text)
+    return counts.parse_count(text)
--- a/lavenderbend/coordination/forwarding/loads.py
+++ b/lavenderbend/coordination/forwarding/loads.py
@@ -8,6 +8,8 @@
 import attrs
 import trio
 
+from lavenderbend.protocol import counts
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
@@ -22,6 +24,8 @@
 MIN_PACE_PERCENT = 10
 MAX_PACE_PERCENT = 10_000
 MAX_PACE_DIGITS = 5
+# More requests than any upstream holds.
+MAX_LOAD_DIGITS = 6
 
 
 @attrs.define
@@ -118,11 +122,16 @@
     def note_report(self, instance: str, value: bytes) -> None:
         """Stores a load report of an upstream: running, waiting, slots."""
         parts = value.split(b',')
-        if len(parts) < 2 or not parts[0].isdigit() or not parts[1].isdigit():
+        if len(parts) < 2:
+            return
+        running = counts.parse_count(parts[0], MAX_LOAD_DIGITS)
+        waiting = counts.parse_count(parts[1], MAX_LOAD_DIGITS)
+        if running is None or waiting is None:
             return
-        load = int(parts[0]) + int(parts[1])
         self.reports.pop(instance, None)
-        self.reports[instance] = LoadReport(load, trio.current_time())
+        self.reports[instance] = LoadReport(
+            running + waiting, trio.current_time()
+        )
 
     def note_peer_report(self, instance: str, load: int, age: float) -> None:
         """Stores a load report that another router received.
@@ -215,10 +224,9 @@
     parts = value.split(b',')
     if len(parts) < 4:
         return None
-    text = parts[3].strip()
-    if not text.isdigit() or len(text) > MAX_PACE_DIGITS:
+    percent = counts.parse_count(parts[3].strip(), MAX_PACE_DIGITS)
+    if percent is None:
         return None
-    percent = int(text)
     if not MIN_PACE_PERCENT <= percent <= MAX_PACE_PERCENT:
         return None
     return percent
--- a/lavenderbend/coordination/forwarding/rejection_limits.py
+++ b/lavenderbend/coordination/forwarding/rejection_limits.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.forwarding import facts as facts_module
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.protocol import counts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -303,7 +304,4 @@
 
 def parse_limit(value: bytes) -> int | None:
     """Returns the rejections in a second of a header, None if it names none."""
-    value = value.strip()
-    if len(value) > MAX_LIMIT_DIGITS or not value.isdigit():
-        return None
-    return int(value)
+    return counts.parse_count(value.strip(), MAX_LIMIT_DIGITS)
--- a/lavenderbend/coordination/forwarding/request_resolver.py
+++ b/lavenderbend/coordination/forwarding/request_resolver.py
@@ -12,6 +12,7 @@
 from lavenderbend.coordination.forwarding import events
 from lavenderbend.coordination.forwarding import tickets
 from lavenderbend.coordination.rules import rules as rules_module
+from lavenderbend.protocol import counts
 from lavenderbend.state import hashing
 
 if TYPE_CHECKING:
@@ -33,7 +34,6 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 1.0
 POOL_SHARE_STEPS = 1_000_000
-MAX_TOKEN_DIGITS = 9
 
 
 def retry_after_seconds(left: float) -> float:
@@ -207,8 +207,9 @@
         """Returns the deadline of the caller, in the router's clock."""
         text = request.header(self.headers.deadline) or ''
         seconds = timeout
-        if text.isdigit():
-            stated = min(int(text), MAX_DEADLINE_MILLISECONDS) / 1000
+        milliseconds = counts.parse_count(text)
+        if milliseconds is not None:
+            stated = min(milliseconds, MAX_DEADLINE_MILLISECONDS) / 1000
             seconds = min(seconds, stated)
         return request.arrived + seconds
 
@@ -262,10 +263,7 @@
 
 def parse_tokens(text: str) -> int:
     """Returns a number of tokens, 0 for text that is not one."""
-    text = text.strip()
-    if not (text.isascii() and text.isdigit()) or len(text) > MAX_TOKEN_DIGITS:
-        return 0
-    return int(text)
+    return counts.parse_count(text.strip(), choice.MAX_TOKEN_DIGITS) or 0
 
 
 def expected_output(most: int, hint: int) -> int:
--- a/lavenderbend/protocol/sse.py
+++ b/lavenderbend/protocol/sse.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lavenderbend import errors
+from lavenderbend.protocol import counts
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -86,9 +87,7 @@
 
 def read_offset(value: bytes) -> int | None:
     """Returns the number in an `id` line, None if it is not a number."""
-    if len(value) > 18 or not value.isdigit():
-        return None
-    return int(value)
+    return counts.parse_count(value)
 
 
 class Parser:
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -12,6 +12,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.observe import metrics
+from lavenderbend.protocol import counts
 from lavenderbend.protocol import hop_headers
 from lavenderbend.protocol import part_sizes
 from lavenderbend.transport import answer_heads
@@ -297,8 +298,9 @@
             return
         for part in value.split(b','):
             name, _, seconds = part.strip().partition(b'=')
-            if name == b'timeout' and seconds.isdigit():
-                self.connection.note_idle_limit(int(seconds))
+            limit = counts.parse_count(seconds)
+            if name == b'timeout' and limit is not None:
+                self.connection.note_idle_limit(limit)
 
     async def skip_answer(self) -> None:
         """Skips an answer; the bytes after it are read as the next answer.
--- a/tests/test_transport/test_upstream_exchanges.py
+++ b/tests/test_transport/test_upstream_exchanges.py
@@ -120,6 +120,22 @@
         await fetch(exchanges, worker)
 
 
+@pytest.mark.parametrize('limit', ['9' * 5000, '9' * 400])
+async def test_idle_limit_that_is_no_number_is_not_heeded(
+    worker, exchanges, limit
+):
+    """Guards against a Keep-Alive header that ends requests."""
+    headers = worker.headers
+    worker.headers = lambda request: [
+        *headers(request),
+        ('keep-alive', f'timeout={limit}'),
+    ]
+    for name in (b'r1', b'r2'):
+        _, body = await fetch(exchanges, worker, name)
+        assert body == b'did /desk/' + name
+    assert worker.connections == 1
+
+
 async def test_refused_connection_is_unreachable(worker, exchanges):
     unreachable = standins.Worker('i-9', 'desk')
     unreachable.port = 1
