Store: a page or a change of another form no longer ends the router

What was seen: with real processes, a page with an item whose key is a number or null ended each router that read it (`AttributeError: 'int' object has no attribute 'startswith'`), and a store revision of 1e300 ended it with its next message (`OverflowError: Integer value out of range`).

Cause: keys were taken over whatever their type, and `int` accepted floats, text and booleans for a revision. The error then came up far from the decoding: where keys are sorted out, where changes are merged (`TypeError: unhashable type: 'list'`), or where the revision or the era is packed for other routers, which holds no number over 64 bits.

Keys and revisions are now checked where they are decoded, and the reader of an answer names all types that reading a value of another form may raise, in one place. The answer counts as none: what is known stays, and the read is repeated.

The errors above are those of the processes and of the merging.

--- a/lavenderbend/platform/field_types.py
+++ b/lavenderbend/platform/field_types.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+# What reading a value of another form may raise: a number too large to convert
+# raises an ArithmeticError, a comparison of deeply nested lists a
+# RecursionError. Any other type ends the router.
+UNFIT = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 
 def check_type(
     field: str, value: object, types: type | tuple[type, ...]
--- a/lavenderbend/platform/store.py
+++ b/lavenderbend/platform/store.py
@@ -15,6 +15,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.platform import configuration_document
+from lavenderbend.platform import field_types
 from lavenderbend.platform import part_record_items
 from lavenderbend.platform import record_items
 from lavenderbend.platform import snapshot_decoding
@@ -282,7 +283,7 @@
         try:
             era = store_answers.decode_era(answer.headers)
             return decoder(era, orjson.loads(answer.body))
-        except (ValueError, KeyError, TypeError) as exc:
+        except field_types.UNFIT as exc:
             cause = f'unreadable: {type(exc).__name__} {exc}'
             raise errors.KeyValueUnavailable(cause) from exc
 
--- a/lavenderbend/platform/store_answers.py
+++ b/lavenderbend/platform/store_answers.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lavenderbend.platform import field_types
+from lavenderbend.protocol import counts
 from lavenderbend.state import forwarding
 
 if TYPE_CHECKING:
@@ -42,7 +43,12 @@
         ValueError: It is no number.
     """
     text = headers.get(ERA_HEADER)
-    return forwarding.UNNAMED_ERA if text is None else int(text)
+    if text is None:
+        return forwarding.UNNAMED_ERA
+    era = counts.parse_count(text.strip())
+    if era is None:
+        raise ValueError('the era is not a number')
+    return era
 
 
 def decode_page(era: int, value: dict[str, Any]) -> Page:
@@ -58,10 +64,11 @@
         KeyError: A field is missing.
         TypeError: A field is of another type.
     """
-    items = {item['key']: decode_item(item) for item in value['items']}
+    items = {read_key(item): decode_item(item) for item in value['items']}
     if value['hasMore'] and not items:
         raise ValueError('empty page that has more keys after it')
-    return Page(int(value['storeRevision']), items, value['hasMore'], era)
+    revision = read_revision(value, 'storeRevision')
+    return Page(revision, items, value['hasMore'], era)
 
 
 def decode_lease(_era: int, value: dict[str, Any]) -> int:
@@ -100,7 +107,9 @@
     """Returns one change; raises the errors of `decode_changes`."""
     field_types.check_type('event', value, dict)
     item = None if value.get('deleted') else decode_item(value)
-    return forwarding.Change(int(value['rev']), value['key'], item)
+    return forwarding.Change(
+        read_revision(value, 'rev'), read_key(value), item
+    )
 
 
 def decode_item(value: dict[str, Any]) -> forwarding.RawItem:
@@ -114,4 +123,22 @@
         content = base64.b64decode(value['value'])
     except (ValueError, TypeError):
         content = b''
-    return forwarding.RawItem(int(value['rev']), content)
+    return forwarding.RawItem(read_revision(value, 'rev'), content)
+
+
+def read_key(value: dict[str, Any]) -> str:
+    """Returns the key of an item; raises the errors of `decode_changes`."""
+    field_types.check_type('key', value['key'], str)
+    return value['key']
+
+
+def read_revision(value: dict[str, Any], field: str) -> int:
+    """Returns a revision; raises the errors of `decode_changes`.
+
+    Messages to other routers carry revisions, and hold no other number.
+    """
+    revision = value[field]
+    field_types.check_type(field, revision, int)
+    if revision < 0:
+        raise ValueError(f'{field}: less than 0')
+    return revision
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import json
 import pathlib
 import re
 
@@ -299,6 +300,76 @@
         )
 
 
+ITEM = {'key': 'servers/i-1', 'rev': 1, 'value': 'e30='}
+PAGE = {'items': [ITEM], 'hasMore': False, 'storeRevision': 1}
+UNFIT_KEYS = [5, None, [], {}, True]
+UNFIT_REVISIONS = [1e300, -1, '1', None, [], True, 2**64]
+
+
+def page_with(**item):
+    return {**PAGE, 'items': [{**ITEM, **item}, ITEM]}
+
+
+@pytest.mark.parametrize(
+    'page',
+    [
+        *(page_with(key=key) for key in UNFIT_KEYS),
+        *(page_with(rev=revision) for revision in UNFIT_REVISIONS),
+        *({**PAGE, 'storeRevision': one} for one in UNFIT_REVISIONS),
+        *({**PAGE, 'items': items} for items in (None, 'x', {'a': 1}, [[]])),
+        {**PAGE, 'items': [], 'hasMore': True},
+        [],
+        None,
+        5,
+    ],
+)
+async def test_page_of_another_type_raises_a_typed_error(client, page):
+    """Guards against a page that ends the router, now or in a message."""
+    answer = http_calls.CallAnswer(200, json.dumps(page).encode())
+    with pytest.raises(errors.KeyValueUnavailable):
+        client.decoded_answer(answer, store_answers.decode_page)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        *({**ITEM, 'key': key} for key in UNFIT_KEYS),
+        *({**ITEM, 'key': key, 'deleted': True} for key in UNFIT_KEYS),
+        *({**ITEM, 'rev': revision} for revision in UNFIT_REVISIONS),
+    ],
+)
+async def test_change_with_a_field_of_another_type_raises_a_typed_error(
+    client, change
+):
+    """Guards against a change that ends the router when it is merged."""
+    body = json.dumps({'events': [change]}).encode()
+    with pytest.raises(errors.KeyValueUnavailable):
+        client.decoded_answer(
+            http_calls.CallAnswer(200, body),
+            functools.partial(store_answers.decode_changes, 1),
+        )
+
+
+@pytest.mark.parametrize('depth', [500, 1020, 5000])
+async def test_deeply_nested_answer_raises_a_typed_error(client, depth):
+    """Guards against an answer whose depth ends the router."""
+    body = b'{"items":' + b'[' * depth + b']' * depth + b'}'
+    with pytest.raises(errors.KeyValueUnavailable):
+        client.decoded_answer(
+            http_calls.CallAnswer(200, body), store_answers.decode_page
+        )
+
+
+@pytest.mark.parametrize('era', [b'-1', b'9' * 30, b'9' * 5000, b'x', b''])
+async def test_era_that_is_no_number_raises_a_typed_error(client, era):
+    """Guards against an era that messages between routers cannot carry."""
+    answer = http_calls.CallAnswer(
+        200, orjson.dumps(PAGE), {store_answers.ERA_HEADER: era}
+    )
+    with pytest.raises(errors.KeyValueUnavailable):
+        client.decoded_answer(answer, store_answers.decode_page)
+
+
 async def test_drained_zones_are_read_with_their_revisions(store, client):
     store.put('op/evacuate/sala-b', {})
     store.put('op/evacuate/sala-c', {'unknown': 1})
