Entries: values that no upstream has make an entry unusable

What callers saw: two entries with 2^64 - 1 slots, whose upstreams rejected requests and named a limit; 11 of 24 requests (3 real processes) had their connection closed without an answer, with `OverflowError: Integer value out of range` in the log.

Cause: the limit that a router sends to the owner of an upstream follows from the slots of its entry, and no message holds a number over 64 bits. The decoding bounded the slots below only. Entries with so many slots also rank as unloaded whatever runs there.

An entry is now unusable, as one with a field of another type, if - it has more slots than an address has connections from another one, - its port is 0, or its address is unspecified, multicast or reserved: each request placed there fails to connect, or meets the router's own machine, - its service, zone or version has over 200 characters or one that does not print. Versions go into records whose last line is the era: `v1\nera 1` in the era 0 read as `v1` in the era 1.

The line `entry_unreadable` comes once for each change, as before; its cause quoted the whole value, and is now cut at 300 characters.

An unusable entry in the place of a good one lists no upstream: it gets nothing new, as one whose entry is gone, and what runs there goes on. The entry is the only word on whether an upstream leaves, so the last good one proves nothing; a good entry brings it back.

Ruled out: nesting and numbers of any size in other fields (the parser refuses a depth over 1024 and turns integers over 64 bits into floats, which are of another type), and `coldLeftMs` of 1e308 (facts and the time of a cold upstream are both bounded).

--- a/lavenderbend/platform/snapshot_decoding.py
+++ b/lavenderbend/platform/snapshot_decoding.py
@@ -28,6 +28,8 @@
 # A key with this prefix and the name of a zone exists while the zone is
 # drained; its value says nothing.
 DRAINED_PREFIX = 'op/evacuate/'
+# Causes quote the values of other programs.
+MAX_CAUSE_CHARACTERS = 300
 
 UNREADABLE = metrics.counter(
     'lavenderbend_platform_unreadable_entries_total',
@@ -97,7 +99,8 @@
         return attrs.evolve(upstream, revision=item.revision)
     except errors.CodecError as exc:
         UNREADABLE.inc({})
-        logs.change('entry_unreadable', revision=item.revision, cause=str(exc))
+        cause = str(exc)[:MAX_CAUSE_CHARACTERS]
+        logs.change('entry_unreadable', revision=item.revision, cause=cause)
         return None
 
 
--- a/lavenderbend/platform/store_answers.py
+++ b/lavenderbend/platform/store_answers.py
@@ -107,9 +107,7 @@
     """Returns one change; raises the errors of `decode_changes`."""
     field_types.check_type('event', value, dict)
     item = None if value.get('deleted') else decode_item(value)
-    return forwarding.Change(
-        read_revision(value, 'rev'), read_key(value), item
-    )
+    return forwarding.Change(read_revision(value, 'rev'), read_key(value), item)
 
 
 def decode_item(value: dict[str, Any]) -> forwarding.RawItem:
--- a/lavenderbend/platform/upstream_entries.py
+++ b/lavenderbend/platform/upstream_entries.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from lavenderbend.platform import field_types
+from lavenderbend.protocol import counts
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 
@@ -30,6 +31,14 @@
 # equal the instance id of another upstream.
 UPSTREAM_ID = re.compile(r'[!-.0-~]{1,200}')
 MAX_PORT = 65535
+# A connection carries one request at a time, and an address of an upstream has
+# no more connections from one of a router. A message between routers holds no
+# number over 64 bits, and the slots of an entry go into some.
+MAX_SLOTS = 65535
+# Keys of the store have no more. Versions go into records of the store, whose
+# lines separate them from the rest.
+MAX_NAME_CHARACTERS = 200
+NAMES = ('service', 'zone', 'version')
 
 
 def upstream(name: str, value: dict[str, Any]) -> forwarding.Upstream:
@@ -44,19 +53,18 @@
         field_types.check_type(field, value[field], types)
     if not UPSTREAM_ID.fullmatch(name):
         raise ValueError('the id cannot be used in a header')
-    host, _, port = value['address'].rpartition(':')
-    ipaddress.IPv4Address(host)
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError('address: no valid port')
-    if value['slots'] < 1:
-        raise ValueError('slots: less than 1')
+    for field in NAMES:
+        check_name(field, value[field])
+    host, port = read_address(value['address'])
+    if not 1 <= value['slots'] <= MAX_SLOTS:
+        raise ValueError(f'slots: not from 1 to {MAX_SLOTS}')
     state = STATES.get(value['state'])
     if state is None:
         raise ValueError('state: unknown')
     vm = upstreams.Vm(
         id=name,
         host=host,
-        port=int(port),
+        port=port,
         availability_zone=value['zone'],
         service=value['service'],
         kind=upstreams.UpstreamKind.SERVICE,
@@ -71,6 +79,35 @@
     )
 
 
+def check_name(field: str, name: str) -> None:
+    """Checks the name of a service, of a zone or of a version.
+
+    Raises:
+        ValueError: It has a line ending or the like, or is too long.
+    """
+    if len(name) > MAX_NAME_CHARACTERS:
+        raise ValueError(f'{field}: {len(name)} characters')
+    if not name.isprintable():
+        raise ValueError(f'{field}: a character that is not printable')
+
+
+def read_address(text: str) -> tuple[str, int]:
+    """Returns the host and the port of an address.
+
+    Raises:
+        ValueError: It is no address of a process: each request to it would
+            fail, and the unspecified address is that of the router itself.
+    """
+    host, _, port_text = text.rpartition(':')
+    ip = ipaddress.IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise ValueError(f'address: {host} is none of a process')
+    port = counts.parse_count(port_text)
+    if port is None or not 1 <= port <= MAX_PORT:
+        raise ValueError('address: no valid port')
+    return host, port
+
+
 def instance_id(name: str, value: dict[str, Any]) -> str:
     """Returns an id that differs for each start of an upstream.
 
--- a/tests/test_platform/test_platform_entries.py
+++ b/tests/test_platform/test_platform_entries.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import base64
+import json
 
 from hypothesis import given
 from hypothesis import strategies as st
 import orjson
 import pytest
 
+from lavenderbend.coordination.forwarding.admission import crowding
 from lavenderbend.observe import logs
 from lavenderbend.platform import configuration_document
 from lavenderbend.platform import snapshot_decoding
 from lavenderbend.platform import store_answers
+from lavenderbend.protocol import messages_forwarding
+from lavenderbend.protocol import peer
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 
@@ -105,6 +109,9 @@
         ('address', '10.0.0.1'),
         ('address', '10.0.0.1:70000'),
         ('address', '10.0.0.1:-1'),
+        ('address', '10.0.0.1:0'),
+        ('address', '10.0.0.1:' + '9' * 5000),
+        ('address', '10.0.0.1:²'),
         ('address', 'host:80'),
         ('address', '10.0.0.1:80\r\nx: y'),
         ('slots', 0),
@@ -116,6 +123,74 @@
     assert names(snapshot) == ['s1']
 
 
+@pytest.mark.parametrize(
+    'host', ['0.0.0.0', '255.255.255.255', '224.0.0.1', '240.0.0.1']
+)
+def test_address_of_no_process_is_ignored(host):
+    """Guards against requests that are placed where none can be served."""
+    entry = {**ENTRY, 'address': f'{host}:8080'}
+    snapshot, _ = decode(orjson.dumps(entry), VALID)
+    assert names(snapshot) == ['s1']
+
+
+@pytest.mark.parametrize('slots', [65536, 10**19, 2**64 - 1, 2**64, 10**400])
+def test_slots_that_no_upstream_has_are_ignored(slots):
+    """Guards against a number that ends the request that asks an owner."""
+    data = json.dumps({**ENTRY, 'slots': slots}).encode()
+    snapshot, _ = decode(data, VALID)
+    assert names(snapshot) == ['s1']
+
+
+@pytest.mark.parametrize('slots', [1, 65535, 10**19, 2**64 - 1])
+def test_slots_of_every_upstream_fit_into_a_message(slots):
+    """Guards against requests that end where the slots are sent to an owner."""
+    snapshot, _ = decode(orjson.dumps({**ENTRY, 'slots': slots}), VALID)
+    for upstream in snapshot.upstreams.values():
+        limit = crowding.max_load(upstream.slots)
+        request = messages_forwarding.ReservationRequest(
+            1, '10.0.0.1', 2, 'sala-a', 3, 4, 5, 6, max_load=limit
+        )
+        assert peer.decode(peer.encode(request)) == request
+
+
+@pytest.mark.parametrize('field', ['service', 'zone', 'version'])
+@pytest.mark.parametrize('name', ['v1\nera 1', 'v\r', 'v\0', 'v' * 201])
+def test_name_that_no_line_holds_is_ignored(field, name):
+    """Guards against a version that reads as another one with its era."""
+    snapshot, _ = decode(orjson.dumps({**ENTRY, field: name}), VALID)
+    assert names(snapshot) == ['s1']
+
+
+@pytest.mark.parametrize('name', ['a', '', 'ñandú 2.0', 'v' * 200])
+def test_other_names_are_taken_over(name):
+    snapshot, _ = decode(orjson.dumps({**ENTRY, 'version': name}))
+    (upstream,) = snapshot.upstreams.values()
+    assert upstream.software == name
+
+
+def test_unfit_entry_in_the_place_of_a_good_one_lists_no_upstream():
+    """Guards against requests to an upstream that may be leaving by now."""
+    good = orjson.dumps(ENTRY)
+    before, decoded = decode(good, VALID)
+    unfit = orjson.dumps({**ENTRY, 'slots': 10**19})
+    after, decoded = decode(unfit, VALID, before=decoded)
+    again, _ = decode(good, VALID, before=decoded)
+    assert names(before) == names(again) == ['s0', 's1']
+    assert names(after) == ['s1']
+
+
+def test_cause_of_a_long_entry_is_cut(monkeypatch):
+    """Guards against log lines as long as another program likes."""
+    logged = []
+    monkeypatch.setattr(
+        logs, 'change', lambda kind, **fields: logged.append(fields)
+    )
+    decode(orjson.dumps({**ENTRY, 'address': '1' * 100_000 + ':80'}))
+    (line,) = logged
+    assert line['cause'].startswith('servers/s0: field')
+    assert len(line['cause']) < 400
+
+
 @pytest.mark.parametrize('name', ['', 'a\r\nx-rank: 0', 'ñ', 'a b', 'x' * 300])
 def test_entry_with_an_id_invalid_in_headers_is_ignored(name):
     items = {
