--- a/lavenderbend/platform/snapshot_decoding.py
+++ b/lavenderbend/platform/snapshot_decoding.py
@@ -11,6 +11,7 @@
 from lavenderbend import errors
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.platform import field_types
 from lavenderbend.platform import part_record_items
 from lavenderbend.platform import upstream_entries
 from lavenderbend.platform import version_record_items
@@ -28,6 +29,8 @@
 # A key with this prefix and the name of a zone exists while the zone is
 # drained; its value says nothing.
 DRAINED_PREFIX = 'op/evacuate/'
+# Causes quote the values of other programs.
+MAX_CAUSE_CHARACTERS = 300
 
 UNREADABLE = metrics.counter(
     'lavenderbend_platform_unreadable_entries_total',
@@ -97,7 +100,8 @@
         return attrs.evolve(upstream, revision=item.revision)
     except errors.CodecError as exc:
         UNREADABLE.inc({})
-        logs.change('entry_unreadable', revision=item.revision, cause=str(exc))
+        cause = str(exc)[:MAX_CAUSE_CHARACTERS]
+        logs.change('entry_unreadable', revision=item.revision, cause=cause)
         return None
 
 
@@ -142,7 +146,9 @@
     """
     try:
         return decoder(orjson.loads(data))
-    except (orjson.JSONDecodeError, TypeError, AttributeError) as exc:
+    except orjson.JSONDecodeError as exc:
         raise errors.CodecError(f'{key}: {exc}') from exc
     except (KeyError, ValueError) as exc:
         raise errors.CodecError(f'{key}: field {exc}') from exc
+    except field_types.UNFIT as exc:
+        raise errors.CodecError(f'{key}: {exc}') from exc
