Configuration: a router that stood still judges at once whether it is cut off

Callers: a router told to refuse while it is cut off served by the configuration from before a standstill in its first turns, and on a VM that was suspended until its next question failed for the whole time again.

Cause: whether the router is cut off was set by a periodic check, so what was decided between two checks went by the check before the standstill. The time since the last contact was taken from the monotonic clock, which stops while the VM is suspended, and a reply, a read, or a notice that had waited in a socket counted as a contact of the moment at which it was read.

Now the age is taken when it is asked for, by the clock that goes on while the VM is suspended, and counts from when the answered question was sent. Messages that answer no question prove nothing.

Cost when nothing is wrong: one clock read for each request with that policy. Questions are sent three times within cut_off_seconds: with the default of 30 s as often as before; only below 4.5 s (peers) or, for a lone router, below 30 s (store) more often.

--- a/lavenderbend/coordination/configuration/follower.py
+++ b/lavenderbend/coordination/configuration/follower.py
@@ -23,6 +23,7 @@
 from lavenderbend.state import settings
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from lavenderbend.protocol import peer
@@ -71,6 +72,7 @@
         prefix: str = configuration_log.DEFAULT_PREFIX,
         policy: settings.CutOffPolicy = settings.CutOffPolicy.SERVE,
         cut_off_seconds: float = 30.0,
+        clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self.name = name
         self.link = link
@@ -80,7 +82,7 @@
         self.log = configuration_log.ConfigurationLog(store, prefix, self.chain)
         self.policy = policy
         self.contact = configuration_contact.ContactMonitor(
-            self.chain, cut_off_seconds
+            self.chain, cut_off_seconds, clock
         )
         self.service = configuration_service.ServiceFollower(
             name, store, self.log, membership, self.contact, rng
@@ -93,9 +95,9 @@
         link.handle(messages.EntriesRequest, self.on_entries_request)
 
     @property
-    def stale_since(self) -> float | None:
-        """Clock of the last contact while cut off, else None."""
-        return self.contact.stale_since
+    def stale_seconds(self) -> float | None:
+        """Seconds since the last contact while cut off, else None."""
+        return self.contact.stale_seconds
 
     def current(self) -> configuration.Revision:
         """Returns the revision in force.
@@ -106,7 +108,7 @@
                 refuse.
         """
         refuse = self.policy is settings.CutOffPolicy.REFUSE
-        if refuse and self.stale_since is not None:
+        if refuse and self.stale_seconds is not None:
             raise errors.ConfigurationStale(
                 'cut off from the key-value service and all peers',
                 retry_after=COMPARE_INTERVAL_SECONDS,
@@ -180,7 +182,7 @@
 
     async def run(self) -> None:
         """Follows the log and the peers until cancelled."""
-        self.contact.last_contact = trio.current_time()
+        self.contact.last_contact = self.contact.clock()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.service.run)
             nursery.start_soon(self.compare_periodically)
@@ -190,14 +192,16 @@
     async def compare_periodically(self) -> None:
         """Compares revisions with a random router at each interval."""
         while True:
-            delay = self.rng.uniform(
-                COMPARE_INTERVAL_SECONDS / 2, COMPARE_INTERVAL_SECONDS
-            )
-            await trio.sleep(delay)
+            interval = self.within_interval(COMPARE_INTERVAL_SECONDS)
+            await trio.sleep(self.rng.uniform(interval / 2, interval))
             others = self.other_routers()
             if others:
                 await self.compare_with(self.rng.choice(others))
-            self.contact.check_stale()
+            self.contact.report_stale()
+
+    def within_interval(self, seconds: float) -> float:
+        """Returns a time, or less if the router would count as cut off."""
+        return min(seconds, self.contact.interval_seconds)
 
     def other_routers(self) -> list[str]:
         """Returns the live routers without this one."""
@@ -206,12 +210,14 @@
     async def compare_with(self, router: str) -> None:
         """Exchanges the numbers and digests of the revisions with a peer."""
         request = messages.RevisionRequest(self.chain.number, self.digest())
+        asked_at = self.contact.clock()
         try:
             reply = await self.link.request(
-                router, request, PEER_TIMEOUT_SECONDS
+                router, request, self.within_interval(PEER_TIMEOUT_SECONDS)
             )
         except errors.PeerError:
             return
+        self.contact.note_contact(asked_at)
         self.note_peer_revision(router, reply)
 
     def digest(self) -> str:
@@ -237,7 +243,6 @@
         message: messages.RevisionRequest | messages.RevisionNotice,
     ) -> None:
         """Records a peer's revision; requests a fetch if it is newer."""
-        self.contact.note_contact()
         self.peer_revisions[router] = max(
             message.number, self.peer_revisions.get(router, 0)
         )
@@ -268,12 +273,13 @@
     async def fetch(self, router: str) -> None:
         """Fetches the changes that this router lacks from a peer."""
         request = messages.EntriesRequest(self.chain.number)
+        asked_at = self.contact.clock()
         reply = await self.link.request(router, request, PEER_TIMEOUT_SECONDS)
         if reply.snapshot:
             self.chain.install_snapshot(records.decode_revision(reply.snapshot))
         for number, value in enumerate(reply.records, reply.first):
             self.chain.apply(number, value)
-        self.contact.note_contact()
+        self.contact.note_contact(asked_at)
         configuration_service.STEPS.inc({'source': 'peer'})
 
     async def on_entries_request(
--- a/lavenderbend/coordination/configuration/service.py
+++ b/lavenderbend/coordination/configuration/service.py
@@ -77,8 +77,7 @@
         delay = INITIAL_BACKOFF_SECONDS
         while True:
             try:
-                await self.log.catch_up()
-                self.contact.note_contact()
+                await self.catch_up()
                 delay = INITIAL_BACKOFF_SECONDS
                 while not self.is_watcher():
                     await self.membership.wait_changed()
@@ -90,6 +89,17 @@
                 logs.change('configuration_unreadable', fault=str(exc))
                 await trio.sleep(MAX_BACKOFF_SECONDS)
 
+    async def catch_up(self) -> None:
+        """Reads what the log has beyond what this router knows.
+
+        Raises:
+            KeyValueError: The service did not reply.
+            CodecError: An entry could not be read.
+        """
+        asked_at = self.contact.clock()
+        await self.log.catch_up()
+        self.contact.note_contact(asked_at)
+
     def is_watcher(self) -> bool:
         """Returns whether this router is among those that watch the log."""
         routers = {*self.membership.routers(), self.name}
@@ -107,7 +117,6 @@
         )
         async with contextlib.aclosing(changes):
             async for batch in changes:
-                self.contact.note_contact()
                 for change in batch:
                     if not change.deleted and not self.apply_change(
                         change.item
@@ -136,10 +145,12 @@
         while True:
             routers = len(self.membership.routers())
             delay = max(POLL_INTERVAL_SECONDS, routers / FLEET_POLLS_PER_SECOND)
+            if routers <= 1:
+                # nobody else confirms the configuration
+                delay = min(delay, self.contact.interval_seconds)
             await trio.sleep(self.rng.uniform(delay / 2, delay))
             try:
-                await self.log.catch_up()
-                self.contact.note_contact()
+                await self.catch_up()
             except (errors.KeyValueError, errors.CodecError):
                 pass
-            self.contact.check_stale()
+            self.contact.report_stale()
--- a/lavenderbend/coordination/forwarding/snapshots.py
+++ b/lavenderbend/coordination/forwarding/snapshots.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import clocks
 from lavenderbend.coordination.forwarding import read_order
 from lavenderbend.coordination.forwarding import removals
 from lavenderbend.coordination.forwarding import store_reads
@@ -63,16 +63,6 @@
 )
 
 
-def suspension_clock() -> float:
-    """Returns the seconds of a clock that includes time of suspension.
-
-    The monotonic clock stops while the VM is suspended. By that clock a resumed
-    router would take its configuration for fresh and accept a credential that
-    was revoked meanwhile.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @attrs.frozen
 class FollowSettings:
     """How the store is followed.
@@ -126,7 +116,7 @@
         source: interfaces.SnapshotSource,
         settings: FollowSettings,
         rng: random.Random,
-        clock: Callable[[], float] = suspension_clock,
+        clock: Callable[[], float] = clocks.suspension_clock,
     ) -> None:
         self.source = source
         self.settings = settings
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -9,6 +9,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import clocks
 from lavenderbend.coordination.forwarding import attempts
 from lavenderbend.coordination.forwarding import budget
 from lavenderbend.coordination.forwarding import cached_prompts
@@ -89,7 +90,7 @@
         self.forwarding = settings.forwarding
         self.rng = random.Random(settings.seed)  # noqa: S311 - jitter only
         self.stopping = trio.Event()
-        self.clock = snapshots.suspension_clock
+        self.clock = clocks.suspension_clock
         self.make_connections()
         self.make_state()
         self.make_request_path()
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -10,6 +10,7 @@
 
 from lavenderbend.coordination import admission as admission_module
 from lavenderbend.coordination import call_budget
+from lavenderbend.coordination import clocks
 from lavenderbend.coordination import dispatch
 from lavenderbend.coordination import limits as limits_module
 from lavenderbend.coordination import membership as membership_module
@@ -148,6 +149,7 @@
             f'{prefix}configuration/',
             settings.configuration.when_cut_off,
             settings.configuration.cut_off_seconds,
+            clocks.suspension_clock,
         )
         # operators share the follower's log, so that a change accepted here
         # just before the key-value service fails is in force on this router
--- a/lavenderbend/transport/operator_status.py
+++ b/lavenderbend/transport/operator_status.py
@@ -61,8 +61,7 @@
 
 def cut_off_seconds(app: operators.OperatorApp) -> float | None:
     """Returns for how many seconds the revision is unconfirmed, or None."""
-    since = app.configurations.stale_since
-    return None if since is None else trio.current_time() - since
+    return app.configurations.stale_seconds
 
 
 def routers(app: operators.OperatorApp) -> Iterator[dict[str, Any]]:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -99,7 +99,7 @@
         self.revisions: list[configuration.Revision] = []
         self.missing: tuple[str, ...] = ()
         self.chain = self
-        self.stale_since: float | None = None
+        self.stale_seconds: float | None = None
 
     def add(self, document, author='ana', reason='first'):
         number = len(self.revisions) + 1
--- a/tests/test_coordination/test_agreed_configuration.py
+++ b/tests/test_coordination/test_agreed_configuration.py
@@ -212,10 +212,10 @@
     store.fault(outage=True)
     await trio.sleep(60)
     cut_off = fleet.followers['r1']
-    assert cut_off.stale_since is None  # r0 still replies
+    assert cut_off.stale_seconds is None  # r0 still replies
     fleet.network.down.add('r0')
     await trio.sleep(60)
-    assert cut_off.stale_since is not None
+    assert cut_off.stale_seconds is not None
     if policy is settings.CutOffPolicy.REFUSE:
         with pytest.raises(errors.ConfigurationStale):
             cut_off.current()
@@ -223,7 +223,7 @@
         assert cut_off.current().number == 1
     store.fault(outage=False)
     await trio.sleep(20)
-    assert cut_off.stale_since is None
+    assert cut_off.stale_seconds is None
     assert cut_off.current().number == 1
 
 
--- a/tests/test_transport/test_operators.py
+++ b/tests/test_transport/test_operators.py
@@ -125,8 +125,7 @@
 
 
 async def test_status_reports_that_router_is_cut_off(fakes, autojump_clock):
-    fakes.configurations.stale_since = trio.current_time()
-    await trio.sleep(90)
+    fakes.configurations.stale_seconds = 90.0
 
     _, answer = await call_json(fakes, 'GET', '/v1/status')
     page = await (await call(fakes, 'GET', '/')).get_data(as_text=True)
