Lease: the holder counts the time for which its VM was suspended

Callers: on a VM that was suspended for longer than the term, a controller took itself for the holder of the lease when another router held it, and sent orders to engines. Engines that check fencing numbers refuse them; what engines without that check make of them was not run.

Cause: the holder timed its term by the monotonic clock, which stops while the VM is suspended; the service's does not.

Before the fix (on the code before, with a `clock` argument that it ignores) test_holder_on_a_vm_that_was_suspended_has_lost_the_lease fails at `assert held.seconds_left() == 0` with 27.98. A process that was stopped, not suspended, was judged right before: the monotonic clock goes on then, and `check` is asked at the send.

Now the time by which the suspension clock has moved away from the router clock since the term began counts as passed. Time-outs stay on the router clock.

Cost when nothing is wrong: two clock reads each time the lease is checked.

--- a/lavenderbend/coordination/leases.py
+++ b/lavenderbend/coordination/leases.py
@@ -11,6 +11,7 @@
 from lavenderbend.observe import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from lavenderbend.coordination import interfaces
@@ -27,8 +28,10 @@
 
     The holder counts the term from before its request and subtracts a
     margin, so that it considers the lease lost before the service expires
-    it. The holder may still be paused between checking the clock and its
-    next action; the fencing token protects against that.
+    it. The router clock stops while the VM is suspended, the service's does
+    not: that time counts as well. The holder may still be paused between
+    checking the clock and its next action; the fencing token protects against
+    that.
 
     Attributes:
         store: The key-value service.
@@ -36,9 +39,13 @@
         name: Id of this router.
         seconds: Term of the lease.
         margin: Seconds by which the holder's term ends earlier.
+        clock: The suspension clock.
         lease_id: Id of the lease at the service.
         fencing: Fencing token, which grows with each holder; 0 if not held.
-        held_until: Router clock up to which the lease is certainly held.
+        held_until: Router clock up to which the lease is certainly held, if
+            the VM is not suspended.
+        clock_lead: Seconds by which the suspension clock was ahead of the
+            router clock when the present term began.
     """
 
     def __init__(
@@ -49,6 +56,7 @@
         rng: random.Random,
         seconds: float = DEFAULT_SECONDS,
         margin: float = DEFAULT_MARGIN_SECONDS,
+        clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self.store = store
         self.key = key
@@ -56,15 +64,22 @@
         self.rng = rng
         self.seconds = seconds
         self.margin = margin
+        self.clock = clock
         self.lease_id = 0
         self.fencing = 0
         self.held_until = 0.0
+        self.clock_lead = 0.0
+
+    def lead(self) -> float:
+        """Returns by how much the suspension clock is ahead."""
+        return self.clock() - trio.current_time()
 
     def seconds_left(self) -> float:
         """Returns the seconds for which the lease is certainly held."""
         if not self.fencing:
             return 0.0
-        return max(0.0, self.held_until - trio.current_time())
+        suspended = self.lead() - self.clock_lead
+        return max(0.0, self.held_until - trio.current_time() - suspended)
 
     def check(self, seconds: float = 0.0) -> None:
         """Checks that the lease is held for more than the given seconds.
@@ -95,7 +110,7 @@
         """Tries once to acquire the lease; returns whether it is held."""
         if (await self.store.read(self.key)).items:
             return False
-        began = trio.current_time()
+        began, lead = trio.current_time(), self.lead()
         lease = await self.store.grant_lease(self.seconds)
         value = f'{self.name} {secrets.token_hex(ID_BYTES)}'.encode()
         try:
@@ -111,6 +126,7 @@
         # store revisions only grow, so a later holder's token is larger
         self.fencing = stored.items[0].create_revision
         self.held_until = began + self.seconds - self.margin
+        self.clock_lead = lead
         return self.seconds_left() > 0
 
     async def renew_until_lost(self) -> None:
@@ -118,7 +134,7 @@
         while self.seconds_left() > 0:
             pause = min(self.seconds / RENEWALS_PER_TERM, self.seconds_left())
             await trio.sleep(self.rng.uniform(pause / 2, pause))
-            began = trio.current_time()
+            began, lead = trio.current_time(), self.lead()
             try:
                 with trio.move_on_at(self.held_until):
                     seconds_left = await self.store.renew_lease(self.lease_id)
@@ -127,6 +143,7 @@
                     self.held_until = (
                         began + min(seconds_left, self.seconds) - self.margin
                     )
+                    self.clock_lead = lead
             except errors.KeyValueError:
                 await trio.sleep(self.rng.uniform(0, RETRY_SECONDS))
         self.note_lost()
--- a/lavenderbend/coordination/orders/orders.py
+++ b/lavenderbend/coordination/orders/orders.py
@@ -123,6 +123,7 @@
         rng: Source of jitter.
         prefix: Prefix of the keys of leases and results, one for each region.
         policy: How orders are sent.
+        clock: The suspension clock, by which leases are timed.
         pools: Controllers that run on this router, by pool.
         scopes: Their cancel scopes, by pool.
     """
@@ -137,6 +138,7 @@
         rng: random.Random,
         prefix: str = DEFAULT_PREFIX,
         policy: OrderPolicy | None = None,
+        clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self.name = name
         self.store = store
@@ -146,6 +148,7 @@
         self.rng = rng
         self.prefix = prefix
         self.policy = policy or OrderPolicy()
+        self.clock = clock
         self.pools: dict[str, pool_orders.PoolController] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
 
@@ -195,6 +198,7 @@
             self.rng,
             self.policy.lease_seconds,
             self.policy.margin,
+            self.clock,
         )
         records = rollout_records.RolloutRecords(
             self.store, f'{self.prefix}{pool}/memory'
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -200,6 +200,7 @@
             self.rng,
             f'{prefix}orders/{settings.region}/',
             adapters.order_policy(settings.orders),
+            clocks.suspension_clock,
         )
 
     def make_servers(self) -> None:
--- a/tests/test_coordination/test_agreed_leases.py
+++ b/tests/test_coordination/test_agreed_leases.py
@@ -10,9 +10,15 @@
 from tests.test_coordination import agreed_fakes as fakes
 
 
-def make_lease(store, name):
+def make_lease(store, name, clock=trio.current_time):
     return leases.Lease(
-        store, 'l', name, random.Random(name), seconds=30.0, margin=2.0
+        store,
+        'l',
+        name,
+        random.Random(name),
+        seconds=30.0,
+        margin=2.0,
+        clock=clock,
     )
 
 
@@ -66,6 +72,38 @@
     assert held.seconds_left() == 0
 
 
+async def test_holder_on_a_vm_that_was_suspended_has_lost_the_lease(
+    store, nursery, autojump_clock
+):
+    """Guards against orders of a holder whose VM stood still for a term."""
+    suspended = 0.0
+    held = make_lease(store, 'a', lambda: trio.current_time() + suspended)
+    await held.acquire()
+    nursery.start_soon(held.renew_until_lost)
+    store.lapse(held.lease_id)
+    other = make_lease(store, 'b')
+    await other.acquire()
+    suspended = 40.0
+    assert other.seconds_left() > 0
+    assert held.seconds_left() == 0
+    with pytest.raises(errors.LeaseLost):
+        held.check()
+
+
+async def test_lease_is_held_on_after_a_renewal_that_follows_a_suspension(
+    store, nursery, autojump_clock
+):
+    """Guards against counting a suspension before the present term."""
+    suspended = 0.0
+    held = make_lease(store, 'a', lambda: trio.current_time() + suspended)
+    await held.acquire()
+    suspended = 15.0
+    assert 0 < held.seconds_left() <= 13.0
+    with trio.move_on_after(60.0):
+        await held.renew_until_lost()
+    assert held.seconds_left() > 13.0
+
+
 async def test_lease_never_has_two_holders(store, nursery, autojump_clock):
     """Answers are lost, writes are delayed and the service has outages.
 
