Limits: a home that stood still drops its pools

Callers: after the home of a customer's limit stood still for longer than the others wait for it, the customer was let through above its limit.

Cause: a home fills its pools by the time that has passed. The others had taken another home meanwhile, which granted the tokens of the same time. A home whose group moves away and back drops its pool; one that stood still sees neither move, as both lie within its standstill.

After a gap of three seconds, less than the others take to declare a router dead, its pools are dropped and begin empty, as those of a new home. The check is part of the look-up, so that no demand that waited in the sockets is answered before it.

Cost when nothing is wrong: one reading of the clock for each look-up of a home. A router that stood still for three seconds and kept its groups grants nothing for the first moment.

--- a/lavenderbend/coordination/limits/customers.py
+++ b/lavenderbend/coordination/limits/customers.py
@@ -24,6 +24,8 @@
 # a router reports to a home at this interval, sooner if a bucket runs low
 REPORT_SECONDS = 10.0
 MAX_RETRY_SECONDS = 60.0
+# a router that stood still for this long may have been replaced as a home
+MAX_STANDSTILL_SECONDS = 3.0
 
 REFUSED = metrics.counter(
     'lavenderbend_customer_over_limit_total',
@@ -67,6 +69,7 @@
         self.routers: tuple[str, ...] = ()
         self.homes: list[str] = []
         self.home_since = [0.0] * GROUPS
+        self.ran_at = 0.0
         link.handle(messages_decisions.CustomerDemand, self.on_demand)
         link.handle(messages_decisions.CustomerShare, self.on_share)
 
@@ -97,8 +100,10 @@
 
         Pools of groups that moved to another home are dropped. If the group
         came back, such a pool would be full although the other home has
-        granted tokens meanwhile.
+        granted tokens meanwhile. A router that stood still does not see that
+        its groups had another home.
         """
+        self.note_running()
         routers = self.membership.routers()
         if self.homes and routers == self.routers:
             return
@@ -119,6 +124,14 @@
         ]:
             del self.pools[name]
 
+    def note_running(self) -> None:
+        """Drops all pools if this router stood still until now."""
+        now = trio.current_time()
+        if now - self.ran_at > MAX_STANDSTILL_SECONDS:
+            self.pools.clear()
+            self.home_since = [now] * GROUPS
+        self.ran_at = now
+
     def home(self, customer: str) -> str:
         """Returns the home router of a customer."""
         self.refresh_homes()
--- a/tests/test_coordination/test_limits_bounds.py
+++ b/tests/test_coordination/test_limits_bounds.py
@@ -259,6 +259,32 @@
     assert passed <= RATE * 10 + held + RATE
 
 
+async def test_home_that_stood_still_does_not_grant_from_its_old_pool(
+    nursery, autojump_clock
+):
+    # Guards against tokens granted twice: the other routers took another home
+    # meanwhile, of which the one that stood still knows nothing.
+    fleet = Fleet(nursery, 12)
+    home = fleet.home
+    others = [name for name in fleet.names if name != home]
+    await fleet.run(fleet.names, 10.0, 10)
+    report = fleet.limits[home].report
+    fleet.limits[home].report = lambda: None
+    fleet.network.dead.add(home)
+    await fleet.run(others, 50.0, 3.5)
+    fleet.set_view(others, others)
+    await fleet.run(others, 50.0, 20)
+    fleet.network.dead.discard(home)
+    fleet.limits[home].report = report
+    fleet.set_view(others, fleet.names)
+    held = fleet.tokens()
+
+    passed, _ = await fleet.run(fleet.names, 50.0, 10)
+
+    assert passed <= RATE * 10 + held + RATE
+    assert passed >= 0.8 * RATE * 10
+
+
 async def test_customer_far_below_its_limit_costs_few_messages(
     nursery, autojump_clock
 ):
