Streams: a resume that brings no event, or no stream, is not its end

Callers saw a stream of which they had a part end as complete: status 200, events 1 and 2 of 4, then the end of the answer; or the same with bytes behind it that no event held ("error", a JSON object).

Cause, two checks that asked too little:

* A response without length or chunks ends with its connection.
One that closes before its first event counts as lost, but not if the caller had events before: in a resume within an answer, in a stream that the caller took up, and where the upstream had sent a comment.
The crash of a second engine, as when most of them crash at a time, then looked like the end.
* A resume must show by a number that it is one.
Only lines of data were asked for it; other text passed, also as a last event without its blank line.

The splitter now knows whether the current upstream has sent an event, and in a resume without a number it takes comments, event: and retry: lines only. Such an attempt ends as lost or contradicting, so that the next upstream resumes, or the caller sees that the answer broke off.

test_stream_taken_up_after_its_end_may_be_empty asked for the end at the first engine that closes without an event, which cannot be told from a crash. It asks for the same end now once two engines have shown it ([4, 4] for [4]); a framed end still needs one (test_framed_stream_taken_up_after_its_end_may_be_empty). A response without length that closes between two events still cannot be told from a whole one.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -20,7 +20,6 @@
     from lavenderbend.coordination.forwarding import crashes as crashes_module
     from lavenderbend.coordination.forwarding import departures as departing
     from lavenderbend.coordination.forwarding import directory as directories
-    from lavenderbend.coordination.forwarding import events
     from lavenderbend.coordination.forwarding import health as health_module
     from lavenderbend.coordination.forwarding import outgoing
     from lavenderbend.coordination.forwarding import (
@@ -479,7 +478,7 @@
             raise errors.UpstreamBroke('content encoding was not requested')
 
     def check_stream_end(
-        self, head: interfaces.AnswerHead, splitter: events.EventSplitter
+        self, ticket: tickets.Ticket, head: interfaces.AnswerHead
     ) -> None:
         """Checks the end of a stream within an event or before the first one.
 
@@ -489,13 +488,37 @@
                 complete.
             AnswerContradicts: The event does not follow the last one.
         """
-        kind = interfaces.header(head.headers, b'content-type') or b''
-        of_events = splitter.passed_events or kind.startswith(EVENT_STREAM)
-        if of_events and not head.framed:
-            raise errors.UpstreamLost('connection closed within an event')
+        splitter = ticket.splitter
+        if not head.framed and self.is_of_events(ticket, head):
+            if splitter.partial_event:
+                raise errors.UpstreamLost('connection closed within an event')
+            self.check_empty_end(ticket)
         if splitter.partial_event:
             splitter.check_partial_event()
 
+    def is_of_events(
+        self, ticket: tickets.Ticket, head: interfaces.AnswerHead
+    ) -> bool:
+        """Returns whether a response is known to consist of events."""
+        kind = interfaces.header(head.headers, b'content-type') or b''
+        return ticket.splitter.passed_events or kind.startswith(EVENT_STREAM)
+
+    def check_empty_end(self, ticket: tickets.Ticket) -> None:
+        """Checks the close of a connection before the first event.
+
+        A caller that has all events may take up a stream whose end it missed.
+        It gets that end once two upstreams have shown it: one of them may have
+        crashed after the head of its response.
+
+        Raises:
+            UpstreamLost: The upstream may have crashed.
+        """
+        taken_up = ticket.takes_up and not ticket.splitter.passed_events
+        if taken_up and ticket.ended_empty:
+            return
+        ticket.ended_empty = True
+        raise errors.UpstreamLost('connection closed before an event')
+
     def first_byte_timeout(self, ticket: tickets.Ticket) -> float:
         """Returns the seconds that an upstream has to begin its response."""
         from_target = FIRST_BYTE_TARGET_MULTIPLE * ticket.rule.then.target
@@ -531,9 +554,8 @@
                 await answer.start(head.status, head.headers)
             await answer.send(complete)
             splitter.mark_written()
-        began = waiting.streaming or splitter.passed_events or ticket.takes_up
-        if splitter.partial_event or not began:
-            self.check_stream_end(head, splitter)
+        if splitter.partial_event or not splitter.run_has_events:
+            self.check_stream_end(ticket, head)
         if not answer.started:
             await answer.start(head.status, head.headers)
         if splitter.partial_event:
--- a/lavenderbend/coordination/forwarding/events.py
+++ b/lavenderbend/coordination/forwarding/events.py
@@ -11,6 +11,9 @@
 EVENT_TERMINATORS = (b'\n\n', b'\r\n\r\n')
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
+# Lines that a run may begin with though they are no part of an event: comments,
+# and fields that alone make none.
+NO_EVENT_FIELDS = (b':', b'event:', b'retry:')
 # Bounds the memory for an event that never ends.
 MAX_EVENT_BYTES = 1024 * 1024
 # Event numbers have 64 bits; longer digit strings are not numbers.
@@ -50,6 +53,7 @@
         passed_events: Whether the caller has events of this response.
         resume_unconfirmed: Whether no event number has shown yet that the
             upstream resumes the stream and does not restart it.
+        run_has_events: Whether the current upstream has sent an event.
         partial_event: Bytes of the event that is not complete yet.
         partial_size: What its parts count for against the limit.
     """
@@ -60,6 +64,7 @@
         self.written_position = self.first_position
         self.passed_events = False
         self.resume_unconfirmed = False
+        self.run_has_events = False
         self.partial_event = b''
         self.partial_size = 0
 
@@ -74,6 +79,7 @@
         """Prepares for a stream that resumes after the written position."""
         self.read_position = self.written_position
         self.resume_unconfirmed = self.passed_events
+        self.run_has_events = False
         self.partial_event = b''
         self.partial_size = 0
 
@@ -120,24 +126,28 @@
         # that precede the wrong one.
         position = self.read_position
         resume_unconfirmed = self.resume_unconfirmed
-        has_number = has_data = False
+        run_has_events = self.run_has_events
+        has_number = has_data = has_text = False
         for line in complete.split(b'\n'):
             number = event_number(line)
             if number is not None:
                 check_follows(number, position)
                 position = Position(number, position.numbered)
                 has_number, resume_unconfirmed = True, False
-            elif line.startswith(DATA_FIELD):
-                has_data = True
-            elif not line.strip():
+            elif line.strip():
+                has_data = has_data or line.startswith(DATA_FIELD)
+                has_text = has_text or not line.startswith(NO_EVENT_FIELDS)
+            else:
                 # A comment has no data and may be repeated without harm.
+                if has_text and not has_number and resume_unconfirmed:
+                    raise not_resumed(position)
                 if has_data and not has_number:
-                    position = position_after_unnumbered(
-                        position, resume_unconfirmed
-                    )
-                has_number = has_data = False
+                    position = Position(position.number, numbered=False)
+                run_has_events = run_has_events or has_number or has_data
+                has_number = has_data = has_text = False
         self.read_position = position
         self.resume_unconfirmed = resume_unconfirmed
+        self.run_has_events = run_has_events
 
 
 def check_follows(number: int, position: Position) -> None:
@@ -152,20 +162,15 @@
         )
 
 
-def position_after_unnumbered(
-    position: Position, resume_unconfirmed: bool
-) -> Position:
-    """Returns the position after an event without a number.
+def not_resumed(position: Position) -> errors.AnswerContradicts:
+    """Returns the error for a resume that begins without a number.
 
-    Raises:
-        AnswerContradicts: Nothing shows yet that the upstream resumes the
-            stream where it was asked to, and does not restart it.
+    Nothing shows that the upstream resumes the stream where it was asked to,
+    and does not restart it or send something else.
     """
-    if resume_unconfirmed:
-        raise errors.AnswerContradicts(
-            f'event without a number after event {position.number} in a resume'
-        )
-    return Position(position.number, numbered=False)
+    return errors.AnswerContradicts(
+        f'bytes without a number after event {position.number} in a resume'
+    )
 
 
 def end_of_events(data: bytes) -> int:
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -72,6 +72,8 @@
         may_have_run: Whether an upstream may have begun to run the request.
         unframed: Whether its latest answer had neither a length nor chunks, so
             that it ended with its connection.
+        ended_empty: Whether an upstream closed its connection where an event
+            of the stream was due.
         retry_after_seconds: Seconds until an upstream of the service accepts
             requests again, 0 if some do now.
         refusal: Why it may not be sent any more, None if it may.
@@ -115,6 +117,7 @@
     retry_reserved_at: float = 0.0
     may_have_run: bool = False
     unframed: bool = False
+    ended_empty: bool = False
     retry_after_seconds: float = 0.0
     refusal: errors.RequestError | None = None
     no_choice_reason: str = ''
--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -333,15 +333,118 @@
 
 
 async def test_stream_taken_up_after_its_end_may_be_empty(nursery):
+    """Guards against a caller that never learns that it has all events.
+
+    That two engines say so tells an end from the crash of one.
+    """
     data, resume_points = await bytes_over_sockets(
         nursery,
         {EVENTS: head(b'content-type: text/event-stream\r\n')},
         more=b'last-event-id: %d\r\n' % EVENTS,
     )
+    assert resume_points == [EVENTS, EVENTS]
+    assert read_answer(data) == (b'', True)
+
+
+async def test_framed_stream_taken_up_after_its_end_may_be_empty(nursery):
+    answer = head(CHUNKED + b'content-type: text/event-stream\r\n')
+    data, resume_points = await bytes_over_sockets(
+        nursery,
+        {EVENTS: answer + LAST_CHUNK},
+        more=b'last-event-id: %d\r\n' % EVENTS,
+    )
     assert resume_points == [EVENTS]
     assert read_answer(data) == (b'', True)
 
 
+async def test_stream_taken_up_at_an_engine_that_crashes_goes_on(nursery):
+    """Guards against a crash that looks like the end of a stream taken up."""
+    empty = head(b'content-type: text/event-stream\r\n')
+    answers = collections.deque([empty, empty + events(3)])
+
+    class Answers:
+        def __getitem__(self, last):
+            return answers.popleft()
+
+    data, resume_points = await bytes_over_sockets(
+        nursery, Answers(), more=b'last-event-id: 2\r\n'
+    )
+    assert resume_points == [2, 2]
+    assert read_answer(data) == (events(3), True)
+
+
+KIND = b'content-type: text/event-stream\r\n'
+NO_EVENTS = {
+    'nothing': b'',
+    'a comment': b': still here\n\n',
+}
+
+
+@pytest.mark.parametrize('what', sorted(NO_EVENTS))
+async def test_resume_without_length_that_ends_early_is_incomplete(
+    what, nursery
+):
+    """Guards against the crash of a second engine that looks like an end.
+
+    It closes its connection behind the head, or a comment, of an answer that
+    should bring the rest of the stream.
+    """
+    truncated = head(CHUNKED + KIND) + chunk(events(1, 2))
+    again = head(KIND) + NO_EVENTS[what]
+    body, complete, resume_points = await answer_over_sockets(
+        nursery, {0: truncated, 2: again}
+    )
+    assert resume_points == [0, 2]
+    assert (body, complete) == (events(1, 2) + NO_EVENTS[what], False)
+
+
+async def test_stream_without_length_that_ends_behind_a_comment_is_retried(
+    nursery,
+):
+    """Guards against a comment that counts as an event of a stream."""
+    truncated = head(KIND) + NO_EVENTS['a comment']
+    answers = collections.deque([truncated, head(KIND) + events()])
+
+    class Answers:
+        def __getitem__(self, last):
+            return answers.popleft()
+
+    body, complete, resume_points = await answer_over_sockets(
+        nursery, Answers()
+    )
+    assert resume_points == [0, 0]
+    assert (body, complete) == (NO_EVENTS['a comment'] + events(), True)
+
+
+NO_STREAM = {
+    'another kind': (
+        b'content-type: application/json\r\n',
+        b'{"error": "full"}',
+    ),
+    'a text without lines of events': (b'', b'error'),
+    'a text behind a comment': (b'', b': here\n\nerror'),
+}
+
+
+@pytest.mark.parametrize('what', sorted(NO_STREAM))
+async def test_answer_to_a_resume_that_is_no_stream_is_not_relayed(
+    what, nursery
+):
+    """Guards against other bytes at the end of a stream that looks whole."""
+    more, again = NO_STREAM[what]
+    length = b'content-length: %d\r\n' % len(again)
+    body, complete, resume_points = await answer_over_sockets(
+        nursery,
+        {
+            0: head(CHUNKED + KIND) + chunk(events(1, 2)),
+            2: head(length + more) + again,
+        },
+    )
+    assert resume_points == [0, 2]
+    assert body.replace(b': here\n\n', b'') == events(1, 2)
+    assert not complete
+
+
 async def test_stream_without_length_cut_twice_is_incomplete(nursery):
     # both upstreams end within an event: the truncated answer must not look
     # complete
@@ -392,6 +495,22 @@
     )
 
 
+@pytest.mark.parametrize(
+    'lines',
+    [
+        b'retry: 100\n\n',
+        b'event: rest\n\n: here\n\n',
+        b'lavenderbend-weight-versions: 3\n',
+        b'event: rest\nextra: x\n',
+    ],
+)
+async def test_resume_may_begin_with_lines_that_make_no_event(lines, nursery):
+    truncated = head(CHUNKED) + chunk(events(1, 2))
+    rest = head(CHUNKED) + chunk(lines + events(3)) + LAST_CHUNK
+    result = await answer_over_sockets(nursery, {0: truncated, 2: rest})
+    assert result == (events(1, 2) + lines + events(3), True, [0, 2])
+
+
 NUMBERLESS = b''.join(b'data: x%d\n\n' % number for number in range(1, 5))
 NOT_RESUMED = {
     'all without numbers': NUMBERLESS,
