--- a/tests/test_transport/test_relayed_connections.py
+++ b/tests/test_transport/test_relayed_connections.py
@@ -4,7 +4,6 @@
 
 import socket
 import struct
-import types
 
 import attrs
 import pytest
@@ -13,14 +12,12 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
-from lavenderbend.coordination.forwarding import reachability
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
-from lavenderbend.transport import peer_datagrams
-from lavenderbend.transport import relay_server
 from lavenderbend.transport import upstream_exchanges
 from tests import platform_standins as standins
+from tests import relay_standins
 
 ID = b'lavenderbend-request-id'
 HOST = '127.0.0.1'
@@ -28,23 +25,6 @@
 Outcome = messages_forwarding.RelayOutcome
 
 
-class OneUpstream:
-    """Relays connections to one upstream, by the outcome that a test sets."""
-
-    def __init__(self, upstream):
-        self.upstream = upstream
-        self.outcome = Outcome.CONNECTED
-        self.reachability = reachability.Reachability()
-        self.stopping = False
-
-    def admit(self, instance):
-        if self.stopping:
-            return Outcome.UNABLE, None
-        if self.outcome is not Outcome.CONNECTED:
-            return self.outcome, None
-        return self.outcome, self.upstream
-
-
 @pytest.fixture
 async def worker(nursery, request):
     made = getattr(request, 'param', standins.Worker)('i-1', 'desk')
@@ -63,23 +43,8 @@
         'desk',
         upstreams.UpstreamKind.SERVICE,
     )
-    relays = OneUpstream(forwarding.Upstream('i-1', vm, 8))
-    server = relay_server.RelayServer(relays)
-    link = peer_datagrams.PeerDatagrams(HOST, 0, lambda: None)
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        link.port = probe.getsockname()[1]
-    link.relay = server.serve
-    scope = trio.CancelScope()
-
-    async def run(task_status):
-        with scope:
-            await link.run(task_status=task_status)
-
-    await nursery.start(run)
-    return types.SimpleNamespace(
-        relays=relays, server=server, port=link.port, scope=scope
-    )
+    upstream = forwarding.Upstream('i-1', vm, 8)
+    return await relay_standins.start_relay(nursery, upstream)
 
 
 @pytest.fixture
