Upstreams: a reset that a send finds is no regular close

What callers saw: an upstream that answers before it has read a long body, without length or chunks, and whose connection is then reset: the caller got the part that had come as a whole answer with its length.

Cause: the kernel reports a reset to one call only. While a body is sent the answer is read by another task. When the sending task got the error, it was dropped ("a lost connection is reported by the read"), and the next read returned nothing, as after a regular close. A router that relays did the same and told the requesting one that the upstream had closed.

Why it holds now: both sides use one stream to an upstream, which remembers that a send found the connection reset and then does not report an end to the reader. A reset that follows a regular close is told apart (a broken pipe), so that a whole answer whose upstream does not take the rest of the request is still passed on ([direct-close], [relay-close], where the upstream's kernel resets what arrives after its close).

--- a/lavenderbend/transport/pooled_connections.py
+++ b/lavenderbend/transport/pooled_connections.py
@@ -8,6 +8,7 @@
 
 from lavenderbend.transport import relayed_streams
 from lavenderbend.transport import socket_options
+from lavenderbend.transport import upstream_streams
 
 if TYPE_CHECKING:
     from lavenderbend.state import forwarding
@@ -28,7 +29,7 @@
     """A connection to an upstream, used by one request at a time.
 
     Attributes:
-        stream: The TCP stream.
+        stream: The stream to the upstream.
         idle_since: Router clock at which the connection became idle.
         idle_seconds: Time after which the upstream closes it when idle.
         relay: Router through which it goes, empty if it goes through none.
@@ -36,7 +37,10 @@
 
     relay = ''
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self,
+        stream: upstream_streams.UpstreamStream | relayed_streams.RelayedStream,
+    ) -> None:
         self.stream = stream
         self.idle_since = trio.current_time()
         self.idle_seconds = DEFAULT_IDLE_SECONDS
@@ -88,7 +92,7 @@
     """
     stream = await socket_options.connect_upstream(upstream.vm, CONNECT_SECONDS)
     socket_options.prepare(stream.socket)
-    return PooledConnection(stream)
+    return PooledConnection(upstream_streams.UpstreamStream(stream))
 
 
 async def connect_through(
--- a/lavenderbend/transport/relay_server.py
+++ b/lavenderbend/transport/relay_server.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from lavenderbend.coordination.forwarding import relays as relays_module
     from lavenderbend.state import forwarding
+    from lavenderbend.transport import upstream_streams
 
 Outcome = messages_forwarding.RelayOutcome
 
@@ -46,7 +47,9 @@
     """
 
     def __init__(
-        self, requester: trio.SocketStream, upstream: trio.SocketStream
+        self,
+        requester: trio.SocketStream,
+        upstream: upstream_streams.UpstreamStream,
     ) -> None:
         self.requester = requester
         self.upstream = upstream
--- a/tests/test_transport/test_cut_answers.py
+++ b/tests/test_transport/test_cut_answers.py
@@ -98,6 +98,22 @@
     assert wrong == {}
 
 
+@pytest.mark.parametrize('end', sorted(ENDS))
+async def test_answer_reset_while_its_request_is_sent_is_not_whole(
+    upstream, connect, end
+):
+    """Guards against a reset that is taken for the end of an answer."""
+    answer = cut_answers.FORMS['close'].whole
+    upstream.replies.append(
+        cut_answers.Reply(answer, resets=ENDS[end], early=True)
+    )
+    sent = request(method=b'POST', body=cut_answers.LONG_BODY)
+    exchange = await connect()
+    read = await fetch(exchange, sent)
+    assert not exchange.sent
+    assert read == (None if ENDS[end] else cut_answers.BODY)
+
+
 @pytest.mark.parametrize('name', sorted(cut_answers.FORMS))
 async def test_answer_read_a_byte_at_a_time_is_whole(
     upstream, connect, name, monkeypatch
