Streams: one that is resumed and ends without an event has broken off

What callers saw: an upstream breaks off a stream, another one resumes it, sends the head of an answer without length and ends its connection before the first event. The caller got the end of a complete stream that lacked its last events.

Cause: the check for a stream without length that ends before any event (an upstream that crashed after its head) was left out as soon as the caller had events of an earlier upstream. These say nothing of the new answer. It is still left out where the caller itself takes up a stream, which may have had its last event.

Evidence: test_stream_goes_on_where_one_that_resumes_it_is_cut[direct-close-close] and [relay-close-close] failed before, at the first byte past the head: assert answer == Answer(200, events(), True), cut AssertionError: 86

Why it holds now: the check looks at the events of this attempt. The answer goes on at another upstream, or ends as incomplete, and its caller can take it up. An upstream that had nothing left to send costs that caller one more try; with a length or chunks it does not, as its end shows.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -481,7 +481,7 @@
     def check_stream_end(
         self, head: interfaces.AnswerHead, splitter: events.EventSplitter
     ) -> None:
-        """Checks the end of a stream within an event or before the first one.
+        """Checks the end of a stream within an event or without any.
 
         Raises:
             UpstreamLost: The stream is ended only by the close of its
@@ -492,7 +492,9 @@
         kind = interfaces.header(head.headers, b'content-type') or b''
         of_events = splitter.passed_events or kind.startswith(EVENT_STREAM)
         if of_events and not head.framed:
-            raise errors.UpstreamLost('connection closed within an event')
+            raise errors.UpstreamLost(
+                'connection closed within an event or before one'
+            )
         if splitter.partial_event:
             splitter.check_partial_event()
 
@@ -531,7 +533,10 @@
                 await answer.start(head.status, head.headers)
             await answer.send(complete)
             splitter.mark_written()
-        began = waiting.streaming or splitter.passed_events or ticket.takes_up
+        # a stream that its caller takes up may have had its last event; one
+        # that this router resumes has broken off before its end
+        may_be_empty = ticket.takes_up and not splitter.passed_events
+        began = waiting.streaming or may_be_empty
         if splitter.partial_event or not began:
             self.check_stream_end(head, splitter)
         if not answer.started:
--- a/tests/test_transport/test_cut_answers_callers.py
+++ b/tests/test_transport/test_cut_answers_callers.py
@@ -220,7 +220,44 @@
     assert (answer.status, answer.complete) == (UNKNOWN, True)
 
 
+def resume_points(upstream):
+    """Returns after which event each request goes on."""
+    points = []
+    for head in upstream.requests:
+        value = head.partition(b'last-event-id: ')[2]
+        points.append(int(value.partition(b'\r\n')[0] or 0))
+    return points
+
+
 RESUMABLE = {'streaming': True, 'resumable': True}
+FIRST_PART = cut_answers.Reply(
+    cut_answers.head(STREAM + cut_answers.CHUNKED)
+    + cut_answers.chunk(events(1, 2))
+)
+
+
+@pytest.mark.parametrize('end', sorted(ENDS))
+@pytest.mark.parametrize('name', sorted(stream_forms(3)))
+async def test_stream_goes_on_where_one_that_resumes_it_is_cut(
+    ask, upstream, name, end
+):
+    """Guards against a stream that ends before its last event."""
+    form = stream_forms(3)[name]
+    closes = form.ended_by_close and not ENDS[end]
+    for cut in range(len(form.whole)):
+        sent = form.whole[len(form.head) : cut].count(b'\n\n')
+        if closes and form.rest[: cut - len(form.head)].endswith(b'\n\n'):
+            # its upstream may have ended it there
+            continue
+        last = cut_answers.Reply(stream_forms(3 + sent)['chunks'].whole)
+        replies = (FIRST_PART, cut_at(form, cut, end), last)
+        answer = await ask(replies, attempts=3, **RESUMABLE)
+        assert answer == Answer(200, events(), True), cut
+        assert resume_points(upstream) == [0, 2, 2 + sent], cut
+    for cut in (0, len(form.head) - 1, len(form.head)):
+        replies = (FIRST_PART, cut_at(form, cut, end))
+        answer = await ask(replies, attempts=2, **RESUMABLE)
+        assert answer == Answer(200, events(1, 2), False), cut
 
 
 @pytest.mark.parametrize('end', sorted(ENDS))
