Upstreams: an answer that has no body needs no length to be whole

What callers saw: on a route of streams a HEAD request, or a request answered 204, got 504 after an attempt at each upstream, if the answer had the content type of a stream and neither length nor chunks.

Cause: such an answer was taken for one whose body ends with its connection, and with no event in it, for one whose upstream crashed after its head. Its body is over with its head, whatever its headers say.

Why it holds now: method and status count as framing, as in RFC 9112, 6.3.

--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -29,6 +29,9 @@
 MAX_STRAY_ANSWERS = 4
 MAX_STRAY_BYTES = 1024 * 1024
 FRAMING = (b'content-length', b'transfer-encoding')
+HEAD = b'HEAD'
+# answers with these statuses end with their head
+BODILESS = (204, 304)
 MISMATCH_DETAIL = 'the answer carries the id of another request'
 
 CONNECTIONS = metrics.counter(
@@ -285,11 +288,18 @@
         """Returns the head; applies its Keep-Alive header to the connection."""
         headers = tuple((bytes(k), bytes(v)) for k, v in response.headers)
         self.note_keep_alive(headers)
-        framed = any(name in FRAMING for name, _ in headers)
         return interfaces.AnswerHead(
-            response.status_code, hop_headers.end_to_end(headers), framed
+            response.status_code,
+            hop_headers.end_to_end(headers),
+            self.is_framed(response.status_code, headers),
         )
 
+    def is_framed(self, status: int, headers: interfaces.Headers) -> bool:
+        """Returns whether the end of the body shows without the close."""
+        if self.request.method == HEAD or status in BODILESS:
+            return True
+        return any(name in FRAMING for name, _ in headers)
+
     def note_keep_alive(self, headers: interfaces.Headers) -> None:
         """Sets the idle limit of the connection from a Keep-Alive header."""
         value = interfaces.header(headers, b'keep-alive')
--- a/tests/test_transport/test_cut_answers_callers.py
+++ b/tests/test_transport/test_cut_answers_callers.py
@@ -290,3 +290,20 @@
     whole = cut_answers.Reply(stream_forms(1)[name].whole)
     answer = await ask((whole,), **RESUMABLE)
     assert answer == Answer(200, events(), True)
+
+
+BODILESS = {
+    'HEAD': (b'HEAD', b'200 OK'),
+    'no content': (b'GET', b'204 No Content'),
+}
+
+
+@pytest.mark.parametrize('name', sorted(BODILESS))
+async def test_answer_that_has_no_body_is_no_stream_that_broke_off(
+    ask, upstream, name
+):
+    """Guards against a good answer that is refused for its missing length."""
+    method, status = BODILESS[name]
+    reply = cut_answers.Reply(cut_answers.head(STREAM, status))
+    answer = await ask((reply,), method, streaming=True)
+    assert answer == Answer(int(status[:3]), b'', True)
