Streams: one without length whose upstream is gone has broken off

What callers saw: an engine crashes between two events of a stream that has neither length nor chunks, and the answer ends as complete with the events that had come.

Cause: the kernel closes the connections of a process that crashes as regularly as the engine closes that of a stream that has ended, unless bytes wait to be read. By HTTP the close is the end, and nothing else marks it.

Change: at such an end of a stream that may be resumed the router asks whether the upstream still accepts a connection (it stays in the pool for the next request). If not, the stream goes on at another upstream behind its last event; one that had ended is resumed without harm. Streams that may not be resumed, and whole answers, stay as they are: an upstream that stops may have closed its port before its last answer. An upstream that closes a single connection still cannot be told.

Cost: one connection for each such stream without length.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -519,6 +519,23 @@
         ticket.ended_empty = True
         raise errors.UpstreamLost('connection closed before an event')
 
+    async def check_not_crashed(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> None:
+        """Checks that a stream was not ended by the crash of its upstream.
+
+        The connections of a process that crashes may be closed as regularly as
+        the one of a stream without length that has ended. One that ended is
+        resumed without harm.
+
+        Raises:
+            UpstreamLost: The upstream is gone.
+        """
+        if not ticket.rule.then.resumable:
+            return
+        if not await self.exchanges.accepts(upstream):
+            raise errors.UpstreamLost('gone at the end of a stream')
+
     def first_byte_timeout(self, ticket: tickets.Ticket) -> float:
         """Returns the seconds that an upstream has to begin its response."""
         from_target = FIRST_BYTE_TARGET_MULTIPLE * ticket.rule.then.target
@@ -556,6 +573,8 @@
             splitter.mark_written()
         if splitter.partial_event or not splitter.run_has_events:
             self.check_stream_end(ticket, head)
+        elif not head.framed:
+            await self.check_not_crashed(ticket, upstream)
         if not answer.started:
             await answer.start(head.status, head.headers)
         if splitter.partial_event:
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -257,6 +257,7 @@
         sent: Instances and the requests sent to them.
         closed: Instances, and whether their response was complete.
         refusing: Instances that accept no connections.
+        gone: Instances that accept none after their first answer.
     """
 
     def __init__(self, **steps):
@@ -264,10 +265,11 @@
         self.sent = []
         self.closed = []
         self.refusing = set()
+        self.gone = set()
 
     async def accepts(self, target):
         await trio.lowlevel.checkpoint()
-        return target.instance not in self.refusing
+        return target.instance not in self.refusing | self.gone
 
     async def open(self, target, repeatable):
         await trio.lowlevel.checkpoint()
--- a/tests/test_coordination/test_forwarding_half_done.py
+++ b/tests/test_coordination/test_forwarding_half_done.py
@@ -312,6 +312,28 @@
     assert answer.body == event(1) + event(2) + event(3)
 
 
+def unframed(*numbers):
+    """Returns a stream without length that is closed behind some events."""
+    answer = fakes.reply(body=tuple(event(number) for number in numbers))
+    return attrs.evolve(answer, head=attrs.evolve(answer.head, framed=False))
+
+
+@pytest.mark.parametrize('gone', [True, False])
+async def test_stream_without_length_ends_only_if_its_upstream_lives(
+    gone, autojump_clock
+):
+    """Guards against a crash between two events that looks like the end."""
+    rule = fakes.rule(streaming=True, resumable=True, attempts=2)
+    router = make_router(
+        rule, unframed(1, 2), fakes.reply(body=(event(3),)), names=('e1', 'e2')
+    )
+    router.exchanges.gone = {'e1', 'e2'} if gone else set()
+    answer, error = await router.send_request()
+    assert (answer.finished, error) == (True, None)
+    numbers = (1, 2, 3) if gone else (1, 2)
+    assert answer.body == b''.join(event(number) for number in numbers)
+
+
 def event(number):
     return b'id: %d\ndata: x%d\n\n' % (number, number)
 
