--- a/tests/version_plays.py
+++ b/tests/version_plays.py
@@ -29,6 +29,8 @@
 AFTERWARDS_SECONDS = 0.5
 CUT_SECONDS = 3.0
 OUTAGE_SECONDS = 8.0
+# From the cut of a router to the end of a second version.
+SHORT_SECONDS = 2.1
 
 
 @attrs.frozen
@@ -218,7 +220,7 @@
     await trio.sleep(UNSEEN_SECONDS)
     for number in range(4):
         fleet.add_engine(f'n{number}', 'v2')
-    fleet.return_hosts = tuple(hosts)
+    fleet.return_hosts = tuple(sorted(hosts))
     await trio.sleep(store_seconds - UNSEEN_SECONDS)
     fleet.cut_from_store.clear()
     fleet.return_hosts = ()
@@ -275,22 +277,44 @@
     await second_version_comes_unseen(fleet, hosts, CUT_SECONDS)
 
 
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_two_cut_off_zones(fleet):
+    """A third one alone reaches the store, and tells nobody outside."""
+    zone = fleet.rng.choice(fleet.zones)
+    hosts = {host for host, at in fleet.zone_of.items() if at != zone}
+    fleet.nursery.start_soon(cut_for, fleet, hosts)
+    await second_version_comes_unseen(fleet, hosts, CUT_SECONDS)
+
+
 @play(ONE_VERSION, RECORDED_SECONDS)
 async def second_version_comes_and_goes_unseen(fleet):
     """Its engines are gone when the cut-off router sees the store again."""
     host = fleet.rng.choice(sorted(fleet.zone_of))
     fleet.nursery.start_soon(cut_for, fleet, {host})
-    fleet.nursery.start_soon(second_version_goes, fleet)
+    fleet.nursery.start_soon(second_version_goes, fleet, CUT_SECONDS / 3)
     await second_version_comes_unseen(fleet, [host], CUT_SECONDS)
     fleet.return_hosts = (host,)
 
 
-async def second_version_goes(fleet):
-    await trio.sleep(FAULT_SECONDS + CUT_SECONDS / 3)
+async def second_version_goes(fleet, seconds):
+    await trio.sleep(FAULT_SECONDS + seconds)
     for number in range(4):
         fleet.crash_engine(f'n{number}')
 
 
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_goes_before_its_record(fleet):
+    """The router that is to take the record back first is cut off."""
+    host = min(
+        fleet.routers,
+        key=lambda host: fleet.routers[host].peers.read_position(),
+    )
+    fleet.nursery.start_soon(cut_for, fleet, {host})
+    fleet.nursery.start_soon(second_version_goes, fleet, SHORT_SECONDS)
+    await second_version_comes_unseen(fleet, [host], SHORT_SECONDS)
+    fleet.return_hosts = (host,)
+
+
 @play(TWO_VERSIONS, RECORDED_SECONDS)
 async def third_version_comes_to_a_cut_off_router(fleet):
     """The router has just started, and all others that were told have not."""
