Streams taken up: while the store is away, routers of every zone vouch for one version

What callers saw: a stream that a zone with the store began at a second version went on at the first one, at a zone that had lost the store and that zone.

Cause: only the two zones that would have been told were asked to vouch. Two zones that are cut off together vouch for each other, with views from before, while the zone that began the stream tells nobody outside. That zone counts as heard for 10 s (ZONE_COUNT_SECONDS), so hears_fleet does not notice.

Change: a router of each zone that was counted lately has to answer.

--- a/lavenderbend/coordination/forwarding/keepers.py
+++ b/lavenderbend/coordination/forwarding/keepers.py
@@ -68,23 +68,23 @@
         order = hashing.rendezvous_order(f'{key:016x}', hosts)
         return [host for host in order[:count] if host != self.host]
 
-    def is_told(self, key: int) -> bool:
-        """Returns whether this router is one of those that are told."""
-        if self.zone not in self.zones(key, ZONES_TOLD):
-            return False
+    def is_asked(self, key: int) -> bool:
+        """Returns whether this router is one of those that vouch for a zone."""
         others = self.in_zone(key, ROUTERS_TOLD)
         return len(others) < ROUTERS_TOLD
 
-    def told_elsewhere(self, key: int) -> dict[str, int]:
-        """Returns the number of other routers that are told, by zone."""
-        counts = self.fleet_count.recent()
-        told = {}
-        for zone in self.zones(key, ZONES_TOLD):
-            if zone == self.zone:
-                told[zone] = len(self.in_zone(key, ROUTERS_TOLD))
-            else:
-                told[zone] = min(ROUTERS_TOLD, counts[zone].routers)
-        return told
+    def expected_replies(self, key: int) -> dict[str, int]:
+        """Returns the number of other routers that vouch, by zone.
+
+        A router of any zone may have begun a stream, and may reach no other
+        zone.
+        """
+        expected = {
+            zone: min(ROUTERS_TOLD, count.routers)
+            for zone, count in self.fleet_count.recent().items()
+        }
+        expected[self.zone] = len(self.in_zone(key, ROUTERS_TOLD))
+        return expected
 
     def to_tell(self, key: int) -> list[str]:
         """Returns the routers that are told."""
@@ -92,10 +92,15 @@
         return self.receivers(key, zones, ROUTERS_TOLD)
 
     def to_ask(self, key: int) -> list[str]:
-        """Returns the routers that are asked."""
+        """Returns the routers that are asked what they were told."""
         zones = self.zones(key, ZONES_ASKED)
         return self.receivers(key, zones, ROUTERS_ASKED)
 
+    def to_ask_all(self, key: int) -> list[str]:
+        """Returns the routers that are asked to vouch, of all zones."""
+        zones = sorted({self.zone, *self.fleet_count.recent()})
+        return self.receivers(key, zones, ROUTERS_ASKED)
+
     def receivers(self, key: int, zones: list[str], count: int) -> list[str]:
         """Returns the keepers in this zone, and first hops to other zones."""
         hosts: list[str] = []
--- a/lavenderbend/coordination/forwarding/stream_versions/questions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/questions.py
@@ -11,8 +11,8 @@
     """A question to the keepers of a stream.
 
     Attributes:
-        told: Number of the other routers that are told of the stream, by
-            availability zone.
+        expected: Number of the other routers that vouch for a single version,
+            by availability zone.
         software_id: The software that a reply names, None so far.
         not_told: Hosts of those that were told of no other software than the
             one asked about, by availability zone.
@@ -20,7 +20,7 @@
             is expected.
     """
 
-    told: dict[str, int]
+    expected: dict[str, int]
     software_id: int | None = None
     not_told: dict[str, set[str]] = attrs.field(factory=dict)
     answered: trio.Event = attrs.field(factory=trio.Event)
@@ -33,7 +33,9 @@
     def note_not_told(self, zone: str, host: str) -> None:
         """Takes the reply of a router that was told of no other software."""
         self.not_told.setdefault(zone, set()).add(host)
-        if all(self.count(zone) >= count for zone, count in self.told.items()):
+        if all(
+            self.count(zone) >= count for zone, count in self.expected.items()
+        ):
             self.answered.set()
 
     def count(self, zone: str) -> int:
@@ -42,14 +44,14 @@
 
     @property
     def unanimous(self) -> bool:
-        """Whether no zone that is told knows of another software.
+        """Whether no zone knows of another software.
 
-        One router of each zone suffices; another one may be dead. A zone that
-        does not answer may be the only one that was told.
+        One router of each zone suffices; another one may be dead. In a zone
+        that does not answer, the stream may have begun.
         """
         if self.software_id is not None or not self.not_told:
             return False
         return all(
             self.count(zone) >= min(count, 1)
-            for zone, count in self.told.items()
+            for zone, count in self.expected.items()
         )
--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -353,20 +353,21 @@
         self, ticket: tickets.Ticket, stream: int
     ) -> questions.Question:
         """Asks the keepers of a stream."""
-        question = questions.Question(self.keepers.told_elsewhere(stream))
+        question = questions.Question(self.keepers.expected_replies(stream))
         only = self.is_only(ticket)
         if not ticket.resumes and not only:
             return question
         number = next(self.numbers)
         self.questions[number] = question
         software_id = self.settled_software_id(ticket) if only else 0
+        to_ask = self.keepers.to_ask_all if only else self.keepers.to_ask
         message = messages_forwarding.StreamQuestion(
             number, self.peers.host, stream, only=software_id
         )
         try:
             with trio.move_on_after(self.patience()):
                 while not question.answered.is_set():
-                    for host in self.keepers.to_ask(stream):
+                    for host in to_ask(stream):
                         self.link.send(host, message)
                     with trio.move_on_after(REPEAT_SECONDS):
                         await question.answered.wait()
@@ -391,7 +392,7 @@
                 messages_forwarding.StreamReply(message.number, software_id),
             )
             return
-        if self.vouches(message.only) and self.keepers.is_told(message.stream):
+        if self.vouches(message.only) and self.keepers.is_asked(message.stream):
             self.link.send(
                 message.host,
                 messages_forwarding.StreamNotTold(
