Settled versions: a void record is taken back within a second, whichever router is away

What callers saw: a stream of a version that served for 2 s and was gone went on at the version that was left, at a router that had not seen it; known_by store.

Cause: the record of the first version is void while the second one is seen, and holds again for a router that did not see it unless it is taken back. Routers leave that write to those before them in the order of reads for 2 s each, counted anew whenever an upstream comes or goes. Where the first one is the router that is out of step, the record outlives a version that serves for 2 s (in the trace: second version at 6.1 s, gone at 8.1 s, stream taken up at 8.17 s, written at 8.504 s), and in a release whose engines come one by one it stays for as long as those come.

Change: void records are taken back 0.25 s later for each router before, counted from when the record was void first.

--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -122,6 +122,7 @@
             this router started.
         void_revisions: Revisions of records that did not agree with the
             entries, by service.
+        void_since: Router clock at which that was first seen, by service.
         to_void: Services whose record is to be taken back.
         table: The configuration that `seconds` is of.
         seconds: How long a stream may last, by service that has any.
@@ -149,6 +150,7 @@
         self.earlier_build_at = NEVER
         self.changed: set[str] = set()
         self.void_revisions: dict[str, int] = {}
+        self.void_since: dict[str, float] = {}
         self.to_void: set[str] = set()
         self.table: forwarding.ForwardingTable | None = None
         self.seconds: dict[str, float] = {}
@@ -239,8 +241,11 @@
             observation = self.observed.get(service)
             if observation is None or record.content == UNSETTLED:
                 continue
-            if record.content != observation.content:
+            if record.content == observation.content:
+                continue
+            if self.void_revisions.get(service) != record.revision:
                 self.void_revisions[service] = record.revision
+                self.void_since[service] = trio.current_time()
 
     def observe(self) -> None:
         """Updates what the entries of each service's upstreams show."""
@@ -390,6 +395,10 @@
     def due(self) -> list[tuple[str, str]]:
         """Returns the services whose record is to be written, and as what."""
         wait = store_writers.wait_seconds(self.snapshots)
+        # A void record holds again once the upstreams that void it are gone.
+        urgent = store_writers.wait_seconds(
+            self.snapshots, store_writers.URGENT_POSITION_SECONDS
+        )
         now = trio.current_time()
         due = []
         for service in self.stream_seconds():
@@ -401,7 +410,8 @@
             if record is not None and record.content == content:
                 continue
             shown = now - self.written_at.get(service, NEVER) >= SHOWN_SECONDS
-            if shown and now - since >= wait:
+            settles = content != UNSETTLED or record is None
+            if shown and now - since >= (wait if settles else urgent):
                 due.append((service, content))
         return due
 
@@ -420,9 +430,10 @@
                 service, observation
             )
             return observation.content if new else UNSETTLED, observation.since
-        void = record.revision == self.void_revisions.get(service)
-        void = void or self.mistrusts(service, observation)
-        if record.content == observation.content and not void:
+        if record.revision == self.void_revisions.get(service):
+            return UNSETTLED, self.void_since[service]
+        mistrusted = self.mistrusts(service, observation)
+        if record.content == observation.content and not mistrusted:
             return record.content, observation.since
         settles_at = (
             self.quiet_since(service, observation)
--- a/tests/test_coordination/test_settled_versions.py
+++ b/tests/test_coordination/test_settled_versions.py
@@ -386,3 +386,17 @@
     world.show(e1='v1')
     await world.follow(2.0)
     assert world.store.written == [(SERVICE, 0, 'first')]
+
+
+async def test_void_record_is_taken_back_soon_by_the_next_router(
+    autojump_clock, world
+):
+    """Guards against a record that holds again as the first router is away."""
+    world.show('only v1', e1='v1')
+    world.snapshots.read_position = lambda: 1
+    await world.follow(3.0)
+    world.show(e2='v2')
+    await world.follow(0.2)
+    world.show(e3='v2')
+    await world.follow(1.0)
+    assert world.store.written == [(SERVICE, 2, settled_versions.UNSETTLED)]
