Settled versions: a router that was suspended starts anew, also after a fresh proof

Seen in a test only: a router whose VM was suspended for 30 s recorded a service as settled 2 s later, although a version may have come and gone meanwhile.

Cause: for how long the entries have been the same counts by the clock that stands still, and the check each 0.5 s looks at the age of the proof alone. A proof that comes before the check hides the gap. If the record was taken back before the suspension, nothing else in the store tells of the version.

Change: the check looks at the gap between proofs too. Before: test_suspended_router_starts_anew failed; after: passes.

--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -46,6 +46,8 @@
 SHOWN_SECONDS = 2.0
 
 NEVER = float('-inf')
+# From no proof of freshness to the first one.
+FIRST_GAP = float('inf')
 
 # Contents of records.
 ONLY = 'only '
@@ -127,6 +129,8 @@
         table: The configuration that `seconds` is of.
         seconds: How long a stream may last, by service that has any.
         era: Era of the latest snapshot.
+        proved_before: Time of the proof of freshness at the last check, by the
+            suspension clock.
     """
 
     def __init__(
@@ -155,6 +159,7 @@
         self.table: forwarding.ForwardingTable | None = None
         self.seconds: dict[str, float] = {}
         self.era = 0
+        self.proved_before = NEVER
         snapshots.on_change.append(self.apply_snapshot)
 
     def state(self, service: str) -> Settled:
@@ -381,7 +386,7 @@
         """Writes the records that are due."""
         while True:
             await trio.sleep(CHECK_SECONDS)
-            if self.snapshots.age > MAX_UNSEEN_SECONDS:
+            if self.may_have_missed():
                 self.observe_anew()
                 continue
             self.update_settled()
@@ -392,6 +397,19 @@
                 if (service, content) in self.due():
                     await self.write(service, content)
 
+    def may_have_missed(self) -> bool:
+        """Returns whether a version may have come and gone since the last check.
+
+        After a suspension the proof of freshness may be young again by now.
+        """
+        before = self.proved_before
+        self.proved_before = self.snapshots.proved_at
+        gap = self.proved_before - before
+        return (
+            self.snapshots.age > MAX_UNSEEN_SECONDS
+            or MAX_UNSEEN_SECONDS < gap < FIRST_GAP
+        )
+
     def due(self) -> list[tuple[str, str]]:
         """Returns the services whose record is to be written, and as what."""
         wait = store_writers.wait_seconds(self.snapshots)
--- a/tests/test_coordination/test_settled_versions.py
+++ b/tests/test_coordination/test_settled_versions.py
@@ -400,3 +400,29 @@
     world.show(e3='v2')
     await world.follow(1.0)
     assert world.store.written == [(SERVICE, 2, settled_versions.UNSETTLED)]
+
+
+async def test_suspended_router_starts_anew(autojump_clock, world):
+    """Guards against a version that came and went while a VM was suspended."""
+    suspended = 0.0
+    world.snapshots.clock = lambda: trio.current_time() + suspended
+
+    async def follow(seconds):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.settled.run)
+            until = trio.current_time() + seconds
+            while trio.current_time() < until:
+                await trio.sleep(0.1)
+                world.snapshots.prove(world.snapshots.clock())
+            nursery.cancel_scope.cancel()
+
+    world.show(settled_versions.UNSETTLED, e1='v1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follow, 2.0 * STREAM_SECONDS)
+        await trio.sleep(STREAM_SECONDS - 1.75)
+        assert not world.store.written
+        suspended = 30.0
+        await trio.sleep(STREAM_SECONDS - 1.0)
+        assert not world.store.written
+        await trio.sleep(2.0)
+        assert world.store.written[-1][2] == 'only v1'
