Streams taken up: one of several pools goes on only if it is named or known

What callers saw: a stream of a route with two pools went on at the other pool's service, where its caller did not name the try that began it.

Cause: the pool is drawn by the id of the first try, else by that of the present one. What the store says of the service drawn so was then taken for the stream's.

Not tried: a pool that is drawn by the prompt, which would need no name.

--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -240,6 +240,9 @@
         software_id = self.origins.software_id(stream)
         if software_id is not None:
             return THIS_ROUTER, software_id
+        if not ticket.resumes and len(ticket.rule.then.pools) > 1:
+            # The pool of a stream is drawn by the id of its first try.
+            return NOBODY, None
         if await self.is_only_now(ticket, asked_at):
             return SETTLED, self.settled_software_id(ticket)
         # That a stream began elsewhere than drawn shows in the store later
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -196,6 +196,24 @@
     assert taken_up.share == 1.0
 
 
+async def test_unnamed_stream_goes_on_at_no_other_service(autojump_clock):
+    """Guards against events of two services where nobody knows the pool."""
+    async with trio.open_nursery() as nursery:
+        fleet = version_fleet.Fleet(nursery, rules=(SPLIT,))
+        for name in ('e1', 'e2'):
+            fleet.add_engine(name, 'v1', 'chat')
+        for name in ('o1', 'o2'):
+            fleet.add_engine(name, 'v1 of the other', 'other')
+        fleet.start_routers()
+        await fleet.ready()
+        fleet.leave_fraction = 0.5
+        fleet.names_first_try = False
+        await fleet.load(5.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.tries(takes_up=True).count >= 12
+    assert not fleet.mixed()
+
+
 async def test_version_without_upstreams_is_refused_with_the_reason(
     autojump_clock, fleet_of_two_versions
 ):
