--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -214,6 +214,40 @@
     assert not fleet.mixed()
 
 
+async def test_stream_whose_route_has_moved_goes_on_at_no_other_service(
+    autojump_clock,
+):
+    """Guards against events of two services after a new configuration."""
+    moved = fakes.rule(
+        streaming=True,
+        resumable=True,
+        public=True,
+        attempts=3,
+        timeout=8.0,
+        pools=(version_fleet.forwarding.PoolShare('other', 1.0),),
+    )
+
+    async def move(fleet):
+        await trio.sleep(5.0)
+        fleet.store.table = fakes.table(2, (moved,), ())
+        fleet.store.refresh()
+
+    async with trio.open_nursery() as nursery:
+        fleet = version_fleet.Fleet(nursery)
+        for name in ('e1', 'e2'):
+            fleet.add_engine(name, 'v1', 'chat')
+        for name in ('o1', 'o2'):
+            fleet.add_engine(name, 'v1 of the other', 'other')
+        fleet.start_routers()
+        await fleet.ready()
+        await trio.sleep(4.0)
+        fleet.leave_fraction = 0.5
+        nursery.start_soon(move, fleet)
+        await fleet.load(10.0)
+        nursery.cancel_scope.cancel()
+    assert not fleet.mixed()
+
+
 async def test_version_without_upstreams_is_refused_with_the_reason(
     autojump_clock, fleet_of_two_versions
 ):
