--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -46,6 +46,8 @@
 SHOWN_SECONDS = 2.0
 
 NEVER = float('-inf')
+# From no proof of freshness to the first one.
+FIRST_GAP = float('inf')
 
 # Contents of records.
 ONLY = 'only '
@@ -122,10 +124,13 @@
             this router started.
         void_revisions: Revisions of records that did not agree with the
             entries, by service.
+        void_since: Router clock at which that was first seen, by service.
         to_void: Services whose record is to be taken back.
         table: The configuration that `seconds` is of.
         seconds: How long a stream may last, by service that has any.
         era: Era of the latest snapshot.
+        proved_before: Time of the proof of freshness at the last check, by the
+            suspension clock.
     """
 
     def __init__(
@@ -149,10 +154,12 @@
         self.earlier_build_at = NEVER
         self.changed: set[str] = set()
         self.void_revisions: dict[str, int] = {}
+        self.void_since: dict[str, float] = {}
         self.to_void: set[str] = set()
         self.table: forwarding.ForwardingTable | None = None
         self.seconds: dict[str, float] = {}
         self.era = 0
+        self.proved_before = NEVER
         snapshots.on_change.append(self.apply_snapshot)
 
     def state(self, service: str) -> Settled:
@@ -239,8 +246,11 @@
             observation = self.observed.get(service)
             if observation is None or record.content == UNSETTLED:
                 continue
-            if record.content != observation.content:
+            if record.content == observation.content:
+                continue
+            if self.void_revisions.get(service) != record.revision:
                 self.void_revisions[service] = record.revision
+                self.void_since[service] = trio.current_time()
 
     def observe(self) -> None:
         """Updates what the entries of each service's upstreams show."""
@@ -376,7 +386,7 @@
         """Writes the records that are due."""
         while True:
             await trio.sleep(CHECK_SECONDS)
-            if self.snapshots.age > MAX_UNSEEN_SECONDS:
+            if self.may_have_missed():
                 self.observe_anew()
                 continue
             self.update_settled()
@@ -387,9 +397,26 @@
                 if (service, content) in self.due():
                     await self.write(service, content)
 
+    def may_have_missed(self) -> bool:
+        """Returns whether a version may have come and gone since the last check.
+
+        After a suspension the proof of freshness may be young again by now.
+        """
+        before = self.proved_before
+        self.proved_before = self.snapshots.proved_at
+        gap = self.proved_before - before
+        return (
+            self.snapshots.age > MAX_UNSEEN_SECONDS
+            or MAX_UNSEEN_SECONDS < gap < FIRST_GAP
+        )
+
     def due(self) -> list[tuple[str, str]]:
         """Returns the services whose record is to be written, and as what."""
         wait = store_writers.wait_seconds(self.snapshots)
+        # A void record holds again once the upstreams that void it are gone.
+        urgent = store_writers.wait_seconds(
+            self.snapshots, store_writers.URGENT_POSITION_SECONDS
+        )
         now = trio.current_time()
         due = []
         for service in self.stream_seconds():
@@ -401,7 +428,8 @@
             if record is not None and record.content == content:
                 continue
             shown = now - self.written_at.get(service, NEVER) >= SHOWN_SECONDS
-            if shown and now - since >= wait:
+            settles = content != UNSETTLED or record is None
+            if shown and now - since >= (wait if settles else urgent):
                 due.append((service, content))
         return due
 
@@ -420,9 +448,10 @@
                 service, observation
             )
             return observation.content if new else UNSETTLED, observation.since
-        void = record.revision == self.void_revisions.get(service)
-        void = void or self.mistrusts(service, observation)
-        if record.content == observation.content and not void:
+        if record.revision == self.void_revisions.get(service):
+            return UNSETTLED, self.void_since[service]
+        mistrusted = self.mistrusts(service, observation)
+        if record.content == observation.content and not mistrusted:
             return record.content, observation.since
         settles_at = (
             self.quiet_since(service, observation)
--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -240,6 +240,9 @@
         software_id = self.origins.software_id(stream)
         if software_id is not None:
             return THIS_ROUTER, software_id
+        if not ticket.resumes and len(ticket.rule.then.pools) > 1:
+            # The pool of a stream is drawn by the id of its first try.
+            return NOBODY, None
         if await self.is_only_now(ticket, asked_at):
             return SETTLED, self.settled_software_id(ticket)
         # That a stream began elsewhere than drawn shows in the store later
@@ -286,13 +289,16 @@
         )
 
     async def wait_for_turn(self) -> None:
-        """Waits until this router may have the store read for a stream."""
-        now = trio.current_time()
-        if self.read_at <= now:
+        """Waits until this router may have the store read for a stream.
+
+        All that wait share the next read.
+        """
+        turn = self.read_at
+        await trio.sleep_until(max(turn, trio.current_time()))
+        if self.read_at == turn:
             pause = self.peers.fleet_size() / FLEET_READS_PER_SECOND
-            self.read_at = now + min(pause, STORE_SECONDS / 2)
-            return
-        await trio.sleep_until(self.read_at)
+            pause = min(pause, STORE_SECONDS / 2)
+            self.read_at = trio.current_time() + pause
 
     def is_only(self, ticket: tickets.Ticket) -> bool:
         """Returns whether a service has run one version, as far as is seen."""
@@ -353,20 +359,21 @@
         self, ticket: tickets.Ticket, stream: int
     ) -> questions.Question:
         """Asks the keepers of a stream."""
-        question = questions.Question(self.keepers.told_elsewhere(stream))
+        question = questions.Question(self.keepers.expected_replies(stream))
         only = self.is_only(ticket)
         if not ticket.resumes and not only:
             return question
         number = next(self.numbers)
         self.questions[number] = question
         software_id = self.settled_software_id(ticket) if only else 0
+        to_ask = self.keepers.to_ask_all if only else self.keepers.to_ask
         message = messages_forwarding.StreamQuestion(
             number, self.peers.host, stream, only=software_id
         )
         try:
             with trio.move_on_after(self.patience()):
                 while not question.answered.is_set():
-                    for host in self.keepers.to_ask(stream):
+                    for host in to_ask(stream):
                         self.link.send(host, message)
                     with trio.move_on_after(REPEAT_SECONDS):
                         await question.answered.wait()
@@ -391,7 +398,7 @@
                 messages_forwarding.StreamReply(message.number, software_id),
             )
             return
-        if self.vouches(message.only) and self.keepers.is_told(message.stream):
+        if self.vouches(message.only) and self.keepers.is_asked(message.stream):
             self.link.send(
                 message.host,
                 messages_forwarding.StreamNotTold(
