Streams: a rule that changed its services does not tell who began a stream

Callers that took up a stream after a configuration had moved its route got the rest from the new service: status 200, numbers in order, and the events of two services in one stream. A router that has not begun the stream itself took the service that the rule names now, and where that runs one version no router was asked.

A router now knows which resumable rules changed their services within the time of a stream. Streams that the former service began end broken off, as before where a router knew of them.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -13,6 +13,7 @@
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.coordination.forwarding import loads as loads_module
 from lavenderbend.coordination.forwarding import tickets
+from lavenderbend.coordination.forwarding.stream_versions import origins
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,6 +30,9 @@
         reservations as reservations_module,
     )
     from lavenderbend.coordination.forwarding import silence as silence_module
+    from lavenderbend.coordination.forwarding import (
+        stream_services as stream_services_module,
+    )
     from lavenderbend.coordination.forwarding.admission import (
         crowding as crowding_module,
     )
@@ -83,6 +87,8 @@
             many, None for no limit.
         stream_versions: Knows which software began streams, None where any
             may go on.
+        stream_services: Knows whether rules name the services of streams, None
+            where none changes.
     """
 
     def __init__(
@@ -117,6 +123,9 @@
         self.stream_versions: stream_versions_module.StreamVersions | None = (
             None
         )
+        self.stream_services: stream_services_module.StreamServices | None = (
+            None
+        )
         self.crowding: crowding_module.Crowding | None = None
         self.on_pace: Callable[
             [
@@ -346,6 +355,23 @@
         ticket.software_id = upstream.software_id
         if self.stream_versions is not None:
             await self.stream_versions.note_begun(ticket, upstream)
+            self.tell_of_changed_rule(ticket, upstream)
+
+    def tell_of_changed_rule(
+        self, ticket: tickets.Ticket, upstream: forwarding.Upstream
+    ) -> None:
+        """Tells other routers of a stream whose rule cannot name its service.
+
+        Those of a rule with several services are told in any case.
+        """
+        if self.stream_services is None or not ticket.id:
+            return
+        then = ticket.rule.then
+        if ticket.takes_up or not then.resumable or len(then.pools) > 1:
+            return
+        if not self.stream_services.tells_origin(ticket):
+            stream = origins.stream_key(ticket.customer, ticket.id)
+            self.stream_versions.tell(stream, upstream.software_id, 0.0)
 
     def note_failure(
         self, ticket: tickets.Ticket, upstream: forwarding.Upstream
--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from lavenderbend.coordination.forwarding import decision_records
 from lavenderbend.coordination.forwarding import request_resolver
 from lavenderbend.coordination.forwarding import stop_times
+from lavenderbend.coordination.forwarding import stream_services
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.state import decisions as decisions_module
@@ -67,6 +68,7 @@
         tracer: Makes spans, None where no collector is configured.
         fleet_size: Returns how many routers are known, for log lines.
         stop: The times of this router's graceful stop.
+        stream_services: Knows whether rules name the services of streams.
     """
 
     def __init__(
@@ -85,6 +87,10 @@
         self.tracer: request_spans.Tracer | None = None
         self.fleet_size: Callable[[], int] = lambda: 1
         self.stop = stop_times.StopTimes()
+        self.stream_services = stream_services.StreamServices(
+            resolver.snapshots
+        )
+        attempts.stream_services = self.stream_services
 
     async def forward(
         self,
@@ -249,8 +255,7 @@
         refusal = self.attempts.crashes.refusal(ticket)
         if refusal is not None:
             raise refusal
-        if self.attempts.stream_versions is not None:
-            await self.attempts.stream_versions.prepare(ticket)
+        await self.prepare_stream(ticket)
         self.budget.note_request(ticket.service)
         while (upstream := await self.next_upstream(ticket)) is not None:
             if await self.try_upstream(ticket, upstream, answer):
@@ -259,6 +264,29 @@
                 break
         await self.finish_unanswered(ticket, answer)
 
+    async def prepare_stream(self, ticket: tickets.Ticket) -> None:
+        """Finds at which software and service a stream begins or goes on.
+
+        Raises:
+            StreamVersionUnknown: It takes up a stream, and nobody knows which
+                software began it.
+        """
+        if self.attempts.stream_versions is None:
+            return
+        drawn = ticket.service
+        if (
+            ticket.takes_up
+            and ticket.resumes
+            and not self.stream_services.tells_origin(ticket)
+        ):
+            # Only routers that know the stream can tell the service, whatever
+            # the one that the rule names now runs.
+            ticket.service = ''
+        try:
+            await self.attempts.stream_versions.prepare(ticket)
+        finally:
+            ticket.service = ticket.service or drawn
+
     async def try_upstream(
         self,
         ticket: tickets.Ticket,
--- a/lavenderbend/coordination/forwarding/tickets.py
+++ b/lavenderbend/coordination/forwarding/tickets.py
@@ -41,7 +41,8 @@
         id: The request's id.
         request: The request.
         rule: The first rule that matched.
-        service: The service that it is sent to.
+        service: The service that it is sent to, empty while only other
+            routers can tell which one began its stream.
         customer: The customer, empty on public rules.
         rank: Priority that is sent to upstreams.
         regions: The regions that it may be sent to, None for all.
