Callers: a request for a tunnel is refused

Cause: after a success to CONNECT the HTTP/1.1 state hands out no further bytes of the connection, and the loops that read an answer asked it again and again without giving way.

Evidence: before, a router that forwards such a request ran until it was killed after 15 s, past the 8 s that the test's caller waits (trial), and test_upstream_that_opens_a_tunnel_does_not_answer was killed after 15 s too. test_request_for_a_tunnel_is_refused[/a] and [a:80] failed: assert (await exchange(router, data)).startswith(b'HTTP/1.1 501')

Why it holds now: routers forward requests and open no tunnels, so that such a request is refused with 501 before anything is sent. An exchange whose upstream takes the connection for a tunnel counts as broken off, in the one place that hands out the parts of an answer.

--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -18,6 +18,8 @@
 BODY_SECONDS = 10.0
 REQUEST_TIMEOUT_STATUS = 408
 HEADERS_TOO_LARGE_STATUS = 431
+NOT_IMPLEMENTED_STATUS = 501
+CONNECT = b'CONNECT'
 
 
 class RequestReader:
@@ -110,11 +112,12 @@
 
 
 def check_head(head: h11.Request, limits: forwarding.CallerLimits) -> None:
-    """Rejects a head that is too large or ambiguous (request smuggling).
+    """Rejects a head that is too large, ambiguous or asks for a tunnel.
 
     With both a length and a transfer coding, this router and the upstream
     may disagree on where the body ends: bytes that one takes for the end of
-    the body the other would execute as a request that no caller sent.
+    the body the other would execute as a request that no caller sent (request
+    smuggling).
 
     Raises:
         RequestError: The head is rejected.
@@ -126,6 +129,10 @@
         )
         error.status = HEADERS_TOO_LARGE_STATUS
         raise error
+    if head.method == CONNECT:
+        error = errors.RequestInvalid('tunnels are not opened')
+        error.status = NOT_IMPLEMENTED_STATUS
+        raise error
     names = {bytes(name) for name, _ in head.headers}
     if b'content-length' in names and b'transfer-encoding' in names:
         raise errors.RequestInvalid('both content-length and transfer-encoding')
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -318,11 +318,9 @@
         """
         size = 0
         while not isinstance(
-            event := self.protocol.next_event(), h11.EndOfMessage
+            event := await self.next_event(), h11.EndOfMessage
         ):
-            if event is h11.NEED_DATA:
-                await self.receive()
-            elif isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
                 size += part_sizes.counted_size(event.data)
             if size > MAX_STRAY_BYTES:
                 raise errors.AnswerMismatch(MISMATCH_DETAIL)
@@ -339,6 +337,19 @@
         data = await self.connection.stream.receive_some(RECEIVE_BYTES)
         self.protocol.receive_data(data)
 
+    async def next_event(self) -> h11.Event:
+        """Returns the next part of the answer.
+
+        Raises:
+            RemoteProtocolError: The upstream breaks the protocol, or takes the
+                connection for another one.
+        """
+        while (event := self.protocol.next_event()) is h11.NEED_DATA:
+            await self.receive()
+        if event is h11.PAUSED:
+            raise h11.RemoteProtocolError('the upstream opened a tunnel')
+        return event
+
     async def read(self) -> bytes | None:
         """Returns the next part of the body, None after the last.
 
@@ -347,10 +358,7 @@
         """
         while True:
             try:
-                event = self.protocol.next_event()
-                if event is h11.NEED_DATA:
-                    await self.receive()
-                    continue
+                event = await self.next_event()
             except CONNECTION_ERRORS as exc:
                 raise connection_lost(exc) from exc
             if isinstance(event, h11.Data):
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -196,6 +196,14 @@
     assert not router.requests
 
 
+@pytest.mark.parametrize('target', [b'/a', b'a:80'])
+async def test_request_for_a_tunnel_is_refused(router, target):
+    """Guards against an upstream that is asked to open one."""
+    data = b'CONNECT ' + target + b' HTTP/1.1\r\nhost: a\r\n\r\n'
+    assert (await exchange(router, data)).startswith(b'HTTP/1.1 501')
+    assert not router.requests
+
+
 async def test_disconnect_of_the_caller_cancels_its_request(router):
     # A caller closes its connection while an upstream works. Unless this is
     # detected at once, the upstream continues and other requests wait.
--- a/tests/test_transport/test_cut_answers.py
+++ b/tests/test_transport/test_cut_answers.py
@@ -174,3 +174,13 @@
     assert await fetch(await connect(), request()) == BODY[:4]
     assert await fetch(await connect(), request(b'r2')) == BODY
     assert upstream.connections == 2
+
+
+@pytest.mark.parametrize('answered', [b'r0', b'r1'])
+async def test_upstream_that_opens_a_tunnel_does_not_answer(
+    upstream, connect, answered
+):
+    """Guards against a router that stands still on such an answer."""
+    head = cut_answers.head(cut_answers.LENGTH, request=answered)
+    upstream.replies.append(cut_answers.Reply(head + BODY))
+    assert await fetch(await connect(), request(method=b'CONNECT')) is None
