Attempts: an empty signature is none

What callers saw: a head that an upstream cut behind the name of its signature header, and that other bytes ended (an empty line, as a server may write when its handler fails), came through as a 200 with an empty body, framed as whole.

Cause: a success needed the header, not a value in it.

Evidence: test_success_whose_signature_is_empty_is_none failed before, directly and over a relay, for whole answers and streams: assert (answer.status, answer.complete) == (UNKNOWN, True) AssertionError: assert (200, True) == (504, True)

Why it holds now: such a success counts as one without a signature. One whose signature is cut within its value can't be told here: only upstreams know how they sign.

--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -468,13 +468,13 @@
         """Checks that a success is signed and not encoded.
 
         Raises:
-            UpstreamBroke: The response lacks the signature header or has a
+            UpstreamBroke: The response lacks the signature or has a
                 content encoding. The request may have run.
         """
         if head.status >= MULTIPLE_CHOICES:
             return
-        if interfaces.header(head.headers, self.signature_header) is None:
-            raise errors.UpstreamBroke('success without a signature header')
+        if not interfaces.header(head.headers, self.signature_header):
+            raise errors.UpstreamBroke('success without a signature')
         if interfaces.header(head.headers, b'content-encoding') is not None:
             raise errors.UpstreamBroke('content encoding was not requested')
 
--- a/tests/test_transport/test_cut_answers_callers.py
+++ b/tests/test_transport/test_cut_answers_callers.py
@@ -220,6 +220,17 @@
     assert (answer.status, answer.complete) == (UNKNOWN, True)
 
 
+@pytest.mark.parametrize('streaming', [False, True])
+async def test_success_whose_signature_is_empty_is_none(
+    ask, upstream, streaming
+):
+    """Guards against a head that was cut there and ended by other bytes."""
+    cut = cut_answers.head().partition(b' s\r\n')[0]
+    replies = (cut_answers.Reply(cut + b'\r\n\r\n'),)
+    answer = await ask(replies, streaming=streaming)
+    assert (answer.status, answer.complete) == (UNKNOWN, True)
+
+
 def resume_points(upstream):
     """Returns after which event each request goes on."""
     points = []
