Upstreams: an answer that begins within a cut head is not read as its body

What callers saw: an upstream stops in the middle of a head, and another answer follows on the same connection (its server's answer to the failure, or a late answer to an earlier request): the caller got a 200 with the body of the other answer, framed as whole.

Cause: a status line that follows the beginning of another one reads as its reason phrase, and one that follows a part of a header's value as the rest of it.

Evidence: test_answer_within_a_cut_head_is_not_read, three kinds, directly and over a relay, failed before: AssertionError: assert b'all of it' is None

Why it holds now: a reason phrase with an HTTP version in it, and a head with the ids of several requests, are no answers. The same id twice is taken as before: upstreams may repeat it. What is left: a status line within the value of another header, with no other id behind it, can't be told from that value.

--- a/lavenderbend/transport/answer_heads.py
+++ b/lavenderbend/transport/answer_heads.py
@@ -11,6 +11,8 @@
     from collections.abc import Callable
 
 
+# Begins each answer; within a head it shows that another one was cut there.
+VERSION = b'HTTP/1.'
 # More than any upstream has reason to send before its answer.
 MAX_INFORMATIONAL = 32
 
@@ -35,6 +37,8 @@
         if event is h11.NEED_DATA:
             await receive()
         elif isinstance(event, h11.Response):
+            if VERSION in event.reason:
+                raise h11.RemoteProtocolError('an answer begins within a head')
             return event
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError('connection closed before the answer')
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -271,9 +271,7 @@
                 response = await answer_heads.next_head(
                     self.protocol, self.receive
                 )
-                answered_id = interfaces.header(
-                    response.headers, self.request.id_header
-                )
+                answered_id = self.answered_id(response)
                 if answered_id == self.request.id:
                     return self.make_head(response)
                 STRAYS.inc({})
@@ -284,6 +282,19 @@
                 raise connection_lost(exc) from exc
         raise errors.AnswerMismatch(MISMATCH_DETAIL)
 
+    def answered_id(self, response: h11.Response) -> bytes | None:
+        """Returns the id of the request that an answer belongs to, if any.
+
+        Raises:
+            RemoteProtocolError: It has the ids of several: the head of one
+                answer was cut, and another answer follows there.
+        """
+        name = self.request.id_header
+        ids = {value for key, value in response.headers if key == name}
+        if len(ids) > 1:
+            raise h11.RemoteProtocolError('a head with the ids of several')
+        return ids.pop() if ids else None
+
     def make_head(self, response: h11.Response) -> interfaces.AnswerHead:
         """Returns the head; applies its Keep-Alive header to the connection."""
         headers = tuple((bytes(k), bytes(v)) for k, v in response.headers)
--- a/tests/test_transport/test_cut_answers.py
+++ b/tests/test_transport/test_cut_answers.py
@@ -176,6 +176,30 @@
     assert upstream.connections == 2
 
 
+JOINED = {
+    'failure behind the status': (
+        b'HTTP/1.1 200 ',
+        cut_answers.head(cut_answers.LENGTH, b'500 Oops') + BODY,
+    ),
+    'other answer behind the status': (
+        b'HTTP/1.1 200 O',
+        cut_answers.head(cut_answers.LENGTH) + BODY,
+    ),
+    'answer to another request behind the id': (
+        cut_answers.head(b'server: a').removesuffix(b'\r\n'),
+        cut_answers.head(cut_answers.LENGTH, request=b'r0') + BODY,
+    ),
+}
+
+
+@pytest.mark.parametrize('what', sorted(JOINED))
+async def test_answer_within_a_cut_head_is_not_read(upstream, connect, what):
+    """Guards against a body under the head of another answer."""
+    cut, other = JOINED[what]
+    upstream.replies.append(cut_answers.Reply(cut + other))
+    assert await fetch(await connect(), request()) is None
+
+
 @pytest.mark.parametrize('answered', [b'r0', b'r1'])
 async def test_upstream_that_opens_a_tunnel_does_not_answer(
     upstream, connect, answered
