httpx client: a reset that a send finds is no regular close

What callers saw: with the httpx client, as with forwarded requests before: an answer without length or chunks whose connection is reset while the request is still sent came through as whole, with what had come of it. The h11 client, which is the default, reads no answer to a request that it could not send.

Cause: httpx goes on to read after a failed send, which has used up the kernel's only report of the reset.

Why it holds now: the trace of httpx tells how the send ended. After a reset, an answer that only the close could end has broken off.

--- a/lavenderbend/transport/upstream_httpx.py
+++ b/lavenderbend/transport/upstream_httpx.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,6 +14,7 @@
 from lavenderbend.protocol import http_limits
 from lavenderbend.transport import upstream_answers
 from lavenderbend.transport import upstream_clients
+from lavenderbend.transport import upstream_streams
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -25,6 +27,8 @@
 MAX_IDLE_CONNECTIONS = 64
 MAX_IDLE_SECONDS = 15.0
 
+FRAMING = ('content-length', 'transfer-encoding')
+
 CONNECTION_ERRORS = (
     httpx.TransportError,
     httpx.StreamError,
@@ -33,6 +37,28 @@
 )
 
 
+class SendWatch:
+    """Notes whether a request found its connection reset.
+
+    httpx reads an answer even if the request could not be sent. The kernel
+    reports a reset once: the answer then seems to end with a regular close.
+
+    Attributes:
+        reset: Whether the connection was reset.
+    """
+
+    def __init__(self) -> None:
+        self.reset = False
+
+    async def __call__(self, name: str, info: dict[str, Any]) -> None:
+        """Takes the steps of an exchange from the `trace` of httpx."""
+        if not name.startswith('http11.send_request'):
+            return
+        cause = getattr(info.get('exception'), '__cause__', None)
+        if isinstance(cause, trio.BrokenResourceError):
+            self.reset = not upstream_streams.follows_close(cause)
+
+
 def build_request(
     vm: upstreams.Vm, request: requests.Request, headers: Mapping[str, str]
 ) -> httpx.Request:
@@ -65,7 +91,10 @@
         url,
         headers=sent,
         content=request.body,
-        extensions={'timeout': {'connect': CONNECT_SECONDS}},
+        extensions={
+            'timeout': {'connect': CONNECT_SECONDS},
+            'trace': SendWatch(),
+        },
     )
 
 
@@ -75,6 +104,7 @@
     Attributes:
         response: The httpx response, with an unread body.
         limits: Limits on the time for closing the exchange.
+        watch: What happened when the request was sent.
     """
 
     def __init__(
@@ -82,10 +112,12 @@
         response: httpx.Response,
         start: interfaces.AnswerStart,
         limits: http_limits.AnswerLimits,
+        watch: SendWatch,
     ) -> None:
         self.response = response
         self.start = start
         self.limits = limits
+        self.watch = watch
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives."""
@@ -99,6 +131,9 @@
             raise errors.UpstreamLost(
                 f'the answer was interrupted: {type(exc).__name__}'
             ) from exc
+        framed = any(name in self.response.headers for name in FRAMING)
+        if self.watch.reset and not framed:
+            raise errors.UpstreamLost('a send found the connection reset')
 
     async def close(self) -> None:
         """Closes the connection unless the complete body was read."""
@@ -173,7 +208,8 @@
         transport = pools.fresh if at_most_once else pools.reused
         outgoing = build_request(vm, request, headers)
         response = await self.send(transport, outgoing, timeout)
-        return await self.check(response, request.id)
+        watch = outgoing.extensions['trace']
+        return await self.check(response, request.id, watch)
 
     def pools_of(self, vm: upstreams.Vm) -> UpstreamConnections:
         """Returns the connections to an upstream."""
@@ -217,13 +253,13 @@
             ) from exc
 
     async def check(
-        self, response: httpx.Response, request_id: str
+        self, response: httpx.Response, request_id: str, watch: SendWatch
     ) -> interfaces.UpstreamAnswer:
         """Returns the answer if it belongs to this request."""
         start = upstream_answers.read_start(
             response.status_code, response.headers.raw
         )
-        answer = HttpxUpstreamAnswer(response, start, self.limits)
+        answer = HttpxUpstreamAnswer(response, start, self.limits, watch)
         try:
             upstream_answers.check_start(start, request_id)
         except errors.UpstreamError:
@@ -245,6 +281,7 @@
             response,
             interfaces.AnswerStart(response.status_code, {}),
             self.limits,
+            SendWatch(),
         )
         try:
             with trio.fail_after(upstream_answers.REPORT_SECONDS):
--- a/tests/test_transport/test_cut_answers.py
+++ b/tests/test_transport/test_cut_answers.py
@@ -6,7 +6,10 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.state import requests
 from lavenderbend.transport import upstream_exchanges
+from lavenderbend.transport import upstream_http
+from lavenderbend.transport import upstream_httpx
 from tests import cut_answers
 from tests import relay_standins
 
@@ -114,6 +117,30 @@
     assert read == (None if ENDS[end] else cut_answers.BODY)
 
 
+@pytest.mark.parametrize(
+    'client_class',
+    [upstream_http.HttpUpstreamClient, upstream_httpx.HttpxUpstreamClient],
+)
+async def test_client_takes_no_reset_for_the_end_of_an_answer(
+    upstream, client_class
+):
+    """Guards against the same in the clients of engines."""
+    client = client_class()
+    upstream.replies.append(
+        cut_answers.Reply(
+            cut_answers.FORMS['close'].whole, resets=True, early=True
+        )
+    )
+    sent = requests.Request(
+        'r1', 'c', 'POST', '/x', {}, cut_answers.LONG_BODY, 0.0
+    )
+    with pytest.raises(errors.UpstreamLost):
+        answer = await client.open(upstream.listed.vm, sent, {}, 9.0)
+        async for _ in answer.chunks():
+            pass
+    await client.aclose()
+
+
 @pytest.mark.parametrize('name', sorted(cut_answers.FORMS))
 async def test_answer_read_a_byte_at_a_time_is_whole(
     upstream, connect, name, monkeypatch
