--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -272,9 +272,7 @@
                 response = await answer_heads.next_head(
                     self.protocol, self.receive
                 )
-                answered_id = interfaces.header(
-                    response.headers, self.request.id_header
-                )
+                answered_id = self.answered_id(response)
                 if answered_id == self.request.id:
                     return self.make_head(response)
                 STRAYS.inc({})
@@ -285,6 +283,19 @@
                 raise connection_lost(exc) from exc
         raise errors.AnswerMismatch(MISMATCH_DETAIL)
 
+    def answered_id(self, response: h11.Response) -> bytes | None:
+        """Returns the id of the request that an answer belongs to, if any.
+
+        Raises:
+            RemoteProtocolError: It has the ids of several: the head of one
+                answer was cut, and another answer follows there.
+        """
+        name = self.request.id_header
+        ids = {value for key, value in response.headers if key == name}
+        if len(ids) > 1:
+            raise h11.RemoteProtocolError('a head with the ids of several')
+        return ids.pop() if ids else None
+
     def make_head(self, response: h11.Response) -> interfaces.AnswerHead:
         """Returns the head; applies its Keep-Alive header to the connection."""
         headers = tuple((bytes(k), bytes(v)) for k, v in response.headers)
@@ -320,11 +331,9 @@
         """
         size = 0
         while not isinstance(
-            event := self.protocol.next_event(), h11.EndOfMessage
+            event := await self.next_event(), h11.EndOfMessage
         ):
-            if event is h11.NEED_DATA:
-                await self.receive()
-            elif isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
                 size += part_sizes.counted_size(event.data)
             if size > MAX_STRAY_BYTES:
                 raise errors.AnswerMismatch(MISMATCH_DETAIL)
@@ -341,6 +350,19 @@
         data = await self.connection.stream.receive_some(RECEIVE_BYTES)
         self.protocol.receive_data(data)
 
+    async def next_event(self) -> h11.Event:
+        """Returns the next part of the answer.
+
+        Raises:
+            RemoteProtocolError: The upstream breaks the protocol, or takes the
+                connection for another one.
+        """
+        while (event := self.protocol.next_event()) is h11.NEED_DATA:
+            await self.receive()
+        if event is h11.PAUSED:
+            raise h11.RemoteProtocolError('the upstream opened a tunnel')
+        return event
+
     async def read(self) -> bytes | None:
         """Returns the next part of the body, None after the last.
 
@@ -349,10 +371,7 @@
         """
         while True:
             try:
-                event = self.protocol.next_event()
-                if event is h11.NEED_DATA:
-                    await self.receive()
-                    continue
+                event = await self.next_event()
             except CONNECTION_ERRORS as exc:
                 raise connection_lost(exc) from exc
             if isinstance(event, h11.Data):
--- a/tests/test_transport/test_cut_answers.py
+++ b/tests/test_transport/test_cut_answers.py
@@ -6,7 +6,10 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.state import requests
 from lavenderbend.transport import upstream_exchanges
+from lavenderbend.transport import upstream_http
+from lavenderbend.transport import upstream_httpx
 from tests import cut_answers
 from tests import relay_standins
 
@@ -114,6 +117,30 @@
     assert read == (None if ENDS[end] else cut_answers.BODY)
 
 
+@pytest.mark.parametrize(
+    'client_class',
+    [upstream_http.HttpUpstreamClient, upstream_httpx.HttpxUpstreamClient],
+)
+async def test_client_takes_no_reset_for_the_end_of_an_answer(
+    upstream, client_class
+):
+    """Guards against the same in the clients of engines."""
+    client = client_class()
+    upstream.replies.append(
+        cut_answers.Reply(
+            cut_answers.FORMS['close'].whole, resets=True, early=True
+        )
+    )
+    sent = requests.Request(
+        'r1', 'c', 'POST', '/x', {}, cut_answers.LONG_BODY, 0.0
+    )
+    with pytest.raises(errors.UpstreamLost):
+        answer = await client.open(upstream.listed.vm, sent, {}, 9.0)
+        async for _ in answer.chunks():
+            pass
+    await client.aclose()
+
+
 @pytest.mark.parametrize('name', sorted(cut_answers.FORMS))
 async def test_answer_read_a_byte_at_a_time_is_whole(
     upstream, connect, name, monkeypatch
@@ -174,3 +201,37 @@
     assert await fetch(await connect(), request()) == BODY[:4]
     assert await fetch(await connect(), request(b'r2')) == BODY
     assert upstream.connections == 2
+
+
+JOINED = {
+    'failure behind the status': (
+        b'HTTP/1.1 200 ',
+        cut_answers.head(cut_answers.LENGTH, b'500 Oops') + BODY,
+    ),
+    'other answer behind the status': (
+        b'HTTP/1.1 200 O',
+        cut_answers.head(cut_answers.LENGTH) + BODY,
+    ),
+    'answer to another request behind the id': (
+        cut_answers.head(b'server: a').removesuffix(b'\r\n'),
+        cut_answers.head(cut_answers.LENGTH, request=b'r0') + BODY,
+    ),
+}
+
+
+@pytest.mark.parametrize('what', sorted(JOINED))
+async def test_answer_within_a_cut_head_is_not_read(upstream, connect, what):
+    """Guards against a body under the head of another answer."""
+    cut, other = JOINED[what]
+    upstream.replies.append(cut_answers.Reply(cut + other))
+    assert await fetch(await connect(), request()) is None
+
+
+@pytest.mark.parametrize('answered', [b'r0', b'r1'])
+async def test_upstream_that_opens_a_tunnel_does_not_answer(
+    upstream, connect, answered
+):
+    """Guards against a router that stands still on such an answer."""
+    head = cut_answers.head(cut_answers.LENGTH, request=answered)
+    upstream.replies.append(cut_answers.Reply(head + BODY))
+    assert await fetch(await connect(), request(method=b'CONNECT')) is None
