Peers: a message of another form no longer ends the router

A datagram of another program or version could end the router, or its next message: a router's address that is none (`OSError: illegal IP address string passed to inet_aton` where the hosts of a zone are packed; a name would also be looked up, which blocks), a fact on a request or a prompt part whose subject is no hash (`ValueError: invalid literal for int() with base 16`).

Cause: the addresses were checked for being text only, the subjects were not checked, and the lists of `SnapshotContent` had no validators.

--- a/lavenderbend/coordination/forwarding/crashes.py
+++ b/lavenderbend/coordination/forwarding/crashes.py
@@ -71,6 +71,7 @@
     """A request that was at an upstream's crash; the source is the upstream."""
 
     max_seconds = FACT_SECONDS
+    subject_form = facts_module.HASH_SUBJECT
     cleared_by = CLEARED
 
 
@@ -79,6 +80,7 @@
     """A request that succeeded after a crash."""
 
     max_seconds = FACT_SECONDS
+    subject_form = facts_module.HASH_SUBJECT
 
 
 @attrs.define(eq=False)
--- a/lavenderbend/coordination/forwarding/crashing_parts/crashing_parts.py
+++ b/lavenderbend/coordination/forwarding/crashing_parts/crashing_parts.py
@@ -76,6 +76,7 @@
     """
 
     max_seconds = quarantines.KEEP_SECONDS
+    subject_form = facts_module.HASH_SUBJECT
     cleared_by = ANSWERED
     starting_first = True
 
@@ -85,6 +86,7 @@
     """A blamed part that was answered completely since."""
 
     max_seconds = quarantines.KEEP_SECONDS
+    subject_form = facts_module.HASH_SUBJECT
     starting_first = True
 
 
--- a/lavenderbend/coordination/forwarding/facts.py
+++ b/lavenderbend/coordination/forwarding/facts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import re
 from typing import TYPE_CHECKING
 
 import attrs
@@ -35,6 +36,12 @@
 FACTS = metrics.gauge(
     'lavenderbend_forward_facts', 'Facts that are told to all routers.'
 )
+UNFIT = metrics.counter(
+    'lavenderbend_forward_unfit_facts_total',
+    'Facts of messages that no router of this build tells.',
+)
+# The subject of a fact on a request or on a part of a prompt.
+HASH_SUBJECT = re.compile('[0-9a-f]{16}')
 
 
 class FactKind:
@@ -49,12 +56,14 @@
             the place of other facts.
         starting_first: Whether a router that starts gets these facts before
             later ones of other kinds.
+        subject_form: Form of the subjects, None for any text.
     """
 
     max_seconds = 0.0
     cleared_by = ''
     sent_to_starting = True
     starting_first = False
+    subject_form: re.Pattern[str] | None = None
 
 
 FACT_KINDS: registry.Registry[type[FactKind]] = registry.Registry(
@@ -138,6 +147,10 @@
             if kind not in FACT_KINDS.entries:
                 # A router of a later version has kinds that this one lacks.
                 continue
+            form = FACT_KINDS.get(kind).subject_form
+            if form is not None and not form.fullmatch(subject):
+                UNFIT.inc({})
+                continue
             found_at = now - age / MILLISECONDS_PER_SECOND
             valid_seconds = seconds / MILLISECONDS_PER_SECOND
             self.merge(Fact(kind, subject, source, found_at, valid_seconds))
--- a/lavenderbend/protocol/message_fields.py
+++ b/lavenderbend/protocol/message_fields.py
@@ -26,6 +26,18 @@
 OPTIONAL_NUMBER = validators.optional(NUMBER)
 
 
+def check_texts(_message: Any, field: attrs.Attribute, texts: Any) -> None:
+    """Validates a list of texts.
+
+    Raises:
+        TypeError: It is none.
+    """
+    if not isinstance(texts, list):
+        raise TypeError(f'{field.name}: not a list')
+    if not all(isinstance(text, str) for text in texts):
+        raise TypeError(f'{field.name}: not only texts')
+
+
 def rows_of(
     *types: type, more: type | None = None
 ) -> Callable[[Any, attrs.Attribute, Any], None]:
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -5,6 +5,7 @@
 import enum
 
 import attrs
+from attrs import validators
 
 from lavenderbend.protocol import message_fields as fields
 from lavenderbend.protocol import peer
@@ -126,9 +127,13 @@
     """
 
     revision: int = attrs.field(validator=fields.INTEGER)
-    changed: list[list[str | int | bytes]]
-    keys: list[str] | None
-    removed: list[str]
+    changed: list[list[str | int | bytes]] = attrs.field(
+        validator=fields.rows_of(str, int, bytes)
+    )
+    keys: list[str] | None = attrs.field(
+        validator=validators.optional(fields.check_texts)
+    )
+    removed: list[str] = attrs.field(validator=fields.check_texts)
     digest: int = attrs.field(validator=fields.INTEGER)
     era: int = attrs.field(
         validator=fields.INTEGER, default=0, metadata=peer.ADDED_LATER
--- a/lavenderbend/transport/peer_datagrams.py
+++ b/lavenderbend/transport/peer_datagrams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import ipaddress
 import socket
 from typing import TYPE_CHECKING
 import zlib
@@ -26,6 +28,11 @@
 MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 LENGTH_BYTES = 4
 COMPRESSION_LEVEL = 1  # of zlib
+# Fields that hold the address of a router, in any message.
+HOST_FIELDS = ('host', 'owner')
+# More than the hosts that one router meets in its life.
+CACHED_HOSTS = 2048
+parsed_host = functools.lru_cache(CACHED_HOSTS)(ipaddress.IPv4Address)
 
 
 class PeerDatagrams(interfaces.DatagramLink):
@@ -87,6 +94,7 @@
                 continue
             try:
                 message = peer.decode(data)
+                check_hosts(message)
             except errors.CodecError as exc:
                 logs.change('peer_message_unreadable', cause=str(exc))
                 continue
@@ -170,6 +178,24 @@
         return apply_changes(base, content)
 
 
+def check_hosts(message: peer.Message) -> None:
+    """Checks the addresses of routers in a message, which are replied to.
+
+    A name would be looked up, which blocks this router, or end it where it is
+    packed for others.
+
+    Raises:
+        CodecError: One is not an IPv4 address.
+    """
+    for name in HOST_FIELDS:
+        host = getattr(message, name, None)
+        try:
+            if host is not None:
+                parsed_host(host)
+        except ValueError as exc:
+            raise errors.CodecError(f'{name}: {exc}') from exc
+
+
 def discard_message(message: peer.Message) -> None:
     """Discards messages that are received before a receiver is set."""
 
--- a/tests/test_coordination/test_forwarding_facts.py
+++ b/tests/test_coordination/test_forwarding_facts.py
@@ -4,14 +4,22 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 import trio
 import trio.testing
 
 from lavenderbend.coordination.forwarding import crashes
 from lavenderbend.coordination.forwarding import facts
 from lavenderbend.coordination.forwarding import suspicions
+from lavenderbend.coordination.forwarding.crashing_parts import crashing_parts
 
 BEGIN = 100.0
+HASHED_KINDS = [
+    crashes.DEATH,
+    crashes.CLEARED,
+    crashing_parts.BLAMED,
+    crashing_parts.ANSWERED,
+]
 # Longer than `SAME_FACT_SECONDS`: no two facts count as the same one.
 GAP_SECONDS = 1.0
 
@@ -114,6 +122,20 @@
     assert len(current_facts(receiver)) == 20
 
 
+@pytest.mark.parametrize('kind', HASHED_KINDS)
+@pytest.mark.parametrize('subject', ['', 'e1', 'g' * 16, '7' * 15, '7' * 5000])
+async def test_subject_that_is_no_hash_is_ignored(
+    autojump_clock, kind, subject
+):
+    """Guards against a message whose facts end the router."""
+    known = []
+    router_facts = facts.Facts('10.0.0.1', known.append)
+    router_facts.merge_rows(
+        [[kind, subject, '1', 0, 1000], [kind, '7' * 16, '1', 0, 1000]]
+    )
+    assert [int(fact.subject, 16) for fact in known] == [0x7777777777777777]
+
+
 async def test_kind_of_a_later_version_is_ignored(autojump_clock):
     router_facts = make_facts()
     router_facts.merge_rows([['unheard of', 'a', 'x', 0, 1000]])
--- a/tests/test_transport/test_peer_datagrams.py
+++ b/tests/test_transport/test_peer_datagrams.py
@@ -9,6 +9,7 @@
 
 from lavenderbend import errors
 from lavenderbend.protocol import messages_forwarding
+from lavenderbend.protocol import peer
 from lavenderbend.state import forwarding
 from lavenderbend.transport import peer_datagrams
 from tests import forwarding_fakes as fakes
@@ -124,6 +125,52 @@
         await peer_datagrams.read_message(stream)
 
 
+@pytest.mark.parametrize('host', ['', 'h', '1', '10.0.0.2:80', '::1'])
+@pytest.mark.parametrize(
+    'values',
+    [
+        [104, 'r', 1, None, 'z', False, False, 0.0, 0, 0.5, 0.0, 0.1, 1, 1],
+        [110, 1, None, 2, 'zone', 3, 4, 5, 6],
+        [111, 1, None, 2, 3, 4, []],
+    ],
+)
+async def test_message_of_a_host_without_an_address_is_ignored(
+    links, values, host
+):
+    """Guards against a name that is looked up, or ends the next message."""
+    first, second = links
+    received = Received()
+    second.receiver = received.receive
+    data = msgpack.packb([host if one is None else one for one in values])
+    first.socket._sock.sendto(data, ('127.0.0.2', first.port))
+    first.send('127.0.0.2', NOTICE)
+    with trio.fail_after(2.0):
+        await received.first.wait()
+    assert received.messages == [NOTICE]
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        [5, [[1, 2, b'']], None, []],
+        [5, [['a', 'b', b'']], None, []],
+        [5, [['a', 1]], None, []],
+        [5, [[['a'], 1, b'']], None, []],
+        [5, 'x', None, []],
+        [5, [], [[]], []],
+        [5, [], 7, []],
+        [5, [], None, [['a']]],
+        [5, [], None, None],
+    ],
+)
+def test_snapshot_of_another_type_is_a_typed_failure(content):
+    """Guards against an answer that ends the router that fetched it."""
+    tag = messages_forwarding.SnapshotContent.tag
+    data = msgpack.packb([tag, *content, 0])
+    with pytest.raises(errors.CodecError):
+        peer_datagrams.apply_changes(None, peer.decode(data))
+
+
 @pytest.mark.parametrize(
     'values',
     [
