Facts: a message that waited while a router stood still is as old as it is

Callers: a request that had been at two crashes and has succeeded since was refused at all routers again, for up to two minutes, after one router had stood still; an upstream that was suspected for two seconds was avoided once more.

Cause: a router dates a fact by its age in the message, from when it reads the message. What waited in its socket while it stood still so became as young as its return, later than the fact that had cleared it. If the router missed that one (the others send nothing to a router that is silent for three seconds), it told all others of a new crash.

Now a router knows the least time that messages of each sender took, by the clocks of both, and dates facts by how much longer a message took. Nothing is added to messages. The clocks of two machines may be at any distance and move apart by up to 1 ms in a second. A VM whose monotonic clock stopped too dates as before.

--- a/lavenderbend/coordination/forwarding/facts.py
+++ b/lavenderbend/coordination/forwarding/facts.py
@@ -131,14 +131,22 @@
         now = trio.current_time()
         self.merge(Fact(kind, subject, source, now, seconds))
 
-    def merge_rows(self, rows: Iterable[list[str | int]]) -> None:
-        """Merges the facts of another router's message."""
+    def merge_rows(
+        self, rows: Iterable[list[str | int]], waited: float = 0.0
+    ) -> None:
+        """Merges the facts of another router's message.
+
+        Args:
+            rows: The facts, with their ages when the message was sent.
+            waited: Seconds for which the message waited to be read. Without
+                them a fact would seem to be later than one that cleared it.
+        """
         now = trio.current_time()
         for kind, subject, source, age, seconds in rows:
             if kind not in FACT_KINDS.entries:
                 # A router of a later version has kinds that this one lacks.
                 continue
-            found_at = now - age / MILLISECONDS_PER_SECOND
+            found_at = now - waited - age / MILLISECONDS_PER_SECOND
             valid_seconds = seconds / MILLISECONDS_PER_SECOND
             self.merge(Fact(kind, subject, source, found_at, valid_seconds))
 
--- a/lavenderbend/coordination/forwarding/members.py
+++ b/lavenderbend/coordination/forwarding/members.py
@@ -32,6 +32,8 @@
 MAX_HOSTS_PER_ZONE_ROW = 3
 MAX_ZONE_ROWS = 4
 MAX_SENT_AGE_SECONDS = 7.0
+# The clocks of two VMs move apart by less than this in a second.
+MAX_CLOCK_DRIFT = 0.001
 
 
 @attrs.define
@@ -48,6 +50,8 @@
         received_at_suspension_clock: Suspension clock of this router at which
             the message arrived.
         leaving: Whether it is stopping.
+        least_delay: Least time from `sent_at` to the arrival of a message, by
+            the clocks of both, which may differ by any amount.
         upstreams_lost: Whether it seems to be cut off from all upstreams.
     """
 
@@ -59,6 +63,7 @@
     sent_at: float
     received_at_suspension_clock: float
     leaving: bool
+    least_delay: float
     upstreams_lost: bool = False
 
 
@@ -116,6 +121,9 @@
         new = member is None or member.incarnation != state.incarnation
         if not new and member.sent_at > state.sent_at:
             return False
+        least_delay = self.delay(state)
+        if not new:
+            least_delay = min(least_delay, self.least_delay(member))
         self.by_host[state.host] = Member(
             state.host,
             state.name,
@@ -125,11 +133,32 @@
             state.sent_at,
             self.clock(),
             state.leaving,
+            least_delay,
             state.upstreams_lost,
         )
         self.note_sender(state)
         return new
 
+    def delay(self, state: messages_forwarding.RouterState) -> float:
+        """Returns the time from sending to arrival, by different clocks."""
+        return trio.current_time() - state.sent_at
+
+    def least_delay(self, member: Member) -> float:
+        """Returns the least delay of a router's messages, with clock drift."""
+        seconds = trio.current_time() - member.received_at
+        return member.least_delay + MAX_CLOCK_DRIFT * seconds
+
+    def waited(self, state: messages_forwarding.RouterState) -> float:
+        """Returns for how long a message waited to be read, in seconds.
+
+        That is how much longer it took than the fastest one of its sender:
+        while this router stood still, messages waited in its socket.
+        """
+        member = self.get(state.host)
+        if member is None or member.incarnation != state.incarnation:
+            return 0.0
+        return max(0.0, self.delay(state) - self.least_delay(member))
+
     def note_sender(self, state: messages_forwarding.RouterState) -> None:
         """Records the host of a message's sender, by its zone."""
         if state.zone == self.zone:
--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -497,7 +497,7 @@
             self.divisor.note(state.peak_routers)
         self.loads.merge(state)
         self.prompts.merge(state.prompts)
-        self.facts.merge_rows(state.facts)
+        self.facts.merge_rows(state.facts, self.members.waited(state))
 
     def should_answer(
         self, state: messages_forwarding.RouterState, gained: float
