Test: a standstill of all routers leaves each one's share of the retries

All routers of a zone stand still for 1, 3.5 and 20 s and take each other for silent when they run again: the number by which the retries of the fleet are divided stays, in the first turn and in the two seconds after. No fault found.

The time for which a router counts as cut off is checked where it is counted now; the operators' test that counted it before only shows it.

--- a/tests/test_coordination/test_agreed_contact.py
+++ b/tests/test_coordination/test_agreed_contact.py
@@ -87,6 +87,10 @@
     await trio.sleep(2.01)
     with pytest.raises(errors.ConfigurationStale):
         routers.router.current()
+    first = routers.router.stale_seconds
+    assert 30.0 <= first <= 32.0
+    await trio.sleep(90.0)
+    assert routers.router.stale_seconds == pytest.approx(first + 90.0)
 
 
 async def test_reply_that_waited_for_the_router_does_not_confirm(
--- a/tests/test_coordination/test_forwarding_standstill.py
+++ b/tests/test_coordination/test_forwarding_standstill.py
@@ -91,6 +91,19 @@
         await trio.sleep(0.1)
 
 
+@pytest.mark.parametrize('seconds', [1.0, 3.5, 20.0])
+async def test_share_of_the_retries_does_not_grow_by_a_standstill(
+    play, autojump_clock, seconds
+):
+    # Guards against routers that each take the others for gone and retry alone.
+    await play.start()
+    autojump_clock.jump(seconds)
+    for _ in range(20):
+        for router in play.fleet.routers.values():
+            assert router.peers.budget_divisor() == len(play.hosts)
+        await trio.sleep(0.1)
+
+
 def message(sent_at, incarnation=1):
     """Returns a message of another router."""
     return messages_forwarding.RouterState(
