--- a/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/settled_versions.py
@@ -398,7 +398,7 @@
                     await self.write(service, content)
 
     def may_have_missed(self) -> bool:
-        """Returns whether a version may have come and gone since the last check.
+        """Returns whether a version may have come and gone unseen.
 
         After a suspension the proof of freshness may be young again by now.
         """
