--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -178,13 +178,7 @@
 async def test_taken_up_stream_stays_with_its_service(autojump_clock):
     """Guards against split traffic that takes a stream to another service."""
     async with trio.open_nursery() as nursery:
-        fleet = version_fleet.Fleet(nursery, rules=(SPLIT,))
-        for name in ('e1', 'e2'):
-            fleet.add_engine(name, 'v1', 'chat')
-        for name in ('o1', 'o2'):
-            fleet.add_engine(name, 'v1 of the other', 'other')
-        fleet.start_routers()
-        await fleet.ready()
+        fleet = await version_fleet.start_two_services(nursery, SPLIT)
         fleet.leave_fraction = 0.5
         await fleet.load(10.0)
         nursery.cancel_scope.cancel()
@@ -199,13 +193,7 @@
 async def test_unnamed_stream_goes_on_at_no_other_service(autojump_clock):
     """Guards against events of two services where nobody knows the pool."""
     async with trio.open_nursery() as nursery:
-        fleet = version_fleet.Fleet(nursery, rules=(SPLIT,))
-        for name in ('e1', 'e2'):
-            fleet.add_engine(name, 'v1', 'chat')
-        for name in ('o1', 'o2'):
-            fleet.add_engine(name, 'v1 of the other', 'other')
-        fleet.start_routers()
-        await fleet.ready()
+        fleet = await version_fleet.start_two_services(nursery, SPLIT)
         fleet.leave_fraction = 0.5
         fleet.names_first_try = False
         await fleet.load(5.0)
@@ -233,13 +221,7 @@
         fleet.store.refresh()
 
     async with trio.open_nursery() as nursery:
-        fleet = version_fleet.Fleet(nursery)
-        for name in ('e1', 'e2'):
-            fleet.add_engine(name, 'v1', 'chat')
-        for name in ('o1', 'o2'):
-            fleet.add_engine(name, 'v1 of the other', 'other')
-        fleet.start_routers()
-        await fleet.ready()
+        fleet = await version_fleet.start_two_services(nursery)
         await trio.sleep(4.0)
         fleet.leave_fraction = 0.5
         nursery.start_soon(move, fleet)
--- a/tests/test_coordination/test_stream_services.py
+++ b/tests/test_coordination/test_stream_services.py
@@ -38,13 +38,9 @@
 async def play(before, after, seed, routers=6):
     """Returns the fleet after a load amid which the rule was changed."""
     async with trio.open_nursery() as nursery:
-        fleet = version_fleet.Fleet(nursery, routers, seed, rules=(before,))
-        for name in ('e1', 'e2'):
-            fleet.add_engine(name, 'v1', 'chat')
-        for name in ('o1', 'o2'):
-            fleet.add_engine(name, 'v1 of the other', 'other')
-        fleet.start_routers()
-        await fleet.ready()
+        fleet = await version_fleet.start_two_services(
+            nursery, before, routers=routers, seed=seed
+        )
         # until the store says that each service runs one version
         await trio.sleep(14.0)
         fleet.leave_fraction = 0.5
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -685,6 +685,18 @@
         )
 
 
+async def start_two_services(nursery, *rules, routers=6, seed=1):
+    """Returns a fleet before two engines of each of two services."""
+    fleet = Fleet(nursery, routers, seed, rules=rules)
+    for name in ('e1', 'e2'):
+        fleet.add_engine(name, 'v1', SERVICE)
+    for name in ('o1', 'o2'):
+        fleet.add_engine(name, 'v1 of the other', 'other')
+    fleet.start_routers()
+    await fleet.ready()
+    return fleet
+
+
 def numbered_wrongly(stream):
     """Returns whether events are missing or come twice."""
     numbers = [number for number, _ in stream.events]
