--- a/lavenderbend/coordination/forwarding/peers.py
+++ b/lavenderbend/coordination/forwarding/peers.py
@@ -189,6 +189,10 @@
             return 0
         return divisor
 
+    def is_alone(self) -> bool:
+        """Returns whether the fleet is known to be this router alone."""
+        return self.budget_divisor() == 1
+
     def hears_fleet(self) -> bool:
         """Returns whether no zone, nor half of the routers, fell silent lately.
 
--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -323,7 +323,7 @@
         software_id = self.settled_software_id(ticket)
         if not self.vouches(software_id):
             return False
-        if self.peers.budget_divisor() == 1:
+        if self.peers.is_alone():
             return True
         return question.unanimous and self.peers.hears_fleet()
 
