--- a/lavenderbend/coordination/forwarding/stream_versions/questions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/questions.py
@@ -8,14 +8,14 @@
 
 @attrs.define
 class Question:
-    """A question to the keepers of a stream.
+    """A question to the keepers of a stream, or to routers of all zones.
 
     Attributes:
         expected: Number of the other routers that vouch for a single version,
             by availability zone.
         software_id: The software that a reply names, None so far.
-        not_told: Hosts of those that were told of no other software than the
-            one asked about, by availability zone.
+        not_told: Hosts of those that know of no other software than the one
+            asked about, by availability zone.
         answered: Set when a reply names the software, or when no further one
             is expected.
     """
--- a/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
+++ b/lavenderbend/coordination/forwarding/stream_versions/stream_versions.py
@@ -328,7 +328,7 @@
         return question.unanimous and self.peers.hears_fleet()
 
     def vouches(self, software_id: int) -> bool:
-        """Returns whether a service has run one version all the while.
+        """Returns whether this router is sure that one version has run.
 
         What was told to an earlier process of this router shows in the store
         by the time at which this one started.
@@ -358,7 +358,7 @@
     async def ask(
         self, ticket: tickets.Ticket, stream: int
     ) -> questions.Question:
-        """Asks the keepers of a stream."""
+        """Asks the keepers of a stream, and all zones if one version runs."""
         question = questions.Question(self.keepers.expected_replies(stream))
         only = self.is_only(ticket)
         if not ticket.resumes and not only:
--- a/lavenderbend/protocol/messages_forwarding.py
+++ b/lavenderbend/protocol/messages_forwarding.py
@@ -493,7 +493,8 @@
         stream: Key of the stream.
         forwarded: Whether another router has relayed the message.
         only: The software that began all streams of the service by the
-            sender's view, 0 if a router that knows nothing should be mute.
+            sender's view; a router that knows of no other replies too. 0 if
+            only a router that knows the stream should reply.
     """
 
     number: int = attrs.field(validator=fields.INTEGER)
@@ -522,11 +523,11 @@
 @peer.message(123)
 @attrs.frozen
 class StreamNotTold(peer.Message):
-    """Tells that a keeper was told of no other software than asked about.
+    """Tells that a router knows of no other software than the one asked about.
 
     Attributes:
         number: Number of the question.
-        host: IPv4 address of the keeper.
+        host: IPv4 address of that router.
         zone: Its availability zone.
     """
 
