--- a/tests/version_plays.py
+++ b/tests/version_plays.py
@@ -315,6 +315,21 @@
     fleet.return_hosts = (host,)
 
 
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_comes_to_the_only_router_with_a_store(fleet):
+    """No other router hears it."""
+    host = fleet.rng.choice(sorted(fleet.zone_of))
+    others = set(fleet.zone_of) - {host}
+    fleet.nursery.start_soon(cut_for, fleet, {host})
+    await second_version_comes_unseen(fleet, others, CUT_SECONDS)
+
+
+@play(ONE_VERSION, RECORDED_SECONDS)
+async def second_version_goes_while_the_store_takes_no_records(fleet):
+    fleet.store.refuses = True
+    await second_version_comes_and_goes_unseen(fleet)
+
+
 @play(TWO_VERSIONS, RECORDED_SECONDS)
 async def third_version_comes_to_a_cut_off_router(fleet):
     """The router has just started, and all others that were told have not."""
