--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	$(BIN)/lavenderbend demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n 6 --dist worksteal
+	$(BIN)/python -m pytest -n 6 --dist worksteal -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
