Relays: connections are counted from the moment they are admitted

What callers saw: nothing yet; by reading. Many routers that ask at once were all admitted while the first ones were still connecting, each with two descriptors, beyond the 500 that leave the rest to this router's callers. And a side that reads slowly left 64 KiB in each direction, and a copy.

The count begins with the admission and ends with the connection; a read is 16 KiB.

--- a/lavenderbend/transport/relay_server.py
+++ b/lavenderbend/transport/relay_server.py
@@ -23,7 +23,8 @@
 
 Outcome = messages_forwarding.RelayOutcome
 
-RECEIVE_BYTES = 64 * 1024
+# What a side that reads slowly leaves here, in each direction.
+RECEIVE_BYTES = 16 * 1024
 # Each takes two descriptors; the rest is for this router's own callers.
 MAX_CONNECTIONS = 500
 
@@ -117,12 +118,14 @@
     Attributes:
         relays: Decides whether a connection is relayed.
         connections: The connections that are relayed now.
+        admitted: Number of requests that have one, or are about to.
         all_closed: Set when the last of them closes.
     """
 
     def __init__(self, relays: relays_module.Relays) -> None:
         self.relays = relays
         self.connections: set[RelayedConnection] = set()
+        self.admitted = 0
         self.all_closed = trio.Event()
 
     async def serve(
@@ -146,26 +149,41 @@
         stream: trio.SocketStream,
         request: messages_forwarding.RelayRequest,
     ) -> None:
-        """Connects to an upstream, replies, and relays the connection."""
+        """Relays a connection, or replies why there is none."""
         outcome, upstream = self.admit(request.instance)
-        connection = None
-        if upstream is not None:
-            outcome, connection = await self.connect(upstream)
-        RELAYED.inc({'outcome': outcome.name.lower()})
+        if upstream is None:
+            await self.reply(stream, outcome)
+            return
+        self.admitted += 1
+        try:
+            await self.relay(stream, upstream)
+        finally:
+            self.admitted -= 1
+
+    async def relay(
+        self, stream: trio.SocketStream, upstream: forwarding.Upstream
+    ) -> None:
+        """Connects to an upstream, replies, and relays the connection."""
+        outcome, connection = await self.connect(upstream)
         try:
-            reply = messages_forwarding.RelayReply(outcome)
-            await stream.send_all(peer_datagrams.encode_frame(reply))
+            await self.reply(stream, outcome)
             if connection is not None:
                 await self.run(RelayedConnection(stream, connection.stream))
         finally:
             if connection is not None:
                 connection.close()
 
+    async def reply(self, stream: trio.SocketStream, outcome: Outcome) -> None:
+        """Tells the requesting router whether there is a connection."""
+        RELAYED.inc({'outcome': outcome.name.lower()})
+        reply = messages_forwarding.RelayReply(outcome)
+        await stream.send_all(peer_datagrams.encode_frame(reply))
+
     def admit(
         self, instance: str
     ) -> tuple[Outcome, forwarding.Upstream | None]:
         """Returns the upstream to connect to, or why there is none."""
-        if len(self.connections) >= MAX_CONNECTIONS:
+        if self.admitted >= MAX_CONNECTIONS:
             return Outcome.UNABLE, None
         return self.relays.admit(instance)
 
--- a/tests/test_transport/test_relayed_connections.py
+++ b/tests/test_transport/test_relayed_connections.py
@@ -15,6 +15,7 @@
 from lavenderbend.protocol import messages_forwarding
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
+from lavenderbend.transport import relay_server
 from lavenderbend.transport import upstream_exchanges
 from tests import platform_standins as standins
 from tests import relay_standins
@@ -108,6 +109,27 @@
     assert worker.connections == 0
 
 
+async def test_relayed_connections_are_limited_while_they_are_opened(
+    exchanges, relaying, monkeypatch
+):
+    """Guards against more descriptors used up than are left for callers."""
+    monkeypatch.setattr(relay_server, 'MAX_CONNECTIONS', 2)
+    opened, refused = [], []
+
+    async def open_one():
+        try:
+            opened.append(await connect(exchanges, relaying))
+        except errors.RelayUnavailable as exc:
+            refused.append(exc)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(5):
+            nursery.start_soon(open_one)
+    assert (len(opened), len(refused)) == (2, 3)
+    for exchange in opened:
+        exchange.close()
+
+
 async def test_upstream_that_refuses_connections_is_reported(
     exchanges, relaying
 ):
