Callers: one that reads slowly keeps its connection

Cause: TCP_USER_TIMEOUT, meant for peers without power, also ends a connection whose window stays closed while its caller reads. On callers' connections it is not set any more: a caller that is dead is given up at the deadline of its request, and an idle connection by its probes.

The kernel keeps 64 KiB of what a caller sends and nobody has read; it let that grow to megabytes.

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -69,7 +69,7 @@
         self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        socket_options.prepare(stream.socket)
+        socket_options.prepare_caller(stream.socket)
 
     async def run(self) -> None:
         """Serves requests until either side closes."""
--- a/lavenderbend/transport/socket_options.py
+++ b/lavenderbend/transport/socket_options.py
@@ -22,6 +22,9 @@
 USER_TIMEOUT_MILLISECONDS = 1000 * (
     KEEPALIVE_IDLE_SECONDS + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_SECONDS
 )
+# what the kernel keeps of a caller until it is read; the system would let it
+# grow to some megabytes
+CALLER_RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 async def connect(host: str, port: int) -> trio.SocketStream:
@@ -62,12 +65,30 @@
 
 def prepare(connection: trio.socket.SocketType) -> None:
     """Disables send coalescing and enables detection of dead peers."""
+    enable_probes(connection)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS
+    )
+
+
+def prepare_caller(connection: trio.socket.SocketType) -> None:
+    """Prepares the connection of a caller, which may read slowly.
+
+    The user timeout would also end a connection whose window stays closed
+    while its caller takes what it has. Here the deadline of the request ends
+    the wait for a dead caller.
+    """
+    enable_probes(connection)
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_RECEIVE_BUFFER_BYTES
+    )
+
+
+def enable_probes(connection: trio.socket.SocketType) -> None:
+    """Disables send coalescing, and has idle connections probed."""
     tcp = socket.IPPROTO_TCP
     connection.setsockopt(tcp, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     connection.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     connection.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    connection.setsockopt(
-        tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS
-    )
