--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -27,6 +27,8 @@
 # requests up to this size fit into the smallest TCP window, so that sending
 # them does not block
 SMALL_BODY_BYTES = 1024
+# larger ones are sent in parts, which costs less than to copy them
+JOINED_BYTES = 64 * 1024
 MAX_STRAY_ANSWERS = 4
 MAX_STRAY_BYTES = 1024 * 1024
 FRAMING = (b'content-length', b'transfer-encoding')
@@ -198,17 +200,17 @@
                 executed.
         """
         self.request = request
-        data = self.request_bytes()
-        if len(data) > SMALL_BODY_BYTES:
-            return await self.send_and_read(data)
+        parts = self.request_parts()
+        if sum(map(len, parts)) > SMALL_BODY_BYTES:
+            return await self.send_and_read(parts)
         try:
-            await self.connection.stream.send_all(data)
+            await self.connection.stream.send_all(b''.join(parts))
         except CONNECTION_ERRORS as exc:
             raise connection_lost(exc) from exc
         self.sent = True
         return await self.read_head()
 
-    async def send_and_read(self, data: bytes) -> interfaces.AnswerHead:
+    async def send_and_read(self, parts: list[bytes]) -> interfaces.AnswerHead:
         """Sends the request and reads its answer concurrently.
 
         Raises:
@@ -216,7 +218,7 @@
                 executed.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.send_data, data)
+            nursery.start_soon(self.send_parts, parts)
             head, error = await self.try_read_head()
             nursery.cancel_scope.cancel()
         if error is not None:
@@ -232,30 +234,38 @@
         except errors.UpstreamError as exc:
             return None, exc
 
-    async def send_data(self, data: bytes) -> None:
+    async def send_parts(self, parts: list[bytes]) -> None:
         """Sends the request; a lost connection is reported by the read."""
         with contextlib.suppress(
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             errors.RelayLost,
         ):
-            await self.connection.stream.send_all(data)
+            for part in joined_if_short(parts):
+                await self.connection.stream.send_all(part)
             self.sent = True
 
-    def request_bytes(self) -> bytes:
-        """Returns the bytes of the request and prepares for its answer."""
+    def request_parts(self) -> list[bytes]:
+        """Returns the parts of the request, and prepares for its answer.
+
+        The body is not copied: a large one would take up twice its memory
+        until it is sent.
+        """
         request = self.request
         protocol = self.protocol
-        data = protocol.send(
+        head = protocol.send(
             h11.Request(
                 method=request.method,
                 target=request.target,
                 headers=list(request.headers),
             )
         )
+        parts = [head]
         if request.body:
-            data += protocol.send(h11.Data(data=request.body))
-        return data + protocol.send(h11.EndOfMessage())
+            body = h11.Data(data=request.body)
+            parts.extend(protocol.send_with_data_passthrough(body))
+        parts.append(protocol.send(h11.EndOfMessage()))
+        return [part for part in parts if part]
 
     async def read_head(self) -> interfaces.AnswerHead:
         """Returns the head of the answer to this request.
@@ -339,7 +349,7 @@
                 raise errors.AnswerMismatch(MISMATCH_DETAIL)
         rest, closed = self.protocol.trailing_data
         self.protocol = h11.Connection(h11.CLIENT)
-        self.request_bytes()
+        self.request_parts()
         if rest:
             self.protocol.receive_data(rest)
         if closed:
@@ -390,6 +400,13 @@
         self.connection.close()
 
 
+def joined_if_short(parts: list[bytes]) -> list[bytes]:
+    """Returns the parts as one, unless that would copy a large body."""
+    if sum(map(len, parts)) > JOINED_BYTES:
+        return parts
+    return [b''.join(parts)]
+
+
 def connection_lost(cause: BaseException) -> errors.UpstreamBroke:
     """Returns the error for an exchange that was interrupted."""
     return errors.UpstreamLost(f'connection lost: {type(cause).__name__}')
