Callers: one limit on the memory that they take up together

Cause: each request was limited, and nothing in all; a body was a list of its parts, many times its bytes where they are small; an announced length, the rule and the credential were looked at when all of the body was there; the body of a refused request stayed as long as its error was sent, that of an answered one until the next on its connection.

Now callers.max_held_bytes (64 MiB) bounds what is really held: capacities of buffers, objects of heads, bodies until their answers have ended, answers until they are taken. Where a request needs memory, the caller that has not moved on for the longest time, and not for a second, is ended; without one the request is refused, 503 with Retry-After, at its head if its length tells. Nothing of it was passed on. Large bodies leave a part to ordinary requests, and those of one rule, one customer and all answers leave parts to each other. A large body that is alone is held whatever the limit. Answers wait for room and are not dropped.

The test's fake of a connection has a memory now.

--- a/lavenderbend/coordination/forwarding/answer_bodies.py
+++ b/lavenderbend/coordination/forwarding/answer_bodies.py
@@ -8,9 +8,13 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.protocol import part_sizes
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import silence
 
@@ -24,6 +28,7 @@
     exchange: interfaces.Exchange,
     waiting: silence.UpstreamWait,
     seconds: float = math.inf,
+    reserve: Callable[[int], Awaitable[None]] | None = None,
 ) -> bytes:
     """Returns the complete body of a response.
 
@@ -31,6 +36,7 @@
         exchange: The request and its response.
         waiting: The wait for the upstream.
         seconds: Time within which all of it must have arrived.
+        reserve: Waits until the router may hold so many bytes of it.
 
     Raises:
         UpstreamBroke: The response broke off, or does not end.
@@ -45,5 +51,7 @@
                 raise errors.UpstreamBroke(
                     f'body of {len(parts)} parts over the limit'
                 )
+            if reserve is not None and size > caller_memory.SMALL_BYTES:
+                await reserve(size)
         return b''.join(parts)
     raise errors.UpstreamBroke(f'body incomplete after {seconds:g} s')
--- a/lavenderbend/coordination/forwarding/attempts.py
+++ b/lavenderbend/coordination/forwarding/attempts.py
@@ -328,7 +328,9 @@
         """
         failed = head.status >= SERVER_ERROR
         seconds = answer_bodies.ERROR_BODY_SECONDS if failed else math.inf
-        body = await answer_bodies.read_body(exchange, waiting, seconds)
+        body = await answer_bodies.read_body(
+            exchange, waiting, seconds, answer.reserve
+        )
         if failed:
             self.note_failure(ticket, upstream)
         else:
--- a/lavenderbend/coordination/forwarding/interfaces.py
+++ b/lavenderbend/coordination/forwarding/interfaces.py
@@ -67,6 +67,9 @@
     disconnected = False
     sent_bytes = 0
 
+    async def reserve(self, size: int) -> None:  # noqa: B027
+        """Waits until the router may hold so much of the response, in bytes."""
+
     @abc.abstractmethod
     async def send_whole(
         self, status: int, headers: Headers, body: bytes
--- a/lavenderbend/coordination/forwarding/request_resolver.py
+++ b/lavenderbend/coordination/forwarding/request_resolver.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.coordination.forwarding import choice
 from lavenderbend.coordination.forwarding import events
 from lavenderbend.coordination.forwarding import tickets
@@ -77,23 +78,54 @@
     async def admit(self, request: interfaces.CallerRequest) -> tickets.Ticket:
         """Returns the ticket of a request.
 
+        Raises:
+            RequestError: The request is refused.
+        """
+        rule, customer = await self.find(request, self.hits)
+        return self.make_ticket(request, rule, customer)
+
+    async def check(self, request: interfaces.CallerRequest) -> tuple[str, ...]:
+        """Checks a request by its head, before its body is awaited.
+
+        By the end of the body another configuration may be in force: `admit`
+        decides by that one.
+
+        Returns:
+            The groups that its body is counted in.
+
+        Raises:
+            RequestError: The request is refused.
+        """
+        rule, customer = await self.find(request, collections.Counter())
+        name = '' if customer is None else customer.name
+        return caller_memory.body_groups(rule.name, name)
+
+    async def find(
+        self, request: interfaces.CallerRequest, hits: collections.Counter[str]
+    ) -> tuple[forwarding.ForwardRule, forwarding.ForwardCustomer | None]:
+        """Returns the rule and the customer of a request.
+
+        Args:
+            request: The request.
+            hits: Where its first match is counted.
+
         Raises:
             RequestError: The request is refused.
         """
         try:
-            return await self.resolve(request)
+            return await self.resolve(request, hits)
         except (errors.NoRuleMatched, errors.NotAuthenticated):
             # A router that was cut off or suspended may lack a new route or
             # credential. It must not tell callers that there is none.
             if self.snapshots.age < self.apply_seconds:
                 raise
             await self.require_fresh(self.apply_seconds, request)
-            return await self.resolve(request)
+            return await self.resolve(request, hits)
 
     async def resolve(
-        self, request: interfaces.CallerRequest
-    ) -> tickets.Ticket:
-        """Returns the ticket by the configuration in force.
+        self, request: interfaces.CallerRequest, hits: collections.Counter[str]
+    ) -> tuple[forwarding.ForwardRule, forwarding.ForwardCustomer | None]:
+        """Returns rule and customer by the configuration in force.
 
         Raises:
             RequestError: The request is refused.
@@ -111,11 +143,11 @@
         if rule is None:
             self.unmatched += 1
             raise errors.NoRuleMatched('no rule matches')
-        self.hits[rule.name] += 1
+        hits[rule.name] += 1
         customer = None
         if table.customers and not rule.then.public:
             customer = await self.authenticate(request)
-        return self.make_ticket(request, rule, customer)
+        return rule, customer
 
     def compile(self, table: forwarding.ForwardingTable) -> None:
         """Compiles the rules and credentials of a version, once."""
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -301,6 +301,8 @@
             self.forwarder.forward,
             self.caller_limits,
             self.settings.callers.max_connections,
+            self.settings.callers.max_held_bytes,
+            self.forwarder.resolver.check,
         )
         self.readiness = readiness.ReadinessServer(
             self.forwarding.readiness_path, self.ready
--- a/lavenderbend/errors.py
+++ b/lavenderbend/errors.py
@@ -268,6 +268,12 @@
     kind = 'router-stopping'
 
 
+class RouterOverloaded(RequestError):
+    """The router has no room for the request; another one may have."""
+
+    kind = 'router-overloaded'
+
+
 class NoConfiguration(RequestError):
     """The router has no accepted configuration yet."""
 
--- a/lavenderbend/state/settings.py
+++ b/lavenderbend/state/settings.py
@@ -50,6 +50,8 @@
         max_header_bytes: Largest request headers; larger ones are refused.
         max_body_bytes: Largest request body; larger ones are refused.
         max_connections: Connections above this number are closed at once.
+        max_held_bytes: Memory that the requests and answers of all callers
+            may take up; requests beyond it are refused.
         idle_seconds: Time without progress after which a connection is
             closed.
     """
@@ -59,6 +61,9 @@
     max_header_bytes: ByteCount = bounded(32 * 1024, 1024, 1024 * 1024)
     max_body_bytes: ByteCount = bounded(1024 * 1024, 1024, 64 * 1024 * 1024)
     max_connections: int = bounded(2000, 1, 100_000)
+    max_held_bytes: ByteCount = bounded(
+        64 * 1024 * 1024, 1024 * 1024, 64 * 1024 * 1024 * 1024
+    )
     idle_seconds: Seconds = bounded(60.0, 0.1, DAY_SECONDS)
 
 
--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -9,6 +9,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.protocol import problems
 
@@ -18,6 +19,8 @@
 HEAD = b'HEAD'
 # time for a caller to take what is ready when its request is cancelled
 LATE_WRITE_SECONDS = 0.2
+# what a write may take up in a router's memory beside the answers counted
+UNCOUNTED_BYTES = 4 * 1024
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -31,7 +34,9 @@
     Attributes:
         connection: Connection on which it is written.
         method: Method of the request, empty if it could not be parsed.
-        unsent: Bytes that were given to `write` and have not left.
+        unsent: Parts that were given to `write` and have not left.
+        holding: Memory that the answer takes up.
+        scope: Cancel scope of the request.
         late_until: Router clock until which writes go on although the request
             is cancelled, None before it is.
     """
@@ -50,7 +55,10 @@
         """
         self.connection = connection
         self.method = method
-        self.unsent = memoryview(b'')
+        self.unsent: list[memoryview] = []
+        memory = connection.server.memory
+        self.holding = memory.open(self.end, (caller_memory.ANSWERS,))
+        self.scope = trio.CancelScope()
         self.late_until: float | None = None
 
     def closing(self) -> bool:
@@ -68,18 +76,51 @@
             # the caller would take these bytes for the rest of the cancelled
             # write: its answer would have a gap or break the protocol
             raise errors.AnswerInterrupted('an earlier write was interrupted')
-        protocol = self.connection.protocol
         self.started = True
-        data = b''.join(protocol.send(event) or b'' for event in events)
-        self.unsent = memoryview(data)
+        size = self.set_unsent(events)
+        counted = size > UNCOUNTED_BYTES
+        if counted:
+            memory = self.connection.server.memory
+            memory.set_size(self.holding, max(size, self.holding.size))
+            memory.await_caller(self.holding)
         self.write_pending = True
         try:
             await self.complete_write()
         except CONNECTION_ERRORS as exc:
             self.disconnected = True
             raise errors.CallerGone(type(exc).__name__) from exc
+        finally:
+            if counted:
+                self.holding.release()
         self.write_pending = False
 
+    def set_unsent(self, events: tuple[h11.Event, ...]) -> int:
+        """Sets what is to be sent; returns its size in bytes.
+
+        A large body is sent apart from its head: joined to it, it would be
+        held twice.
+        """
+        protocol = self.connection.protocol
+        parts = [
+            part
+            for event in events
+            for part in protocol.send_with_data_passthrough(event) or ()
+        ]
+        large = [part for part in parts if len(part) > UNCOUNTED_BYTES]
+        if not large:
+            parts = [b''.join(parts)]
+        self.unsent = [memoryview(part) for part in parts if part]
+        return sum(map(len, self.unsent))
+
+    async def reserve(self, size: int) -> None:
+        """Waits until the router may hold so much of the answer, in bytes."""
+        await self.connection.server.memory.wait_room(self.holding, size)
+
+    def end(self) -> None:
+        """Ends the request of a caller that does not take its answer."""
+        self.disconnected = True
+        self.scope.cancel()
+
     async def complete_write(self) -> None:
         """Sends what is unsent, for a short time also in a cancelled request.
 
@@ -110,9 +151,12 @@
         """Sends what is unsent; a cancelled call has counted what has left."""
         connection = self.connection.stream.socket
         while self.unsent:
-            sent = await connection.send(self.unsent)
-            self.unsent = self.unsent[sent:]
+            sent = await connection.send(self.unsent[0])
+            self.unsent[0] = self.unsent[0][sent:]
+            if not self.unsent[0]:
+                self.unsent.pop(0)
             self.sent_bytes += sent
+            self.holding.note_moved(sent)
 
     def head(self, status: int, headers: interfaces.Headers) -> h11.Response:
         """Returns the head of the answer as an HTTP/1.1 event."""
--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -10,6 +10,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.coordination.forwarding import stop_times
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
@@ -48,6 +49,8 @@
         protocol: HTTP/1.1 state.
         idle_scope: Cancel scope of the wait for the next request.
         read_scope: Cancel scope of the reading of a request.
+        holding: Memory that the request takes up.
+        answered: Whether the latest request has its complete answer.
         waiting_since: Router clock since which its first request may have
             been waiting in the socket while the router started, None if the
             connection was opened later or the request had not come.
@@ -60,6 +63,8 @@
         self.stream = stream
         self.idle_scope = trio.CancelScope()
         self.read_scope = trio.CancelScope()
+        self.holding = server.memory.open(self.read_scope.cancel)
+        self.answered = False
         self.waiting_since: float | None = None
         early = trio.current_time() < server.early_until
         # of a connection that waited, only a request that waited too
@@ -73,20 +78,13 @@
 
     async def run(self) -> None:
         """Serves requests until either side closes."""
-        while True:
-            if not await self.wait_for_request():
-                break
-            try:
-                request = await self.read_request()
-            except h11.RemoteProtocolError as exc:
-                await self.refuse(caller_requests.malformed_request(exc))
-                return
-            except errors.RequestError as exc:
-                await self.refuse(exc)
-                return
-            if request is None:
+        while await self.wait_for_request():
+            error = await self.serve_request()
+            self.holding.release()
+            if error is not None:
+                await self.refuse(error)
                 return
-            if not await self.answer(request):
+            if not self.answered:
                 return
             if self.protocol.our_state is not h11.DONE:
                 break
@@ -96,6 +94,23 @@
         if self.server.stopping:
             await self.linger(STOP_LINGER_SECONDS)
 
+    async def serve_request(self) -> errors.RequestError | None:
+        """Reads and answers one request; returns why it could not be read.
+
+        Nothing of the request is left when it returns: the traceback of an
+        error would keep the body until the error was sent.
+        """
+        self.answered = False
+        try:
+            request = await self.read_request()
+        except h11.RemoteProtocolError as exc:
+            return caller_requests.malformed_request(exc)
+        except errors.RequestError as exc:
+            return exc.with_traceback(None)
+        if request is not None:
+            self.answered = await self.answer(request)
+        return None
+
     async def wait_for_request(self) -> bool:
         """Waits for a request; returns False if none arrives in time."""
         if self.protocol.trailing_data[0]:
@@ -118,12 +133,28 @@
             RequestError: It exceeds a limit or did not arrive in time.
         """
         arrived = self.earliest_arrival()
+        server = self.server
+        self.read_scope = trio.CancelScope()
+        self.holding = server.memory.open(self.read_scope.cancel)
         reader = caller_requests.RequestReader(
-            self.stream, self.protocol, self.server.limits()
+            self.stream,
+            self.protocol,
+            server.limits(),
+            self.holding,
+            server.check,
         )
-        self.read_scope = trio.CancelScope()
         with self.read_scope:
-            return await reader.read(arrived)
+            request = await reader.read_start(arrived)
+            if request is not None:
+                request = await reader.read_rest(request)
+            server.memory.keep(self.holding)
+            if not self.holding.ended:
+                return request
+        if self.holding.ended:
+            raise errors.RouterOverloaded(
+                'the body stopped arriving while others needed its memory',
+                caller_memory.RETRY_AFTER_SECONDS,
+            )
         raise errors.RouterStopping(
             'the request did not arrive before the router stopped',
             stop_times.RETRY_AFTER_SECONDS,
@@ -153,8 +184,10 @@
         """
         answer = caller_answers.ConnectionAnswer(self, request.method)
         async with trio.open_nursery() as nursery:
+            answer.scope = nursery.cancel_scope
             nursery.start_soon(self.watch_caller, answer, nursery.cancel_scope)
             await self.handle(request, answer)
+            answer.holding.release()
             nursery.cancel_scope.cancel()
         if answer.started and not answer.finished:
             self.reset_if_http_1_0()
--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -2,18 +2,33 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
+import attrs
 import h11
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.coordination.forwarding import interfaces
+from lavenderbend.protocol import counts
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from lavenderbend.state import forwarding
 
-RECEIVE_BYTES = 64 * 1024
+    Check = Callable[
+        [interfaces.CallerRequest], Awaitable[tuple[caller_memory.Group, ...]]
+    ]
+
+# Bytes that were read beyond the end of a request are kept while it is
+# answered: no more than these.
+RECEIVE_BYTES = 16 * 1024
+# of a body whose length is known
+BODY_RECEIVE_BYTES = 64 * 1024
 # a body that stops arriving occupies its connection for at most this time
 BODY_SECONDS = 10.0
 REQUEST_TIMEOUT_STATUS = 408
@@ -22,6 +37,42 @@
 CONNECT = b'CONNECT'
 
 
+@attrs.define
+class Body:
+    """The part of a body that has arrived.
+
+    Attributes:
+        holding: Memory that the request takes up.
+        head_bytes: What its head takes up.
+        limit: Maximum size of the body, in bytes.
+        data: The bytes.
+    """
+
+    holding: caller_memory.Holding
+    head_bytes: int
+    limit: int
+    data: bytearray = attrs.field(factory=bytearray)
+
+    def add(self, part: bytes) -> None:
+        """Adds the next part.
+
+        Raises:
+            RequestTooLarge: The body exceeds its limit.
+            RouterOverloaded: There is no memory for it.
+        """
+        if len(self.data) + len(part) > self.limit:
+            raise body_too_large(self.limit)
+        self.data += part
+        self.holding.note_moved(len(part))
+        self.holding.resize(self.head_bytes + sys.getsizeof(self.data))
+
+    def whole(self) -> bytes:
+        """Returns the complete body."""
+        data = bytes(self.data)
+        self.holding.resize(self.head_bytes + len(data))
+        return data
+
+
 class RequestReader:
     """Reads one request.
 
@@ -29,6 +80,9 @@
         stream: The TCP stream.
         protocol: HTTP/1.1 state of the connection.
         limits: Limits on the size and the duration of a request.
+        holding: Memory that the request takes up.
+        check: Refuses a request by its head, before its body is awaited;
+            returns the groups that its body is counted in.
     """
 
     def __init__(
@@ -36,79 +90,155 @@
         stream: trio.SocketStream,
         protocol: h11.Connection,
         limits: forwarding.CallerLimits,
+        holding: caller_memory.Holding,
+        check: Check,
     ) -> None:
         self.stream = stream
         self.protocol = protocol
         self.limits = limits
+        self.holding = holding
+        self.check = check
+
+    async def read_start(
+        self, arrived: float
+    ) -> interfaces.CallerRequest | None:
+        """Returns the next request without its body.
 
-    async def read(self, arrived: float) -> interfaces.CallerRequest | None:
-        """Returns the next request, None if the caller closed the connection.
+        None if the caller closed the connection.
 
         Args:
             arrived: Earliest router clock at which it can have arrived.
 
         Raises:
-            RequestError: It exceeds a limit or did not arrive in time.
+            RequestError: Its head exceeds a limit or did not arrive in time.
         """
-        limits = self.limits
-        with trio.move_on_after(limits.header_seconds) as scope:
+        with trio.move_on_after(self.limits.header_seconds) as scope:
             head = await self.read_head()
         if scope.cancelled_caught:
             raise request_timeout('the headers of the request')
         if head is None:
             return None
-        check_head(head, limits)
-        with trio.move_on_after(BODY_SECONDS) as scope:
-            body = await self.read_body(limits.body_bytes)
-        if scope.cancelled_caught:
-            raise request_timeout('the body of the request')
+        check_head(head, self.limits)
         headers = tuple((bytes(k), bytes(v)) for k, v in head.headers)
         return interfaces.CallerRequest(
-            bytes(head.method), bytes(head.target), headers, body, arrived
+            bytes(head.method), bytes(head.target), headers, b'', arrived
         )
 
+    async def read_rest(
+        self, request: interfaces.CallerRequest
+    ) -> interfaces.CallerRequest:
+        """Returns the request with its body.
+
+        Raises:
+            RequestError: The body exceeds a limit or did not arrive in time,
+                there is no memory for it, or the request is refused by its
+                head.
+        """
+        with trio.move_on_after(BODY_SECONDS) as scope:
+            body = await self.read_body(request)
+        if scope.cancelled_caught:
+            raise request_timeout('the body of the request')
+        return attrs.evolve(request, body=body) if body else request
+
     async def read_head(self) -> h11.Request | None:
         """Returns the head of a request, None if the connection was closed."""
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
-                await self.receive()
+                await self.receive(RECEIVE_BYTES)
             elif isinstance(event, h11.Request):
                 return event
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
-    async def read_body(self, limit: int) -> bytes:
-        """Returns the complete body of the request.
+    async def read_body(self, request: interfaces.CallerRequest) -> bytes:
+        """Returns the complete body of a request.
 
         Raises:
-            RequestTooLarge: It exceeds the limit, in bytes.
+            RequestError: The request is refused before all of it has arrived.
         """
-        parts: list[bytes] = []
-        size = 0
-        if self.protocol.they_are_waiting_for_100_continue:
-            informational = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            await self.stream.send_all(self.protocol.send(informational))
+        length = content_length(request)
+        if length > self.limits.body_bytes:
+            raise body_too_large(self.limits.body_bytes)
+        head_bytes = held_by_head(request)
+        self.holding.resize(head_bytes)
+        body = Body(self.holding, head_bytes, self.limits.body_bytes)
+        awaited = False
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
-                await self.receive()
+                if not awaited:
+                    await self.await_body(request, length)
+                    awaited = True
+                await self.receive_body(length - len(body.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                return body.whole()
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limit:
-                    raise errors.RequestTooLarge(
-                        f'the body is over {limit} bytes'
-                    )
-
-    async def receive(self) -> None:
-        """Reads the next bytes from the socket into the protocol state."""
-        data = await self.stream.receive_some(RECEIVE_BYTES)
+                body.add(event.data)
+
+    async def await_body(
+        self, request: interfaces.CallerRequest, length: int
+    ) -> None:
+        """Prepares to wait for a body of which a part has not arrived.
+
+        Args:
+            request: The request without its body.
+            length: Length of the body, 0 if it is not known.
+
+        Raises:
+            RequestError: The request is refused by its head, or there is no
+                memory for the body.
+        """
+        self.holding.join(await self.check(request))
+        memory = self.holding.memory
+        memory.require_room(self.holding, length)
+        memory.await_caller(self.holding)
+        if self.protocol.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            await self.stream.send_all(self.protocol.send(informational))
+
+    async def receive_body(self, missing: int) -> None:
+        """Reads the next bytes of a body.
+
+        Args:
+            missing: Bytes that are still to come if the length is known.
+        """
+        size = min(max(missing, RECEIVE_BYTES), BODY_RECEIVE_BYTES)
+        await self.receive(size)
+
+    async def receive(self, size: int) -> int:
+        """Reads the next bytes from the socket into the protocol state.
+
+        Args:
+            size: Maximum number of bytes.
+
+        Returns:
+            How many were read.
+        """
+        data = await self.stream.receive_some(size)
         self.protocol.receive_data(data)
+        return len(data)
+
+
+def content_length(request: interfaces.CallerRequest) -> int:
+    """Returns the length that a request gives its body, 0 if it gives none."""
+    text = request.header('content-length') or ''
+    return counts.parse_count(text) or 0
+
+
+def held_by_head(request: interfaces.CallerRequest) -> int:
+    """Returns the memory that the head of a request takes up, in bytes."""
+    return caller_memory.head_size(
+        len(request.headers), text_size(request.headers, request.target)
+    )
+
+
+def text_size(headers: interfaces.Headers, target: bytes) -> int:
+    """Returns the size of a head as it was sent, in bytes."""
+    size = sum(len(name) + len(value) + 4 for name, value in headers)
+    return size + len(target)
 
 
 def check_head(head: h11.Request, limits: forwarding.CallerLimits) -> None:
@@ -122,8 +252,7 @@
     Raises:
         RequestError: The head is rejected.
     """
-    size = sum(len(name) + len(value) + 4 for name, value in head.headers)
-    if size + len(head.target) > limits.header_bytes:
+    if text_size(head.headers, head.target) > limits.header_bytes:
         error = errors.RequestTooLarge(
             f'the headers are over {limits.header_bytes} bytes'
         )
@@ -138,6 +267,11 @@
         raise errors.RequestInvalid('both content-length and transfer-encoding')
 
 
+def body_too_large(limit: int) -> errors.RequestTooLarge:
+    """Returns the error for a body over the limit, in bytes."""
+    return errors.RequestTooLarge(f'the body is over {limit} bytes')
+
+
 def malformed_request(cause: h11.RemoteProtocolError) -> errors.RequestError:
     """Returns the error for a request that is not valid HTTP/1.1."""
     error = errors.RequestInvalid(str(cause))
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from lavenderbend.coordination import caller_memory
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.transport import caller_answers
@@ -18,6 +19,7 @@
 
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.state import forwarding
+    from lavenderbend.transport import caller_requests
 
     Handler = Callable[
         [interfaces.CallerRequest, interfaces.CallerAnswer], Awaitable[None]
@@ -44,6 +46,9 @@
         handler: Answers one request.
         limits: Returns the current limits.
         max_connections: Connections beyond this are closed at once.
+        memory: Memory for what callers send and are sent.
+        check: Refuses a request by its head, before its body is awaited;
+            returns the groups that its body is counted in.
         stopping: Whether answers ask callers to close their connections.
         closing_idle: Whether connections that become idle are closed.
         connections: Open connections.
@@ -60,10 +65,14 @@
         handler: Handler,
         limits: Callable[[], forwarding.CallerLimits],
         max_connections: int,
+        max_held_bytes: int = caller_memory.DEFAULT_LIMIT_BYTES,
+        check: caller_requests.Check | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.max_connections = max_connections
+        self.memory = caller_memory.CallerMemory(max_held_bytes)
+        self.check = check or accept
         self.stopping = False
         self.closing_idle = False
         self.accept_scope = trio.CancelScope()
@@ -123,6 +132,7 @@
             FAULTS.inc({})
             logs.fault('caller_connection_failed', exc)
         finally:
+            connection.holding.release()
             stream.socket.close()
             self.connections.discard(connection)
             if not self.connections:
@@ -156,6 +166,13 @@
             await self.all_closed.wait()
 
 
+async def accept(
+    request: interfaces.CallerRequest,
+) -> tuple[caller_memory.Group, ...]:
+    """Refuses no request; the default of `CallerServer.check`."""
+    return ()
+
+
 class PortStatus:
     """A task status that reports the port that a listener is bound to."""
 
--- a/tests/integration/crowds.py
+++ b/tests/integration/crowds.py
@@ -52,6 +52,8 @@
 SMALL_BODY_CLIENTS = 240
 
 KINDS = registry.Registry('kind of clients')
+# of each try of the ordinary callers, 0 for none; printed where a test fails
+STATUSES = []
 CONNECTION_ERRORS = (OSError, trio.BrokenResourceError)
 
 
@@ -317,6 +319,7 @@
             'lavenderbend-deadline-ms': f'{PATIENCE_SECONDS * 1000:.0f}',
         }
         status, wait = await one_try(method, url, headers, body)
+        STATUSES.append(status)
         if status == OK:
             return True
         if status not in COMES_BACK:
@@ -397,6 +400,7 @@
         served_beside: Whether an ordinary caller was served beside the crowd.
         large_beside: Whether one with a large body was.
         served_after: Whether one was served after the crowd had gone.
+        statuses: The status of each of their tries, 0 for none.
     """
 
     alive: bool = False
@@ -406,6 +410,7 @@
     served_beside: bool = False
     large_beside: bool = False
     served_after: bool = False
+    statuses: list = attrs.field(factory=list)
 
 
 @attrs.define
@@ -480,7 +485,8 @@
         asks: Asks as an ordinary caller, with a body of a size; returns
             whether it was served.
     """
-    outcome = Outcome(served_before=await asks(2))
+    STATUSES.clear()
+    outcome = Outcome(served_before=await asks(2), statuses=STATUSES)
     usage = Usage(process.process.pid, crowd.address[1])
     async with trio.open_nursery() as watching:
         watching.start_soon(usage.sample)
--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -13,6 +13,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.state import forwarding
 from lavenderbend.state import upstreams
 from lavenderbend.transport import caller_answers
@@ -100,6 +101,7 @@
         self.stream = SlowStream(pause)
         self.server = self
         self.stopping = False
+        self.memory = caller_memory.CallerMemory()
         self.protocol = h11.Connection(h11.SERVER)
         self.protocol.receive_data(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
         self.protocol.next_event()
--- /dev/null
+++ b/tests/test_transport/test_caller_memory.py
@@ -0,0 +1,231 @@
+"""What callers can make a router hold and do, over sockets."""
+
+from __future__ import annotations
+
+import functools
+import socket
+
+import pytest
+import trio
+import trio.testing
+
+from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
+from lavenderbend.state import forwarding
+from lavenderbend.transport import caller_server
+
+HOST = '127.0.0.1'
+BODY_BYTES = 1024 * 1024
+# Room for one body beside others, and not for two.
+HELD_BYTES = 2 * BODY_BYTES
+ANSWER_BYTES = 8_000_000
+SMALL_BUFFER_BYTES = 4096
+LIMITS = forwarding.CallerLimits(
+    header_bytes=16 * 1024,
+    body_bytes=BODY_BYTES,
+    header_seconds=5.0,
+    idle_seconds=5.0,
+)
+
+
+class Router:
+    """Answers requests, and remembers them.
+
+    Attributes:
+        requests: The requests that were passed on.
+        checked: Those that were checked by their heads.
+        proceed: Set to answer the requests that are passed on.
+        refusal: Raised for each request by its head, None for none.
+    """
+
+    def __init__(self):
+        self.requests = []
+        self.checked = []
+        self.proceed = trio.Event()
+        self.proceed.set()
+        self.refusal = None
+        self.body = b'ok'
+
+    async def handle(self, request, answer):
+        self.requests.append(request)
+        await self.proceed.wait()
+        await answer.reserve(len(self.body))
+        await answer.send_whole(200, (), self.body)
+
+    async def check(self, request):
+        self.checked.append(request)
+        if self.refusal is not None:
+            raise self.refusal
+        return caller_memory.body_groups('r', 'c')
+
+
+@pytest.fixture
+async def router(nursery):
+    router = Router()
+    router.server = caller_server.CallerServer(
+        router.handle, lambda: LIMITS, 100, HELD_BYTES, router.check
+    )
+    router.port = await nursery.start(
+        functools.partial(router.server.serve, HOST, 0)
+    )
+    return router
+
+
+def head(*fields):
+    lines = ['POST /a HTTP/1.1', 'host: a', *fields, '', '']
+    return '\r\n'.join(lines).encode()
+
+
+async def connect(router):
+    return await trio.open_tcp_stream(HOST, router.port)
+
+
+async def begin(router, size, sent):
+    """Returns a connection that has sent a part of a body."""
+    stream = await connect(router)
+    await stream.send_all(head(f'content-length: {size}') + b'x' * sent)
+    return stream
+
+
+async def status(stream):
+    """Returns the status of an answer, and all of its bytes until the end."""
+    received = b''
+    with trio.fail_after(10.0):
+        while data := await stream.receive_some():
+            received += data
+            if b'200' in received.partition(b'\r\n')[0]:
+                break
+    return int(received.split(b' ')[1]), received
+
+
+async def until(check):
+    """Waits until a check holds."""
+    for _ in range(1000):
+        if check():
+            return
+        await trio.sleep(0.01)
+    raise AssertionError('it does not hold')
+
+
+async def held(router, size):
+    """Waits until a router holds so much."""
+    await until(lambda: router.server.memory.held >= size)
+
+
+async def test_length_over_the_limit_is_refused_before_the_body(router):
+    """Guards against a body that is read only to be refused."""
+    stream = await connect(router)
+    await stream.send_all(
+        head(f'content-length: {BODY_BYTES + 1}', 'expect: 100-continue')
+    )
+    code, received = await status(stream)
+    assert code == 413
+    assert b'100' not in received.partition(b'\r\n')[0]
+    assert not router.checked
+
+
+async def test_request_refused_by_its_head_is_not_asked_for_its_body(router):
+    """Guards against bodies kept of callers that have no credential."""
+    router.refusal = errors.NotAuthenticated('none')
+    stream = await connect(router)
+    await stream.send_all(head('content-length: 9', 'expect: 100-continue'))
+    code, received = await status(stream)
+    assert code == 401
+    assert received.count(b'HTTP/1.1') == 1
+    assert not router.requests
+
+
+async def test_body_that_has_arrived_needs_no_check_by_its_head(router):
+    stream = await begin(router, 9, 9)
+    assert (await status(stream))[0] == 200
+    assert not router.checked
+
+
+async def test_body_over_the_memory_is_refused_and_not_run(router):
+    """Guards against a promise that does not hold, and a wait in vain."""
+    router.proceed = trio.Event()
+    first = await begin(router, BODY_BYTES // 2, BODY_BYTES // 2)
+    await held(router, BODY_BYTES // 2)
+    second = await begin(router, BODY_BYTES // 2, 1000)
+    code, received = await status(second)
+    assert code == 503
+    assert b'retry-after: 1\r\n' in received
+    assert b'connection: close' in received
+    router.proceed.set()
+    assert (await status(first))[0] == 200
+    assert len(router.requests) == 1
+
+
+async def test_small_request_is_served_beside_large_ones(router):
+    """Guards against ordinary callers refused for a few large bodies."""
+    large = [
+        await begin(router, BODY_BYTES // 2, BODY_BYTES // 4) for _ in range(3)
+    ]
+    stream = await begin(router, 1000, 1000)
+    assert (await status(stream))[0] == 200
+    for one in large:
+        await one.aclose()
+
+
+async def test_body_that_stalls_is_refused_for_one_that_arrives(router):
+    """Guards against memory kept by callers that stop short of the end."""
+    stalled = await begin(router, BODY_BYTES // 2, BODY_BYTES // 2 - 1)
+    await held(router, BODY_BYTES // 2 - 1)
+    await trio.sleep(caller_memory.STALL_SECONDS + 0.1)
+    stream = await begin(router, BODY_BYTES // 2, BODY_BYTES // 2)
+    assert (await status(stream))[0] == 200
+    code, received = await status(stalled)
+    assert code == 503
+    assert b'retry-after' in received
+    assert len(router.requests) == 1
+
+
+async def test_nothing_is_held_after_a_request(router):
+    """Guards against the body of the last request kept with its connection."""
+    stream = await begin(router, BODY_BYTES, BODY_BYTES)
+    assert (await status(stream))[0] == 200
+    gone = await begin(router, BODY_BYTES, BODY_BYTES // 2)
+    await held(router, BODY_BYTES // 4)
+    await gone.aclose()
+    await until(lambda: not router.server.memory.held)
+    assert not router.server.memory.waiting
+
+
+async def test_caller_that_takes_nothing_is_ended_for_another(router):
+    """Guards against memory kept by answers that nobody reads."""
+    router.body = bytes(ANSWER_BYTES)
+    idle = trio.socket.socket()
+    idle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    await idle.connect((HOST, router.port))
+    await idle.send(b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n')
+    await held(router, ANSWER_BYTES)
+    await trio.sleep(caller_memory.STALL_SECONDS + 0.1)
+    stream = await begin(router, 0, 0)
+    received = 0
+    with trio.fail_after(10.0):
+        while received < ANSWER_BYTES:
+            received += len(await stream.receive_some())
+    assert len(router.server.connections) == 1
+
+
+async def test_caller_that_reads_slowly_gets_its_answer(router):
+    """Guards against answers cut off because a window stays closed."""
+    stream = await begin(router, 0, 0)
+    await until(lambda: router.server.connections)
+    (connection,) = router.server.connections
+    timeout = connection.stream.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+    )
+    assert timeout == 0
+    await stream.aclose()
+
+
+async def test_head_counts_for_its_objects(router):
+    """Guards against heads of many fields that take up more than their text."""
+    router.proceed = trio.Event()
+    fields = [f'{chr(97 + number % 26)}: b' for number in range(1800)]
+    stream = await connect(router)
+    await stream.send_all(head(*fields))
+    await held(router, 1800 * caller_memory.FIELD_BYTES)
+    router.proceed.set()
+    assert (await status(stream))[0] == 200
