Callers: what they send in small parts is parsed in turns

What callers saw: beside a crowd that sends chunks of 2 or 64 bytes nobody is answered for a minute or more, also after the crowd has gone; readiness, leases and timers wait too.

Cause: 64 KiB of small chunks are parsed in one go, some tenths of a second each, connection after connection, before anybody else has a turn of the event loop; the deadline of a body was noticed only after it.

A caller that sends more than a request in one read takes a turn before each further read, each 64 parts, each head over 4 KiB and each request that it sent before its last answer; one turn is taken in a pass of the event loop. What a refused caller still sends is discarded in turns as well. Checkpoints alone would let all of the crowd parse between two steps of anybody else. A request that arrives in one read takes none.

The unit test counts passes of the event loop, not time.

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -114,6 +114,9 @@
     async def wait_for_request(self) -> bool:
         """Waits for a request; returns False if none arrives in time."""
         if self.protocol.trailing_data[0]:
+            # sent before the last answer: without turns, callers that do so
+            # would leave none to the others
+            await self.server.turns.take()
             return True
         idle = self.server.limits().idle_seconds
         if self.server.closing_idle:
@@ -141,6 +144,7 @@
             self.protocol,
             server.limits(),
             self.holding,
+            server.turns,
             server.check,
         )
         with self.read_scope:
@@ -268,4 +272,4 @@
         with trio.move_on_after(seconds):
             await self.stream.send_eof()
             while await self.stream.receive_some(caller_requests.RECEIVE_BYTES):
-                pass
+                await self.server.turns.take()
--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from lavenderbend.state import forwarding
+    from lavenderbend.transport import turns as turns_module
 
     Check = Callable[
         [interfaces.CallerRequest], Awaitable[tuple[caller_memory.Group, ...]]
@@ -31,6 +32,10 @@
 BODY_RECEIVE_BYTES = 64 * 1024
 # a body that stops arriving occupies its connection for at most this time
 BODY_SECONDS = 10.0
+# a larger head takes milliseconds to parse
+LARGE_HEAD_BYTES = 4 * 1024
+# parts of a body that are parsed in one turn of the event loop
+PARTS_PER_TURN = 64
 REQUEST_TIMEOUT_STATUS = 408
 HEADERS_TOO_LARGE_STATUS = 431
 NOT_IMPLEMENTED_STATUS = 501
@@ -46,12 +51,14 @@
         head_bytes: What its head takes up.
         limit: Maximum size of the body, in bytes.
         data: The bytes.
+        parts: Number of parts in which they arrived.
     """
 
     holding: caller_memory.Holding
     head_bytes: int
     limit: int
     data: bytearray = attrs.field(factory=bytearray)
+    parts: int = 0
 
     def add(self, part: bytes) -> None:
         """Adds the next part.
@@ -63,6 +70,7 @@
         if len(self.data) + len(part) > self.limit:
             raise body_too_large(self.limit)
         self.data += part
+        self.parts += 1
         self.holding.note_moved(len(part))
         self.holding.resize(self.head_bytes + sys.getsizeof(self.data))
 
@@ -81,6 +89,7 @@
         protocol: HTTP/1.1 state of the connection.
         limits: Limits on the size and the duration of a request.
         holding: Memory that the request takes up.
+        turns: Turns of the event loop.
         check: Refuses a request by its head, before its body is awaited;
             returns the groups that its body is counted in.
     """
@@ -91,12 +100,14 @@
         protocol: h11.Connection,
         limits: forwarding.CallerLimits,
         holding: caller_memory.Holding,
+        turns: turns_module.Turns,
         check: Check,
     ) -> None:
         self.stream = stream
         self.protocol = protocol
         self.limits = limits
         self.holding = holding
+        self.turns = turns
         self.check = check
 
     async def read_start(
@@ -142,10 +153,13 @@
 
     async def read_head(self) -> h11.Request | None:
         """Returns the head of a request, None if the connection was closed."""
+        size = len(self.protocol.trailing_data[0])
         while True:
+            if size > LARGE_HEAD_BYTES:
+                await self.turns.take()
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
-                await self.receive(RECEIVE_BYTES)
+                size += await self.receive(RECEIVE_BYTES)
             elif isinstance(event, h11.Request):
                 return event
             elif isinstance(event, h11.ConnectionClosed):
@@ -175,6 +189,8 @@
                 return body.whole()
             elif isinstance(event, h11.Data):
                 body.add(event.data)
+                if body.parts % PARTS_PER_TURN == 0:
+                    await self.turns.take()
 
     async def await_body(
         self, request: interfaces.CallerRequest, length: int
@@ -200,11 +216,12 @@
             await self.stream.send_all(self.protocol.send(informational))
 
     async def receive_body(self, missing: int) -> None:
-        """Reads the next bytes of a body.
+        """Reads the next bytes of a body in a turn of the event loop.
 
         Args:
             missing: Bytes that are still to come if the length is known.
         """
+        await self.turns.take()
         size = min(max(missing, RECEIVE_BYTES), BODY_RECEIVE_BYTES)
         await self.receive(size)
 
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -12,6 +12,7 @@
 from lavenderbend.transport import caller_answers
 from lavenderbend.transport import caller_connections
 from lavenderbend.transport import early_listener
+from lavenderbend.transport import turns
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -49,6 +50,7 @@
         memory: Memory for what callers send and are sent.
         check: Refuses a request by its head, before its body is awaited;
             returns the groups that its body is counted in.
+        turns: Turns of the event loop.
         stopping: Whether answers ask callers to close their connections.
         closing_idle: Whether connections that become idle are closed.
         connections: Open connections.
@@ -73,6 +75,7 @@
         self.max_connections = max_connections
         self.memory = caller_memory.CallerMemory(max_held_bytes)
         self.check = check or accept
+        self.turns = turns.Turns()
         self.stopping = False
         self.closing_idle = False
         self.accept_scope = trio.CancelScope()
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -12,6 +12,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination import caller_memory
 from lavenderbend.state import forwarding
+from lavenderbend.transport import caller_requests
 from lavenderbend.transport import caller_server
 
 HOST = '127.0.0.1'
@@ -191,6 +192,30 @@
     assert not router.server.memory.waiting
 
 
+@pytest.mark.parametrize('size', [1, 64])
+async def test_small_chunks_leave_turns_to_others(router, nursery, size):
+    """Guards against a router that does nothing but parse small chunks."""
+    turns = 0
+
+    async def count():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    nursery.start_soon(count)
+    count = 4000
+    chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
+    stream = await connect(router)
+    before = turns
+    await stream.send_all(head('transfer-encoding: chunked'))
+    await stream.send_all(chunk * count + b'0\r\n\r\n')
+    assert (await status(stream))[0] == 200
+    assert turns - before >= count // caller_requests.PARTS_PER_TURN
+    assert router.requests[0].body == b'x' * size * count
+    nursery.cancel_scope.cancel()
+
+
 async def test_caller_that_takes_nothing_is_ended_for_another(router):
     """Guards against memory kept by answers that nobody reads."""
     router.body = bytes(ANSWER_BYTES)
