Callers: connections without a request keep nobody out

What callers saw: connections closed at once, since others that send nothing hold all that a router allows.

For another connection the one that has waited the longest for a request is closed: first one that never had a whole head, then one that its caller keeps, unless its next request is on its way. With a request on each, the new one is closed as before: test_too_many_connections_are_closed had only idle ones; it is replaced by two, one for each case.

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -47,6 +47,7 @@
         server: The server.
         stream: The TCP stream.
         protocol: HTTP/1.1 state.
+        scope: Cancel scope of the connection.
         idle_scope: Cancel scope of the wait for the next request.
         read_scope: Cancel scope of the reading of a request.
         holding: Memory that the request takes up.
@@ -61,6 +62,7 @@
     ) -> None:
         self.server = server
         self.stream = stream
+        self.scope = trio.CancelScope()
         self.idle_scope = trio.CancelScope()
         self.read_scope = trio.CancelScope()
         self.holding = server.memory.open(self.read_scope.cancel)
@@ -76,6 +78,15 @@
         )
         socket_options.prepare_caller(stream.socket)
 
+    @property
+    def request_arrived(self) -> bool:
+        """Whether bytes of the next request have come."""
+        return self.stream.socket.is_readable()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.scope.cancel()
+
     async def run(self) -> None:
         """Serves requests until either side closes."""
         while await self.wait_for_request():
@@ -91,6 +102,7 @@
             if self.protocol.their_state is not h11.DONE:
                 break
             self.protocol.start_next_cycle()
+            self.server.waiting.add_kept(self)
         if self.server.stopping:
             await self.linger(STOP_LINGER_SECONDS)
 
@@ -149,6 +161,7 @@
         )
         with self.read_scope:
             request = await reader.read_start(arrived)
+            server.waiting.discard(self)
             if request is not None:
                 request = await reader.read_rest(request)
             server.memory.keep(self.holding)
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -13,6 +13,7 @@
 from lavenderbend.transport import caller_connections
 from lavenderbend.transport import early_listener
 from lavenderbend.transport import turns
+from lavenderbend.transport import waiting_connections
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -46,7 +47,8 @@
     Attributes:
         handler: Answers one request.
         limits: Returns the current limits.
-        max_connections: Connections beyond this are closed at once.
+        max_connections: Maximum number of open connections. For another one
+            the one that has waited the longest for a request is closed.
         memory: Memory for what callers send and are sent.
         check: Refuses a request by its head, before its body is awaited;
             returns the groups that its body is counted in.
@@ -54,6 +56,7 @@
         stopping: Whether answers ask callers to close their connections.
         closing_idle: Whether connections that become idle are closed.
         connections: Open connections.
+        waiting: Those that wait for a request.
         accept_scope: Cancelled to stop accepting connections.
         all_closed: Set when the last connection closes.
         waiting_since: Router clock since which callers may have been waiting
@@ -80,6 +83,9 @@
         self.closing_idle = False
         self.accept_scope = trio.CancelScope()
         self.connections: set[caller_connections.CallerConnection] = set()
+        self.waiting: waiting_connections.WaitingConnections[
+            caller_connections.CallerConnection
+        ] = waiting_connections.WaitingConnections()
         self.all_closed = trio.Event()
         self.waiting_since = 0.0
         self.early_until = 0.0
@@ -119,14 +125,17 @@
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serves one connection."""
-        if len(self.connections) >= self.max_connections:
+        full = len(self.connections) >= self.max_connections
+        if full and self.waiting.close_one() is None:
             REFUSED_CONNECTIONS.inc({})
             await trio.aclose_forcefully(stream)
             return
         connection = caller_connections.CallerConnection(self, stream)
         self.connections.add(connection)
+        self.waiting.add_unused(connection)
         try:
-            await connection.run()
+            with connection.scope:
+                await connection.run()
         except caller_answers.CONNECTION_ERRORS:
             pass
         except Exception as exc:
@@ -137,6 +146,7 @@
         finally:
             connection.holding.release()
             stream.socket.close()
+            self.waiting.discard(connection)
             self.connections.discard(connection)
             if not self.connections:
                 self.all_closed.set()
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -23,6 +23,7 @@
 SMALL_BUFFER_BYTES = 4096
 # more than the buffers of both ends grow to
 BLOCKING_BYTES = 32_000_000
+MAX_CONNECTIONS = 10
 GET = b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'
 LIMITS = forwarding.CallerLimits(
     header_bytes=2048, body_bytes=1000, header_seconds=0.2, idle_seconds=0.3
@@ -105,7 +106,7 @@
 async def router(nursery):
     router = Router()
     router.server = caller_server.CallerServer(
-        router.handle, lambda: LIMITS, 10
+        router.handle, lambda: LIMITS, MAX_CONNECTIONS
     )
     router.port = await nursery.start(
         functools.partial(router.server.serve, HOST, 0)
@@ -348,14 +349,47 @@
     assert not router.requests
 
 
-async def test_too_many_connections_are_closed(router):
-    streams = [await connect(router) for _ in range(10)]
-    await trio.sleep(0.05)
+async def test_connection_beyond_those_with_requests_is_closed(router):
+    router.step = router.hang
+    streams = [await connect(router) for _ in range(MAX_CONNECTIONS)]
+    for stream in streams:
+        await stream.send_all(GET)
+    await trio.testing.wait_all_tasks_blocked()
     assert b'HTTP' not in await exchange(router, GET)
+    assert len(router.requests) == MAX_CONNECTIONS
     for stream in streams:
         await stream.aclose()
 
 
+@pytest.mark.parametrize('start', [b'', GET[:10]])
+async def test_connections_without_a_request_keep_no_caller_out(router, start):
+    """Guards against callers refused since others hold all connections."""
+    streams = [await connect(router) for _ in range(MAX_CONNECTIONS)]
+    for stream in streams[::2]:
+        await stream.send_all(start or GET[:1])
+    await trio.testing.wait_all_tasks_blocked()
+    latest = await connect(router)
+    await latest.send_all(GET)
+    await read_until(latest, b'-')
+    assert await read_all(streams[0]) in (b'', b'<reset>')
+    await streams[1].send_all(GET)
+    await read_until(streams[1], b'-')
+    assert len(router.server.connections) <= MAX_CONNECTIONS
+
+
+async def test_kept_connection_is_closed_after_those_never_used(router):
+    """Guards against a caller whose kept connection goes before a crowd's."""
+    kept = await connect(router)
+    await kept.send_all(GET)
+    await read_until(kept, b'-')
+    streams = [await connect(router) for _ in range(MAX_CONNECTIONS - 1)]
+    for _ in range(MAX_CONNECTIONS // 2):
+        streams.append(await connect(router))
+        await trio.testing.wait_all_tasks_blocked()
+    await kept.send_all(GET)
+    await read_until(kept, b'-')
+
+
 @pytest.mark.parametrize('step', ['cut', 'cut_end'])
 async def test_answer_cancelled_in_its_last_write_ends_the_connection(
     router, step
