Chat router and operators' interface: the same limits on all callers

What callers saw: as at the forwarding router. 240 clients with bodies of 1 MiB that stop short of the end took a chat router to 236 and 250 MB, and to 245 MB at its operators' port, from 69 MB; 4,000 connections of operators were allowed beside 2,000 of callers, more than a process has descriptors.

Middleware counts the bodies in the memory for callers (twice, as the library keeps a copy), refuses by the announced length, ends callers that stall, and discards the rest of a refused body: without that the server waited for ever to hand over the end of the connection. Before a connection is closed, what a caller still sends is read for up to a second, so that it can read its refusal.

The operators' interface has 16 MiB and 100 connections; both servers close a connection without a request for another one.

--- a/lavenderbend/daemon/adapters.py
+++ b/lavenderbend/daemon/adapters.py
@@ -88,6 +88,7 @@
         body_bytes=settings.max_body_bytes,
         idle_seconds=settings.idle_seconds,
         connections=settings.max_connections,
+        held_bytes=settings.max_held_bytes,
     )
 
 
--- a/lavenderbend/daemon/router.py
+++ b/lavenderbend/daemon/router.py
@@ -357,7 +357,7 @@
             settings.operators.host,
             settings.operators.port,
             shutdown=shutdown,
-            limits=http_limits.HttpLimits(),
+            limits=http_limits.OPERATOR_LIMITS,
             task_status=task_status,
         )
 
--- a/lavenderbend/protocol/http_limits.py
+++ b/lavenderbend/protocol/http_limits.py
@@ -18,8 +18,10 @@
         body_seconds: Time within which the whole body must be received.
         idle_seconds: Time a connection may stay open without a request.
         send_seconds: Time a caller may take to accept one write.
-        connections: Maximum number of open connections; further ones are
-            closed at once.
+        connections: Maximum number of open connections. For another one the
+            one that has waited the longest for a request is closed.
+        held_bytes: Memory that the requests of all connections may take up;
+            requests beyond it are refused.
         send_buffer_bytes: Size of a connection's kernel send buffer, 0 for
             the system's default.
     """
@@ -30,9 +32,15 @@
     idle_seconds: float = 60.0
     send_seconds: float = 60.0
     connections: int = 4000
+    held_bytes: int = 64 * MIB
     send_buffer_bytes: int = 128 * KIB
 
 
+OPERATOR_LIMITS = HttpLimits(
+    body_bytes=MIB, connections=100, held_bytes=16 * MIB
+)
+
+
 @attrs.frozen
 class AnswerLimits:
     """Limits on the responses of upstreams.
--- a/lavenderbend/transport/header_limits.py
+++ b/lavenderbend/transport/header_limits.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lavenderbend import errors
-from lavenderbend.protocol import problems
+from lavenderbend.transport import asgi_problems
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,20 +44,4 @@
             return
         error = errors.RequestTooLarge(f'the header is over {self.limit} bytes')
         error.status = HEADER_TOO_LARGE
-        headers = problems.to_headers(error, '')
-        headers['connection'] = 'close'
-        raw = [(k.encode(), v.encode()) for k, v in headers.items()]
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': error.status,
-                'headers': raw,
-            }
-        )
-        await send(
-            {
-                'type': 'http.response.body',
-                'body': problems.to_body(error, ''),
-                'more_body': False,
-            }
-        )
+        await asgi_problems.send_problem(receive, send, error)
--- a/lavenderbend/transport/operator_interface.py
+++ b/lavenderbend/transport/operator_interface.py
@@ -14,6 +14,7 @@
 from lavenderbend import errors
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.protocol import http_limits
 from lavenderbend.transport import operator_routes
 from lavenderbend.transport import serving
 
@@ -24,8 +25,6 @@
     from lavenderbend import registry
     from lavenderbend.state import settings as settings_module
 
-MAX_BODY_BYTES = 1024 * 1024
-
 CALLS = metrics.counter(
     'lavenderbend_operator_calls_total',
     "Calls of the operators' interface, by status code.",
@@ -56,7 +55,8 @@
     def make_app(self) -> quart_trio.QuartTrio:
         """Returns the application with all routes."""
         app = quart_trio.QuartTrio(__name__)
-        app.config['MAX_CONTENT_LENGTH'] = MAX_BODY_BYTES
+        limits = http_limits.OPERATOR_LIMITS
+        app.config['MAX_CONTENT_LENGTH'] = limits.body_bytes
         app.config['PROVIDE_AUTOMATIC_OPTIONS'] = False
         app.before_request(self.authenticate)
         app.after_request(self.set_headers)
@@ -137,6 +137,7 @@
             host,
             port,
             shutdown=trio.Event(),
+            limits=http_limits.OPERATOR_LIMITS,
             task_status=task_status,
         )
 
--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -13,17 +13,25 @@
 from hypercorn.trio import worker_context
 import trio
 
+from lavenderbend.coordination import caller_memory
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 from lavenderbend.protocol import http_limits
+from lavenderbend.transport import body_memory
 from lavenderbend.transport import header_limits
+from lavenderbend.transport import socket_options
 from lavenderbend.transport import stall_detector
+from lavenderbend.transport import turns
+from lavenderbend.transport import waiting_connections
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
 BACKLOG = 1024
+RECEIVE_BYTES = 16 * 1024
+# time for a caller that still sends to read its answer
+LINGERING_CLOSE_SECONDS = 1.0
 BODY_MESSAGE = 'http.response.body'
 DEFAULT_GRACE_SECONDS = 900.0
 # time for accepting connections still in the backlog before the listener closes
@@ -31,6 +39,8 @@
 ACCEPT_PAUSE_SECONDS = 0.05
 # key in the state of an ASGI scope: a function that resets the connection
 ABORT = 'lavenderbend.abort'
+# likewise: the stream of the connection
+STREAM = 'lavenderbend.stream'
 NO_LINGER = struct.pack('ii', 1, 0)
 
 refused_connections = metrics.counter(
@@ -55,10 +65,18 @@
     Attributes:
         stream: The trio stream.
         waiter: Records when a write in progress began.
+        turns: Turns of the event loop.
+        requests: Number of requests in progress.
+        closing: Whether the sending side is closed.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, loop_turns: turns.Turns
+    ) -> None:
         self.stream = stream
+        self.turns = loop_turns
+        self.requests = 0
+        self.closing = False
         self.waiter = stall_detector.Waiter(self.reset)
 
     @property
@@ -66,6 +84,15 @@
         """The socket; hypercorn reads the addresses from it."""
         return self.stream.socket
 
+    @property
+    def request_arrived(self) -> bool:
+        """Whether bytes of the next request have come."""
+        return self.socket.is_readable()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.socket.close()
+
     async def send_all(self, data: bytes) -> None:
         """Sends all bytes; the stall detector resets a blocked connection."""
         # hypercorn shields its writes from cancellation: a caller that stops
@@ -98,8 +125,20 @@
         await self.stream.wait_send_all_might_not_block()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        """Returns the next bytes, empty at the end of the stream."""
-        return await self.stream.receive_some(max_bytes)
+        """Returns the next bytes, empty at the end of the stream.
+
+        The rest of a body is read in turns: what many callers send would be
+        held by the server before it is counted.
+        """
+        size = max_bytes
+        if self.requests:
+            await self.turns.take()
+            size = RECEIVE_BYTES
+        data = await self.stream.receive_some(size)
+        while data and self.closing:
+            await self.turns.take()
+            data = await self.stream.receive_some(RECEIVE_BYTES)
+        return data
 
     async def send_eof(self) -> None:
         """Closes the sending side."""
@@ -108,12 +147,31 @@
         # would wait forever
         with trio.CancelScope(shield=True):
             await self.stream.send_eof()
+        self.closing = True
 
     async def aclose(self) -> None:
         """Closes the connection."""
         with trio.CancelScope(shield=True):
+            with trio.move_on_after(LINGERING_CLOSE_SECONDS):
+                await self.discard_unread()
             await self.stream.aclose()
 
+    async def discard_unread(self) -> None:
+        """Reads what a caller still sends after its answer.
+
+        Closed with unread bytes, the connection would be reset before the
+        caller has read why its request was refused.
+        """
+        if not self.closing or not self.socket.is_readable():
+            return
+        try:
+            await self.receive_some(RECEIVE_BYTES)
+        except trio.BusyResourceError:
+            # the server's own task reads on
+            await trio.sleep(LINGERING_CLOSE_SECONDS)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
 
 class Server:
     """Accepts and serves connections.
@@ -124,19 +182,47 @@
         config: Settings of hypercorn.
         context: Hypercorn's worker context; signals the stop to connections.
         stalls: Ends writes that take too long.
+        waiting: Connections that wait for a request.
+        turns: Turns of the event loop.
         open: Number of open connections.
     """
 
     def __init__(self, app: Any, limits: http_limits.HttpLimits) -> None:
         self.limits = limits
         self.config = make_config(limits)
-        limited = header_limits.HeaderLimit(app, limits.header_bytes)
+        memory = caller_memory.CallerMemory(limits.held_bytes)
+        counted = body_memory.BodyMemory(app, memory)
+        limited = header_limits.HeaderLimit(counted, limits.header_bytes)
+        served = self.note_requests(shield_last_message(limited))
         size = self.config.wsgi_max_body_size
-        self.app = utils.wrap_app(shield_last_message(limited), size, 'asgi')
+        self.app = utils.wrap_app(served, size, 'asgi')
         self.context = worker_context.WorkerContext(None)
         self.stalls = stall_detector.StallDetector(limits.send_seconds)
+        self.waiting: waiting_connections.WaitingConnections[BoundedStream] = (
+            waiting_connections.WaitingConnections()
+        )
+        self.turns = turns.Turns()
         self.open = 0
 
+    def note_requests(self, app: Callable[..., Any]) -> Callable[..., Any]:
+        """Returns the application, which records when connections wait."""
+
+        async def noted(scope: Any, receive: Any, send: Any) -> None:
+            stream = scope.get('state', {}).get(STREAM)
+            if stream is None:
+                await app(scope, receive, send)
+                return
+            self.waiting.discard(stream)
+            stream.requests += 1
+            try:
+                await app(scope, receive, send)
+            finally:
+                stream.requests -= 1
+                if not stream.requests:
+                    self.waiting.add_kept(stream)
+
+        return noted
+
     async def accept(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
@@ -148,7 +234,8 @@
                 # out of file descriptors: some become free as requests end
                 await trio.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
-            if self.open >= self.limits.connections:
+            full = self.open >= self.limits.connections
+            if full and self.waiting.close_one() is None:
                 refused_connections.inc({})
                 await trio.aclose_forcefully(stream)
                 continue
@@ -157,12 +244,18 @@
 
     async def run_connection(self, stream: trio.SocketStream) -> None:
         """Serves one connection to its end."""
-        bounded = BoundedStream(stream)
+        bounded = BoundedStream(stream, self.turns)
         self.stalls.add(bounded.waiter)
         # available to the application as state of the ASGI scope
-        state = {ABORT: bounded.abort}
+        state = {ABORT: bounded.abort, STREAM: bounded}
+        self.waiting.add_unused(bounded)
         size = self.limits.send_buffer_bytes
         try:
+            stream.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                socket_options.CALLER_RECEIVE_BUFFER_BYTES,
+            )
             if size:
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
             await tcp_server.TCPServer(
@@ -181,6 +274,7 @@
             await bounded.abort()
         finally:
             self.open -= 1
+            self.waiting.discard(bounded)
             self.stalls.remove(bounded.waiter)
 
 
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -11,9 +11,11 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import caller_memory
+from lavenderbend.protocol import http_limits
 from lavenderbend.state import forwarding
 from lavenderbend.transport import caller_requests
 from lavenderbend.transport import caller_server
+from lavenderbend.transport import serving
 
 HOST = '127.0.0.1'
 BODY_BYTES = 1024 * 1024
@@ -254,3 +256,73 @@
     await held(router, 1800 * caller_memory.FIELD_BYTES)
     router.proceed.set()
     assert (await status(stream))[0] == 200
+
+
+class BodyApp:
+    """An ASGI application that reads bodies, and answers once it may."""
+
+    def __init__(self):
+        self.bodies = []
+
+    async def __call__(self, scope, receive, send):
+        if scope['type'] != 'http':
+            return
+        size = 0
+        while True:
+            message = await receive()
+            size += len(message.get('body', b''))
+            if not message.get('more_body'):
+                break
+        self.bodies.append(size)
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+@pytest.fixture
+async def served(nursery):
+    """An ASGI application behind the server of the chat router."""
+    app = BodyApp()
+    limits = http_limits.HttpLimits(
+        held_bytes=2 * HELD_BYTES, connections=4, body_bytes=BODY_BYTES
+    )
+    serve = functools.partial(
+        serving.serve, app, HOST, 0, shutdown=trio.Event(), limits=limits
+    )
+    app.port = await nursery.start(serve)
+    return app
+
+
+async def test_body_that_stalls_at_a_chat_router_is_refused(served):
+    """Guards against memory kept by callers that stop short of the end."""
+    stalled = await begin(served, BODY_BYTES, BODY_BYTES - 1)
+    await trio.sleep(caller_memory.STALL_SECONDS + 0.2)
+    stream = await begin(served, BODY_BYTES, BODY_BYTES)
+    assert (await status(stream))[0] == 200
+    code, received = await status(stalled)
+    assert code == 503
+    assert b'retry-after' in received
+    assert served.bodies == [BODY_BYTES]
+
+
+async def test_chunks_over_the_memory_of_a_chat_router_are_refused(served):
+    """Guards against bodies of unknown length that are never counted."""
+    first = await begin(served, BODY_BYTES, BODY_BYTES - 1)
+    await trio.sleep(0.1)
+    stream = await connect(served)
+    chunk = b'10000\r\n' + b'x' * 65536 + b'\r\n'
+    await stream.send_all(head('transfer-encoding: chunked') + chunk * 15)
+    code, _ = await status(stream)
+    assert code == 503
+    assert not served.bodies
+    await first.aclose()
+
+
+async def test_idle_connections_keep_nobody_out_of_a_chat_router(served):
+    """Guards against callers refused since others hold all connections."""
+    idle = [await connect(served) for _ in range(4)]
+    await trio.sleep(0.1)
+    stream = await begin(served, 9, 9)
+    assert (await status(stream))[0] == 200
+    assert await idle[0].receive_some() == b''
