--- a/lavenderbend/coordination/forwarding/request_resolver.py
+++ b/lavenderbend/coordination/forwarding/request_resolver.py
@@ -84,7 +84,9 @@
         rule, customer = await self.find(request, self.hits)
         return self.make_ticket(request, rule, customer)
 
-    async def check(self, request: interfaces.CallerRequest) -> tuple[str, ...]:
+    async def check(
+        self, request: interfaces.CallerRequest
+    ) -> tuple[caller_memory.Group, ...]:
         """Checks a request by its head, before its body is awaited.
 
         By the end of the body another configuration may be in force: `admit`
--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -21,6 +21,8 @@
 LATE_WRITE_SECONDS = 0.2
 # what a write may take up in a router's memory beside the answers counted
 UNCOUNTED_BYTES = 4 * 1024
+# larger parts are sent apart, which costs less than to copy them
+JOINED_BYTES = 64 * 1024
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -101,14 +103,16 @@
         held twice.
         """
         protocol = self.connection.protocol
-        parts = [
-            part
-            for event in events
-            for part in protocol.send_with_data_passthrough(event) or ()
-        ]
-        large = [part for part in parts if len(part) > UNCOUNTED_BYTES]
-        if not large:
-            parts = [b''.join(parts)]
+        parts: list[bytes] = []
+        joined: list[bytes] = []
+        for event in events:
+            for part in protocol.send_with_data_passthrough(event) or ():
+                if len(part) <= JOINED_BYTES:
+                    joined.append(part)
+                    continue
+                parts.extend((b''.join(joined), part))
+                joined = []
+        parts.append(b''.join(joined))
         self.unsent = [memoryview(part) for part in parts if part]
         return sum(map(len, self.unsent))
 
