Callers: the time that a busy router does not read is not the caller's

By reading: a body that waits for its turn of the event loop counted as one that does not move on, so that beside a large crowd an honest caller could be ended for the router's own delay. The wait for a turn is added to its clock; stalled callers are looked for among all that wait.

--- a/lavenderbend/coordination/caller_memory.py
+++ b/lavenderbend/coordination/caller_memory.py
@@ -110,7 +110,8 @@
         groups: The groups that it is counted in.
         size: Memory that it takes up, in bytes.
         moved: Bytes that the caller has sent or taken since it last moved on.
-        moved_at: Router clock at which it did.
+        moved_at: Router clock at which it did, later by the time for which the
+            router itself did not read.
         ended: Whether it was ended because others needed its memory.
     """
 
@@ -283,9 +284,7 @@
         """
         now = trio.current_time()
         for holding in self.waiting:
-            if holding.moved_at > now - STALL_SECONDS:
-                return False
-            if helps(holding):
+            if holding.moved_at <= now - STALL_SECONDS and helps(holding):
                 self.end(holding, now - holding.moved_at)
                 return True
         return False
--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -190,7 +190,7 @@
             elif isinstance(event, h11.Data):
                 body.add(event.data)
                 if body.parts % PARTS_PER_TURN == 0:
-                    await self.turns.take()
+                    await self.take_turn()
 
     async def await_body(
         self, request: interfaces.CallerRequest, length: int
@@ -221,10 +221,16 @@
         Args:
             missing: Bytes that are still to come if the length is known.
         """
-        await self.turns.take()
+        await self.take_turn()
         size = min(max(missing, RECEIVE_BYTES), BODY_RECEIVE_BYTES)
         await self.receive(size)
 
+    async def take_turn(self) -> None:
+        """Takes a turn; the wait for it does not count as the caller's."""
+        asked = trio.current_time()
+        await self.turns.take()
+        self.holding.moved_at += trio.current_time() - asked
+
     async def receive(self, size: int) -> int:
         """Reads the next bytes from the socket into the protocol state.
 
--- a/tests/test_coordination/test_caller_memory.py
+++ b/tests/test_coordination/test_caller_memory.py
@@ -105,6 +105,17 @@
     assert ended == [0]
 
 
+async def test_caller_that_the_router_did_not_read_is_not_ended(
+    memory, ended, autojump_clock
+):
+    """Guards against callers ended for the time that a busy router took."""
+    first, *_ = fill(memory, ended)
+    await trio.sleep(STALL)
+    first.moved_at += STALL / 2
+    hold(memory, LARGE, ended, 'new')
+    assert ended == [1]
+
+
 async def test_nobody_is_ended_while_there_is_room(
     memory, ended, autojump_clock
 ):
