Callers: a refusal by the head has its line, and small bodies are awaited

Cause: the check by the head, new in this work, went to the resolver, past what records ends, and for any body that had not arrived.

--- a/lavenderbend/coordination/forwarding/forwarder.py
+++ b/lavenderbend/coordination/forwarding/forwarder.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from lavenderbend.coordination import caller_memory
     from lavenderbend.coordination.forwarding import budget as budget_module
     from lavenderbend.coordination.forwarding import interfaces
     from lavenderbend.coordination.forwarding import request_spans
@@ -54,6 +55,15 @@
 )
 
 
+class NoAnswer:
+    """Stands for the response to a request that is refused by its head."""
+
+    started = False
+    finished = False
+    disconnected = False
+    sent_bytes = 0
+
+
 class Forwarder:
     """Forwards requests.
 
@@ -125,6 +135,23 @@
                 error = '' if outcome == decision_records.ANSWERED else outcome
                 self.tracer.end_request(span, ticket, error)
 
+    async def check(
+        self, request: interfaces.CallerRequest
+    ) -> tuple[caller_memory.Group, ...]:
+        """Checks a request by its head, before its body is awaited.
+
+        Returns:
+            The groups that its body is counted in.
+
+        Raises:
+            RequestError: The request is refused.
+        """
+        try:
+            return await self.resolver.check(request)
+        except errors.RequestError as exc:
+            self.record_end(request, None, NoAnswer(), exc.kind, exc.detail)
+            raise
+
     def log_admitted(self, ticket: tickets.Ticket) -> None:
         """Logs the rule and customer of a request, if it is sampled.
 
@@ -153,7 +180,7 @@
         self,
         request: interfaces.CallerRequest,
         ticket: tickets.Ticket | None,
-        answer: interfaces.CallerAnswer,
+        answer: interfaces.CallerAnswer | NoAnswer,
         outcome: str,
         detail: str,
     ) -> None:
--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -302,7 +302,7 @@
             self.caller_limits,
             self.settings.callers.max_connections,
             self.settings.callers.max_held_bytes,
-            self.forwarder.resolver.check,
+            self.forwarder.check,
         )
         self.readiness = readiness.ReadinessServer(
             self.forwarding.readiness_path, self.ready
--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -197,6 +197,10 @@
     ) -> None:
         """Prepares to wait for a body of which a part has not arrived.
 
+        A body known to be small is not checked by its head: it often follows
+        in a packet of its own, and its connection can be kept if the request
+        is refused after it.
+
         Args:
             request: The request without its body.
             length: Length of the body, 0 if it is not known.
@@ -205,11 +209,14 @@
             RequestError: The request is refused by its head, or there is no
                 memory for the body.
         """
-        self.holding.join(await self.check(request))
         memory = self.holding.memory
-        memory.require_room(self.holding, length)
         memory.await_caller(self.holding)
-        if self.protocol.they_are_waiting_for_100_continue:
+        expects = self.protocol.they_are_waiting_for_100_continue
+        if not expects and 0 < length <= caller_memory.SMALL_BYTES:
+            return
+        self.holding.join(await self.check(request))
+        memory.require_room(self.holding, length)
+        if expects:
             informational = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -138,12 +138,24 @@
     assert not router.requests
 
 
-async def test_body_that_has_arrived_needs_no_check_by_its_head(router):
-    stream = await begin(router, 9, 9)
+@pytest.mark.parametrize('sent', [0, 9])
+async def test_small_body_needs_no_check_by_its_head(router, sent):
+    """Guards against connections closed for refusals of small requests."""
+    stream = await begin(router, 9, sent)
+    await trio.testing.wait_all_tasks_blocked()
+    await stream.send_all(b'x' * (9 - sent))
     assert (await status(stream))[0] == 200
     assert not router.checked
 
 
+async def test_large_body_without_a_credential_is_not_read(router):
+    """Guards against memory taken up by callers that have no credential."""
+    router.refusal = errors.NotAuthenticated('none')
+    stream = await begin(router, BODY_BYTES, 1000)
+    assert (await status(stream))[0] == 401
+    assert not router.requests
+
+
 async def test_body_over_the_memory_is_refused_and_not_run(router):
     """Guards against a promise that does not hold, and a wait in vain."""
     router.proceed = trio.Event()
