--- a/tests/test_coordination/test_forwarding_lines.py
+++ b/tests/test_coordination/test_forwarding_lines.py
@@ -54,6 +54,17 @@
     assert second['attempt'] == 2
 
 
+async def test_request_refused_by_its_head_is_logged(autojump_clock, lines):
+    """Guards against refusals that nobody can find the cause of."""
+    router = make_router([fakes.reply()], fakes.rule())
+    with pytest.raises(errors.NotAuthenticated):
+        await router.forwarder.check(fakes.request(key='wrong'))
+    (ended,) = named(lines, 'request_ended')
+    assert ended['outcome'] == errors.NotAuthenticated.kind
+    assert not ended['may_have_run']
+    assert not router.resolver.hits
+
+
 async def test_killed_process_has_logged_where_a_request_was_sent(
     autojump_clock, lines
 ):
