Chat router: a connection that has just closed ends no process

Callers then got no connection at all.

Cause: a fault of this work. For a new connection at a full port, the task that accepts asks each kept connection whether bytes of its next request have come. The task of one of them may have closed its socket and not ended yet, for one or two passes of the event loop; poll() of a closed socket raises ValueError, which ended the accepting task and with it the process. Ruled out: memory (118 MB of 200), descriptors (120).

Change: the question is answered for a closed socket too. A connection that has closed counts as one to close for another: its descriptor is free.

--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -86,8 +86,11 @@
 
     @property
     def request_arrived(self) -> bool:
-        """Whether bytes of the next request have come."""
-        return self.socket.is_readable()
+        """Whether bytes have come that were not read; False once closed."""
+        # its own task may have closed it, and not have ended yet: asked for
+        # a closed socket, the system's poll raises an error, which would end
+        # the task that accepts connections, and the process with it
+        return self.socket.fileno() >= 0 and self.socket.is_readable()
 
     def close(self) -> None:
         """Closes the connection at once."""
@@ -162,7 +165,7 @@
         Closed with unread bytes, the connection would be reset before the
         caller has read why its request was refused.
         """
-        if not self.closing or not self.socket.is_readable():
+        if not self.closing or not self.request_arrived:
             return
         try:
             await self.receive_some(RECEIVE_BYTES)
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -16,6 +16,8 @@
 from lavenderbend.transport import caller_requests
 from lavenderbend.transport import caller_server
 from lavenderbend.transport import serving
+from lavenderbend.transport import turns
+from lavenderbend.transport import waiting_connections
 
 HOST = '127.0.0.1'
 BODY_BYTES = 1024 * 1024
@@ -356,3 +358,31 @@
     stream = await begin(served, 9, 9)
     assert (await status(stream))[0] == 200
     assert await idle[0].receive_some() == b''
+
+
+@pytest.fixture
+async def waiting_stream():
+    """A connection of the chat router's server, and where it waits."""
+    near, far = trio.socket.socketpair()
+    with near, far:
+        stream = serving.BoundedStream(trio.SocketStream(near), turns.Turns())
+        waiting = waiting_connections.WaitingConnections()
+        waiting.add_kept(stream)
+        yield stream, waiting
+
+
+async def test_connection_that_has_just_closed_ends_no_server(waiting_stream):
+    """Guards against a process ended by a connection closed meanwhile."""
+    stream, waiting = waiting_stream
+    await stream.aclose()
+    assert waiting.close_one() is stream
+
+
+async def test_connection_reset_meanwhile_is_closed_without_an_error(
+    waiting_stream,
+):
+    """Guards against a failed close of a connection that was reset."""
+    stream, _ = waiting_stream
+    await stream.send_eof()
+    stream.close()
+    await stream.aclose()
