Lines: faults of callers get a rate of their own

What was seen (by review of the last work): each refusal, each caller ended and each connection closed for another writes a line. A crowd of them uses up the 400 lines a second that all have, and the lines of ordinary requests and of decisions on upstreams are left out while they are needed most.

Change: lines on what callers do wrong are taken from a budget of 50 a second (burst 100); what is left out is counted by a metric of its own.

--- a/lavenderbend/observe/log_writer.py
+++ b/lavenderbend/observe/log_writer.py
@@ -18,6 +18,9 @@
 # Lines of successful requests; failures and state changes are not sampled.
 SUCCESS_LINES_PER_SECOND = 50.0
 SUCCESS_LINES_BURST = 100.0
+# Lines on what callers do wrong, apart from requests that were passed on.
+CALLER_FAULT_LINES_PER_SECOND = 50.0
+CALLER_FAULT_LINES_BURST = 100.0
 # All lines together, which bounds the volume when many requests fail too.
 LINES_PER_SECOND = 400.0
 LINES_BURST = 800.0
--- a/lavenderbend/observe/logs.py
+++ b/lavenderbend/observe/logs.py
@@ -16,6 +16,14 @@
 SUCCESS_BUDGET = log_writer.LineBudget(
     log_writer.SUCCESS_LINES_PER_SECOND, log_writer.SUCCESS_LINES_BURST
 )
+CALLER_FAULT_BUDGET = log_writer.LineBudget(
+    log_writer.CALLER_FAULT_LINES_PER_SECOND,
+    log_writer.CALLER_FAULT_LINES_BURST,
+)
+CALLER_FAULTS_LEFT_OUT = metrics.counter(
+    'lavenderbend_log_caller_faults_left_out_total',
+    'Faults of callers that got no line, to leave lines to others.',
+)
 SAMPLED_OUT = metrics.counter(
     'lavenderbend_log_requests_left_out_total',
     'Requests that ended well and got no line, to bound the volume.',
@@ -31,6 +39,17 @@
     eliot.log_message(message_type=f'lavenderbend:{event}', **fields)
 
 
+def caller_fault(event: str, **fields: Any) -> None:
+    """Writes a line for what a caller does wrong, up to a rate.
+
+    A crowd of such callers would use up the lines of everything else.
+    """
+    if CALLER_FAULT_BUDGET.try_take():
+        change(event, **fields)
+        return
+    CALLER_FAULTS_LEFT_OUT.inc({})
+
+
 def fault(event: str, exc: BaseException) -> None:
     """Writes a line for an unexpected exception, with its traceback."""
     trace = ''.join(traceback.format_exception(exc))
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import socket
 
@@ -11,6 +12,8 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import caller_memory
+from lavenderbend.observe import log_writer
+from lavenderbend.observe import logs
 from lavenderbend.protocol import http_limits
 from lavenderbend.state import forwarding
 from lavenderbend.transport import caller_requests
@@ -18,6 +21,7 @@
 from lavenderbend.transport import serving
 from lavenderbend.transport import turns
 from lavenderbend.transport import waiting_connections
+from tests import logged
 
 HOST = '127.0.0.1'
 BODY_BYTES = 1024 * 1024
@@ -25,6 +29,8 @@
 HELD_BYTES = 2 * BODY_BYTES
 ANSWER_BYTES = 8_000_000
 SMALL_BUFFER_BYTES = 4096
+# Of one connection, in each direction.
+KERNEL_BYTES = 256 * 1024
 LIMITS = forwarding.CallerLimits(
     header_bytes=16 * 1024,
     body_bytes=BODY_BYTES,
@@ -211,23 +217,23 @@
 @pytest.mark.parametrize('size', [1, 64])
 async def test_small_chunks_leave_turns_to_others(router, nursery, size):
     """Guards against a router that does nothing but parse small chunks."""
-    turns = 0
+    passes = 0
 
     async def count():
-        nonlocal turns
+        nonlocal passes
         while True:
             await trio.lowlevel.checkpoint()
-            turns += 1
+            passes += 1
 
     nursery.start_soon(count)
     count = 4000
     chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
     stream = await connect(router)
-    before = turns
+    before = passes
     await stream.send_all(head('transfer-encoding: chunked'))
     await stream.send_all(chunk * count + b'0\r\n\r\n')
     assert (await status(stream))[0] == 200
-    assert turns - before >= count // caller_requests.PARTS_PER_TURN
+    assert passes - before >= count // caller_requests.PARTS_PER_TURN
     assert router.requests[0].body == b'x' * size * count
     nursery.cancel_scope.cancel()
 
@@ -290,11 +296,29 @@
     assert (await status(stream))[0] == 200
 
 
+async def send_on(stream):
+    """Sends until the connection is closed, for some MB."""
+    with contextlib.suppress(trio.BrokenResourceError):
+        for _ in range(64):
+            await stream.send_all(bytes(65536))
+
+
+async def test_lines_on_what_callers_do_wrong_are_bounded(lines, monkeypatch):
+    """Guards against a crowd that uses up the lines of everything else."""
+    budget = log_writer.LineBudget(0.0, 3.0)
+    monkeypatch.setattr(logs, 'CALLER_FAULT_BUDGET', budget)
+    for _ in range(10):
+        logs.caller_fault('request_unreadable', status=400, cause='x')
+    assert len(logged.named(lines, 'request_unreadable')) == 3
+
+
 class BodyApp:
     """An ASGI application that reads bodies, and answers once it may."""
 
     def __init__(self):
         self.bodies = []
+        self.parts = 0
+        self.answer = b''
 
     async def __call__(self, scope, receive, send):
         if scope['type'] != 'http':
@@ -303,13 +327,14 @@
         while True:
             message = await receive()
             size += len(message.get('body', b''))
+            self.parts += 1
             if not message.get('more_body'):
                 break
         self.bodies.append(size)
         await send(
             {'type': 'http.response.start', 'status': 200, 'headers': []}
         )
-        await send({'type': 'http.response.body', 'body': b''})
+        await send({'type': 'http.response.body', 'body': self.answer})
 
 
 @pytest.fixture
