Callers' memory: nothing is counted after a caller has left

What was seen: none by a caller; by reading. Work that goes on for a moment after its caller has left could reserve memory again, and nothing would give it back: the limit for all would shrink with each.

Change: a holding can be closed for good; one that waits for room stops waiting then. An ordinary request for which there is room is counted without the search for groups. The default of the limit stands once, in the settings.

--- a/lavenderbend/coordination/caller_memory.py
+++ b/lavenderbend/coordination/caller_memory.py
@@ -16,16 +16,14 @@
 from lavenderbend import errors
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.protocol import http_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-KIB = 1024
-MIB = 1024 * KIB
-DEFAULT_LIMIT_BYTES = 64 * MIB
 # Up to this size a holding may use all of the limit. Larger ones together
 # leave a part of it, so that large bodies cannot keep ordinary requests out.
-SMALL_BYTES = 32 * KIB
+SMALL_BYTES = 32 * http_limits.KIB
 LARGE_FRACTION = 0.75
 # Of the limit, what large bodies of one rule may take up, those of one
 # customer, and large answers: a service that reads slowly, or callers of one
@@ -37,11 +35,11 @@
 # A caller has moved on once it sent or took so many bytes. One that has not for
 # so long is ended where others need its memory; without that need it may take
 # its time.
-PROGRESS_BYTES = 8 * KIB
+PROGRESS_BYTES = 8 * http_limits.KIB
 STALL_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 1.0
 # The metric follows changes of this size.
-REPORTED_BYTES = MIB
+REPORTED_BYTES = http_limits.MIB
 # Of a header field: the pair, the name and the value, once as they were parsed
 # and once as they are passed on.
 FIELD_BYTES = 320
@@ -86,6 +84,11 @@
 ANSWERS = Group('answers', ANSWER_FRACTION)
 
 
+def customer_group(customer: str) -> Group:
+    """Returns the group of all bodies of a customer, empty for none."""
+    return Group(f'customer {customer}', CUSTOMER_FRACTION)
+
+
 def body_groups(rule: str, customer: str) -> tuple[Group, ...]:
     """Returns the groups of a request's body.
 
@@ -96,7 +99,7 @@
     return (
         Group(f'customer {customer}, rule {rule}', CUSTOMER_RULE_FRACTION),
         Group(f'rule {rule}', RULE_FRACTION),
-        Group(f'customer {customer}', CUSTOMER_FRACTION),
+        customer_group(customer),
     )
 
 
@@ -113,6 +116,8 @@
         moved_at: Router clock at which it did, later by the time for which the
             router itself did not read.
         ended: Whether it was ended because others needed its memory.
+        closed: Whether nothing more is counted: what goes on after its caller
+            has left must not be counted for ever.
     """
 
     memory: CallerMemory
@@ -122,6 +127,7 @@
     moved: int = 0
     moved_at: float = 0.0
     ended: bool = False
+    closed: bool = False
 
     @property
     def is_large(self) -> bool:
@@ -140,8 +146,18 @@
         Raises:
             RouterOverloaded: There is no room for that much.
         """
-        if size != self.size:
-            self.memory.resize(self, size)
+        growth = size - self.size
+        if not growth or self.ended or self.closed:
+            return
+        memory = self.memory
+        small = size <= SMALL_BYTES >= self.size
+        if small and memory.held + growth <= memory.limit:
+            # an ordinary request, with room for it
+            self.size = size
+            memory.held += growth
+            return
+        memory.require_room(self, size)
+        memory.set_size(self, size)
 
     def join(self, groups: tuple[Group, ...]) -> None:
         """Counts the holding in groups from now on."""
@@ -154,6 +170,11 @@
         """Gives all of the memory back."""
         self.memory.release(self)
 
+    def close(self) -> None:
+        """Gives all of the memory back, and takes up none any more."""
+        self.release()
+        self.closed = True
+
 
 class CallerMemory:
     """The memory that one router has for its callers.
@@ -174,7 +195,7 @@
         reported: What the metric shows.
     """
 
-    def __init__(self, limit: int = DEFAULT_LIMIT_BYTES) -> None:
+    def __init__(self, limit: int) -> None:
         self.limit = limit
         self.held = 0
         self.large = 0
@@ -200,7 +221,7 @@
 
     def await_caller(self, holding: Holding) -> None:
         """Records that a holding waits for its caller from now on."""
-        if holding.ended:
+        if holding.ended or holding.closed:
             return
         holding.moved = 0
         holding.moved_at = trio.current_time()
@@ -211,11 +232,6 @@
         """Records that a holding does not wait for its caller any more."""
         self.waiting.pop(holding, None)
 
-    def resize(self, holding: Holding, size: int) -> None:
-        """Changes what a holding takes up; see `Holding.resize`."""
-        self.require_room(holding, size)
-        self.set_size(holding, size)
-
     def require_room(self, holding: Holding, size: int) -> None:
         """Checks that there is room for a holding of a size.
 
@@ -292,7 +308,7 @@
     def end(self, holding: Holding, seconds: float) -> None:
         """Ends a caller that has not moved on for some seconds."""
         ENDED.inc({})
-        logs.change(
+        logs.caller_fault(
             'caller_ended',
             groups=[group.name for group in holding.groups],
             bytes=holding.size,
@@ -306,9 +322,8 @@
 
     def set_size(self, holding: Holding, size: int) -> None:
         """Counts what a holding takes up, whether there is room or not."""
-        if holding.ended:
-            return
-        self.count(holding, size)
+        if not holding.ended and not holding.closed:
+            self.count(holding, size)
 
     async def wait_room(self, holding: Holding, size: int) -> None:
         """Takes up more memory as soon as there is room.
@@ -316,7 +331,7 @@
         One holding at a time need not wait: of several that wait for each
         other's memory none would ever end.
         """
-        while not self.make_room(holding, size):
+        while not holding.closed and not self.make_room(holding, size):
             if self.overdrawn in (None, holding):
                 self.overdrawn = holding
                 break
@@ -358,6 +373,14 @@
             HELD.set({}, self.held)
 
 
+def stalled() -> errors.RouterOverloaded:
+    """Returns the error of a caller that was ended while its body arrived."""
+    return errors.RouterOverloaded(
+        'the body stopped arriving while others needed its memory',
+        RETRY_AFTER_SECONDS,
+    )
+
+
 def fits_beside(others: int, size: int, limit: float) -> bool:
     """Returns whether a large holding fits beside others, or there are none."""
     return not others or others + size <= limit
--- a/lavenderbend/protocol/http_limits.py
+++ b/lavenderbend/protocol/http_limits.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from lavenderbend.state import settings
+
 KIB = 1024
 MIB = 1024 * KIB
 
@@ -32,7 +34,7 @@
     idle_seconds: float = 60.0
     send_seconds: float = 60.0
     connections: int = 4000
-    held_bytes: int = 64 * MIB
+    held_bytes: int = settings.DEFAULT_HELD_BYTES
     send_buffer_bytes: int = 128 * KIB
 
 
--- a/lavenderbend/state/settings.py
+++ b/lavenderbend/state/settings.py
@@ -33,6 +33,10 @@
     REFUSE = 'refuse'
 
 
+# Memory for what callers send and are sent.
+DEFAULT_HELD_BYTES = 64 * 1024 * 1024
+
+
 class VmListKind(enum.Enum):
     """Source of the VM list."""
 
@@ -62,7 +66,7 @@
     max_body_bytes: ByteCount = bounded(1024 * 1024, 1024, 64 * 1024 * 1024)
     max_connections: int = bounded(2000, 1, 100_000)
     max_held_bytes: ByteCount = bounded(
-        64 * 1024 * 1024, 1024 * 1024, 64 * 1024 * 1024 * 1024
+        DEFAULT_HELD_BYTES, 1024 * 1024, 64 * 1024 * 1024 * 1024
     )
     idle_seconds: Seconds = bounded(60.0, 0.1, DAY_SECONDS)
 
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -9,6 +9,7 @@
 from lavenderbend.coordination import caller_memory
 from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
+from lavenderbend.state import settings
 from lavenderbend.transport import caller_answers
 from lavenderbend.transport import caller_connections
 from lavenderbend.transport import early_listener
@@ -70,7 +71,7 @@
         handler: Handler,
         limits: Callable[[], forwarding.CallerLimits],
         max_connections: int,
-        max_held_bytes: int = caller_memory.DEFAULT_LIMIT_BYTES,
+        max_held_bytes: int = settings.DEFAULT_HELD_BYTES,
         check: caller_requests.Check | None = None,
     ) -> None:
         self.handler = handler
--- a/tests/test_coordination/test_caller_memory.py
+++ b/tests/test_coordination/test_caller_memory.py
@@ -11,10 +11,11 @@
 
 from lavenderbend import errors
 from lavenderbend.coordination import caller_memory
+from lavenderbend.protocol import http_limits
 
-LIMIT = 8 * caller_memory.MIB
+LIMIT = 8 * http_limits.MIB
 SMALL = caller_memory.SMALL_BYTES
-LARGE = caller_memory.MIB
+LARGE = http_limits.MIB
 STALL = caller_memory.STALL_SECONDS
 MAX_LARGE = LIMIT * caller_memory.LARGE_FRACTION
 
--- a/tests/test_transport/test_answer_path_seams.py
+++ b/tests/test_transport/test_answer_path_seams.py
@@ -15,6 +15,7 @@
 from lavenderbend import errors
 from lavenderbend.coordination import caller_memory
 from lavenderbend.state import forwarding
+from lavenderbend.state import settings
 from lavenderbend.state import upstreams
 from lavenderbend.transport import caller_answers
 from lavenderbend.transport import caller_server
@@ -101,7 +102,7 @@
         self.stream = SlowStream(pause)
         self.server = self
         self.stopping = False
-        self.memory = caller_memory.CallerMemory()
+        self.memory = caller_memory.CallerMemory(settings.DEFAULT_HELD_BYTES)
         self.protocol = h11.Connection(h11.SERVER)
         self.protocol.receive_data(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
         self.protocol.next_event()
