Writes: one way to join the short parts of a message

What was seen: by review. Requests to upstreams and answers to callers each had a rule of their own on which parts are joined before they are sent; the one for requests sent a short head apart as soon as the body was over 64 KiB, and the one for answers kept a view of each part also where one write took all of it.

Change: both use write_parts.join_short: short parts in a row are joined, a part over 64 KiB is sent by itself and never copied. An answer that waits for room beside a held failure counts the larger of both.

--- a/lavenderbend/transport/caller_answers.py
+++ b/lavenderbend/transport/caller_answers.py
@@ -12,6 +12,7 @@
 from lavenderbend.coordination import caller_memory
 from lavenderbend.coordination.forwarding import interfaces
 from lavenderbend.protocol import problems
+from lavenderbend.transport import write_parts
 
 if TYPE_CHECKING:
     from lavenderbend.transport import caller_connections
@@ -21,8 +22,6 @@
 LATE_WRITE_SECONDS = 0.2
 # what a write may take up in a router's memory beside the answers counted
 UNCOUNTED_BYTES = 4 * 1024
-# larger parts are sent apart, which costs less than to copy them
-JOINED_BYTES = 64 * 1024
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -57,7 +56,7 @@
         """
         self.connection = connection
         self.method = method
-        self.unsent: list[memoryview] = []
+        self.unsent: list[bytes | memoryview] = []
         memory = connection.server.memory
         self.holding = memory.open(self.end, (caller_memory.ANSWERS,))
         self.scope = trio.CancelScope()
@@ -104,20 +103,15 @@
         """
         protocol = self.connection.protocol
         parts: list[bytes] = []
-        joined: list[bytes] = []
         for event in events:
-            for part in protocol.send_with_data_passthrough(event) or ():
-                if len(part) <= JOINED_BYTES:
-                    joined.append(part)
-                    continue
-                parts.extend((b''.join(joined), part))
-                joined = []
-        parts.append(b''.join(joined))
-        self.unsent = [memoryview(part) for part in parts if part]
+            parts.extend(protocol.send_with_data_passthrough(event) or ())
+        self.unsent = write_parts.join_short(parts)
         return sum(map(len, self.unsent))
 
     async def reserve(self, size: int) -> None:
         """Waits until the router may hold so much of the answer, in bytes."""
+        # a failure of an earlier attempt may be held beside the next one
+        size = max(size, self.holding.size)
         await self.connection.server.memory.wait_room(self.holding, size)
 
     def end(self) -> None:
@@ -155,10 +149,12 @@
         """Sends what is unsent; a cancelled call has counted what has left."""
         connection = self.connection.stream.socket
         while self.unsent:
-            sent = await connection.send(self.unsent[0])
-            self.unsent[0] = self.unsent[0][sent:]
-            if not self.unsent[0]:
+            part = self.unsent[0]
+            sent = await connection.send(part)
+            if sent == len(part):
                 self.unsent.pop(0)
+            else:
+                self.unsent[0] = memoryview(part)[sent:]
             self.sent_bytes += sent
             self.holding.note_moved(sent)
 
--- a/lavenderbend/transport/upstream_exchanges.py
+++ b/lavenderbend/transport/upstream_exchanges.py
@@ -17,6 +17,7 @@
 from lavenderbend.protocol import part_sizes
 from lavenderbend.transport import answer_heads
 from lavenderbend.transport import pooled_connections
+from lavenderbend.transport import write_parts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,8 +28,6 @@
 # requests up to this size fit into the smallest TCP window, so that sending
 # them does not block
 SMALL_BODY_BYTES = 1024
-# larger ones are sent in parts, which costs less than to copy them
-JOINED_BYTES = 64 * 1024
 MAX_STRAY_ANSWERS = 4
 MAX_STRAY_BYTES = 1024 * 1024
 FRAMING = (b'content-length', b'transfer-encoding')
@@ -204,7 +203,8 @@
         if sum(map(len, parts)) > SMALL_BODY_BYTES:
             return await self.send_and_read(parts)
         try:
-            await self.connection.stream.send_all(b''.join(parts))
+            for part in parts:
+                await self.connection.stream.send_all(part)
         except CONNECTION_ERRORS as exc:
             raise connection_lost(exc) from exc
         self.sent = True
@@ -241,7 +241,7 @@
             trio.ClosedResourceError,
             errors.RelayLost,
         ):
-            for part in joined_if_short(parts):
+            for part in parts:
                 await self.connection.stream.send_all(part)
             self.sent = True
 
@@ -265,7 +265,7 @@
             body = h11.Data(data=request.body)
             parts.extend(protocol.send_with_data_passthrough(body))
         parts.append(protocol.send(h11.EndOfMessage()))
-        return [part for part in parts if part]
+        return write_parts.join_short(parts)
 
     async def read_head(self) -> interfaces.AnswerHead:
         """Returns the head of the answer to this request.
@@ -400,13 +400,6 @@
         self.connection.close()
 
 
-def joined_if_short(parts: list[bytes]) -> list[bytes]:
-    """Returns the parts as one, unless that would copy a large body."""
-    if sum(map(len, parts)) > JOINED_BYTES:
-        return parts
-    return [b''.join(parts)]
-
-
 def connection_lost(cause: BaseException) -> errors.UpstreamBroke:
     """Returns the error for an exchange that was interrupted."""
     return errors.UpstreamLost(f'connection lost: {type(cause).__name__}')
