Callers: waiting for a turn is the router's time, and loses no request

What callers would see: beside a crowd that keeps the event loop busy, 408 for a head or a body that came in time; on a full router a closed connection without an answer, although the request had come.

Cause: the wait for a turn of the event loop counted as the caller's time, for a head wholly, for a body until its deadline had passed. A connection that is closed for another was asked only whether bytes lie unread in its socket, and one that was never used not even that; a large head that has been read and waits for its turn to be parsed looked idle.

Change: the deadline stands still while a turn is awaited. A connection whose head waits to be parsed, or with unread bytes, is not closed for another, used or not; 64 connections are asked for a new one, so that asking is bounded. Heads over 1 KiB take a turn (4 KiB before), bodies over 16 KiB (32 KiB before) are checked by their heads: a head of 500 fields that is parsed in the same pass as twenty others holds up all timers.

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -51,6 +51,7 @@
         idle_scope: Cancel scope of the wait for the next request.
         read_scope: Cancel scope of the reading of a request.
         holding: Memory that the request takes up.
+        reader: Reads the latest request, None before the first.
         answered: Whether the latest request has its complete answer.
         waiting_since: Router clock since which its first request may have
             been waiting in the socket while the router started, None if the
@@ -66,6 +67,7 @@
         self.idle_scope = trio.CancelScope()
         self.read_scope = trio.CancelScope()
         self.holding = server.memory.open(self.read_scope.cancel)
+        self.reader: caller_requests.RequestReader | None = None
         self.answered = False
         self.waiting_since: float | None = None
         early = trio.current_time() < server.early_until
@@ -80,7 +82,9 @@
 
     @property
     def request_arrived(self) -> bool:
-        """Whether bytes of the next request have come."""
+        """Whether bytes of the next request have come and are not parsed."""
+        if self.reader is not None and self.reader.parsing:
+            return True
         return self.stream.socket.is_readable()
 
     def close(self) -> None:
@@ -151,7 +155,7 @@
         server = self.server
         self.read_scope = trio.CancelScope()
         self.holding = server.memory.open(self.read_scope.cancel)
-        reader = caller_requests.RequestReader(
+        self.reader = reader = caller_requests.RequestReader(
             self.stream,
             self.protocol,
             server.limits(),
@@ -168,10 +172,7 @@
             if not self.holding.ended:
                 return request
         if self.holding.ended:
-            raise errors.RouterOverloaded(
-                'the body stopped arriving while others needed its memory',
-                caller_memory.RETRY_AFTER_SECONDS,
-            )
+            raise caller_memory.stalled()
         raise errors.RouterStopping(
             'the request did not arrive before the router stopped',
             stop_times.RETRY_AFTER_SECONDS,
@@ -210,7 +211,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             # a caller that leaves cancels the handler
-            answer.holding.release()
+            answer.holding.close()
         if answer.started and not answer.finished:
             self.reset_if_http_1_0()
         return answer.finished
--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from typing import TYPE_CHECKING
 
@@ -28,12 +29,14 @@
 # Bytes that were read beyond the end of a request are kept while it is
 # answered: no more than these.
 RECEIVE_BYTES = 16 * 1024
+# a body that is known to be no larger is not checked by its head
+UNCHECKED_BODY_BYTES = 16 * 1024
 # of a body whose length is known
 BODY_RECEIVE_BYTES = 64 * 1024
 # a body that stops arriving occupies its connection for at most this time
 BODY_SECONDS = 10.0
-# a larger head takes milliseconds to parse
-LARGE_HEAD_BYTES = 4 * 1024
+# a larger head may take half a millisecond and more to parse
+LARGE_HEAD_BYTES = 1024
 # parts of a body that are parsed in one turn of the event loop
 PARTS_PER_TURN = 64
 REQUEST_TIMEOUT_STATUS = 408
@@ -92,6 +95,9 @@
         turns: Turns of the event loop.
         check: Refuses a request by its head, before its body is awaited;
             returns the groups that its body is counted in.
+        scope: Cancel scope of the part that is read, the head or the body.
+        parsing: Whether bytes of the head wait to be parsed.
+        head_bytes: Memory that the head takes up.
     """
 
     def __init__(
@@ -109,6 +115,9 @@
         self.holding = holding
         self.turns = turns
         self.check = check
+        self.scope = trio.CancelScope()
+        self.parsing = False
+        self.head_bytes = 0
 
     async def read_start(
         self, arrived: float
@@ -123,17 +132,21 @@
         Raises:
             RequestError: Its head exceeds a limit or did not arrive in time.
         """
-        with trio.move_on_after(self.limits.header_seconds) as scope:
+        self.set_time(self.limits.header_seconds)
+        with self.scope:
             head = await self.read_head()
-        if scope.cancelled_caught:
+        if self.scope.cancelled_caught:
             raise request_timeout('the headers of the request')
         if head is None:
             return None
-        check_head(head, self.limits)
         headers = tuple((bytes(k), bytes(v)) for k, v in head.headers)
-        return interfaces.CallerRequest(
+        request = interfaces.CallerRequest(
             bytes(head.method), bytes(head.target), headers, b'', arrived
         )
+        text_bytes = text_size(request)
+        check_head(request, text_bytes, self.limits)
+        self.head_bytes = caller_memory.head_size(len(headers), text_bytes)
+        return request
 
     async def read_rest(
         self, request: interfaces.CallerRequest
@@ -145,18 +158,26 @@
                 there is no memory for it, or the request is refused by its
                 head.
         """
-        with trio.move_on_after(BODY_SECONDS) as scope:
+        self.set_time(BODY_SECONDS)
+        with self.scope:
             body = await self.read_body(request)
-        if scope.cancelled_caught:
+        if self.scope.cancelled_caught:
             raise request_timeout('the body of the request')
         return attrs.evolve(request, body=body) if body else request
 
+    def set_time(self, seconds: float) -> None:
+        """Limits the time for the part that is read next."""
+        deadline = trio.current_time() + seconds
+        self.scope = trio.CancelScope(deadline=deadline)
+
     async def read_head(self) -> h11.Request | None:
         """Returns the head of a request, None if the connection was closed."""
         size = len(self.protocol.trailing_data[0])
         while True:
             if size > LARGE_HEAD_BYTES:
-                await self.turns.take()
+                self.parsing = True
+                await self.take_turn()
+                self.parsing = False
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
                 size += await self.receive(RECEIVE_BYTES)
@@ -174,9 +195,8 @@
         length = content_length(request)
         if length > self.limits.body_bytes:
             raise body_too_large(self.limits.body_bytes)
-        head_bytes = held_by_head(request)
-        self.holding.resize(head_bytes)
-        body = Body(self.holding, head_bytes, self.limits.body_bytes)
+        self.holding.resize(self.head_bytes)
+        body = Body(self.holding, self.head_bytes, self.limits.body_bytes)
         awaited = False
         while True:
             event = self.protocol.next_event()
@@ -212,7 +232,7 @@
         memory = self.holding.memory
         memory.await_caller(self.holding)
         expects = self.protocol.they_are_waiting_for_100_continue
-        if not expects and 0 < length <= caller_memory.SMALL_BYTES:
+        if not expects and 0 < length <= UNCHECKED_BODY_BYTES:
             return
         self.holding.join(await self.check(request))
         memory.require_room(self.holding, length)
@@ -235,8 +255,12 @@
     async def take_turn(self) -> None:
         """Takes a turn; the wait for it does not count as the caller's."""
         asked = trio.current_time()
+        deadline = self.scope.deadline
+        self.scope.deadline = math.inf
         await self.turns.take()
-        self.holding.moved_at += trio.current_time() - asked
+        waited = trio.current_time() - asked
+        self.holding.moved_at += waited
+        self.scope.deadline = deadline + waited
 
     async def receive(self, size: int) -> int:
         """Reads the next bytes from the socket into the protocol state.
@@ -258,20 +282,17 @@
     return counts.parse_count(text) or 0
 
 
-def held_by_head(request: interfaces.CallerRequest) -> int:
-    """Returns the memory that the head of a request takes up, in bytes."""
-    return caller_memory.head_size(
-        len(request.headers), text_size(request.headers, request.target)
-    )
-
+def text_size(request: interfaces.CallerRequest) -> int:
+    """Returns the size of a request's head as it was sent, in bytes."""
+    size = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    return size + len(request.target)
 
-def text_size(headers: interfaces.Headers, target: bytes) -> int:
-    """Returns the size of a head as it was sent, in bytes."""
-    size = sum(len(name) + len(value) + 4 for name, value in headers)
-    return size + len(target)
 
-
-def check_head(head: h11.Request, limits: forwarding.CallerLimits) -> None:
+def check_head(
+    request: interfaces.CallerRequest,
+    text_bytes: int,
+    limits: forwarding.CallerLimits,
+) -> None:
     """Rejects a head that is too large, ambiguous or asks for a tunnel.
 
     With both a length and a transfer coding, this router and the upstream
@@ -279,20 +300,25 @@
     the body the other would execute as a request that no caller sent (request
     smuggling).
 
+    Args:
+        request: The request without its body.
+        text_bytes: Size of its head as it was sent.
+        limits: Limits on the size of a head.
+
     Raises:
         RequestError: The head is rejected.
     """
-    if text_size(head.headers, head.target) > limits.header_bytes:
+    if text_bytes > limits.header_bytes:
         error = errors.RequestTooLarge(
             f'the headers are over {limits.header_bytes} bytes'
         )
         error.status = HEADERS_TOO_LARGE_STATUS
         raise error
-    if head.method == CONNECT:
+    if request.method == CONNECT:
         error = errors.RequestInvalid('tunnels are not opened')
         error.status = NOT_IMPLEMENTED_STATUS
         raise error
-    names = {bytes(name) for name, _ in head.headers}
+    names = {name for name, _ in request.headers}
     if b'content-length' in names and b'transfer-encoding' in names:
         raise errors.RequestInvalid('both content-length and transfer-encoding')
 
--- a/lavenderbend/transport/waiting_connections.py
+++ b/lavenderbend/transport/waiting_connections.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
 
+from lavenderbend.observe import logs
 from lavenderbend.observe import metrics
 
+# Connections that are asked, for one new one, whether their request has come.
+MAX_ASKED = 64
+
 CLOSED = metrics.counter(
     'lavenderbend_waiting_connections_closed_total',
     'Connections without a request that were closed for others.',
@@ -18,7 +23,8 @@
     """A connection that can wait for a request.
 
     Attributes:
-        request_arrived: Whether bytes of the next request have come.
+        request_arrived: Whether bytes of the next request have come and are
+            not parsed.
     """
 
     request_arrived: bool
@@ -63,16 +69,25 @@
         """Closes the connection that has waited the longest.
 
         One that was never used is closed before one that its caller keeps. A
-        request on its way on a kept one is read.
+        request that has come is read.
 
         Returns:
-            The connection, None if there is none to close.
+            The connection, None if none was found to close.
         """
-        kept = (one for one in self.kept if not one.request_arrived)
-        connection = next(iter(self.unused), None) or next(kept, None)
+        asked = itertools.islice(
+            itertools.chain(self.unused, self.kept), MAX_ASKED
+        )
+        waiting = (one for one in asked if not one.request_arrived)
+        connection = next(waiting, None)
         if connection is None:
             return None
         CLOSED.inc({})
+        logs.caller_fault(
+            'waiting_connection_closed',
+            kept=connection in self.kept,
+            unused=len(self.unused),
+            idle=len(self.kept),
+        )
         self.discard(connection)
         connection.close()
         return connection
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
+import fcntl
 import functools
 import socket
+import sys
+import termios
 
+import attrs
 import pytest
 import trio
 import trio.testing
@@ -238,6 +243,73 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_heads_of_many_fields_are_parsed_in_turns(router, nursery):
+    """Guards against a router that does nothing but parse large heads."""
+    passes = 0
+    parsed = []
+
+    async def count():
+        nonlocal passes
+        while True:
+            await trio.lowlevel.checkpoint()
+            passes += 1
+
+    async def handle(request, answer):
+        parsed.append(passes)
+        await answer.send_whole(200, (), b'')
+
+    router.server.handler = handle
+    nursery.start_soon(count)
+    fields = [f'{chr(97 + number % 26)}:' for number in range(500)]
+    streams = [await connect(router) for _ in range(20)]
+    await until(lambda: len(router.server.connections) == len(streams))
+    for stream in streams:
+        # all of them in one pass of the event loop
+        stream.socket._sock.send(head(*fields))
+    for stream in streams:
+        assert (await status(stream))[0] == 200
+    # the pass that counts may come before or after those of the callers
+    assert max(collections.Counter(parsed).values()) <= 2
+
+
+async def test_wait_for_a_turn_is_not_the_time_of_a_caller(router):
+    """Guards against heads refused as late since others were parsed first."""
+    limits = attrs.evolve(LIMITS, header_seconds=0.2)
+    router.server.limits = lambda: limits
+    stream = await connect(router)
+    async with router.server.turns.lock:
+        await stream.send_all(head(f'a: {"x" * 4096}'))
+        await trio.sleep(2 * limits.header_seconds)
+    assert (await status(stream))[0] == 200
+
+
+async def test_request_that_waits_for_a_turn_is_not_closed_for_another(router):
+    """Guards against a request that is lost although it was received."""
+    router.server.max_connections = 1
+    stream = await connect(router)
+    async with router.server.turns.lock:
+        await stream.send_all(head(f'a: {"x" * 4096}'))
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        other = await connect(router)
+        assert await other.receive_some() == b''
+    assert (await status(stream))[0] == 200
+
+
+async def test_answer_read_slowly_takes_up_little_of_the_kernel(router):
+    """Guards against answers that pile up in the kernel, where none counts."""
+    router.body = bytes(ANSWER_BYTES)
+    stream = await connect(router)
+    await stream.send_all(b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n')
+    await held(router, ANSWER_BYTES)
+    (connection,) = router.server.connections
+    for _ in range(40):
+        await stream.receive_some(20_000)
+        await trio.sleep(0.01)
+    number = connection.stream.socket.fileno()
+    unsent = fcntl.ioctl(number, termios.TIOCOUTQ, bytes(4))
+    assert int.from_bytes(unsent, sys.byteorder) <= KERNEL_BYTES
+
+
 async def test_caller_that_takes_nothing_is_ended_for_another(router):
     """Guards against memory kept by answers that nobody reads."""
     router.body = bytes(ANSWER_BYTES)
@@ -296,6 +368,18 @@
     assert (await status(stream))[0] == 200
 
 
+@pytest.mark.parametrize('announced', [BODY_BYTES + 1, 64 * BODY_BYTES])
+async def test_refusal_is_read_by_a_caller_that_sends_on(
+    router, nursery, announced
+):
+    """Guards against a refusal lost to a reset while its caller still sends."""
+    stream = await begin(router, announced, 0)
+    nursery.start_soon(send_on, stream)
+    code, received = await status(stream)
+    assert code == 413
+    assert b'connection: close' in received
+
+
 async def send_on(stream):
     """Sends until the connection is closed, for some MB."""
     with contextlib.suppress(trio.BrokenResourceError):
