Callers: a request refused by its head has one line

What was seen: two lines for one decision, request_ended with the refusal and request_unreadable, and the request counted among those that could not be read.

Cause: the connection could not tell a refusal by the head, which has its line, from a request that cannot be read. Now the reader keeps which it was.

--- a/lavenderbend/transport/caller_connections.py
+++ b/lavenderbend/transport/caller_connections.py
@@ -267,10 +267,12 @@
 
     async def refuse(self, error: errors.RequestError) -> None:
         """Sends the error of a rejected request, and closes the connection."""
-        BAD_REQUESTS.inc({'status': str(error.status)})
-        logs.change(
-            'request_unreadable', status=error.status, cause=error.detail
-        )
+        if self.reader is None or error is not self.reader.refusal:
+            # one that is refused by its head has a line of its own
+            BAD_REQUESTS.inc({'status': str(error.status)})
+            logs.caller_fault(
+                'request_unreadable', status=error.status, cause=error.detail
+            )
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         answer = caller_answers.ConnectionAnswer(self)
--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -98,6 +98,7 @@
         scope: Cancel scope of the part that is read, the head or the body.
         parsing: Whether bytes of the head wait to be parsed.
         head_bytes: Memory that the head takes up.
+        refusal: What `check` raised, None if nothing.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         self.scope = trio.CancelScope()
         self.parsing = False
         self.head_bytes = 0
+        self.refusal: errors.RequestError | None = None
 
     async def read_start(
         self, arrived: float
@@ -234,7 +236,11 @@
         expects = self.protocol.they_are_waiting_for_100_continue
         if not expects and 0 < length <= UNCHECKED_BODY_BYTES:
             return
-        self.holding.join(await self.check(request))
+        try:
+            self.holding.join(await self.check(request))
+        except errors.RequestError as exc:
+            self.refusal = exc
+            raise
         memory.require_room(self.holding, length)
         if expects:
             informational = h11.InformationalResponse(
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -387,6 +387,14 @@
             await stream.send_all(bytes(65536))
 
 
+async def test_refusal_by_the_head_has_one_line(router, lines):
+    """Guards against two lines for one decision."""
+    router.refusal = errors.NotAuthenticated('none')
+    stream = await begin(router, BODY_BYTES, 1000)
+    assert (await status(stream))[0] == 401
+    assert not logged.named(lines, 'request_unreadable')
+
+
 async def test_lines_on_what_callers_do_wrong_are_bounded(lines, monkeypatch):
     """Guards against a crowd that uses up the lines of everything else."""
     budget = log_writer.LineBudget(0.0, 3.0)
