Chat router: answers, parts and customers are bounded as at the other port

What was seen (by the table of what a router holds): at the chat router answers that nobody takes were held for as long as a write may take, a minute, and counted nowhere; a body in parts of a byte was taken 16 KiB at a time in one pass of the event loop; one customer's bodies could take up the memory of all.

Change: a large part of an answer is counted until it has left, and what is read of a whole answer from an upstream before it is read on; a caller that takes none is reset for one that needs the memory. After 64 parts of a body each further one takes a turn; the first read of a request, which the server has made anyway, takes none. Bodies count among those of their customer once the credential is known. A reset of a connection that has closed meanwhile raises nothing: it would have failed the request that needs the memory.

--- a/lavenderbend/coordination/dispatch/at_most_once.py
+++ b/lavenderbend/coordination/dispatch/at_most_once.py
@@ -10,6 +10,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.observe import metrics
 from lavenderbend.state import hashing
 
@@ -76,6 +77,9 @@
             if size > limit:
                 await exchange.abandon()
                 raise errors.RequestFailed('the answer is over the size limit')
+            reserve = exchange.request.reserve
+            if reserve is not None and size > caller_memory.SMALL_BYTES:
+                await reserve(size)
             parts.append(piece)
             piece = await exchange.next_piece()
         return b''.join(parts)
--- a/lavenderbend/coordination/dispatch/attempts.py
+++ b/lavenderbend/coordination/dispatch/attempts.py
@@ -112,7 +112,7 @@
         if chat and successful:
             name = self.components.expected_answer_id(self.request.id)
             return bodies.BufferedBody(
-                answer, limits, chat=True, expected_id=name
+                answer, limits, True, name, self.request.reserve
             )
         length = bodies.content_length(answer.start)
         if length is not None and length <= self.components.settings.held_bytes:
--- a/lavenderbend/coordination/dispatch/bodies.py
+++ b/lavenderbend/coordination/dispatch/bodies.py
@@ -7,6 +7,7 @@
 import trio
 
 from lavenderbend import errors
+from lavenderbend.coordination import caller_memory
 from lavenderbend.protocol import counts
 from lavenderbend.protocol import openai
 from lavenderbend.protocol import sse
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Awaitable
+    from collections.abc import Callable
 
     from lavenderbend.coordination import interfaces
     from lavenderbend.coordination.dispatch import pacing
@@ -86,6 +88,7 @@
     Attributes:
         chat: Whether it must be a complete chat answer.
         expected_id: Text that the id of a chat answer must contain.
+        reserve: Waits until the router may hold so many bytes of it.
         relayed: Whether the body was returned.
     """
 
@@ -95,8 +98,10 @@
         limits: http_limits.AnswerLimits,
         chat: bool,
         expected_id: str = '',
+        reserve: Callable[[int], Awaitable[None]] | None = None,
     ) -> None:
         super().__init__(answer, limits)
+        self.reserve = reserve
         self.chat = chat
         self.expected_id = expected_id
         self.relayed = False
@@ -119,6 +124,8 @@
             size += len(data)
             if size > self.limits.answer_bytes:
                 raise errors.UpstreamBroke('the answer is over the size limit')
+            if self.reserve is not None and size > caller_memory.SMALL_BYTES:
+                await self.reserve(size)
             parts.append(data)
         return parts[0] if len(parts) == 1 else b''.join(parts)
 
--- a/lavenderbend/state/requests.py
+++ b/lavenderbend/state/requests.py
@@ -8,6 +8,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Mapping
 
 
@@ -41,6 +43,8 @@
             any.
         availability_zone: Zone of the router that received the request.
         arrived: Router clock (trio seconds) at arrival.
+        reserve: Waits until the router may hold so many bytes of the answer,
+            None where nothing limits that.
     """
 
     id: str
@@ -57,3 +61,4 @@
     stream: bool = False
     idempotency_key: str | None = None
     availability_zone: str = ''
+    reserve: Callable[[int], Awaitable[None]] | None = None
--- a/lavenderbend/transport/callers.py
+++ b/lavenderbend/transport/callers.py
@@ -23,6 +23,7 @@
 from lavenderbend.protocol import problems
 from lavenderbend.state import requests
 from lavenderbend.transport import answer_bodies
+from lavenderbend.transport import body_memory
 from lavenderbend.transport import caller_credentials
 
 if TYPE_CHECKING:
@@ -213,6 +214,9 @@
         customer = self.credentials.customer(
             self.configurations.current(), headers.get('authorization')
         )
+        counted = scope.get('state', {}).get(body_memory.COUNTED)
+        if counted is not None:
+            counted.join(customer)
         body = await self.read_body()
         path = read_path(scope)
         chat = None
@@ -239,6 +243,7 @@
             stream=chat.stream if chat else False,
             idempotency_key=headers.get(IDEMPOTENCY_KEY),
             availability_zone=self.availability_zone,
+            reserve=None if counted is None else counted.reserve,
         )
 
     async def read_body(self) -> bytes:
--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -30,6 +30,8 @@
 
 BACKLOG = 1024
 RECEIVE_BYTES = 16 * 1024
+# at a time, of an answer whose caller may read it slowly
+SENT_BYTES = 16 * 1024
 # time for a caller that still sends to read its answer
 LINGERING_CLOSE_SECONDS = 1.0
 BODY_MESSAGE = 'http.response.body'
@@ -39,8 +41,6 @@
 ACCEPT_PAUSE_SECONDS = 0.05
 # key in the state of an ASGI scope: a function that resets the connection
 ABORT = 'lavenderbend.abort'
-# likewise: the stream of the connection
-STREAM = 'lavenderbend.stream'
 NO_LINGER = struct.pack('ii', 1, 0)
 
 refused_connections = metrics.counter(
@@ -67,6 +67,8 @@
         waiter: Records when a write in progress began.
         turns: Turns of the event loop.
         requests: Number of requests in progress.
+        received: Bytes received since the last of them began.
+        sending: Memory of the answer that is sent, None if it is not counted.
         closing: Whether the sending side is closed.
     """
 
@@ -76,6 +78,8 @@
         self.stream = stream
         self.turns = loop_turns
         self.requests = 0
+        self.received = 0
+        self.sending: caller_memory.Holding | None = None
         self.closing = False
         self.waiter = stall_detector.Waiter(self.reset)
 
@@ -102,12 +106,28 @@
         # reading would keep its answer, its upstream and its permit forever
         self.waiter.since = trio.current_time()
         try:
-            await self.stream.send_all(data)
+            if self.sending is None:
+                await self.stream.send_all(data)
+            else:
+                await self.send_counted(data, self.sending)
         finally:
             self.waiter.since = None
 
+    async def send_counted(
+        self, data: bytes, sending: caller_memory.Holding
+    ) -> None:
+        """Sends a large part of an answer; notes what its caller takes."""
+        with memoryview(data) as view:
+            for start in range(0, len(view), SENT_BYTES):
+                part = view[start : start + SENT_BYTES]
+                await self.stream.send_all(part)
+                sending.note_moved(len(part))
+
     def reset(self) -> None:
         """Resets the connection because the other side does not read."""
+        if self.socket.fileno() < 0:
+            # closed by its own task in the meantime
+            return
         slow_callers.inc({})
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.socket.close()
@@ -133,11 +153,11 @@
         The rest of a body is read in turns: what many callers send would be
         held by the server before it is counted.
         """
-        size = max_bytes
-        if self.requests:
+        if self.requests and self.received:
             await self.turns.take()
-            size = RECEIVE_BYTES
-        data = await self.stream.receive_some(size)
+            max_bytes = RECEIVE_BYTES
+        data = await self.stream.receive_some(max_bytes)
+        self.received += len(data)
         while data and self.closing:
             await self.turns.take()
             data = await self.stream.receive_some(RECEIVE_BYTES)
@@ -194,7 +214,8 @@
         self.limits = limits
         self.config = make_config(limits)
         memory = caller_memory.CallerMemory(limits.held_bytes)
-        counted = body_memory.BodyMemory(app, memory)
+        self.turns = turns.Turns()
+        counted = body_memory.BodyMemory(app, memory, self.turns)
         limited = header_limits.HeaderLimit(counted, limits.header_bytes)
         served = self.note_requests(shield_last_message(limited))
         size = self.config.wsgi_max_body_size
@@ -204,19 +225,19 @@
         self.waiting: waiting_connections.WaitingConnections[BoundedStream] = (
             waiting_connections.WaitingConnections()
         )
-        self.turns = turns.Turns()
         self.open = 0
 
     def note_requests(self, app: Callable[..., Any]) -> Callable[..., Any]:
         """Returns the application, which records when connections wait."""
 
         async def noted(scope: Any, receive: Any, send: Any) -> None:
-            stream = scope.get('state', {}).get(STREAM)
+            stream = scope.get('state', {}).get(body_memory.STREAM)
             if stream is None:
                 await app(scope, receive, send)
                 return
             self.waiting.discard(stream)
             stream.requests += 1
+            stream.received = 0
             try:
                 await app(scope, receive, send)
             finally:
@@ -250,7 +271,7 @@
         bounded = BoundedStream(stream, self.turns)
         self.stalls.add(bounded.waiter)
         # available to the application as state of the ASGI scope
-        state = {ABORT: bounded.abort, STREAM: bounded}
+        state = {ABORT: bounded.abort, body_memory.STREAM: bounded}
         self.waiting.add_unused(bounded)
         size = self.limits.send_buffer_bytes
         try:
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -21,6 +21,7 @@
 from lavenderbend.observe import logs
 from lavenderbend.protocol import http_limits
 from lavenderbend.state import forwarding
+from lavenderbend.transport import body_memory
 from lavenderbend.transport import caller_requests
 from lavenderbend.transport import caller_server
 from lavenderbend.transport import serving
@@ -477,6 +478,79 @@
     assert await idle[0].receive_some() == b''
 
 
+async def test_refusal_of_a_chat_router_is_read_by_a_caller_that_sends_on(
+    served, nursery
+):
+    """Guards against a refusal lost to a reset while its caller still sends."""
+    first = await begin(served, BODY_BYTES, BODY_BYTES - 1)
+    await trio.sleep(0.1)
+    stream = await begin(served, 64 * BODY_BYTES, 0)
+    nursery.start_soon(send_on, stream)
+    code, received = await status(stream)
+    assert code == 503
+    assert b'retry-after' in received
+    await first.aclose()
+
+
+async def test_small_chunks_leave_turns_at_a_chat_router(served, nursery):
+    """Guards against a server that takes many parts in one turn."""
+    passes = 0
+
+    async def count():
+        nonlocal passes
+        while True:
+            await trio.lowlevel.checkpoint()
+            passes += 1
+
+    callers, chunks = 4, 500
+    nursery.start_soon(count)
+    streams = [await connect(served) for _ in range(callers)]
+    before = passes
+    for stream in streams:
+        await stream.send_all(head('transfer-encoding: chunked'))
+        await stream.send_all(b'1\r\nx\r\n' * chunks + b'0\r\n\r\n')
+    for stream in streams:
+        assert (await status(stream))[0] == 200
+    taken = callers * (chunks - body_memory.FREE_PARTS)
+    assert passes - before >= taken
+    assert served.parts >= callers * chunks
+
+
+async def test_answer_that_nobody_takes_is_ended_at_a_chat_router(served):
+    """Guards against memory kept by answers that nobody reads."""
+    served.answer = bytes(ANSWER_BYTES)
+    idle = trio.socket.socket()
+    idle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    await idle.connect((HOST, served.port))
+    await idle.send(b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n')
+    await trio.sleep(caller_memory.STALL_SECONDS + 0.3)
+    served.answer = b''
+    # needs the memory that the answer takes up
+    stream = await begin(served, BODY_BYTES, BODY_BYTES)
+    assert (await status(stream))[0] == 200
+    received = 0
+    with trio.fail_after(10.0), contextlib.suppress(OSError):
+        while data := await idle.recv(65536):
+            received += len(data)
+    assert received < ANSWER_BYTES
+
+
+async def test_bodies_of_one_customer_are_counted_together(served):
+    """Guards against one customer that takes up all memory of a router."""
+    memory = caller_memory.CallerMemory(HELD_BYTES)
+    scope = {'headers': [], 'raw_path': b'/', 'query_string': b'', 'state': {}}
+    requests = [
+        body_memory.CountedRequest(memory, turns.Turns(), scope, None, None)
+        for _ in range(3)
+    ]
+    for request, customer in zip(requests, ('a', 'a', 'b'), strict=True):
+        request.join(customer)
+    requests[0].body.resize(BODY_BYTES)
+    with pytest.raises(errors.RouterOverloaded):
+        requests[1].body.resize(BODY_BYTES // 4)
+    requests[2].body.resize(BODY_BYTES // 4)
+
+
 @pytest.fixture
 async def waiting_stream():
     """A connection of the chat router's server, and where it waits."""
