Callers' memory: small and large bodies share one limit

What was seen: small requests that use up the limit, then large ones that use up their three quarters again: 14.7 MB held where 8.4 MB and one body are allowed.

Cause: room for a large holding was asked for among the large ones only, never in all. A crowd of small bodies beside a crowd of large ones would have taken 112 MiB of the default 64.

Change: a large holding must fit beside all others, unless it is the only large one, which is always held. Who is ended for it: whoever has not moved on.

test_large_holdings_beside_small_ones_keep_the_limit failed before (figures above).

--- a/lavenderbend/coordination/caller_memory.py
+++ b/lavenderbend/coordination/caller_memory.py
@@ -269,6 +269,8 @@
             if self.fits_small(size - holding.size):
                 return None
             return lambda other: other.size > 0 and other is not holding
+        if not self.fits_large(holding, size):
+            return lambda other: other.size > 0 and other is not holding
         own = large_part(holding.size)
         if not fits_beside(self.large - own, size, self.limit * LARGE_FRACTION):
             return lambda other: other.is_large and other is not holding
@@ -282,6 +284,11 @@
                 )
         return None
 
+    def fits_large(self, holding: Holding, size: int) -> bool:
+        """Returns whether all fit with a large holding, or it is alone."""
+        others = self.large - large_part(holding.size)
+        return not others or self.held - holding.size + size <= self.limit
+
     def fits_small(self, growth: int) -> bool:
         """Returns whether small holdings may grow by so much."""
         if self.held + growth <= self.limit:
--- a/tests/test_coordination/test_caller_memory.py
+++ b/tests/test_coordination/test_caller_memory.py
@@ -65,6 +65,17 @@
     assert memory.held <= LIMIT
 
 
+async def test_large_holdings_beside_small_ones_keep_the_limit(
+    memory, autojump_clock
+):
+    """Guards against a limit that small and large bodies each use up."""
+    for _ in range(LIMIT // SMALL):
+        hold(memory, SMALL, waits=False)
+    fill(memory)
+    # one large holding alone is always taken
+    assert memory.held <= LIMIT + LARGE
+
+
 async def test_one_body_beyond_the_limit_is_held(memory, autojump_clock):
     """Guards against bodies within their limit that are never served."""
     hold(memory, 2 * LIMIT, waits=False)
