Callers: the kernel keeps little of what is not read

The platform counts such bytes, and its smallest machine has 200 MB.

Up to 16 KiB of what follows a body was read with its end.

Change: listeners have a receive buffer of 16 KiB, which their connections take over: 25 KB of a client at most. Of a body whose length is known no byte more is read. As a smaller window makes large bodies slower on a long path, a body that keeps arriving has more time: 10 s and a second for each 256 KiB.

Four tests over sockets failed before.

--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -33,8 +33,10 @@
 UNCHECKED_BODY_BYTES = 16 * 1024
 # of a body whose length is known
 BODY_RECEIVE_BYTES = 64 * 1024
-# a body that stops arriving occupies its connection for at most this time
+# a body that stops arriving occupies its connection for at most this time, and
+# one that arrives for as long as it would take at the rate
 BODY_SECONDS = 10.0
+BODY_BYTES_PER_SECOND = 256 * 1024
 # a larger head may take half a millisecond and more to parse
 LARGE_HEAD_BYTES = 1024
 # parts of a body that are parsed in one turn of the event loop
@@ -211,6 +213,7 @@
                 return body.whole()
             elif isinstance(event, h11.Data):
                 body.add(event.data)
+                self.scope.deadline += len(event.data) / BODY_BYTES_PER_SECOND
                 if body.parts % PARTS_PER_TURN == 0:
                     await self.take_turn()
 
@@ -255,7 +258,10 @@
             missing: Bytes that are still to come if the length is known.
         """
         await self.take_turn()
-        size = min(max(missing, RECEIVE_BYTES), BODY_RECEIVE_BYTES)
+        # what follows a body stays in the kernel
+        size = (
+            min(missing, BODY_RECEIVE_BYTES) if missing > 0 else RECEIVE_BYTES
+        )
         await self.receive(size)
 
     async def take_turn(self) -> None:
--- a/lavenderbend/transport/caller_server.py
+++ b/lavenderbend/transport/caller_server.py
@@ -13,6 +13,7 @@
 from lavenderbend.transport import caller_answers
 from lavenderbend.transport import caller_connections
 from lavenderbend.transport import early_listener
+from lavenderbend.transport import socket_options
 from lavenderbend.transport import turns
 from lavenderbend.transport import waiting_connections
 
@@ -111,6 +112,15 @@
 
     async def open_listeners(
         self, host: str, port: int
+    ) -> list[trio.SocketListener]:
+        """Returns the listeners, which keep little of what is not accepted."""
+        listeners = await self.find_listeners(host, port)
+        for listener in listeners:
+            socket_options.limit_unread(listener.socket)
+        return listeners
+
+    async def find_listeners(
+        self, host: str, port: int
     ) -> list[trio.SocketListener]:
         """Returns the early listener of the address, or opens new listeners."""
         early = early_listener.take_listener(host, port)
--- a/lavenderbend/transport/serving.py
+++ b/lavenderbend/transport/serving.py
@@ -275,11 +275,6 @@
         self.waiting.add_unused(bounded)
         size = self.limits.send_buffer_bytes
         try:
-            stream.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_RCVBUF,
-                socket_options.CALLER_RECEIVE_BUFFER_BYTES,
-            )
             if size:
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
             await tcp_server.TCPServer(
@@ -367,6 +362,8 @@
     """
     server = Server(app, limits or http_limits.HttpLimits())
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    for listener in listeners:
+        socket_options.limit_unread(listener.socket)
     bound = listeners[0].socket.getsockname()[1]
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
--- a/lavenderbend/transport/socket_options.py
+++ b/lavenderbend/transport/socket_options.py
@@ -24,7 +24,7 @@
 )
 # what the kernel keeps of a caller until it is read; the system would let it
 # grow to some megabytes
-CALLER_RECEIVE_BUFFER_BYTES = 64 * 1024
+CALLER_RECEIVE_BUFFER_BYTES = 16 * 1024
 
 
 async def connect(host: str, port: int) -> trio.SocketStream:
@@ -79,6 +79,14 @@
     the wait for a dead caller.
     """
     enable_probes(connection)
+    limit_unread(connection)
+
+
+def limit_unread(connection: trio.socket.SocketType) -> None:
+    """Limits what the kernel keeps of a caller until it is read.
+
+    Of a listener, it limits what it keeps before a connection is accepted.
+    """
     connection.setsockopt(
         socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_RECEIVE_BUFFER_BYTES
     )
--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -35,8 +35,9 @@
 HELD_BYTES = 2 * BODY_BYTES
 ANSWER_BYTES = 8_000_000
 SMALL_BUFFER_BYTES = 4096
-# Of one connection, in each direction.
+# Of one connection, of what is sent and of what is received.
 KERNEL_BYTES = 256 * 1024
+UNREAD_BYTES = 32 * 1024
 LIMITS = forwarding.CallerLimits(
     header_bytes=16 * 1024,
     body_bytes=BODY_BYTES,
@@ -115,6 +116,12 @@
     return int(received.split(b' ')[1]), received
 
 
+def read_queue(connection):
+    """Returns the bytes that the kernel keeps of a connection, not read."""
+    size = fcntl.ioctl(connection.fileno(), termios.FIONREAD, bytes(4))
+    return int.from_bytes(size, sys.byteorder)
+
+
 async def until(check):
     """Waits until a check holds."""
     for _ in range(1000):
@@ -311,6 +318,62 @@
     assert int.from_bytes(unsent, sys.byteorder) <= KERNEL_BYTES
 
 
+async def test_what_is_not_read_takes_up_little_of_the_kernel(router):
+    """Guards against bytes that pile up in the kernel, where none counts."""
+    router.proceed = trio.Event()
+    streams = [await begin(router, 0, 0) for _ in range(20)]
+    await until(lambda: len(router.requests) == len(streams))
+    for stream in streams:
+        with trio.move_on_after(0.1):
+            await stream.send_all(bytes(ANSWER_BYTES))
+    unread = sum(
+        read_queue(one.stream.socket) for one in router.server.connections
+    )
+    assert unread <= len(streams) * UNREAD_BYTES
+
+
+async def test_what_is_sent_before_the_accept_is_limited_too(nursery):
+    """Guards against bytes that the kernel keeps of a backlog."""
+    server = caller_server.CallerServer(None, lambda: LIMITS, 100)
+    (listener,) = await server.open_listeners(HOST, 0)
+    address = listener.socket.getsockname()
+    with trio.move_on_after(0.1):
+        stream = await trio.open_tcp_stream(*address)
+        await stream.send_all(bytes(ANSWER_BYTES))
+    accepted = await listener.accept()
+    assert read_queue(accepted.socket) <= UNREAD_BYTES
+
+
+async def test_what_follows_a_body_is_not_read(router):
+    """Guards against requests sent ahead that pile up uncounted."""
+    router.proceed = trio.Event()
+    stream = await begin(router, 30_100, 0)
+    await held(router, 1)
+    await stream.send_all(bytes(30_000))
+    await held(router, 30_000)
+    await stream.send_all(bytes(8000))
+    await until(lambda: router.requests)
+    (connection,) = router.server.connections
+    assert not connection.protocol.trailing_data[0]
+    router.proceed.set()
+    assert (await status(stream))[0] == 200
+
+
+async def test_body_that_arrives_slowly_and_steadily_is_served(
+    router, monkeypatch
+):
+    """Guards against a large body refused since its path is a long one."""
+    monkeypatch.setattr(caller_requests, 'BODY_SECONDS', 0.3)
+    monkeypatch.setattr(caller_requests, 'BODY_BYTES_PER_SECOND', 100_000)
+    stream = await begin(router, 100_000, 0)
+    for _ in range(10):
+        await trio.sleep(0.05)
+        await stream.send_all(bytes(10_000))
+    assert (await status(stream))[0] == 200
+    stalled = await begin(router, 100_000, 99_999)
+    assert (await status(stalled))[0] == 408
+
+
 async def test_caller_that_takes_nothing_is_ended_for_another(router):
     """Guards against memory kept by answers that nobody reads."""
     router.body = bytes(ANSWER_BYTES)
