Callers' memory: at most a fifth of a small machine

Cause: 64 MiB for callers whatever the machine, beside 45 MB of the process, 13 MB for connections, about 30 KB for each request in progress (objects of tasks, tickets, queues) and 46 MB in the kernel.

Change: the setting forwarding.memory_bytes, from the deployment's limits; a fifth of it bounds callers.max_held_bytes. Machines of 320 MiB and more keep the 64 MiB.

--- a/lavenderbend/daemon/forwarding.py
+++ b/lavenderbend/daemon/forwarding.py
@@ -301,7 +301,9 @@
             self.forwarder.forward,
             self.caller_limits,
             self.settings.callers.max_connections,
-            self.settings.callers.max_held_bytes,
+            min(
+                self.settings.callers.max_held_bytes, self.forwarding.held_bytes
+            ),
             self.forwarder.check,
         )
         self.readiness = readiness.ReadinessServer(
--- a/lavenderbend/state/forwarding_settings.py
+++ b/lavenderbend/state/forwarding_settings.py
@@ -6,6 +6,10 @@
 
 from lavenderbend.state import setting_fields
 
+# Of a machine's memory, for what callers send and are sent. The rest is for the
+# process, its connections, and what the kernel keeps of them.
+HELD_FRACTION = 0.2
+
 
 @attrs.frozen
 class ForwardHeaders:
@@ -108,6 +112,8 @@
         processor_speed: Speed of a core of that machine, as a multiple of the
             usual speed. Routers own upstreams in proportion to the product of
             both.
+        memory_bytes: Memory of that machine for the router. What callers may
+            take up (`callers.max_held_bytes`) is a fifth of it at the most.
     """
 
     listen: ForwardListen
@@ -140,8 +146,16 @@
     )
     processor_share: float = setting_fields.bounded(1.0, 0.001, 1024.0)
     processor_speed: float = setting_fields.bounded(1.0, 0.001, 1024.0)
+    memory_bytes: setting_fields.ByteCount = setting_fields.bounded(
+        512 * 1024 * 1024, 32 * 1024 * 1024, 1024 * 1024 * 1024 * 1024
+    )
 
     @property
     def processor_capacity(self) -> int:
         """Processor of the router's machine, in hundredths of a core."""
         return round(100 * self.processor_share * self.processor_speed)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that callers may take up at the most."""
+        return int(self.memory_bytes * HELD_FRACTION)
--- a/tests/test_daemon/test_daemon_forwarding.py
+++ b/tests/test_daemon/test_daemon_forwarding.py
@@ -9,6 +9,7 @@
 from lavenderbend.state import forwarding_settings
 from lavenderbend.state import settings as settings_module
 
+MIB = 1024 * 1024
 LISTEN = forwarding_settings.ForwardListen(
     '127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'
 )
@@ -71,3 +72,18 @@
     large = attrs.evolve(small, processor_share=1.0, processor_speed=2.15)
     daemon.reload(attrs.evolve(settings, forwarding=large))
     assert daemon.peers.state('127.0.0.9').capacity == 215
+
+
+@pytest.mark.parametrize(
+    ('memory_bytes', 'limit'),
+    [(200 * MIB, 40 * MIB), (512 * MIB, settings_module.DEFAULT_HELD_BYTES)],
+)
+async def test_callers_take_up_a_fifth_of_a_small_machine(
+    settings, memory_bytes, limit
+):
+    """Guards against a limit that is larger than its machine can bear."""
+    small = attrs.evolve(settings.forwarding, memory_bytes=memory_bytes)
+    daemon = forwarding.ForwardingDaemon(
+        attrs.evolve(settings, forwarding=small)
+    )
+    assert daemon.callers.memory.limit == limit
