Tests: crowds on all connections, in a stop, and the largest body in calm

Crowds of 1,900 clients (the default allows 2,000 connections) at the bound of the smallest machine, 200 MB with bytes that were not read.

A stop beside a crowd serves a stream that has begun to its end and exits with 0; one request of the largest body, with a length, in chunks of 64 bytes and of 64 KiB, is served in calm.

Requests of the ordinary caller get ids of their own: two asks of one size had the same, which is for repeats of one request. Crowds, limits and bounds of the earlier tests are as they were.

--- a/tests/integration/crowds.py
+++ b/tests/integration/crowds.py
@@ -10,6 +10,7 @@
 import pathlib
 import sys
 import tempfile
+import uuid
 
 import attrs
 import httpx
@@ -22,6 +23,10 @@
 from tests.integration import forwarding_fleet
 
 CLIENTS = 120
+# Nearly as many as the connections that a router allows.
+MANY_CLIENTS = 1900
+# The memory of the smallest machine, for the settings of its router.
+MACHINE_MEMORY = '190MiB'
 # A client that is refused or closed comes again so often.
 VISITS = 4
 # Until the clients have sent what they send, if they can.
@@ -45,6 +50,7 @@
 ANSWER_BYTES = 4 * 1024 * 1024
 DESKS = 4
 DESK_SLOTS = 64
+STREAM_GAP_SECONDS = 0.2
 SLOW_BYTES = 40_000
 SLOW_SECONDS = 0.1
 # Of the chat router, and of the operators' interface.
@@ -259,11 +265,13 @@
 
     Attributes:
         max_connections: Connections of callers that the router allows.
+        memory: Memory of its machine as its settings say, empty for none.
     """
 
-    def __init__(self, folder, max_connections):
+    def __init__(self, folder, max_connections, memory=''):
         super().__init__(folder, routers=1)
         self.max_connections = max_connections
+        self.memory = memory
         self.workers.pop('i-d1')
         for number in range(DESKS):
             desk = Desk(f'i-d{number}', 'desk')
@@ -287,11 +295,20 @@
         self.store.put('op/config', value)
         await self.until(self.takes_large_bodies)
 
+    async def streams(self):
+        """Returns whether an engine has begun a stream at its slow pace."""
+        engines = (self.workers[name] for name in ('i-e1', 'i-e2'))
+        return any(
+            request.target == '/chat/1' for e in engines for request in e.ran
+        )
+
     async def takes_large_bodies(self):
         body = b'x' * (BODY_BYTES // 2)
         return await ordinary(self.subject.url, '/chat/large', body)
 
     def write_settings(self, router, **changes):
+        if self.memory:
+            changes['memory_bytes'] = self.memory
         super().write_settings(router, **changes)
         path = self.folder / f'{router.host}.yaml'
         with path.open('a') as file:
@@ -315,7 +332,7 @@
         headers = {
             'host': 'a.example',
             'authorization': f'Bearer {credential}',
-            'lavenderbend-request-id': f'ordinary-{number}-{len(body)}',
+            'lavenderbend-request-id': f'ordinary-{number}-{uuid.uuid4().hex}',
             'lavenderbend-deadline-ms': f'{PATIENCE_SECONDS * 1000:.0f}',
         }
         status, wait = await one_try(method, url, headers, body)
@@ -503,10 +520,16 @@
     return outcome
 
 
-async def at_callers(name, path='/desk/look/1', max_connections=2000):
+async def at_callers(
+    name,
+    path='/desk/look/1',
+    max_connections=2000,
+    clients=CLIENTS,
+    memory='',
+):
     """Returns how a forwarding router stands a crowd at its callers' port."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(pathlib.Path(folder), max_connections)
+        fleet = Fleet(pathlib.Path(folder), max_connections, memory)
         async with trio.open_nursery() as nursery:
             try:
                 await fleet.start(nursery)
@@ -516,6 +539,7 @@
                     (router.host, router.callers),
                     path,
                     standins.KEY,
+                    clients,
                 )
 
                 async def asks(size):
@@ -530,6 +554,70 @@
                 nursery.cancel_scope.cancel()
 
 
+async def in_a_stop(name):
+    """Returns how a forwarding router with a crowd stops.
+
+    Returns:
+        Whether a stream that had begun was served to its end, and the exit
+        code of the process.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(pathlib.Path(folder), 2000)
+        async with trio.open_nursery() as nursery:
+            try:
+                await fleet.start(nursery)
+                router = fleet.subject
+                for worker in fleet.workers.values():
+                    worker.gap = STREAM_GAP_SECONDS
+                crowd = Crowd(
+                    KINDS.get(name),
+                    (router.host, router.callers),
+                    '/desk/look/1',
+                    standins.KEY,
+                )
+                served = []
+
+                async def ask():
+                    served.append(await ordinary(router.url, '/chat/1'))
+
+                async with trio.open_nursery() as clients:
+                    await crowd.run(clients)
+                    async with trio.open_nursery() as asking:
+                        asking.start_soon(ask)
+                        await fleet.until(fleet.streams)
+                        code = await router.process.stop()
+                    clients.cancel_scope.cancel()
+                return served, code
+            finally:
+                await fleet.end()
+                nursery.cancel_scope.cancel()
+
+
+async def in_calm(parts):
+    """Returns whether a caller gets an answer to the largest body, alone.
+
+    Args:
+        parts: Size of its chunks, 0 to send it with a length.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(pathlib.Path(folder), 2000)
+        async with trio.open_nursery() as nursery:
+            try:
+                await fleet.start(nursery)
+                body = b'x' * BODY_BYTES
+                if parts:
+                    body = chunks_of(body, parts)
+                return await ordinary(fleet.subject.url, '/chat/1', body)
+            finally:
+                await fleet.end()
+                nursery.cancel_scope.cancel()
+
+
+async def chunks_of(body, size):
+    for start in range(0, len(body), size):
+        yield body[start : start + size]
+
+
 async def at_chat_router(name, operators=False):
     """Returns how a chat router stands a crowd.
 
--- a/tests/integration/test_integration_crowds.py
+++ b/tests/integration/test_integration_crowds.py
@@ -58,6 +58,24 @@
     check(await crowds.at_callers('whole_bodies', path=KEPT_PATH))
 
 
+@pytest.mark.parametrize(
+    'name',
+    [
+        'whole_bodies',
+        'heads_short_of_end',
+        'tiny_chunks',
+        'unread_answers',
+        'pipelined_bodies',
+    ],
+)
+async def test_crowd_on_all_connections_exhausts_no_memory(name):
+    """Guards against limits for each connection that are too many together."""
+    outcome = await crowds.at_callers(
+        name, clients=crowds.MANY_CLIENTS, memory=crowds.MACHINE_MEMORY
+    )
+    check(outcome)
+
+
 @pytest.mark.parametrize('name', SMALL_CHUNKS)
 async def test_small_chunks_stop_no_router(name):
     """Guards against a router that does nothing but read small chunks."""
@@ -103,3 +121,17 @@
 async def test_bodies_for_the_operators_interface_harm_no_caller(name):
     """Guards against a router ended by what its operators' port receives."""
     check(await crowds.at_chat_router(name, operators=True))
+
+
+@pytest.mark.parametrize('name', ['large_chunks', 'tiny_chunks'])
+async def test_crowd_holds_up_no_stop(name):
+    """Guards against a stop that cuts off streams, or never ends."""
+    served, code = await crowds.in_a_stop(name)
+    assert served == [True]
+    assert code == 0
+
+
+@pytest.mark.parametrize('parts', [0, 64, 64 * 1024])
+async def test_largest_body_is_served_in_calm(parts):
+    """Guards against limits that a single request within its limits meets."""
+    assert await crowds.in_calm(parts)
