--- a/tests/test_transport/test_caller_memory.py
+++ b/tests/test_transport/test_caller_memory.py
@@ -77,6 +77,29 @@
         return caller_memory.body_groups('r', 'c')
 
 
+@attrs.define
+class Loop:
+    """The event loop.
+
+    Attributes:
+        passes: Number of its passes.
+    """
+
+    passes: int = 0
+
+    async def count(self):
+        while True:
+            await trio.lowlevel.checkpoint()
+            self.passes += 1
+
+
+@pytest.fixture
+async def loop(nursery):
+    loop = Loop()
+    nursery.start_soon(loop.count)
+    return loop
+
+
 @pytest.fixture
 async def router(nursery):
     router = Router()
@@ -228,46 +251,29 @@
 
 
 @pytest.mark.parametrize('size', [1, 64])
-async def test_small_chunks_leave_turns_to_others(router, nursery, size):
+async def test_small_chunks_leave_turns_to_others(router, loop, size):
     """Guards against a router that does nothing but parse small chunks."""
-    passes = 0
 
-    async def count():
-        nonlocal passes
-        while True:
-            await trio.lowlevel.checkpoint()
-            passes += 1
-
-    nursery.start_soon(count)
     count = 4000
     chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
     stream = await connect(router)
-    before = passes
+    before = loop.passes
     await stream.send_all(head('transfer-encoding: chunked'))
     await stream.send_all(chunk * count + b'0\r\n\r\n')
     assert (await status(stream))[0] == 200
-    assert passes - before >= count // caller_requests.PARTS_PER_TURN
+    assert loop.passes - before >= count // caller_requests.PARTS_PER_TURN
     assert router.requests[0].body == b'x' * size * count
-    nursery.cancel_scope.cancel()
 
 
-async def test_heads_of_many_fields_are_parsed_in_turns(router, nursery):
+async def test_heads_of_many_fields_are_parsed_in_turns(router, loop):
     """Guards against a router that does nothing but parse large heads."""
-    passes = 0
     parsed = []
 
-    async def count():
-        nonlocal passes
-        while True:
-            await trio.lowlevel.checkpoint()
-            passes += 1
-
     async def handle(request, answer):
-        parsed.append(passes)
+        parsed.append(loop.passes)
         await answer.send_whole(200, (), b'')
 
     router.server.handler = handle
-    nursery.start_soon(count)
     fields = [f'{chr(97 + number % 26)}:' for number in range(500)]
     streams = [await connect(router) for _ in range(20)]
     await until(lambda: len(router.server.connections) == len(streams))
@@ -555,27 +561,19 @@
     await first.aclose()
 
 
-async def test_small_chunks_leave_turns_at_a_chat_router(served, nursery):
+async def test_small_chunks_leave_turns_at_a_chat_router(served, loop):
     """Guards against a server that takes many parts in one turn."""
-    passes = 0
-
-    async def count():
-        nonlocal passes
-        while True:
-            await trio.lowlevel.checkpoint()
-            passes += 1
 
     callers, chunks = 4, 500
-    nursery.start_soon(count)
     streams = [await connect(served) for _ in range(callers)]
-    before = passes
+    before = loop.passes
     for stream in streams:
         await stream.send_all(head('transfer-encoding: chunked'))
         await stream.send_all(b'1\r\nx\r\n' * chunks + b'0\r\n\r\n')
     for stream in streams:
         assert (await status(stream))[0] == 200
     taken = callers * (chunks - body_memory.FREE_PARTS)
-    assert passes - before >= taken
+    assert loop.passes - before >= taken
     assert served.parts >= callers * chunks
 
 
