Callers: a body with a length takes no turns

Cause: turns bound the parsing of many parts in one pass. A read of a body without chunks is one part, and cheap.

--- a/lavenderbend/transport/caller_requests.py
+++ b/lavenderbend/transport/caller_requests.py
@@ -252,17 +252,20 @@
             await self.stream.send_all(self.protocol.send(informational))
 
     async def receive_body(self, missing: int) -> None:
-        """Reads the next bytes of a body in a turn of the event loop.
+        """Reads the next bytes of a body.
+
+        Chunks take a turn of the event loop, as they may be many. Without
+        chunks, a read is one part.
 
         Args:
             missing: Bytes that are still to come if the length is known.
         """
+        if missing > 0:
+            # what follows the body stays in the kernel
+            await self.receive(min(missing, BODY_RECEIVE_BYTES))
+            return
         await self.take_turn()
-        # what follows a body stays in the kernel
-        size = (
-            min(missing, BODY_RECEIVE_BYTES) if missing > 0 else RECEIVE_BYTES
-        )
-        await self.receive(size)
+        await self.receive(RECEIVE_BYTES)
 
     async def take_turn(self) -> None:
         """Takes a turn; the wait for it does not count as the caller's."""
