Known red: 1,900 clients that send requests one behind the other

Played on: 226 MB where the smallest machine has 200, alive, small requests served, a large one not. Not mended: the test goes in with its bound and is listed.

The doc of callers.max_connections said that a connection beyond it is closed at once.

--- a/lavenderbend/state/settings.py
+++ b/lavenderbend/state/settings.py
@@ -53,7 +53,8 @@
         port: Port to bind, 0 for any.
         max_header_bytes: Largest request headers; larger ones are refused.
         max_body_bytes: Largest request body; larger ones are refused.
-        max_connections: Connections above this number are closed at once.
+        max_connections: For a connection above this number, one that waits
+            for a request is closed, or itself if there is none.
         max_held_bytes: Memory that the requests and answers of all callers
             may take up; requests beyond it are refused.
         idle_seconds: Time without progress after which a connection is
--- a/tests/integration/test_integration_crowds.py
+++ b/tests/integration/test_integration_crowds.py
@@ -61,10 +61,12 @@
 @pytest.mark.parametrize(
     'name',
     [
+        'large_chunks',
         'whole_bodies',
         'heads_short_of_end',
         'tiny_chunks',
         'unread_answers',
+        'pipelined',
         'pipelined_bodies',
     ],
 )
